--- /dev/null
+++ b/crates/apprentice/src/session.rs
@@ -0,0 +1,188 @@
+use bytes::Bytes;
+use dovetail::msg::*;
+use dovetail::{Bench, Body};
+use gauge::{Caliper, Role, Template};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// What a process knows of the world. Newer versions replace older ones; it
+/// never goes back.
+#[derive(Clone, Default)]
+pub struct Known {
+    pub json: Bytes,
+    pub template: Arc<Template>,
+    pub charter: Arc<Charter>,
+    pub roster: Arc<Roster>,
+    pub chair: String,
+}
+
+impl Known {
+    pub fn have(&self) -> Have {
+        Have { template: self.template.revision, charter: self.charter.version, roster: self.roster.version }
+    }
+
+    /// Takes whatever is newer; tells whether anything was.
+    pub fn take(&mut self, news: &News) -> bool {
+        let mut moved = false;
+        if let Some(json) = &news.template
+            && let Ok(t) = Template::read(json)
+            && t.revision > self.template.revision
+        {
+            self.template = Arc::new(t);
+            self.json = json.clone();
+            moved = true;
+        }
+        if let Some(c) = &news.charter
+            && c.version > self.charter.version
+        {
+            self.charter = Arc::new(c.clone());
+            moved = true;
+        }
+        if let Some(r) = &news.roster
+            && r.version > self.roster.version
+        {
+            self.roster = Arc::new(r.clone());
+            moved = true;
+        }
+        if !news.chair.is_empty() && news.chair != self.chair {
+            self.chair = news.chair.clone();
+            moved = true;
+        }
+        moved
+    }
+
+    /// All that the other lacks, by its versions.
+    pub fn news_for(&self, have: &Have) -> News {
+        let mine = self.have();
+        News {
+            have: mine,
+            template: (mine.template > have.template).then(|| self.json.clone()),
+            charter: (mine.charter > have.charter).then(|| (*self.charter).clone()),
+            roster: (mine.roster > have.roster).then(|| (*self.roster).clone()),
+            chair: self.chair.clone(),
+            foremen: Vec::new(),
+        }
+    }
+
+    pub fn node(&self, name: &str, role: &str) -> Option<&Node> {
+        self.roster.nodes.iter().find(|n| n.name == name && n.role == role)
+    }
+}
+
+/// The session of one process: known state and how to reach the foremen.
+pub struct Session {
+    pub caliper: Caliper,
+    pub bench: Arc<Bench>,
+    known: watch::Sender<Known>,
+    node: Mutex<Node>,
+    foremen: Mutex<Vec<String>>,
+}
+
+impl Session {
+    pub fn new(caliper: Caliper, node: Node, bench: Arc<Bench>) -> Arc<Session> {
+        let foremen = caliper.seed_foremen();
+        Arc::new(Session {
+            known: watch::channel(Known::default()).0,
+            node: Mutex::new(node),
+            foremen: Mutex::new(foremen),
+            bench,
+            caliper,
+        })
+    }
+
+    pub fn known(&self) -> Known {
+        self.known.borrow().clone()
+    }
+
+    pub fn with_known<T>(&self, f: impl FnOnce(&Known) -> T) -> T {
+        f(&self.known.borrow())
+    }
+
+    pub fn subscribe(&self) -> watch::Receiver<Known> {
+        self.known.subscribe()
+    }
+
+    pub fn take(&self, news: &News) -> bool {
+        self.known.send_if_modified(|k| k.take(news))
+    }
+
+    pub fn me(&self) -> Node {
+        self.node.lock().unwrap().clone()
+    }
+
+    pub fn set_leaving(&self) {
+        self.node.lock().unwrap().leaving = true;
+    }
+
+    /// Foremen by how good they are to ask: those of this zone first.
+    fn order_foremen(&self) -> Vec<String> {
+        let mut all = self.foremen.lock().unwrap().clone();
+        self.with_known(|k| {
+            for n in k.roster.nodes.iter().filter(|n| n.role == "foreman") {
+                if !all.contains(&n.inner) {
+                    all.push(n.inner.clone());
+                }
+            }
+            let near = |addr: &String| {
+                let n = k.roster.nodes.iter().find(|n| n.role == "foreman" && n.inner == *addr);
+                match n {
+                    Some(n) if n.zone == self.caliper.zone => 0,
+                    Some(n) if n.region == self.caliper.region => 1,
+                    _ => 2,
+                }
+            };
+            let mine = self.caliper.inner_addr(Role::Foreman);
+            all.sort_by_key(|a| (near(a), *a != mine));
+        });
+        all
+    }
+
+    /// Keeps asking for news; ends never.
+    pub async fn keep(self: Arc<Self>) {
+        let quiet = self.caliper.constraints.quiet_ms;
+        let wait = (quiet / 8.0) as u32;
+        let (mut turn, mut failures) = (0usize, 0u32);
+        loop {
+            let foremen = self.order_foremen();
+            let addr = foremen[turn % foremen.len()].clone();
+            let mut node = self.me();
+            if node.role == "lathe" {
+                // A lathe's session is its lease.
+                node.name.clear();
+            }
+            let w = Watch {
+                node: (!node.name.is_empty()).then_some(node),
+                have: self.with_known(|k| k.have()),
+                wait_ms: wait,
+                sessions: Vec::new(),
+            };
+            let asked = self.bench.to(&addr).call(Body::Watch(w), Duration::from_millis(wait as u64 * 2)).await;
+            match asked {
+                Ok(Body::News(n)) => {
+                    failures = 0;
+                    if !n.foremen.is_empty() {
+                        let mut f = self.foremen.lock().unwrap();
+                        for a in &n.foremen {
+                            if !f.contains(a) {
+                                f.push(a.clone());
+                            }
+                        }
+                    }
+                    self.take(&n);
+                    if turn != 0 && self.order_foremen().first() != Some(&addr) {
+                        // Once in a while back to the nearest.
+                        turn = 0;
+                    }
+                }
+                _ => {
+                    tally::count("session_misses");
+                    turn += 1;
+                    failures += 1;
+                    let pause = (quiet / 80.0) * f64::from(1 << failures.min(4));
+                    tokio::time::sleep(Duration::from_millis(pause as u64)).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dovetail/src/lib.rs
@@ -0,0 +1,18 @@
+//! The inner protocol: what the processes of the system say to one another,
+//! and the framed connections it travels on.
+
+mod link;
+pub mod msg;
+pub use link::*;
+pub use msg::Body;
+
+/// Whether a request that came to no clear end may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It never left, or the other side said that it did nothing.
+    NotRun,
+    /// It left, and nobody said what came of it.
+    MayHaveRun,
+    /// The other side did it.
+    Ran,
+}
--- /dev/null
+++ b/crates/dovetail/src/link.rs
@@ -0,0 +1,278 @@
+use crate::Verdict;
+use crate::msg::{Body, Envelope};
+use bytes::{Buf, Bytes, BytesMut};
+use prost::Message;
+use std::collections::HashMap;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// The largest frame that is taken; a larger one closes its connection.
+pub const FRAME_LIMIT: usize = 4 << 20;
+
+/// Appends one frame: its length in four bytes, then the envelope.
+pub fn put_frame(out: &mut BytesMut, envelope: &Envelope) {
+    let len = envelope.encoded_len();
+    out.reserve(len + 4);
+    out.extend_from_slice(&(len as u32).to_be_bytes());
+    envelope.encode(out).expect("room was reserved");
+}
+
+/// Takes one whole frame off the front, if there is one.
+pub fn take_frame(buf: &mut BytesMut) -> Result<Option<Envelope>, &'static str> {
+    if buf.len() < 4 {
+        return Ok(None);
+    }
+    let len = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
+    if len > FRAME_LIMIT {
+        return Err("frame too large");
+    }
+    if buf.len() < 4 + len {
+        return Ok(None);
+    }
+    buf.advance(4);
+    let frame: Bytes = buf.split_to(len).freeze();
+    Envelope::decode(frame).map(Some).map_err(|_| "frame cannot be read")
+}
+
+pub fn tune(stream: &TcpStream, silence: Duration) {
+    let _ = stream.set_nodelay(true);
+    let sock = socket2::SockRef::from(stream);
+    let _ = sock.set_tcp_user_timeout(Some(silence));
+    let probe = (silence / 3).max(Duration::from_secs(1));
+    let _ = sock.set_tcp_keepalive(&socket2::TcpKeepalive::new().with_time(probe).with_interval(probe));
+}
+
+/// Where replies to one connection are put; written in batches.
+#[derive(Clone)]
+pub struct Mouth(mpsc::UnboundedSender<Envelope>);
+
+/// The right to answer one call. Dropped unused, the caller waits in vain.
+pub struct Peg {
+    mouth: Mouth,
+    call: u64,
+}
+
+impl Peg {
+    pub fn send(self, body: Body) {
+        if self.call != 0 {
+            let _ = self.mouth.0.send(Envelope { call: self.call, reply: true, body: Some(body) });
+        }
+    }
+}
+
+/// Takes inner connections and hands every frame to `handle`.
+pub async fn serve<F>(listener: TcpListener, silence: Duration, handle: F)
+where
+    F: Fn(Body, Peg) + Send + Sync + 'static,
+{
+    let handle = Arc::new(handle);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        tune(&stream, silence);
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let (mut read, write) = stream.into_split();
+            let (tx, rx) = mpsc::unbounded_channel();
+            let mouth = Mouth(tx);
+            tokio::spawn(write_all(write, rx));
+            let mut buf = BytesMut::with_capacity(8 << 10);
+            loop {
+                loop {
+                    match take_frame(&mut buf) {
+                        Ok(Some(e)) => {
+                            if let Some(body) = e.body {
+                                handle(body, Peg { mouth: mouth.clone(), call: e.call });
+                            }
+                        }
+                        Ok(None) => break,
+                        Err(_) => {
+                            tally::count("inner_bad_frames");
+                            return;
+                        }
+                    }
+                }
+                buf.reserve(4 << 10);
+                match read.read_buf(&mut buf).await {
+                    Ok(n) if n > 0 => {}
+                    _ => return,
+                }
+            }
+        });
+    }
+}
+
+async fn write_all(mut write: tokio::net::tcp::OwnedWriteHalf, mut rx: mpsc::UnboundedReceiver<Envelope>) {
+    let mut out = BytesMut::new();
+    while let Some(e) = rx.recv().await {
+        put_frame(&mut out, &e);
+        while out.len() < 256 << 10 {
+            match rx.try_recv() {
+                Ok(e) => put_frame(&mut out, &e),
+                Err(_) => break,
+            }
+        }
+        if write.write_all(&out).await.is_err() {
+            return;
+        }
+        if out.capacity() > 64 << 10 {
+            out = BytesMut::new();
+        }
+        out.clear();
+    }
+    let _ = write.shutdown().await;
+}
+
+type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<Result<Body, Verdict>>>>>;
+
+struct Live {
+    tx: mpsc::UnboundedSender<Envelope>,
+    waiting: Waiting,
+}
+
+/// The calling end of a connection to one address; connects when first used,
+/// and again after a failure.
+pub struct Tenon {
+    addr: String,
+    silence: Duration,
+    live: Mutex<Option<Live>>,
+    next: AtomicU64,
+}
+
+impl Tenon {
+    pub fn new(addr: &str, silence: Duration) -> Arc<Tenon> {
+        Arc::new(Tenon { addr: addr.into(), silence, live: Mutex::new(None), next: AtomicU64::new(1) })
+    }
+
+    pub fn addr(&self) -> &str {
+        &self.addr
+    }
+
+    fn push(self: &Arc<Self>, envelope: Envelope, wait: Option<oneshot::Sender<Result<Body, Verdict>>>) {
+        let mut live = self.live.lock().unwrap();
+        if live.as_ref().is_none_or(|l| l.tx.is_closed()) {
+            let (tx, rx) = mpsc::unbounded_channel();
+            let waiting: Waiting = Arc::default();
+            tokio::spawn(run(self.addr.clone(), self.silence, rx, waiting.clone()));
+            *live = Some(Live { tx, waiting });
+        }
+        let l = live.as_ref().expect("set above");
+        let call = envelope.call;
+        if let Some(w) = wait {
+            l.waiting.lock().unwrap().insert(call, w);
+        }
+        if l.tx.send(envelope).is_err()
+            && let Some(w) = l.waiting.lock().unwrap().remove(&call)
+        {
+            let _ = w.send(Err(Verdict::NotRun));
+        }
+    }
+
+    /// Sends without wanting a reply.
+    pub fn send(self: &Arc<Self>, body: Body) {
+        self.push(Envelope { call: 0, reply: false, body: Some(body) }, None);
+    }
+
+    /// Sends and waits for the reply; the error says whether it may have run.
+    pub async fn call(self: &Arc<Self>, body: Body, timeout: Duration) -> Result<Body, Verdict> {
+        let (tx, rx) = oneshot::channel();
+        let call = self.next.fetch_add(1, Ordering::Relaxed);
+        self.push(Envelope { call, reply: false, body: Some(body) }, Some(tx));
+        match tokio::time::timeout(timeout, rx).await {
+            Ok(Ok(r)) => r,
+            Ok(Err(_)) => Err(Verdict::MayHaveRun),
+            Err(_) => {
+                if let Some(l) = self.live.lock().unwrap().as_ref() {
+                    l.waiting.lock().unwrap().remove(&call);
+                }
+                Err(Verdict::MayHaveRun)
+            }
+        }
+    }
+}
+
+fn fail_all(waiting: &Waiting, verdict: Verdict) {
+    for (_, w) in waiting.lock().unwrap().drain() {
+        let _ = w.send(Err(verdict));
+    }
+}
+
+async fn run(addr: String, silence: Duration, mut rx: mpsc::UnboundedReceiver<Envelope>, waiting: Waiting) {
+    let connected = tokio::time::timeout(silence, TcpStream::connect(&addr)).await;
+    let stream = match connected {
+        Ok(Ok(s)) => s,
+        _ => {
+            rx.close();
+            fail_all(&waiting, Verdict::NotRun);
+            return;
+        }
+    };
+    tune(&stream, silence);
+    let (mut read, mut write) = stream.into_split();
+    let incoming = waiting.clone();
+    let reader = async move {
+        let mut buf = BytesMut::with_capacity(8 << 10);
+        loop {
+            while let Some(e) = take_frame(&mut buf).map_err(io::Error::other)? {
+                let w = incoming.lock().unwrap().remove(&e.call);
+                if let (Some(w), Some(b)) = (w, e.body) {
+                    let _ = w.send(Ok(b));
+                }
+            }
+            buf.reserve(4 << 10);
+            if read.read_buf(&mut buf).await? == 0 {
+                return Err::<(), io::Error>(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    };
+    let writer = async {
+        let mut out = BytesMut::new();
+        while let Some(e) = rx.recv().await {
+            put_frame(&mut out, &e);
+            while out.len() < 256 << 10 {
+                match rx.try_recv() {
+                    Ok(e) => put_frame(&mut out, &e),
+                    Err(_) => break,
+                }
+            }
+            write.write_all(&out).await?;
+            if out.capacity() > 64 << 10 {
+                out = BytesMut::new();
+            }
+            out.clear();
+        }
+        Ok::<(), io::Error>(())
+    };
+    tokio::select! { _ = reader => {}, _ = writer => {} }
+    rx.close();
+    fail_all(&waiting, Verdict::MayHaveRun);
+}
+
+/// The calling ends to all addresses in use.
+pub struct Bench {
+    silence: Duration,
+    ends: Mutex<HashMap<String, Arc<Tenon>>>,
+}
+
+impl Bench {
+    pub fn new(silence: Duration) -> Arc<Bench> {
+        Arc::new(Bench { silence, ends: Mutex::default() })
+    }
+
+    pub fn to(&self, addr: &str) -> Arc<Tenon> {
+        let mut ends = self.ends.lock().unwrap();
+        if let Some(t) = ends.get(addr) {
+            return t.clone();
+        }
+        let t = Tenon::new(addr, self.silence);
+        ends.insert(addr.to_owned(), t.clone());
+        t
+    }
+}
--- /dev/null
+++ b/crates/dovetail/src/msg.rs
@@ -0,0 +1,699 @@
+//! Messages of the inner protocol. Field numbers are never used again.
+
+use bytes::Bytes;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Envelope {
+    /// 0: no reply is wanted.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    #[prost(bool, tag = "2")]
+    pub reply: bool,
+    #[prost(
+        oneof = "Body",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35"
+    )]
+    pub body: Option<Body>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    #[prost(message, tag = "10")]
+    Watch(Watch),
+    #[prost(message, tag = "11")]
+    News(News),
+    #[prost(message, tag = "12")]
+    Lease(Lease),
+    #[prost(message, tag = "13")]
+    LeaseAck(LeaseAck),
+    #[prost(message, tag = "14")]
+    Order(Order),
+    #[prost(message, tag = "15")]
+    OrderAck(OrderAck),
+    #[prost(message, tag = "16")]
+    Vise(ViseMsg),
+    #[prost(message, tag = "17")]
+    Accept(Accept),
+    #[prost(message, tag = "18")]
+    Accepted(Accepted),
+    #[prost(message, tag = "19")]
+    Lookup(Lookup),
+    #[prost(message, tag = "20")]
+    Found(Found),
+    #[prost(message, tag = "21")]
+    Run(Run),
+    #[prost(message, tag = "22")]
+    RunAck(RunAck),
+    #[prost(message, tag = "23")]
+    Report(Report),
+    #[prost(message, tag = "24")]
+    ReportAck(ReportAck),
+    #[prost(message, tag = "25")]
+    Holding(Holding),
+    #[prost(message, tag = "26")]
+    Held(Held),
+    #[prost(message, tag = "27")]
+    Notify(Notify),
+    #[prost(message, tag = "28")]
+    NotifyAck(NotifyAck),
+    #[prost(message, tag = "29")]
+    Entries(Entries),
+    #[prost(message, tag = "30")]
+    EntriesAck(EntriesAck),
+    #[prost(message, tag = "31")]
+    Chunk(Chunk),
+    #[prost(message, tag = "32")]
+    Status(Status),
+    #[prost(message, tag = "33")]
+    StatusAck(StatusAck),
+    #[prost(message, tag = "34")]
+    Gossip(Gossip),
+    #[prost(message, tag = "35")]
+    Ack(Ack),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ack {}
+
+// ---- sessions and news ----
+
+/// A node of the system, as it tells of itself.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Node {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// `hatch`, `lathe` or `foreman`.
+    #[prost(string, tag = "2")]
+    pub role: String,
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    #[prost(string, tag = "4")]
+    pub region: String,
+    /// Where it takes inner connections.
+    #[prost(string, tag = "5")]
+    pub inner: String,
+    /// Changes with every start of the process.
+    #[prost(uint64, tag = "6")]
+    pub life: u64,
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Started with an empty disk, though not at the system's first start.
+    #[prost(bool, tag = "8")]
+    pub fresh: bool,
+}
+
+/// The versions of the three things that are passed on.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Have {
+    #[prost(uint64, tag = "1")]
+    pub template: u64,
+    #[prost(uint64, tag = "2")]
+    pub charter: u64,
+    #[prost(uint64, tag = "3")]
+    pub roster: u64,
+}
+
+/// Keeps a session and asks for news; answered when there is some, or after `wait_ms`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Watch {
+    #[prost(message, optional, tag = "1")]
+    pub node: Option<Node>,
+    #[prost(message, required, tag = "2")]
+    pub have: Have,
+    #[prost(uint32, tag = "3")]
+    pub wait_ms: u32,
+    /// Sessions that a foreman holds, told to the one in the chair.
+    #[prost(message, repeated, tag = "4")]
+    pub sessions: Vec<Node>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct News {
+    #[prost(message, required, tag = "1")]
+    pub have: Have,
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub template: Option<Bytes>,
+    #[prost(message, optional, tag = "3")]
+    pub charter: Option<Charter>,
+    #[prost(message, optional, tag = "4")]
+    pub roster: Option<Roster>,
+    /// Inner address of the foreman in the chair, if known.
+    #[prost(string, tag = "5")]
+    pub chair: String,
+    /// Inner addresses of foremen.
+    #[prost(string, repeated, tag = "6")]
+    pub foremen: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Gossip {
+    #[prost(message, required, tag = "1")]
+    pub have: Have,
+    #[prost(bool, tag = "2")]
+    pub pull: bool,
+}
+
+/// What came of the runs on one version of a service since the last report.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Sample {
+    #[prost(string, tag = "1")]
+    pub plant: String,
+    #[prost(string, tag = "2")]
+    pub revision: String,
+    #[prost(string, tag = "3")]
+    pub channel: String,
+    #[prost(uint32, tag = "4")]
+    pub good: u32,
+    #[prost(uint32, tag = "5")]
+    pub bad: u32,
+    /// Sum of the good runs' milliseconds, and of their squares.
+    #[prost(double, tag = "6")]
+    pub ms_sum: f64,
+    #[prost(uint32, tag = "7")]
+    pub sent: u32,
+}
+
+/// What a majority of the foremen has agreed on and the data plane needs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Charter {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub partitions: Vec<Partition>,
+    #[prost(message, repeated, tag = "3")]
+    pub rollouts: Vec<Rollout>,
+    #[prost(message, repeated, tag = "4")]
+    pub retires: Vec<Retire>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Partition {
+    #[prost(uint32, tag = "1")]
+    pub id: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    #[prost(string, repeated, tag = "4")]
+    pub insync: Vec<String>,
+    /// The nodes that are to hold it, the preferred owner first.
+    #[prost(string, repeated, tag = "5")]
+    pub homes: Vec<String>,
+    #[prost(message, optional, tag = "6")]
+    pub grant: Option<Grant>,
+    /// The term began without a stop marker: ask the delivery nodes first.
+    #[prost(bool, tag = "7")]
+    pub seized: bool,
+}
+
+/// The next term, promised to a candidate before the incumbent stops.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Grant {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(string, tag = "2")]
+    pub candidate: String,
+    #[prost(string, repeated, tag = "3")]
+    pub insync: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Rollout {
+    #[prost(string, tag = "1")]
+    pub plant: String,
+    #[prost(string, tag = "2")]
+    pub target: String,
+    /// `running`, `settled` or `reverted`.
+    #[prost(string, tag = "3")]
+    pub state: String,
+    /// Thousandths of the traffic that the target gets.
+    #[prost(uint32, tag = "4")]
+    pub share: u32,
+    #[prost(uint64, tag = "5")]
+    pub within_ms: u64,
+    /// Versions that were in use before.
+    #[prost(string, repeated, tag = "6")]
+    pub old: Vec<String>,
+    /// Runs sent to the target so far, as the judge has seen them.
+    #[prost(uint64, tag = "7")]
+    pub spent: u64,
+    #[prost(uint64, tag = "8")]
+    pub began_ms: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Retire {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(bool, tag = "2")]
+    pub done: bool,
+}
+
+/// Soft state: who is a member, and which processors there are.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Roster {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub nodes: Vec<Node>,
+    #[prost(message, repeated, tag = "3")]
+    pub units: Vec<Unit>,
+    #[prost(bool, tag = "4")]
+    pub listed: bool,
+}
+
+/// A processor as the platform lists it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Unit {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(string, tag = "2")]
+    pub plant: String,
+    #[prost(string, tag = "3")]
+    pub address: String,
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    #[prost(string, tag = "5")]
+    pub revision: String,
+    #[prost(uint32, tag = "6")]
+    pub capacity: u32,
+    #[prost(bool, tag = "7")]
+    pub draining: bool,
+    #[prost(bool, tag = "8")]
+    pub cold: bool,
+}
+
+/// An owner's lease on its life: renewed with the foreman in the chair.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Lease {
+    #[prost(message, required, tag = "1")]
+    pub node: Node,
+    #[prost(message, repeated, tag = "2")]
+    pub samples: Vec<Sample>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LeaseAck {
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+    /// Counted from the moment the request was sent.
+    #[prost(uint32, tag = "2")]
+    pub ttl_ms: u32,
+    /// Where to ask instead.
+    #[prost(string, tag = "3")]
+    pub chair: String,
+}
+
+/// What a partition owner or replica asks of the majority.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Order {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(string, tag = "3")]
+    pub node: String,
+    #[prost(enumeration = "OrderKind", tag = "4")]
+    pub kind: i32,
+    /// With `Grant`: the node that is leaving, if the move is for that.
+    #[prost(string, tag = "5")]
+    pub leaving: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderKind {
+    None = 0,
+    /// Promise the next term to `node`.
+    Grant = 1,
+    /// `node` has resumed behind the stop marker.
+    Own = 2,
+    /// `node` holds all that is committed: count it in.
+    Join = 3,
+    /// `node` leaves the in-sync set.
+    Drop = 4,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OrderAck {
+    #[prost(bool, tag = "1")]
+    pub ok: bool,
+    /// Refused for good at this term (otherwise: try again).
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
+    #[prost(string, tag = "3")]
+    pub chair: String,
+    #[prost(message, optional, tag = "4")]
+    pub partition: Option<Partition>,
+}
+
+// ---- the foremen's majority log ----
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ViseEntry {
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub data: Bytes,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ViseMsg {
+    #[prost(string, tag = "1")]
+    pub from: String,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(enumeration = "ViseKind", tag = "3")]
+    pub kind: i32,
+    /// Ask: last entry of the asker. Append: entry before the first one sent.
+    #[prost(uint64, tag = "4")]
+    pub index: u64,
+    #[prost(uint64, tag = "5")]
+    pub log_term: u64,
+    #[prost(message, repeated, tag = "6")]
+    pub entries: Vec<ViseEntry>,
+    #[prost(uint64, tag = "7")]
+    pub commit: u64,
+    #[prost(bool, tag = "8")]
+    pub ok: bool,
+    /// Whole state, with `Install`.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub state: Bytes,
+    /// From one without a vote: wants to be readmitted. To it: it is.
+    #[prost(bool, tag = "10")]
+    pub readmit: bool,
+    /// Only asks whether it would be elected.
+    #[prost(bool, tag = "11")]
+    pub trial: bool,
+    #[prost(string, repeated, tag = "12")]
+    pub voters: Vec<String>,
+    /// Numbers appends, to tell rounds apart.
+    #[prost(uint64, tag = "13")]
+    pub round: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum ViseKind {
+    None = 0,
+    Ask = 1,
+    Vote = 2,
+    Append = 3,
+    AppendAck = 4,
+    Install = 5,
+    /// The one in the chair names its successor.
+    Succeed = 6,
+}
+
+// ---- messages on their way ----
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accept {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(message, required, tag = "2")]
+    pub item: Item,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Left until it is due.
+    #[prost(uint64, tag = "4")]
+    pub delay_ms: u64,
+}
+
+/// A message as it arrived.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Item {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(string, tag = "2")]
+    pub channel: String,
+    #[prost(string, tag = "3")]
+    pub method: String,
+    #[prost(string, tag = "4")]
+    pub host: String,
+    #[prost(string, tag = "5")]
+    pub path: String,
+    #[prost(string, tag = "6")]
+    pub order_key: String,
+    #[prost(string, tag = "7")]
+    pub notify_url: String,
+    #[prost(string, tag = "8")]
+    pub content_type: String,
+    #[prost(bytes = "bytes", tag = "9")]
+    pub body: Bytes,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum AcceptOutcome {
+    None = 0,
+    /// On the disks of every in-sync replica.
+    Taken = 1,
+    /// Not here; `owner` may say where. Nothing was written.
+    Elsewhere = 2,
+    /// Not now; nothing was written.
+    Full = 3,
+    /// No such route here any more; nothing was written.
+    NoRoute = 4,
+    /// It may be written.
+    Unclear = 5,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accepted {
+    #[prost(enumeration = "AcceptOutcome", tag = "1")]
+    pub outcome: i32,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    #[prost(uint32, tag = "4")]
+    pub retry_ms: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Lookup {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    #[prost(bool, tag = "3")]
+    pub body: bool,
+    /// Instead of the position: the request's id.
+    #[prost(string, tag = "4")]
+    pub id: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Found {
+    /// False: this node does not own the partition; ask again.
+    #[prost(bool, tag = "1")]
+    pub owner: bool,
+    #[prost(bool, tag = "2")]
+    pub known: bool,
+    #[prost(string, tag = "3")]
+    pub state: String,
+    #[prost(string, tag = "4")]
+    pub seal: String,
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: Bytes,
+    #[prost(string, tag = "6")]
+    pub host: String,
+}
+
+/// One delivery, given to a delivery node.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Run {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint64, tag = "3")]
+    pub position: u64,
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Empty for single endpoints.
+    #[prost(string, tag = "5")]
+    pub unit: String,
+    #[prost(uint32, tag = "6")]
+    pub cutoff_ms: u32,
+    #[prost(message, required, tag = "7")]
+    pub item: Item,
+    #[prost(uint32, tag = "8")]
+    pub conn_limit: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RunAck {
+    /// False: it will not run here.
+    #[prost(bool, tag = "1")]
+    pub taken: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Outcome {
+    None = 0,
+    /// 2xx with a seal, whole.
+    Done = 1,
+    /// 500: this attempt failed.
+    Failed = 2,
+    /// 422: it can never be done.
+    Never = 3,
+    /// The processor, or this side, says that it did not run.
+    NotRun = 4,
+    /// Silence, reset, broken answer: it may have run.
+    Unknown = 5,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    #[prost(enumeration = "Outcome", tag = "3")]
+    pub outcome: i32,
+    #[prost(string, tag = "4")]
+    pub seal: String,
+    #[prost(uint32, tag = "5")]
+    pub status: u32,
+    /// Running and waiting at the processor, as it said; `loaded` says that it did.
+    #[prost(uint32, tag = "6")]
+    pub running: u32,
+    #[prost(uint32, tag = "7")]
+    pub waiting: u32,
+    #[prost(bool, tag = "8")]
+    pub loaded: bool,
+    #[prost(uint32, tag = "9")]
+    pub took_ms: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReportAck {
+    /// False: this node does not own the partition; find who does.
+    #[prost(bool, tag = "1")]
+    pub kept: bool,
+}
+
+/// A new owner asks a delivery node what it holds; older terms are refused from then on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Holding {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Held {
+    #[prost(uint64, repeated, tag = "1")]
+    pub positions: Vec<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Notify {
+    #[prost(string, tag = "1")]
+    pub url: String,
+    #[prost(string, tag = "2")]
+    pub id: String,
+    #[prost(string, tag = "3")]
+    pub state: String,
+    #[prost(string, tag = "4")]
+    pub seal: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NotifyAck {
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+}
+
+// ---- replication of a partition's log ----
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LogEntry {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub record: Bytes,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Entries {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    /// Position and term of the entry before the first one sent.
+    #[prost(uint64, tag = "4")]
+    pub prev: u64,
+    #[prost(uint64, tag = "5")]
+    pub prev_term: u64,
+    #[prost(message, repeated, tag = "6")]
+    pub entries: Vec<LogEntry>,
+    #[prost(uint64, tag = "7")]
+    pub commit: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EntriesAck {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(string, tag = "3")]
+    pub node: String,
+    /// All up to here is on this node's disk.
+    #[prost(uint64, tag = "4")]
+    pub durable: u64,
+    /// Does not join on: send from behind `durable`.
+    #[prost(bool, tag = "5")]
+    pub gap: bool,
+    /// Position of the last epoch record whose digest the shadow state matched.
+    #[prost(uint64, tag = "6")]
+    pub verified: u64,
+    /// A digest differed.
+    #[prost(bool, tag = "7")]
+    pub mismatch: bool,
+    /// Position of the first epoch record of the unbroken run of matches.
+    #[prost(uint64, tag = "8")]
+    pub verified_from: u64,
+}
+
+/// A piece of a snapshot of a partition's state.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Chunk {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    /// The state is the fold of all up to here.
+    #[prost(uint64, tag = "4")]
+    pub position: u64,
+    #[prost(uint64, tag = "5")]
+    pub position_term: u64,
+    #[prost(uint32, tag = "6")]
+    pub part: u32,
+    #[prost(bool, tag = "7")]
+    pub last: bool,
+    #[prost(bytes = "bytes", tag = "8")]
+    pub data: Bytes,
+}
+
+// ---- operators ----
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Status {}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StatusAck {
+    #[prost(string, tag = "1")]
+    pub json: String,
+}
--- /dev/null
+++ b/crates/foreman/src/lib.rs
@@ -0,0 +1,13 @@
+//! The control plane: the majority log, sessions, leases, duties, and the
+//! operator's interface.
+
+mod operator;
+mod plumb;
+mod rack;
+mod shop;
+mod vise;
+pub use operator::serve as serve_operator;
+pub use plumb::*;
+pub use rack::*;
+pub use shop::*;
+pub use vise::*;
--- /dev/null
+++ b/crates/foreman/src/plumb.rs
@@ -0,0 +1,108 @@
+//! The judge of new versions: holds the new one against the old.
+
+use dovetail::msg::{Rollout, Sample};
+use std::collections::HashMap;
+
+#[derive(Clone, Copy, Default, Debug)]
+struct Tried {
+    good: f64,
+    bad: f64,
+    ms: f64,
+}
+
+impl Tried {
+    fn runs(&self) -> f64 {
+        self.good + self.bad
+    }
+    fn bad_share(&self) -> f64 {
+        if self.runs() > 0.0 { self.bad / self.runs() } else { 0.0 }
+    }
+    fn mean(&self) -> f64 {
+        if self.good > 0.0 { self.ms / self.good } else { 0.0 }
+    }
+}
+
+/// What has been seen of one roll-out.
+#[derive(Default)]
+pub struct Plumb {
+    new: HashMap<String, Tried>,
+    old: HashMap<String, Tried>,
+    pub sent_new: u64,
+    pub sent_all: u64,
+    /// Runs of the new version since the share was last raised.
+    since_raise: f64,
+    raised_ms: u64,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Advice {
+    Wait,
+    /// Give the new version this many thousandths.
+    Share(u32),
+    Settle,
+    Revert(String),
+}
+
+/// Steps of the share, in thousandths, and the part of the time at which each may begin.
+const STEPS: [(u32, f64); 3] = [(250, 0.40), (600, 0.50), (1000, 0.58)];
+const SETTLE_FROM: f64 = 0.70;
+
+impl Plumb {
+    pub fn add(&mut self, target: &str, s: &Sample) {
+        let new = s.revision == target;
+        self.sent_all += s.sent as u64;
+        if new {
+            self.sent_new += s.sent as u64;
+            self.since_raise += (s.good + s.bad) as f64;
+        }
+        let side = if new { &mut self.new } else { &mut self.old };
+        for channel in [s.channel.as_str(), ""] {
+            let t = side.entry(channel.to_owned()).or_default();
+            t.good += s.good as f64;
+            t.bad += s.bad as f64;
+            t.ms += s.ms_sum;
+        }
+    }
+
+    /// The first share: half of what a bad version may receive.
+    pub fn first_share(exposure: f64) -> u32 {
+        ((exposure * 600.0) as u32).clamp(5, 1000)
+    }
+
+    fn fault(&self) -> Option<String> {
+        for (channel, n) in &self.new {
+            let o = self.old.get(channel).copied().unwrap_or_default();
+            if n.runs() >= 6.0 && n.bad >= 3.0 && n.bad_share() > (3.0 * o.bad_share()).max(o.bad_share() + 0.12) {
+                return Some(format!("{:.0}% failures against {:.0}%", n.bad_share() * 100.0, o.bad_share() * 100.0));
+            }
+            if n.good >= 8.0 && o.good >= 8.0 && n.mean() > 2.3 * o.mean() {
+                return Some(format!("{:.0} ms against {:.0} ms", n.mean(), o.mean()));
+            }
+        }
+        None
+    }
+
+    pub fn advise(&mut self, r: &Rollout, now_ms: u64, linger_ms: u64) -> Advice {
+        if let Some(why) = self.fault() {
+            return Advice::Revert(why);
+        }
+        let part = now_ms.saturating_sub(r.began_ms) as f64 / r.within_ms.max(1) as f64;
+        if r.share >= 1000 {
+            let waited = now_ms.saturating_sub(self.raised_ms) >= linger_ms;
+            return if part >= SETTLE_FROM && waited && self.since_raise >= 10.0 {
+                Advice::Settle
+            } else {
+                Advice::Wait
+            };
+        }
+        if let Some((share, from)) = STEPS.iter().find(|(s, _)| *s > r.share)
+            && part >= *from
+            && self.since_raise >= 10.0
+        {
+            self.since_raise = 0.0;
+            self.raised_ms = now_ms;
+            return Advice::Share(*share);
+        }
+        Advice::Wait
+    }
+}
--- /dev/null
+++ b/crates/foreman/src/rack.rs
@@ -0,0 +1,273 @@
+//! The state that the majority log folds into: the operator's word, and who
+//! owns which partition at which term.
+
+use bytes::Bytes;
+use dovetail::msg::{Charter, Grant, Order, OrderKind, Partition, Retire, Rollout};
+use prost::Message;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Rack {
+    #[prost(message, required, tag = "1")]
+    pub charter: Charter,
+    /// The configuration in force, as JSON.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub template: Bytes,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Every configuration that was taken, to know a repeat of it.
+    #[prost(message, repeated, tag = "4")]
+    pub taken: Vec<Taken>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Taken {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    #[prost(uint64, tag = "3")]
+    pub print: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Command {
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5")]
+    pub word: Option<Word>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Word {
+    #[prost(message, tag = "1")]
+    Template(PutTemplate),
+    #[prost(message, tag = "2")]
+    Partition(PutPartition),
+    #[prost(message, tag = "3")]
+    Rollout(Rollout),
+    #[prost(message, tag = "4")]
+    Retire(Retire),
+    #[prost(message, tag = "5")]
+    Layout(Layout),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PutTemplate {
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub json: Bytes,
+    /// Of the operator's call, to know it again.
+    #[prost(uint64, tag = "4")]
+    pub print: u64,
+}
+
+/// Changes one partition if it still is what the proposer saw.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PutPartition {
+    #[prost(message, required, tag = "1")]
+    pub was: Partition,
+    #[prost(message, required, tag = "2")]
+    pub now: Partition,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Layout {
+    #[prost(message, repeated, tag = "1")]
+    pub partitions: Vec<Partition>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    Done,
+    /// Something else came first.
+    Beaten,
+}
+
+/// A short print of some bytes (FNV-1a).
+pub fn print(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf29ce484222325, |h, b| (h ^ *b as u64).wrapping_mul(0x100000001b3))
+}
+
+impl Rack {
+    pub fn apply(&mut self, index: u64, data: &Bytes) -> Applied {
+        let Ok(Command { word: Some(word) }) = Command::decode(data.clone()) else {
+            return Applied::Done;
+        };
+        match word {
+            Word::Template(t) => {
+                if t.base != self.revision || t.revision <= self.revision {
+                    return Applied::Beaten;
+                }
+                self.template = t.json;
+                self.revision = t.revision;
+                self.taken.push(Taken { revision: t.revision, base: t.base, print: t.print });
+                if self.taken.len() > 256 {
+                    self.taken.remove(0);
+                }
+                return Applied::Done;
+            }
+            Word::Partition(p) => {
+                let Some(slot) = self.charter.partitions.iter_mut().find(|x| x.id == p.was.id) else {
+                    return Applied::Beaten;
+                };
+                if *slot != p.was {
+                    return Applied::Beaten;
+                }
+                *slot = p.now;
+            }
+            Word::Rollout(r) => {
+                self.charter.rollouts.retain(|x| x.plant != r.plant);
+                self.charter.rollouts.push(r);
+            }
+            Word::Retire(r) => {
+                self.charter.retires.retain(|x| x.node != r.node);
+                self.charter.retires.push(r);
+            }
+            Word::Layout(l) => {
+                if !self.charter.partitions.is_empty() {
+                    return Applied::Beaten;
+                }
+                self.charter.partitions = l.partitions;
+            }
+        }
+        self.charter.version = index;
+        Applied::Done
+    }
+
+    /// Whether this very call has been taken before.
+    pub fn took(&self, revision: u64, base: u64, print: u64) -> bool {
+        self.taken.iter().any(|t| t.revision == revision && t.base == base && t.print == print)
+    }
+}
+
+/// What an order asks for, if it can be granted as things stand.
+#[derive(Debug, PartialEq)]
+pub enum Ruling {
+    Put(Partition),
+    /// It is so already.
+    Stands,
+    Refused,
+}
+
+pub fn rule(p: &Partition, order: &Order) -> Ruling {
+    let kind = OrderKind::try_from(order.kind).unwrap_or(OrderKind::None);
+    let mut now = p.clone();
+    match kind {
+        OrderKind::Grant => {
+            if order.term != p.term || order.node == p.owner || !p.insync.contains(&order.node) {
+                return Ruling::Refused;
+            }
+            let insync: Vec<String> = p.insync.iter().filter(|n| **n != order.leaving).cloned().collect();
+            if let Some(g) = &p.grant {
+                return if g.candidate == order.node { Ruling::Stands } else { Ruling::Refused };
+            }
+            now.grant = Some(Grant { term: p.term + 1, candidate: order.node.clone(), insync });
+        }
+        OrderKind::Own => {
+            if p.owner == order.node && p.term == order.term {
+                return Ruling::Stands;
+            }
+            match &p.grant {
+                Some(g) if g.term == order.term && g.candidate == order.node => {
+                    now.owner = g.candidate.clone();
+                    now.term = g.term;
+                    now.insync = g.insync.clone();
+                    now.grant = None;
+                    now.seized = false;
+                }
+                _ => return Ruling::Refused,
+            }
+        }
+        OrderKind::Join => {
+            if order.term != p.term || p.grant.is_some() {
+                return Ruling::Refused;
+            }
+            if p.insync.contains(&order.node) {
+                return Ruling::Stands;
+            }
+            now.insync.push(order.node.clone());
+        }
+        OrderKind::Drop => {
+            if order.node == p.owner || p.grant.as_ref().is_some_and(|g| g.candidate == order.node) {
+                return Ruling::Refused;
+            }
+            if order.term != 0 && order.term != p.term {
+                return Ruling::Refused;
+            }
+            if !p.insync.contains(&order.node) {
+                return Ruling::Stands;
+            }
+            now.insync.retain(|n| *n != order.node);
+            if let Some(g) = &mut now.grant {
+                g.insync.retain(|n| *n != order.node);
+            }
+        }
+        OrderKind::None => return Ruling::Refused,
+    }
+    Ruling::Put(now)
+}
+
+/// What becomes of a partition when some of its nodes' lives have ended.
+/// `alive` tells whether a node's session stands.
+pub fn seize(p: &Partition, alive: impl Fn(&str) -> bool) -> Option<Partition> {
+    let mut now = p.clone();
+    if alive(&p.owner) && p.grant.as_ref().is_none_or(|g| alive(&g.candidate)) {
+        // Only followers can be missing: they stop holding up the owner.
+        now.insync.retain(|n| *n == p.owner || alive(n));
+        if let Some(g) = &mut now.grant {
+            g.insync.retain(|n| *n == g.candidate || alive(n));
+        }
+        return (now != *p).then_some(now);
+    }
+    // With a grant out, the candidate may have resumed behind the marker: only
+    // nodes that both terms write to hold everything.
+    let eligible: Vec<&String> = p
+        .insync
+        .iter()
+        .filter(|n| p.grant.as_ref().is_none_or(|g| g.insync.contains(n)))
+        .filter(|n| alive(n))
+        .collect();
+    let next = eligible.iter().find(|n| **n == p.homes.first().unwrap_or(&String::new())).or(eligible.first())?;
+    now.owner = next.to_string();
+    now.term = p.grant.as_ref().map_or(p.term, |g| g.term) + 1;
+    now.insync = eligible.iter().map(|n| n.to_string()).collect();
+    now.grant = None;
+    now.seized = true;
+    Some(now)
+}
+
+/// The first layout: every node owns as many as any other, followed by different ones.
+pub fn layout(nodes: &[(String, String)], count: u32, replicas: usize) -> Vec<Partition> {
+    let n = nodes.len();
+    (0..count)
+        .map(|id| {
+            let at = id as usize % n;
+            let turn = id as usize / n;
+            let mut homes = vec![nodes[at].0.clone()];
+            let mut others: Vec<usize> = (1..n).map(|k| (at + k) % n).collect();
+            if !others.is_empty() {
+                let m = others.len();
+                others.rotate_left(turn % m);
+                // Other zones first.
+                others.sort_by_key(|o| nodes[*o].1 == nodes[at].1);
+            }
+            homes.extend(others.iter().take(replicas.saturating_sub(1)).map(|o| nodes[*o].0.clone()));
+            Partition { id, term: 1, owner: homes[0].clone(), insync: homes.clone(), homes, grant: None, seized: false }
+        })
+        .collect()
+}
+
+/// New homes for a partition when `gone` is to hold nothing any more.
+pub fn rehome(p: &Partition, gone: &str, live: &[(String, String)], load: impl Fn(&str) -> usize) -> Option<Partition> {
+    let at = p.homes.iter().position(|h| h == gone)?;
+    let fresh = live.iter().filter(|(n, _)| n != gone && !p.homes.contains(n)).min_by_key(|(n, _)| load(n));
+    let mut now = p.clone();
+    match fresh {
+        Some((n, _)) => now.homes[at] = n.clone(),
+        None => {
+            now.homes.remove(at);
+        }
+    }
+    (now != *p).then_some(now)
+}
--- /dev/null
+++ b/crates/foreman/src/shop.rs
@@ -0,0 +1,821 @@
+//! The shell of a foreman: runs the log, keeps sessions and leases, and does
+//! the duties of the one in the chair.
+
+use crate::plumb::{Advice, Plumb};
+use crate::rack::*;
+use crate::vise::*;
+use bytes::Bytes;
+use dovetail::msg::*;
+use dovetail::{Bench, Peg};
+use drawer::{Drawer, Op};
+use gauge::{Caliper, Role, Template};
+use prost::Message;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify as Bell, mpsc, oneshot, watch};
+
+pub type Answered = oneshot::Sender<Option<Applied>>;
+
+enum Input {
+    Vise(ViseMsg),
+    Propose(Bytes, Answered),
+    StepDown,
+}
+
+struct Session {
+    node: Node,
+    seen: u64,
+}
+
+struct Leased {
+    life: u64,
+    /// When it was last renewed.
+    at: u64,
+    /// Began with an empty disk: what it was in sync with before does not count.
+    fresh: bool,
+}
+
+/// State shared by the tasks of a foreman, behind a short lock.
+pub struct Floor {
+    pub rack: Rack,
+    pub roster: Roster,
+    sessions: BTreeMap<String, Session>,
+    leases: HashMap<String, Leased>,
+    /// Lives that were seen to end.
+    ended: HashMap<String, u64>,
+    pub chair: String,
+    pub in_chair: bool,
+    holds: bool,
+    chaired_at: u64,
+    term: u64,
+    roster_seq: u64,
+    units: Vec<Unit>,
+    listed: bool,
+    plumbs: HashMap<String, Plumb>,
+    first_lathe_at: u64,
+    /// Partitions that a former life of a node held, and the term they had then.
+    reborn: HashMap<String, u64>,
+}
+
+pub struct Shop {
+    pub caliper: Caliper,
+    pub me: String,
+    floor: Mutex<Floor>,
+    news: Bell,
+    inputs: mpsc::UnboundedSender<Input>,
+    bench: Arc<Bench>,
+    start: Instant,
+    life: u64,
+}
+
+fn key(kind: u8, index: u64) -> Vec<u8> {
+    let mut k = vec![kind];
+    k.extend_from_slice(&index.to_be_bytes());
+    k
+}
+
+impl Shop {
+    pub fn now(&self) -> u64 {
+        // Starts above 0, so that "never" lies in the past.
+        self.start.elapsed().as_millis() as u64 + 1_000_000
+    }
+
+    pub fn with<T>(&self, f: impl FnOnce(&mut Floor) -> T) -> T {
+        f(&mut self.floor.lock().unwrap())
+    }
+
+    fn ratio(&self, part: f64) -> u64 {
+        (self.caliper.constraints.quiet_ms / part) as u64
+    }
+
+    /// Whether this foreman is in the chair and a majority still follows it.
+    pub fn holds_chair(&self) -> bool {
+        self.with(|f| f.in_chair && f.holds)
+    }
+
+    /// Puts a command into the log; None when it is unclear whether it is in.
+    pub async fn propose(&self, word: Word) -> Option<Applied> {
+        let (tx, rx) = oneshot::channel();
+        let data = Command { word: Some(word) }.encode_to_vec();
+        self.inputs.send(Input::Propose(data.into(), tx)).ok()?;
+        let wait = Duration::from_millis((self.caliper.constraints.ack_ms * 0.8) as u64);
+        tokio::time::timeout(wait, rx).await.ok()?.ok()?
+    }
+
+    /// The control address of the foreman in the chair, if it is another one.
+    pub fn chair_control(&self) -> Option<String> {
+        let chair = self.with(|f| f.chair.clone());
+        if chair.is_empty() || chair == self.me {
+            return None;
+        }
+        let ip = chair.rsplit_once(':')?.0.to_owned();
+        let port = self.caliper.listen.control.rsplit_once(':')?.1;
+        Some(format!("{ip}:{port}"))
+    }
+
+    fn have(f: &Floor) -> Have {
+        Have { template: f.rack.revision, charter: f.rack.charter.version, roster: f.roster.version }
+    }
+
+    fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
+        match body {
+            Body::Vise(m) => {
+                let _ = self.inputs.send(Input::Vise(m));
+            }
+            Body::Lease(l) => {
+                let ack = self.lease(l);
+                peg.send(Body::LeaseAck(ack));
+            }
+            Body::Watch(w) => {
+                let shop = self.clone();
+                tokio::spawn(async move {
+                    let news = shop.watch(w).await;
+                    peg.send(Body::News(news));
+                });
+            }
+            Body::Order(o) => {
+                let shop = self.clone();
+                tokio::spawn(async move {
+                    let ack = shop.order(o).await;
+                    peg.send(Body::OrderAck(ack));
+                });
+            }
+            Body::Status(_) => peg.send(Body::StatusAck(StatusAck { json: self.status() })),
+            _ => {}
+        }
+    }
+
+    fn lease(&self, l: Lease) -> LeaseAck {
+        let now = self.now();
+        self.with(|f| {
+            if !(f.in_chair && f.holds) {
+                return LeaseAck { granted: false, ttl_ms: 0, chair: f.chair.clone() };
+            }
+            let name = l.node.name.clone();
+            if f.ended.get(&name) == Some(&l.node.life) {
+                // This life was given up; its partitions may be others' by now. It may
+                // go on as a follower, so the lease is new, not renewed.
+                f.ended.remove(&name);
+            }
+            if let Some(old) = f.leases.get(&name)
+                && old.life != l.node.life
+            {
+                tally::change!("lathe {name} came back in a new life");
+                f.ended.insert(name.clone(), old.life);
+                Self::mark_reborn(f, &name);
+            }
+            if f.first_lathe_at == 0 {
+                f.first_lathe_at = now;
+            }
+            f.leases.insert(name.clone(), Leased { life: l.node.life, at: now, fresh: l.node.fresh });
+            let known = f.sessions.get(&name).map(|s| s.node.clone());
+            f.sessions.insert(name, Session { node: l.node.clone(), seen: now });
+            if known.as_ref() != Some(&l.node) {
+                Self::refresh_roster(f);
+                self.news.notify_waiters();
+            }
+            for s in &l.samples {
+                if let Some(r) = f.rack.charter.rollouts.iter().find(|r| r.plant == s.plant && r.state == "running") {
+                    let target = r.target.clone();
+                    f.plumbs.entry(s.plant.clone()).or_default().add(&target, s);
+                }
+            }
+            LeaseAck { granted: true, ttl_ms: self.caliper.lease_ms() as u32, chair: f.chair.clone() }
+        })
+    }
+
+    /// A node's former life is over: what it owned has to get a new term even
+    /// though the node is there again.
+    fn mark_reborn(f: &mut Floor, name: &str) {
+        for p in &f.rack.charter.partitions {
+            if p.owner == name || p.insync.iter().any(|n| n == name) {
+                f.reborn.insert(format!("reborn/{}/{}", p.id, name), p.term);
+            }
+        }
+    }
+
+    fn refresh_roster(f: &mut Floor) {
+        if !f.in_chair {
+            return;
+        }
+        let nodes: Vec<Node> = f.sessions.values().map(|s| s.node.clone()).collect();
+        if nodes != f.roster.nodes || f.units != f.roster.units || f.listed != f.roster.listed {
+            f.roster_seq += 1;
+            f.roster =
+                Roster { version: (f.term << 24) + f.roster_seq, nodes, units: f.units.clone(), listed: f.listed };
+        }
+    }
+
+    async fn watch(&self, w: Watch) -> News {
+        let now = self.now();
+        self.with(|f| {
+            let mut changed = false;
+            for n in w.node.iter().chain(&w.sessions) {
+                let old = f.sessions.insert(n.name.clone(), Session { node: n.clone(), seen: now });
+                changed |= old.is_none_or(|o| o.node != *n);
+            }
+            if changed {
+                Self::refresh_roster(f);
+                self.news.notify_waiters();
+            }
+        });
+        let wait = tokio::time::sleep(Duration::from_millis(w.wait_ms.min(self.ratio(4.0) as u32) as u64));
+        tokio::pin!(wait);
+        loop {
+            let bell = self.news.notified();
+            let newer = self.with(|f| {
+                let h = Self::have(f);
+                h.template > w.have.template || h.charter > w.have.charter || h.roster > w.have.roster
+            });
+            if newer {
+                break;
+            }
+            tokio::select! { _ = bell => {}, _ = &mut wait => break }
+        }
+        self.with(|f| {
+            let have = Self::have(f);
+            News {
+                have,
+                template: (have.template > w.have.template).then(|| f.rack.template.clone()),
+                charter: (have.charter > w.have.charter).then(|| f.rack.charter.clone()),
+                roster: (have.roster > w.have.roster).then(|| f.roster.clone()),
+                chair: f.chair.clone(),
+                foremen: f
+                    .sessions
+                    .values()
+                    .filter(|s| s.node.role == "foreman")
+                    .map(|s| s.node.inner.clone())
+                    .collect(),
+            }
+        })
+    }
+
+    async fn order(&self, o: Order) -> OrderAck {
+        let mut ack = self.with(|f| OrderAck { chair: f.chair.clone(), ..OrderAck::default() });
+        if !self.holds_chair() {
+            return ack;
+        }
+        let Some(was) = self.with(|f| f.rack.charter.partitions.iter().find(|p| p.id == o.partition).cloned()) else {
+            ack.refused = true;
+            return ack;
+        };
+        match rule(&was, &o) {
+            Ruling::Refused => {
+                ack.refused = true;
+                ack.partition = Some(was);
+            }
+            Ruling::Stands => {
+                ack.ok = true;
+                ack.partition = Some(was);
+            }
+            Ruling::Put(now) => {
+                let put = Word::Partition(PutPartition { was, now: now.clone() });
+                if self.propose(put).await == Some(Applied::Done) {
+                    tally::count("partition_orders");
+                    ack.ok = true;
+                    ack.partition = Some(now);
+                }
+            }
+        }
+        ack
+    }
+
+    // ---- duties of the one in the chair ----
+
+    fn alive(f: &Floor, now: u64, lease: u64, name: &str) -> bool {
+        // A lease runs from when the node sent its request; a quarter is added
+        // for what clocks and queues may differ.
+        let grace = f.chaired_at + lease * 2;
+        f.leases.get(name).map_or(now < grace, |l| now < l.at.max(f.chaired_at) + lease * 5 / 4)
+    }
+
+    async fn assign(&self) {
+        let now = self.now();
+        let lease = self.caliper.lease_ms();
+        let mut words: Vec<(String, Word)> = Vec::new();
+        self.with(|f| {
+            // Sessions that ended.
+            let limit = self.ratio(3.0);
+            let before = f.sessions.len();
+            let me = self.me.clone();
+            f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
+            if f.sessions.len() != before && now > f.chaired_at + limit {
+                Self::refresh_roster(f);
+                self.news.notify_waiters();
+            }
+            let live: Vec<(String, String)> = f
+                .sessions
+                .values()
+                .filter(|s| s.node.role == "lathe" && !s.node.leaving && Self::alive(f, now, lease, &s.node.name))
+                .map(|s| (s.node.name.clone(), s.node.zone.clone()))
+                .collect();
+            let replicas = self.caliper.tolerance.machines as usize + 1;
+            if f.rack.charter.partitions.is_empty() {
+                let zones = self.caliper.zones.len().max(1);
+                let waited = f.first_lathe_at != 0 && now > f.first_lathe_at + self.ratio(2.0);
+                if live.len() >= zones.max(replicas) || (waited && live.len() >= replicas) {
+                    let count = 6;
+                    let partitions = layout(&live, count, replicas);
+                    words.push(("layout".into(), Word::Layout(Layout { partitions })));
+                }
+                return;
+            }
+            let partitions = f.rack.charter.partitions.clone();
+            let retiring: Vec<String> =
+                f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
+            for p in &partitions {
+                let reborn: Vec<String> = p
+                    .insync
+                    .iter()
+                    .chain([&p.owner])
+                    .filter(|n| f.reborn.get(&format!("reborn/{}/{}", p.id, n)) == Some(&p.term))
+                    .cloned()
+                    .collect();
+                let all_reborn = p.insync.iter().all(|n| reborn.contains(n) || !Self::alive(f, now, lease, n));
+                let fresh = |n: &str| f.leases.get(n).is_some_and(|l| l.fresh);
+                let stands = |n: &str| {
+                    let reborn = reborn.iter().any(|r| r == n);
+                    Self::alive(f, now, lease, n) && (!reborn || all_reborn && !fresh(n))
+                };
+                let mut put = seize(p, stands);
+                if put.is_none() && reborn.contains(&p.owner) && stands(&p.owner) {
+                    // Nobody else can take over: a new term for the same node.
+                    let mut again = p.clone();
+                    again.term = p.grant.as_ref().map_or(p.term, |g| g.term) + 1;
+                    again.grant = None;
+                    again.seized = true;
+                    put = Some(again);
+                }
+                if let Some(put) = put {
+                    if put.term != p.term {
+                        tally::change!(
+                            "partition {} seized from {} for {} at term {}",
+                            p.id,
+                            p.owner,
+                            put.owner,
+                            put.term
+                        );
+                    } else {
+                        tally::change!("partition {} in sync: {:?}", p.id, put.insync);
+                    }
+                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now: put })));
+                    continue;
+                }
+                // Homes: of retiring nodes, and of nodes away for twice the settling time.
+                let away = (self.caliper.constraints.settle_s * 2000.0) as u64;
+                let gone = p.homes.iter().find(|h| {
+                    retiring.contains(h)
+                        || (now > f.chaired_at + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
+                });
+                let load = |n: &str| partitions.iter().filter(|q| q.homes.iter().any(|h| h == n)).count();
+                let spare: Vec<(String, String)> =
+                    live.iter().filter(|(n, _)| !retiring.contains(n)).cloned().collect();
+                if let Some(gone) = gone
+                    && spare.len() >= replicas
+                    && let Some(now) = rehome(p, gone, &spare, load)
+                {
+                    tally::change!("partition {} homes {:?}", p.id, now.homes);
+                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
+                    continue;
+                }
+                if p.homes.len() < replicas
+                    && let Some((n, _)) =
+                        spare.iter().filter(|(n, _)| !p.homes.contains(n)).min_by_key(|(n, _)| load(n))
+                {
+                    let mut now = p.clone();
+                    now.homes.push(n.clone());
+                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
+                }
+            }
+            for r in f.rack.charter.retires.iter().filter(|r| !r.done) {
+                let holds = partitions.iter().any(|p| {
+                    p.owner == r.node
+                        || p.homes.contains(&r.node)
+                        || p.insync.contains(&r.node)
+                        || p.insync.len() < replicas
+                        || p.grant.is_some()
+                });
+                if !holds {
+                    tally::change!("retired {}", r.node);
+                    words.push((r.node.clone(), Word::Retire(Retire { node: r.node.clone(), done: true })));
+                }
+            }
+        });
+        for (_, w) in words {
+            let changed = match &w {
+                Word::Partition(p) => Some(p.was.id),
+                _ => None,
+            };
+            // One at a time: each is judged by what the one before has made of it.
+            if self.propose(w).await == Some(Applied::Done)
+                && let Some(id) = changed
+            {
+                let marks = format!("reborn/{id}/");
+                self.with(|f| f.reborn.retain(|k, _| !k.starts_with(&marks)));
+            }
+        }
+    }
+
+    async fn judge(&self) {
+        let wall = tally::wall_ms();
+        let mut words = Vec::new();
+        self.with(|f| {
+            let cutoff = Template::read(&f.rack.template)
+                .map(|t| t.channels.iter().map(|c| c.cutoff_ms).fold(0.0, f64::max))
+                .unwrap_or(0.0);
+            let linger = cutoff as u64 + self.caliper.constraints.revert_slack_ms as u64;
+            for r in f.rack.charter.rollouts.iter().filter(|r| r.state == "running") {
+                let p = f.plumbs.entry(r.plant.clone()).or_default();
+                let mut now = r.clone();
+                now.spent = now.spent.max(p.sent_new);
+                match p.advise(r, wall, linger) {
+                    Advice::Wait => continue,
+                    Advice::Share(s) => now.share = s,
+                    Advice::Settle => now.state = "settled".into(),
+                    Advice::Revert(why) => {
+                        tally::change!("roll-out of {} reverted: {why}", r.plant);
+                        now.state = "reverted".into();
+                        now.share = 0;
+                    }
+                }
+                tally::change!(
+                    "roll-out of {} to {}: {} at {} thousandths",
+                    now.plant,
+                    now.target,
+                    now.state,
+                    now.share
+                );
+                words.push(Word::Rollout(now));
+            }
+        });
+        for w in words {
+            self.propose(w).await;
+        }
+    }
+
+    async fn list(&self) {
+        #[derive(serde::Deserialize)]
+        #[serde(rename_all = "camelCase", default)]
+        #[derive(Default)]
+        struct Listed {
+            id: String,
+            plant: String,
+            address: String,
+            zone: String,
+            revision: String,
+            capacity: u32,
+            state: String,
+            cold_left_ms: f64,
+        }
+        #[derive(serde::Deserialize)]
+        #[serde(rename_all = "camelCase")]
+        struct Page {
+            units: Vec<Listed>,
+            next_token: Option<String>,
+        }
+        let chuck = spindle::Chuck::new(Duration::from_millis(self.caliper.constraints.quiet_ms as u64));
+        let addr = self.caliper.platform.address.clone();
+        let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
+        if addr.is_empty() {
+            return;
+        }
+        loop {
+            if !self.holds_chair() {
+                tokio::time::sleep(period / 4).await;
+                continue;
+            }
+            let (mut units, mut token, mut whole) = (Vec::new(), None::<String>, false);
+            loop {
+                let path = token.as_ref().map_or("/units".into(), |t| format!("/units?pageToken={t}"));
+                let call = spindle::Call { method: "GET", path: &path, host: &addr, headers: &[], body: &[] };
+                tally::count("platform_calls");
+                let Ok(a) = chuck.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
+                if a.status != 200 {
+                    break;
+                }
+                let Ok(page) = serde_json::from_slice::<Page>(&a.body) else { break };
+                units.extend(page.units.into_iter().map(|u| Unit {
+                    id: u.id,
+                    plant: u.plant,
+                    address: u.address,
+                    zone: u.zone,
+                    revision: u.revision,
+                    capacity: u.capacity,
+                    draining: u.state != "ready",
+                    cold: u.cold_left_ms > 0.0,
+                }));
+                token = page.next_token.filter(|t| !t.is_empty());
+                if token.is_none() {
+                    whole = true;
+                    break;
+                }
+            }
+            if whole {
+                units.sort_by(|a, b| a.id.cmp(&b.id));
+                self.with(|f| {
+                    f.units = units;
+                    f.listed = true;
+                    Self::refresh_roster(f);
+                });
+                self.news.notify_waiters();
+            }
+            tokio::time::sleep(period).await;
+        }
+    }
+
+    /// A foreman that is not in the chair keeps a session with it, tells it its own
+    /// sessions, and takes the soft state from it.
+    async fn follow(self: Arc<Self>) {
+        let wait = self.ratio(8.0);
+        loop {
+            let (chair, mine, have, sessions) = self.with(|f| {
+                let now = self.now();
+                let limit = self.ratio(3.0);
+                let in_chair = f.in_chair;
+                let me = self.me.clone();
+                if !in_chair {
+                    f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
+                }
+                let list: Vec<Node> = f
+                    .sessions
+                    .values()
+                    .filter(|s| s.node.inner != me && s.node.role != "foreman" && s.node.role != "lathe")
+                    .map(|s| s.node.clone())
+                    .collect();
+                (f.chair.clone(), in_chair, Self::have(f), list)
+            });
+            if mine || chair.is_empty() || chair == self.me {
+                tokio::time::sleep(Duration::from_millis(wait / 4)).await;
+                continue;
+            }
+            let w = Watch {
+                node: Some(self.node()),
+                have: Have { template: u64::MAX, charter: u64::MAX, ..have },
+                wait_ms: wait as u32,
+                sessions,
+            };
+            let voter = self.with(|f| f.rack.charter.version > 0);
+            let w = if voter { w } else { Watch { have, ..w } };
+            match self.bench.to(&chair).call(Body::Watch(w), Duration::from_millis(wait * 2)).await {
+                Ok(Body::News(n)) => self.with(|f| {
+                    if f.in_chair {
+                        return;
+                    }
+                    if let Some(r) = n.roster
+                        && r.version > f.roster.version
+                    {
+                        f.units = r.units.clone();
+                        f.listed = r.listed;
+                        f.roster = r;
+                        self.news.notify_waiters();
+                    }
+                }),
+                _ => tokio::time::sleep(Duration::from_millis(wait / 4)).await,
+            }
+        }
+    }
+
+    /// Starts judging a plant's roll-out afresh.
+    pub fn forget_plumb(&self, plant: &str) {
+        self.with(|f| f.plumbs.remove(plant));
+    }
+
+    fn node(&self) -> Node {
+        Node {
+            name: self.caliper.node.clone(),
+            role: "foreman".into(),
+            zone: self.caliper.zone.clone(),
+            region: self.caliper.region.clone(),
+            inner: self.me.clone(),
+            life: self.life,
+            leaving: false,
+            fresh: false,
+        }
+    }
+
+    pub fn status(&self) -> String {
+        self.with(|f| {
+            let parts: Vec<serde_json::Value> = f
+                .rack
+                .charter
+                .partitions
+                .iter()
+                .map(|p| {
+                    serde_json::json!({"id": p.id, "term": p.term, "owner": p.owner, "insync": p.insync,
+                        "homes": p.homes, "candidate": p.grant.as_ref().map(|g| g.candidate.clone())})
+                })
+                .collect();
+            let nodes: Vec<serde_json::Value> = f
+                .roster
+                .nodes
+                .iter()
+                .map(|n| serde_json::json!({"name": n.name, "role": n.role, "zone": n.zone, "inner": n.inner, "leaving": n.leaving}))
+                .collect();
+            serde_json::json!({"node": self.caliper.node, "chair": f.chair, "inChair": f.in_chair,
+                "duties": if f.in_chair { vec!["lister", "judge", "assigner"] } else { vec![] },
+                "revision": f.rack.revision, "charter": f.rack.charter.version, "roster": f.roster.version,
+                "units": f.roster.units.len(), "partitions": parts, "nodes": nodes, "counters": tally::render()})
+            .to_string()
+        })
+    }
+}
+
+/// Runs a foreman until it is told to stop.
+pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
+    let me = caliper.inner_addr(Role::Foreman);
+    let quiet = caliper.constraints.quiet_ms;
+    let (mut hard, mut log) = (None::<Hard>, Vec::new());
+    let drawer =
+        Drawer::open(&caliper.data_dir, caliper.limits.disk_mb, caliper.limits.memory_mb, |k, v| match k[0] {
+            b'h' => hard = Hard::decode(v).ok(),
+            b'e' => log.extend(ViseEntry::decode(v).ok()),
+            _ => {}
+        })?;
+    let fresh = hard.is_none();
+    let mut hard = hard.unwrap_or_else(|| Hard {
+        voters: caliper.seed_foremen(),
+        may_vote: caliper.initial_start,
+        ..Hard::default()
+    });
+    if hard.voters.is_empty() {
+        hard.voters = caliper.seed_foremen();
+    }
+    log.retain(|e: &ViseEntry| e.index > hard.base);
+    for (i, e) in log.iter().enumerate() {
+        if e.index != hard.base + 1 + i as u64 {
+            return Err(format!("{}: entry {} is missing from the log", caliper.data_dir, hard.base + 1 + i as u64));
+        }
+    }
+    if fresh && !caliper.initial_start {
+        tally::change!("the disk is empty: no vote until readmitted");
+    }
+    let pace = Pace { beat: (quiet / 26.0) as u64, election: (quiet / 9.0) as u64 };
+    let start = Instant::now();
+    let seed = print(me.as_bytes()) ^ tally::wall_ms();
+    let rack = if hard.base_state.is_empty() {
+        Rack::default()
+    } else {
+        Rack::decode(hard.base_state.clone()).unwrap_or_default()
+    };
+    let vise = Vise::new(&me, hard.clone(), log, pace, seed, 1_000_000);
+    let (inputs, rx) = mpsc::unbounded_channel();
+    let shop = Arc::new(Shop {
+        me: me.clone(),
+        floor: Mutex::new(Floor {
+            rack,
+            roster: Roster::default(),
+            sessions: BTreeMap::new(),
+            leases: HashMap::new(),
+            ended: HashMap::new(),
+            chair: String::new(),
+            in_chair: false,
+            holds: false,
+            chaired_at: 0,
+            term: 0,
+            roster_seq: 0,
+            units: Vec::new(),
+            listed: false,
+            plumbs: HashMap::new(),
+            first_lathe_at: 0,
+            reborn: HashMap::new(),
+        }),
+        news: Bell::new(),
+        inputs,
+        bench: Bench::new(Duration::from_millis((quiet / 4.0) as u64)),
+        start,
+        life: tally::wall_ms(),
+        caliper: caliper.clone(),
+    });
+    let own = shop.node();
+    shop.with(|f| f.sessions.insert(own.name.clone(), Session { node: own, seen: u64::MAX / 2 }));
+    if fresh {
+        save(&drawer, Save { hard: Some(hard), ..Save::default() }).await;
+    }
+    let silence = Duration::from_millis((quiet / 4.0) as u64);
+    let listener = tokio::net::TcpListener::bind(&me).await.map_err(|e| format!("{me}: {e}"))?;
+    let s = shop.clone();
+    tokio::spawn(dovetail::serve(listener, silence, move |b, p| s.handle(b, p)));
+    tokio::spawn(shop.clone().follow());
+    let s = shop.clone();
+    tokio::spawn(async move { s.list().await });
+    tokio::spawn(turn(shop.clone(), vise, drawer, rx));
+    let s = shop.clone();
+    let (close, closing) = watch::channel(spindle::Closing::Open);
+    tokio::spawn(crate::operator::serve(s, closing));
+    let s = shop.clone();
+    tokio::spawn(async move {
+        let period = Duration::from_millis(s.ratio(60.0));
+        let mut rounds = 0u64;
+        loop {
+            tokio::time::sleep(period).await;
+            rounds += 1;
+            if s.holds_chair() {
+                s.assign().await;
+                if rounds.is_multiple_of(3) {
+                    s.judge().await;
+                }
+            }
+            if rounds.is_multiple_of(600) {
+                tally::report(&s.caliper.node);
+            }
+        }
+    });
+    let _ = stop.wait_for(|s| *s).await;
+    let _ = shop.inputs.send(Input::StepDown);
+    let _ = close.send(spindle::Closing::Draining);
+    tokio::time::sleep(Duration::from_millis(shop.ratio(16.0))).await;
+    tally::report(&caliper.node);
+    Ok(())
+}
+
+async fn save(drawer: &Drawer, s: Save) {
+    let mut ops = Vec::new();
+    if let Some((a, b)) = s.del {
+        ops.extend((a..=b).map(|i| Op::Del(key(b'e', i))));
+    }
+    if let Some(h) = &s.hard {
+        ops.push(Op::Put(key(b'h', 0), h.encode_to_vec().into()));
+    }
+    ops.extend(s.put.iter().map(|e| Op::Put(key(b'e', e.index), e.encode_to_vec().into())));
+    let (tx, rx) = oneshot::channel();
+    drawer.write(ops, move || {
+        let _ = tx.send(());
+    });
+    let _ = rx.await;
+}
+
+/// The one task that steps the log.
+async fn turn(shop: Arc<Shop>, mut vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
+    let mut waiting: HashMap<u64, (u64, Answered)> = HashMap::new();
+    let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut answer = None;
+        let event = tokio::select! {
+            i = rx.recv() => match i {
+                Some(Input::Vise(m)) => Event::Message(m),
+                Some(Input::Propose(d, a)) => { answer = Some(a); Event::Propose(d) }
+                Some(Input::StepDown) => Event::StepDown,
+                None => return,
+            },
+            _ = ticks.tick() => Event::Tick,
+        };
+        let now = shop.now();
+        let mut effects = vise.step(now, event);
+        if vise.length() > 512 {
+            let index = vise.applied();
+            let state = shop.with(|f| f.rack.encode_to_vec());
+            effects.extend(vise.step(now, Event::Snapshot { index, state: state.into() }));
+        }
+        for e in effects {
+            match e {
+                Effect::Save(s) => save(&drawer, s).await,
+                Effect::Send(to, m) => shop.bench.to(&to).send(Body::Vise(m)),
+                Effect::Proposed(index, term) => {
+                    if let Some(a) = answer.take() {
+                        waiting.insert(index, (term, a));
+                    }
+                }
+                Effect::Apply(e) => {
+                    let applied = shop.with(|f| f.rack.apply(e.index, &e.data));
+                    if let Some((term, a)) = waiting.remove(&e.index) {
+                        let _ = a.send((term == e.term).then_some(applied));
+                    }
+                    shop.news.notify_waiters();
+                }
+                Effect::Restore(_, state) => {
+                    shop.with(|f| f.rack = Rack::decode(state).unwrap_or_default());
+                    shop.news.notify_waiters();
+                }
+                Effect::ChairTaken => {
+                    tally::change!("in the chair at term {}", vise.hard.term);
+                    let now = shop.now();
+                    shop.with(|f| {
+                        f.in_chair = true;
+                        f.chaired_at = now;
+                        f.term = vise.hard.term;
+                        f.roster_seq = 0;
+                        f.plumbs.clear();
+                        f.leases.clear();
+                        f.reborn.clear();
+                        // Who told another foreman is taken over, and must tell again.
+                        for n in f.roster.nodes.clone() {
+                            f.sessions.entry(n.name.clone()).or_insert(Session { node: n, seen: now });
+                        }
+                    });
+                }
+                Effect::ChairLost => {
+                    tally::change!("left the chair");
+                    shop.with(|f| f.in_chair = false);
+                    waiting.clear();
+                }
+            }
+        }
+        let holds = vise.holds_chair(shop.now());
+        shop.with(|f| {
+            f.holds = holds;
+            f.chair.clone_from(&vise.chair);
+        });
+    }
+}
--- /dev/null
+++ b/crates/foreman/src/vise.rs
@@ -0,0 +1,557 @@
+//! The foremen's log, held by a majority. A state machine without I/O: the
+//! shell carries out its effects in the order given.
+
+use bytes::Bytes;
+use dovetail::msg::{ViseEntry, ViseKind, ViseMsg};
+use std::collections::{HashMap, HashSet};
+
+pub enum Event {
+    Tick,
+    Message(ViseMsg),
+    /// Adds an entry; only in the chair.
+    Propose(Bytes),
+    /// Name a successor and leave the chair.
+    StepDown,
+    /// The shell's state as of `index`, to cut the log with.
+    Snapshot {
+        index: u64,
+        state: Bytes,
+    },
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    /// Must be durable before any later effect is carried out.
+    Save(Save),
+    Send(String, ViseMsg),
+    Apply(ViseEntry),
+    /// Replace the whole state.
+    Restore(u64, Bytes),
+    /// The proposal just made has this index and term.
+    Proposed(u64, u64),
+    ChairTaken,
+    ChairLost,
+}
+
+/// What the disk keeps about votes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hard {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(string, tag = "2")]
+    pub voted: String,
+    #[prost(bool, tag = "3")]
+    pub may_vote: bool,
+    #[prost(string, repeated, tag = "4")]
+    pub voters: Vec<String>,
+    #[prost(uint64, tag = "5")]
+    pub base: u64,
+    #[prost(uint64, tag = "6")]
+    pub base_term: u64,
+    #[prost(bytes = "bytes", tag = "7")]
+    pub base_state: Bytes,
+}
+
+#[derive(Debug, Default)]
+pub struct Save {
+    pub hard: Option<Hard>,
+    pub put: Vec<ViseEntry>,
+    /// Remove all entries from here to there.
+    pub del: Option<(u64, u64)>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Seat {
+    Floor,
+    Trial,
+    Candidate,
+    Chair,
+}
+
+/// Bounds of the state machine's clock, in milliseconds.
+#[derive(Clone, Copy)]
+pub struct Pace {
+    pub beat: u64,
+    pub election: u64,
+}
+
+pub struct Vise {
+    me: String,
+    pub hard: Hard,
+    log: Vec<ViseEntry>,
+    pub commit: u64,
+    applied: u64,
+    pub seat: Seat,
+    pub chair: String,
+    heard: u64,
+    election_at: u64,
+    beat_at: u64,
+    votes: HashSet<String>,
+    next: HashMap<String, u64>,
+    matched: HashMap<String, u64>,
+    /// When the round was sent that a voter has answered last.
+    answered: HashMap<String, u64>,
+    sent: HashMap<u64, u64>,
+    round: u64,
+    /// Who waits to be readmitted, and the round in which that was heard.
+    waiting: HashMap<String, u64>,
+    pace: Pace,
+    dice: u64,
+}
+
+impl Vise {
+    pub fn new(me: &str, hard: Hard, log: Vec<ViseEntry>, pace: Pace, seed: u64, now: u64) -> Vise {
+        let base = hard.base;
+        let mut v = Vise {
+            me: me.into(),
+            hard,
+            log,
+            commit: base,
+            applied: base,
+            seat: Seat::Floor,
+            chair: String::new(),
+            heard: 0,
+            election_at: 0,
+            beat_at: 0,
+            votes: HashSet::new(),
+            next: HashMap::new(),
+            matched: HashMap::new(),
+            answered: HashMap::new(),
+            sent: HashMap::new(),
+            round: 0,
+            waiting: HashMap::new(),
+            pace,
+            dice: seed | 1,
+        };
+        v.wait_again(now);
+        v
+    }
+
+    fn wait_again(&mut self, now: u64) {
+        self.dice ^= self.dice << 13;
+        self.dice ^= self.dice >> 7;
+        self.dice ^= self.dice << 17;
+        self.election_at = now + self.pace.election + self.dice % self.pace.election;
+    }
+
+    fn last(&self) -> (u64, u64) {
+        self.log.last().map_or((self.hard.base, self.hard.base_term), |e| (e.index, e.term))
+    }
+
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.hard.base {
+            return Some(self.hard.base_term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    fn entry(&self, index: u64) -> Option<&ViseEntry> {
+        index.checked_sub(self.hard.base + 1).and_then(|i| self.log.get(i as usize))
+    }
+
+    fn majority(&self) -> usize {
+        self.hard.voters.len() / 2 + 1
+    }
+
+    fn is_voter(&self) -> bool {
+        self.hard.voters.contains(&self.me)
+    }
+
+    fn message(&self, kind: ViseKind) -> ViseMsg {
+        ViseMsg { from: self.me.clone(), term: self.hard.term, kind: kind as i32, ..ViseMsg::default() }
+    }
+
+    /// In the chair, and a majority has answered rounds sent within an election
+    /// time: nobody else can have been elected yet.
+    pub fn holds_chair(&self, now: u64) -> bool {
+        self.seat == Seat::Chair && self.contact(now) + self.pace.election > now
+    }
+
+    /// The latest moment at which a majority is known to have followed.
+    fn contact(&self, now: u64) -> u64 {
+        let mut times: Vec<u64> = self
+            .hard
+            .voters
+            .iter()
+            .map(|v| if *v == self.me { now } else { self.answered.get(v).copied().unwrap_or(0) })
+            .collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(self.majority() - 1).copied().unwrap_or(0)
+    }
+
+    pub fn step(&mut self, now: u64, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Message(m) => self.receive(now, m, &mut out),
+            Event::Propose(data) => {
+                if self.seat == Seat::Chair {
+                    self.append(now, data, &mut out);
+                }
+            }
+            Event::StepDown => self.step_down(now, &mut out),
+            Event::Snapshot { index, state } => self.cut(index, state, &mut out),
+        }
+        out
+    }
+
+    fn tick(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.seat == Seat::Chair {
+            if self.contact(now) + 3 * self.pace.election < now {
+                self.leave_chair(now, out);
+            } else if now >= self.beat_at {
+                self.broadcast(now, out);
+            }
+        } else if now >= self.election_at && self.is_voter() {
+            self.wait_again(now);
+            if self.hard.may_vote {
+                self.campaign(now, true, false, out);
+            }
+        }
+    }
+
+    fn campaign(&mut self, now: u64, trial: bool, named: bool, out: &mut Vec<Effect>) {
+        self.votes.clear();
+        self.votes.insert(self.me.clone());
+        let mut m = self.message(ViseKind::Ask);
+        if trial {
+            self.seat = Seat::Trial;
+            m.term = self.hard.term + 1;
+        } else {
+            self.seat = Seat::Candidate;
+            self.hard.term += 1;
+            self.hard.voted = self.me.clone();
+            self.chair.clear();
+            out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+            m.term = self.hard.term;
+        }
+        (m.index, m.log_term) = self.last();
+        m.trial = trial;
+        m.ok = named;
+        for v in self.hard.voters.iter().filter(|v| **v != self.me) {
+            out.push(Effect::Send(v.clone(), m.clone()));
+        }
+        self.count_votes(now, out);
+    }
+
+    fn count_votes(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.votes.len() < self.majority() {
+            return;
+        }
+        match self.seat {
+            Seat::Trial => self.campaign(now, false, false, out),
+            Seat::Candidate => {
+                self.seat = Seat::Chair;
+                self.chair = self.me.clone();
+                let next = self.last().0 + 1;
+                self.next = self.hard.voters.iter().map(|v| (v.clone(), next)).collect();
+                self.matched.clear();
+                self.sent.clear();
+                self.waiting.clear();
+                self.answered = self.hard.voters.iter().map(|v| (v.clone(), now)).collect();
+                out.push(Effect::ChairTaken);
+                // An entry of its own term, so that older ones can count as held.
+                self.append(now, Bytes::new(), out);
+            }
+            _ => {}
+        }
+    }
+
+    fn leave_chair(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.seat == Seat::Chair {
+            out.push(Effect::ChairLost);
+        }
+        self.seat = Seat::Floor;
+        self.chair.clear();
+        self.wait_again(now);
+    }
+
+    fn step_down(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.seat != Seat::Chair {
+            self.hard.may_vote = false; // Leaving: does not run for the chair again.
+            return;
+        }
+        let best =
+            self.hard.voters.iter().filter(|v| **v != self.me && !self.waiting.contains_key(*v)).max_by_key(|v| {
+                (self.matched.get(*v).copied().unwrap_or(0), self.answered.get(*v).copied().unwrap_or(0))
+            });
+        if let Some(to) = best.cloned() {
+            let m = self.message(ViseKind::Succeed);
+            out.push(Effect::Send(to, m));
+        }
+        self.leave_chair(now, out);
+        self.election_at = now + 8 * self.pace.election;
+    }
+
+    fn append(&mut self, now: u64, data: Bytes, out: &mut Vec<Effect>) {
+        let e = ViseEntry { index: self.last().0 + 1, term: self.hard.term, data };
+        out.push(Effect::Proposed(e.index, e.term));
+        self.log.push(e.clone());
+        // Others are told first: their disks work while this one does.
+        self.broadcast(now, out);
+        out.push(Effect::Save(Save { put: vec![e], ..Save::default() }));
+        self.advance(out);
+    }
+
+    fn broadcast(&mut self, now: u64, out: &mut Vec<Effect>) {
+        self.beat_at = now + self.pace.beat;
+        self.round += 1;
+        self.sent.insert(self.round, now);
+        self.sent.remove(&self.round.saturating_sub(256));
+        for v in self.hard.voters.clone() {
+            if v != self.me {
+                self.send_log(&v, out);
+            }
+        }
+    }
+
+    fn send_log(&mut self, to: &str, out: &mut Vec<Effect>) {
+        let next = self.next.get(to).copied().unwrap_or(1);
+        let mut m = self.message(ViseKind::Append);
+        m.round = self.round;
+        m.commit = self.commit;
+        m.voters = self.hard.voters.clone();
+        if next <= self.hard.base {
+            m.kind = ViseKind::Install as i32;
+            m.index = self.hard.base;
+            m.log_term = self.hard.base_term;
+            m.state = self.hard.base_state.clone();
+        } else {
+            m.index = next - 1;
+            m.log_term = self.term_at(next - 1).unwrap_or(0);
+            let from = (next - self.hard.base - 1) as usize;
+            m.entries = self.log[from.min(self.log.len())..].iter().take(64).cloned().collect();
+            // Sent once; a refusal or a lost answer brings it back.
+            self.next.insert(to.into(), next + m.entries.len() as u64);
+        }
+        out.push(Effect::Send(to.into(), m));
+    }
+
+    fn advance(&mut self, out: &mut Vec<Effect>) {
+        if self.seat == Seat::Chair {
+            let last = self.last().0;
+            let mut held: Vec<u64> = self
+                .hard
+                .voters
+                .iter()
+                .map(|v| if *v == self.me { last } else { self.matched.get(v).copied().unwrap_or(0) })
+                .collect();
+            held.sort_unstable_by(|a, b| b.cmp(a));
+            let n = held[self.majority() - 1];
+            if n > self.commit && self.term_at(n) == Some(self.hard.term) {
+                self.commit = n;
+            }
+        }
+        while self.applied < self.commit {
+            let Some(e) = self.entry(self.applied + 1).cloned() else { break };
+            self.applied += 1;
+            out.push(Effect::Apply(e));
+        }
+    }
+
+    fn receive(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
+        let kind = ViseKind::try_from(m.kind).unwrap_or(ViseKind::None);
+        if kind == ViseKind::Ask {
+            self.asked(now, m, out);
+            return;
+        }
+        if m.trial {
+            if self.seat == Seat::Trial && m.ok && m.term == self.hard.term + 1 {
+                self.votes.insert(m.from);
+                self.count_votes(now, out);
+            }
+            return;
+        }
+        if m.term > self.hard.term {
+            self.hard.term = m.term;
+            self.hard.voted.clear();
+            out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+            self.leave_chair(now, out);
+        }
+        match kind {
+            ViseKind::Vote if m.ok && m.term == self.hard.term && self.seat == Seat::Candidate => {
+                self.votes.insert(m.from);
+                self.count_votes(now, out);
+            }
+            ViseKind::Append | ViseKind::Install => self.appended(now, m, kind, out),
+            ViseKind::AppendAck => self.acked(m, out),
+            ViseKind::Succeed if m.term == self.hard.term && self.hard.may_vote && self.is_voter() => {
+                self.campaign(now, false, true, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn asked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
+        let followed = self.seat == Seat::Chair || now < self.heard + self.pace.election;
+        let mut r = self.message(ViseKind::Vote);
+        r.trial = m.trial;
+        let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
+        if m.trial {
+            r.term = m.term;
+            r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
+            out.push(Effect::Send(m.from, r));
+            return;
+        }
+        if followed && !m.ok {
+            return;
+        }
+        if m.term > self.hard.term {
+            self.hard.term = m.term;
+            self.hard.voted.clear();
+            self.leave_chair(now, out);
+        }
+        r.term = self.hard.term;
+        let free = self.hard.voted.is_empty() || self.hard.voted == m.from;
+        r.ok = m.term == self.hard.term && free && newer && self.hard.may_vote;
+        if r.ok {
+            self.hard.voted = m.from.clone();
+            self.wait_again(now);
+        }
+        out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+        out.push(Effect::Send(m.from, r));
+    }
+
+    fn appended(&mut self, now: u64, m: ViseMsg, kind: ViseKind, out: &mut Vec<Effect>) {
+        let mut r = self.message(ViseKind::AppendAck);
+        r.round = m.round;
+        if m.term < self.hard.term {
+            out.push(Effect::Send(m.from, r));
+            return;
+        }
+        if self.seat != Seat::Floor {
+            self.leave_chair(now, out);
+        }
+        self.chair = m.from.clone();
+        self.heard = now;
+        self.wait_again(now);
+        let mut save = Save::default();
+        if self.hard.voters != m.voters {
+            self.hard.voters = m.voters.clone();
+            save.hard = Some(self.hard.clone());
+        }
+        if m.readmit && !self.hard.may_vote {
+            self.hard.may_vote = true;
+            save.hard = Some(self.hard.clone());
+        }
+        if kind == ViseKind::Install && m.index > self.commit {
+            let last = self.last().0;
+            save.del = Some((self.hard.base + 1, last));
+            self.log.clear();
+            self.hard.base = m.index;
+            self.hard.base_term = m.log_term;
+            self.hard.base_state = m.state.clone();
+            self.commit = m.index;
+            self.applied = m.index;
+            save.hard = Some(self.hard.clone());
+            out.push(Effect::Restore(m.index, m.state));
+        }
+        let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
+        r.ok = joins;
+        if joins {
+            let mut held = m.index.max(self.hard.base);
+            for e in m.entries {
+                if e.index <= self.hard.base {
+                    continue;
+                }
+                match self.term_at(e.index) {
+                    Some(t) if t == e.term => {}
+                    Some(_) => {
+                        let last = self.last().0;
+                        save.del = Some((e.index, last));
+                        self.log.truncate((e.index - self.hard.base - 1) as usize);
+                        self.log.push(e.clone());
+                        save.put.push(e.clone());
+                    }
+                    None => {
+                        self.log.push(e.clone());
+                        save.put.push(e.clone());
+                    }
+                }
+                held = held.max(e.index);
+            }
+            r.index = held;
+            self.commit = self.commit.max(m.commit.min(held));
+        } else {
+            r.index = self.commit;
+        }
+        r.readmit = !self.hard.may_vote;
+        if save.hard.is_some() || !save.put.is_empty() || save.del.is_some() {
+            out.push(Effect::Save(save));
+        }
+        out.push(Effect::Send(m.from, r));
+        self.advance(out);
+    }
+
+    fn acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
+        if self.seat != Seat::Chair || m.term != self.hard.term {
+            return;
+        }
+        if let Some(at) = self.sent.get(&m.round) {
+            let a = self.answered.entry(m.from.clone()).or_insert(0);
+            *a = (*a).max(*at);
+        }
+        if !m.ok {
+            self.next.insert(m.from.clone(), m.index + 1);
+            self.send_log(&m.from, out);
+            return;
+        }
+        let old = self.matched.insert(m.from.clone(), m.index).unwrap_or(0);
+        let last = self.last().0;
+        if m.index < last && m.index >= old && self.next.get(&m.from).is_none_or(|n| *n <= m.index || *n > last + 1) {
+            self.next.insert(m.from.clone(), m.index + 1);
+        }
+        if m.readmit {
+            self.readmit(&m, out);
+        } else {
+            self.waiting.remove(&m.from);
+        }
+        self.advance(out);
+    }
+
+    /// One that lost its disk votes again once it holds the whole log, and every
+    /// other voter that a majority needs has followed this chair since it asked:
+    /// no vote or entry that it forgot can matter then.
+    fn readmit(&mut self, m: &ViseMsg, out: &mut Vec<Effect>) {
+        let asked = *self.waiting.entry(m.from.clone()).or_insert(self.round);
+        let since = self.sent.get(&(asked + 1)).copied().unwrap_or(u64::MAX);
+        let others = self
+            .hard
+            .voters
+            .iter()
+            .filter(|v| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a >= since)))
+            .count();
+        if m.index >= self.commit && others >= self.majority() {
+            let mut r = self.message(ViseKind::Append);
+            r.readmit = true;
+            r.round = self.round;
+            r.index = m.index;
+            r.log_term = self.term_at(m.index).unwrap_or(0);
+            r.commit = self.commit;
+            r.voters = self.hard.voters.clone();
+            out.push(Effect::Send(m.from.clone(), r));
+        }
+    }
+
+    fn cut(&mut self, index: u64, state: Bytes, out: &mut Vec<Effect>) {
+        if index <= self.hard.base || index > self.applied {
+            return;
+        }
+        let Some(term) = self.term_at(index) else { return };
+        let from = self.hard.base + 1;
+        self.log.drain(..(index - self.hard.base) as usize);
+        self.hard.base = index;
+        self.hard.base_term = term;
+        self.hard.base_state = state;
+        out.push(Effect::Save(Save { hard: Some(self.hard.clone()), put: Vec::new(), del: Some((from, index)) }));
+    }
+
+    /// Entries that could be cut away.
+    pub fn length(&self) -> usize {
+        self.log.len()
+    }
+
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+}
--- /dev/null
+++ b/crates/gauge/src/settings.rs
@@ -0,0 +1,275 @@
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// What a process is told by its settings file.
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub struct Caliper {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(string, tag = "2")]
+    pub role: String,
+    #[prost(string, tag = "3")]
+    pub machine_class: String,
+    #[prost(string, tag = "4")]
+    pub ip: String,
+    #[prost(string, tag = "5")]
+    pub zone: String,
+    #[prost(string, tag = "6")]
+    pub region: String,
+    #[prost(uint32, repeated, tag = "7")]
+    pub port_range: Vec<u32>,
+    #[prost(string, repeated, tag = "8")]
+    pub seeds: Vec<String>,
+    #[prost(bool, tag = "9")]
+    pub initial_start: bool,
+    #[prost(bool, tag = "10")]
+    pub counted: bool,
+    #[prost(string, tag = "11")]
+    pub data_dir: String,
+    #[prost(uint32, tag = "12")]
+    pub period_ms: u32,
+    #[prost(btree_map = "string, string", tag = "13")]
+    pub zones: BTreeMap<String, String>,
+    #[prost(message, required, tag = "14")]
+    pub listen: Listen,
+    #[prost(message, required, tag = "15")]
+    pub limits: MachineLimits,
+    #[prost(message, required, tag = "16")]
+    pub tolerance: Tolerance,
+    #[prost(message, required, tag = "17")]
+    pub constraints: Constraints,
+    #[prost(message, required, tag = "18")]
+    pub platform: Platform,
+    /// How much is logged: `error`, `change` or `debug`; empty means `change`.
+    #[prost(string, tag = "19")]
+    pub log_level: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub struct Listen {
+    #[prost(string, tag = "1")]
+    pub front: String,
+    #[prost(string, tag = "2")]
+    pub ready: String,
+    #[prost(string, tag = "3")]
+    pub control: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub struct MachineLimits {
+    #[prost(double, tag = "1")]
+    pub cpu_share: f64,
+    #[prost(uint64, tag = "2")]
+    pub memory_mb: u64,
+    #[prost(uint64, tag = "3")]
+    pub file_limit: u64,
+    #[prost(double, tag = "4")]
+    pub link_mbps: f64,
+    #[prost(uint64, tag = "5")]
+    pub disk_mb: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub struct Tolerance {
+    #[prost(uint32, tag = "1")]
+    pub machines: u32,
+    #[prost(uint32, tag = "2")]
+    pub zones: u32,
+    #[prost(uint32, tag = "3")]
+    pub regions: u32,
+}
+
+/// The bounds that the rules name. Every time constant of the programs is a
+/// ratio of one of these.
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub struct Constraints {
+    #[prost(double, tag = "1")]
+    pub seed_delay_s: f64,
+    #[prost(double, tag = "2")]
+    pub reuse_s: f64,
+    #[prost(double, tag = "3")]
+    pub quiet_ms: f64,
+    #[prost(double, tag = "4")]
+    pub ack_ms: f64,
+    #[prost(double, tag = "5")]
+    pub settle_s: f64,
+    #[prost(double, tag = "6")]
+    pub drain_ms: f64,
+    #[prost(double, tag = "7")]
+    pub grace_s: f64,
+    #[prost(double, tag = "8")]
+    pub loss_slack_ms: f64,
+    #[prost(double, tag = "9")]
+    pub converge_ms: f64,
+    #[prost(double, tag = "10")]
+    pub revert_slack_ms: f64,
+    #[prost(double, tag = "11")]
+    pub exposure: f64,
+    #[prost(double, tag = "12")]
+    pub exposure_slack: f64,
+    #[prost(double, tag = "13")]
+    pub rollback_ms: f64,
+    #[prost(double, tag = "14")]
+    pub finish_s: f64,
+    #[prost(double, tag = "15")]
+    pub status_s: f64,
+    #[prost(double, tag = "16")]
+    pub notify_s: f64,
+    #[prost(double, tag = "17")]
+    pub lead_ms: f64,
+    #[prost(double, tag = "18")]
+    pub peak_window_s: f64,
+    #[prost(double, tag = "19")]
+    pub peak_overshoot: f64,
+}
+
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+#[serde(default, rename_all = "camelCase")]
+pub struct Platform {
+    #[prost(string, tag = "1")]
+    pub address: String,
+    #[prost(double, tag = "2")]
+    pub flow_per_s: f64,
+    #[prost(double, tag = "3")]
+    pub lag_ms: f64,
+}
+
+/// Why a settings file cannot be used: the field and the reason.
+#[derive(Debug, PartialEq)]
+pub struct Misfit {
+    pub field: String,
+    pub reason: String,
+}
+
+impl fmt::Display for Misfit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings: {}: {}", self.field, self.reason)
+    }
+}
+
+fn misfit<T>(field: &str, reason: impl Into<String>) -> Result<T, Misfit> {
+    Err(Misfit { field: field.into(), reason: reason.into() })
+}
+
+/// Which of the inner ports a role listens on, counted from the range's start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Foreman = 0,
+    Lathe = 1,
+    Hatch = 2,
+    Apprentice = 3,
+}
+
+impl Role {
+    pub fn word(self) -> &'static str {
+        match self {
+            Role::Foreman => "foreman",
+            Role::Lathe => "lathe",
+            Role::Hatch => "hatch",
+            Role::Apprentice => "apprentice",
+        }
+    }
+}
+
+impl Caliper {
+    pub fn parse(text: &str) -> Result<Caliper, Misfit> {
+        let c: Caliper = match toml::from_str(text) {
+            Ok(c) => c,
+            Err(e) => return misfit("file", e.message().replace('\n', " ")),
+        };
+        c.check()?;
+        Ok(c)
+    }
+
+    pub fn load(path: &str) -> Result<Caliper, Misfit> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => Caliper::parse(&text),
+            Err(e) => misfit("file", format!("cannot read {path}: {e}")),
+        }
+    }
+
+    fn check(&self) -> Result<(), Misfit> {
+        for (name, value) in [("node", &self.node), ("zone", &self.zone)] {
+            if value.is_empty() {
+                return misfit(name, "missing");
+            }
+        }
+        if self.ip.parse::<std::net::Ipv4Addr>().is_err() {
+            return misfit("ip", "not an IPv4 address");
+        }
+        match self.port_range[..] {
+            [a, b] if a > 0 && a + 3 <= b && b < 65536 => {}
+            _ => return misfit("portRange", "wants first and last of at least four ports"),
+        }
+        if self.seeds.is_empty() {
+            return misfit("seeds", "missing");
+        }
+        for s in &self.seeds {
+            if s.parse::<SocketAddr>().is_err() {
+                return misfit("seeds", format!("{s} is not an address"));
+            }
+        }
+        let l = &self.listen;
+        for (name, value) in [("listen.front", &l.front), ("listen.ready", &l.ready), ("listen.control", &l.control)] {
+            if !value.is_empty() && value.parse::<SocketAddr>().is_err() {
+                return misfit(name, "not an address");
+            }
+        }
+        let c = &self.constraints;
+        for (name, value) in [
+            ("constraints.quietMs", c.quiet_ms),
+            ("constraints.ackMs", c.ack_ms),
+            ("constraints.graceS", c.grace_s),
+            ("constraints.settleS", c.settle_s),
+            ("constraints.drainMs", c.drain_ms),
+            ("constraints.convergeMs", c.converge_ms),
+            ("constraints.rollbackMs", c.rollback_ms),
+            ("constraints.statusS", c.status_s),
+            ("constraints.notifyS", c.notify_s),
+            ("constraints.peakWindowS", c.peak_window_s),
+        ] {
+            if value.is_nan() || value <= 0.0 {
+                return misfit(name, "must be above 0");
+            }
+        }
+        if self.limits.memory_mb == 0 {
+            return misfit("limits.memoryMb", "must be above 0");
+        }
+        if !matches!(self.log_level.as_str(), "" | "error" | "change" | "debug") {
+            return misfit("logLevel", "wants error, change or debug");
+        }
+        Ok(())
+    }
+
+    pub fn inner_addr(&self, role: Role) -> String {
+        format!("{}:{}", self.ip, self.inner_port(role))
+    }
+
+    pub fn inner_port(&self, role: Role) -> u32 {
+        self.port_range[0] + role as u32
+    }
+
+    /// Inner addresses of the foremen that the seeds name.
+    pub fn seed_foremen(&self) -> Vec<String> {
+        let mut all: Vec<String> = self
+            .seeds
+            .iter()
+            .filter_map(|s| s.rsplit_once(':'))
+            .map(|(ip, _)| format!("{ip}:{}", self.inner_port(Role::Foreman)))
+            .collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    /// How long an owner's lease lasts: an eighth of the calm that the rules ask for.
+    pub fn lease_ms(&self) -> u64 {
+        (self.constraints.quiet_ms / 8.0) as u64
+    }
+}
--- /dev/null
+++ b/crates/hatch/src/deliver.rs
@@ -0,0 +1,211 @@
+//! Deliveries and call-backs: carried out here, reported to whoever owns the
+//! partition by then, and held until that owner has it on its disks.
+
+use crate::front::Hatch;
+use dovetail::msg::*;
+use dovetail::{Body, Peg};
+use spindle::{Answer, Call, Chuck, Closing, Miss};
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub struct Bobbin {
+    hatch: Arc<Hatch>,
+    chuck: Arc<Chuck>,
+    held: Mutex<Spool>,
+}
+
+#[derive(Default)]
+struct Spool {
+    /// The highest term that spoke for a partition; older ones are refused.
+    terms: HashMap<u32, u64>,
+    /// Deliveries under way, and those whose report nobody has taken yet.
+    under_way: HashSet<(u32, u64)>,
+}
+
+/// What an answer means for the message.
+pub fn read_answer(asked: &Result<Answer, Miss>) -> (Outcome, String) {
+    match asked {
+        Ok(a) => {
+            let not_run = a.status == 421 || a.header("x-not-run").is_some();
+            match (a.status, a.header("x-seal")) {
+                (200..=299, Some(seal)) if !seal.is_empty() => (Outcome::Done, seal.to_owned()),
+                (s, _) if s >= 400 && not_run => (Outcome::NotRun, String::new()),
+                (500, _) => (Outcome::Failed, String::new()),
+                (422, _) => (Outcome::Never, String::new()),
+                _ => (Outcome::Unknown, String::new()),
+            }
+        }
+        Err(Miss::NotSent) => (Outcome::NotRun, String::new()),
+        Err(_) => (Outcome::Unknown, String::new()),
+    }
+}
+
+fn load(a: &Answer) -> Option<(u32, u32)> {
+    let mut parts = a.header("x-load")?.split(',').map(|p| p.trim().parse::<u32>().ok());
+    Some((parts.next()??, parts.next()??))
+}
+
+impl Bobbin {
+    pub fn new(hatch: Arc<Hatch>) -> Arc<Bobbin> {
+        let idle = Duration::from_millis(hatch.caliper.constraints.quiet_ms as u64);
+        Arc::new(Bobbin { hatch, chuck: Chuck::new(idle), held: Mutex::default() })
+    }
+
+    pub fn idle(&self) -> bool {
+        self.held.lock().unwrap().under_way.is_empty()
+    }
+
+    pub fn sweep(&self) {
+        self.chuck.sweep(|_| true);
+    }
+
+    pub fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
+        match body {
+            Body::Run(run) => {
+                let key = (run.partition, run.position);
+                let leaving = *self.hatch.closing.borrow() != Closing::Open;
+                let mut h = self.held.lock().unwrap();
+                let term = h.terms.entry(run.partition).or_insert(0);
+                if run.term < *term || leaving {
+                    tally::count("runs_refused");
+                    peg.send(Body::RunAck(RunAck { taken: false }));
+                    return;
+                }
+                *term = run.term;
+                if h.under_way.insert(key) {
+                    tokio::spawn(self.clone().deliver(run));
+                }
+                peg.send(Body::RunAck(RunAck { taken: true }));
+            }
+            Body::Holding(q) => {
+                let mut h = self.held.lock().unwrap();
+                let term = h.terms.entry(q.partition).or_insert(0);
+                *term = (*term).max(q.term);
+                let positions = h.under_way.iter().filter(|k| k.0 == q.partition).map(|k| k.1).collect();
+                peg.send(Body::Held(Held { positions }));
+            }
+            Body::Notify(n) => {
+                let b = self.clone();
+                tokio::spawn(async move {
+                    let status = b.notify(n).await;
+                    peg.send(Body::NotifyAck(NotifyAck { status }));
+                });
+            }
+            Body::Status(_) => {
+                let k = self.hatch.known.borrow().have();
+                let json = format!(
+                    "{{\"node\":\"{}\",\"ready\":{},\"template\":{},\"charter\":{},\"roster\":{},\"underWay\":{},\"counters\":\"{}\"}}",
+                    self.hatch.caliper.node,
+                    self.hatch.is_ready(),
+                    k.template,
+                    k.charter,
+                    k.roster,
+                    self.held.lock().unwrap().under_way.len(),
+                    tally::render()
+                );
+                peg.send(Body::StatusAck(StatusAck { json }));
+            }
+            _ => {}
+        }
+    }
+
+    async fn deliver(self: Arc<Self>, run: Run) {
+        let begun = Instant::now();
+        let deadline = run.cutoff_ms.to_string();
+        let mut headers = vec![("X-Attempt-Id", run.item.id.as_str()), ("X-Deadline-Ms", deadline.as_str())];
+        for (name, value) in [
+            ("X-Target-Instance", &run.unit),
+            ("X-Order-Key", &run.item.order_key),
+            ("Content-Type", &run.item.content_type),
+        ] {
+            if !value.is_empty() {
+                headers.push((name, value));
+            }
+        }
+        let call = Call {
+            method: &run.item.method,
+            path: &run.item.path,
+            host: &run.item.host,
+            headers: &headers,
+            body: &run.item.body,
+        };
+        // The processor ends its work at the cutoff and says so; a little longer for that to arrive.
+        let within = Duration::from_millis(run.cutoff_ms as u64) * 21 / 20;
+        let asked = self.chuck.call(&run.address, call, run.conn_limit.max(1) as usize, within).await;
+        let (outcome, seal) = read_answer(&asked);
+        let told = asked.as_ref().ok().and_then(load);
+        let report = Report {
+            partition: run.partition,
+            position: run.position,
+            outcome: outcome as i32,
+            seal,
+            status: asked.as_ref().map_or(0, |a| a.status as u32),
+            running: told.map_or(0, |t| t.0),
+            waiting: told.map_or(0, |t| t.1),
+            loaded: told.is_some(),
+            took_ms: begun.elapsed().as_millis() as u32,
+        };
+        tally::count("deliveries");
+        if let Err(m) = &asked {
+            tally::count(match m {
+                Miss::NotSent => "deliveries_not_sent",
+                Miss::Lost => "deliveries_lost",
+                Miss::Silent => "deliveries_silent",
+            });
+        }
+        self.report(report).await;
+        self.held.lock().unwrap().under_way.remove(&(run.partition, run.position));
+    }
+
+    /// Tells the owner, whoever that is by now, until it has it.
+    async fn report(&self, report: Report) {
+        let c = &self.hatch.caliper.constraints;
+        let wait = Duration::from_millis((c.quiet_ms / 4.0) as u64);
+        let pause = Duration::from_millis((c.quiet_ms / 250.0) as u64);
+        let end = Instant::now() + Duration::from_secs_f64(c.status_s);
+        while Instant::now() < end {
+            if let Some(addr) = self.hatch.owner(report.partition) {
+                let mut rx = self.hatch.known.subscribe();
+                rx.mark_unchanged();
+                let owner = Some(addr.clone());
+                let moved = rx.wait_for(|k| {
+                    let p = k.charter.partitions.iter().find(|p| p.id == report.partition);
+                    p.and_then(|p| k.node(&p.owner, "lathe")).map(|n| n.inner.clone()) != owner
+                });
+                let tenon = self.hatch.bench.to(&addr);
+                let asked = tokio::select! {
+                    a = tenon.call(Body::Report(report.clone()), wait) => a.ok(),
+                    _ = moved => None,
+                };
+                if let Some(Body::ReportAck(a)) = asked
+                    && a.kept
+                {
+                    return;
+                }
+            }
+            tally::count("reports_again");
+            tokio::time::sleep(pause).await;
+        }
+        tally::count("reports_dropped");
+    }
+
+    async fn notify(&self, n: Notify) -> u32 {
+        let Some(rest) = n.url.strip_prefix("http://") else { return 400 };
+        let (host, path) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
+        let addr = if host.contains(':') { host.to_owned() } else { format!("{host}:80") };
+        let body = if n.seal.is_empty() {
+            serde_json::json!({"id": n.id, "state": n.state})
+        } else {
+            serde_json::json!({"id": n.id, "state": n.state, "seal": n.seal})
+        }
+        .to_string();
+        let headers = [("Content-Type", "application/json")];
+        let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes() };
+        let within = Duration::from_millis((self.hatch.caliper.constraints.notify_s * 300.0) as u64);
+        match self.chuck.call(&addr, call, 16, within).await {
+            Ok(a) => a.status as u32,
+            Err(_) => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hatch/src/lib.rs
@@ -0,0 +1,6 @@
+//! The front machines' program: takes messages from clients, answers for their
+//! state, and carries out deliveries and call-backs.
+
+mod deliver;
+mod front;
+pub use front::{partition_of, run};
--- /dev/null
+++ b/crates/lathe/src/jig.rs
@@ -0,0 +1,432 @@
+//! The fold: a partition's state as a function of its log alone.
+
+use crate::record::*;
+use bytes::Bytes;
+use dovetail::msg::{Item, Outcome};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Stand {
+    Pending,
+    Settled,
+    Dead,
+}
+
+impl Stand {
+    pub fn word(self) -> &'static str {
+        match self {
+            Stand::Pending => "pending",
+            Stand::Settled => "settled",
+            Stand::Dead => "dead_letter",
+        }
+    }
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workpiece {
+    pub item: Item,
+    pub at_ms: u64,
+    pub due_ms: u64,
+    pub stand: Stand,
+    pub failures: u32,
+    pub seal: String,
+    pub ended_ms: u64,
+    pub notified: bool,
+    /// The last dispatch: when, to which unit, through which node.
+    pub sent_ms: u64,
+    pub unit: String,
+    pub node: String,
+    /// Of the unchanging part, for the digest.
+    print: u64,
+}
+
+impl Workpiece {
+    pub fn owes_notice(&self) -> bool {
+        self.stand != Stand::Pending && !self.notified && !self.item.notify_url.is_empty()
+    }
+}
+
+/// What a record changed, for whoever schedules by it.
+#[derive(Debug, PartialEq, Clone)]
+pub enum Change {
+    Accepted(u64),
+    /// The record at `at` repeats a message known as `old`.
+    Repeated {
+        at: u64,
+        old: u64,
+    },
+    /// A failed attempt; more are allowed.
+    Failed(u64),
+    Ended(u64),
+    /// The head of an order key may run.
+    Freed(u64),
+    Notified(u64),
+    Epoch {
+        at: u64,
+        digest: u64,
+    },
+    Staged(String),
+    Stopped(Stop),
+}
+
+#[derive(Clone, Default)]
+pub struct Jig {
+    /// All up to here is folded.
+    pub position: u64,
+    pub pieces: BTreeMap<u64, Workpiece>,
+    /// By request id.
+    ids: HashMap<String, u64>,
+    /// Messages that have not ended, by order key, in order.
+    orders: HashMap<String, VecDeque<u64>>,
+    pub revision: u64,
+    routes: HashMap<String, RouteFacts>,
+    digest: u64,
+    pub body_bytes: usize,
+    /// Messages that have not ended.
+    pub pending: BTreeSet<u64>,
+    status_ms: u64,
+    ended: BTreeSet<(u64, u64)>,
+}
+
+fn mix(mut h: u64, v: u64) -> u64 {
+    h ^= v;
+    h = h.wrapping_mul(0x9e3779b97f4a7c15);
+    h ^ (h >> 29)
+}
+
+fn print(mut h: u64, bytes: &[u8]) -> u64 {
+    h = mix(h, bytes.len() as u64);
+    for c in bytes.chunks(8) {
+        let mut w = [0u8; 8];
+        w[..c.len()].copy_from_slice(c);
+        h = mix(h, u64::from_le_bytes(w));
+    }
+    h
+}
+
+/// One message's part of the digest. The parts are added up, so that a change
+/// costs no more than the message it concerns.
+fn part(pos: u64, w: &Workpiece) -> u64 {
+    let mut h = mix(w.print, pos);
+    h = mix(h, w.stand as u64);
+    h = mix(h, w.failures as u64);
+    h = mix(h, w.ended_ms);
+    h = mix(h, w.notified as u64);
+    h = mix(h, w.sent_ms);
+    h = print(h, w.seal.as_bytes());
+    print(h, w.unit.as_bytes())
+}
+
+impl Jig {
+    pub fn new(status_ms: u64) -> Jig {
+        Jig { status_ms, ..Jig::default() }
+    }
+
+    pub fn digest(&self) -> u64 {
+        mix(mix(self.digest, self.revision), self.pieces.len() as u64)
+    }
+
+    /// The digest from scratch: what the running one must equal.
+    pub fn digest_anew(&self) -> u64 {
+        let sum = self.pieces.iter().fold(0u64, |a, (p, w)| a.wrapping_add(part(*p, w)));
+        mix(mix(sum, self.revision), self.pieces.len() as u64)
+    }
+
+    pub fn find(&self, id: &str) -> Option<u64> {
+        self.ids.get(id).copied()
+    }
+
+    pub fn has_route(&self, channel: &str) -> bool {
+        self.routes.contains_key(channel)
+    }
+
+    pub fn retain_ms(&self, channel: &str) -> u64 {
+        self.routes.get(channel).map_or(0, |r| r.retain_ms)
+    }
+
+    /// Whether nothing of its order key is before it.
+    pub fn is_head(&self, pos: u64, w: &Workpiece) -> bool {
+        w.item.order_key.is_empty()
+            || self.orders.get(&w.item.order_key).and_then(|q| q.front()).is_none_or(|h| *h == pos)
+    }
+
+    fn change<T>(&mut self, pos: u64, f: impl FnOnce(&mut Workpiece) -> T) -> Option<T> {
+        let w = self.pieces.get_mut(&pos)?;
+        self.digest = self.digest.wrapping_sub(part(pos, w));
+        let t = f(w);
+        self.digest = self.digest.wrapping_add(part(pos, w));
+        Some(t)
+    }
+
+    fn end(&mut self, pos: u64, stand: Stand, seal: &str, at: u64, out: &mut Vec<Change>) {
+        let Some(w) = self.pieces.get(&pos) else { return };
+        if w.stand != Stand::Pending {
+            return;
+        }
+        let key = w.item.order_key.clone();
+        self.change(pos, |w| {
+            w.stand = stand;
+            w.seal = seal.to_owned();
+            w.ended_ms = at;
+        });
+        self.pending.remove(&pos);
+        if stand == Stand::Settled {
+            // A body is owed back only for what has not ended well.
+            if let Some(w) = self.pieces.get_mut(&pos) {
+                self.body_bytes -= w.item.body.len();
+                w.item.body = Bytes::new();
+            }
+        }
+        self.ended.insert((at, pos));
+        out.push(Change::Ended(pos));
+        if !key.is_empty()
+            && let Some(q) = self.orders.get_mut(&key)
+        {
+            let was_head = q.front() == Some(&pos);
+            q.retain(|p| *p != pos);
+            if q.is_empty() {
+                self.orders.remove(&key);
+            } else if was_head && let Some(h) = q.front() {
+                out.push(Change::Freed(*h));
+            }
+        }
+    }
+
+    /// Folds the record at `pos`. One that is folded already changes nothing.
+    pub fn fold(&mut self, pos: u64, record: &Record) -> Vec<Change> {
+        let mut out = Vec::new();
+        if pos <= self.position {
+            return out;
+        }
+        self.position = pos;
+        let at = record.at_ms;
+        match &record.entry {
+            Some(Entry::Accept(a)) => {
+                if let Some(old) = self.ids.get(&a.item.id) {
+                    out.push(Change::Repeated { at: pos, old: *old });
+                    return out;
+                }
+                let mut h = print(pos, a.item.id.as_bytes());
+                h = print(h, &a.item.body);
+                for s in [&a.item.channel, &a.item.path, &a.item.order_key, &a.item.notify_url] {
+                    h = print(h, s.as_bytes());
+                }
+                let w = Workpiece {
+                    item: a.item.clone(),
+                    at_ms: at,
+                    due_ms: at + a.delay_ms,
+                    stand: Stand::Pending,
+                    failures: 0,
+                    seal: String::new(),
+                    ended_ms: 0,
+                    notified: false,
+                    sent_ms: 0,
+                    unit: String::new(),
+                    node: String::new(),
+                    print: mix(h, at + a.delay_ms),
+                };
+                self.insert(pos, w);
+                out.push(Change::Accepted(pos));
+            }
+            Some(Entry::Dispatch(d)) => {
+                self.change(d.position, |w| {
+                    w.sent_ms = at;
+                    w.unit.clone_from(&d.unit);
+                    w.node.clone_from(&d.node);
+                });
+            }
+            Some(Entry::Answer(a)) => match Outcome::try_from(a.outcome) {
+                Ok(Outcome::Done) => self.end(a.position, Stand::Settled, &a.seal, at, &mut out),
+                Ok(Outcome::Never) => self.end(a.position, Stand::Dead, "", at, &mut out),
+                Ok(Outcome::Failed) => {
+                    let pending = self.pieces.get(&a.position).is_some_and(|w| w.stand == Stand::Pending);
+                    if pending {
+                        let n = self.change(a.position, |w| {
+                            w.failures += 1;
+                            w.failures
+                        });
+                        let channel = &self.pieces[&a.position].item.channel;
+                        let tries = self.routes.get(channel).map_or(1, |r| r.tries.max(1));
+                        if n.unwrap_or(0) >= tries {
+                            self.end(a.position, Stand::Dead, "", at, &mut out);
+                        } else {
+                            out.push(Change::Failed(a.position));
+                        }
+                    }
+                }
+                _ => {}
+            },
+            Some(Entry::Notified(n)) => {
+                for p in &n.positions {
+                    if self.change(*p, |w| w.notified = true).is_some() {
+                        out.push(Change::Notified(*p));
+                    }
+                }
+            }
+            Some(Entry::Expire(e)) => {
+                for p in &e.positions {
+                    self.end(*p, Stand::Dead, "", at, &mut out);
+                }
+            }
+            Some(Entry::Routes(r)) => {
+                if r.revision > self.revision {
+                    self.revision = r.revision;
+                    self.routes = r.routes.iter().map(|f| (f.channel.clone(), f.clone())).collect();
+                    let dropped: Vec<u64> = self
+                        .pieces
+                        .iter()
+                        .filter(|(_, w)| w.stand == Stand::Pending && !self.routes.contains_key(&w.item.channel))
+                        .map(|(p, _)| *p)
+                        .collect();
+                    for p in dropped {
+                        self.end(p, Stand::Dead, "", at, &mut out);
+                    }
+                }
+            }
+            Some(Entry::Epoch(e)) => out.push(Change::Epoch { at: e.position, digest: e.digest }),
+            Some(Entry::Stage(s)) => out.push(Change::Staged(s.candidate.clone())),
+            Some(Entry::Stop(s)) => out.push(Change::Stopped(s.clone())),
+            None => {}
+        }
+        // What ended long enough ago is forgotten; twice the time that it may be asked for.
+        while let Some((ended, p)) = self.ended.first().copied() {
+            if ended + 2 * self.status_ms >= at {
+                break;
+            }
+            self.ended.pop_first();
+            if let Some(w) = self.pieces.remove(&p) {
+                self.digest = self.digest.wrapping_sub(part(p, &w));
+                self.body_bytes -= w.item.body.len();
+                self.ids.remove(&w.item.id);
+            }
+        }
+        out
+    }
+
+    fn insert(&mut self, pos: u64, w: Workpiece) {
+        self.ids.insert(w.item.id.clone(), pos);
+        if w.stand == Stand::Pending {
+            self.pending.insert(pos);
+            if !w.item.order_key.is_empty() {
+                self.orders.entry(w.item.order_key.clone()).or_default().push_back(pos);
+            }
+        }
+        self.body_bytes += w.item.body.len();
+        self.digest = self.digest.wrapping_add(part(pos, &w));
+        self.pieces.insert(pos, w);
+    }
+
+    pub fn snapshot(&self) -> Snapshot {
+        let mut routes: Vec<RouteFacts> = self.routes.values().cloned().collect();
+        routes.sort_by(|a, b| a.channel.cmp(&b.channel));
+        Snapshot {
+            position: self.position,
+            revision: self.revision,
+            routes,
+            pieces: self
+                .pieces
+                .iter()
+                .map(|(p, w)| SnapPiece {
+                    position: *p,
+                    item: w.item.clone(),
+                    at_ms: w.at_ms,
+                    due_ms: w.due_ms,
+                    stand: w.stand as u32,
+                    failures: w.failures,
+                    seal: w.seal.clone(),
+                    ended_ms: w.ended_ms,
+                    notified: w.notified,
+                    sent_ms: w.sent_ms,
+                    unit: w.unit.clone(),
+                    node: w.node.clone(),
+                    print: w.print,
+                })
+                .collect(),
+            digest: self.digest(),
+        }
+    }
+
+    /// The state that a snapshot holds; an error if it is not what was taken.
+    pub fn restore(s: &Snapshot, status_ms: u64) -> Result<Jig, String> {
+        let mut j = Jig::new(status_ms);
+        j.position = s.position;
+        j.revision = s.revision;
+        j.routes = s.routes.iter().map(|f| (f.channel.clone(), f.clone())).collect();
+        let mut ended = BTreeSet::new();
+        for p in &s.pieces {
+            let stand = match p.stand {
+                0 => Stand::Pending,
+                1 => Stand::Settled,
+                _ => Stand::Dead,
+            };
+            if stand != Stand::Pending {
+                ended.insert((p.ended_ms, p.position));
+            }
+            let w = Workpiece {
+                item: p.item.clone(),
+                at_ms: p.at_ms,
+                due_ms: p.due_ms,
+                stand,
+                failures: p.failures,
+                seal: p.seal.clone(),
+                ended_ms: p.ended_ms,
+                notified: p.notified,
+                sent_ms: p.sent_ms,
+                unit: p.unit.clone(),
+                node: p.node.clone(),
+                print: p.print,
+            };
+            j.insert(p.position, w);
+        }
+        j.ended = ended;
+        if j.digest() != s.digest {
+            return Err("snapshot does not match its digest".into());
+        }
+        Ok(j)
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Snapshot {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub routes: Vec<RouteFacts>,
+    #[prost(message, repeated, tag = "4")]
+    pub pieces: Vec<SnapPiece>,
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SnapPiece {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    #[prost(message, required, tag = "2")]
+    pub item: Item,
+    #[prost(uint64, tag = "3")]
+    pub at_ms: u64,
+    #[prost(uint64, tag = "4")]
+    pub due_ms: u64,
+    #[prost(uint32, tag = "5")]
+    pub stand: u32,
+    #[prost(uint32, tag = "6")]
+    pub failures: u32,
+    #[prost(string, tag = "7")]
+    pub seal: String,
+    #[prost(uint64, tag = "8")]
+    pub ended_ms: u64,
+    #[prost(bool, tag = "9")]
+    pub notified: bool,
+    #[prost(uint64, tag = "10")]
+    pub sent_ms: u64,
+    #[prost(string, tag = "11")]
+    pub unit: String,
+    #[prost(string, tag = "12")]
+    pub node: String,
+    #[prost(fixed64, tag = "13")]
+    pub print: u64,
+}
--- /dev/null
+++ b/crates/lathe/src/record.rs
@@ -0,0 +1,119 @@
+//! What a partition's log holds.
+
+use dovetail::msg::Item;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Record {
+    /// The owner's time of day when it wrote this; the fold knows no other clock.
+    #[prost(uint64, tag = "1")]
+    pub at_ms: u64,
+    #[prost(oneof = "Entry", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub entry: Option<Entry>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Entry {
+    #[prost(message, tag = "2")]
+    Accept(AcceptRecord),
+    #[prost(message, tag = "3")]
+    Dispatch(DispatchRecord),
+    #[prost(message, tag = "4")]
+    Answer(AnswerRecord),
+    #[prost(message, tag = "5")]
+    Notified(Positions),
+    /// Messages whose time is over.
+    #[prost(message, tag = "6")]
+    Expire(Positions),
+    #[prost(message, tag = "7")]
+    Routes(Routes),
+    #[prost(message, tag = "8")]
+    Epoch(Epoch),
+    #[prost(message, tag = "9")]
+    Stage(Stage),
+    #[prost(message, tag = "10")]
+    Stop(Stop),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AcceptRecord {
+    #[prost(message, required, tag = "1")]
+    pub item: Item,
+    #[prost(uint64, tag = "2")]
+    pub delay_ms: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DispatchRecord {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    #[prost(string, tag = "2")]
+    pub unit: String,
+    #[prost(string, tag = "3")]
+    pub node: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AnswerRecord {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    /// As in the inner protocol; only `Done`, `Failed` and `Never` are written.
+    #[prost(int32, tag = "2")]
+    pub outcome: i32,
+    #[prost(string, tag = "3")]
+    pub seal: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Positions {
+    #[prost(uint64, repeated, tag = "1")]
+    pub positions: Vec<u64>,
+}
+
+/// What the fold needs of a configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Routes {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub routes: Vec<RouteFacts>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RouteFacts {
+    #[prost(string, tag = "1")]
+    pub channel: String,
+    #[prost(uint32, tag = "2")]
+    pub tries: u32,
+    #[prost(uint64, tag = "3")]
+    pub retain_ms: u64,
+}
+
+/// The digest of the state that the fold of all up to `position` makes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Epoch {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+}
+
+/// A planned move begins: `candidate` folds into its shadow state beside the owner.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Stage {
+    #[prost(string, tag = "1")]
+    pub candidate: String,
+}
+
+/// The stop marker: the incumbent consumes nothing from `splice` on, which is
+/// this record's own position; the candidate resumes behind it at `term`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Stop {
+    #[prost(uint64, tag = "1")]
+    pub splice: u64,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(string, tag = "3")]
+    pub candidate: String,
+    #[prost(string, repeated, tag = "4")]
+    pub insync: Vec<String>,
+}
--- /dev/null
+++ b/crates/lathe/src/toolpost.rs
@@ -0,0 +1,1014 @@
+//! The shell of a lathe: carries out the effects of its partitions' state
+//! machines, keeps the lease, and gives deliveries to the delivery nodes.
+
+use crate::jig::{Change, Stand};
+use crate::mandrel::*;
+use crate::record::*;
+use crate::turret::*;
+use apprentice::Session;
+use bytes::Bytes;
+use dovetail::msg::*;
+use dovetail::{Bench, Body, Peg, Verdict};
+use drawer::{Drawer, Op};
+use gauge::{Caliper, Role};
+use prost::Message;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify as Bell, mpsc, watch};
+
+enum Waiter {
+    Accept(Peg),
+    Report(Peg),
+}
+
+struct Inside {
+    mandrels: BTreeMap<u32, Mandrel>,
+    turret: Turret,
+    /// Who waits for a position to be committed.
+    waiters: HashMap<Key, Vec<Waiter>>,
+    /// Positions of accepts that are not committed yet, by request id.
+    fresh_ids: HashMap<String, Key>,
+    /// Reports that are written and not committed yet.
+    answering: HashSet<Key>,
+    /// Partitions taken over whose delivery nodes have not all answered.
+    asking: HashSet<u32>,
+    lease_until: u64,
+    notified: HashMap<u32, Vec<u64>>,
+    leaving: bool,
+    body_limit: usize,
+}
+
+pub struct Toolpost {
+    caliper: Caliper,
+    session: Arc<Session>,
+    bench: Arc<Bench>,
+    drawer: Drawer,
+    inside: Mutex<Inside>,
+    bell: Bell,
+    synced: mpsc::UnboundedSender<(u32, u64, u64)>,
+    start: Instant,
+}
+
+fn key(kind: u8, partition: u32, n: u64) -> Vec<u8> {
+    let mut k = vec![kind];
+    k.extend_from_slice(&partition.to_be_bytes());
+    k.extend_from_slice(&n.to_be_bytes());
+    k
+}
+
+impl Toolpost {
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64 + 1_000_000
+    }
+
+    fn ratio(&self, part: f64) -> u64 {
+        (self.caliper.constraints.quiet_ms / part) as u64
+    }
+
+    /// Steps one partition and carries out what comes of it.
+    fn step(self: &Arc<Self>, i: &mut Inside, partition: u32, f: impl FnOnce(&mut Mandrel, u64, &mut Vec<Effect>)) {
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(m) = i.mandrels.get_mut(&partition) {
+            f(m, now, &mut out);
+        }
+        self.carry_out(i, partition, out);
+    }
+
+    fn carry_out(self: &Arc<Self>, i: &mut Inside, partition: u32, effects: Vec<Effect>) {
+        for e in effects {
+            match e {
+                Effect::Persist { del, put, meta, snapshot, term, end } => {
+                    let mut ops = Vec::with_capacity(put.len() + 1);
+                    if let Some((a, b)) = del {
+                        ops.extend((a..=b).map(|n| Op::Del(key(b'l', partition, n))));
+                    }
+                    ops.extend(
+                        put.into_iter().map(|(n, e)| Op::Put(key(b'l', partition, n), e.encode_to_vec().into())),
+                    );
+                    if let Some(s) = snapshot {
+                        ops.push(Op::Put(key(b's', partition, 0), s));
+                    }
+                    ops.push(Op::Put(key(b'm', partition, 0), meta.encode_to_vec().into()));
+                    let synced = self.synced.clone();
+                    self.drawer.write(ops, move || {
+                        let _ = synced.send((partition, term, end));
+                    });
+                }
+                Effect::Send(node, body) => {
+                    let addr = self.session.with_known(|k| k.node(&node, "lathe").map(|n| n.inner.clone()));
+                    if let Some(a) = addr {
+                        self.bench.to(&a).send(body);
+                    }
+                }
+                Effect::Folded(changes) => self.folded(i, partition, changes),
+                Effect::TookOver { seized } => {
+                    tally::count(if seized { "partitions_seized" } else { "partitions_taken" });
+                    i.turret.drop_partition(partition);
+                    i.asking.insert(partition);
+                    let term = i.mandrels[&partition].term;
+                    tally::change!(
+                        "owner of partition {partition} at term {term}{}",
+                        if seized { ", seized" } else { "" }
+                    );
+                    tokio::spawn(self.clone().ask_hatches(partition, term));
+                }
+                Effect::StoodDown(owner) => {
+                    tally::change!("partition {partition} is owned by {owner:?} now");
+                    i.turret.drop_partition(partition);
+                    i.asking.remove(&partition);
+                    i.answering.retain(|k| k.0 != partition);
+                    i.fresh_ids.retain(|_, k| k.0 != partition);
+                    i.notified.remove(&partition);
+                    let gone: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition).copied().collect();
+                    for k in gone {
+                        for w in i.waiters.remove(&k).into_iter().flatten() {
+                            match w {
+                                Waiter::Accept(p) => {
+                                    p.send(accepted(AcceptOutcome::Unclear, 0, &owner));
+                                }
+                                Waiter::Report(p) => p.send(Body::ReportAck(ReportAck { kept: false })),
+                            }
+                        }
+                    }
+                }
+                Effect::Ask(order) => {
+                    let post = self.clone();
+                    tokio::spawn(async move { post.order(partition, order).await });
+                }
+                Effect::Mismatch(at) => {
+                    tally::error!("ALARM partition {partition}: the shadow state differs from the owner's at {at}");
+                }
+            }
+        }
+    }
+
+    async fn order(self: Arc<Self>, partition: u32, order: Order) {
+        let chair = self.session.with_known(|k| k.chair.clone());
+        if chair.is_empty() {
+            return;
+        }
+        let wait = Duration::from_millis(self.ratio(4.0));
+        if let Ok(Body::OrderAck(ack)) = self.bench.to(&chair).call(Body::Order(order.clone()), wait).await {
+            if !ack.chair.is_empty() {
+                self.session.take(&News { chair: ack.chair.clone(), ..News::default() });
+            }
+            let mut i = self.inside.lock().unwrap();
+            self.step(&mut i, partition, |m, now, out| m.ordered(&order, &ack, now, out));
+            self.bell.notify_one();
+        }
+    }
+
+    /// The fold moved: answer who waited, and schedule.
+    fn folded(self: &Arc<Self>, i: &mut Inside, partition: u32, changes: Vec<Change>) {
+        let wall = tally::wall_ms();
+        for c in changes {
+            match c {
+                Change::Accepted(pos) => {
+                    tally::count("accepted");
+                    if let Some(w) = i.mandrels[&partition].jig.pieces.get(&pos) {
+                        i.fresh_ids.remove(&w.item.id);
+                    }
+                    self.answer_waiters(i, (partition, pos), pos);
+                    self.schedule(i, (partition, pos), wall);
+                }
+                Change::Repeated { at, old } => self.answer_waiters(i, (partition, at), old),
+                Change::Failed(pos) => {
+                    i.answering.remove(&(partition, pos));
+                    let pause = i.turret.pause((partition, pos));
+                    i.turret.later((partition, pos), wall + pause);
+                }
+                Change::Ended(pos) => {
+                    let k = (partition, pos);
+                    i.answering.remove(&k);
+                    i.turret.forget(k);
+                    if let Some(w) = i.mandrels[&partition].jig.pieces.get(&pos) {
+                        tally::count(if w.stand == Stand::Settled { "settled" } else { "dead" });
+                        if w.owes_notice() {
+                            i.turret.notices.push_back((wall, k));
+                        }
+                    }
+                }
+                Change::Freed(pos) => self.schedule(i, (partition, pos), wall),
+                _ => {}
+            }
+        }
+        // Reports wait for the position of their own record.
+        let commit = i.mandrels[&partition].commit;
+        let done: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition && k.1 <= commit).copied().collect();
+        for k in done {
+            for w in i.waiters.remove(&k).into_iter().flatten() {
+                match w {
+                    Waiter::Report(p) => p.send(Body::ReportAck(ReportAck { kept: true })),
+                    Waiter::Accept(p) => p.send(accepted(AcceptOutcome::Taken, k.1, "")),
+                }
+            }
+        }
+        self.bell.notify_one();
+    }
+
+    fn answer_waiters(&self, i: &mut Inside, k: Key, pos: u64) {
+        for w in i.waiters.remove(&k).into_iter().flatten() {
+            if let Waiter::Accept(p) = w {
+                p.send(accepted(AcceptOutcome::Taken, pos, ""));
+            }
+        }
+    }
+
+    /// Queues a message if it may run: now, when it is due, or when its turn comes.
+    fn schedule(&self, i: &mut Inside, k: Key, wall: u64) {
+        let Some(m) = i.mandrels.get(&k.0) else { return };
+        let Some(w) = m.jig.pieces.get(&k.1) else { return };
+        if m.seat != Seat::Owner || w.stand != Stand::Pending || !m.jig.is_head(k.1, w) || i.answering.contains(&k) {
+            return;
+        }
+        if w.due_ms > wall {
+            let due = w.due_ms;
+            i.turret.later(k, due);
+            return;
+        }
+        let age = w.due_ms;
+        let plant = self.session.with_known(|s| s.template.channel(&w.item.channel).map(|c| c.plant.clone()));
+        if let Some(plant) = plant {
+            i.turret.ready(k, &plant, age);
+        }
+    }
+
+    /// After a take-over: what do the delivery nodes hold? From then on they
+    /// refuse older terms.
+    async fn ask_hatches(self: Arc<Self>, partition: u32, term: u64) {
+        let hatches: Vec<Node> =
+            self.session.with_known(|k| k.roster.nodes.iter().filter(|n| n.role == "hatch").cloned().collect());
+        let wait = Duration::from_millis(self.ratio(16.0));
+        let mut asked = Vec::new();
+        for h in hatches {
+            let end = self.bench.to(&h.inner);
+            asked.push((
+                h.name,
+                tokio::spawn(async move {
+                    for _ in 0..2 {
+                        match end.call(Body::Holding(Holding { partition, term }), wait).await {
+                            Ok(Body::Held(h)) => return h.positions,
+                            Err(Verdict::MayHaveRun) => return Vec::new(),
+                            _ => tokio::time::sleep(wait / 8).await,
+                        }
+                    }
+                    Vec::new()
+                }),
+            ));
+        }
+        let mut held = Vec::new();
+        for (name, a) in asked {
+            held.extend(a.await.unwrap_or_default().into_iter().map(|p| (p, name.clone())));
+        }
+        let mut i = self.inside.lock().unwrap();
+        let i = &mut *i;
+        if i.mandrels.get(&partition).is_none_or(|m| m.term != term || m.seat != Seat::Owner) {
+            return;
+        }
+        i.asking.remove(&partition);
+        let now = self.now();
+        let known = self.session.known();
+        let m = &i.mandrels[&partition];
+        for (pos, hatch) in held {
+            if let Some(w) = m.jig.pieces.get(&pos)
+                && w.stand == Stand::Pending
+                && let Some(c) = known.template.channel(&w.item.channel)
+            {
+                let until = now + c.cutoff_ms as u64 + self.ratio(8.0);
+                i.turret.adopt((partition, pos), c, &w.unit, &hatch, until);
+            }
+        }
+        let wall = tally::wall_ms();
+        let pending: Vec<u64> = m.jig.pending.iter().copied().collect();
+        let owed: Vec<u64> = m.jig.pieces.iter().filter(|(_, w)| w.owes_notice()).map(|(p, _)| *p).collect();
+        for pos in pending {
+            self.schedule(i, (partition, pos), wall);
+        }
+        for pos in owed {
+            if !i.turret.notices.iter().any(|(_, k)| *k == (partition, pos)) {
+                i.turret.notices.push_back((wall, (partition, pos)));
+            }
+        }
+        self.bell.notify_one();
+    }
+
+    // ---- calls from other nodes ----
+
+    fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
+        let mut guard = self.inside.lock().unwrap();
+        let i = &mut *guard;
+        match body {
+            Body::Accept(a) => self.accept(i, a, peg),
+            Body::Report(r) => self.report(i, r, peg),
+            Body::Lookup(l) => {
+                let found = self.lookup(i, &l);
+                peg.send(Body::Found(found));
+            }
+            Body::Entries(e) => {
+                self.known_partition(i, e.partition);
+                self.step(i, e.partition, |m, now, out| m.entries(e, now, out));
+            }
+            Body::EntriesAck(a) => self.step(i, a.partition, |m, now, out| m.acked(a, now, out)),
+            Body::Chunk(c) => {
+                self.known_partition(i, c.partition);
+                self.step(i, c.partition, |m, now, out| m.chunk(c, now, out));
+            }
+            Body::Status(_) => peg.send(Body::StatusAck(StatusAck { json: self.status(i) })),
+            _ => {}
+        }
+    }
+
+    fn known_partition(&self, i: &mut Inside, id: u32) {
+        let pace = self.pace();
+        i.mandrels.entry(id).or_insert_with(|| Mandrel::new(id, &self.caliper.node, pace));
+    }
+
+    fn pace(&self) -> Pace {
+        pace(&self.caliper)
+    }
+
+    fn leased(&self, i: &Inside) -> bool {
+        self.now() < i.lease_until
+    }
+
+    fn accept(self: &Arc<Self>, i: &mut Inside, a: Accept, peg: Peg) {
+        let p = a.partition;
+        let owner = match i.mandrels.get(&p) {
+            Some(m) if m.open() && self.leased(i) => None,
+            Some(m) => Some(if m.owner == self.caliper.node { String::new() } else { m.owner.clone() }),
+            None => Some(String::new()),
+        };
+        if let Some(owner) = owner {
+            peg.send(accepted(AcceptOutcome::Elsewhere, 0, &owner));
+            return;
+        }
+        if let Some(k) = i.fresh_ids.get(&a.item.id).copied()
+            && k.0 == p
+        {
+            i.waiters.entry(k).or_default().push(Waiter::Accept(peg));
+            return;
+        }
+        let m = &i.mandrels[&p];
+        if let Some(pos) = m.jig.find(&a.item.id) {
+            peg.send(accepted(AcceptOutcome::Taken, pos, ""));
+            return;
+        }
+        if !m.jig.has_route(&a.item.channel) {
+            // Older news than the hatch has, or newer.
+            let outcome = if m.jig.revision >= a.revision { AcceptOutcome::NoRoute } else { AcceptOutcome::Elsewhere };
+            peg.send(accepted(outcome, 0, ""));
+            return;
+        }
+        let held: usize = i.mandrels.values().map(|m| m.jig.body_bytes).sum();
+        let disk = self.caliper.limits.disk_mb << 20;
+        if held + a.item.body.len() > i.body_limit || (disk > 0 && self.drawer.used_bytes() > disk * 7 / 10) {
+            tally::count("refused_full");
+            peg.send(accepted(AcceptOutcome::Full, 0, ""));
+            return;
+        }
+        let id = a.item.id.clone();
+        let record = Record {
+            at_ms: tally::wall_ms(),
+            entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })),
+        };
+        let mut position = None;
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(m) = i.mandrels.get_mut(&p) {
+            position = m.append(&record, now, &mut out);
+            m.flush(now, &mut out);
+        }
+        match position {
+            Some(pos) => {
+                i.fresh_ids.insert(id, (p, pos));
+                i.waiters.entry((p, pos)).or_default().push(Waiter::Accept(peg));
+            }
+            None => peg.send(accepted(AcceptOutcome::Elsewhere, 0, "")),
+        }
+        self.carry_out(i, p, out);
+    }
+
+    fn report(self: &Arc<Self>, i: &mut Inside, r: Report, peg: Peg) {
+        let k = (r.partition, r.position);
+        let now = self.now();
+        let wall = tally::wall_ms();
+        if i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
+            peg.send(Body::ReportAck(ReportAck { kept: false }));
+            return;
+        }
+        if let Some(f) = i.turret.land(k) {
+            i.turret.learn(&f, &r, now);
+        }
+        let m = &i.mandrels[&k.0];
+        let pending = m.jig.pieces.get(&k.1).is_some_and(|w| w.stand == Stand::Pending);
+        let outcome = Outcome::try_from(r.outcome).unwrap_or(Outcome::Unknown);
+        tally::count(match outcome {
+            Outcome::Done => "runs_done",
+            Outcome::Failed => "runs_failed",
+            Outcome::Never => "runs_never",
+            Outcome::NotRun => "runs_not_run",
+            _ => "runs_unknown",
+        });
+        if !pending {
+            peg.send(Body::ReportAck(ReportAck { kept: true }));
+            self.bell.notify_one();
+            return;
+        }
+        match outcome {
+            Outcome::Done | Outcome::Failed | Outcome::Never => {
+                i.answering.insert(k);
+                let answer = AnswerRecord { position: k.1, outcome: r.outcome, seal: r.seal };
+                let record = Record { at_ms: wall, entry: Some(Entry::Answer(answer)) };
+                let mut out = Vec::new();
+                if let Some(m) = i.mandrels.get_mut(&k.0)
+                    && let Some(pos) = m.append(&record, now, &mut out)
+                {
+                    m.flush(now, &mut out);
+                    i.waiters.entry((k.0, pos)).or_default().push(Waiter::Report(peg));
+                }
+                self.carry_out(i, k.0, out);
+            }
+            Outcome::NotRun => {
+                peg.send(Body::ReportAck(ReportAck { kept: true }));
+                let again = match r.status {
+                    409 | 429 => i.turret.pause(k),
+                    _ => 0,
+                };
+                if again > 0 {
+                    i.turret.later(k, wall + again);
+                } else {
+                    self.schedule(i, k, wall);
+                }
+            }
+            _ => {
+                peg.send(Body::ReportAck(ReportAck { kept: true }));
+                let pause = i.turret.pause(k);
+                i.turret.later(k, wall + pause);
+            }
+        }
+        self.bell.notify_one();
+    }
+
+    fn lookup(&self, i: &Inside, l: &Lookup) -> Found {
+        let Some(m) = i.mandrels.get(&l.partition).filter(|m| m.seat == Seat::Owner && self.leased(i)) else {
+            return Found::default();
+        };
+        let pos = if l.id.is_empty() { Some(l.position) } else { m.jig.find(&l.id) };
+        match pos.and_then(|p| m.jig.pieces.get(&p)) {
+            Some(w) => Found {
+                owner: true,
+                known: true,
+                state: w.stand.word().into(),
+                seal: w.seal.clone(),
+                body: if l.body { w.item.body.clone() } else { Bytes::new() },
+                host: w.item.host.clone(),
+            },
+            None => Found { owner: true, ..Found::default() },
+        }
+    }
+
+    fn status(&self, i: &Inside) -> String {
+        use std::fmt::Write;
+        let mut s = String::from("{\"partitions\":[");
+        for (n, m) in i.mandrels.values().enumerate() {
+            let _ = write!(
+                s,
+                "{}{{\"id\":{},\"seat\":\"{}\",\"term\":{},\"end\":{},\"commit\":{},\"durable\":{},\"verified\":{},\"mismatch\":{},\"digest\":\"{:016x}\",\"pending\":{},\"kept\":{},\"moving\":{}}}",
+                if n > 0 { "," } else { "" },
+                m.id,
+                if m.seat == Seat::Owner { "owner" } else { "follower" },
+                m.term,
+                m.end(),
+                m.commit,
+                m.durable,
+                m.verified,
+                m.mismatch,
+                m.jig.digest(),
+                m.jig.pending.len(),
+                m.jig.pieces.len(),
+                m.is_moving()
+            );
+        }
+        let _ = write!(
+            s,
+            "],\"node\":\"{}\",\"leased\":{},\"queued\":{},\"underWay\":{},\"counters\":\"{}\"}}",
+            self.caliper.node,
+            self.leased(i),
+            i.turret.queued(),
+            i.turret.flights.len(),
+            tally::render()
+        );
+        s
+    }
+
+    // ---- work that comes with time ----
+
+    /// Gives out what can be given out.
+    fn pump(self: &Arc<Self>) -> u64 {
+        let now = self.now();
+        let wall = tally::wall_ms();
+        let known = self.session.known();
+        let mut guard = self.inside.lock().unwrap();
+        let i = &mut *guard;
+        let mut wake = now + self.ratio(20.0);
+        if !self.leased(i) {
+            return wake;
+        }
+        i.turret.news(&known.roster, &known.charter);
+        while let Some(k) = i.turret.take_due(wall) {
+            self.schedule(i, k, wall);
+        }
+        for k in i.turret.overdue(now) {
+            // The delivery node was to report by now: silence, no attempt.
+            tally::count("runs_overdue");
+            i.turret.land(k);
+            let pause = i.turret.pause(k);
+            i.turret.later(k, wall + pause);
+        }
+        let mut touched = HashSet::new();
+        for name in i.turret.plants_ready() {
+            let Some(plant) = known.template.plant(&name) else { continue };
+            while let Some(k) = i.turret.first_ready(&name) {
+                if i.asking.contains(&k.0) || i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
+                    // Taken over or moving: another look comes with the next step.
+                    i.turret.unqueue(k);
+                    i.turret.later(k, wall + self.ratio(100.0));
+                    continue;
+                }
+                let Some(choice) = i.turret.choose(plant, now) else { break };
+                if let Err(at) = i.turret.token(plant, now) {
+                    wake = wake.min(at);
+                    break;
+                }
+                if !self.dispatch(i, &known, k, plant, choice, now, wall) {
+                    i.turret.unqueue(k);
+                }
+                touched.insert(k.0);
+            }
+        }
+        for p in touched {
+            self.step(i, p, |m, now, out| m.flush(now, out));
+        }
+        self.notices(i, wall);
+        if let Some(due) = i.turret.next_due() {
+            wake = wake.min(now + due.saturating_sub(wall).max(1));
+        }
+        wake
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn dispatch(
+        self: &Arc<Self>,
+        i: &mut Inside,
+        known: &apprentice::Known,
+        k: Key,
+        plant: &gauge::Plant,
+        choice: Choice,
+        now: u64,
+        wall: u64,
+    ) -> bool {
+        let Some(m) = i.mandrels.get_mut(&k.0) else { return false };
+        let Some(w) = m.jig.pieces.get(&k.1).filter(|w| w.stand == Stand::Pending) else { return false };
+        let Some(channel) = known.template.channel(&w.item.channel) else { return false };
+        let cutoff = channel.cutoff_ms as u64;
+        let mut item = w.item.clone();
+        item.notify_url.clear();
+        let run = Run {
+            partition: k.0,
+            term: m.term,
+            position: k.1,
+            address: choice.address.clone(),
+            unit: choice.target.clone(),
+            cutoff_ms: cutoff as u32,
+            item,
+            conn_limit: plant.conn_limit,
+        };
+        let dispatch = DispatchRecord { position: k.1, unit: choice.unit.clone(), node: choice.hatch.clone() };
+        let record = Record { at_ms: wall, entry: Some(Entry::Dispatch(dispatch)) };
+        let mut out = Vec::new();
+        m.append(&record, now, &mut out);
+        i.turret.launch(k, &choice, channel, now + cutoff + self.ratio(8.0));
+        self.carry_out(i, k.0, out);
+        tally::count("dispatched");
+        let post = self.clone();
+        tokio::spawn(async move { post.run(run, choice).await });
+        true
+    }
+
+    /// Sees one delivery into the delivery node's hands.
+    async fn run(self: Arc<Self>, run: Run, choice: Choice) {
+        let k = (run.partition, run.position);
+        let (partition, term) = (run.partition, run.term);
+        let wait = Duration::from_millis(self.ratio(8.0));
+        let end = self.bench.to(&choice.hatch_inner);
+        match end.call(Body::Run(run), wait).await {
+            Ok(Body::RunAck(a)) if a.taken => return,
+            Ok(_) | Err(Verdict::NotRun) => {}
+            Err(_) => {
+                // It may have it: ask until it says, or is gone.
+                for _ in 0..3 {
+                    match end.call(Body::Holding(Holding { partition, term }), wait).await {
+                        Ok(Body::Held(h)) if h.positions.contains(&k.1) => return,
+                        Ok(_) => break,
+                        Err(Verdict::NotRun) => tokio::time::sleep(wait / 8).await,
+                        Err(_) => {}
+                    }
+                }
+            }
+        }
+        tally::count("runs_not_given");
+        let mut i = self.inside.lock().unwrap();
+        let i = &mut *i;
+        if i.turret.flights.get(&k).is_some_and(|f| f.hatch == choice.hatch) {
+            i.turret.land(k);
+            i.turret.later(k, tally::wall_ms() + self.ratio(200.0));
+            self.bell.notify_one();
+        }
+    }
+
+    /// Call-backs that are owed.
+    fn notices(self: &Arc<Self>, i: &mut Inside, wall: u64) {
+        let mut left = std::collections::VecDeque::new();
+        while let Some((at, k)) = i.turret.notices.pop_front() {
+            let piece = i.mandrels.get(&k.0).filter(|m| m.seat == Seat::Owner).and_then(|m| m.jig.pieces.get(&k.1));
+            let Some(w) = piece.filter(|w| w.owes_notice()) else { continue };
+            let host = w.item.notify_url.trim_start_matches("http://").split('/').next().unwrap_or("").to_owned();
+            let busy = i.turret.notice_flights.get(&host).copied().unwrap_or(0);
+            let hatch = i.turret.any_hatch(&host);
+            let (Some((_, inner)), true, true) = (hatch, at <= wall, busy < 8) else {
+                left.push_back((at, k));
+                continue;
+            };
+            let notice = Notify {
+                url: w.item.notify_url.clone(),
+                id: w.item.id.clone(),
+                state: w.stand.word().into(),
+                seal: w.seal.clone(),
+            };
+            *i.turret.notice_flights.entry(host.clone()).or_insert(0) += 1;
+            let post = self.clone();
+            tokio::spawn(async move {
+                let wait = Duration::from_millis((post.caliper.constraints.notify_s * 400.0) as u64);
+                let status = match post.bench.to(&inner).call(Body::Notify(notice), wait).await {
+                    Ok(Body::NotifyAck(a)) => a.status,
+                    _ => 0,
+                };
+                let mut i = post.inside.lock().unwrap();
+                let i = &mut *i;
+                if let Some(n) = i.turret.notice_flights.get_mut(&host) {
+                    *n = n.saturating_sub(1);
+                }
+                if status == 200 {
+                    tally::count("call_backs_taken");
+                    i.notified.entry(k.0).or_default().push(k.1);
+                    if let Some(m) = i.mandrels.get_mut(&k.0)
+                        && m.seat != Seat::Owner
+                    {
+                        i.notified.remove(&k.0);
+                    }
+                } else {
+                    tally::count("call_backs_missed");
+                    let pause = i.turret.pause(k);
+                    i.turret.notices.push_back((tally::wall_ms() + pause, k));
+                }
+                post.bell.notify_one();
+            });
+        }
+        i.turret.notices = left;
+    }
+
+    fn tick(self: &Arc<Self>, rounds: u64) {
+        let wall = tally::wall_ms();
+        let known = self.session.known();
+        let mut guard = self.inside.lock().unwrap();
+        let i = &mut *guard;
+        let compact = (self.caliper.limits.disk_mb as usize) << 20;
+        let parts = i.mandrels.len().max(1);
+        for p in i.mandrels.keys().copied().collect::<Vec<_>>() {
+            let m = &i.mandrels[&p];
+            if m.open() {
+                let mut records = Vec::new();
+                if known.template.revision > m.jig.revision {
+                    records.push(Entry::Routes(routes(&known.template)));
+                }
+                if let Some(n) = i.notified.remove(&p).filter(|n| !n.is_empty()) {
+                    records.push(Entry::Notified(Positions { positions: n }));
+                }
+                if rounds.is_multiple_of(10) {
+                    let over: Vec<u64> = m
+                        .jig
+                        .pending
+                        .iter()
+                        .filter(|pos| {
+                            let w = &m.jig.pieces[pos];
+                            let keep = m.jig.retain_ms(&w.item.channel);
+                            keep > 0 && wall > w.at_ms + keep
+                        })
+                        .copied()
+                        .collect();
+                    if !over.is_empty() {
+                        records.push(Entry::Expire(Positions { positions: over }));
+                    }
+                }
+                let now = self.now();
+                let mut out = Vec::new();
+                if let Some(m) = i.mandrels.get_mut(&p) {
+                    for e in records {
+                        m.append(&Record { at_ms: wall, entry: Some(e) }, now, &mut out);
+                    }
+                }
+                self.carry_out(i, p, out);
+            }
+            self.step(i, p, |m, now, out| {
+                m.tick(now, wall, out);
+                m.compact(compact / 6 / parts, out);
+            });
+            // Back to the preferred owner, by a planned move like any other.
+            let m = &i.mandrels[&p];
+            if m.seat == Seat::Owner && !m.is_moving() && !i.leaving && rounds.is_multiple_of(10) {
+                let home = m.homes.first().cloned().unwrap_or_default();
+                if !home.is_empty() && home != self.caliper.node && m.in_sync().contains(&home) {
+                    let ready = known.node(&home, "lathe").is_some_and(|n| !n.leaving);
+                    if ready {
+                        self.step(i, p, |m, now, out| m.start_move(&home, false, wall, now, out));
+                    }
+                }
+            }
+        }
+        if rounds.is_multiple_of(300) {
+            tally::report(&self.caliper.node);
+        }
+    }
+
+    fn extend_lease(&self, until: u64) {
+        let mut i = self.inside.lock().unwrap();
+        i.lease_until = i.lease_until.max(until);
+        self.bell.notify_one();
+    }
+
+    async fn keep_lease(self: Arc<Self>) {
+        let period = Duration::from_millis(self.caliper.lease_ms() / 3);
+        let mut turn = 0usize;
+        loop {
+            let asked = self.now();
+            let samples = self.inside.lock().unwrap().turret.take_samples();
+            let chair = self.session.with_known(|k| k.chair.clone());
+            let seeds = self.caliper.seed_foremen();
+            let addr = if chair.is_empty() { seeds[turn % seeds.len()].clone() } else { chair.clone() };
+            turn += 1;
+            let l = Lease { node: self.session.me(), samples };
+            match self.bench.to(&addr).call(Body::Lease(l), period * 2).await {
+                Ok(Body::LeaseAck(a)) if a.granted => {
+                    self.session.take(&News { chair: addr, ..News::default() });
+                    self.extend_lease(asked + a.ttl_ms as u64);
+                    tokio::time::sleep(period).await;
+                }
+                Ok(Body::LeaseAck(a)) => {
+                    if !a.chair.is_empty() {
+                        self.session.take(&News { chair: a.chair, ..News::default() });
+                    }
+                    tokio::time::sleep(period / 6).await;
+                }
+                _ => {
+                    tally::count("lease_misses");
+                    // The chair may have passed on: ask the others who has it.
+                    let other = seeds[turn % seeds.len()].clone();
+                    let ask = Lease { node: self.session.me(), samples: Vec::new() };
+                    if let Ok(Body::LeaseAck(a)) = self.bench.to(&other).call(Body::Lease(ask), period).await {
+                        let chair = if a.granted { other } else { a.chair };
+                        if !chair.is_empty() {
+                            self.session.take(&News { chair, ..News::default() });
+                        }
+                    }
+                    tokio::time::sleep(period / 6).await;
+                }
+            }
+        }
+    }
+
+    /// On SIGTERM: hand everything over by planned moves, then leave the in-sync sets.
+    async fn leave(self: Arc<Self>) {
+        let limit = Duration::from_millis((self.caliper.constraints.grace_s * 800.0) as u64);
+        let begun = Instant::now();
+        self.session.set_leaving();
+        self.inside.lock().unwrap().leaving = true;
+        let wall = tally::wall_ms();
+        while begun.elapsed() < limit {
+            let mut owned = 0;
+            {
+                let mut guard = self.inside.lock().unwrap();
+                let i = &mut *guard;
+                let known = self.session.known();
+                for p in i.mandrels.keys().copied().collect::<Vec<_>>() {
+                    let m = &i.mandrels[&p];
+                    if m.seat != Seat::Owner {
+                        continue;
+                    }
+                    let to = m.candidates().into_iter().find(|c| known.node(c, "lathe").is_some_and(|n| !n.leaving));
+                    if to.is_some() || m.is_moving() {
+                        owned += 1;
+                    }
+                    if let (Some(to), false) = (to, m.is_moving()) {
+                        self.step(i, p, |m, now, out| m.start_move(&to, true, wall, now, out));
+                    }
+                }
+            }
+            if owned == 0 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
+        }
+        let followed: Vec<u32> = {
+            let i = self.inside.lock().unwrap();
+            i.mandrels.values().filter(|m| m.seat == Seat::Follower).map(|m| m.id).collect()
+        };
+        let mut asks = Vec::new();
+        for p in followed {
+            let o = Order {
+                partition: p,
+                term: 0,
+                node: self.caliper.node.clone(),
+                kind: OrderKind::Drop as i32,
+                leaving: String::new(),
+            };
+            asks.push(tokio::spawn(self.clone().order(p, o)));
+        }
+        for a in asks {
+            let _ = a.await;
+        }
+        // What the others are still to be told travels now.
+        tokio::time::sleep(Duration::from_millis(self.ratio(40.0))).await;
+        tally::change!("left after {} ms", begun.elapsed().as_millis());
+    }
+}
+
+fn accepted(outcome: AcceptOutcome, position: u64, owner: &str) -> Body {
+    Body::Accepted(Accepted { outcome: outcome as i32, position, owner: owner.into(), retry_ms: 0 })
+}
+
+fn pace(c: &Caliper) -> Pace {
+    Pace {
+        epoch: (c.constraints.quiet_ms / 8.0) as u64,
+        window: (c.constraints.grace_s * 1000.0 / 20.0) as u64,
+        again: (c.constraints.quiet_ms / 16.0) as u64,
+        status: (c.constraints.status_s * 1000.0) as u64,
+        keep_bytes: (c.limits.memory_mb << 20) as usize / 128,
+    }
+}
+
+fn routes(t: &gauge::Template) -> Routes {
+    let mut routes: Vec<RouteFacts> = t
+        .channels
+        .iter()
+        .filter(|c| c.mode == "deferred")
+        .map(|c| RouteFacts { channel: c.name.clone(), tries: c.tries, retain_ms: (c.retain_s * 1000.0) as u64 })
+        .collect();
+    routes.sort_by(|a, b| a.channel.cmp(&b.channel));
+    Routes { revision: t.revision, routes }
+}
+
+/// Runs a lathe until it is told to stop.
+pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
+    let quiet = caliper.constraints.quiet_ms;
+    let silence = Duration::from_millis((quiet / 4.0) as u64);
+    let mut metas: BTreeMap<u32, Meta> = BTreeMap::new();
+    let mut snaps: HashMap<u32, Bytes> = HashMap::new();
+    let mut logs: HashMap<u32, Vec<(u64, LogEntry)>> = HashMap::new();
+    let mut broken = None;
+    let drawer = Drawer::open(&caliper.data_dir, caliper.limits.disk_mb, caliper.limits.memory_mb, |k, v| {
+        if k.len() != 13 {
+            return;
+        }
+        let p = u32::from_be_bytes([k[1], k[2], k[3], k[4]]);
+        let n = u64::from_be_bytes(k[5..13].try_into().unwrap_or_default());
+        match k[0] {
+            b'm' => match Meta::decode(v) {
+                Ok(m) => {
+                    metas.insert(p, m);
+                }
+                Err(e) => broken = Some(format!("partition {p}: {e}")),
+            },
+            b's' => {
+                snaps.insert(p, Bytes::copy_from_slice(v));
+            }
+            b'l' => match LogEntry::decode(Bytes::copy_from_slice(v)) {
+                Ok(e) => logs.entry(p).or_default().push((n, e)),
+                Err(e) => broken = Some(format!("partition {p}: entry {n}: {e}")),
+            },
+            _ => {}
+        }
+    })?;
+    if let Some(b) = broken {
+        return Err(b);
+    }
+    let fresh = metas.is_empty() && !caliper.initial_start;
+    let mut mandrels = BTreeMap::new();
+    for (p, meta) in metas {
+        let entries = logs.remove(&p).unwrap_or_default();
+        let m = Mandrel::reload(p, &caliper.node, pace(&caliper), &meta, snaps.remove(&p), entries)?;
+        mandrels.insert(p, m);
+    }
+    let node = Node {
+        name: caliper.node.clone(),
+        role: "lathe".into(),
+        zone: caliper.zone.clone(),
+        region: caliper.region.clone(),
+        inner: caliper.inner_addr(Role::Lathe),
+        life: tally::wall_ms(),
+        leaving: false,
+        fresh,
+    };
+    let bench = Bench::new(silence);
+    let session = Session::new(caliper.clone(), node, bench.clone());
+    let (synced, mut synced_rx) = mpsc::unbounded_channel();
+    let turret_pace = TurretPace {
+        load_ms: (quiet / 16.0) as u64,
+        pause_ms: (quiet / 64.0) as u64,
+        longest_ms: (quiet / 4.0) as u64,
+    };
+    let post = Arc::new(Toolpost {
+        inside: Mutex::new(Inside {
+            mandrels,
+            turret: Turret::new(&caliper.zone, &caliper.region, turret_pace),
+            waiters: HashMap::new(),
+            fresh_ids: HashMap::new(),
+            answering: HashSet::new(),
+            asking: HashSet::new(),
+            lease_until: 0,
+            notified: HashMap::new(),
+            leaving: false,
+            // Bodies may fill a quarter of the memory.
+            body_limit: (caliper.limits.memory_mb << 20) as usize / 4,
+        }),
+        bell: Bell::new(),
+        synced,
+        start: Instant::now(),
+        session: session.clone(),
+        bench,
+        drawer,
+        caliper: caliper.clone(),
+    });
+    let addr = caliper.inner_addr(Role::Lathe);
+    let listener = tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"))?;
+    let p = post.clone();
+    tokio::spawn(dovetail::serve(listener, silence, move |b, peg| p.handle(b, peg)));
+    tokio::spawn(session.clone().keep());
+    tokio::spawn(post.clone().keep_lease());
+    let p = post.clone();
+    tokio::spawn(async move {
+        while let Some((partition, term, end)) = synced_rx.recv().await {
+            let mut i = p.inside.lock().unwrap();
+            p.step(&mut i, partition, |m, now, out| m.synced(term, end, now, out));
+            // Several may have become durable by one sync.
+            while let Ok((partition, term, end)) = synced_rx.try_recv() {
+                p.step(&mut i, partition, |m, now, out| m.synced(term, end, now, out));
+            }
+        }
+    });
+    let p = post.clone();
+    let mut charter_rx = session.subscribe();
+    tokio::spawn(async move {
+        let mut seen = 0;
+        while charter_rx.changed().await.is_ok() {
+            let charter = charter_rx.borrow_and_update().charter.clone();
+            if charter.version > seen {
+                seen = charter.version;
+                let mut i = p.inside.lock().unwrap();
+                for c in &charter.partitions {
+                    let mine = c.homes.contains(&p.caliper.node) || c.insync.contains(&p.caliper.node);
+                    if mine {
+                        p.known_partition(&mut i, c.id);
+                    }
+                    p.step(&mut i, c.id, |m, now, out| m.charter(c, now, out));
+                }
+            }
+            p.bell.notify_one();
+        }
+    });
+    let p = post.clone();
+    tokio::spawn(async move {
+        loop {
+            let wake = p.pump();
+            let pause = wake.saturating_sub(p.now()).max(1);
+            tokio::select! {
+                _ = p.bell.notified() => {}
+                _ = tokio::time::sleep(Duration::from_millis(pause)) => {}
+            }
+        }
+    });
+    let p = post.clone();
+    tokio::spawn(async move {
+        let mut rounds = 0;
+        loop {
+            tokio::time::sleep(Duration::from_millis(p.ratio(64.0))).await;
+            rounds += 1;
+            p.tick(rounds);
+        }
+    });
+    let _ = stop.wait_for(|s| *s).await;
+    post.clone().leave().await;
+    tally::report(&caliper.node);
+    Ok(())
+}
--- /dev/null
+++ b/crates/lathe/src/turret.rs
@@ -0,0 +1,421 @@
+//! The owner's schedule: what is ready, what is under way, and which processor
+//! gets the next one. Nothing here is durable; it is made anew from the fold
+//! whenever a partition is taken over.
+
+use dovetail::msg::{Charter, Node, Outcome, Report, Roster, Sample, Unit};
+use gauge::{Channel, Plant};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// A message: its partition and position.
+pub type Key = (u32, u64);
+
+#[derive(Clone, Debug)]
+pub struct Flight {
+    pub plant: String,
+    pub channel: String,
+    /// The processor's id, or the plant's name for an endpoint.
+    pub unit: String,
+    pub revision: String,
+    pub hatch: String,
+    pub until: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct UnitState {
+    flights: u32,
+    /// What others had there when it last told its load.
+    foreign: u32,
+    told_at: u64,
+    failures: u32,
+    shut_until: u64,
+}
+
+struct Bucket {
+    tokens: f64,
+    at: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    pub unit: String,
+    /// Empty for an endpoint.
+    pub target: String,
+    pub address: String,
+    pub revision: String,
+    pub hatch: String,
+    pub hatch_inner: String,
+}
+
+#[derive(Clone, Copy)]
+pub struct TurretPace {
+    /// How long told loads hold.
+    pub load_ms: u64,
+    /// The first pause after a failure; doubled up to the longest.
+    pub pause_ms: u64,
+    pub longest_ms: u64,
+}
+
+pub struct Turret {
+    zone: String,
+    region: String,
+    pace: TurretPace,
+    ready: HashMap<String, BTreeSet<(u64, Key)>>,
+    queued: HashMap<Key, (String, u64)>,
+    delayed: BinaryHeap<Reverse<(u64, Key)>>,
+    pub flights: HashMap<Key, Flight>,
+    units: HashMap<String, UnitState>,
+    buckets: HashMap<String, Bucket>,
+    coins: HashMap<String, f64>,
+    pauses: HashMap<Key, u32>,
+    samples: HashMap<(String, String, String), Sample>,
+    pub roster: Arc<Roster>,
+    by_plant: HashMap<String, Vec<Unit>>,
+    pub charter: Arc<Charter>,
+    pub notices: VecDeque<(u64, Key)>,
+    pub notice_flights: HashMap<String, u32>,
+}
+
+fn rendezvous<'a>(key: &str, nodes: impl Iterator<Item = &'a Node>) -> Option<&'a Node> {
+    let hash = |name: &str| {
+        let h = key
+            .bytes()
+            .chain(name.bytes())
+            .fold(0xcbf29ce484222325u64, |h, b| (h ^ b as u64).wrapping_mul(0x100000001b3));
+        (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15)
+    };
+    nodes.max_by_key(|n| hash(&n.name))
+}
+
+impl Turret {
+    pub fn new(zone: &str, region: &str, pace: TurretPace) -> Turret {
+        Turret {
+            zone: zone.into(),
+            region: region.into(),
+            pace,
+            ready: HashMap::new(),
+            queued: HashMap::new(),
+            delayed: BinaryHeap::new(),
+            flights: HashMap::new(),
+            units: HashMap::new(),
+            buckets: HashMap::new(),
+            coins: HashMap::new(),
+            pauses: HashMap::new(),
+            samples: HashMap::new(),
+            roster: Arc::default(),
+            by_plant: HashMap::new(),
+            charter: Arc::default(),
+            notices: VecDeque::new(),
+            notice_flights: HashMap::new(),
+        }
+    }
+
+    pub fn news(&mut self, roster: &Arc<Roster>, charter: &Arc<Charter>) {
+        self.charter = charter.clone();
+        if Arc::ptr_eq(roster, &self.roster) {
+            return;
+        }
+        self.roster = roster.clone();
+        self.by_plant.clear();
+        for u in &roster.units {
+            self.by_plant.entry(u.plant.clone()).or_default().push(u.clone());
+        }
+        let units = &mut self.units;
+        units.retain(|id, s| s.flights > 0 || s.failures > 0 || roster.units.iter().any(|u| u.id == *id));
+    }
+
+    /// Forgets a partition that is owned elsewhere now.
+    pub fn drop_partition(&mut self, partition: u32) {
+        for q in self.ready.values_mut() {
+            q.retain(|(_, k)| k.0 != partition);
+        }
+        self.queued.retain(|k, _| k.0 != partition);
+        self.delayed.retain(|Reverse((_, k))| k.0 != partition);
+        self.pauses.retain(|k, _| k.0 != partition);
+        self.notices.retain(|(_, k)| k.0 != partition);
+        let gone: Vec<Key> = self.flights.keys().filter(|k| k.0 == partition).copied().collect();
+        for k in gone {
+            self.land(k);
+        }
+    }
+
+    /// Queues a message by its age; once.
+    pub fn ready(&mut self, key: Key, plant: &str, age: u64) {
+        if self.flights.contains_key(&key) || self.queued.contains_key(&key) {
+            return;
+        }
+        self.queued.insert(key, (plant.to_owned(), age));
+        self.ready.entry(plant.to_owned()).or_default().insert((age, key));
+    }
+
+    pub fn later(&mut self, key: Key, wall: u64) {
+        self.delayed.push(Reverse((wall, key)));
+    }
+
+    pub fn take_due(&mut self, wall: u64) -> Option<Key> {
+        let Reverse((at, key)) = self.delayed.peek()?;
+        if *at > wall {
+            return None;
+        }
+        let key = *key;
+        self.delayed.pop();
+        Some(key)
+    }
+
+    pub fn next_due(&self) -> Option<u64> {
+        self.delayed.peek().map(|Reverse((at, _))| *at)
+    }
+
+    pub fn plants_ready(&self) -> Vec<String> {
+        self.ready.iter().filter(|(_, q)| !q.is_empty()).map(|(p, _)| p.clone()).collect()
+    }
+
+    pub fn first_ready(&self, plant: &str) -> Option<Key> {
+        self.ready.get(plant)?.first().map(|(_, k)| *k)
+    }
+
+    pub fn unqueue(&mut self, key: Key) {
+        if let Some((plant, age)) = self.queued.remove(&key)
+            && let Some(q) = self.ready.get_mut(&plant)
+        {
+            q.remove(&(age, key));
+        }
+    }
+
+    pub fn queued(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// The message has ended, or moved away.
+    pub fn forget(&mut self, key: Key) {
+        self.unqueue(key);
+        self.pauses.remove(&key);
+        self.land(key);
+    }
+
+    /// How long to wait before the next attempt at a message that came to nothing.
+    pub fn pause(&mut self, key: Key) -> u64 {
+        let n = self.pauses.entry(key).or_insert(0);
+        *n += 1;
+        (self.pace.pause_ms << (*n - 1).min(6)).min(self.pace.longest_ms)
+    }
+
+    /// One token of a service's ceiling, if there is one now; else when.
+    pub fn token(&mut self, plant: &Plant, now: u64) -> Result<(), u64> {
+        if plant.flow_per_s <= 0.0 {
+            return Ok(());
+        }
+        // Begins empty: another owner may just have spent what there was.
+        let b = self.buckets.entry(plant.name.clone()).or_insert(Bucket { tokens: 0.0, at: now });
+        let rate = plant.flow_per_s / 1000.0;
+        // A tenth of a second's worth may be saved up.
+        b.tokens = (b.tokens + (now - b.at) as f64 * rate).min((plant.flow_per_s / 10.0).max(1.0));
+        b.at = now;
+        if b.tokens >= 1.0 {
+            b.tokens -= 1.0;
+            Ok(())
+        } else {
+            Err(now + ((1.0 - b.tokens) / rate).ceil() as u64)
+        }
+    }
+
+    fn load(&self, id: &str, now: u64) -> (u32, &UnitState) {
+        static NONE: UnitState = UnitState { flights: 0, foreign: 0, told_at: 0, failures: 0, shut_until: 0 };
+        let s = self.units.get(id).unwrap_or(&NONE);
+        let foreign = if now < s.told_at + self.pace.load_ms { s.foreign } else { 0 };
+        (s.flights + foreign, s)
+    }
+
+    fn hatch(&self, key: &str, zone: &str) -> Option<(&str, &str)> {
+        let hatches = || self.roster.nodes.iter().filter(|n| n.role == "hatch" && !n.leaving);
+        let found = rendezvous(key, hatches().filter(|n| n.zone == zone))
+            .or_else(|| rendezvous(key, hatches().filter(|n| n.zone == self.zone)))
+            .or_else(|| rendezvous(key, hatches()))?;
+        Some((&found.name, &found.inner))
+    }
+
+    /// A delivery node for calls that no processor's zone decides.
+    pub fn any_hatch(&self, key: &str) -> Option<(String, String)> {
+        self.hatch(key, &self.zone).map(|(n, i)| (n.to_owned(), i.to_owned()))
+    }
+
+    /// The processor for the next message of a plant, if one has room.
+    pub fn choose(&mut self, plant: &Plant, now: u64) -> Option<Choice> {
+        if let Some(address) = &plant.endpoint {
+            let (load, s) = self.load(&plant.name, now);
+            let room = if s.failures > 0 { 1 } else { (plant.conn_limit * 3 / 4).max(1) };
+            if now < s.shut_until || s.flights >= room || load >= plant.conn_limit {
+                return None;
+            }
+            let (hatch, inner) = self.hatch(&plant.name, &self.zone)?;
+            return Some(Choice {
+                unit: plant.name.clone(),
+                target: String::new(),
+                address: address.clone(),
+                revision: String::new(),
+                hatch: hatch.to_owned(),
+                hatch_inner: inner.to_owned(),
+            });
+        }
+        let rollout = self.charter.rollouts.iter().find(|r| r.plant == plant.name);
+        let (mut wants_new, mut target) = (None, "");
+        if let Some(r) = rollout {
+            target = &r.target;
+            wants_new = match r.state.as_str() {
+                "settled" => Some(true),
+                "reverted" => Some(false),
+                _ if r.share >= 1000 => Some(true),
+                _ => {
+                    let coin = self.coins.get(&plant.name).copied().unwrap_or(0.5) + f64::from(r.share) / 1000.0;
+                    Some(coin >= 1.0)
+                }
+            };
+        }
+        let units = self.by_plant.get(&plant.name)?;
+        let mut fit = self.best(units, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w));
+        if fit.is_none() && wants_new == Some(true) && rollout.is_some_and(|r| r.state == "running" && r.share < 1000) {
+            fit = self.best(units, now, |u| u.revision != target);
+        }
+        let u = fit?.clone();
+        if let Some(r) = rollout.filter(|r| r.state == "running") {
+            let coin = self.coins.entry(plant.name.clone()).or_insert(0.5);
+            *coin = (*coin + f64::from(r.share) / 1000.0).min(2.0);
+            if u.revision == r.target {
+                *coin -= 1.0;
+            }
+        }
+        let (hatch, inner) = self.hatch(&u.id, &u.zone)?;
+        Some(Choice {
+            hatch: hatch.to_owned(),
+            hatch_inner: inner.to_owned(),
+            unit: u.id.clone(),
+            target: u.id,
+            address: u.address,
+            revision: u.revision,
+        })
+    }
+
+    fn best<'a>(&self, units: &'a [Unit], now: u64, fits: impl Fn(&Unit) -> bool) -> Option<&'a Unit> {
+        let mut best: Option<(f64, &Unit)> = None;
+        for u in units.iter().filter(|u| !u.draining && fits(u)) {
+            let (load, s) = self.load(&u.id, now);
+            let capacity = u.capacity.max(1);
+            let room = if s.failures > 0 { 1 } else { capacity };
+            if now < s.shut_until || load >= room {
+                continue;
+            }
+            let far = if u.zone == self.zone {
+                0.0
+            } else if self.roster.nodes.iter().any(|n| n.zone == u.zone && n.region == self.region) {
+                0.5
+            } else {
+                1.0
+            };
+            let score = f64::from(load) / f64::from(capacity) + far + if u.cold { 0.5 } else { 0.0 };
+            if best.is_none_or(|(b, _)| score < b) {
+                best = Some((score, u));
+            }
+        }
+        best.map(|(_, u)| u)
+    }
+
+    pub fn launch(&mut self, key: Key, choice: &Choice, channel: &Channel, until: u64) {
+        self.unqueue(key);
+        self.units.entry(choice.unit.clone()).or_default().flights += 1;
+        let flight = Flight {
+            plant: channel.plant.clone(),
+            channel: channel.name.clone(),
+            unit: choice.unit.clone(),
+            revision: choice.revision.clone(),
+            hatch: choice.hatch.clone(),
+            until,
+        };
+        if let Some(s) = self.sample(&flight) {
+            s.sent += 1;
+        }
+        self.flights.insert(key, flight);
+    }
+
+    /// Taken over while under way.
+    pub fn adopt(&mut self, key: Key, channel: &Channel, unit: &str, hatch: &str, until: u64) {
+        self.unqueue(key);
+        if self.flights.contains_key(&key) {
+            return;
+        }
+        self.units.entry(unit.to_owned()).or_default().flights += 1;
+        let flight = Flight {
+            plant: channel.plant.clone(),
+            channel: channel.name.clone(),
+            unit: unit.to_owned(),
+            revision: String::new(),
+            hatch: hatch.to_owned(),
+            until,
+        };
+        self.flights.insert(key, flight);
+    }
+
+    pub fn land(&mut self, key: Key) -> Option<Flight> {
+        let f = self.flights.remove(&key)?;
+        if let Some(s) = self.units.get_mut(&f.unit) {
+            s.flights = s.flights.saturating_sub(1);
+        }
+        Some(f)
+    }
+
+    pub fn overdue(&self, now: u64) -> Vec<Key> {
+        self.flights.iter().filter(|(_, f)| now >= f.until).map(|(k, _)| *k).collect()
+    }
+
+    fn sample(&mut self, f: &Flight) -> Option<&mut Sample> {
+        let running = self.charter.rollouts.iter().any(|r| r.plant == f.plant && r.state == "running");
+        if !running || f.revision.is_empty() {
+            return None;
+        }
+        let key = (f.plant.clone(), f.revision.clone(), f.channel.clone());
+        Some(self.samples.entry(key).or_insert_with(|| Sample {
+            plant: f.plant.clone(),
+            revision: f.revision.clone(),
+            channel: f.channel.clone(),
+            ..Sample::default()
+        }))
+    }
+
+    pub fn take_samples(&mut self) -> Vec<Sample> {
+        self.samples.drain().map(|(_, s)| s).collect()
+    }
+
+    /// What a delivery says of the processor that had it.
+    pub fn learn(&mut self, f: &Flight, r: &Report, now: u64) {
+        let outcome = Outcome::try_from(r.outcome).unwrap_or(Outcome::Unknown);
+        let pace = self.pace;
+        if let Some(s) = self.sample(f) {
+            match outcome {
+                Outcome::Done => {
+                    s.good += 1;
+                    s.ms_sum += f64::from(r.took_ms);
+                }
+                Outcome::Failed | Outcome::Unknown => s.bad += 1,
+                _ => {}
+            }
+        }
+        let s = self.units.entry(f.unit.clone()).or_default();
+        if r.loaded {
+            s.foreign = (r.running + r.waiting).saturating_sub(s.flights);
+            s.told_at = now;
+        }
+        match outcome {
+            Outcome::Done | Outcome::Failed | Outcome::Never => s.failures = 0,
+            Outcome::NotRun if r.status == 409 => {}
+            Outcome::NotRun if r.status == 503 || r.status == 429 => {
+                // Full: others' work fills it.
+                s.shut_until = now + pace.pause_ms;
+            }
+            Outcome::NotRun if r.status == 421 => s.shut_until = now + pace.longest_ms * 4,
+            _ => {
+                s.failures += 1;
+                s.shut_until = now + (pace.pause_ms << s.failures.min(6)).min(pace.longest_ms);
+            }
+        }
+    }
+}
