--- /dev/null
+++ b/crates/spindle/src/call.rs
@@ -0,0 +1,219 @@
+use crate::parse::*;
+use bytes::{BufMut, BytesMut};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Why a call to a server brought no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// No connection, or no room for one: nothing was sent.
+    NotSent,
+    /// Sent, and then closed, reset, broken or silent.
+    Lost,
+    /// Sent, and silent until the time was up.
+    Silent,
+}
+
+struct Idle {
+    stream: TcpStream,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct Place {
+    idle: Vec<Idle>,
+    open: usize,
+}
+
+/// Kept connections to servers, newest used first.
+pub struct Chuck {
+    places: Mutex<HashMap<String, Place>>,
+    idle: Duration,
+}
+
+pub struct Call<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub host: &'a str,
+    pub headers: &'a [(&'a str, &'a str)],
+    pub body: &'a [u8],
+}
+
+struct OpenCount<'a> {
+    chuck: &'a Chuck,
+    addr: &'a str,
+}
+
+impl Drop for OpenCount<'_> {
+    fn drop(&mut self) {
+        let mut places = self.chuck.places.lock().unwrap();
+        if let Some(p) = places.get_mut(self.addr) {
+            p.open -= 1;
+            if p.open == 0 && p.idle.is_empty() {
+                places.remove(self.addr);
+            }
+        }
+    }
+}
+
+impl Chuck {
+    pub fn new(idle: Duration) -> Arc<Chuck> {
+        Arc::new(Chuck { places: Mutex::default(), idle })
+    }
+
+    fn take_idle(&self, addr: &str) -> Option<TcpStream> {
+        let mut places = self.places.lock().unwrap();
+        let place = places.get_mut(addr)?;
+        let now = Instant::now();
+        while let Some(i) = place.idle.pop() {
+            // A kept connection that has something to read was closed, or is out of step.
+            let mut one = [0u8; 1];
+            if i.until > now
+                && matches!(i.stream.try_read(&mut one), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+            {
+                return Some(i.stream);
+            }
+        }
+        None
+    }
+
+    /// Closes what has been idle too long, and all to servers that are gone.
+    pub fn sweep(&self, known: impl Fn(&str) -> bool) {
+        let now = Instant::now();
+        self.places.lock().unwrap().retain(|addr, p| {
+            if !known(addr) {
+                p.idle.clear();
+            }
+            p.idle.retain(|i| i.until > now);
+            p.open > 0 || !p.idle.is_empty()
+        });
+    }
+
+    /// Sends one request and reads the whole answer; `limit` connections at the
+    /// most are open to that address.
+    pub async fn call(&self, addr: &str, call: Call<'_>, limit: usize, within: Duration) -> Result<Answer, Miss> {
+        {
+            let mut places = self.places.lock().unwrap();
+            let place = places.entry(addr.to_owned()).or_default();
+            if place.open >= limit {
+                return Err(Miss::NotSent);
+            }
+            place.open += 1;
+        }
+        let _open = OpenCount { chuck: self, addr };
+        let end = tokio::time::Instant::now() + within;
+        let mut stream = match self.take_idle(addr) {
+            Some(s) => s,
+            // A quarter of the time at most goes into connecting.
+            None => match tokio::time::timeout(within / 4, TcpStream::connect(addr)).await {
+                Ok(Ok(s)) => {
+                    let _ = s.set_nodelay(true);
+                    s
+                }
+                _ => return Err(Miss::NotSent),
+            },
+        };
+        let mut out = BytesMut::with_capacity(256 + call.body.len());
+        for part in [call.method, " ", call.path, " HTTP/1.1\r\nHost: ", call.host, "\r\n"] {
+            out.put_slice(part.as_bytes());
+        }
+        for (n, v) in call.headers {
+            for part in [n, ": ", v, "\r\n"] {
+                out.put_slice(part.as_bytes());
+            }
+        }
+        if !call.body.is_empty() || call.method != "GET" {
+            out.put_slice(format!("Content-Length: {}\r\n", call.body.len()).as_bytes());
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(call.body);
+        let exchange = async {
+            stream.write_all(&out).await.map_err(|_| Miss::Lost)?;
+            read_answer(&mut stream, call.method == "HEAD").await
+        };
+        let (answer, left) = match tokio::time::timeout_at(end, exchange).await {
+            Ok(r) => r?,
+            Err(_) => return Err(Miss::Silent),
+        };
+        if answer.keep && !left {
+            let said = answer.header("keep-alive").and_then(|v| {
+                let at = v.find("timeout=")? + 8;
+                v[at..].split([',', ' ', ';']).next()?.parse::<f64>().ok()
+            });
+            // Three quarters of what the server says, so as not to meet its close.
+            let kept = match said {
+                Some(s) => Duration::from_secs_f64((s * 0.75).clamp(0.0, 3600.0)),
+                None => self.idle,
+            };
+            let mut places = self.places.lock().unwrap();
+            if let Some(p) = places.get_mut(addr) {
+                p.idle.push(Idle { stream, until: Instant::now() + kept });
+            }
+        }
+        Ok(answer)
+    }
+}
+
+async fn read_answer(stream: &mut TcpStream, to_head: bool) -> Result<(Answer, bool), Miss> {
+    let mut buf = BytesMut::with_capacity(2 << 10);
+    let (mut answer, framing) = loop {
+        match take_answer_head(&mut buf, to_head) {
+            Ok(Some((a, _))) if a.status < 200 => continue,
+            Ok(Some(h)) => break h,
+            Ok(None) => {}
+            Err(_) => return Err(Miss::Lost),
+        }
+        buf.reserve(1 << 10);
+        match stream.read_buf(&mut buf).await {
+            Ok(n) if n > 0 => {}
+            _ => return Err(Miss::Lost),
+        }
+    };
+    let limit = 64 << 20;
+    match framing {
+        Framing::None => {}
+        Framing::Length(n) => {
+            if n > limit {
+                return Err(Miss::Lost);
+            }
+            while buf.len() < n {
+                buf.reserve((n - buf.len()).min(64 << 10));
+                match stream.read_buf(&mut buf).await {
+                    Ok(k) if k > 0 => {}
+                    _ => return Err(Miss::Lost),
+                }
+            }
+            answer.body = buf.split_to(n).freeze();
+        }
+        Framing::Chunked => {
+            let mut chunks = Chunks::default();
+            answer.body = loop {
+                match chunks.take(&mut buf, limit) {
+                    Ok(Some(b)) => break b,
+                    Ok(None) => {}
+                    Err(_) => return Err(Miss::Lost),
+                }
+                buf.reserve(2 << 10);
+                match stream.read_buf(&mut buf).await {
+                    Ok(k) if k > 0 => {}
+                    _ => return Err(Miss::Lost),
+                }
+            };
+        }
+        Framing::ToClose => {
+            while buf.len() < limit {
+                buf.reserve(2 << 10);
+                match stream.read_buf(&mut buf).await {
+                    Ok(0) => break,
+                    Ok(_) => {}
+                    Err(_) => return Err(Miss::Lost),
+                }
+            }
+            answer.body = std::mem::take(&mut buf).freeze();
+        }
+    }
+    Ok((answer, !buf.is_empty()))
+}
--- /dev/null
+++ b/crates/spindle/src/serve.rs
@@ -0,0 +1,244 @@
+use crate::parse::*;
+use bytes::{Bytes, BytesMut};
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// An answer to a client.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Bytes,
+    pub content_type: &'static str,
+    /// Closes the connection without any answer.
+    pub cut: bool,
+}
+
+impl Reply {
+    pub fn new(status: u16) -> Reply {
+        Reply { status, headers: Vec::new(), body: Bytes::new(), content_type: "", cut: false }
+    }
+
+    pub fn json(status: u16, body: impl Into<Bytes>) -> Reply {
+        Reply { body: body.into(), content_type: "application/json", ..Reply::new(status) }
+    }
+
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Reply {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        417 => "Expectation Failed",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+pub fn put_reply(out: &mut BytesMut, reply: &Reply, keep: bool, head_only: bool) {
+    use std::fmt::Write;
+    let mut text = String::with_capacity(160);
+    let _ =
+        write!(text, "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", reply.status, reason(reply.status), reply.body.len());
+    if !reply.content_type.is_empty() {
+        let _ = write!(text, "Content-Type: {}\r\n", reply.content_type);
+    }
+    for (n, v) in &reply.headers {
+        let _ = write!(text, "{n}: {v}\r\n");
+    }
+    if !keep {
+        text.push_str("Connection: close\r\n");
+    }
+    text.push_str("\r\n");
+    out.extend_from_slice(text.as_bytes());
+    if !head_only {
+        out.extend_from_slice(&reply.body);
+    }
+}
+
+/// How far a server is on its way out.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Closing {
+    Open,
+    /// Serves on; every answer ends its connection.
+    Draining,
+    /// Idle connections are closed, and no new ones are taken.
+    Shut,
+}
+
+/// Reads and answers the requests of one connection after the other, until
+/// either side ends it or the server shuts between two requests.
+pub async fn serve_connection<H, F>(
+    mut stream: TcpStream,
+    bounds: impl Fn() -> Bounds,
+    mut closing: watch::Receiver<Closing>,
+    handler: H,
+) where
+    H: Fn(Request) -> F,
+    F: Future<Output = Reply>,
+{
+    let _ = stream.set_nodelay(true);
+    let mut buf = BytesMut::with_capacity(4 << 10);
+    let mut out = BytesMut::new();
+    loop {
+        let b = bounds();
+        let request = match read_request(&mut stream, &mut buf, &b, &mut closing).await {
+            Ok(Some(r)) => r,
+            Ok(None) => return,
+            Err(t) => {
+                out.clear();
+                put_reply(&mut out, &Reply::json(t.status, format!("{{\"fault\":\"{}\"}}", t.why)), false, false);
+                let _ = stream.write_all(&out).await;
+                let _ = stream.shutdown().await;
+                // Reads what is still under way, so that the answer is not lost to a reset.
+                let mut sink = BytesMut::with_capacity(4 << 10);
+                let rest = async {
+                    while matches!(stream.read_buf(&mut sink).await, Ok(n) if n > 0) {
+                        sink.clear();
+                    }
+                };
+                let _ = tokio::time::timeout(Duration::from_millis(b.header_ms / 10), rest).await;
+                return;
+            }
+        };
+        let (keep, head_only) = (request.keep, request.method == "HEAD");
+        let reply = handler(request).await;
+        if reply.cut {
+            return;
+        }
+        let keep = keep && *closing.borrow() == Closing::Open;
+        out.clear();
+        put_reply(&mut out, &reply, keep, head_only);
+        if stream.write_all(&out).await.is_err() {
+            return;
+        }
+        if !keep {
+            let _ = stream.shutdown().await;
+            return;
+        }
+    }
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    bounds: &Bounds,
+    closing: &mut watch::Receiver<Closing>,
+) -> Result<Option<Request>, Turned> {
+    if buf.is_empty() {
+        buf.reserve(2 << 10);
+        let idle = tokio::time::sleep(Duration::from_millis(bounds.idle_ms));
+        tokio::select! {
+            biased;
+            n = stream.read_buf(buf) => match n { Ok(n) if n > 0 => {}, _ => return Ok(None) },
+            _ = async { let _ = closing.wait_for(|c| *c == Closing::Shut).await; } => return Ok(None),
+            _ = idle => return Ok(None),
+        }
+    }
+    let whole = async {
+        let (mut request, framing, expect) = loop {
+            // Line ends between requests are allowed.
+            while buf.first().is_some_and(|b| *b == b'\r' || *b == b'\n') {
+                let _ = buf.split_to(1);
+            }
+            if let Some(h) = take_head(buf, bounds)? {
+                break h;
+            }
+            buf.reserve(2 << 10);
+            match stream.read_buf(buf).await {
+                Ok(n) if n > 0 => {}
+                _ => return Ok(None),
+            }
+        };
+        if expect && framing != Framing::None {
+            let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+        match framing {
+            Framing::Length(n) => {
+                while buf.len() < n {
+                    buf.reserve(n - buf.len());
+                    match stream.read_buf(buf).await {
+                        Ok(k) if k > 0 => {}
+                        _ => return Ok(None),
+                    }
+                }
+                request.body = buf.split_to(n).freeze();
+            }
+            Framing::Chunked => {
+                let mut chunks = Chunks::default();
+                request.body = loop {
+                    if let Some(body) = chunks.take(buf, bounds.body_bytes)? {
+                        break body;
+                    }
+                    buf.reserve(2 << 10);
+                    match stream.read_buf(buf).await {
+                        Ok(k) if k > 0 => {}
+                        _ => return Ok(None),
+                    }
+                };
+            }
+            _ => {}
+        }
+        Ok(Some(request))
+    };
+    match tokio::time::timeout(Duration::from_millis(bounds.header_ms), whole).await {
+        Ok(r) => r,
+        Err(_) => Err(Turned { status: 408, why: "request came too slowly" }),
+    }
+}
+
+/// Takes connections until the server shuts.
+pub async fn listen<H, F>(
+    listener: TcpListener,
+    bounds: impl Fn() -> Bounds + Clone + Send + Sync + 'static,
+    closing: watch::Receiver<Closing>,
+    handler: H,
+) where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let mut stop = closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            a = listener.accept() => a,
+            _ = async { let _ = stop.wait_for(|c| *c == Closing::Shut).await; } => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let (handler, bounds, closing) = (handler.clone(), bounds.clone(), closing.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, bounds, closing, move |r| {
+                let handler = handler.clone();
+                async move { handler(r).await }
+            })
+            .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/tally/src/lib.rs
@@ -0,0 +1,81 @@
+//! Counters and log lines. Counters come first: a line is written only when a
+//! state changes, and the counters are printed from time to time as one line.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Level {
+    Error = 0,
+    Change = 1,
+    Debug = 2,
+}
+
+static LEVEL: AtomicU8 = AtomicU8::new(1);
+
+/// Sets how much is written: `error`, `change` (the default) or `debug`.
+pub fn set_level(name: &str) -> bool {
+    let level = match name {
+        "error" => Level::Error,
+        "change" => Level::Change,
+        "debug" => Level::Debug,
+        _ => return false,
+    };
+    LEVEL.store(level as u8, Ordering::Relaxed);
+    true
+}
+
+pub fn enabled(level: Level) -> bool {
+    level as u8 <= LEVEL.load(Ordering::Relaxed)
+}
+
+/// Milliseconds since 1970 by the time of day.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map(|d| d.as_millis() as u64).unwrap_or(0)
+}
+
+pub fn line(level: Level, what: std::fmt::Arguments<'_>) {
+    if enabled(level) {
+        let ms = wall_ms();
+        eprintln!("{}.{:03} {:?} {}", ms / 1000, ms % 1000, level, what);
+    }
+}
+
+#[macro_export]
+macro_rules! change { ($($a:tt)*) => { $crate::line($crate::Level::Change, format_args!($($a)*)) } }
+#[macro_export]
+macro_rules! error { ($($a:tt)*) => { $crate::line($crate::Level::Error, format_args!($($a)*)) } }
+#[macro_export]
+macro_rules! debug { ($($a:tt)*) => { $crate::line($crate::Level::Debug, format_args!($($a)*)) } }
+
+static COUNTERS: Mutex<BTreeMap<&'static str, u64>> = Mutex::new(BTreeMap::new());
+static SINCE: AtomicU64 = AtomicU64::new(0);
+
+/// Adds to the counter of that name.
+pub fn add(name: &'static str, n: u64) {
+    *COUNTERS.lock().unwrap().entry(name).or_insert(0) += n;
+}
+
+pub fn count(name: &'static str) {
+    add(name, 1);
+}
+
+pub fn get(name: &str) -> u64 {
+    COUNTERS.lock().unwrap().get(name).copied().unwrap_or(0)
+}
+
+/// All counters as `name=value` pairs, in order of name.
+pub fn render() -> String {
+    let all = COUNTERS.lock().unwrap();
+    all.iter().map(|(k, v)| format!("{k}={v}")).collect::<Vec<_>>().join(" ")
+}
+
+/// Writes the counters as one line if they moved since the last time.
+pub fn report(who: &str) {
+    let sum: u64 = COUNTERS.lock().unwrap().values().sum();
+    if SINCE.swap(sum, Ordering::Relaxed) != sum {
+        change!("counters {who} {}", render());
+    }
+}
--- /dev/null
+++ b/crates/willowslip/src/ctl.rs
@@ -0,0 +1,287 @@
+//! The operators' client.
+
+use clap::{Args, Subcommand};
+use spindle::{Answer, Call, Chuck, Miss};
+use std::io::Read;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+#[derive(Args)]
+pub struct Ctl {
+    /// Control addresses, separated by commas (front addresses for `message`).
+    #[arg(long, env = "WILLOWSLIP_CONTROL")]
+    at: String,
+    /// Print answers as the JSON that came.
+    #[arg(long)]
+    json: bool,
+    /// Seconds to keep trying.
+    #[arg(long, default_value_t = 5.0)]
+    within: f64,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// The configuration.
+    #[command(subcommand)]
+    Config(Config),
+    /// Moving a service's traffic to a new version.
+    #[command(subcommand)]
+    Rollout(RolloutCall),
+    /// Emptying a store machine.
+    #[command(subcommand)]
+    Retire(RetireCall),
+    /// State and bytes of a message.
+    #[command(subcommand)]
+    Message(MessageCall),
+    /// Nodes, partitions, duties and counters as one foreman knows them.
+    Status,
+    /// Seat, terms, digests and counters of one node, by its inner address.
+    Node { inner: String },
+}
+
+#[derive(Subcommand)]
+enum Config {
+    /// Prints the configuration in force.
+    Read,
+    /// Puts a whole configuration in place.
+    Replace {
+        /// A file, or `-` for standard input.
+        file: String,
+        /// The revision it builds on; left out, the one in force.
+        #[arg(long)]
+        base: Option<u64>,
+        /// Only check it.
+        #[arg(long)]
+        dry_run: bool,
+    },
+    /// Changes named items.
+    Adjust {
+        file: String,
+        #[arg(long)]
+        base: Option<u64>,
+    },
+}
+
+#[derive(Subcommand)]
+enum RolloutCall {
+    Start {
+        plant: String,
+        target: String,
+        #[arg(long, default_value_t = 60.0)]
+        within_s: f64,
+    },
+    Read {
+        plant: String,
+    },
+}
+
+#[derive(Subcommand)]
+enum RetireCall {
+    Start {
+        node: String,
+        #[arg(long, default_value_t = 60.0)]
+        within_s: f64,
+    },
+    Read {
+        node: String,
+    },
+}
+
+#[derive(Subcommand)]
+enum MessageCall {
+    State {
+        name: String,
+        #[arg(long)]
+        host: String,
+    },
+    Body {
+        name: String,
+        #[arg(long)]
+        host: String,
+    },
+}
+
+pub fn read_input(path: &str) -> Result<Vec<u8>, String> {
+    let mut bytes = Vec::new();
+    let read = match path {
+        "-" => std::io::stdin().read_to_end(&mut bytes).map(|_| ()),
+        _ => std::fs::read(path).map(|b| bytes = b),
+    };
+    read.map_err(|e| format!("{path}: {e}"))?;
+    Ok(bytes)
+}
+
+/// Why an order brought no answer, and whether it may have taken effect.
+struct Failure {
+    why: String,
+    may_have_run: bool,
+}
+
+async fn ask(ctl: &Ctl, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Result<Answer, Failure> {
+    let chuck = Chuck::new(Duration::from_secs(1));
+    let addrs: Vec<String> = ctl.at.split(',').map(|a| a.trim().to_owned()).filter(|a| !a.is_empty()).collect();
+    let end = Instant::now() + Duration::from_secs_f64(ctl.within.clamp(0.1, 3600.0));
+    let (mut turn, mut may, mut why) = (0, false, "no address given".to_owned());
+    while Instant::now() < end && !addrs.is_empty() {
+        let mut addr = addrs[turn % addrs.len()].clone();
+        let mut path = path.to_owned();
+        turn += 1;
+        for _ in 0..3 {
+            let host = headers.iter().find(|h| h.0 == "Host").map_or(addr.as_str(), |h| h.1).to_owned();
+            let rest: Vec<(&str, &str)> = headers.iter().filter(|h| h.0 != "Host").copied().collect();
+            let call = Call { method, path: &path, host: &host, headers: &rest, body };
+            match chuck.call(&addr, call, 4, Duration::from_secs(2)).await {
+                Ok(a) if a.status == 307 => {
+                    let to = a.header("location").unwrap_or("").trim_start_matches("http://").to_owned();
+                    let Some(at) = to.find('/') else { break };
+                    addr = to[..at].to_owned();
+                    path = to[at..].to_owned();
+                }
+                Ok(a) if a.status >= 500 || a.status == 429 || a.status == 408 => {
+                    may |= a.status != 503 && a.status != 429 && a.status != 408;
+                    why = format!("{addr} answered {}", a.status);
+                    break;
+                }
+                Ok(a) => return Ok(a),
+                Err(m) => {
+                    may |= m != Miss::NotSent;
+                    why = format!("{addr}: {m:?}");
+                    break;
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    Err(Failure { why, may_have_run: may && method != "GET" })
+}
+
+async fn base_of(ctl: &Ctl, given: Option<u64>) -> Result<String, Failure> {
+    if let Some(b) = given {
+        return Ok(b.to_string());
+    }
+    let a = ask(ctl, "GET", "/config/read", &[], &[]).await?;
+    if a.status == 404 {
+        return Ok("0".into());
+    }
+    let revision = serde_json::from_slice::<serde_json::Value>(&a.body).ok().and_then(|v| v["revision"].as_u64());
+    revision
+        .map(|r| r.to_string())
+        .ok_or(Failure { why: "the configuration in force cannot be read".into(), may_have_run: false })
+}
+
+async fn order(ctl: &Ctl) -> Result<Answer, Failure> {
+    let bad = |why: String| Failure { why, may_have_run: false };
+    match &ctl.what {
+        What::Config(Config::Read) => ask(ctl, "GET", "/config/read", &[], &[]).await,
+        What::Config(Config::Replace { file, base, dry_run }) => {
+            let bytes = read_input(file).map_err(bad)?;
+            gauge::Template::read(&bytes).map_err(bad)?;
+            if *dry_run {
+                return Ok(Answer { status: 200, body: "{\"checked\":true}".into(), ..Answer::default() });
+            }
+            let base = base_of(ctl, *base).await?;
+            ask(ctl, "POST", "/config/replace", &[("X-Base-Revision", &base)], &bytes).await
+        }
+        What::Config(Config::Adjust { file, base }) => {
+            let bytes = read_input(file).map_err(bad)?;
+            let base = base_of(ctl, *base).await?;
+            ask(ctl, "POST", "/config/adjust", &[("X-Base-Revision", &base)], &bytes).await
+        }
+        What::Rollout(RolloutCall::Start { plant, target, within_s }) => {
+            let body = serde_json::json!({"plant": plant, "target": target, "withinS": within_s}).to_string();
+            ask(ctl, "POST", "/rollouts/start", &[], body.as_bytes()).await
+        }
+        What::Rollout(RolloutCall::Read { plant }) => {
+            ask(ctl, "GET", &format!("/rollouts/{plant}/read"), &[], &[]).await
+        }
+        What::Retire(RetireCall::Start { node, within_s }) => {
+            let body = serde_json::json!({ "withinS": within_s }).to_string();
+            ask(ctl, "POST", &format!("/retire/{node}/start"), &[], body.as_bytes()).await
+        }
+        What::Retire(RetireCall::Read { node }) => ask(ctl, "GET", &format!("/retire/{node}/read"), &[], &[]).await,
+        What::Message(MessageCall::State { name, host }) => {
+            ask(ctl, "GET", &format!("/message/{name}"), &[("Host", host)], &[]).await
+        }
+        What::Message(MessageCall::Body { name, host }) => {
+            ask(ctl, "GET", &format!("/message-body/{name}"), &[("Host", host)], &[]).await
+        }
+        What::Status => ask(ctl, "GET", "/status", &[], &[]).await,
+        What::Node { inner } => {
+            let bench = dovetail::Bench::new(Duration::from_secs(1));
+            let status = dovetail::Body::Status(dovetail::msg::Status {});
+            match bench.to(inner).call(status, Duration::from_secs_f64(ctl.within)).await {
+                Ok(dovetail::Body::StatusAck(s)) => {
+                    Ok(Answer { status: 200, body: s.json.into(), ..Answer::default() })
+                }
+                _ => Err(bad(format!("{inner} does not answer"))),
+            }
+        }
+    }
+}
+
+/// Prints nested JSON as indented `name: value` lines.
+fn plain(v: &serde_json::Value, depth: usize) {
+    let pad = "  ".repeat(depth);
+    match v {
+        serde_json::Value::Object(o) => {
+            for (k, v) in o {
+                if v.is_object() || v.as_array().is_some_and(|a| a.iter().any(|x| x.is_object())) {
+                    println!("{pad}{k}:");
+                    plain(v, depth + 1);
+                } else {
+                    println!("{pad}{k}: {}", v.as_str().map_or_else(|| v.to_string(), str::to_owned));
+                }
+            }
+        }
+        serde_json::Value::Array(a) => {
+            for v in a {
+                match v.as_object() {
+                    Some(o) => {
+                        let parts: Vec<String> = o
+                            .iter()
+                            .map(|(k, v)| format!("{k}={}", v.as_str().map_or_else(|| v.to_string(), str::to_owned)))
+                            .collect();
+                        println!("{pad}{}", parts.join(" "));
+                    }
+                    None => println!("{pad}{v}"),
+                }
+            }
+        }
+        _ => println!("{pad}{v}"),
+    }
+}
+
+/// Exit codes: 0 done, 1 refused, 2 wrong use, 3 not done, 4 it may have taken effect.
+pub fn run(ctl: Ctl) -> ExitCode {
+    let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+        eprintln!("no runtime");
+        return ExitCode::from(3);
+    };
+    match runtime.block_on(order(&ctl)) {
+        Ok(a) => {
+            let value = serde_json::from_slice::<serde_json::Value>(&a.body);
+            let good = (200..300).contains(&a.status);
+            if !good {
+                let why = value.as_ref().ok().and_then(|v| v["fault"].as_str().map(str::to_owned));
+                eprintln!("refused ({}): {}", a.status, why.unwrap_or_default());
+                return ExitCode::from(1);
+            }
+            match value {
+                Ok(v) if !ctl.json => plain(&v, 0),
+                Ok(v) => println!("{v}"),
+                Err(_) => {
+                    use std::io::Write;
+                    let _ = std::io::stdout().write_all(&a.body);
+                }
+            }
+            ExitCode::SUCCESS
+        }
+        Err(f) => {
+            let effect = if f.may_have_run { "it may have taken effect" } else { "it has not taken effect" };
+            eprintln!("failed: {}; {effect}", f.why);
+            ExitCode::from(if f.may_have_run { 4 } else { 3 })
+        }
+    }
+}
--- /dev/null
+++ b/crates/willowslip/src/main.rs
@@ -0,0 +1,152 @@
+//! willowslip: takes in, keeps and delivers messages. A subcommand a role.
+
+mod ctl;
+
+use clap::{Parser, Subcommand};
+use gauge::Caliper;
+use std::process::ExitCode;
+use tokio::sync::watch;
+
+#[derive(Parser)]
+#[command(name = "willowslip", version, about = "Takes in, keeps and delivers messages.")]
+struct Cli {
+    /// How much is logged: error, change or debug (over what the settings say).
+    #[arg(long, global = true)]
+    log: Option<String>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Front machines: takes messages from clients, carries out deliveries.
+    Hatch,
+    /// Front machines: keeps the session with the control plane, feeds the hatch.
+    Apprentice,
+    /// Store machines: owns and replicates partitions of messages.
+    Lathe,
+    /// Core machines: the majority log, sessions, duties, the operator's interface.
+    Foreman,
+    /// The operators' client.
+    Ctl(ctl::Ctl),
+    /// Checks a settings file or a configuration without using it.
+    Check {
+        /// A settings file in TOML.
+        #[arg(long)]
+        settings: Option<String>,
+        /// A configuration in JSON; `-` for standard input.
+        #[arg(long)]
+        config: Option<String>,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match cli.command {
+        Command::Ctl(c) => return ctl::run(c),
+        Command::Check { settings, config } => return check(settings, config),
+        _ => {}
+    }
+    let path = std::env::var("WILLOWSLIP_SETTINGS").unwrap_or_else(|_| "/etc/willowslip/local.toml".into());
+    let caliper = match Caliper::load(&path) {
+        Ok(c) => c,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    let level = cli.log.clone().unwrap_or_else(|| caliper.log_level.clone());
+    if !level.is_empty() && !tally::set_level(&level) {
+        eprintln!("--log: wants error, change or debug, not {level:?}");
+        return ExitCode::from(2);
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(r) => r,
+        Err(e) => {
+            eprintln!("runtime: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let ended = runtime.block_on(async {
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(signals(stop, path, cli.log));
+        match cli.command {
+            Command::Hatch => hatch::run(caliper, stopped).await,
+            Command::Apprentice => apprentice::run(caliper, stopped).await,
+            Command::Lathe => lathe::run(caliper, stopped).await,
+            _ => foreman::run(caliper, stopped).await,
+        }
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            tally::error!("{e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// SIGTERM and SIGINT stop the program in order; SIGHUP, and a file that changed
+/// without one, have the settings read again.
+async fn signals(stop: watch::Sender<bool>, path: String, log: Option<String>) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut term), Ok(mut int), Ok(mut hup)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()))
+    else {
+        return;
+    };
+    let mut seen = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => tally::count("hangups"),
+            _ = tokio::time::sleep(std::time::Duration::from_secs(5)) => {}
+        }
+        let Ok(text) = std::fs::read_to_string(&path) else { continue };
+        if text == seen {
+            continue;
+        }
+        seen = text;
+        match Caliper::parse(&seen) {
+            Ok(c) => {
+                tally::change!("settings changed");
+                if log.is_none() && !c.log_level.is_empty() {
+                    tally::set_level(&c.log_level);
+                }
+            }
+            Err(e) => tally::error!("{e}; the old values stay in force"),
+        }
+    }
+    let _ = stop.send(true);
+    std::future::pending::<()>().await;
+}
+
+fn check(settings: Option<String>, config: Option<String>) -> ExitCode {
+    let mut good = true;
+    if settings.is_none() && config.is_none() {
+        eprintln!("nothing to check: give --settings or --config");
+        return ExitCode::from(2);
+    }
+    if let Some(path) = settings {
+        match Caliper::load(&path) {
+            Ok(c) => println!("settings of {}: good", c.node),
+            Err(e) => {
+                eprintln!("{e}");
+                good = false;
+            }
+        }
+    }
+    if let Some(path) = config {
+        match ctl::read_input(&path).and_then(|b| gauge::Template::read(&b)) {
+            Ok(t) => {
+                println!("configuration {}: good, {} routes, {} services", t.revision, t.channels.len(), t.plants.len())
+            }
+            Err(e) => {
+                eprintln!("configuration: {e}");
+                good = false;
+            }
+        }
+    }
+    if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
