Prove a rejoined follower by the epochs that its present owner wrote

Cause: the proof of a match looked up the first epoch of the follower's unbroken run in the owner's own list. A follower that matched epochs of an earlier owner, or for longer than the list reaches, was never proven, so planned moves to it were given up and a stopping store machine held its partitions until the grace was over. Ruled out: differing shadow states (no mismatch was counted), lost acks.

--- a/crates/lathe/src/jig.rs
+++ b/crates/lathe/src/jig.rs
@@ -269,25 +269,23 @@
                     self.end(*p, Stand::Dead, "", at, &mut out);
                 }
             }
-            Some(Entry::Routes(r)) => {
-                if r.revision > self.revision {
-                    self.revision = r.revision;
-                    self.routes = r.routes.iter().map(|f| (f.channel.clone(), f.clone())).collect();
-                    let dropped: Vec<u64> = self
-                        .pieces
-                        .iter()
-                        .filter(|(_, w)| w.stand == Stand::Pending && !self.routes.contains_key(&w.item.channel))
-                        .map(|(p, _)| *p)
-                        .collect();
-                    for p in dropped {
-                        self.end(p, Stand::Dead, "", at, &mut out);
-                    }
+            Some(Entry::Routes(r)) if r.revision > self.revision => {
+                self.revision = r.revision;
+                self.routes = r.routes.iter().map(|f| (f.channel.clone(), f.clone())).collect();
+                let dropped: Vec<u64> = self
+                    .pieces
+                    .iter()
+                    .filter(|(_, w)| w.stand == Stand::Pending && !self.routes.contains_key(&w.item.channel))
+                    .map(|(p, _)| *p)
+                    .collect();
+                for p in dropped {
+                    self.end(p, Stand::Dead, "", at, &mut out);
                 }
             }
             Some(Entry::Epoch(e)) => out.push(Change::Epoch { at: e.position, digest: e.digest }),
             Some(Entry::Stage(s)) => out.push(Change::Staged(s.candidate.clone())),
             Some(Entry::Stop(s)) => out.push(Change::Stopped(s.clone())),
-            None => {}
+            Some(Entry::Routes(_)) | None => {}
         }
         // What ended long enough ago is forgotten; twice the time that it may be asked for.
         while let Some((ended, p)) = self.ended.first().copied() {
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -401,11 +401,15 @@
             for c in found {
                 match &c {
                     Change::Epoch { at, digest } if self.seat == Seat::Follower => self.compare(pos, *at, *digest, out),
-                    Change::Stopped(s) if live && self.seat == Seat::Follower => {
-                        if s.candidate == self.me && s.term > self.term && s.splice == pos {
-                            changes.clear();
-                            self.resume(now, s.clone(), out);
-                        }
+                    Change::Stopped(s)
+                        if live
+                            && self.seat == Seat::Follower
+                            && s.candidate == self.me
+                            && s.term > self.term
+                            && s.splice == pos =>
+                    {
+                        changes.clear();
+                        self.resume(now, s.clone(), out);
                     }
                     _ => {}
                 }
@@ -622,7 +626,9 @@
         if p.mismatch || p.verified == 0 {
             return false;
         }
-        let (Some(last), Some(first)) = (self.epochs.get(&p.verified), self.epochs.get(&p.verified_from)) else {
+        // Of the unbroken run, what this owner itself wrote counts.
+        let first = self.epochs.range(p.verified_from..=p.verified).next().map(|(_, t)| t);
+        let (Some(last), Some(first)) = (self.epochs.get(&p.verified), first) else {
             return false;
         };
         now.saturating_sub(*last) <= 2 * self.pace.window.max(self.pace.epoch)
