Leave the answered run out of what others are taken to hold at a processor

Cause: X-Load is written while the answered run still counts as running, so every answer made a processor of two slots look as if somebody else held one of them for the time that a told load is trusted; ordered messages waited.

--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -401,7 +401,8 @@
         }
         let s = self.units.entry(f.unit.clone()).or_default();
         if r.loaded {
-            s.foreign = (r.running + r.waiting).saturating_sub(s.flights);
+            // The one just answered still counts itself as running.
+            s.foreign = (r.running + r.waiting).saturating_sub(s.flights + 1);
             s.told_at = now;
         }
         match outcome {
