--- /dev/null
+++ b/crates/lathe/tests/fold.rs
@@ -0,0 +1,146 @@
+//! The fold, played from recorded traces.
+
+use dovetail::msg::{Item, Outcome};
+use lathe::*;
+
+fn record(at_ms: u64, entry: Entry) -> Record {
+    Record { at_ms, entry: Some(entry) }
+}
+
+fn accept(id: &str, key: &str) -> Entry {
+    let item = Item {
+        id: id.into(),
+        channel: "r-a".into(),
+        method: "POST".into(),
+        path: "/a/1".into(),
+        order_key: key.into(),
+        notify_url: "http://10.0.0.1:80/done".into(),
+        body: b"body".to_vec().into(),
+        ..Item::default()
+    };
+    Entry::Accept(AcceptRecord { item, delay_ms: 0 })
+}
+
+fn answer(position: u64, outcome: Outcome) -> Entry {
+    let seal = if outcome == Outcome::Done { "seal" } else { "" };
+    Entry::Answer(AnswerRecord { position, outcome: outcome as i32, seal: seal.into() })
+}
+
+fn routes(revision: u64, names: &[&str], tries: u32) -> Entry {
+    let routes =
+        names.iter().map(|n| RouteFacts { channel: n.to_string(), tries, retain_ms: 60_000 }).collect::<Vec<_>>();
+    Entry::Routes(Routes { revision, routes })
+}
+
+/// A trace with everything in it: two in order, retries, a dead one, call-backs.
+fn trace() -> Vec<Record> {
+    vec![
+        record(1, routes(3, &["r-a"], 2)),
+        record(2, accept("m1", "k")),
+        record(3, accept("m2", "k")),
+        record(4, accept("m3", "")),
+        record(5, Entry::Dispatch(DispatchRecord { position: 2, unit: "u1".into(), node: "h1".into() })),
+        record(6, answer(2, Outcome::Failed)),
+        record(7, answer(2, Outcome::Done)),
+        record(8, answer(4, Outcome::Never)),
+        record(9, Entry::Notified(Positions { positions: vec![2] })),
+        record(10, answer(3, Outcome::Failed)),
+        record(11, answer(3, Outcome::Failed)),
+        record(12, Entry::Epoch(Epoch { position: 11, digest: 7 })),
+    ]
+}
+
+fn play(jig: &mut Jig, trace: &[Record], from: usize) {
+    for (i, r) in trace.iter().enumerate().skip(from) {
+        jig.fold(i as u64 + 1, r);
+        assert_eq!(jig.digest(), jig.digest_anew(), "after record {}", i + 1);
+    }
+}
+
+#[test]
+fn replay_gives_the_same_state_and_repeats_change_nothing() {
+    let trace = trace();
+    let (mut a, mut b) = (Jig::new(1000), Jig::new(1000));
+    play(&mut a, &trace, 0);
+    for cut in 0..trace.len() {
+        // Stops anywhere, goes on from a snapshot, and sees some records again.
+        let mut c = Jig::new(1000);
+        play(&mut c, &trace[..cut], 0);
+        let mut c = Jig::restore(&c.snapshot(), 1000).expect("a good snapshot");
+        play(&mut c, &trace, cut.saturating_sub(3));
+        assert_eq!(c.digest(), a.digest(), "cut at {cut}");
+    }
+    play(&mut b, &trace, 0);
+    for (i, r) in trace.iter().enumerate() {
+        assert!(b.fold(i as u64 + 1, r).is_empty());
+    }
+    assert_eq!(a.digest(), b.digest());
+    assert_eq!(a.pieces[&2].stand, Stand::Settled);
+    assert_eq!(a.pieces[&2].seal, "seal");
+    assert_eq!(a.pieces[&3].stand, Stand::Dead, "two failures are all its tries");
+    assert_eq!(a.pieces[&4].stand, Stand::Dead, "422 ends it at once");
+    assert_eq!(&a.pieces[&4].item.body[..], b"body", "a dead message's body is kept");
+    assert!(a.pieces[&2].notified && !a.pieces[&3].notified);
+}
+
+#[test]
+fn one_at_a_time_for_an_order_key() {
+    let mut j = Jig::new(1000);
+    j.fold(1, &record(1, routes(1, &["r-a"], 6)));
+    j.fold(2, &record(1, accept("m1", "k")));
+    j.fold(3, &record(1, accept("m2", "k")));
+    j.fold(4, &record(1, accept("m3", "other")));
+    let head = |j: &Jig, p: u64| j.is_head(p, &j.pieces[&p]);
+    assert!(head(&j, 2) && !head(&j, 3) && head(&j, 4));
+    assert_eq!(j.fold(5, &record(2, answer(2, Outcome::Failed))), vec![Change::Failed(2)]);
+    assert!(!head(&j, 3), "a failed attempt does not end it");
+    assert_eq!(j.fold(6, &record(3, answer(2, Outcome::Done))), vec![Change::Ended(2), Change::Freed(3)]);
+    assert!(head(&j, 3));
+    assert!(j.fold(7, &record(4, answer(2, Outcome::Done))).is_empty(), "it has ended already");
+}
+
+#[test]
+fn an_id_is_accepted_once() {
+    let mut j = Jig::new(1000);
+    j.fold(1, &record(1, routes(1, &["r-a"], 1)));
+    j.fold(2, &record(1, accept("m1", "")));
+    assert_eq!(j.fold(3, &record(2, accept("m1", ""))), vec![Change::Repeated { at: 3, old: 2 }]);
+    assert_eq!(j.pieces.len(), 1);
+}
+
+#[test]
+fn a_dropped_route_and_the_retention_end_messages() {
+    let mut j = Jig::new(1000);
+    j.fold(1, &record(1, routes(1, &["r-a"], 1)));
+    j.fold(2, &record(1, accept("m1", "")));
+    j.fold(3, &record(1, accept("m2", "")));
+    j.fold(4, &record(2, Entry::Expire(Positions { positions: vec![2] })));
+    assert_eq!(j.pieces[&2].stand, Stand::Dead);
+    j.fold(5, &record(3, routes(2, &["r-b"], 1)));
+    assert_eq!(j.pieces[&3].stand, Stand::Dead);
+    assert!(!j.has_route("r-a") && j.pending.is_empty());
+    j.fold(6, &record(4, routes(1, &["r-a"], 1)));
+    assert!(!j.has_route("r-a"), "a configuration is never gone back on");
+}
+
+#[test]
+fn what_ended_is_forgotten_after_twice_the_time_it_may_be_asked_for() {
+    let mut j = Jig::new(1000);
+    j.fold(1, &record(1, routes(1, &["r-a"], 1)));
+    j.fold(2, &record(10, accept("m1", "")));
+    j.fold(3, &record(20, answer(2, Outcome::Done)));
+    j.fold(4, &record(2019, accept("m2", "")));
+    assert!(j.pieces.contains_key(&2));
+    j.fold(5, &record(2021, accept("m3", "")));
+    assert!(!j.pieces.contains_key(&2) && j.find("m1").is_none());
+    assert_eq!(j.digest(), j.digest_anew());
+}
+
+#[test]
+fn a_damaged_snapshot_is_not_taken() {
+    let mut j = Jig::new(1000);
+    play(&mut j, &trace(), 0);
+    let mut s = j.snapshot();
+    s.pieces[0].failures += 1;
+    assert!(Jig::restore(&s, 1000).is_err());
+}
--- /dev/null
+++ b/crates/lathe/tests/splice.rs
@@ -0,0 +1,462 @@
+//! Ownership passing between nodes, with their disks and links in the test's hands.
+
+use bytes::Bytes;
+use dovetail::Body;
+use dovetail::msg::*;
+use lathe::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const PACE: Pace = Pace { epoch: 500, window: 300, again: 250, status: 100_000, keep_bytes: 1 << 20 };
+
+#[derive(Default, Clone)]
+struct Disk {
+    meta: Meta,
+    log: BTreeMap<u64, LogEntry>,
+    snapshot: Option<Bytes>,
+}
+
+/// Three nodes with one partition, and a foreman of few words.
+struct World {
+    now: u64,
+    nodes: BTreeMap<String, Mandrel>,
+    disks: BTreeMap<String, Disk>,
+    /// Writes that are not synced yet.
+    unsynced: BTreeMap<String, VecDeque<(Disk, u64, u64)>>,
+    hold_sync: BTreeSet<String>,
+    cut: BTreeSet<String>,
+    net: VecDeque<(String, Body)>,
+    chart: Partition,
+    took: Vec<(String, u64, bool)>,
+    stood: Vec<String>,
+    mismatches: usize,
+    /// Orders are left unanswered.
+    mute: bool,
+}
+
+impl World {
+    fn new(insync: &[&str]) -> World {
+        let names: Vec<String> = insync.iter().map(|s| s.to_string()).collect();
+        let chart = Partition {
+            id: 0,
+            term: 1,
+            owner: names[0].clone(),
+            insync: names.clone(),
+            homes: names.clone(),
+            ..Partition::default()
+        };
+        let mut w = World {
+            now: 1000,
+            nodes: ["a", "b", "c"].iter().map(|n| (n.to_string(), Mandrel::new(0, n, PACE))).collect(),
+            disks: BTreeMap::new(),
+            unsynced: BTreeMap::new(),
+            hold_sync: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            net: VecDeque::new(),
+            chart,
+            took: vec![],
+            stood: vec![],
+            mismatches: 0,
+            mute: false,
+        };
+        w.tell();
+        w.settle();
+        let routes = RouteFacts { channel: "r".into(), tries: 3, retain_ms: 0 };
+        w.append(Entry::Routes(Routes { revision: 1, routes: vec![routes] }));
+        w
+    }
+
+    fn step(&mut self, node: &str, f: impl FnOnce(&mut Mandrel, u64, &mut Vec<Effect>)) {
+        let mut out = Vec::new();
+        if let Some(m) = self.nodes.get_mut(node) {
+            f(m, self.now, &mut out);
+        }
+        for e in out {
+            match e {
+                Effect::Persist { del, put, meta, snapshot, term, end } => {
+                    let q = self.unsynced.entry(node.into()).or_default();
+                    let mut d = q.back().map(|x| x.0.clone()).unwrap_or_else(|| self.disks.entry(node.into()).or_default().clone());
+                    if let Some((a, b)) = del {
+                        d.log.retain(|p, _| *p < a || *p > b);
+                    }
+                    d.log.extend(put);
+                    d.meta = meta;
+                    d.snapshot = snapshot.or(d.snapshot);
+                    q.push_back((d, term, end));
+                }
+                Effect::Send(to, body) => self.net.push_back((to, body)),
+                Effect::TookOver { seized } => self.took.push((node.into(), self.nodes[node].term, seized)),
+                Effect::StoodDown(_) => self.stood.push(node.into()),
+                Effect::Ask(o) => self.order(node, o),
+                Effect::Mismatch(_) => self.mismatches += 1,
+                Effect::Folded(_) => {}
+            }
+        }
+    }
+
+    /// Rules as the foremen do, as far as these tests need it.
+    fn order(&mut self, node: &str, o: Order) {
+        if self.mute {
+            return;
+        }
+        let mut ack = OrderAck { ok: true, ..OrderAck::default() };
+        let c = &mut self.chart;
+        match OrderKind::try_from(o.kind).expect("a kind") {
+            OrderKind::Grant if o.term == c.term => {
+                let insync = c.insync.iter().filter(|n| **n != o.leaving).cloned().collect();
+                c.grant = Some(Grant { term: c.term + 1, candidate: o.node.clone(), insync });
+            }
+            OrderKind::Own => {
+                if let Some(g) = c.grant.take() {
+                    (c.term, c.owner, c.insync, c.seized) = (g.term, g.candidate, g.insync, false);
+                }
+            }
+            OrderKind::Join if o.term == c.term && !c.insync.contains(&o.node) => c.insync.push(o.node.clone()),
+            OrderKind::Drop => c.insync.retain(|n| *n != o.node),
+            _ => ack.refused = true,
+        }
+        ack.partition = Some(c.clone());
+        let node = node.to_owned();
+        self.step(&node, |m, now, out| m.ordered(&o, &ack, now, out));
+    }
+
+    fn tell(&mut self) {
+        let c = self.chart.clone();
+        for n in ["a", "b", "c"] {
+            self.step(n, |m, now, out| m.charter(&c, now, out));
+        }
+    }
+
+    /// Disks and links work until nothing is left to do.
+    fn settle(&mut self) {
+        loop {
+            let mut moved = false;
+            for n in ["a", "b", "c"] {
+                while !self.hold_sync.contains(n) && self.unsynced.get(n).is_some_and(|q| !q.is_empty()) {
+                    let (d, term, end) = self.unsynced.get_mut(n).and_then(|q| q.pop_front()).expect("one is there");
+                    self.disks.insert(n.into(), d);
+                    self.step(n, |m, now, out| m.synced(term, end, now, out));
+                    moved = true;
+                }
+            }
+            while let Some((to, body)) = self.net.pop_front() {
+                moved = true;
+                if self.cut.contains(&to) {
+                    continue;
+                }
+                self.step(&to, |m, now, out| match body {
+                    Body::Entries(e) => m.entries(e, now, out),
+                    Body::EntriesAck(a) => m.acked(a, now, out),
+                    Body::Chunk(c) => m.chunk(c, now, out),
+                    _ => {}
+                });
+            }
+            if !moved {
+                return;
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.now += 50;
+            for n in ["a", "b", "c"] {
+                let at = self.now;
+                self.step(n, |m, now, out| m.tick(now, at, out));
+            }
+            self.settle();
+        }
+    }
+
+    fn owner(&self) -> String {
+        let all: Vec<&String> = self.nodes.iter().filter(|(_, m)| m.open()).map(|(n, _)| n).collect();
+        assert!(all.len() <= 1, "two writers: {all:?}");
+        all.first().map(|s| s.to_string()).unwrap_or_default()
+    }
+
+    fn append(&mut self, e: Entry) -> Option<u64> {
+        let (owner, at_ms) = (self.owner(), self.now);
+        let mut pos = None;
+        self.step(&owner, |m, now, out| {
+            pos = m.append(&Record { at_ms, entry: Some(e) }, now, out);
+            m.flush(now, out);
+        });
+        self.settle();
+        pos
+    }
+
+    fn message(&mut self, id: &str) -> Option<u64> {
+        let item = Item { id: id.into(), channel: "r".into(), body: vec![1; 100].into(), ..Item::default() };
+        self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0 }))
+    }
+
+    /// The node loses its memory and whatever was not synced.
+    fn crash(&mut self, n: &str) {
+        self.unsynced.remove(n);
+        self.hold_sync.remove(n);
+        let d = self.disks.get(n).cloned().unwrap_or_default();
+        let m = Mandrel::reload(0, n, PACE, &d.meta, d.snapshot, d.log.into_iter().collect()).expect("a whole disk");
+        self.nodes.insert(n.into(), m);
+    }
+
+    /// The foremen give a dead owner's partition to `n`.
+    fn seize(&mut self, n: &str) {
+        let term = self.chart.grant.take().map_or(self.chart.term, |g| g.term) + 1;
+        self.chart = Partition { term, owner: n.into(), insync: vec![n.into()], seized: true, ..self.chart.clone() };
+        self.tell();
+        self.settle();
+    }
+
+    fn known(&self, n: &str, id: &str) -> bool {
+        self.nodes[n].jig.find(id).is_some()
+    }
+}
+
+fn with_traffic(insync: &[&str]) -> World {
+    let mut w = World::new(insync);
+    for i in 0..20 {
+        w.message(&format!("m{i}"));
+        w.pass(100);
+    }
+    w
+}
+
+#[test]
+fn a_planned_move_passes_at_the_marker_and_back_again() {
+    let mut w = with_traffic(&["a", "b"]);
+    let end = w.nodes["a"].end();
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.settle();
+    w.pass(700);
+    assert_eq!(w.owner(), "b");
+    assert_eq!(w.took.last(), Some(&("b".into(), 2, false)), "taken at the granted term, not seized");
+    assert!(w.nodes["b"].end() > end);
+    assert_eq!(w.stood, vec!["a"]);
+    for i in 0..20 {
+        assert!(w.known("b", &format!("m{i}")));
+    }
+    assert!(w.message("after").is_some());
+    w.pass(100);
+    assert!(w.known("a", "after"), "the former owner follows");
+    // Its shadow state is compared on, so that it can be moved back to.
+    w.pass(1500);
+    let now = w.now;
+    w.step("b", |m, t, out| m.start_move("a", false, now, t, out));
+    w.pass(700);
+    assert_eq!(w.owner(), "a");
+    assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
+    assert_eq!(w.mismatches, 0);
+}
+
+#[test]
+fn a_digest_that_differs_blocks_the_cutover() {
+    let mut w = with_traffic(&["a", "b"]);
+    let at = w.nodes["a"].commit;
+    w.append(Entry::Epoch(Epoch { position: at, digest: 1 }));
+    w.message("next");
+    w.pass(200);
+    assert_eq!(w.mismatches, 1);
+    assert!(w.nodes["a"].candidates().is_empty());
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.pass(15_000);
+    assert_eq!(w.owner(), "a", "no cutover to a state that is not proven");
+    assert!(!w.nodes["a"].is_moving(), "it is given up in the end");
+}
+
+#[test]
+fn no_cutover_before_a_window_of_matches() {
+    let mut w = World::new(&["a", "b"]);
+    w.message("m");
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.settle();
+    w.pass(200);
+    assert_eq!(w.owner(), "a");
+    w.pass(600);
+    assert_eq!(w.owner(), "b");
+}
+
+#[test]
+fn an_incumbent_that_dies_before_the_marker_is_succeeded_by_a_higher_term() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.hold_sync.insert("a".into());
+    // The last entries are on b's disk and not on a's: the marker cannot come yet.
+    w.message("last");
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", true, now, t, out));
+    w.settle();
+    assert!(w.chart.grant.is_some() || w.nodes["a"].is_moving());
+    w.cut.insert("a".into());
+    w.crash("a");
+    w.seize("b");
+    assert_eq!(w.owner(), "b");
+    assert!(w.took.last().is_some_and(|t| t.2 && t.1 >= 2));
+    assert!(w.known("b", "last"), "what the replica has, counts");
+}
+
+#[test]
+fn a_marker_that_is_not_told_as_committed_moves_nothing_until_it_is() {
+    let mut w = with_traffic(&["a", "b"]);
+    let now = w.now;
+    // b gets all entries, but its answers are lost: the marker is never committed.
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.hold_sync.insert("b".into());
+    w.settle();
+    w.pass(100);
+    assert_ne!(w.owner(), "b");
+    // The incumbent dies after writing the marker, before the candidate resumed.
+    w.hold_sync.remove("b");
+    w.cut.insert("a".into());
+    w.settle();
+    w.seize("b");
+    assert_eq!(w.owner(), "b");
+    // And wakes: nothing it sends counts, and it learns that it is not the owner.
+    w.cut.clear();
+    w.pass(600);
+    assert_eq!(w.owner(), "b");
+    assert!(!w.nodes["a"].open());
+    assert!(w.message("later").is_some() && w.known("b", "later"));
+}
+
+#[test]
+fn a_candidate_that_dies_in_the_shadow_costs_nothing() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.mute = true;
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.settle();
+    w.cut.insert("b".into());
+    w.crash("b");
+    w.mute = false;
+    w.chart.insync = vec!["a".into()];
+    w.tell();
+    w.settle();
+    assert_eq!(w.owner(), "a");
+    assert!(w.message("on").is_some());
+    w.cut.clear();
+    w.pass(1000);
+    assert!(w.known("b", "on"), "it catches up");
+    assert_eq!(w.chart.insync, vec!["a", "b"], "and is in sync again");
+}
+
+#[test]
+fn the_partial_write_states_recover() {
+    // Written nowhere; on the owner only; on both, and not told as committed.
+    for state in 0..3 {
+        let mut w = with_traffic(&["a", "b"]);
+        if state < 2 {
+            w.hold_sync.insert("b".into());
+        }
+        if state < 1 {
+            w.hold_sync.insert("a".into());
+        }
+        let commit = w.nodes["a"].commit;
+        w.message("x");
+        if state < 2 {
+            assert_eq!(w.nodes["a"].commit, commit, "state {state}: not committed, so not acknowledged");
+        } else {
+            assert!(w.nodes["a"].commit > commit);
+        }
+        w.cut.insert("a".into());
+        w.crash("a");
+        w.crash("b");
+        w.seize("b");
+        assert_eq!(w.known("b", "x"), state == 2, "state {state}");
+        // The former owner comes back; whatever it had alone gives way.
+        w.cut.clear();
+        w.message("y");
+        w.pass(1500);
+        assert_eq!(w.known("a", "x"), state == 2, "state {state}");
+        assert!(w.known("a", "y"));
+        assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
+        assert_eq!(w.chart.insync, vec!["b", "a"]);
+    }
+}
+
+#[test]
+fn a_paused_owner_that_wakes_is_refused() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.cut.insert("a".into());
+    w.chart = Partition { term: 5, owner: "b".into(), insync: vec!["b".into()], seized: true, ..w.chart.clone() };
+    let c = w.chart.clone();
+    w.step("b", |m, now, out| m.charter(&c, now, out));
+    w.settle();
+    w.message_at("a", "stale");
+    let before = w.nodes["a"].commit;
+    w.cut.clear();
+    w.message_at("a", "staler");
+    w.pass(500);
+    assert_eq!(w.owner(), "b");
+    assert!(!w.known("a", "stale") && !w.known("b", "stale"), "nothing of it was committed");
+    assert!(w.nodes["a"].commit >= before);
+    assert!(w.stood.contains(&"a".to_string()));
+}
+
+impl World {
+    fn message_at(&mut self, node: &str, id: &str) {
+        let item = Item { id: id.into(), channel: "r".into(), ..Item::default() };
+        let e = Entry::Accept(AcceptRecord { item, delay_ms: 0 });
+        let at_ms = self.now;
+        self.step(node, |m, now, out| {
+            m.append(&Record { at_ms, entry: Some(e) }, now, out);
+            m.flush(now, out);
+        });
+        self.settle();
+    }
+}
+
+#[test]
+fn entries_of_another_term_do_not_count_as_held() {
+    let mut w = with_traffic(&["a", "b"]);
+    // a writes on alone, for a while; b takes over with less.
+    w.hold_sync.insert("a".into());
+    w.cut.insert("b".into());
+    for i in 0..5 {
+        w.message_at("a", &format!("alone{i}"));
+    }
+    w.hold_sync.clear();
+    w.cut.clear();
+    w.cut.insert("a".into());
+    w.net.clear();
+    w.settle();
+    w.chart = Partition { term: 2, owner: "b".into(), insync: vec!["b".into(), "a".into()], ..w.chart.clone() };
+    let c = w.chart.clone();
+    w.step("b", |m, now, out| m.charter(&c, now, out));
+    w.settle();
+    let commit = w.nodes["b"].commit;
+    w.message_at("b", "new");
+    assert_eq!(w.nodes["b"].commit, commit, "a's longer log of an older term holds nothing of this");
+    w.cut.clear();
+    w.pass(600);
+    assert!(w.known("a", "new") && !w.known("a", "alone0"));
+}
+
+#[test]
+fn a_new_replica_joins_by_snapshot_and_log() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.step("a", |m, _, out| m.compact(0, out));
+    w.settle();
+    let d = w.disks["a"].clone();
+    assert!(d.snapshot.is_some() && d.log.len() < 5, "the log is cut behind the snapshot");
+    w.crash("a");
+    w.seize("a");
+    w.chart.homes = vec!["a".into(), "c".into()];
+    w.tell();
+    w.pass(1000);
+    w.message("m");
+    w.pass(1000);
+    assert!(w.chart.insync.contains(&"c".to_string()));
+    assert_eq!(w.nodes["c"].jig.digest(), w.nodes["a"].jig.digest());
+    w.crash("c");
+    assert!(w.known("c", "m") && w.known("c", "m3"), "it has all of that on its own disk");
+}
+
+#[test]
+fn a_log_with_a_hole_is_refused() {
+    let w = with_traffic(&["a", "b"]);
+    let mut d = w.disks["a"].clone();
+    d.log.remove(&5);
+    let entries = d.log.into_iter().collect();
+    assert!(Mandrel::reload(0, "a", PACE, &d.meta, None, entries).is_err_and(|e| e.contains("entry 5")));
+}
