--- /dev/null
+++ b/crates/gauge/tests/checks.rs
@@ -0,0 +1,101 @@
+//! Settings and configurations that must not be taken.
+
+use gauge::*;
+use serde_json::{Value, json};
+
+const SETTINGS: &str = r#"
+node = "core-1"
+ip = "127.0.0.1"
+zone = "z"
+portRange = [7780, 7795]
+seeds = ["127.0.0.1:8064"]
+unknownField = 3
+[limits]
+memoryMb = 100
+[constraints]
+quietMs = 4000
+ackMs = 5000
+graceS = 6
+settleS = 4.2
+drainMs = 3000
+convergeMs = 3000
+rollbackMs = 5000
+statusS = 120
+notifyS = 5
+peakWindowS = 5
+"#;
+
+#[test]
+fn settings_name_the_field_that_is_wrong() {
+    assert!(Caliper::parse(SETTINGS).is_ok(), "unknown fields are ignored");
+    for (from, to, field) in [
+        ("node = \"core-1\"", "", "node"),
+        ("ip = \"127.0.0.1\"", "ip = \"x\"", "ip"),
+        ("[7780, 7795]", "[7780]", "portRange"),
+        ("8064\"", "x\"", "seeds"),
+        ("quietMs = 4000", "quietMs = 0", "constraints.quietMs"),
+        ("memoryMb = 100", "", "limits.memoryMb"),
+        ("zone = \"z\"", "zone = 3", "file"),
+    ] {
+        let e = Caliper::parse(&SETTINGS.replace(from, to)).expect_err(field);
+        assert_eq!(e.field, field, "{e}");
+        assert!(!e.to_string().contains('\n'));
+    }
+}
+
+fn config() -> Value {
+    json!({"revision": 7, "extra": [1], "channels": [
+        {"name": "r1", "host": "h", "prefix": "/a/", "mode": "deferred", "cutoffMs": 10, "plant": "p", "tries": 3, "retainS": 9, "odd": true},
+        {"name": "r2", "host": "h", "prefix": "/a/b/", "mode": "deferred", "cutoffMs": 10, "plant": "p", "tries": 3, "retainS": 9}],
+        "plants": [{"name": "p", "endpoint": null}], "limits": {"bodyBytes": 100}})
+}
+
+#[test]
+fn invalid_configurations_name_the_item() {
+    let read = |v: &Value| Template::read(v.to_string().as_bytes());
+    assert!(read(&config()).is_ok());
+    for (path, value, names) in [
+        ("/channels/1/prefix", json!("/a/"), "r2"),
+        ("/channels/0/plant", json!("q"), "r1"),
+        ("/channels/0/cutoffMs", json!(0), "r1"),
+        ("/channels/1/name", json!("r1"), "r1"),
+        ("/plants/0/endpoint", json!("nowhere"), "p"),
+        ("/revision", json!(0), "revision"),
+        ("/channels/0/cutoffMs", json!("ten"), "read"),
+    ] {
+        let mut c = config();
+        *c.pointer_mut(path).expect("there") = value;
+        let e = read(&c).expect_err(path);
+        assert!(e.contains(names), "{path}: {e}");
+    }
+    let text = config().to_string();
+    assert!(Template::read(&text.as_bytes()[..text.len() - 20]).is_err());
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_routes() {
+    let t = Template::read(config().to_string().as_bytes()).expect("good");
+    assert_eq!(t.route("h", "/a/x").map(|c| c.name.as_str()), Some("r1"));
+    assert_eq!(t.route("H:80", "/a/b/x").map(|c| c.name.as_str()), Some("r2"));
+    assert!(t.route("other", "/a/x").is_none() && t.route("h", "/b").is_none());
+}
+
+#[test]
+fn adjusting_changes_named_items_and_keeps_the_rest() {
+    let base = config().to_string();
+    let change = json!({"revision": 9, "upsert": {"channels": [{"name": "r3", "host": "h", "prefix": "/c/",
+        "cutoffMs": 5, "plant": "p"}]}, "remove": {"channels": ["r2"]}});
+    let got: Value =
+        serde_json::from_slice(&adjust(base.as_bytes(), change.to_string().as_bytes()).expect("good")).expect("json");
+    assert_eq!(got["revision"], 9);
+    assert_eq!(got["channels"].as_array().map(Vec::len), Some(2));
+    assert_eq!(got["channels"][0]["odd"], true, "what is not known here is kept");
+    assert_eq!(got["extra"], json!([1]));
+    for bad in [
+        json!({"upsert": {}}),
+        json!({"revision": 9, "remove": {"nothing": ["x"]}}),
+        json!({"revision": 9, "upsert": {"channels": [{}]}}),
+    ] {
+        assert!(adjust(base.as_bytes(), bad.to_string().as_bytes()).is_err(), "{bad}");
+    }
+}
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -54,6 +54,16 @@
 }
 
 impl Hatch {
+    pub fn new(caliper: Caliper) -> Arc<Hatch> {
+        let silence = Duration::from_millis((caliper.constraints.quiet_ms / 4.0) as u64);
+        Arc::new(Hatch {
+            bench: Bench::new(silence),
+            known: watch::channel(Known::default()).0,
+            closing: watch::channel(Closing::Open).0,
+            caliper,
+        })
+    }
+
     fn ratio(&self, part: f64) -> Duration {
         Duration::from_micros((self.caliper.constraints.quiet_ms * 1000.0 / part) as u64)
     }
@@ -102,7 +112,8 @@
         self.take(r).await
     }
 
-    async fn take(&self, r: Request) -> Reply {
+    /// Takes in one message; the answer says no more than is known.
+    pub async fn take(&self, r: Request) -> Reply {
         let begun = Instant::now();
         let known = self.known.borrow().clone();
         if known.template.revision == 0 {
@@ -308,12 +319,7 @@
 /// Runs a hatch until it is told to stop.
 pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
     let silence = Duration::from_millis((caliper.constraints.quiet_ms / 4.0) as u64);
-    let hatch = Arc::new(Hatch {
-        bench: Bench::new(silence),
-        known: watch::channel(Known::default()).0,
-        closing: watch::channel(Closing::Open).0,
-        caliper: caliper.clone(),
-    });
+    let hatch = Hatch::new(caliper.clone());
     let bobbin = Bobbin::new(hatch.clone());
     let bind = async |addr: String| tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"));
     let inner = bind(caliper.inner_addr(Role::Hatch)).await?;
--- a/crates/hatch/src/lib.rs
+++ b/crates/hatch/src/lib.rs
@@ -3,4 +3,5 @@
 
 mod deliver;
 mod front;
-pub use front::{partition_of, run};
+pub use deliver::read_answer;
+pub use front::{Hatch, partition_of, run};
--- /dev/null
+++ b/crates/hatch/tests/answers.rs
@@ -0,0 +1,113 @@
+//! What clients are told when it is unclear whether a message was taken, played
+//! against a stand-in owner on loopback.
+
+use apprentice::Known;
+use dovetail::Body;
+use dovetail::msg::*;
+use gauge::{Caliper, Template};
+use hatch::{Hatch, partition_of};
+use spindle::Request;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const CONFIG: &str = r#"{"revision": 1, "channels": [
+  {"name": "r1", "host": "h", "prefix": "/a/", "mode": "deferred", "cutoffMs": 100, "setpointMs": 300, "plant": "p", "tries": 3, "retainS": 9},
+  {"name": "r2", "host": "h", "prefix": "/s/", "mode": "deferred", "cutoffMs": 100, "setpointMs": 300, "plant": "p", "sequenced": true, "tries": 3, "retainS": 9},
+  {"name": "r3", "host": "h", "prefix": "/t/", "mode": "deferred", "cutoffMs": 100, "setpointMs": 300, "plant": "q", "sequenced": true, "tries": 3, "retainS": 9},
+  {"name": "r4", "host": "h", "prefix": "/e/", "mode": "deferred", "cutoffMs": 100, "setpointMs": 300, "plant": "e", "tries": 3, "retainS": 9}],
+  "plants": [{"name": "p"}, {"name": "q"}, {"name": "e", "flowPerS": 9, "endpoint": "10.0.0.1:80"}], "limits": {}}"#;
+
+fn known(addr: &str) -> Known {
+    let node = |name: &str, zone: &str| Node {
+        name: name.into(),
+        role: "lathe".into(),
+        zone: zone.into(),
+        inner: addr.into(),
+        ..Node::default()
+    };
+    let partitions = (0..6).map(|id| Partition {
+        id,
+        term: 1,
+        owner: if id % 2 == 0 { "s1" } else { "s2" }.into(),
+        ..Partition::default()
+    });
+    let mut k = Known::default();
+    k.take(&News {
+        template: Some(CONFIG.into()),
+        charter: Some(Charter { version: 1, partitions: partitions.collect(), ..Charter::default() }),
+        roster: Some(Roster { version: 1, nodes: vec![node("s1", "x"), node("s2", "y")], ..Roster::default() }),
+        ..News::default()
+    });
+    k
+}
+
+/// A hatch beside an owner that answers as `answer` says; None is silence.
+async fn played(answer: Option<AcceptOutcome>) -> (u16, bool, usize, Duration) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let seen = Arc::new(AtomicUsize::new(0));
+    let count = seen.clone();
+    tokio::spawn(dovetail::serve(listener, Duration::from_secs(1), move |body, peg| {
+        if let Body::Accept(_) = body {
+            count.fetch_add(1, Ordering::Relaxed);
+            if let Some(a) = answer {
+                peg.send(Body::Accepted(Accepted { outcome: a as i32, position: 7, ..Accepted::default() }));
+            } else {
+                std::mem::forget(peg);
+            }
+        }
+    }));
+    let mut caliper = Caliper { zone: "x".into(), ..Caliper::default() };
+    caliper.constraints.quiet_ms = 4000.0;
+    let hatch = Hatch::new(caliper);
+    hatch.known.send_replace(known(&addr));
+    let header = |n: &str, v: &str| (n.to_owned(), v.to_owned());
+    let request = Request {
+        method: "POST".into(),
+        path: "/a/1".into(),
+        headers: vec![header("Host", "h"), header("X-Attempt-Id", "m1")],
+        ..Request::default()
+    };
+    let begun = Instant::now();
+    let reply = hatch.take(request).await;
+    let retry = reply.headers.iter().any(|h| h.0 == "Retry-After");
+    (reply.status, retry, seen.load(Ordering::Relaxed), begun.elapsed())
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_503_is_never_given_for_what_may_have_been_taken() {
+    // The owner has it and says nothing: it may run later.
+    let (status, _, seen, _) = played(None).await;
+    assert_eq!((status, seen >= 1), (504, true));
+    let (status, ..) = played(Some(AcceptOutcome::Unclear)).await;
+    assert_eq!(status, 504);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn what_was_not_taken_is_told_when_to_come_back() {
+    let (status, retry, seen, _) = played(Some(AcceptOutcome::Elsewhere)).await;
+    assert_eq!((status, retry), (503, true));
+    assert!(seen > 2, "it looks for the owner first");
+    let (status, retry, seen, took) = played(Some(AcceptOutcome::Full)).await;
+    assert_eq!((status, retry, seen), (503, true, 1));
+    assert!(took < Duration::from_millis(1200), "and is not held back");
+    assert_eq!(played(Some(AcceptOutcome::NoRoute)).await.0, 404);
+    assert_eq!(played(Some(AcceptOutcome::Taken)).await.0, 202);
+}
+
+#[test]
+fn a_key_has_one_partition_whatever_its_service_and_zone() {
+    let k = known("10.0.0.1:1");
+    let t = Template::read(CONFIG.as_bytes()).expect("good");
+    let of = |channel: &str, key: &str, id: &str, zone: &str| {
+        partition_of(&k, &t, t.channel(channel).expect("there"), key, id, zone).expect("one")
+    };
+    for key in ["a", "b", "c"] {
+        let p = of("r2", key, "1", "x");
+        assert!((0..20).all(|i| of("r3", key, &i.to_string(), "y") == p));
+    }
+    let e = of("r4", "", "1", "x");
+    assert!((0..20).all(|i| of("r4", "", &i.to_string(), "y") == e), "one owner meters an endpoint");
+    assert!((0..20).all(|i| of("r1", "", &i.to_string(), "x") % 2 == 0), "others stay in the client's zone");
+}
--- /dev/null
+++ b/crates/lathe/tests/schedule.rs
@@ -0,0 +1,137 @@
+//! Which processor gets the next message, and how fast.
+
+use dovetail::msg::*;
+use gauge::{Channel, Plant};
+use lathe::*;
+use std::sync::Arc;
+
+fn unit(id: &str, zone: &str, revision: &str) -> Unit {
+    let (id, zone, revision) = (id.into(), zone.into(), revision.into());
+    Unit { id, plant: "p".into(), address: "10.0.0.1:80".into(), zone, revision, capacity: 2, ..Unit::default() }
+}
+
+fn turret(units: Vec<Unit>, rollouts: Vec<Rollout>) -> Turret {
+    let hatch = |n: &str, z: &str| Node {
+        name: n.into(),
+        role: "hatch".into(),
+        zone: z.into(),
+        inner: n.into(),
+        ..Node::default()
+    };
+    let nodes = vec![hatch("h1", "x"), hatch("h2", "x"), hatch("h3", "y")];
+    let mut t = Turret::new("x", "r", TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 });
+    let roster = Roster { version: 1, nodes, units, listed: true };
+    t.news(&Arc::new(roster), &Arc::new(Charter { rollouts, ..Charter::default() }));
+    t
+}
+
+fn plant() -> Plant {
+    Plant { name: "p".into(), conn_limit: 10, ..Plant::default() }
+}
+
+fn channel() -> Channel {
+    Channel { name: "r".into(), plant: "p".into(), ..Channel::default() }
+}
+
+fn launch(t: &mut Turret, pos: u64) -> Option<Choice> {
+    let c = t.choose(&plant(), 1000)?;
+    t.launch((0, pos), &c, &channel(), 9999);
+    Some(c)
+}
+
+fn report(outcome: Outcome, status: u32, running: u32) -> Report {
+    Report { outcome: outcome as i32, status, running, loaded: running > 0, ..Report::default() }
+}
+
+#[test]
+fn near_ones_first_and_no_more_than_they_have_slots() {
+    let mut draining = unit("u3", "x", "v1");
+    draining.draining = true;
+    let mut t = turret(vec![unit("u1", "x", "v1"), unit("u2", "y", "v1"), draining], vec![]);
+    let got: Vec<String> = (0..5).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).collect();
+    assert_eq!(got, ["u1", "u1", "u2", "u2"]);
+    assert_eq!(t.choose(&plant(), 1000), None);
+    t.land((0, 0));
+    assert_eq!(launch(&mut t, 9).map(|c| (c.unit, c.target)), Some(("u1".into(), "u1".into())));
+}
+
+#[test]
+fn the_answered_run_is_not_taken_for_anothers() {
+    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    launch(&mut t, 1);
+    let f = t.land((0, 1)).expect("under way");
+    t.learn(&f, &report(Outcome::Done, 200, 1), 1000);
+    assert!(launch(&mut t, 2).is_some() && launch(&mut t, 3).is_some(), "both slots are free");
+    let f = t.land((0, 2)).expect("under way");
+    t.learn(&f, &report(Outcome::Done, 200, 3), 1000);
+    assert!(t.choose(&plant(), 1100).is_none(), "somebody else holds a slot");
+    assert!(t.choose(&plant(), 1300).is_some(), "what was told is old");
+}
+
+#[test]
+fn one_that_fails_is_left_alone_and_tried_with_one() {
+    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    launch(&mut t, 1);
+    let f = t.land((0, 1)).expect("under way");
+    t.learn(&f, &report(Outcome::NotRun, 0, 0), 1000);
+    assert!(t.choose(&plant(), 1050).is_none());
+    let c = t.choose(&plant(), 1500).expect("tried again");
+    t.launch((0, 2), &c, &channel(), 9999);
+    assert!(t.choose(&plant(), 1500).is_none(), "one at a time until it does well");
+    let f = t.land((0, 2)).expect("under way");
+    t.learn(&f, &report(Outcome::Done, 200, 1), 1500);
+    assert!(t.choose(&plant(), 1500).is_some());
+}
+
+#[test]
+fn a_new_version_gets_its_share_and_no_more() {
+    let rollout = |state: &str, share| Rollout {
+        plant: "p".into(),
+        target: "v2".into(),
+        state: state.into(),
+        share,
+        ..Rollout::default()
+    };
+    let units = || vec![unit("old", "x", "v1"), unit("new", "x", "v2")];
+    let mut t = turret(units(), vec![rollout("running", 100)]);
+    let mut new = 0;
+    for i in 0..200 {
+        if launch(&mut t, i).is_some_and(|c| c.revision == "v2") {
+            new += 1;
+        }
+        t.land((0, i));
+    }
+    assert!((19..=21).contains(&new), "{new} of 200");
+    for (state, only) in [("settled", "v2"), ("reverted", "v1")] {
+        let mut t = turret(units(), vec![rollout(state, 0)]);
+        let got: Vec<String> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| c.revision).collect();
+        assert_eq!(got, [only, only], "{state}");
+    }
+}
+
+#[test]
+fn a_ceiling_holds_over_any_window_and_after_a_take_over() {
+    let p = Plant { flow_per_s: 40.0, endpoint: Some("10.0.0.1:80".into()), ..plant() };
+    let mut t = turret(vec![], vec![]);
+    assert!(t.token(&p, 1000).is_err(), "a new owner begins with nothing saved up");
+    let mut sent = vec![];
+    for now in 1000..21_000 {
+        // Nothing is asked for in between: what is saved up must stay small.
+        if !(5000..12_000).contains(&now) && t.token(&p, now).is_ok() {
+            sent.push(now);
+        }
+    }
+    for start in (1000..16_000).step_by(50) {
+        let n = sent.iter().filter(|s| (start..start + 5000).contains(*s)).count();
+        assert!(n as f64 <= 40.0 * 5.0 * 1.1 + 5.0, "{n} in the window from {start}");
+    }
+    assert!(sent.len() >= 500);
+}
+
+#[test]
+fn all_deliveries_to_a_processor_go_through_one_node_of_its_zone() {
+    let mut t = turret(vec![unit("u1", "x", "v1"), unit("u2", "y", "v1")], vec![]);
+    let got: Vec<(String, String)> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| (c.unit, c.hatch)).collect();
+    assert_eq!(got[0], got[1]);
+    assert_eq!(got[2].1, "h3");
+}
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -74,7 +74,10 @@
             match e {
                 Effect::Persist { del, put, meta, snapshot, term, end } => {
                     let q = self.unsynced.entry(node.into()).or_default();
-                    let mut d = q.back().map(|x| x.0.clone()).unwrap_or_else(|| self.disks.entry(node.into()).or_default().clone());
+                    let mut d = q
+                        .back()
+                        .map(|x| x.0.clone())
+                        .unwrap_or_else(|| self.disks.entry(node.into()).or_default().clone());
                     if let Some((a, b)) = del {
                         d.log.retain(|p, _| *p < a || *p > b);
                     }
