Revive partitions nobody owns; answer only from an applied log; trials under load

Owners now claim what they own with each lease; an unclaimed partition gets a new term for one that holds it. - a new chair answered /config/read before its log was applied (404).

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -290,6 +290,9 @@
     pub node: Node,
     #[prost(message, repeated, tag = "2")]
     pub samples: Vec<Sample>,
+    /// The partitions that it acts as owner of.
+    #[prost(message, repeated, tag = "3")]
+    pub claims: Vec<Holding>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -237,6 +237,22 @@
     Some(now)
 }
 
+/// Nobody acts as a partition's owner, though nodes that hold all of it are
+/// there: as after the end of all processes at once. One of them begins anew.
+pub fn revive(p: &Partition, stands: impl Fn(&str) -> bool) -> Option<Partition> {
+    let all =
+        || p.insync.iter().filter(|n| p.grant.as_ref().is_none_or(|g| g.insync.contains(n))).filter(|n| stands(n));
+    let next = all().find(|n| **n == p.owner).or_else(|| all().next())?;
+    Some(Partition {
+        owner: next.clone(),
+        term: p.grant.as_ref().map_or(p.term, |g| g.term) + 1,
+        insync: all().cloned().collect(),
+        grant: None,
+        seized: true,
+        ..p.clone()
+    })
+}
+
 /// The first layout: every node owns as many as any other, followed by different ones.
 pub fn layout(nodes: &[(String, String)], count: u32, replicas: usize) -> Vec<Partition> {
     let n = nodes.len();
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -34,6 +34,7 @@
     at: u64,
     /// Began with an empty disk: what it was in sync with before does not count.
     fresh: bool,
+    claims: Vec<Holding>,
 }
 
 /// State shared by the tasks of a foreman, behind a short lock.
@@ -56,6 +57,8 @@
     first_lathe_at: u64,
     /// Partitions that a former life of a node held, and the term they had then.
     reborn: HashMap<String, u64>,
+    /// Since when nobody acts as a partition's owner.
+    unclaimed: HashMap<u32, u64>,
 }
 
 pub struct Shop {
@@ -168,7 +171,10 @@
             if f.first_lathe_at == 0 {
                 f.first_lathe_at = now;
             }
-            f.leases.insert(name.clone(), Leased { life: l.node.life, at: now, fresh: l.node.fresh });
+            f.leases.insert(
+                name.clone(),
+                Leased { life: l.node.life, at: now, fresh: l.node.fresh, claims: l.claims.clone() },
+            );
             let known = f.sessions.get(&name).map(|s| s.node.clone());
             f.sessions.insert(name, Session { node: l.node.clone(), seen: now });
             if known.as_ref() != Some(&l.node) {
@@ -347,6 +353,16 @@
                     again.seized = true;
                     put = Some(again);
                 }
+                let claimed = f.leases.iter().any(|(n, l)| {
+                    Self::alive(f, now, lease, n) && l.claims.iter().any(|c| c.partition == p.id && c.term >= p.term)
+                });
+                if claimed {
+                    f.unclaimed.remove(&p.id);
+                } else if now > *f.unclaimed.entry(p.id).or_insert(now) + 3 * lease && put.is_none() {
+                    let stands = |n: &str| f.leases.contains_key(n) && Self::alive(f, now, lease, n) && !fresh(n);
+                    put = revive(p, stands);
+                    f.unclaimed.remove(&p.id);
+                }
                 if let Some(put) = put {
                     if put.term != p.term {
                         tally::change!(
@@ -679,6 +695,7 @@
             plumbs: HashMap::new(),
             first_lathe_at: 0,
             reborn: HashMap::new(),
+            unclaimed: HashMap::new(),
         }),
         news: Bell::new(),
         inputs,
@@ -799,6 +816,7 @@
                         f.plumbs.clear();
                         f.leases.clear();
                         f.reborn.clear();
+                        f.unclaimed.clear();
                         // Who told another foreman is taken over, and must tell again.
                         for n in f.roster.nodes.clone() {
                             f.sessions.entry(n.name.clone()).or_insert(Session { node: n, seen: now });
@@ -812,7 +830,7 @@
                 }
             }
         }
-        let holds = vise.holds_chair(shop.now());
+        let holds = vise.serves(shop.now());
         shop.with(|f| {
             f.holds = holds;
             f.chair.clone_from(&vise.chair);
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -167,6 +167,12 @@
         self.seat == Seat::Chair && self.contact(now) + self.pace.election > now
     }
 
+    /// Holds the chair, and has applied all that was acknowledged before its term:
+    /// only then does it know what to answer.
+    pub fn serves(&self, now: u64) -> bool {
+        self.holds_chair(now) && self.applied > self.hard.base && self.term_at(self.applied) == Some(self.hard.term)
+    }
+
     /// The latest moment at which a majority is known to have followed.
     fn contact(&self, now: u64) -> u64 {
         let mut times: Vec<u64> = self
--- a/crates/foreman/tests/duties.rs
+++ b/crates/foreman/tests/duties.rs
@@ -145,3 +145,15 @@
     assert_eq!(r.share, 1000);
     assert!(settled > 0 && settled < 9000, "settled at {settled}");
 }
+
+#[test]
+fn when_nobody_acts_as_owner_one_that_holds_everything_begins_anew() {
+    let mut p = partition("a", &["a", "b"]);
+    let r = revive(&p, |_| true).expect("the same owner");
+    assert_eq!((r.owner.as_str(), r.term, r.seized, r.insync), ("a", 5, true, names(&["a", "b"])));
+    assert_eq!(revive(&p, |n| n == "b").map(|r| r.owner), Some("b".into()));
+    p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["b"]) });
+    let r = revive(&p, |_| true).expect("the candidate may have more");
+    assert_eq!((r.owner.as_str(), r.term), ("b", 6));
+    assert_eq!(revive(&p, |n| n == "a"), None);
+}
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -138,6 +138,7 @@
     assert_eq!(w.racks[&second].revision, 3);
     w.put(&second, 3, 5);
     w.pass(200);
+    assert!(w.nodes[&second].serves(w.now));
     w.start(&first);
     w.pass(1000);
     assert_eq!(w.racks[&first].revision, 5, "it folds its disk and catches up");
@@ -232,3 +233,23 @@
     let d = &w.disks[late];
     assert!(d.log.len() < 5 && d.hard.base >= index - 1);
 }
+
+#[test]
+fn after_the_end_of_all_at_once_nothing_is_answered_before_the_log_is_applied() {
+    let mut w = World::new();
+    w.pass(2000);
+    let chair = w.chair().expect("a chair");
+    w.put(&chair, 0, 3);
+    w.pass(300);
+    for n in ALL {
+        w.start(n);
+    }
+    for _ in 0..300 {
+        w.pass(10);
+        for n in ALL {
+            let v = &w.nodes[n];
+            assert!(!v.serves(w.now) || w.racks[n].revision == 3, "{n} would answer from an empty state");
+        }
+    }
+    assert!(ALL.iter().any(|n| w.nodes[*n].serves(w.now)));
+}
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -821,6 +821,9 @@
         }
         self.chunks.push(c.data);
         if !c.last {
+            // So that the owner sees it coming and does not begin again.
+            let ack = self.ack(false);
+            out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(ack)));
             return;
         }
         let data: Bytes = self.chunks.concat().into();
@@ -906,6 +909,8 @@
         if a.gap {
             p.snapshot = 0;
             p.sent = a.durable;
+            // It may have lost its disk: what it once held does not count.
+            p.acked = p.acked.min(a.durable);
             let behind = p.sent + 1 < first;
             if behind && now < p.resent + self.pace.again {
                 return;
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -753,12 +753,17 @@
         let mut turn = 0usize;
         loop {
             let asked = self.now();
-            let samples = self.inside.lock().unwrap().turret.take_samples();
+            let (samples, claims) = {
+                let mut i = self.inside.lock().unwrap();
+                let owned = i.mandrels.values().filter(|m| m.seat == Seat::Owner);
+                let claims = owned.map(|m| Holding { partition: m.id, term: m.term }).collect::<Vec<_>>();
+                (i.turret.take_samples(), claims)
+            };
             let chair = self.session.with_known(|k| k.chair.clone());
             let seeds = self.caliper.seed_foremen();
             let addr = if chair.is_empty() { seeds[turn % seeds.len()].clone() } else { chair.clone() };
             turn += 1;
-            let l = Lease { node: self.session.me(), samples };
+            let l = Lease { node: self.session.me(), samples, claims: claims.clone() };
             match self.bench.to(&addr).call(Body::Lease(l), period * 2).await {
                 Ok(Body::LeaseAck(a)) if a.granted => {
                     self.session.take(&News { chair: addr, ..News::default() });
@@ -775,7 +780,7 @@
                     tally::count("lease_misses");
                     // The chair may have passed on: ask the others who has it.
                     let other = seeds[turn % seeds.len()].clone();
-                    let ask = Lease { node: self.session.me(), samples: Vec::new() };
+                    let ask = Lease { node: self.session.me(), samples: Vec::new(), claims };
                     if let Ok(Body::LeaseAck(a)) = self.bench.to(&other).call(Body::Lease(ask), period).await {
                         let chair = if a.granted { other } else { a.chair };
                         if !chair.is_empty() {
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -273,8 +273,15 @@
             };
         }
         let units = self.by_plant.get(&plant.name)?;
-        let mut fit = self.best(units, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w));
-        if fit.is_none() && wants_new == Some(true) && rollout.is_some_and(|r| r.state == "running" && r.share < 1000) {
+        let trying = rollout.is_some_and(|r| r.state == "running" && r.share < 1000);
+        let mut fit = if trying && wants_new == Some(true) {
+            // On trial, its few runs are put on as few processors as have room:
+            // what only goes wrong under load shows before the share is raised.
+            self.packed(units, now, target)
+        } else {
+            self.best(units, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w))
+        };
+        if fit.is_none() && wants_new == Some(true) && trying {
             fit = self.best(units, now, |u| u.revision != target);
         }
         let u = fit?.clone();
@@ -296,6 +303,15 @@
         })
     }
 
+    /// The first of a version's processors, by id, that has room: every owner
+    /// comes to the same one.
+    fn packed<'a>(&self, units: &'a [Unit], now: u64, revision: &str) -> Option<&'a Unit> {
+        units.iter().filter(|u| !u.draining && u.revision == revision).find(|u| {
+            let (load, s) = self.load(&u.id, now);
+            now >= s.shut_until && load < if s.failures > 0 { 1 } else { u.capacity.max(1) }
+        })
+    }
+
     fn best<'a>(&self, units: &'a [Unit], now: u64, fits: impl Fn(&Unit) -> bool) -> Option<&'a Unit> {
         let mut best: Option<(f64, &Unit)> = None;
         for u in units.iter().filter(|u| !u.draining && fits(u)) {
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -135,3 +135,14 @@
     assert_eq!(got[0], got[1]);
     assert_eq!(got[2].1, "h3");
 }
+
+#[test]
+fn a_version_on_trial_is_put_under_load() {
+    let r =
+        Rollout { plant: "p".into(), target: "v2".into(), state: "running".into(), share: 500, ..Rollout::default() };
+    let units = vec![unit("n1", "y", "v2"), unit("n2", "x", "v2"), unit("o1", "x", "v1"), unit("o2", "y", "v1")];
+    let mut t = turret(units, vec![r]);
+    let got: Vec<String> =
+        (0..6).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).filter(|u| u.starts_with('n')).collect();
+    assert_eq!(got[..2], ["n1", "n1"], "full before the next one gets any");
+}
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -463,3 +463,20 @@
     let entries = d.log.into_iter().collect();
     assert!(Mandrel::reload(0, "a", PACE, &d.meta, None, entries).is_err_and(|e| e.contains("entry 5")));
 }
+
+#[test]
+fn a_follower_that_lost_its_disk_is_not_in_sync_by_what_it_once_held() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.disks.remove("b");
+    w.crash("b");
+    w.chart.insync = vec!["a".into()];
+    w.tell();
+    // Only commit notices go out: no new entries that would show the gap by themselves.
+    w.hold_sync.insert("b".into());
+    w.pass(1000);
+    assert_eq!(w.chart.insync, vec!["a"], "it holds nothing yet");
+    w.hold_sync.clear();
+    w.pass(1000);
+    assert_eq!(w.chart.insync, vec!["a", "b"]);
+    assert!(w.known("b", "m3") && w.disks["b"].log.len() + 1 >= w.nodes["a"].end() as usize);
+}
