Count an attempt once, and send a late follower what it lacks once

Answers carry the position of their dispatch record now, and the fold counts each once. (2) every entry under way behind a gap was answered with the gap, and every such answer had the whole rest sent again: commits stood still for 4 s and the links were full. A gap is told once until it moves. Ruled out: the disk (fjall syncs the batch before it says so), expiry, clocks.

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -526,6 +526,9 @@
     pub item: Item,
     #[prost(uint32, tag = "8")]
     pub conn_limit: u32,
+    /// Position of the dispatch record: names this attempt.
+    #[prost(uint64, tag = "9")]
+    pub attempt: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -572,6 +575,8 @@
     pub loaded: bool,
     #[prost(uint32, tag = "9")]
     pub took_ms: u32,
+    #[prost(uint64, tag = "10")]
+    pub attempt: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -144,6 +144,7 @@
             running: told.map_or(0, |t| t.0),
             waiting: told.map_or(0, |t| t.1),
             loaded: told.is_some(),
+            attempt: run.attempt,
             took_ms: begun.elapsed().as_millis() as u32,
         };
         tally::count("deliveries");
--- a/crates/lathe/src/jig.rs
+++ b/crates/lathe/src/jig.rs
@@ -29,7 +29,8 @@
     pub at_ms: u64,
     pub due_ms: u64,
     pub stand: Stand,
-    pub failures: u32,
+    /// The attempts that failed.
+    pub failed: Vec<u64>,
     pub seal: String,
     pub ended_ms: u64,
     pub notified: bool,
@@ -110,7 +111,7 @@
 fn part(pos: u64, w: &Workpiece) -> u64 {
     let mut h = mix(w.print, pos);
     h = mix(h, w.stand as u64);
-    h = mix(h, w.failures as u64);
+    h = w.failed.iter().fold(h, |h, a| mix(h, *a));
     h = mix(h, w.ended_ms);
     h = mix(h, w.notified as u64);
     h = mix(h, w.sent_ms);
@@ -217,7 +218,7 @@
                     at_ms: at,
                     due_ms: at + a.delay_ms,
                     stand: Stand::Pending,
-                    failures: 0,
+                    failed: Vec::new(),
                     seal: String::new(),
                     ended_ms: 0,
                     notified: false,
@@ -240,15 +241,15 @@
                 Ok(Outcome::Done) => self.end(a.position, Stand::Settled, &a.seal, at, &mut out),
                 Ok(Outcome::Never) => self.end(a.position, Stand::Dead, "", at, &mut out),
                 Ok(Outcome::Failed) => {
-                    let pending = self.pieces.get(&a.position).is_some_and(|w| w.stand == Stand::Pending);
-                    if pending {
+                    let counts = |w: &Workpiece| w.stand == Stand::Pending && !w.failed.contains(&a.attempt);
+                    if self.pieces.get(&a.position).is_some_and(counts) {
                         let n = self.change(a.position, |w| {
-                            w.failures += 1;
-                            w.failures
+                            w.failed.push(a.attempt);
+                            w.failed.len()
                         });
                         let channel = &self.pieces[&a.position].item.channel;
                         let tries = self.routes.get(channel).map_or(1, |r| r.tries.max(1));
-                        if n.unwrap_or(0) >= tries {
+                        if n.unwrap_or(0) >= tries as usize {
                             self.end(a.position, Stand::Dead, "", at, &mut out);
                         } else {
                             out.push(Change::Failed(a.position));
@@ -331,7 +332,7 @@
                     at_ms: w.at_ms,
                     due_ms: w.due_ms,
                     stand: w.stand as u32,
-                    failures: w.failures,
+                    failed: w.failed.clone(),
                     seal: w.seal.clone(),
                     ended_ms: w.ended_ms,
                     notified: w.notified,
@@ -366,7 +367,7 @@
                 at_ms: p.at_ms,
                 due_ms: p.due_ms,
                 stand,
-                failures: p.failures,
+                failed: p.failed.clone(),
                 seal: p.seal.clone(),
                 ended_ms: p.ended_ms,
                 notified: p.notified,
@@ -411,8 +412,8 @@
     pub due_ms: u64,
     #[prost(uint32, tag = "5")]
     pub stand: u32,
-    #[prost(uint32, tag = "6")]
-    pub failures: u32,
+    #[prost(uint64, repeated, tag = "6")]
+    pub failed: Vec<u64>,
     #[prost(string, tag = "7")]
     pub seal: String,
     #[prost(uint64, tag = "8")]
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -16,6 +16,7 @@
 }
 
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant)] // They live for one step.
 pub enum Effect {
     /// Write; then report `Synced` with the term and the end given here.
     Persist {
@@ -124,6 +125,8 @@
     pub mismatch: bool,
     /// Up to here the log is known to be the owner's, at this term.
     matched: u64,
+    /// The gap that was told last: term, end, and when.
+    gap_told: (u64, u64, u64),
     chunks: Vec<Bytes>,
     chunk_from: (u64, u64),
     own_asked: u64,
@@ -161,6 +164,7 @@
             verified_from: 0,
             mismatch: false,
             matched: 0,
+            gap_told: (0, 0, 0),
             chunks: Vec::new(),
             chunk_from: (0, 0),
             own_asked: 0,
@@ -735,7 +739,12 @@
                 // What is behind the committed part may be another term's.
                 self.cut_to(self.commit.max(self.first - 1), out);
             }
-            out.push(Effect::Send(m.owner.clone(), Body::EntriesAck(self.ack(true))));
+            // Told once: whatever else is under way joins on no better.
+            let (term, end, at) = self.gap_told;
+            if (term, end) != (self.term, self.end()) || now > at + self.pace.again / 2 {
+                self.gap_told = (self.term, self.end(), now);
+                out.push(Effect::Send(m.owner.clone(), Body::EntriesAck(self.ack(true))));
+            }
             return;
         }
         let mut put = Vec::new();
--- a/crates/lathe/src/record.rs
+++ b/crates/lathe/src/record.rs
@@ -61,6 +61,10 @@
     pub outcome: i32,
     #[prost(string, tag = "3")]
     pub seal: String,
+    /// Position of the dispatch record that this answers. An attempt counts once,
+    /// however often it is reported.
+    #[prost(uint64, tag = "4")]
+    pub attempt: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -29,8 +29,8 @@
     waiters: HashMap<Key, Vec<Waiter>>,
     /// Positions of accepts that are not committed yet, by request id.
     fresh_ids: HashMap<String, Key>,
-    /// Reports that are written and not committed yet.
-    answering: HashSet<Key>,
+    /// Reports that are written and not committed yet: the attempt, and where.
+    answering: HashMap<Key, (u64, u64)>,
     /// Partitions taken over whose delivery nodes have not all answered.
     asking: HashSet<u32>,
     lease_until: u64,
@@ -118,7 +118,7 @@
                     tally::change!("partition {partition} is owned by {owner:?} now");
                     i.turret.drop_partition(partition);
                     i.asking.remove(&partition);
-                    i.answering.retain(|k| k.0 != partition);
+                    i.answering.retain(|k, _| k.0 != partition);
                     i.fresh_ids.retain(|_, k| k.0 != partition);
                     i.notified.remove(&partition);
                     let gone: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition).copied().collect();
@@ -220,7 +220,8 @@
     fn schedule(&self, i: &mut Inside, k: Key, wall: u64) {
         let Some(m) = i.mandrels.get(&k.0) else { return };
         let Some(w) = m.jig.pieces.get(&k.1) else { return };
-        if m.seat != Seat::Owner || w.stand != Stand::Pending || !m.jig.is_head(k.1, w) || i.answering.contains(&k) {
+        if m.seat != Seat::Owner || w.stand != Stand::Pending || !m.jig.is_head(k.1, w) || i.answering.contains_key(&k)
+        {
             return;
         }
         if w.due_ms > wall {
@@ -418,14 +419,21 @@
         }
         match outcome {
             Outcome::Done | Outcome::Failed | Outcome::Never => {
-                i.answering.insert(k);
-                let answer = AnswerRecord { position: k.1, outcome: r.outcome, seal: r.seal };
+                if let Some((attempt, at)) = i.answering.get(&k).copied()
+                    && attempt == r.attempt
+                {
+                    // Reported again while it is on its way to the disks.
+                    i.waiters.entry((k.0, at)).or_default().push(Waiter::Report(peg));
+                    return;
+                }
+                let answer = AnswerRecord { position: k.1, outcome: r.outcome, seal: r.seal, attempt: r.attempt };
                 let record = Record { at_ms: wall, entry: Some(Entry::Answer(answer)) };
                 let mut out = Vec::new();
                 if let Some(m) = i.mandrels.get_mut(&k.0)
                     && let Some(pos) = m.append(&record, now, &mut out)
                 {
                     m.flush(now, &mut out);
+                    i.answering.insert(k, (r.attempt, pos));
                     i.waiters.entry((k.0, pos)).or_default().push(Waiter::Report(peg));
                 }
                 self.carry_out(i, k.0, out);
@@ -575,8 +583,13 @@
         let cutoff = channel.cutoff_ms as u64;
         let mut item = w.item.clone();
         item.notify_url.clear();
+        let dispatch = DispatchRecord { position: k.1, unit: choice.unit.clone(), node: choice.hatch.clone() };
+        let record = Record { at_ms: wall, entry: Some(Entry::Dispatch(dispatch)) };
+        let mut out = Vec::new();
+        let Some(attempt) = m.append(&record, now, &mut out) else { return false };
         let run = Run {
             partition: k.0,
+            attempt,
             term: m.term,
             position: k.1,
             address: choice.address.clone(),
@@ -585,10 +598,6 @@
             item,
             conn_limit: plant.conn_limit,
         };
-        let dispatch = DispatchRecord { position: k.1, unit: choice.unit.clone(), node: choice.hatch.clone() };
-        let record = Record { at_ms: wall, entry: Some(Entry::Dispatch(dispatch)) };
-        let mut out = Vec::new();
-        m.append(&record, now, &mut out);
         i.turret.launch(k, &choice, channel, now + cutoff + self.ratio(8.0));
         self.carry_out(i, k.0, out);
         tally::count("dispatched");
@@ -939,7 +948,7 @@
             turret: Turret::new(&caliper.zone, &caliper.region, turret_pace),
             waiters: HashMap::new(),
             fresh_ids: HashMap::new(),
-            answering: HashSet::new(),
+            answering: HashMap::new(),
             asking: HashSet::new(),
             lease_until: 0,
             notified: HashMap::new(),
--- a/crates/lathe/tests/fold.rs
+++ b/crates/lathe/tests/fold.rs
@@ -21,9 +21,9 @@
     Entry::Accept(AcceptRecord { item, delay_ms: 0 })
 }
 
-fn answer(position: u64, outcome: Outcome) -> Entry {
+fn answer(position: u64, outcome: Outcome, attempt: u64) -> Entry {
     let seal = if outcome == Outcome::Done { "seal" } else { "" };
-    Entry::Answer(AnswerRecord { position, outcome: outcome as i32, seal: seal.into() })
+    Entry::Answer(AnswerRecord { position, outcome: outcome as i32, seal: seal.into(), attempt })
 }
 
 fn routes(revision: u64, names: &[&str], tries: u32) -> Entry {
@@ -40,12 +40,12 @@
         record(3, accept("m2", "k")),
         record(4, accept("m3", "")),
         record(5, Entry::Dispatch(DispatchRecord { position: 2, unit: "u1".into(), node: "h1".into() })),
-        record(6, answer(2, Outcome::Failed)),
-        record(7, answer(2, Outcome::Done)),
-        record(8, answer(4, Outcome::Never)),
+        record(6, answer(2, Outcome::Failed, 101)),
+        record(7, answer(2, Outcome::Done, 102)),
+        record(8, answer(4, Outcome::Never, 103)),
         record(9, Entry::Notified(Positions { positions: vec![2] })),
-        record(10, answer(3, Outcome::Failed)),
-        record(11, answer(3, Outcome::Failed)),
+        record(10, answer(3, Outcome::Failed, 104)),
+        record(11, answer(3, Outcome::Failed, 105)),
         record(12, Entry::Epoch(Epoch { position: 11, digest: 7 })),
     ]
 }
@@ -92,11 +92,26 @@
     j.fold(4, &record(1, accept("m3", "other")));
     let head = |j: &Jig, p: u64| j.is_head(p, &j.pieces[&p]);
     assert!(head(&j, 2) && !head(&j, 3) && head(&j, 4));
-    assert_eq!(j.fold(5, &record(2, answer(2, Outcome::Failed))), vec![Change::Failed(2)]);
+    assert_eq!(j.fold(5, &record(2, answer(2, Outcome::Failed, 106))), vec![Change::Failed(2)]);
     assert!(!head(&j, 3), "a failed attempt does not end it");
-    assert_eq!(j.fold(6, &record(3, answer(2, Outcome::Done))), vec![Change::Ended(2), Change::Freed(3)]);
+    assert_eq!(j.fold(6, &record(3, answer(2, Outcome::Done, 107))), vec![Change::Ended(2), Change::Freed(3)]);
     assert!(head(&j, 3));
-    assert!(j.fold(7, &record(4, answer(2, Outcome::Done))).is_empty(), "it has ended already");
+    assert!(j.fold(7, &record(4, answer(2, Outcome::Done, 108))).is_empty(), "it has ended already");
+}
+
+#[test]
+fn an_attempt_counts_once_however_often_it_is_reported() {
+    let mut j = Jig::new(1000);
+    j.fold(1, &record(1, routes(1, &["r-a"], 3)));
+    j.fold(2, &record(1, accept("m1", "")));
+    for at in 3..9 {
+        let again = j.fold(at, &record(at, answer(2, Outcome::Failed, 7)));
+        assert_eq!(again.is_empty(), at > 3);
+    }
+    assert_eq!((j.pieces[&2].stand, j.pieces[&2].failed.len()), (Stand::Pending, 1));
+    j.fold(9, &record(9, answer(2, Outcome::Failed, 8)));
+    j.fold(10, &record(10, answer(2, Outcome::Failed, 9)));
+    assert_eq!(j.pieces[&2].stand, Stand::Dead);
 }
 
 #[test]
@@ -128,7 +143,7 @@
     let mut j = Jig::new(1000);
     j.fold(1, &record(1, routes(1, &["r-a"], 1)));
     j.fold(2, &record(10, accept("m1", "")));
-    j.fold(3, &record(20, answer(2, Outcome::Done)));
+    j.fold(3, &record(20, answer(2, Outcome::Done, 109)));
     j.fold(4, &record(2019, accept("m2", "")));
     assert!(j.pieces.contains_key(&2));
     j.fold(5, &record(2021, accept("m3", "")));
@@ -141,6 +156,6 @@
     let mut j = Jig::new(1000);
     play(&mut j, &trace(), 0);
     let mut s = j.snapshot();
-    s.pieces[0].failures += 1;
+    s.pieces[0].failed.push(9);
     assert!(Jig::restore(&s, 1000).is_err());
 }
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -480,3 +480,43 @@
     assert_eq!(w.chart.insync, vec!["a", "b"]);
     assert!(w.known("b", "m3") && w.disks["b"].log.len() + 1 >= w.nodes["a"].end() as usize);
 }
+
+#[test]
+fn a_follower_far_behind_is_sent_what_it_lacks_once() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.hold_sync.insert("b".into());
+    w.cut.insert("b".into());
+    let behind = w.nodes["b"].end();
+    for i in 0..200 {
+        w.message_at("a", &format!("x{i}"));
+    }
+    w.cut.clear();
+    w.net.clear();
+    // Many entries are under way when the gap shows.
+    let mut sent = 0;
+    for i in 0..50 {
+        let item = Item { id: format!("y{i}"), channel: "r".into(), ..Item::default() };
+        let e = Entry::Accept(AcceptRecord { item, delay_ms: 0 });
+        w.step("a", |m, now, out| {
+            m.append(&Record { at_ms: 0, entry: Some(e) }, now, out);
+            m.flush(now, out);
+        });
+    }
+    w.hold_sync.clear();
+    while let Some((to, body)) = w.net.pop_front() {
+        if let Body::Entries(e) = &body {
+            sent += e.entries.len();
+        }
+        w.net.push_front((to, body));
+        let (to, body) = w.net.pop_front().expect("just put there");
+        w.step(&to, |m, now, out| match body {
+            Body::Entries(e) => m.entries(e, now, out),
+            Body::EntriesAck(a) => m.acked(a, now, out),
+            _ => {}
+        });
+    }
+    w.settle();
+    let lacked = (w.nodes["a"].end() - behind) as usize;
+    assert!(sent <= lacked + 100, "{sent} entries sent for {lacked} that were lacking");
+    assert_eq!(w.nodes["b"].end(), w.nodes["a"].end());
+}
