See that an owner's process has ended by its refused address

The kernel closes the process's connections at once; the foreman in the chair then tries its inner address, and a refusal shows that the process is gone. A broken connection alone changes nothing. Seizures of several partitions are logged together. Ruled out: shorter leases (more traffic, and starved processes would lose them). If a refusal ever lied, terms still fence the former owner.

--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -55,9 +55,15 @@
 pub struct Peg {
     mouth: Mouth,
     call: u64,
+    connection: u64,
 }
 
 impl Peg {
+    /// Tells connections apart, for whoever wants to know when one has ended.
+    pub fn connection(&self) -> u64 {
+        self.connection
+    }
+
     pub fn send(self, body: Body) {
         if self.call != 0 {
             let _ = self.mouth.0.send(Envelope { call: self.call, reply: true, body: Some(body) });
@@ -70,42 +76,58 @@
 where
     F: Fn(Body, Peg) + Send + Sync + 'static,
 {
-    let handle = Arc::new(handle);
+    serve_and_tell(listener, silence, handle, |_| ()).await;
+}
+
+/// As `serve`; `ended` is told when a connection has ended.
+pub async fn serve_and_tell<F, E>(listener: TcpListener, silence: Duration, handle: F, ended: E)
+where
+    F: Fn(Body, Peg) + Send + Sync + 'static,
+    E: Fn(u64) + Send + Sync + 'static,
+{
+    let (handle, ended) = (Arc::new(handle), Arc::new(ended));
+    let mut connection = 0u64;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
         tune(&stream, silence);
-        let handle = handle.clone();
+        connection += 1;
+        let (handle, ended) = (handle.clone(), ended.clone());
         tokio::spawn(async move {
-            let (mut read, write) = stream.into_split();
-            let (tx, rx) = mpsc::unbounded_channel();
-            let mouth = Mouth(tx);
-            tokio::spawn(write_all(write, rx));
-            let mut buf = BytesMut::with_capacity(8 << 10);
-            loop {
-                loop {
-                    match take_frame(&mut buf) {
-                        Ok(Some(e)) => {
-                            if let Some(body) = e.body {
-                                handle(body, Peg { mouth: mouth.clone(), call: e.call });
-                            }
-                        }
-                        Ok(None) => break,
-                        Err(_) => {
-                            tally::count("inner_bad_frames");
-                            return;
-                        }
+            read_all(stream, connection, &*handle).await;
+            ended(connection);
+        });
+    }
+}
+
+async fn read_all(stream: TcpStream, connection: u64, handle: &(impl Fn(Body, Peg) + Send + Sync)) {
+    let (mut read, write) = stream.into_split();
+    let (tx, rx) = mpsc::unbounded_channel();
+    let mouth = Mouth(tx);
+    tokio::spawn(write_all(write, rx));
+    let mut buf = BytesMut::with_capacity(8 << 10);
+    loop {
+        loop {
+            match take_frame(&mut buf) {
+                Ok(Some(e)) => {
+                    if let Some(body) = e.body {
+                        handle(body, Peg { mouth: mouth.clone(), call: e.call, connection });
                     }
                 }
-                buf.reserve(4 << 10);
-                match read.read_buf(&mut buf).await {
-                    Ok(n) if n > 0 => {}
-                    _ => return,
+                Ok(None) => break,
+                Err(_) => {
+                    tally::count("inner_bad_frames");
+                    return;
                 }
             }
-        });
+        }
+        buf.reserve(4 << 10);
+        match read.read_buf(&mut buf).await {
+            Ok(n) if n > 0 => {}
+            _ => return,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/dovetail/tests/links.rs
@@ -0,0 +1,89 @@
+//! Inner connections on loopback: what a failure says, and what is closed.
+
+use dovetail::msg::*;
+use dovetail::{Body, FRAME_LIMIT, Tenon, Verdict};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Answers `Lookup`s, keeps silent on the rest, and counts connections that ended.
+async fn other_end() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let ended = Arc::new(AtomicUsize::new(0));
+    let count = ended.clone();
+    let handle = |body, peg: dovetail::Peg| {
+        if let Body::Lookup(l) = body {
+            peg.send(Body::Found(Found { seal: l.position.to_string(), ..Found::default() }));
+        }
+    };
+    let tell = move |_| {
+        count.fetch_add(1, Ordering::Relaxed);
+    };
+    tokio::spawn(dovetail::serve_and_tell(listener, SILENCE, handle, tell));
+    (addr, ended)
+}
+
+async fn until(f: impl Fn() -> bool) {
+    for _ in 0..400 {
+        if f() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not in time");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn answers_find_their_calls() {
+    let (addr, _) = other_end().await;
+    let t = Tenon::new(&addr, SILENCE);
+    let calls: Vec<_> = (0..50)
+        .map(|position| {
+            let t = t.clone();
+            tokio::spawn(async move {
+                let l = Lookup { position, ..Lookup::default() };
+                (position, t.call(Body::Lookup(l), SILENCE).await)
+            })
+        })
+        .collect();
+    for c in calls {
+        let (position, got) = c.await.expect("no panic");
+        assert!(matches!(got, Ok(Body::Found(f)) if f.seal == position.to_string()));
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_failure_says_whether_it_may_have_run() {
+    let gone = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = gone.local_addr().expect("an address").to_string();
+    drop(gone);
+    let refused = Tenon::new(&addr, SILENCE).call(Body::Status(Status {}), SILENCE).await;
+    assert_eq!(refused, Err(Verdict::NotRun));
+    let (addr, _) = other_end().await;
+    let silent = Tenon::new(&addr, SILENCE).call(Body::Status(Status {}), Duration::from_millis(50)).await;
+    assert_eq!(silent, Err(Verdict::MayHaveRun));
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn bad_frames_close_their_connection_and_are_counted() {
+    let (addr, ended) = other_end().await;
+    let before = tally::get("inner_bad_frames");
+    let too_long = (FRAME_LIMIT as u32 + 1).to_be_bytes().to_vec();
+    let garbage = [&4u32.to_be_bytes()[..], &[0xff; 4]].concat();
+    for (n, bytes) in [too_long, garbage].into_iter().enumerate() {
+        let mut s = TcpStream::connect(&addr).await.expect("connected");
+        s.write_all(&bytes).await.expect("sent");
+        let mut buf = [0u8; 8];
+        assert_eq!(s.read(&mut buf).await.unwrap_or(0), 0, "closed without a word");
+        until(|| ended.load(Ordering::Relaxed) == n + 1).await;
+    }
+    assert_eq!(tally::get("inner_bad_frames"), before + 2);
+    // Others are not harmed.
+    let l = Lookup { position: 3, ..Lookup::default() };
+    assert!(Tenon::new(&addr, SILENCE).call(Body::Lookup(l), SILENCE).await.is_ok());
+}
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -11,6 +11,7 @@
 use gauge::{Caliper, Role, Template};
 use prost::Message;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify as Bell, mpsc, oneshot, watch};
@@ -35,6 +36,7 @@
     /// Began with an empty disk: what it was in sync with before does not count.
     fresh: bool,
     claims: Vec<Holding>,
+    connection: u64,
 }
 
 /// State shared by the tasks of a foreman, behind a short lock.
@@ -70,6 +72,7 @@
     bench: Arc<Bench>,
     start: Instant,
     life: u64,
+    assigning: AtomicBool,
 }
 
 fn key(kind: u8, index: u64) -> Vec<u8> {
@@ -127,7 +130,7 @@
                 let _ = self.inputs.send(Input::Vise(m));
             }
             Body::Lease(l) => {
-                let ack = self.lease(l);
+                let ack = self.lease(l, peg.connection());
                 peg.send(Body::LeaseAck(ack));
             }
             Body::Watch(w) => {
@@ -149,7 +152,34 @@
         }
     }
 
-    fn lease(&self, l: Lease) -> LeaseAck {
+    /// A lathe's connection has ended. If its address refuses another one, the
+    /// process that had it open has ended too, and its lease need not be waited for.
+    async fn connection_ended(self: &Arc<Self>, connection: u64) {
+        let found = self.with(|f| {
+            let (name, l) = f.leases.iter().find(|(_, l)| l.connection == connection)?;
+            Some((name.clone(), l.life, f.sessions.get(name)?.node.inner.clone()))
+        });
+        let Some((name, life, inner)) = found else { return };
+        let wait = Duration::from_millis(self.caliper.lease_ms());
+        let tried = tokio::time::timeout(wait, tokio::net::TcpStream::connect(&inner)).await;
+        if let Ok(Err(e)) = tried
+            && e.kind() == std::io::ErrorKind::ConnectionRefused
+        {
+            let known = self.with(|f| {
+                let same = f.leases.get(&name).is_some_and(|l| l.life == life);
+                if same {
+                    f.ended.insert(name.clone(), life);
+                }
+                same && f.in_chair && f.holds
+            });
+            if known {
+                tally::change!("the process of lathe {name} has ended");
+                self.assign().await;
+            }
+        }
+    }
+
+    fn lease(&self, l: Lease, connection: u64) -> LeaseAck {
         let now = self.now();
         self.with(|f| {
             if !(f.in_chair && f.holds) {
@@ -173,7 +203,7 @@
             }
             f.leases.insert(
                 name.clone(),
-                Leased { life: l.node.life, at: now, fresh: l.node.fresh, claims: l.claims.clone() },
+                Leased { life: l.node.life, at: now, fresh: l.node.fresh, claims: l.claims.clone(), connection },
             );
             let known = f.sessions.get(&name).map(|s| s.node.clone());
             f.sessions.insert(name, Session { node: l.node.clone(), seen: now });
@@ -293,10 +323,16 @@
         // A lease runs from when the node sent its request; a quarter is added
         // for what clocks and queues may differ.
         let grace = f.chaired_at + lease * 2;
-        f.leases.get(name).map_or(now < grace, |l| now < l.at.max(f.chaired_at) + lease * 5 / 4)
+        f.leases
+            .get(name)
+            .map_or(now < grace, |l| f.ended.get(name) != Some(&l.life) && now < l.at.max(f.chaired_at) + lease * 5 / 4)
     }
 
-    async fn assign(&self) {
+    async fn assign(self: &Arc<Self>) {
+        if self.assigning.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let mut proposed = Vec::new();
         let now = self.now();
         let lease = self.caliper.lease_ms();
         let mut words: Vec<(String, Word)> = Vec::new();
@@ -423,14 +459,21 @@
                 Word::Partition(p) => Some(p.was.id),
                 _ => None,
             };
-            // One at a time: each is judged by what the one before has made of it.
-            if self.propose(w).await == Some(Applied::Done)
-                && let Some(id) = changed
-            {
-                let marks = format!("reborn/{id}/");
-                self.with(|f| f.reborn.retain(|k, _| !k.starts_with(&marks)));
-            }
+            // Together: each changes another partition, and only as it was seen here.
+            let shop = self.clone();
+            proposed.push(tokio::spawn(async move {
+                if shop.propose(w).await == Some(Applied::Done)
+                    && let Some(id) = changed
+                {
+                    let marks = format!("reborn/{id}/");
+                    shop.with(|f| f.reborn.retain(|k, _| !k.starts_with(&marks)));
+                }
+            }));
+        }
+        for p in proposed {
+            let _ = p.await;
         }
+        self.assigning.store(false, Ordering::Relaxed);
     }
 
     async fn judge(&self) {
@@ -702,6 +745,7 @@
         bench: Bench::new(Duration::from_millis((quiet / 4.0) as u64)),
         start,
         life: tally::wall_ms(),
+        assigning: AtomicBool::new(false),
         caliper: caliper.clone(),
     });
     let own = shop.node();
@@ -712,7 +756,12 @@
     let silence = Duration::from_millis((quiet / 4.0) as u64);
     let listener = tokio::net::TcpListener::bind(&me).await.map_err(|e| format!("{me}: {e}"))?;
     let s = shop.clone();
-    tokio::spawn(dovetail::serve(listener, silence, move |b, p| s.handle(b, p)));
+    let e = shop.clone();
+    let ended = move |connection| {
+        let shop = e.clone();
+        tokio::spawn(async move { shop.connection_ended(connection).await });
+    };
+    tokio::spawn(dovetail::serve_and_tell(listener, silence, move |b, p| s.handle(b, p), ended));
     tokio::spawn(shop.clone().follow());
     let s = shop.clone();
     tokio::spawn(async move { s.list().await });
