Admit by rank and room; lighter ended messages; heed new seeds and addresses

Memory held whole messages for twice the time that they may be asked for. Now the disk's bound is nine tenths, a fiftieth less a rank; memory counts what messages take besides their bodies; what has settled keeps only what is still asked for, for the time it may be asked for and a quarter.

--- a/crates/apprentice/src/feed.rs
+++ b/crates/apprentice/src/feed.rs
@@ -81,7 +81,11 @@
 }
 
 /// Runs the apprentice of a front machine until it is told to stop.
-pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
+pub async fn run(
+    caliper: Caliper,
+    mut stop: watch::Receiver<bool>,
+    settings: watch::Receiver<Caliper>,
+) -> Result<(), String> {
     let quiet = caliper.constraints.quiet_ms;
     let silence = Duration::from_millis((quiet / 4.0) as u64);
     let node = Node {
@@ -102,6 +106,7 @@
         tokio::spawn(dovetail::serve(listener, silence, move |b, p| answer(&s, b, p)));
     }
     tokio::spawn(session.clone().keep());
+    tokio::spawn(session.clone().heed(settings));
     tokio::spawn(gossip(session.clone()));
     let _ = stop.wait_for(|s| *s).await;
     // The hatch may drain for as long as it is allowed to; it is fed until then.
--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -115,8 +115,27 @@
         self.node.lock().unwrap().leaving = true;
     }
 
+    /// The settings name other foremen now: they are asked as well.
+    pub fn reseed(&self, seeds: &[String]) {
+        let mut all = self.foremen.lock().unwrap();
+        for s in seeds {
+            if !all.contains(s) {
+                tally::change!("foreman {s} named by the settings");
+                all.push(s.clone());
+            }
+        }
+    }
+
+    /// Takes new seeds whenever the settings change.
+    pub async fn heed(self: Arc<Self>, mut settings: watch::Receiver<Caliper>) {
+        while settings.changed().await.is_ok() {
+            let seeds = settings.borrow_and_update().seed_foremen();
+            self.reseed(&seeds);
+        }
+    }
+
     /// Foremen by how good they are to ask: those of this zone first.
-    fn order_foremen(&self) -> Vec<String> {
+    pub fn order_foremen(&self) -> Vec<String> {
         let mut all = self.foremen.lock().unwrap().clone();
         self.with_known(|k| {
             for n in k.roster.nodes.iter().filter(|n| n.role == "foreman") {
--- a/crates/drawer/src/lib.rs
+++ b/crates/drawer/src/lib.rs
@@ -104,7 +104,9 @@
         }
         rounds += 1;
         if rounds % 256 == 1 {
-            used.store(db.disk_space().unwrap_or(0), Ordering::Relaxed);
+            let now = db.disk_space().unwrap_or(0);
+            used.store(now, Ordering::Relaxed);
+            tally::set("disk_used_mb", now >> 20);
         }
     }
 }
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -513,7 +513,7 @@
         }
     }
 
-    async fn list(&self) {
+    async fn list(&self, settings: watch::Receiver<Caliper>) {
         #[derive(serde::Deserialize)]
         #[serde(rename_all = "camelCase", default)]
         #[derive(Default)]
@@ -534,13 +534,10 @@
             next_token: Option<String>,
         }
         let chuck = spindle::Chuck::new(Duration::from_millis(self.caliper.constraints.quiet_ms as u64));
-        let addr = self.caliper.platform.address.clone();
         let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
-        if addr.is_empty() {
-            return;
-        }
         loop {
-            if !self.holds_chair() {
+            let addr = settings.borrow().platform.address.clone();
+            if addr.is_empty() || !self.holds_chair() {
                 tokio::time::sleep(period / 4).await;
                 continue;
             }
@@ -681,7 +678,11 @@
 }
 
 /// Runs a foreman until it is told to stop.
-pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
+pub async fn run(
+    caliper: Caliper,
+    mut stop: watch::Receiver<bool>,
+    settings: watch::Receiver<Caliper>,
+) -> Result<(), String> {
     let me = caliper.inner_addr(Role::Foreman);
     let quiet = caliper.constraints.quiet_ms;
     let (mut hard, mut log) = (None::<Hard>, Vec::new());
@@ -764,7 +765,7 @@
     tokio::spawn(dovetail::serve_and_tell(listener, silence, move |b, p| s.handle(b, p), ended));
     tokio::spawn(shop.clone().follow());
     let s = shop.clone();
-    tokio::spawn(async move { s.list().await });
+    tokio::spawn(async move { s.list(settings).await });
     tokio::spawn(turn(shop.clone(), vise, drawer, rx));
     let s = shop.clone();
     let (close, closing) = watch::channel(spindle::Closing::Open);
--- a/crates/lathe/src/jig.rs
+++ b/crates/lathe/src/jig.rs
@@ -1,7 +1,6 @@
 //! The fold: a partition's state as a function of its log alone.
 
 use crate::record::*;
-use bytes::Bytes;
 use dovetail::msg::{Item, Outcome};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -90,6 +89,9 @@
     ended: BTreeSet<(u64, u64)>,
 }
 
+/// What a message takes besides its body, about.
+const PIECE_BYTES: usize = 1024;
+
 fn mix(mut h: u64, v: u64) -> u64 {
     h ^= v;
     h = h.wrapping_mul(0x9e3779b97f4a7c15);
@@ -134,6 +136,11 @@
         mix(mix(sum, self.revision), self.pieces.len() as u64)
     }
 
+    /// Bytes of memory that the messages take, about.
+    pub fn weight(&self) -> usize {
+        self.body_bytes + self.pieces.len() * PIECE_BYTES
+    }
+
     pub fn find(&self, id: &str) -> Option<u64> {
         self.ids.get(id).copied()
     }
@@ -176,7 +183,10 @@
             // A body is owed back only for what has not ended well.
             if let Some(w) = self.pieces.get_mut(&pos) {
                 self.body_bytes -= w.item.body.len();
-                w.item.body = Bytes::new();
+                // What is still asked for: id, host, and where to call back.
+                let item = std::mem::take(&mut w.item);
+                let (id, channel, host, notify_url) = (item.id, item.channel, item.host, item.notify_url);
+                w.item = Item { id, channel, host, notify_url, ..Item::default() };
             }
         }
         self.ended.insert((at, pos));
@@ -288,9 +298,9 @@
             Some(Entry::Stop(s)) => out.push(Change::Stopped(s.clone())),
             Some(Entry::Routes(_)) | None => {}
         }
-        // What ended long enough ago is forgotten; twice the time that it may be asked for.
+        // What ended long enough ago is forgotten: the time that it may be asked for, and a quarter.
         while let Some((ended, p)) = self.ended.first().copied() {
-            if ended + 2 * self.status_ms >= at {
+            if ended + self.status_ms * 5 / 4 >= at {
                 break;
             }
             self.ended.pop_first();
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -36,7 +36,7 @@
     lease_until: u64,
     notified: HashMap<u32, Vec<u64>>,
     leaving: bool,
-    body_limit: usize,
+    memory_limit: usize,
 }
 
 pub struct Toolpost {
@@ -362,9 +362,11 @@
             peg.send(accepted(outcome, 0, ""));
             return;
         }
-        let held: usize = i.mandrels.values().map(|m| m.jig.body_bytes).sum();
-        let disk = self.caliper.limits.disk_mb << 20;
-        if held + a.item.body.len() > i.body_limit || (disk > 0 && self.drawer.used_bytes() > disk * 7 / 10) {
+        let held: usize = i.mandrels.values().map(|m| m.jig.weight()).sum();
+        let rank = self.session.with_known(|k| k.template.channel(&a.item.channel).map_or(0, |c| c.rank));
+        let disk = (self.caliper.limits.disk_mb << 20) as usize;
+        let room = Room { memory: i.memory_limit, disk: disk * 9 / 10 };
+        if !room.admits(rank, held + a.item.body.len(), self.drawer.used_bytes() as usize) {
             tally::count("refused_full");
             peg.send(accepted(AcceptOutcome::Full, 0, ""));
             return;
@@ -769,7 +771,7 @@
                 (i.turret.take_samples(), claims)
             };
             let chair = self.session.with_known(|k| k.chair.clone());
-            let seeds = self.caliper.seed_foremen();
+            let seeds = self.session.order_foremen();
             let addr = if chair.is_empty() { seeds[turn % seeds.len()].clone() } else { chair.clone() };
             turn += 1;
             let l = Lease { node: self.session.me(), samples, claims: claims.clone() };
@@ -884,7 +886,11 @@
 }
 
 /// Runs a lathe until it is told to stop.
-pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
+pub async fn run(
+    caliper: Caliper,
+    mut stop: watch::Receiver<bool>,
+    settings: watch::Receiver<Caliper>,
+) -> Result<(), String> {
     let quiet = caliper.constraints.quiet_ms;
     let silence = Duration::from_millis((quiet / 4.0) as u64);
     let mut metas: BTreeMap<u32, Meta> = BTreeMap::new();
@@ -953,8 +959,8 @@
             lease_until: 0,
             notified: HashMap::new(),
             leaving: false,
-            // Bodies may fill a quarter of the memory.
-            body_limit: (caliper.limits.memory_mb << 20) as usize / 4,
+            // Messages may fill half of the memory.
+            memory_limit: (caliper.limits.memory_mb << 20) as usize / 2,
         }),
         bell: Bell::new(),
         synced,
@@ -969,6 +975,7 @@
     let p = post.clone();
     tokio::spawn(dovetail::serve(listener, silence, move |b, peg| p.handle(b, peg)));
     tokio::spawn(session.clone().keep());
+    tokio::spawn(session.clone().heed(settings));
     tokio::spawn(post.clone().keep_lease());
     let p = post.clone();
     tokio::spawn(async move {
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -48,6 +48,23 @@
     pub hatch_inner: String,
 }
 
+/// What messages may fill of a machine, in bytes.
+#[derive(Clone, Copy)]
+pub struct Room {
+    pub memory: usize,
+    pub disk: usize,
+}
+
+impl Room {
+    /// Whether a message of that rank is taken. The highest rank may use all of
+    /// the room; each lower one a tenth less of the memory, down to a half, and a
+    /// fiftieth less of the disk, most of which is the store's own journals.
+    pub fn admits(&self, rank: u32, memory: usize, disk: usize) -> bool {
+        let rank = rank.min(5) as usize;
+        memory <= self.memory / 10 * (10 - rank) && (self.disk == 0 || disk <= self.disk / 50 * (50 - rank))
+    }
+}
+
 #[derive(Clone, Copy)]
 pub struct TurretPace {
     /// How long told loads hold.
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -146,3 +146,11 @@
         (0..6).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).filter(|u| u.starts_with('n')).collect();
     assert_eq!(got[..2], ["n1", "n1"], "full before the next one gets any");
 }
+
+#[test]
+fn low_ranks_are_turned_away_first() {
+    let room = Room { memory: 1000, disk: 2000 };
+    assert!(room.admits(0, 1000, 2000) && !room.admits(0, 1001, 0) && !room.admits(0, 0, 2001));
+    assert!(room.admits(2, 800, 1920) && !room.admits(2, 850, 0) && !room.admits(2, 0, 1930));
+    assert!(room.admits(9, 500, 0) && !room.admits(9, 501, 0), "half is for all");
+}
--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -58,6 +58,11 @@
     *COUNTERS.lock().unwrap().entry(name).or_insert(0) += n;
 }
 
+/// Sets a value that is measured rather than counted.
+pub fn set(name: &'static str, n: u64) {
+    COUNTERS.lock().unwrap().insert(name, n);
+}
+
 pub fn count(name: &'static str) {
     add(name, 1);
 }
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -69,12 +69,13 @@
     };
     let ended = runtime.block_on(async {
         let (stop, stopped) = watch::channel(false);
-        tokio::spawn(signals(stop, path, cli.log));
+        let (changed, settings) = watch::channel(caliper.clone());
+        tokio::spawn(signals(stop, changed, path, cli.log));
         match cli.command {
             Command::Hatch => hatch::run(caliper, stopped).await,
-            Command::Apprentice => apprentice::run(caliper, stopped).await,
-            Command::Lathe => lathe::run(caliper, stopped).await,
-            _ => foreman::run(caliper, stopped).await,
+            Command::Apprentice => apprentice::run(caliper, stopped, settings).await,
+            Command::Lathe => lathe::run(caliper, stopped, settings).await,
+            _ => foreman::run(caliper, stopped, settings).await,
         }
     });
     match ended {
@@ -88,7 +89,7 @@
 
 /// SIGTERM and SIGINT stop the program in order; SIGHUP, and a file that changed
 /// without one, have the settings read again.
-async fn signals(stop: watch::Sender<bool>, path: String, log: Option<String>) {
+async fn signals(stop: watch::Sender<bool>, changed: watch::Sender<Caliper>, path: String, log: Option<String>) {
     use tokio::signal::unix::{SignalKind, signal};
     let (Ok(mut term), Ok(mut int), Ok(mut hup)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()))
@@ -114,6 +115,7 @@
                 if log.is_none() && !c.log_level.is_empty() {
                     tally::set_level(&c.log_level);
                 }
+                let _ = changed.send(c);
             }
             Err(e) => tally::error!("{e}; the old values stay in force"),
         }
