Give out first what can still begin inside its aim

Cause: a backlog was worked off oldest first, so after an outage or an overload every message waited behind those that were late already, and all became late. Now the oldest of those that can still begin in time goes first; late ones get every fourth turn and whatever is left. Order keys are not touched: only their heads are queued. Ruled out: a longer probe pause at the endpoint (back within 1.5 s).

--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -540,7 +540,9 @@
         let mut touched = HashSet::new();
         for name in i.turret.plants_ready() {
             let Some(plant) = known.template.plant(&name) else { continue };
-            while let Some(k) = i.turret.first_ready(&name) {
+            let aims = known.template.channels.iter().filter(|c| c.plant == name).map(|c| c.start_setpoint_ms);
+            let aim = aims.fold(f64::MAX, f64::min) as u64;
+            while let Some(k) = i.turret.first_ready(&name, wall, aim) {
                 if i.asking.contains(&k.0) || i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
                     // Taken over or moving: another look comes with the next step.
                     i.turret.unqueue(k);
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -86,6 +86,7 @@
     buckets: HashMap<String, Bucket>,
     coins: HashMap<String, f64>,
     pauses: HashMap<Key, u32>,
+    turns: HashMap<String, u32>,
     samples: HashMap<(String, String, String), Sample>,
     pub roster: Arc<Roster>,
     by_plant: HashMap<String, Vec<Unit>>,
@@ -119,6 +120,7 @@
             buckets: HashMap::new(),
             coins: HashMap::new(),
             pauses: HashMap::new(),
+            turns: HashMap::new(),
             samples: HashMap::new(),
             roster: Arc::default(),
             by_plant: HashMap::new(),
@@ -188,8 +190,17 @@
         self.ready.iter().filter(|(_, q)| !q.is_empty()).map(|(p, _)| p.clone()).collect()
     }
 
-    pub fn first_ready(&self, plant: &str) -> Option<Key> {
-        self.ready.get(plant)?.first().map(|(_, k)| *k)
+    /// The message of a plant that is to go next: the oldest of those that can
+    /// still begin inside their aim. What is late already is late however long
+    /// it waits; it gets every fourth turn, and all that the others leave.
+    pub fn first_ready(&self, plant: &str, wall: u64, aim_ms: u64) -> Option<Key> {
+        let queue = self.ready.get(plant)?;
+        let oldest = queue.first()?;
+        let line = wall.saturating_sub(aim_ms);
+        if oldest.0 >= line || self.turns.get(plant).copied().unwrap_or(0) % 4 == 3 {
+            return Some(oldest.1);
+        }
+        Some(queue.range((line, (0, 0))..).next().unwrap_or(oldest).1)
     }
 
     pub fn unqueue(&mut self, key: Key) {
@@ -355,6 +366,8 @@
 
     pub fn launch(&mut self, key: Key, choice: &Choice, channel: &Channel, until: u64) {
         self.unqueue(key);
+        let turn = self.turns.entry(channel.plant.clone()).or_insert(0);
+        *turn = turn.wrapping_add(1);
         self.units.entry(choice.unit.clone()).or_default().flights += 1;
         let flight = Flight {
             plant: channel.plant.clone(),
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -154,3 +154,34 @@
     assert!(room.admits(2, 800, 1920) && !room.admits(2, 850, 0) && !room.admits(2, 0, 1930));
     assert!(room.admits(9, 500, 0) && !room.admits(9, 501, 0), "half is for all");
 }
+
+#[test]
+fn what_can_still_begin_in_time_goes_before_what_is_late() {
+    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    for (pos, age) in [(1, 1000), (2, 1100), (3, 5000), (4, 5100)] {
+        t.ready((0, pos), "p", age);
+    }
+    let mut order = vec![];
+    while let Some(k) = t.first_ready("p", 5500, 1000) {
+        let c = t.choose(&plant(), 1000).expect("room");
+        t.launch(k, &c, &channel(), 9999);
+        t.land(k);
+        order.push(k.1);
+    }
+    assert_eq!(order, [3, 4, 1, 2]);
+    // Fresh ones keep coming: every fourth turn still goes to the oldest.
+    t.ready((0, 9), "p", 1000);
+    let mut turns = 0;
+    for pos in 10..20 {
+        t.ready((0, pos), "p", 5400);
+        let k = t.first_ready("p", 5500, 1000).expect("some");
+        if k.1 == 9 {
+            break;
+        }
+        turns += 1;
+        let c = t.choose(&plant(), 1000).expect("room");
+        t.launch(k, &c, &channel(), 9999);
+        t.land(k);
+    }
+    assert!(turns < 4);
+}
