Play the whole system on loopback; ask idle followers where they are

Cause: the test of the whole system stopped a store machine whose partition was idle. It came back holding everything and was never counted in again, as the owner had nothing to send and so never heard from it. A node that is to be in sync and is not is now asked where it is. Ruled out: the proof of a match (never got so far).

--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -998,8 +998,11 @@
         for n in names {
             let commit = self.commit;
             let again = self.pace.again;
+            // One that is to be in sync and is not is asked where it is, even
+            // when there is nothing to send.
+            let out_of_sync = !self.insync.contains(&n) && !self.joining.contains_key(&n);
             let p = self.peers.entry(n.clone()).or_insert_with(|| Peer { heard: now, ..Peer::default() });
-            if p.acked < end && now > p.heard.max(p.resent) + again {
+            if (p.acked < end || out_of_sync) && now > p.heard.max(p.resent) + again {
                 // Lost on the way, or the node is new here: say where we are.
                 p.resent = now;
                 p.snapshot = 0;
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -520,3 +520,19 @@
     assert!(sent <= lacked + 100, "{sent} entries sent for {lacked} that were lacking");
     assert_eq!(w.nodes["b"].end(), w.nodes["a"].end());
 }
+
+#[test]
+fn a_follower_of_an_idle_partition_joins_again() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.pass(1000);
+    // It leaves in order, holding everything, and starts again. Nothing is written meanwhile.
+    w.chart.insync = vec!["a".into()];
+    w.tell();
+    w.crash("b");
+    w.pass(1000);
+    assert_eq!(w.chart.insync, vec!["a", "b"]);
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.pass(1500);
+    assert_eq!(w.owner(), "b", "and can be moved to");
+}
--- /dev/null
+++ b/crates/willowslip/tests/whole.rs
@@ -0,0 +1,263 @@
+//! The whole system on loopback: three foremen, three lathes, a front machine and
+//! a stand-in endpoint; a store machine is stopped, and another one killed.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
+
+struct System {
+    dir: PathBuf,
+    base: u16,
+    children: HashMap<String, Child>,
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for c in self.children.values_mut() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl System {
+    fn new() -> System {
+        // Machines are 127.0.0.2 to .8, all with the same ports.
+        let from = 40_000 + (std::process::id() % 500) as u16 * 20;
+        let free =
+            |b: &u16| (2..9).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
+        let base = (from..65_000).step_by(20).find(free).expect("free ports");
+        let dir = std::env::temp_dir().join(format!("willowslip-whole-{}", std::process::id()));
+        System { dir, base, children: HashMap::new() }
+    }
+
+    /// Starts a program on a machine; `first` is the system's very first start.
+    fn start(&mut self, role: &str, machine: u8, first: bool) {
+        let (b, ip) = (self.base, format!("127.0.0.{machine}"));
+        let name = format!("{role}-{machine}");
+        let data = self.dir.join(&name);
+        std::fs::create_dir_all(&data).expect("a folder");
+        let node = if role == "apprentice" { format!("hatch-{machine}") } else { name.clone() };
+        let listen = match role {
+            "foreman" => format!("control = \"{ip}:{}\"", b + 4),
+            "hatch" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", b + 5, b + 6),
+            _ => String::new(),
+        };
+        let seeds: Vec<String> = (2..5).map(|m| format!("\"127.0.0.{m}:{}\"", b + 4)).collect();
+        let settings = format!(
+            "node = \"{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\nportRange = [{b}, {}]\nseeds = [{}]\ninitialStart = {first}\n\
+             dataDir = \"{}\"\n[listen]\n{listen}\n[limits]\nmemoryMb = 200\ndiskMb = 200\n[tolerance]\nmachines = 1\n\
+             [constraints]\nquietMs = 4000\nackMs = 5000\ngraceS = 6\nsettleS = 4\ndrainMs = 3000\nconvergeMs = 3000\n\
+             rollbackMs = 5000\nstatusS = 60\nnotifyS = 5\npeakWindowS = 5\nexposure = 0.1\n",
+            machine % 3,
+            b + 3,
+            seeds.join(","),
+            data.display()
+        );
+        let path = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&path, settings).expect("settings written");
+        let log = std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")));
+        let child = Command::new(BIN)
+            .arg(role)
+            .env("WILLOWSLIP_SETTINGS", &path)
+            .stderr(Stdio::from(log.expect("a log file")))
+            .spawn()
+            .expect("it starts");
+        self.children.insert(name, child);
+    }
+
+    fn end(&mut self, name: &str, signal: &str) {
+        let mut c = self.children.remove(name).expect("it runs");
+        let done = Command::new("kill").args([signal, &c.id().to_string()]).status().expect("kill runs");
+        assert!(done.success());
+        let ended = c.wait().expect("it ends");
+        assert!(signal == "-KILL" || ended.success(), "{name}: {ended}");
+    }
+
+    fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    fn front(&self) -> String {
+        format!("127.0.0.8:{}", self.base + 5)
+    }
+
+    fn ctl(&self, args: &[&str]) -> Option<serde_json::Value> {
+        let at = format!("127.0.0.2:{},127.0.0.3:{}", self.base + 4, self.base + 4);
+        let o = Command::new(BIN).args(["ctl", "--json", "--at", &at]).args(args).output().expect("it runs");
+        o.status.success().then(|| serde_json::from_slice(&o.stdout).ok()).flatten()
+    }
+
+    /// All partitions are held by the lathes that are to hold them.
+    fn whole(&self) -> bool {
+        let Some(s) = self.ctl(&["status"]) else { return false };
+        s["partitions"].as_array().is_some_and(|ps| {
+            !ps.is_empty()
+                && ps.iter().all(|p| {
+                    p["homes"].as_array().is_some_and(|h| {
+                        h.len() == 2 && h.iter().all(|n| p["insync"].as_array().is_some_and(|i| i.contains(n)))
+                    }) && p["owner"] == p["homes"][0]
+                })
+        })
+    }
+}
+
+fn until(what: &str, f: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(60);
+    while !f() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn call(addr: &str, request: &str) -> Option<(u16, String)> {
+    let mut s = TcpStream::connect(addr).ok()?;
+    s.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    s.write_all(request.as_bytes()).ok()?;
+    let mut all = String::new();
+    s.read_to_string(&mut all).ok()?;
+    let status = all.split(' ').nth(1)?.parse().ok()?;
+    Some((status, all))
+}
+
+/// An endpoint that notes what it ran, in order, and the call-backs it got.
+fn endpoint(ran: Arc<Mutex<Vec<String>>>, told: Arc<Mutex<Vec<String>>>) -> String {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = l.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        for s in l.incoming().flatten() {
+            let (ran, told) = (ran.clone(), told.clone());
+            std::thread::spawn(move || {
+                let mut r = BufReader::new(s);
+                loop {
+                    let (mut head, mut length, mut id) = (String::new(), 0, String::new());
+                    let mut line = String::new();
+                    while r.read_line(&mut line).unwrap_or(0) > 2 {
+                        let (n, v) = line.trim().split_once(": ").unwrap_or((line.trim(), ""));
+                        match n.to_ascii_lowercase().as_str() {
+                            "content-length" => length = v.parse().unwrap_or(0),
+                            "x-attempt-id" => id = v.to_owned(),
+                            _ if head.is_empty() => head = line.clone(),
+                            _ => {}
+                        }
+                        line.clear();
+                    }
+                    let mut body = vec![0; length];
+                    if head.is_empty() || r.read_exact(&mut body).is_err() {
+                        return;
+                    }
+                    if head.starts_with("POST /done") {
+                        told.lock().expect("no panic").push(String::from_utf8_lossy(&body).into_owned());
+                    } else {
+                        ran.lock().expect("no panic").push(id.clone());
+                    }
+                    let answer = format!("HTTP/1.1 200 OK\r\nX-Seal: s-{id}\r\nContent-Length: 2\r\n\r\nok");
+                    if r.get_mut().write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[test]
+fn messages_survive_a_stopped_and_a_killed_store_machine() {
+    let (ran, told) = (Arc::new(Mutex::new(vec![])), Arc::new(Mutex::new(vec![])));
+    let server = endpoint(ran.clone(), told.clone());
+    let mut s = System::new();
+    for m in 2..5 {
+        s.start("foreman", m, true);
+    }
+    for m in 5..8 {
+        s.start("lathe", m, true);
+    }
+    s.start("hatch", 8, true);
+    s.start("apprentice", 8, true);
+    let config = format!(
+        r#"{{"revision": 1, "channels": [{{"name": "r", "host": "h", "prefix": "/m/", "mode": "deferred", "cutoffMs": 1000,
+        "setpointMs": 1000, "plant": "e", "tries": 3, "sequenced": true, "retainS": 60, "notify": true, "startSetpointMs": 1000}}],
+        "plants": [{{"name": "e", "connLimit": 10, "endpoint": "{server}"}}], "limits": {{}}}}"#
+    );
+    let file = s.dir.join("config.json");
+    std::fs::write(&file, config).expect("written");
+    until("configuration", || s.ctl(&["config", "replace", &file.display().to_string()]).is_some());
+    until("ready", || {
+        call(&format!("127.0.0.8:{}", s.base + 6), "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+            .is_some_and(|r| r.0 == 200)
+    });
+    until("whole", || s.whole());
+
+    let mut names: Vec<(String, String)> = vec![];
+    let front = s.front();
+    let mut send = |n: usize| {
+        let id = format!("m{n:04}");
+        let request = format!(
+            "POST /m/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nX-Order-Key: k{}\r\nX-Notify-Url: http://{server}/done\r\n\
+             Content-Length: 4\r\nConnection: close\r\n\r\nbody",
+            n % 7
+        );
+        let got = call(&front, &request);
+        if let Some((202, text)) = &got {
+            let name = text.lines().find_map(|l| l.strip_prefix("X-Message-Name: ")).expect("named");
+            names.push((id, name.to_owned()));
+        }
+        got.map_or(0, |g| g.0)
+    };
+    for n in 0..100 {
+        assert_eq!(send(n), 202, "message {n}");
+    }
+    // Stopped in order: everything passes by splice, and nobody notices.
+    s.end("lathe-5", "-TERM");
+    for n in 100..200 {
+        assert_eq!(send(n), 202, "message {n}");
+    }
+    let log = s.log("lathe-5");
+    assert!(log.contains("stopped at") && log.contains("left after"), "{log}");
+    assert!(["lathe-6", "lathe-7"].iter().any(|l| s.log(l).contains("spliced at")));
+    s.start("lathe", 5, false);
+    until("whole again", || s.whole());
+    // Killed: seized by those in sync.
+    s.end("lathe-6", "-KILL");
+    let taken = (200..300).filter(|n| send(*n) == 202).count();
+    assert!(taken > 50, "{taken} of 100 taken around the loss");
+    s.start("lathe", 6, false);
+    until("whole after the loss", || s.whole());
+    assert!(["lathe-5", "lathe-7"].iter().any(|l| s.log(l).contains("seized")));
+
+    until("all are settled", || {
+        names.iter().all(|(_, name)| {
+            let r = format!("GET /message/{name} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            call(&front, &r).is_some_and(|(_, t)| t.contains("\"settled\""))
+        })
+    });
+    let ran = ran.lock().expect("no panic").clone();
+    for k in 0..7 {
+        let of_key = |id: &str| id[1..].parse::<usize>().is_ok_and(|n| n % 7 == k);
+        let mut firsts: Vec<&String> = vec![];
+        for id in ran.iter().filter(|id| of_key(id)) {
+            if !firsts.contains(&id) {
+                firsts.push(id);
+            }
+        }
+        assert!(firsts.is_sorted(), "out of order for key {k}: {firsts:?}");
+    }
+    for (id, _) in &names {
+        assert!(ran.contains(id), "{id} was taken and never ran");
+    }
+    until("all call-backs", || {
+        let told = told.lock().expect("no panic");
+        names.iter().all(|(id, _)| told.iter().any(|t| t.contains(id) && t.contains("settled")))
+    });
+    for l in ["lathe-5", "lathe-6", "lathe-7"] {
+        assert!(!s.log(l).contains("ALARM"), "{l}");
+    }
+}
