Freeze, retire and lose the chair on loopback; clocks that step end nothing

The store machines carry the time of day on by the steady clock from their start: a stepped clock would have ended messages by their retention, or made delayed ones due. The test of the whole system freezes a store machine until it is succeeded and wakes it, kills the foreman in the chair, and retires a machine.

--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -664,8 +664,8 @@
                 if self.commit == self.end() {
                     let splice = self.end() + 1;
                     let stop = Entry::Stop(Stop { splice, term, candidate: m.candidate, insync });
-                    let at_ms = tally::wall_ms();
-                    self.put(&Record { at_ms, entry: Some(stop) }, now, out);
+                    // The seam itself has no time: what is folded has it from records before.
+                    self.put(&Record { at_ms: 0, entry: Some(stop) }, now, out);
                     self.set_phase(Phase::Marked { at: splice });
                     self.flush(now, out);
                     self.advance(now, out);
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -48,6 +48,7 @@
     bell: Bell,
     synced: mpsc::UnboundedSender<(u32, u64, u64)>,
     start: Instant,
+    start_wall: u64,
 }
 
 fn key(kind: u8, partition: u32, n: u64) -> Vec<u8> {
@@ -62,6 +63,12 @@
         self.start.elapsed().as_millis() as u64 + 1_000_000
     }
 
+    /// The time of day as this process found it at its start, carried on by the
+    /// steady clock: a step of the clock neither ends messages nor makes them due.
+    fn wall(&self) -> u64 {
+        self.start_wall + self.start.elapsed().as_millis() as u64
+    }
+
     fn ratio(&self, part: f64) -> u64 {
         (self.caliper.constraints.quiet_ms / part) as u64
     }
@@ -162,7 +169,7 @@
 
     /// The fold moved: answer who waited, and schedule.
     fn folded(self: &Arc<Self>, i: &mut Inside, partition: u32, changes: Vec<Change>) {
-        let wall = tally::wall_ms();
+        let wall = self.wall();
         for c in changes {
             match c {
                 Change::Accepted(pos) => {
@@ -281,7 +288,7 @@
                 i.turret.adopt((partition, pos), c, &w.unit, &hatch, until);
             }
         }
-        let wall = tally::wall_ms();
+        let wall = self.wall();
         let pending: Vec<u64> = m.jig.pending.iter().copied().collect();
         let owed: Vec<u64> = m.jig.pieces.iter().filter(|(_, w)| w.owes_notice()).map(|(p, _)| *p).collect();
         for pos in pending {
@@ -373,7 +380,7 @@
         }
         let id = a.item.id.clone();
         let record = Record {
-            at_ms: tally::wall_ms(),
+            at_ms: self.wall(),
             entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })),
         };
         let mut position = None;
@@ -396,7 +403,7 @@
     fn report(self: &Arc<Self>, i: &mut Inside, r: Report, peg: Peg) {
         let k = (r.partition, r.position);
         let now = self.now();
-        let wall = tally::wall_ms();
+        let wall = self.wall();
         if i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
             peg.send(Body::ReportAck(ReportAck { kept: false }));
             return;
@@ -518,7 +525,7 @@
     /// Gives out what can be given out.
     fn pump(self: &Arc<Self>) -> u64 {
         let now = self.now();
-        let wall = tally::wall_ms();
+        let wall = self.wall();
         let known = self.session.known();
         let mut guard = self.inside.lock().unwrap();
         let i = &mut *guard;
@@ -636,7 +643,7 @@
         let i = &mut *i;
         if i.turret.flights.get(&k).is_some_and(|f| f.hatch == choice.hatch) {
             i.turret.land(k);
-            i.turret.later(k, tally::wall_ms() + self.ratio(200.0));
+            i.turret.later(k, self.wall() + self.ratio(200.0));
             self.bell.notify_one();
         }
     }
@@ -684,7 +691,7 @@
                 } else {
                     tally::count("call_backs_missed");
                     let pause = i.turret.pause(k);
-                    i.turret.notices.push_back((tally::wall_ms() + pause, k));
+                    i.turret.notices.push_back((post.wall() + pause, k));
                 }
                 post.bell.notify_one();
             });
@@ -693,7 +700,7 @@
     }
 
     fn tick(self: &Arc<Self>, rounds: u64) {
-        let wall = tally::wall_ms();
+        let wall = self.wall();
         let known = self.session.known();
         let mut guard = self.inside.lock().unwrap();
         let i = &mut *guard;
@@ -812,7 +819,7 @@
         let begun = Instant::now();
         self.session.set_leaving();
         self.inside.lock().unwrap().leaving = true;
-        let wall = tally::wall_ms();
+        let wall = self.wall();
         while begun.elapsed() < limit {
             let mut owned = 0;
             {
@@ -967,6 +974,7 @@
         bell: Bell::new(),
         synced,
         start: Instant::now(),
+        start_wall: tally::wall_ms(),
         session: session.clone(),
         bench,
         drawer,
--- a/crates/willowslip/tests/whole.rs
+++ b/crates/willowslip/tests/whole.rs
@@ -1,5 +1,5 @@
 //! The whole system on loopback: three foremen, three lathes, a front machine and
-//! a stand-in endpoint; a store machine is stopped, and another one killed.
+//! a stand-in endpoint; store machines are stopped, killed, frozen and retired.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -81,6 +81,21 @@
         assert!(signal == "-KILL" || ended.success(), "{name}: {ended}");
     }
 
+    fn signal(&self, name: &str, signal: &str) {
+        let id = self.children[name].id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().is_ok_and(|s| s.success()));
+    }
+
+    fn in_chair(&self, machine: u8) -> bool {
+        let at = format!("127.0.0.{machine}:{}", self.base + 4);
+        let o = Command::new(BIN).args(["ctl", "--json", "--within", "1", "--at", &at, "status"]).output();
+        o.is_ok_and(|o| String::from_utf8_lossy(&o.stdout).contains("\"inChair\":true"))
+    }
+
+    fn any_foreman(&self, line: &str) -> bool {
+        (2..5).any(|m| self.log(&format!("foreman-{m}")).contains(line))
+    }
+
     fn log(&self, name: &str) -> String {
         std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
     }
@@ -170,7 +185,7 @@
 }
 
 #[test]
-fn messages_survive_a_stopped_and_a_killed_store_machine() {
+fn messages_survive_stops_losses_freezes_and_a_retired_machine() {
     let (ran, told) = (Arc::new(Mutex::new(vec![])), Arc::new(Mutex::new(vec![])));
     let server = endpoint(ran.clone(), told.clone());
     let mut s = System::new();
@@ -229,9 +244,31 @@
     s.end("lathe-6", "-KILL");
     let taken = (200..300).filter(|n| send(*n) == 202).count();
     assert!(taken > 50, "{taken} of 100 taken around the loss");
+    until("seized", || ["lathe-5", "lathe-7"].iter().any(|l| s.log(l).contains("seized")));
     s.start("lathe", 6, false);
     until("whole after the loss", || s.whole());
-    assert!(["lathe-5", "lathe-7"].iter().any(|l| s.log(l).contains("seized")));
+
+    // Frozen until another one owns what it had; when it wakes, nothing of its own counts.
+    s.signal("lathe-7", "-STOP");
+    let taken = (300..400).filter(|n| send(*n) == 202).count();
+    assert!(taken > 50, "{taken} of 100 taken around the freeze");
+    until("seized", || s.any_foreman("seized from lathe-7"));
+    s.signal("lathe-7", "-CONT");
+    until("whole after the freeze", || s.whole());
+    // The chair is lost, and then a machine is emptied.
+    let chair = (2..5).find(|m| s.in_chair(*m)).expect("a chair");
+    s.end(&format!("foreman-{chair}"), "-KILL");
+    until("another chair", || (2..5).any(|m| m != chair && s.in_chair(m)));
+    assert_eq!(send(400), 202);
+    s.start("foreman", chair, false);
+    assert!(s.ctl(&["retire", "start", "nowhere"]).is_none());
+    until("retire", || s.ctl(&["retire", "start", "lathe-5"]).is_some());
+    until("retired", || s.ctl(&["retire", "read", "lathe-5"]).is_some_and(|r| r["state"] == "settled"));
+    s.end("lathe-5", "-KILL");
+    assert!(s.ctl(&["retire", "start", "lathe-6"]).is_none(), "too few would be left");
+    for n in 401..500 {
+        assert_eq!(send(n), 202, "message {n}");
+    }
 
     until("all are settled", || {
         names.iter().all(|(_, name)| {
