Leave a quarter of the aim for the way when choosing what goes first

Cause: under overload the oldest message still inside its aim was always one that was only just so, and began too late by the time it arrived. Ruled out: newest first (loses more of what could be had at light overload).

--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -196,7 +196,9 @@
     pub fn first_ready(&self, plant: &str, wall: u64, aim_ms: u64) -> Option<Key> {
         let queue = self.ready.get(plant)?;
         let oldest = queue.first()?;
-        let line = wall.saturating_sub(aim_ms);
+        // A quarter of the aim is left for the way: one that is only just in time
+        // here begins too late there, and under load all would be such.
+        let line = wall.saturating_sub(aim_ms * 3 / 4);
         if oldest.0 >= line || self.turns.get(plant).copied().unwrap_or(0) % 4 == 3 {
             return Some(oldest.1);
         }
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -185,3 +185,11 @@
     }
     assert!(turns < 4);
 }
+
+#[test]
+fn one_that_is_only_just_in_time_is_late() {
+    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    t.ready((0, 1), "p", 4550);
+    t.ready((0, 2), "p", 4800);
+    assert_eq!(t.first_ready("p", 5500, 1000), Some((0, 2)), "950 ms of 1,000 are over for the first");
+}
