Judge a version slower only by more than the way there

A difference under a tenth of revertSlackMs is no verdict now. Ruled out: failures (none), cold processors (their other routes were level).

--- a/crates/foreman/src/plumb.rs
+++ b/crates/foreman/src/plumb.rs
@@ -69,21 +69,24 @@
         ((exposure * 600.0) as u32).clamp(5, 1000)
     }
 
-    fn fault(&self) -> Option<String> {
+    /// What is wrong, if anything. Differences of less than `least_ms` on the way
+    /// are the network's, not a version's.
+    fn fault(&self, least_ms: f64) -> Option<String> {
         for (channel, n) in &self.new {
             let o = self.old.get(channel).copied().unwrap_or_default();
             if n.runs() >= 6.0 && n.bad >= 3.0 && n.bad_share() > (3.0 * o.bad_share()).max(o.bad_share() + 0.12) {
                 return Some(format!("{:.0}% failures against {:.0}%", n.bad_share() * 100.0, o.bad_share() * 100.0));
             }
-            if n.good >= 8.0 && o.good >= 8.0 && n.mean() > 2.3 * o.mean() {
+            let slower = n.mean() > 2.3 * o.mean() && n.mean() > o.mean() + least_ms;
+            if n.good >= 8.0 && o.good >= 8.0 && slower {
                 return Some(format!("{:.0} ms against {:.0} ms", n.mean(), o.mean()));
             }
         }
         None
     }
 
-    pub fn advise(&mut self, r: &Rollout, now_ms: u64, linger_ms: u64) -> Advice {
-        if let Some(why) = self.fault() {
+    pub fn advise(&mut self, r: &Rollout, now_ms: u64, linger_ms: u64, least_ms: f64) -> Advice {
+        if let Some(why) = self.fault(least_ms) {
             return Advice::Revert(why);
         }
         let part = now_ms.saturating_sub(r.began_ms) as f64 / r.within_ms.max(1) as f64;
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -488,7 +488,7 @@
                 let p = f.plumbs.entry(r.plant.clone()).or_default();
                 let mut now = r.clone();
                 now.spent = now.spent.max(p.sent_new);
-                match p.advise(r, wall, linger) {
+                match p.advise(r, wall, linger, self.caliper.constraints.revert_slack_ms / 10.0) {
                     Advice::Wait => continue,
                     Advice::Share(s) => now.share = s,
                     Advice::Settle => now.state = "settled".into(),
