Judge new versions on warm processors and by more than chance

Trials were packed on processors that were still cold, runs of several owners waited for one another there, and three failures of six runs were enough. Trials wait for warm processors, slower means 2.8 times, and five failures are needed on a route. Ruled out: the time to raise the share (always 11 to 13 s of 15).

--- a/crates/foreman/src/plumb.rs
+++ b/crates/foreman/src/plumb.rs
@@ -46,6 +46,11 @@
 /// Steps of the share, in thousandths, and the part of the time at which each may begin.
 const STEPS: [(u32, f64); 3] = [(250, 0.40), (600, 0.50), (1000, 0.58)];
 const SETTLE_FROM: f64 = 0.70;
+/// A trial's runs are packed and may wait for one another; a bad version is
+/// several times slower than that.
+const SLOWER: f64 = 2.8;
+/// Fewer failures than this on a route may be chance.
+const LEAST_BAD: f64 = 5.0;
 
 impl Plumb {
     pub fn add(&mut self, target: &str, s: &Sample) {
@@ -74,10 +79,10 @@
     fn fault(&self, least_ms: f64) -> Option<String> {
         for (channel, n) in &self.new {
             let o = self.old.get(channel).copied().unwrap_or_default();
-            if n.runs() >= 6.0 && n.bad >= 3.0 && n.bad_share() > (3.0 * o.bad_share()).max(o.bad_share() + 0.12) {
+            if n.bad >= LEAST_BAD && n.bad_share() > (3.0 * o.bad_share()).max(o.bad_share() + 0.15) {
                 return Some(format!("{:.0}% failures against {:.0}%", n.bad_share() * 100.0, o.bad_share() * 100.0));
             }
-            let slower = n.mean() > 2.3 * o.mean() && n.mean() > o.mean() + least_ms;
+            let slower = n.mean() > SLOWER * o.mean() && n.mean() > o.mean() + least_ms;
             if n.good >= 8.0 && o.good >= 8.0 && slower {
                 return Some(format!("{:.0} ms against {:.0} ms", n.mean(), o.mean()));
             }
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -336,7 +336,8 @@
     /// The first of a version's processors, by id, that has room: every owner
     /// comes to the same one.
     fn packed<'a>(&self, units: &'a [Unit], now: u64, revision: &str) -> Option<&'a Unit> {
-        units.iter().filter(|u| !u.draining && u.revision == revision).find(|u| {
+        // Cold ones are slow for a while: they would be judged for that.
+        units.iter().filter(|u| !u.draining && !u.cold && u.revision == revision).find(|u| {
             let (load, s) = self.load(&u.id, now);
             now >= s.shut_until && load < if s.failures > 0 { 1 } else { u.capacity.max(1) }
         })
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -145,6 +145,12 @@
     let got: Vec<String> =
         (0..6).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).filter(|u| u.starts_with('n')).collect();
     assert_eq!(got[..2], ["n1", "n1"], "full before the next one gets any");
+    let r =
+        Rollout { plant: "p".into(), target: "v2".into(), state: "running".into(), share: 900, ..Rollout::default() };
+    let cold = Unit { cold: true, ..unit("n1", "x", "v2") };
+    let mut t = turret(vec![cold, unit("o1", "x", "v1")], vec![r]);
+    let got: Vec<String> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).collect();
+    assert_eq!(got, ["o1", "o1"], "nothing is tried on what is still cold");
 }
 
 #[test]
