Hold the foremen's word safely: voters in the log, a checksummed disk, dated authority

Changes: - Voters stand in the majority log and change one at a time; a lost voter is replaced by a newcomer that could vote at once; there are 2 x tolerance + 1 of them. - The chair's authority is a time that is compared with the clock whenever it is used. - A voter that came back waits an election time before it votes. - What nodes say of themselves is ordered by life and leaving, not by arrival; a chair that remembers no roster publishes none until nodes have told theirs, and one that has not listed processors does not empty anybody's list. - What cannot be decoded ends the program with a clear line. - drawer is a checksummed log of segments; a disk that refuses is tried again, not left. - A follower's end behind the owner's log no longer ends the owner's process.

--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -42,7 +42,14 @@
         if let Some(r) = &news.roster
             && r.version > self.roster.version
         {
-            self.roster = Arc::new(r.clone());
+            let mut r = r.clone();
+            if !r.listed && self.roster.listed {
+                // From a chair that could not ask the platform yet: that is no
+                // news of processors.
+                r.units = self.roster.units.clone();
+                r.listed = true;
+            }
+            self.roster = Arc::new(r);
             moved = true;
         }
         if !news.chair.is_empty() && news.chair != self.chair {
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -360,6 +360,9 @@
     pub term: u64,
     #[prost(bytes = "bytes", tag = "3")]
     pub data: Bytes,
+    /// Who votes from this entry on; empty: as before.
+    #[prost(string, repeated, tag = "4")]
+    pub voters: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -390,6 +393,7 @@
     /// Only asks whether it would be elected.
     #[prost(bool, tag = "11")]
     pub trial: bool,
+    /// With `Install`: who voted as of that state.
     #[prost(string, repeated, tag = "12")]
     pub voters: Vec<String>,
     /// Numbers appends, to tell rounds apart.
--- a/crates/drawer/src/lib.rs
+++ b/crates/drawer/src/lib.rs
@@ -1,15 +1,46 @@
-//! Keys and values on disk, written by a thread of its own with group commit:
-//! whatever waits is written as one batch with one sync.
+//! Keys and values on disk, in a checksummed log of segments, written by a
+//! thread of its own with group commit: whatever waits becomes one batch and
+//! one sync.
+//!
+//! What holds after a loss of power:
+//! - A batch counts once a sync that came after it has succeeded, and `done` is
+//!   called only then. What a power loss leaves of later batches is missing or
+//!   torn; the reader stops at the first batch that is not whole, cuts the rest
+//!   off and syncs, before anything is read to the caller.
+//! - A segment is synced before the next one is begun, so a batch that is there
+//!   has all before it. A gap in the numbers of the batches is damage, and the
+//!   folder is refused.
+//! - Segments are removed oldest first, each with a sync of the folder before the
+//!   next, so that a removal which is lost brings nothing back that a later
+//!   segment does not overrule.
 
+mod store;
 use bytes::Bytes;
-use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
+use std::time::{Duration, Instant};
+pub use store::Store;
 
+/// All keys are this long.
+pub const KEY: usize = 13;
+pub type Key = [u8; KEY];
+
+/// A kind, a partition (or 0), and a number.
+pub fn key(kind: u8, partition: u32, n: u64) -> Key {
+    let mut k = [0; KEY];
+    k[0] = kind;
+    k[1..5].copy_from_slice(&partition.to_be_bytes());
+    k[5..].copy_from_slice(&n.to_be_bytes());
+    k
+}
+
+#[derive(Clone, Debug)]
 pub enum Op {
-    Put(Vec<u8>, Bytes),
-    Del(Vec<u8>),
+    Put(Key, Bytes),
+    Del(Key),
+    /// All keys from the first to the last.
+    DelRange(Key, Key),
 }
 
 type Done = Box<dyn FnOnce() + Send>;
@@ -19,40 +50,38 @@
     done: Option<Done>,
 }
 
+struct Shared {
+    used: AtomicU64,
+    start: Instant,
+    /// When the oldest write that has not come back began, in milliseconds; 0: none.
+    since: AtomicU64,
+}
+
 /// A handle to the disk thread.
 #[derive(Clone)]
 pub struct Drawer {
     tx: mpsc::Sender<Job>,
-    used: Arc<AtomicU64>,
+    shared: Arc<Shared>,
 }
 
 impl Drawer {
-    /// Opens the folder, hands every stored pair to `read` in key order, and
+    /// Opens the folder, hands every stored pair to `read` (in no order), and
     /// starts the thread. Sized by the machine's disk and memory.
     pub fn open(dir: &str, disk_mb: u64, memory_mb: u64, mut read: impl FnMut(&[u8], &[u8])) -> Result<Drawer, String> {
-        let memtable = (disk_mb.min(memory_mb) << 20) / 16;
-        let db = Database::builder(dir)
-            .cache_size((memory_mb << 20) / 64)
-            .max_journaling_size(((disk_mb << 20) / 2).max(64 << 20))
-            .worker_threads(1)
-            .manual_journal_persist(true)
-            .open()
-            .map_err(|e| format!("{dir}: {e}"))?;
-        let space = db
-            .keyspace("log", move || KeyspaceCreateOptions::default().max_memtable_size(memtable))
+        let store = Store::open(dir, (disk_mb << 20) / 24, (memory_mb << 20) as usize / 8, &mut read)
             .map_err(|e| format!("{dir}: {e}"))?;
-        for item in space.iter() {
-            let (k, v) = item.into_inner().map_err(|e| format!("{dir}: {e}"))?;
-            read(&k, &v);
-        }
         let (tx, rx) = mpsc::channel();
-        let used = Arc::new(AtomicU64::new(0));
-        let u = used.clone();
+        let shared = Arc::new(Shared {
+            used: AtomicU64::new(store.used_bytes()),
+            start: Instant::now(),
+            since: AtomicU64::new(0),
+        });
+        let s = shared.clone();
         std::thread::Builder::new()
             .name("drawer".into())
-            .spawn(move || write_all(db, space, rx, u))
+            .spawn(move || write_all(store, rx, s))
             .map_err(|e| e.to_string())?;
-        Ok(Drawer { tx, used })
+        Ok(Drawer { tx, shared })
     }
 
     /// Writes all of it or nothing; `done` runs on the disk thread once it is durable.
@@ -60,53 +89,57 @@
         let _ = self.tx.send(Job { ops, done: Some(Box::new(done)) });
     }
 
-    /// Writes without asking for durability of its own: the next sync covers it.
-    pub fn write_later(&self, ops: Vec<Op>) {
-        let _ = self.tx.send(Job { ops, done: None });
+    /// Bytes on disk.
+    pub fn used_bytes(&self) -> u64 {
+        self.shared.used.load(Ordering::Relaxed)
     }
 
-    /// Bytes on disk, as of some moments ago.
-    pub fn used_bytes(&self) -> u64 {
-        self.used.load(Ordering::Relaxed)
+    /// For how long the disk has not answered a write.
+    pub fn busy_for(&self) -> Duration {
+        let since = self.shared.since.load(Ordering::Relaxed);
+        if since == 0 {
+            return Duration::ZERO;
+        }
+        self.shared.start.elapsed().saturating_sub(Duration::from_millis(since))
     }
 }
 
-fn write_all(db: Database, space: Keyspace, rx: mpsc::Receiver<Job>, used: Arc<AtomicU64>) {
-    let mut rounds = 0u64;
+fn write_all(mut store: Store, rx: mpsc::Receiver<Job>, shared: Arc<Shared>) {
     while let Ok(first) = rx.recv() {
-        let mut batch = db.batch();
-        let mut dones = Vec::new();
-        let mut size = 0;
+        shared.since.store(shared.start.elapsed().as_millis() as u64 + 1, Ordering::Relaxed);
+        let (mut ops, mut dones, mut size) = (Vec::new(), Vec::new(), 0);
         let mut next = Some(first);
         while let Some(job) = next {
-            for op in job.ops {
-                match op {
-                    Op::Put(k, v) => {
-                        size += v.len();
-                        batch.insert(&space, k, &v[..]);
-                    }
-                    Op::Del(k) => batch.remove(&space, k),
-                }
-            }
+            size += job.ops.iter().map(|o| if let Op::Put(_, v) = o { v.len() } else { 0 }).sum::<usize>();
+            ops.extend(job.ops);
             dones.extend(job.done);
             next = if size < 1 << 20 { rx.try_recv().ok() } else { None };
         }
-        let mode = if dones.is_empty() { None } else { Some(PersistMode::SyncData) };
-        let written = if batch.is_empty() { Ok(()) } else { batch.durability(mode).commit() };
-        if let Err(e) = written {
-            // What is not durable must not be acknowledged, now or later.
-            tally::error!("disk write failed, ending: {e}");
-            std::process::exit(3);
+        let (mut failed, mut pause) = (false, Duration::from_millis(5));
+        // What is not durable is not acknowledged. A disk that refuses is tried
+        // again until it takes it: what is on it stays in service meanwhile.
+        while let Err(e) = store.commit(&ops) {
+            if !failed {
+                tally::error!("disk write refused, trying again: {e}");
+                tally::count("disk_refusals");
+                failed = true;
+            }
+            std::thread::sleep(pause);
+            pause = (pause * 2).min(Duration::from_millis(80));
+        }
+        if failed {
+            tally::change!("the disk takes writes again");
         }
         tally::count("disk_syncs");
+        shared.since.store(0, Ordering::Relaxed);
         for d in dones {
             d();
         }
-        rounds += 1;
-        if rounds % 256 == 1 {
-            let now = db.disk_space().unwrap_or(0);
-            used.store(now, Ordering::Relaxed);
-            tally::set("disk_used_mb", now >> 20);
+        if let Err(e) = store.clean() {
+            tally::debug!("cannot clean up yet: {e}");
         }
+        let used = store.used_bytes();
+        shared.used.store(used, Ordering::Relaxed);
+        tally::set("disk_used_mb", used >> 20);
     }
 }
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -22,6 +22,8 @@
     Vise(ViseMsg),
     Propose(Bytes, Answered),
     StepDown,
+    /// The foremen whose sessions stand, with their zones.
+    Foremen(Vec<(String, String)>),
 }
 
 struct Session {
@@ -49,8 +51,13 @@
     ended: HashMap<String, u64>,
     pub chair: String,
     pub in_chair: bool,
-    holds: bool,
+    /// Until when this foreman may act for the majority; 0 when it may not.
+    serves_until: u64,
     chaired_at: u64,
+    /// From when the roster of this chair is news: one that remembers none waits
+    /// until the nodes have told it their sessions.
+    publish_from: u64,
+    voters: Vec<String>,
     term: u64,
     roster_seq: u64,
     units: Vec<Unit>,
@@ -63,6 +70,36 @@
     unclaimed: HashMap<u32, u64>,
 }
 
+impl Floor {
+    /// Checked whenever authority is used: it runs out by the clock alone.
+    fn holds(&self, now: u64) -> bool {
+        self.in_chair && now < self.serves_until
+    }
+
+    /// Takes what a node says of itself, from whoever brings it: a later life
+    /// replaces an earlier one, and leaving is not undone within a life. Tells
+    /// whether it was news.
+    fn tell(&mut self, node: &Node, now: u64) -> bool {
+        let order = |n: &Node| (n.life, n.leaving);
+        match self.sessions.get_mut(&node.name) {
+            Some(s) if order(node) < order(&s.node) => {
+                tally::count("sessions_outdated");
+                false
+            }
+            Some(s) => {
+                s.seen = s.seen.max(now);
+                let moved = s.node != *node;
+                s.node = node.clone();
+                moved
+            }
+            None => {
+                self.sessions.insert(node.name.clone(), Session { node: node.clone(), seen: now });
+                true
+            }
+        }
+    }
+}
+
 pub struct Shop {
     pub caliper: Caliper,
     pub me: String,
@@ -75,10 +112,8 @@
     assigning: AtomicBool,
 }
 
-fn key(kind: u8, index: u64) -> Vec<u8> {
-    let mut k = vec![kind];
-    k.extend_from_slice(&index.to_be_bytes());
-    k
+fn key(kind: u8, index: u64) -> drawer::Key {
+    drawer::key(kind, 0, index)
 }
 
 impl Shop {
@@ -97,7 +132,8 @@
 
     /// Whether this foreman is in the chair and a majority still follows it.
     pub fn holds_chair(&self) -> bool {
-        self.with(|f| f.in_chair && f.holds)
+        let now = self.now();
+        self.with(|f| f.holds(now))
     }
 
     /// Puts a command into the log; None when it is unclear whether it is in.
@@ -109,9 +145,16 @@
         tokio::time::timeout(wait, rx).await.ok()?.ok()?
     }
 
+    /// Who is in the chair, as far as is known: nobody, once this foreman's own
+    /// authority has run out.
+    fn chair(&self) -> String {
+        let now = self.now();
+        self.with(|f| if f.chair == self.me && !f.holds(now) { String::new() } else { f.chair.clone() })
+    }
+
     /// The control address of the foreman in the chair, if it is another one.
     pub fn chair_control(&self) -> Option<String> {
-        let chair = self.with(|f| f.chair.clone());
+        let chair = self.chair();
         if chair.is_empty() || chair == self.me {
             return None;
         }
@@ -165,12 +208,13 @@
         if let Ok(Err(e)) = tried
             && e.kind() == std::io::ErrorKind::ConnectionRefused
         {
+            let now = self.now();
             let known = self.with(|f| {
                 let same = f.leases.get(&name).is_some_and(|l| l.life == life);
                 if same {
                     f.ended.insert(name.clone(), life);
                 }
-                same && f.in_chair && f.holds
+                same && f.holds(now)
             });
             if known {
                 tally::change!("the process of lathe {name} has ended");
@@ -181,9 +225,15 @@
 
     fn lease(&self, l: Lease, connection: u64) -> LeaseAck {
         let now = self.now();
+        let chair = self.chair();
         self.with(|f| {
-            if !(f.in_chair && f.holds) {
-                return LeaseAck { granted: false, ttl_ms: 0, chair: f.chair.clone() };
+            if !f.holds(now) {
+                return LeaseAck { granted: false, ttl_ms: 0, chair };
+            }
+            if f.leases.get(&l.node.name).is_some_and(|old| old.life > l.node.life) {
+                // A former life of that node, on its way for long.
+                tally::count("sessions_outdated");
+                return LeaseAck { granted: false, ttl_ms: 0, chair };
             }
             let name = l.node.name.clone();
             if f.ended.get(&name) == Some(&l.node.life) {
@@ -205,10 +255,8 @@
                 name.clone(),
                 Leased { life: l.node.life, at: now, fresh: l.node.fresh, claims: l.claims.clone(), connection },
             );
-            let known = f.sessions.get(&name).map(|s| s.node.clone());
-            f.sessions.insert(name, Session { node: l.node.clone(), seen: now });
-            if known.as_ref() != Some(&l.node) {
-                Self::refresh_roster(f);
+            if f.tell(&l.node, now) {
+                Self::refresh_roster(f, now);
                 self.news.notify_waiters();
             }
             for s in &l.samples {
@@ -217,7 +265,7 @@
                     f.plumbs.entry(s.plant.clone()).or_default().add(&target, s);
                 }
             }
-            LeaseAck { granted: true, ttl_ms: self.caliper.lease_ms() as u32, chair: f.chair.clone() }
+            LeaseAck { granted: true, ttl_ms: self.caliper.lease_ms() as u32, chair }
         })
     }
 
@@ -231,8 +279,8 @@
         }
     }
 
-    fn refresh_roster(f: &mut Floor) {
-        if !f.in_chair {
+    fn refresh_roster(f: &mut Floor, now: u64) {
+        if !f.in_chair || now < f.publish_from {
             return;
         }
         let nodes: Vec<Node> = f.sessions.values().map(|s| s.node.clone()).collect();
@@ -248,11 +296,10 @@
         self.with(|f| {
             let mut changed = false;
             for n in w.node.iter().chain(&w.sessions) {
-                let old = f.sessions.insert(n.name.clone(), Session { node: n.clone(), seen: now });
-                changed |= old.is_none_or(|o| o.node != *n);
+                changed |= f.tell(n, now);
             }
             if changed {
-                Self::refresh_roster(f);
+                Self::refresh_roster(f, now);
                 self.news.notify_waiters();
             }
         });
@@ -276,7 +323,7 @@
                 template: (have.template > w.have.template).then(|| f.rack.template.clone()),
                 charter: (have.charter > w.have.charter).then(|| f.rack.charter.clone()),
                 roster: (have.roster > w.have.roster).then(|| f.roster.clone()),
-                chair: f.chair.clone(),
+                chair: if f.chair == self.me && !f.holds(self.now()) { String::new() } else { f.chair.clone() },
                 foremen: f
                     .sessions
                     .values()
@@ -288,7 +335,7 @@
     }
 
     async fn order(&self, o: Order) -> OrderAck {
-        let mut ack = self.with(|f| OrderAck { chair: f.chair.clone(), ..OrderAck::default() });
+        let mut ack = OrderAck { chair: self.chair(), ..OrderAck::default() };
         if !self.holds_chair() {
             return ack;
         }
@@ -342,10 +389,14 @@
             let before = f.sessions.len();
             let me = self.me.clone();
             f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
-            if f.sessions.len() != before && now > f.chaired_at + limit {
-                Self::refresh_roster(f);
+            if f.sessions.len() != before && now > f.chaired_at + limit || f.roster.version >> 24 != f.term {
+                Self::refresh_roster(f, now);
                 self.news.notify_waiters();
             }
+            let foremen = f.sessions.values().filter(|s| s.node.role == "foreman");
+            let _ = self
+                .inputs
+                .send(Input::Foremen(foremen.map(|s| (s.node.inner.clone(), s.node.zone.clone())).collect()));
             let live: Vec<(String, String)> = f
                 .sessions
                 .values()
@@ -569,10 +620,11 @@
             }
             if whole {
                 units.sort_by(|a, b| a.id.cmp(&b.id));
+                let now = self.now();
                 self.with(|f| {
                     f.units = units;
                     f.listed = true;
-                    Self::refresh_roster(f);
+                    Self::refresh_roster(f, now);
                 });
                 self.news.notify_waiters();
             }
@@ -611,8 +663,6 @@
                 wait_ms: wait as u32,
                 sessions,
             };
-            let voter = self.with(|f| f.rack.charter.version > 0);
-            let w = if voter { w } else { Watch { have, ..w } };
             match self.bench.to(&chair).call(Body::Watch(w), Duration::from_millis(wait * 2)).await {
                 Ok(Body::News(n)) => self.with(|f| {
                     if f.in_chair {
@@ -670,7 +720,7 @@
                 .collect();
             serde_json::json!({"node": self.caliper.node, "chair": f.chair, "inChair": f.in_chair,
                 "duties": if f.in_chair { vec!["lister", "judge", "assigner"] } else { vec![] },
-                "revision": f.rack.revision, "charter": f.rack.charter.version, "roster": f.roster.version,
+                "voters": f.voters, "revision": f.rack.revision, "charter": f.rack.charter.version, "roster": f.roster.version,
                 "units": f.roster.units.len(), "partitions": parts, "nodes": nodes, "counters": tally::render()})
             .to_string()
         })
@@ -685,23 +735,37 @@
 ) -> Result<(), String> {
     let me = caliper.inner_addr(Role::Foreman);
     let quiet = caliper.constraints.quiet_ms;
-    let (mut hard, mut log) = (None::<Hard>, Vec::new());
+    let (mut hard, mut state, mut log) = (None::<Hard>, Bytes::new(), Vec::new());
+    let mut broken = None;
     let drawer =
         Drawer::open(&caliper.data_dir, caliper.limits.disk_mb, caliper.limits.memory_mb, |k, v| match k[0] {
-            b'h' => hard = Hard::decode(v).ok(),
-            b'e' => log.extend(ViseEntry::decode(v).ok()),
+            b'h' => match Hard::decode(v) {
+                Ok(h) => hard = Some(h),
+                Err(e) => broken = Some(format!("the vote record: {e}")),
+            },
+            b'b' => state = Bytes::copy_from_slice(v),
+            b'e' => match ViseEntry::decode(v) {
+                Ok(e) => log.push(e),
+                Err(e) => broken = Some(format!("a log entry: {e}")),
+            },
             _ => {}
         })?;
+    if let Some(b) = broken {
+        return Err(format!("{}: {b}; empty this disk and the others will fill it", caliper.data_dir));
+    }
     let fresh = hard.is_none();
-    let mut hard = hard.unwrap_or_else(|| Hard {
-        voters: caliper.seed_foremen(),
+    if fresh && (!log.is_empty() || !state.is_empty()) {
+        return Err(format!("{}: the vote record is missing; empty this disk", caliper.data_dir));
+    }
+    // Only the first start of all takes the voters from the seeds; any later
+    // newcomer is told them by the log.
+    let hard = hard.unwrap_or_else(|| Hard {
+        voters: if caliper.initial_start { caliper.seed_foremen() } else { Vec::new() },
         may_vote: caliper.initial_start,
         ..Hard::default()
     });
-    if hard.voters.is_empty() {
-        hard.voters = caliper.seed_foremen();
-    }
     log.retain(|e: &ViseEntry| e.index > hard.base);
+    log.sort_by_key(|e| e.index);
     for (i, e) in log.iter().enumerate() {
         if e.index != hard.base + 1 + i as u64 {
             return Err(format!("{}: entry {} is missing from the log", caliper.data_dir, hard.base + 1 + i as u64));
@@ -713,12 +777,12 @@
     let pace = Pace { beat: (quiet / 26.0) as u64, election: (quiet / 9.0) as u64 };
     let start = Instant::now();
     let seed = print(me.as_bytes()) ^ tally::wall_ms();
-    let rack = if hard.base_state.is_empty() {
-        Rack::default()
-    } else {
-        Rack::decode(hard.base_state.clone()).unwrap_or_default()
+    let rack = match (hard.base, Rack::decode(state.clone())) {
+        (0, _) => Rack::default(),
+        (_, Ok(r)) if !state.is_empty() => r,
+        (at, _) => return Err(format!("{}: the state as of entry {at} cannot be read", caliper.data_dir)),
     };
-    let vise = Vise::new(&me, hard.clone(), log, pace, seed, 1_000_000);
+    let vise = Vise::new(&me, hard.clone(), state, log, pace, seed, 1_000_000);
     let (inputs, rx) = mpsc::unbounded_channel();
     let shop = Arc::new(Shop {
         me: me.clone(),
@@ -730,8 +794,10 @@
             ended: HashMap::new(),
             chair: String::new(),
             in_chair: false,
-            holds: false,
+            serves_until: 0,
             chaired_at: 0,
+            publish_from: 0,
+            voters: Vec::new(),
             term: 0,
             roster_seq: 0,
             units: Vec::new(),
@@ -799,11 +865,14 @@
 async fn save(drawer: &Drawer, s: Save) {
     let mut ops = Vec::new();
     if let Some((a, b)) = s.del {
-        ops.extend((a..=b).map(|i| Op::Del(key(b'e', i))));
+        ops.push(Op::DelRange(key(b'e', a), key(b'e', b)));
     }
     if let Some(h) = &s.hard {
         ops.push(Op::Put(key(b'h', 0), h.encode_to_vec().into()));
     }
+    if let Some(b) = s.state {
+        ops.push(Op::Put(key(b'b', 0), b));
+    }
     ops.extend(s.put.iter().map(|e| Op::Put(key(b'e', e.index), e.encode_to_vec().into())));
     let (tx, rx) = oneshot::channel();
     drawer.write(ops, move || {
@@ -816,6 +885,8 @@
 async fn turn(shop: Arc<Shop>, mut vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
     let mut waiting: HashMap<u64, (u64, Answered)> = HashMap::new();
     let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
+    let wanted = 2 * shop.caliper.tolerance.machines as usize + 1;
+    let away = (shop.caliper.constraints.settle_s * 500.0) as u64;
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let mut answer = None;
@@ -824,6 +895,16 @@
                 Some(Input::Vise(m)) => Event::Message(m),
                 Some(Input::Propose(d, a)) => { answer = Some(a); Event::Propose(d) }
                 Some(Input::StepDown) => Event::StepDown,
+                Some(Input::Foremen(all)) => {
+                    let now = shop.now();
+                    match vise.next_voters(&all, wanted, away, now) {
+                        Some(v) => {
+                            tally::change!("voters {:?}", v);
+                            Event::SetVoters(v)
+                        }
+                        None => Event::Foremen(all.into_iter().map(|f| f.0).collect()),
+                    }
+                }
                 None => return,
             },
             _ = ticks.tick() => Event::Tick,
@@ -851,8 +932,15 @@
                     }
                     shop.news.notify_waiters();
                 }
-                Effect::Restore(_, state) => {
-                    shop.with(|f| f.rack = Rack::decode(state).unwrap_or_default());
+                Effect::Restore(state) => {
+                    match Rack::decode(state) {
+                        Ok(rack) => shop.with(|f| f.rack = rack),
+                        Err(e) => {
+                            // Never go on with a blank one.
+                            tally::error!("the state that the chair sent cannot be read, ending: {e}");
+                            std::process::exit(3);
+                        }
+                    }
                     shop.news.notify_waiters();
                 }
                 Effect::ChairTaken => {
@@ -863,6 +951,7 @@
                         f.chaired_at = now;
                         f.term = vise.hard.term;
                         f.roster_seq = 0;
+                        f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(4.0) };
                         f.plumbs.clear();
                         f.leases.clear();
                         f.reborn.clear();
@@ -880,10 +969,13 @@
                 }
             }
         }
-        let holds = vise.serves(shop.now());
+        let until = vise.serves_until(shop.now());
         shop.with(|f| {
-            f.holds = holds;
+            f.serves_until = until;
             f.chair.clone_from(&vise.chair);
+            if f.voters != vise.voters() {
+                f.voters = vise.voters().to_vec();
+            }
         });
     }
 }
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -12,6 +12,10 @@
     Propose(Bytes),
     /// Name a successor and leave the chair.
     StepDown,
+    /// The foremen whose sessions stand: those without a vote are kept up to date.
+    Foremen(Vec<String>),
+    /// Add or remove one voter; only in the chair, and one change at a time.
+    SetVoters(Vec<String>),
     /// The shell's state as of `index`, to cut the log with.
     Snapshot {
         index: u64,
@@ -26,7 +30,7 @@
     Send(String, ViseMsg),
     Apply(ViseEntry),
     /// Replace the whole state.
-    Restore(u64, Bytes),
+    Restore(Bytes),
     /// The proposal just made has this index and term.
     Proposed(u64, u64),
     ChairTaken,
@@ -42,19 +46,20 @@
     pub voted: String,
     #[prost(bool, tag = "3")]
     pub may_vote: bool,
+    /// The voters as of `base`; later entries of the log may change them.
     #[prost(string, repeated, tag = "4")]
     pub voters: Vec<String>,
     #[prost(uint64, tag = "5")]
     pub base: u64,
     #[prost(uint64, tag = "6")]
     pub base_term: u64,
-    #[prost(bytes = "bytes", tag = "7")]
-    pub base_state: Bytes,
 }
 
 #[derive(Debug, Default)]
 pub struct Save {
     pub hard: Option<Hard>,
+    /// The whole state as of `hard.base`.
+    pub state: Option<Bytes>,
     pub put: Vec<ViseEntry>,
     /// Remove all entries from here to there.
     pub del: Option<(u64, u64)>,
@@ -78,7 +83,14 @@
 pub struct Vise {
     me: String,
     pub hard: Hard,
+    state: Bytes,
     log: Vec<ViseEntry>,
+    /// The voters that the newest entry about them names, committed or not, and
+    /// that entry's index.
+    voters: Vec<String>,
+    voters_at: u64,
+    /// Foremen without a vote that are kept up to date.
+    learners: Vec<String>,
     pub commit: u64,
     applied: u64,
     pub seat: Seat,
@@ -100,17 +112,23 @@
 }
 
 impl Vise {
-    pub fn new(me: &str, hard: Hard, log: Vec<ViseEntry>, pace: Pace, seed: u64, now: u64) -> Vise {
+    pub fn new(me: &str, hard: Hard, state: Bytes, log: Vec<ViseEntry>, pace: Pace, seed: u64, now: u64) -> Vise {
         let base = hard.base;
         let mut v = Vise {
             me: me.into(),
             hard,
+            state,
             log,
+            voters: Vec::new(),
+            voters_at: 0,
+            learners: Vec::new(),
             commit: base,
             applied: base,
             seat: Seat::Floor,
             chair: String::new(),
-            heard: 0,
+            // It may have heard a chair just before it ended: that one may still
+            // count on this voter for an election time.
+            heard: now,
             election_at: 0,
             beat_at: 0,
             votes: HashSet::new(),
@@ -123,10 +141,65 @@
             pace,
             dice: seed | 1,
         };
+        v.count_voters();
         v.wait_again(now);
         v
     }
 
+    /// Who votes, by the newest entry that says so.
+    fn count_voters(&mut self) {
+        let found = self.log.iter().rev().find(|e| !e.voters.is_empty());
+        (self.voters, self.voters_at) =
+            found.map_or_else(|| (self.hard.voters.clone(), self.hard.base), |e| (e.voters.clone(), e.index));
+    }
+
+    pub fn voters(&self) -> &[String] {
+        &self.voters
+    }
+
+    /// When the round was sent that a foreman has answered last.
+    pub fn last_answer(&self, foreman: &str) -> u64 {
+        self.answered.get(foreman).copied().unwrap_or(0)
+    }
+
+    /// Whether a foreman without a vote could have one: it holds what is
+    /// committed, and has not forgotten what it voted before.
+    pub fn could_vote(&self, foreman: &str, now: u64) -> bool {
+        self.matched.get(foreman).is_some_and(|m| *m >= self.commit)
+            && !self.waiting.contains_key(foreman)
+            && self.last_answer(foreman) + self.pace.election > now
+    }
+
+    /// The next change of voters, if one is called for: there are fewer than
+    /// `wanted`, or one has been silent for `away`. `foremen` are those whose
+    /// sessions stand, with their zones. A replacement comes in before the lost
+    /// one goes, and only when it could vote at once.
+    pub fn next_voters(&self, foremen: &[(String, String)], wanted: usize, away: u64, now: u64) -> Option<Vec<String>> {
+        if !self.may_change_voters() {
+            return None;
+        }
+        let lost = |v: &String| *v != self.me && self.last_answer(v) + away < now;
+        let longest = self.voters.iter().filter(|v| lost(v)).min_by_key(|v| self.last_answer(v));
+        if self.voters.len() > wanted {
+            let out = longest.or(self.voters.iter().rfind(|v| **v != self.me))?;
+            return Some(self.voters.iter().filter(|v| *v != out).cloned().collect());
+        }
+        if self.voters.len() == wanted && longest.is_none() {
+            return None;
+        }
+        let zone = |addr: &str| foremen.iter().find(|f| f.0 == addr).map(|f| f.1.as_str());
+        let taken = |z: &str| self.voters.iter().filter(|v| !lost(v) && zone(v) == Some(z)).count();
+        let fit = foremen.iter().filter(|f| !self.voters.contains(&f.0) && self.could_vote(&f.0, now));
+        let new = fit.min_by_key(|f| taken(&f.1))?;
+        Some(self.voters.iter().cloned().chain([new.0.clone()]).collect())
+    }
+
+    /// Whether the voters can be changed: the last change is over, and this
+    /// chair has committed an entry of its own.
+    pub fn may_change_voters(&self) -> bool {
+        self.seat == Seat::Chair && self.voters_at <= self.commit && self.term_at(self.commit) == Some(self.hard.term)
+    }
+
     fn wait_again(&mut self, now: u64) {
         self.dice ^= self.dice << 13;
         self.dice ^= self.dice >> 7;
@@ -150,11 +223,11 @@
     }
 
     fn majority(&self) -> usize {
-        self.hard.voters.len() / 2 + 1
+        self.voters.len() / 2 + 1
     }
 
     fn is_voter(&self) -> bool {
-        self.hard.voters.contains(&self.me)
+        self.voters.contains(&self.me)
     }
 
     fn message(&self, kind: ViseKind) -> ViseMsg {
@@ -167,16 +240,17 @@
         self.seat == Seat::Chair && self.contact(now) + self.pace.election > now
     }
 
-    /// Holds the chair, and has applied all that was acknowledged before its term:
-    /// only then does it know what to answer.
-    pub fn serves(&self, now: u64) -> bool {
-        self.holds_chair(now) && self.applied > self.hard.base && self.term_at(self.applied) == Some(self.hard.term)
+    /// Until when it may act for the majority: it holds the chair until then, and
+    /// has applied all that was acknowledged before its term, so that it knows what
+    /// to answer. To be compared with the clock whenever authority is used.
+    pub fn serves_until(&self, now: u64) -> u64 {
+        let applied = self.applied > self.hard.base && self.term_at(self.applied) == Some(self.hard.term);
+        if self.seat == Seat::Chair && applied { self.contact(now) + self.pace.election } else { 0 }
     }
 
     /// The latest moment at which a majority is known to have followed.
     fn contact(&self, now: u64) -> u64 {
         let mut times: Vec<u64> = self
-            .hard
             .voters
             .iter()
             .map(|v| if *v == self.me { now } else { self.answered.get(v).copied().unwrap_or(0) })
@@ -196,6 +270,21 @@
                 }
             }
             Event::StepDown => self.step_down(now, &mut out),
+            Event::Foremen(all) => {
+                let voters = &self.voters;
+                self.learners = all.into_iter().filter(|f| *f != self.me && !voters.contains(f)).collect();
+                let next = self.last().0 + 1;
+                for l in &self.learners {
+                    self.next.entry(l.clone()).or_insert(next);
+                }
+            }
+            Event::SetVoters(voters) => {
+                let added = voters.iter().filter(|v| !self.voters.contains(v)).count();
+                let removed = self.voters.iter().filter(|v| !voters.contains(v)).count();
+                if self.may_change_voters() && added + removed == 1 && voters.contains(&self.me) {
+                    self.append_with(now, Bytes::new(), voters, &mut out);
+                }
+            }
             Event::Snapshot { index, state } => self.cut(index, state, &mut out),
         }
         out
@@ -234,7 +323,7 @@
         (m.index, m.log_term) = self.last();
         m.trial = trial;
         m.ok = named;
-        for v in self.hard.voters.iter().filter(|v| **v != self.me) {
+        for v in self.voters.iter().filter(|v| **v != self.me) {
             out.push(Effect::Send(v.clone(), m.clone()));
         }
         self.count_votes(now, out);
@@ -250,14 +339,16 @@
                 self.seat = Seat::Chair;
                 self.chair = self.me.clone();
                 let next = self.last().0 + 1;
-                self.next = self.hard.voters.iter().map(|v| (v.clone(), next)).collect();
+                self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
                 self.matched.clear();
                 self.sent.clear();
                 self.waiting.clear();
-                self.answered = self.hard.voters.iter().map(|v| (v.clone(), now)).collect();
+                self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
                 out.push(Effect::ChairTaken);
                 // An entry of its own term, so that older ones can count as held.
-                self.append(now, Bytes::new(), out);
+                // It names the voters anew, for those who hold no earlier entry.
+                let voters = self.voters.clone();
+                self.append_with(now, Bytes::new(), voters, out);
             }
             _ => {}
         }
@@ -278,7 +369,7 @@
             return;
         }
         let best =
-            self.hard.voters.iter().filter(|v| **v != self.me && !self.waiting.contains_key(*v)).max_by_key(|v| {
+            self.voters.iter().filter(|v| **v != self.me && !self.waiting.contains_key(*v)).max_by_key(|v| {
                 (self.matched.get(*v).copied().unwrap_or(0), self.answered.get(*v).copied().unwrap_or(0))
             });
         if let Some(to) = best.cloned() {
@@ -290,8 +381,17 @@
     }
 
     fn append(&mut self, now: u64, data: Bytes, out: &mut Vec<Effect>) {
-        let e = ViseEntry { index: self.last().0 + 1, term: self.hard.term, data };
+        self.append_with(now, data, Vec::new(), out);
+    }
+
+    fn append_with(&mut self, now: u64, data: Bytes, voters: Vec<String>, out: &mut Vec<Effect>) {
+        let e = ViseEntry { index: self.last().0 + 1, term: self.hard.term, data, voters };
         out.push(Effect::Proposed(e.index, e.term));
+        if !e.voters.is_empty() {
+            // In force from here on, committed or not.
+            self.learners.retain(|l| !e.voters.contains(l));
+            (self.voters, self.voters_at) = (e.voters.clone(), e.index);
+        }
         self.log.push(e.clone());
         // Others are told first: their disks work while this one does.
         self.broadcast(now, out);
@@ -304,7 +404,7 @@
         self.round += 1;
         self.sent.insert(self.round, now);
         self.sent.remove(&self.round.saturating_sub(256));
-        for v in self.hard.voters.clone() {
+        for v in self.voters.iter().chain(&self.learners).cloned().collect::<Vec<_>>() {
             if v != self.me {
                 self.send_log(&v, out);
             }
@@ -316,12 +416,12 @@
         let mut m = self.message(ViseKind::Append);
         m.round = self.round;
         m.commit = self.commit;
-        m.voters = self.hard.voters.clone();
         if next <= self.hard.base {
             m.kind = ViseKind::Install as i32;
             m.index = self.hard.base;
             m.log_term = self.hard.base_term;
-            m.state = self.hard.base_state.clone();
+            m.state = self.state.clone();
+            m.voters = self.hard.voters.clone();
         } else {
             m.index = next - 1;
             m.log_term = self.term_at(next - 1).unwrap_or(0);
@@ -337,7 +437,6 @@
         if self.seat == Seat::Chair {
             let last = self.last().0;
             let mut held: Vec<u64> = self
-                .hard
                 .voters
                 .iter()
                 .map(|v| if *v == self.me { last } else { self.matched.get(v).copied().unwrap_or(0) })
@@ -393,6 +492,10 @@
         let mut r = self.message(ViseKind::Vote);
         r.trial = m.trial;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
+        if !self.voters.contains(&m.from) {
+            tally::count("vise_strangers");
+            return;
+        }
         if m.trial {
             r.term = m.term;
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
@@ -422,6 +525,7 @@
         let mut r = self.message(ViseKind::AppendAck);
         r.round = m.round;
         if m.term < self.hard.term {
+            tally::count("vise_stale");
             out.push(Effect::Send(m.from, r));
             return;
         }
@@ -432,10 +536,6 @@
         self.heard = now;
         self.wait_again(now);
         let mut save = Save::default();
-        if self.hard.voters != m.voters {
-            self.hard.voters = m.voters.clone();
-            save.hard = Some(self.hard.clone());
-        }
         if m.readmit && !self.hard.may_vote {
             self.hard.may_vote = true;
             save.hard = Some(self.hard.clone());
@@ -446,11 +546,13 @@
             self.log.clear();
             self.hard.base = m.index;
             self.hard.base_term = m.log_term;
-            self.hard.base_state = m.state.clone();
+            self.hard.voters = m.voters.clone();
+            self.state = m.state.clone();
             self.commit = m.index;
             self.applied = m.index;
             save.hard = Some(self.hard.clone());
-            out.push(Effect::Restore(m.index, m.state));
+            save.state = Some(m.state.clone());
+            out.push(Effect::Restore(m.state));
         }
         let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
         r.ok = joins;
@@ -476,6 +578,9 @@
                 }
                 held = held.max(e.index);
             }
+            if save.del.is_some() || save.put.iter().any(|e| !e.voters.is_empty()) {
+                self.count_voters();
+            }
             r.index = held;
             self.commit = self.commit.max(m.commit.min(held));
         } else {
@@ -493,6 +598,10 @@
         if self.seat != Seat::Chair || m.term != self.hard.term {
             return;
         }
+        if !self.voters.contains(&m.from) && !self.learners.contains(&m.from) {
+            tally::count("vise_strangers");
+            return;
+        }
         if let Some(at) = self.sent.get(&m.round) {
             let a = self.answered.entry(m.from.clone()).or_insert(0);
             *a = (*a).max(*at);
@@ -534,7 +643,6 @@
             r.index = m.index;
             r.log_term = self.term_at(m.index).unwrap_or(0);
             r.commit = self.commit;
-            r.voters = self.hard.voters.clone();
             out.push(Effect::Send(m.from.clone(), r));
         }
     }
@@ -545,11 +653,15 @@
         }
         let Some(term) = self.term_at(index) else { return };
         let from = self.hard.base + 1;
-        self.log.drain(..(index - self.hard.base) as usize);
+        let cut = self.log.drain(..(index - self.hard.base) as usize);
+        if let Some(e) = cut.rev().find(|e| !e.voters.is_empty()) {
+            self.hard.voters = e.voters;
+        }
         self.hard.base = index;
         self.hard.base_term = term;
-        self.hard.base_state = state;
-        out.push(Effect::Save(Save { hard: Some(self.hard.clone()), put: Vec::new(), del: Some((from, index)) }));
+        self.state = state.clone();
+        let (hard, state) = (Some(self.hard.clone()), Some(state));
+        out.push(Effect::Save(Save { hard, state, put: Vec::new(), del: Some((from, index)) }));
     }
 
     /// Entries that could be cut away.
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Default)]
 struct Disk {
     hard: Hard,
+    state: Bytes,
     log: BTreeMap<u64, ViseEntry>,
 }
 
@@ -48,9 +49,9 @@
     fn start(&mut self, n: &str) {
         let d = self.disks[n].clone();
         let seed = n.as_bytes()[0] as u64 * 7919;
-        let v = Vise::new(n, d.hard, d.log.into_values().collect(), PACE, seed, self.now);
+        let v = Vise::new(n, d.hard, d.state.clone(), d.log.into_values().collect(), PACE, seed, self.now);
         self.nodes.insert(n.into(), v);
-        self.racks.insert(n.into(), Rack::default());
+        self.racks.insert(n.into(), Rack::decode(d.state).expect("whole state"));
         self.applied.insert(n.into(), vec![]);
         self.down.remove(n);
     }
@@ -66,13 +67,14 @@
                     }
                     d.log.extend(s.put.into_iter().map(|e| (e.index, e)));
                     d.hard = s.hard.unwrap_or(d.hard.clone());
+                    d.state = s.state.unwrap_or(d.state.clone());
                 }
                 Effect::Send(to, m) => self.net.push_back((to, m)),
                 Effect::Apply(e) => {
                     let a = self.racks.get_mut(n).expect("a rack").apply(e.index, &e.data);
                     self.applied.get_mut(n).expect("a list").push((e.index, a));
                 }
-                Effect::Restore(_, s) => {
+                Effect::Restore(s) => {
                     self.racks.insert(n.into(), Rack::decode(s).expect("whole state"));
                 }
                 _ => {}
@@ -83,9 +85,9 @@
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms / 10 {
             self.now += 10;
-            for n in ALL {
-                if !self.down.contains(n) {
-                    self.step(n, Event::Tick);
+            for n in self.nodes.keys().cloned().collect::<Vec<_>>() {
+                if !self.down.contains(&n) {
+                    self.step(&n, Event::Tick);
                 }
             }
             for _ in 0..self.net.len() {
@@ -138,7 +140,7 @@
     assert_eq!(w.racks[&second].revision, 3);
     w.put(&second, 3, 5);
     w.pass(200);
-    assert!(w.nodes[&second].serves(w.now));
+    assert!(w.nodes[&second].serves_until(w.now) > w.now);
     w.start(&first);
     w.pass(1000);
     assert_eq!(w.racks[&first].revision, 5, "it folds its disk and catches up");
@@ -248,8 +250,141 @@
         w.pass(10);
         for n in ALL {
             let v = &w.nodes[n];
-            assert!(!v.serves(w.now) || w.racks[n].revision == 3, "{n} would answer from an empty state");
+            assert!(v.serves_until(w.now) <= w.now || w.racks[n].revision == 3, "{n} would answer from an empty state");
         }
     }
-    assert!(ALL.iter().any(|n| w.nodes[*n].serves(w.now)));
+    assert!(ALL.iter().any(|n| w.nodes[*n].serves_until(w.now) > w.now));
+}
+
+const AWAY: u64 = 2000;
+
+impl World {
+    /// A foreman with an empty disk, at an address that nobody has heard of.
+    fn newcomer(&mut self, n: &str) {
+        self.disks.insert(n.into(), Disk::default());
+        self.start(n);
+    }
+
+    /// What the duty of the one in the chair does from time to time.
+    fn tend(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.pass(50);
+            let Some(c) = self.chair() else { continue };
+            let up: Vec<String> = self.nodes.keys().filter(|n| !self.down.contains(*n)).cloned().collect();
+            let zones: Vec<(String, String)> = up.iter().map(|n| (n.clone(), format!("zone-{n}"))).collect();
+            match self.nodes[&c].next_voters(&zones, 3, AWAY, self.now) {
+                Some(v) => self.step(&c, Event::SetVoters(v)),
+                None => self.step(&c, Event::Foremen(up)),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_lost_voter_is_replaced_by_a_newcomer_one_change_at_a_time() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.chair().expect("a chair");
+    w.put(&c, 0, 3);
+    w.pass(200);
+    let lost = ALL.iter().find(|n| **n != c).expect("another").to_string();
+    w.down.insert(lost.clone());
+    w.newcomer("n");
+    w.tend(500);
+    assert_eq!(w.nodes["n"].voters().len(), 3, "told by the log who votes");
+    assert!(w.nodes[&c].voters().contains(&lost), "silence shorter than the bound replaces nobody");
+    w.tend(4000);
+    let c = w.chair().expect("a chair");
+    let mut now = w.nodes[&c].voters().to_vec();
+    now.sort();
+    assert!(now.contains(&"n".to_string()) && !now.contains(&lost) && now.len() == 3, "{now:?}");
+    assert_eq!(w.racks["n"].revision, 3);
+    // The newcomer counts: with one more gone, it and the last one go on.
+    w.down.insert(c.clone());
+    w.pass(3000);
+    let d = w.chair().expect("the newcomer is half of the majority");
+    w.put(&d, 3, 5);
+    w.pass(300);
+    assert_eq!(w.racks[&d].revision, 5);
+    // The one that was replaced comes back, and cannot make a majority of its own.
+    w.start(&lost);
+    w.down.insert(d.clone());
+    w.pass(5000);
+    assert!(w.chair().is_none_or(|c| c != lost), "it was voted out");
+}
+
+#[test]
+fn a_newcomer_without_the_log_is_not_made_a_voter() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.chair().expect("a chair");
+    let lost = ALL.iter().find(|n| **n != c).expect("another").to_string();
+    w.down.insert(lost);
+    w.newcomer("n");
+    w.down.insert("n".into());
+    let up = vec![(c.clone(), "z".to_string()), ("n".into(), "y".into())];
+    for _ in 0..100 {
+        w.pass(50);
+        let v = &w.nodes[&c];
+        assert_eq!(v.next_voters(&up, 3, AWAY, w.now), None, "it never answered");
+    }
+}
+
+#[test]
+fn a_voter_that_just_came_back_waits_before_it_votes() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.chair().expect("a chair");
+    let other = ALL.iter().find(|n| **n != c).expect("another").to_string();
+    w.start(&other);
+    let term = w.nodes[&c].hard.term + 1;
+    let mut ask = ViseMsg { from: c.clone(), term, kind: dovetail::msg::ViseKind::Ask as i32, ..ViseMsg::default() };
+    (ask.index, ask.log_term) = (1000, term);
+    w.net.clear();
+    w.step(&other, Event::Message(ask.clone()));
+    assert!(w.net.iter().all(|(_, m)| !m.ok), "the old chair may still count on it");
+    w.now += PACE.election;
+    w.step(&other, Event::Message(ask));
+    assert!(w.net.iter().any(|(_, m)| m.ok));
+}
+
+#[test]
+fn authority_runs_out_by_the_clock_without_a_step() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.chair().expect("a chair");
+    let until = w.nodes[&c].serves_until(w.now);
+    assert!(until > w.now && until <= w.now + PACE.election);
+    // Frozen, or waiting for its disk, it steps nothing: what it computed last
+    // still ends before anybody else can have been elected.
+    w.down.insert(c.clone());
+    for _ in 0..200 {
+        w.pass(10);
+        if w.nodes.iter().any(|(n, v)| *n != c && v.seat == Seat::Chair) {
+            assert!(w.now >= until);
+            return;
+        }
+    }
+    panic!("nobody took the chair");
+}
+
+#[test]
+fn frames_of_strangers_change_nothing() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.chair().expect("a chair");
+    let before = w.nodes[&c].hard.term;
+    let ask = ViseMsg {
+        from: "x".into(),
+        term: before + 5,
+        index: 99,
+        log_term: 99,
+        ok: true,
+        kind: dovetail::msg::ViseKind::Ask as i32,
+        ..ViseMsg::default()
+    };
+    for n in ALL {
+        w.step(n, Event::Message(ask.clone()));
+        assert_eq!(w.nodes[n].hard.term, before);
+    }
 }
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -906,7 +906,7 @@
         if self.seat != Seat::Owner || a.term != self.term {
             return;
         }
-        let (commit, first) = (self.commit, self.first);
+        let (commit, first, end) = (self.commit, self.first, self.end());
         let Some(p) = self.peers.get_mut(&a.node) else { return };
         p.heard = now;
         p.verified = a.verified;
@@ -917,7 +917,8 @@
         p.mismatch = a.mismatch;
         if a.gap {
             p.snapshot = 0;
-            p.sent = a.durable;
+            // Its log may end behind this one's, with what was never committed.
+            p.sent = a.durable.min(end);
             // It may have lost its disk: what it once held does not count.
             p.acked = p.acked.min(a.durable);
             let behind = p.sent + 1 < first;
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use dovetail::msg::*;
 use dovetail::{Bench, Body, Peg, Verdict};
-use drawer::{Drawer, Op};
+use drawer::{Drawer, Op, key};
 use gauge::{Caliper, Role};
 use prost::Message;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -51,13 +51,6 @@
     start_wall: u64,
 }
 
-fn key(kind: u8, partition: u32, n: u64) -> Vec<u8> {
-    let mut k = vec![kind];
-    k.extend_from_slice(&partition.to_be_bytes());
-    k.extend_from_slice(&n.to_be_bytes());
-    k
-}
-
 impl Toolpost {
     fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64 + 1_000_000
@@ -89,7 +82,7 @@
                 Effect::Persist { del, put, meta, snapshot, term, end } => {
                     let mut ops = Vec::with_capacity(put.len() + 1);
                     if let Some((a, b)) = del {
-                        ops.extend((a..=b).map(|n| Op::Del(key(b'l', partition, n))));
+                        ops.push(Op::DelRange(key(b'l', partition, a), key(b'l', partition, b)));
                     }
                     ops.extend(
                         put.into_iter().map(|(n, e)| Op::Put(key(b'l', partition, n), e.encode_to_vec().into())),
@@ -791,28 +784,35 @@
                     tokio::time::sleep(period).await;
                 }
                 Ok(Body::LeaseAck(a)) => {
-                    if !a.chair.is_empty() {
+                    if !a.chair.is_empty() && a.chair != addr {
                         self.session.take(&News { chair: a.chair, ..News::default() });
+                    } else {
+                        // It knows nobody in the chair: the others may.
+                        self.ask_chair(&seeds[turn % seeds.len()], &claims, period).await;
                     }
                     tokio::time::sleep(period / 6).await;
                 }
                 _ => {
                     tally::count("lease_misses");
                     // The chair may have passed on: ask the others who has it.
-                    let other = seeds[turn % seeds.len()].clone();
-                    let ask = Lease { node: self.session.me(), samples: Vec::new(), claims };
-                    if let Ok(Body::LeaseAck(a)) = self.bench.to(&other).call(Body::Lease(ask), period).await {
-                        let chair = if a.granted { other } else { a.chair };
-                        if !chair.is_empty() {
-                            self.session.take(&News { chair, ..News::default() });
-                        }
-                    }
+                    self.ask_chair(&seeds[turn % seeds.len()], &claims, period).await;
                     tokio::time::sleep(period / 6).await;
                 }
             }
         }
     }
 
+    /// Learns from a foreman who is in the chair.
+    async fn ask_chair(&self, foreman: &str, claims: &[Holding], wait: Duration) {
+        let ask = Lease { node: self.session.me(), samples: Vec::new(), claims: claims.to_vec() };
+        if let Ok(Body::LeaseAck(a)) = self.bench.to(foreman).call(Body::Lease(ask), wait).await {
+            let chair = if a.granted { foreman.to_owned() } else { a.chair };
+            if !chair.is_empty() {
+                self.session.take(&News { chair, ..News::default() });
+            }
+        }
+    }
+
     /// On SIGTERM: hand everything over by planned moves, then leave the in-sync sets.
     async fn leave(self: Arc<Self>) {
         let limit = Duration::from_millis((self.caliper.constraints.grace_s * 800.0) as u64);
@@ -935,7 +935,8 @@
     let fresh = metas.is_empty() && !caliper.initial_start;
     let mut mandrels = BTreeMap::new();
     for (p, meta) in metas {
-        let entries = logs.remove(&p).unwrap_or_default();
+        let mut entries = logs.remove(&p).unwrap_or_default();
+        entries.sort_by_key(|e| e.0);
         let m = Mandrel::reload(p, &caliper.node, pace(&caliper), &meta, snaps.remove(&p), entries)?;
         mandrels.insert(p, m);
     }
