Bind ownership to a life, follow the store machines, shed slow and stalled disks

Now the charter records the life in which a node owned or joined; an owner in another life needs a new term, and an emptied disk counts only for what it was filled with in this life. Also: two partitions for each store machine, copies kept in the region, one move at a time towards added machines; lathes tell how their disks do: a slow one hands over by splice and leaves the in-sync sets, one that does not answer stops acting and is succeeded; a lease comes with the claims that are outdated.

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -204,6 +204,29 @@
     /// The term began without a stop marker: ask the delivery nodes first.
     #[prost(bool, tag = "7")]
     pub seized: bool,
+    /// The lives in which nodes took part last: as owner, or when they joined.
+    #[prost(message, repeated, tag = "8")]
+    pub joined: Vec<Joined>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Joined {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+}
+
+impl Partition {
+    /// The life in which a node took part last; 0 if that is not known.
+    pub fn joined_life(&self, node: &str) -> u64 {
+        self.joined.iter().find(|j| j.node == node).map_or(0, |j| j.life)
+    }
+
+    pub fn set_joined(&mut self, node: &str, life: u64) {
+        self.joined.retain(|j| j.node != node && (self.homes.contains(&j.node) || self.insync.contains(&j.node)));
+        self.joined.push(Joined { node: node.into(), life });
+    }
 }
 
 /// The next term, promised to a candidate before the incumbent stops.
@@ -293,6 +316,10 @@
     /// The partitions that it acts as owner of.
     #[prost(message, repeated, tag = "3")]
     pub claims: Vec<Holding>,
+    /// How the node's disk does: 0 well, 1 slow, 2 it does not answer. With 2 the
+    /// node has stopped acting as owner before it says so.
+    #[prost(uint32, tag = "4")]
+    pub lag: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -305,6 +332,12 @@
     /// Where to ask instead.
     #[prost(string, tag = "3")]
     pub chair: String,
+    /// Claimed partitions that are at a higher term by now.
+    #[prost(message, repeated, tag = "4")]
+    pub outdated: Vec<Partition>,
+    /// Store machines whose disks are slow or do not answer.
+    #[prost(string, repeated, tag = "5")]
+    pub lagging: Vec<String>,
 }
 
 /// What a partition owner or replica asks of the majority.
@@ -321,6 +354,9 @@
     /// With `Grant`: the node that is leaving, if the move is for that.
     #[prost(string, tag = "5")]
     pub leaving: String,
+    /// With `Own` and `Join`: the node's life.
+    #[prost(uint64, tag = "6")]
+    pub life: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -675,6 +711,9 @@
     /// Position of the first epoch record of the unbroken run of matches.
     #[prost(uint64, tag = "8")]
     pub verified_from: u64,
+    /// The node's life: in another one it may have lost its disk.
+    #[prost(uint64, tag = "9")]
+    pub life: u64,
 }
 
 /// A piece of a snapshot of a partition's state.
--- a/crates/drawer/src/lib.rs
+++ b/crates/drawer/src/lib.rs
@@ -55,6 +55,8 @@
     start: Instant,
     /// When the oldest write that has not come back began, in milliseconds; 0: none.
     since: AtomicU64,
+    /// How long the last writes took, in milliseconds, newest first: 16 bits each.
+    took: AtomicU64,
 }
 
 /// A handle to the disk thread.
@@ -75,6 +77,7 @@
             used: AtomicU64::new(store.used_bytes()),
             start: Instant::now(),
             since: AtomicU64::new(0),
+            took: AtomicU64::new(0),
         });
         let s = shared.clone();
         std::thread::Builder::new()
@@ -94,6 +97,12 @@
         self.shared.used.load(Ordering::Relaxed)
     }
 
+    /// Whether the last four writes all took longer than that.
+    pub fn is_slow(&self, bound: Duration) -> bool {
+        let took = self.shared.took.load(Ordering::Relaxed);
+        (0..4).all(|n| Duration::from_millis(took >> (16 * n) & 0xffff) > bound)
+    }
+
     /// For how long the disk has not answered a write.
     pub fn busy_for(&self) -> Duration {
         let since = self.shared.since.load(Ordering::Relaxed);
@@ -131,6 +140,9 @@
             tally::change!("the disk takes writes again");
         }
         tally::count("disk_syncs");
+        let began = shared.since.load(Ordering::Relaxed);
+        let took = (shared.start.elapsed().as_millis() as u64 + 1).saturating_sub(began).min(0xffff);
+        shared.took.store(shared.took.load(Ordering::Relaxed) << 16 | took, Ordering::Relaxed);
         shared.since.store(0, Ordering::Relaxed);
         for d in dones {
             d();
--- a/crates/foreman/src/lib.rs
+++ b/crates/foreman/src/lib.rs
@@ -1,11 +1,13 @@
 //! The control plane: the majority log, sessions, leases, duties, and the
 //! operator's interface.
 
+mod layout;
 mod operator;
 mod plumb;
 mod rack;
 mod shop;
 mod vise;
+pub use layout::*;
 pub use operator::serve as serve_operator;
 pub use plumb::*;
 pub use rack::*;
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -36,6 +36,7 @@
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
+#[allow(clippy::large_enum_variant)] // They live for one step.
 pub enum Word {
     #[prost(message, tag = "1")]
     Template(PutTemplate),
@@ -175,6 +176,7 @@
                     now.insync = g.insync.clone();
                     now.grant = None;
                     now.seized = false;
+                    now.set_joined(&order.node, order.life);
                 }
                 _ => return Ruling::Refused,
             }
@@ -183,10 +185,12 @@
             if order.term != p.term || p.grant.is_some() {
                 return Ruling::Refused;
             }
-            if p.insync.contains(&order.node) {
+            if p.insync.contains(&order.node) && p.joined_life(&order.node) == order.life {
                 return Ruling::Stands;
             }
+            now.insync.retain(|n| *n != order.node);
             now.insync.push(order.node.clone());
+            now.set_joined(&order.node, order.life);
         }
         OrderKind::Drop => {
             if order.node == p.owner || p.grant.as_ref().is_some_and(|g| g.candidate == order.node) {
@@ -209,14 +213,17 @@
 }
 
 /// What becomes of a partition when some of its nodes' lives have ended.
-/// `alive` tells whether a node's session stands.
-pub fn seize(p: &Partition, alive: impl Fn(&str) -> bool) -> Option<Partition> {
+/// `stands` tells whether a node's session stands and its disk holds what it
+/// held when it took part last; `life` is the life that it is in.
+pub fn seize(p: &Partition, stands: impl Fn(&str) -> bool, life: impl Fn(&str) -> u64) -> Option<Partition> {
     let mut now = p.clone();
-    if alive(&p.owner) && p.grant.as_ref().is_none_or(|g| alive(&g.candidate)) {
+    // An owner in another life remembers nothing of its term: a new one is needed.
+    let owner = stands(&p.owner) && life(&p.owner) == p.joined_life(&p.owner);
+    if owner && p.grant.as_ref().is_none_or(|g| stands(&g.candidate)) {
         // Only followers can be missing: they stop holding up the owner.
-        now.insync.retain(|n| *n == p.owner || alive(n));
+        now.insync.retain(|n| *n == p.owner || stands(n));
         if let Some(g) = &mut now.grant {
-            g.insync.retain(|n| *n == g.candidate || alive(n));
+            g.insync.retain(|n| *n == g.candidate || stands(n));
         }
         return (now != *p).then_some(now);
     }
@@ -226,64 +233,36 @@
         .insync
         .iter()
         .filter(|n| p.grant.as_ref().is_none_or(|g| g.insync.contains(n)))
-        .filter(|n| alive(n))
+        .filter(|n| stands(n))
         .collect();
-    let next = eligible.iter().find(|n| **n == p.homes.first().unwrap_or(&String::new())).or(eligible.first())?;
+    let next = eligible
+        .iter()
+        .find(|n| **n != &p.owner && p.homes.first() == Some(**n))
+        .or(eligible.iter().find(|n| **n != &p.owner))
+        .or(eligible.first())?;
     now.owner = next.to_string();
     now.term = p.grant.as_ref().map_or(p.term, |g| g.term) + 1;
     now.insync = eligible.iter().map(|n| n.to_string()).collect();
     now.grant = None;
     now.seized = true;
+    now.set_joined(next, life(next));
     Some(now)
 }
 
 /// Nobody acts as a partition's owner, though nodes that hold all of it are
 /// there: as after the end of all processes at once. One of them begins anew.
-pub fn revive(p: &Partition, stands: impl Fn(&str) -> bool) -> Option<Partition> {
+pub fn revive(p: &Partition, stands: impl Fn(&str) -> bool, life: impl Fn(&str) -> u64) -> Option<Partition> {
     let all =
         || p.insync.iter().filter(|n| p.grant.as_ref().is_none_or(|g| g.insync.contains(n))).filter(|n| stands(n));
     let next = all().find(|n| **n == p.owner).or_else(|| all().next())?;
-    Some(Partition {
+    let mut now = Partition {
         owner: next.clone(),
         term: p.grant.as_ref().map_or(p.term, |g| g.term) + 1,
         insync: all().cloned().collect(),
         grant: None,
         seized: true,
         ..p.clone()
-    })
-}
-
-/// The first layout: every node owns as many as any other, followed by different ones.
-pub fn layout(nodes: &[(String, String)], count: u32, replicas: usize) -> Vec<Partition> {
-    let n = nodes.len();
-    (0..count)
-        .map(|id| {
-            let at = id as usize % n;
-            let turn = id as usize / n;
-            let mut homes = vec![nodes[at].0.clone()];
-            let mut others: Vec<usize> = (1..n).map(|k| (at + k) % n).collect();
-            if !others.is_empty() {
-                let m = others.len();
-                others.rotate_left(turn % m);
-                // Other zones first.
-                others.sort_by_key(|o| nodes[*o].1 == nodes[at].1);
-            }
-            homes.extend(others.iter().take(replicas.saturating_sub(1)).map(|o| nodes[*o].0.clone()));
-            Partition { id, term: 1, owner: homes[0].clone(), insync: homes.clone(), homes, grant: None, seized: false }
-        })
-        .collect()
-}
-
-/// New homes for a partition when `gone` is to hold nothing any more.
-pub fn rehome(p: &Partition, gone: &str, live: &[(String, String)], load: impl Fn(&str) -> usize) -> Option<Partition> {
-    let at = p.homes.iter().position(|h| h == gone)?;
-    let fresh = live.iter().filter(|(n, _)| n != gone && !p.homes.contains(n)).min_by_key(|(n, _)| load(n));
-    let mut now = p.clone();
-    match fresh {
-        Some((n, _)) => now.homes[at] = n.clone(),
-        None => {
-            now.homes.remove(at);
-        }
-    }
-    (now != *p).then_some(now)
+    };
+    now.set_joined(next, life(next));
+    Some(now)
 }
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -1,6 +1,7 @@
 //! The shell of a foreman: runs the log, keeps sessions and leases, and does
 //! the duties of the one in the chair.
 
+use crate::layout::*;
 use crate::plumb::{Advice, Plumb};
 use crate::rack::*;
 use crate::vise::*;
@@ -39,6 +40,8 @@
     fresh: bool,
     claims: Vec<Holding>,
     connection: u64,
+    /// How its disk does: 0 well, 1 slow, 2 it does not answer.
+    lag: u32,
 }
 
 /// State shared by the tasks of a foreman, behind a short lock.
@@ -64,8 +67,8 @@
     listed: bool,
     plumbs: HashMap<String, Plumb>,
     first_lathe_at: u64,
-    /// Partitions that a former life of a node held, and the term they had then.
-    reborn: HashMap<String, u64>,
+    /// How many lathes there are, and since when.
+    steady: (usize, u64),
     /// Since when nobody acts as a partition's owner.
     unclaimed: HashMap<u32, u64>,
 }
@@ -228,12 +231,12 @@
         let chair = self.chair();
         self.with(|f| {
             if !f.holds(now) {
-                return LeaseAck { granted: false, ttl_ms: 0, chair };
+                return LeaseAck { chair, ..LeaseAck::default() };
             }
             if f.leases.get(&l.node.name).is_some_and(|old| old.life > l.node.life) {
                 // A former life of that node, on its way for long.
                 tally::count("sessions_outdated");
-                return LeaseAck { granted: false, ttl_ms: 0, chair };
+                return LeaseAck { chair, ..LeaseAck::default() };
             }
             let name = l.node.name.clone();
             if f.ended.get(&name) == Some(&l.node.life) {
@@ -246,14 +249,20 @@
             {
                 tally::change!("lathe {name} came back in a new life");
                 f.ended.insert(name.clone(), old.life);
-                Self::mark_reborn(f, &name);
             }
             if f.first_lathe_at == 0 {
                 f.first_lathe_at = now;
             }
             f.leases.insert(
                 name.clone(),
-                Leased { life: l.node.life, at: now, fresh: l.node.fresh, claims: l.claims.clone(), connection },
+                Leased {
+                    life: l.node.life,
+                    at: now,
+                    fresh: l.node.fresh,
+                    claims: l.claims.clone(),
+                    connection,
+                    lag: l.lag,
+                },
             );
             if f.tell(&l.node, now) {
                 Self::refresh_roster(f, now);
@@ -265,18 +274,15 @@
                     f.plumbs.entry(s.plant.clone()).or_default().add(&target, s);
                 }
             }
-            LeaseAck { granted: true, ttl_ms: self.caliper.lease_ms() as u32, chair }
-        })
-    }
-
-    /// A node's former life is over: what it owned has to get a new term even
-    /// though the node is there again.
-    fn mark_reborn(f: &mut Floor, name: &str) {
-        for p in &f.rack.charter.partitions {
-            if p.owner == name || p.insync.iter().any(|n| n == name) {
-                f.reborn.insert(format!("reborn/{}/{}", p.id, name), p.term);
+            let term = |c: &Holding| f.rack.charter.partitions.iter().find(|p| p.id == c.partition && p.term > c.term);
+            LeaseAck {
+                granted: l.lag < 2,
+                ttl_ms: self.caliper.lease_ms() as u32,
+                chair,
+                outdated: l.claims.iter().filter_map(term).cloned().collect(),
+                lagging: f.leases.iter().filter(|(_, l)| l.lag > 0).map(|(n, _)| n.clone()).collect(),
             }
-        }
+        })
     }
 
     fn refresh_roster(f: &mut Floor, now: u64) {
@@ -343,6 +349,13 @@
             ack.refused = true;
             return ack;
         };
+        // One comes into sync only in the life that holds a lease, and with a disk
+        // that keeps up.
+        let fit = self.with(|f| f.leases.get(&o.node).is_some_and(|l| l.life == o.life && l.lag == 0));
+        if o.kind == OrderKind::Join as i32 && !fit {
+            ack.refused = true;
+            return ack;
+        }
         match rule(&was, &o) {
             Ruling::Refused => {
                 ack.refused = true;
@@ -370,9 +383,9 @@
         // A lease runs from when the node sent its request; a quarter is added
         // for what clocks and queues may differ.
         let grace = f.chaired_at + lease * 2;
-        f.leases
-            .get(name)
-            .map_or(now < grace, |l| f.ended.get(name) != Some(&l.life) && now < l.at.max(f.chaired_at) + lease * 5 / 4)
+        f.leases.get(name).map_or(now < grace, |l| {
+            l.lag < 2 && f.ended.get(name) != Some(&l.life) && now < l.at.max(f.chaired_at) + lease * 5 / 4
+        })
     }
 
     async fn assign(self: &Arc<Self>) {
@@ -397,19 +410,31 @@
             let _ = self
                 .inputs
                 .send(Input::Foremen(foremen.map(|s| (s.node.inner.clone(), s.node.zone.clone())).collect()));
-            let live: Vec<(String, String)> = f
+            let live: Vec<Stand> = f
                 .sessions
                 .values()
                 .filter(|s| s.node.role == "lathe" && !s.node.leaving && Self::alive(f, now, lease, &s.node.name))
-                .map(|s| (s.node.name.clone(), s.node.zone.clone()))
+                .map(|s| Stand { name: s.node.name.clone(), zone: s.node.zone.clone(), region: s.node.region.clone() })
                 .collect();
-            let replicas = self.caliper.tolerance.machines as usize + 1;
+            let tolerance = &self.caliper.tolerance;
+            let replicas = tolerance.machines as usize + 1;
+            let spread = Spread { zones: tolerance.zones as usize, regions: tolerance.regions as usize };
+            if f.steady.0 != live.len() {
+                f.steady = (live.len(), now);
+            }
             if f.rack.charter.partitions.is_empty() {
                 let zones = self.caliper.zones.len().max(1);
                 let waited = f.first_lathe_at != 0 && now > f.first_lathe_at + self.ratio(2.0);
-                if live.len() >= zones.max(replicas) || (waited && live.len() >= replicas) {
-                    let count = 6;
-                    let partitions = layout(&live, count, replicas);
+                // Fixed from then on: not before no more have come for a while.
+                let steady = now > f.steady.1 + self.ratio(8.0);
+                if steady && (live.len() >= zones.max(replicas) || (waited && live.len() >= replicas)) {
+                    let mut partitions = layout(&live, replicas, spread);
+                    for p in &mut partitions {
+                        for h in p.homes.clone() {
+                            p.set_joined(&h, f.leases.get(&h).map_or(0, |l| l.life));
+                        }
+                    }
+                    tally::change!("{} partitions on {} store machines", partitions.len(), live.len());
                     words.push(("layout".into(), Word::Layout(Layout { partitions })));
                 }
                 return;
@@ -417,37 +442,29 @@
             let partitions = f.rack.charter.partitions.clone();
             let retiring: Vec<String> =
                 f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
+            let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
             for p in &partitions {
-                let reborn: Vec<String> = p
-                    .insync
-                    .iter()
-                    .chain([&p.owner])
-                    .filter(|n| f.reborn.get(&format!("reborn/{}/{}", p.id, n)) == Some(&p.term))
-                    .cloned()
-                    .collect();
-                let all_reborn = p.insync.iter().all(|n| reborn.contains(n) || !Self::alive(f, now, lease, n));
-                let fresh = |n: &str| f.leases.get(n).is_some_and(|l| l.fresh);
-                let stands = |n: &str| {
-                    let reborn = reborn.iter().any(|r| r == n);
-                    Self::alive(f, now, lease, n) && (!reborn || all_reborn && !fresh(n))
+                // The life that a node is in; who has not asked this chair for a lease
+                // yet is taken to be in the one that is logged.
+                let life = |n: &str| f.leases.get(n).map_or(p.joined_life(n), |l| l.life);
+                // An emptied disk holds what it was filled with in this life only.
+                let holds = |n: &str| f.leases.get(n).is_none_or(|l| !l.fresh || p.joined_life(n) == l.life);
+                let lag = |n: &str| f.leases.get(n).map_or(0, |l| l.lag);
+                // A slow disk does not hold up an owner whose own is well.
+                let slows = |n: &str| {
+                    let candidate = p.grant.as_ref().is_some_and(|g| g.candidate == n);
+                    n != p.owner && !candidate && lag(n) > 0 && lag(&p.owner) == 0
                 };
-                let mut put = seize(p, stands);
-                if put.is_none() && reborn.contains(&p.owner) && stands(&p.owner) {
-                    // Nobody else can take over: a new term for the same node.
-                    let mut again = p.clone();
-                    again.term = p.grant.as_ref().map_or(p.term, |g| g.term) + 1;
-                    again.grant = None;
-                    again.seized = true;
-                    put = Some(again);
-                }
+                let stands = |n: &str| Self::alive(f, now, lease, n) && holds(n) && !slows(n);
+                let mut put = seize(p, stands, life);
                 let claimed = f.leases.iter().any(|(n, l)| {
                     Self::alive(f, now, lease, n) && l.claims.iter().any(|c| c.partition == p.id && c.term >= p.term)
                 });
                 if claimed {
                     f.unclaimed.remove(&p.id);
                 } else if now > *f.unclaimed.entry(p.id).or_insert(now) + 3 * lease && put.is_none() {
-                    let stands = |n: &str| f.leases.contains_key(n) && Self::alive(f, now, lease, n) && !fresh(n);
-                    put = revive(p, stands);
+                    let stands = |n: &str| f.leases.contains_key(n) && Self::alive(f, now, lease, n) && holds(n);
+                    put = revive(p, stands, life);
                     f.unclaimed.remove(&p.id);
                 }
                 if let Some(put) = put {
@@ -471,26 +488,29 @@
                     retiring.contains(h)
                         || (now > f.chaired_at + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
                 });
-                let load = |n: &str| partitions.iter().filter(|q| q.homes.iter().any(|h| h == n)).count();
-                let spare: Vec<(String, String)> =
-                    live.iter().filter(|(n, _)| !retiring.contains(n)).cloned().collect();
                 if let Some(gone) = gone
                     && spare.len() >= replicas
-                    && let Some(now) = rehome(p, gone, &spare, load)
+                    && let Some(now) = rehome(p, gone, &partitions, &spare, replicas, spread)
                 {
                     tally::change!("partition {} homes {:?}", p.id, now.homes);
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
                     continue;
                 }
                 if p.homes.len() < replicas
-                    && let Some((n, _)) =
-                        spare.iter().filter(|(n, _)| !p.homes.contains(n)).min_by_key(|(n, _)| load(n))
+                    && let Some(n) = new_home(p, &partitions, &spare, replicas, spread)
                 {
                     let mut now = p.clone();
-                    now.homes.push(n.clone());
+                    now.homes.push(n);
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
                 }
             }
+            if words.is_empty()
+                && let Some(now) = rebalance(&partitions, &spare)
+            {
+                tally::change!("partition {} homes {:?}, for balance", now.id, now.homes);
+                let was = partitions.iter().find(|p| p.id == now.id).cloned();
+                words.extend(was.map(|was| ("balance".into(), Word::Partition(PutPartition { was, now }))));
+            }
             for r in f.rack.charter.retires.iter().filter(|r| !r.done) {
                 let holds = partitions.iter().any(|p| {
                     p.owner == r.node
@@ -506,19 +526,10 @@
             }
         });
         for (_, w) in words {
-            let changed = match &w {
-                Word::Partition(p) => Some(p.was.id),
-                _ => None,
-            };
             // Together: each changes another partition, and only as it was seen here.
             let shop = self.clone();
             proposed.push(tokio::spawn(async move {
-                if shop.propose(w).await == Some(Applied::Done)
-                    && let Some(id) = changed
-                {
-                    let marks = format!("reborn/{id}/");
-                    shop.with(|f| f.reborn.retain(|k, _| !k.starts_with(&marks)));
-                }
+                shop.propose(w).await;
             }));
         }
         for p in proposed {
@@ -804,7 +815,7 @@
             listed: false,
             plumbs: HashMap::new(),
             first_lathe_at: 0,
-            reborn: HashMap::new(),
+            steady: (0, 0),
             unclaimed: HashMap::new(),
         }),
         news: Bell::new(),
@@ -954,7 +965,6 @@
                         f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(4.0) };
                         f.plumbs.clear();
                         f.leases.clear();
-                        f.reborn.clear();
                         f.unclaimed.clear();
                         // Who told another foreman is taken over, and must tell again.
                         for n in f.roster.nodes.clone() {
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -65,6 +65,9 @@
     mismatch: bool,
     /// A snapshot is under way up to this position.
     snapshot: u64,
+    life: u64,
+    /// When the majority last refused to count it in.
+    refused: u64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -100,6 +103,8 @@
 pub struct Mandrel {
     pub id: u32,
     me: String,
+    /// This process's life.
+    pub life: u64,
     pub term: u64,
     pub seat: Seat,
     first: u64,
@@ -140,6 +145,7 @@
         Mandrel {
             id,
             me: me.into(),
+            life: 0,
             term: 0,
             seat: Seat::Follower,
             first: 1,
@@ -497,7 +503,9 @@
         self.homes.clone_from(&p.homes);
         if p.term > self.term {
             if p.owner == self.me {
-                if !p.insync.contains(&self.me) {
+                if !p.insync.contains(&self.me) || p.joined_life(&self.me) != self.life {
+                    // Said of a former life, whose disk this one may not have.
+                    self.follow(p.term, "", out);
                     return;
                 }
                 self.own(p.term, p.insync.clone(), p.seized, now, out);
@@ -596,6 +604,7 @@
             node: self.me.clone(),
             kind: OrderKind::Own as i32,
             leaving: String::new(),
+            life: self.life,
         }));
     }
 
@@ -702,6 +711,7 @@
             node: m.candidate.clone(),
             kind: OrderKind::Grant as i32,
             leaving: if m.leaving { self.me.clone() } else { String::new() },
+            life: 0,
         }));
     }
 
@@ -715,6 +725,10 @@
                 Ok(OrderKind::Grant) => self.moving = None,
                 Ok(OrderKind::Join) => {
                     self.joining.remove(&order.node);
+                    if let Some(p) = self.peers.get_mut(&order.node) {
+                        p.refused = now;
+                    }
+                    self.advance(now, out);
                 }
                 _ => {}
             }
@@ -810,6 +824,7 @@
             verified: self.verified,
             verified_from: self.verified_from,
             mismatch: self.mismatch,
+            life: self.life,
         }
     }
 
@@ -909,6 +924,14 @@
         let (commit, first, end) = (self.commit, self.first, self.end());
         let Some(p) = self.peers.get_mut(&a.node) else { return };
         p.heard = now;
+        if p.life != a.life {
+            // Another process: what the former one had on disk may be gone.
+            p.life = a.life;
+            p.acked = 0;
+            p.snapshot = 0;
+            p.refused = 0;
+        }
+        let refused = now < p.refused + 4 * self.pace.again;
         p.verified = a.verified;
         p.verified_from = a.verified_from;
         if a.mismatch && !p.mismatch {
@@ -941,6 +964,7 @@
             && !self.joining.contains_key(&a.node)
             && acked >= commit
             && acked > 0
+            && !refused
         {
             self.joining.insert(a.node.clone(), now);
             self.ask_join(&a.node, out);
@@ -959,6 +983,7 @@
             node: node.to_owned(),
             kind: OrderKind::Join as i32,
             leaving: String::new(),
+            life: self.peers.get(node).map_or(0, |p| p.life),
         }));
     }
 
@@ -1023,6 +1048,7 @@
                         node: n,
                         kind: OrderKind::Drop as i32,
                         leaving: String::new(),
+                        life: 0,
                     }));
                 }
             }
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -36,6 +36,8 @@
     lease_until: u64,
     notified: HashMap<u32, Vec<u64>>,
     leaving: bool,
+    /// Store machines whose disks do not keep up, as the foremen know them.
+    lagging: Vec<String>,
     memory_limit: usize,
 }
 
@@ -323,7 +325,12 @@
 
     fn known_partition(&self, i: &mut Inside, id: u32) {
         let pace = self.pace();
-        i.mandrels.entry(id).or_insert_with(|| Mandrel::new(id, &self.caliper.node, pace));
+        let life = self.session.me().life;
+        i.mandrels.entry(id).or_insert_with(|| {
+            let mut m = Mandrel::new(id, &self.caliper.node, pace);
+            m.life = life;
+            m
+        });
     }
 
     fn pace(&self) -> Pace {
@@ -699,6 +706,7 @@
         let i = &mut *guard;
         let compact = (self.caliper.limits.disk_mb as usize) << 20;
         let parts = i.mandrels.len().max(1);
+        let lag = self.lag();
         for p in i.mandrels.keys().copied().collect::<Vec<_>>() {
             let m = &i.mandrels[&p];
             if m.open() {
@@ -742,7 +750,14 @@
             let m = &i.mandrels[&p];
             if m.seat == Seat::Owner && !m.is_moving() && !i.leaving && rounds.is_multiple_of(10) {
                 let home = m.homes.first().cloned().unwrap_or_default();
-                if !home.is_empty() && home != self.caliper.node && m.in_sync().contains(&home) {
+                if lag == 1 {
+                    // Slow here: over to one that keeps up, until this one does again.
+                    let well =
+                        |c: &String| !i.lagging.contains(c) && known.node(c, "lathe").is_some_and(|n| !n.leaving);
+                    if let Some(to) = m.candidates().into_iter().find(well) {
+                        self.step(i, p, |m, now, out| m.start_move(&to, true, wall, now, out));
+                    }
+                } else if !home.is_empty() && home != self.caliper.node && m.in_sync().contains(&home) {
                     let ready = known.node(&home, "lathe").is_some_and(|n| !n.leaving);
                     if ready {
                         self.step(i, p, |m, now, out| m.start_move(&home, false, wall, now, out));
@@ -766,8 +781,16 @@
         let mut turn = 0usize;
         loop {
             let asked = self.now();
+            let lag = self.lag();
             let (samples, claims) = {
                 let mut i = self.inside.lock().unwrap();
+                if lag == 2 {
+                    // It could commit nothing: stop before another one takes over.
+                    if i.lease_until > 0 {
+                        tally::change!("the disk does not answer: no owner until it does");
+                    }
+                    i.lease_until = 0;
+                }
                 let owned = i.mandrels.values().filter(|m| m.seat == Seat::Owner);
                 let claims = owned.map(|m| Holding { partition: m.id, term: m.term }).collect::<Vec<_>>();
                 (i.turret.take_samples(), claims)
@@ -776,15 +799,24 @@
             let seeds = self.session.order_foremen();
             let addr = if chair.is_empty() { seeds[turn % seeds.len()].clone() } else { chair.clone() };
             turn += 1;
-            let l = Lease { node: self.session.me(), samples, claims: claims.clone() };
+            let l = Lease { node: self.session.me(), samples, claims: claims.clone(), lag };
             match self.bench.to(&addr).call(Body::Lease(l), period * 2).await {
                 Ok(Body::LeaseAck(a)) if a.granted => {
                     self.session.take(&News { chair: addr, ..News::default() });
+                    {
+                        let mut guard = self.inside.lock().unwrap();
+                        // What passed on while this node was not looking is given up
+                        // before the lease counts.
+                        for c in &a.outdated {
+                            self.step(&mut guard, c.id, |m, now, out| m.charter(c, now, out));
+                        }
+                        guard.lagging = a.lagging;
+                    }
                     self.extend_lease(asked + a.ttl_ms as u64);
-                    tokio::time::sleep(period).await;
+                    self.sleep_while(lag, period).await;
                 }
                 Ok(Body::LeaseAck(a)) => {
-                    if !a.chair.is_empty() && a.chair != addr {
+                    if !a.chair.is_empty() {
                         self.session.take(&News { chair: a.chair, ..News::default() });
                     } else {
                         // It knows nobody in the chair: the others may.
@@ -802,9 +834,27 @@
         }
     }
 
+    /// How this machine's disk does: 1 when the last writes were all slow, 2 when
+    /// one is not answered.
+    fn lag(&self) -> u32 {
+        if self.drawer.busy_for() > Duration::from_millis(self.ratio(16.0)) {
+            2
+        } else {
+            u32::from(self.drawer.is_slow(Duration::from_millis(self.ratio(60.0))))
+        }
+    }
+
+    /// Sleeps, but no longer than until the disk does otherwise than was told.
+    async fn sleep_while(&self, lag: u32, period: Duration) {
+        let end = Instant::now() + period;
+        while Instant::now() < end && self.lag() == lag {
+            tokio::time::sleep(period / 4).await;
+        }
+    }
+
     /// Learns from a foreman who is in the chair.
     async fn ask_chair(&self, foreman: &str, claims: &[Holding], wait: Duration) {
-        let ask = Lease { node: self.session.me(), samples: Vec::new(), claims: claims.to_vec() };
+        let ask = Lease { node: self.session.me(), samples: Vec::new(), claims: claims.to_vec(), lag: self.lag() };
         if let Ok(Body::LeaseAck(a)) = self.bench.to(foreman).call(Body::Lease(ask), wait).await {
             let chair = if a.granted { foreman.to_owned() } else { a.chair };
             if !chair.is_empty() {
@@ -857,6 +907,7 @@
                 node: self.caliper.node.clone(),
                 kind: OrderKind::Drop as i32,
                 leaving: String::new(),
+                life: 0,
             };
             asks.push(tokio::spawn(self.clone().order(p, o)));
         }
@@ -933,11 +984,13 @@
         return Err(b);
     }
     let fresh = metas.is_empty() && !caliper.initial_start;
+    let life = tally::wall_ms();
     let mut mandrels = BTreeMap::new();
     for (p, meta) in metas {
         let mut entries = logs.remove(&p).unwrap_or_default();
         entries.sort_by_key(|e| e.0);
-        let m = Mandrel::reload(p, &caliper.node, pace(&caliper), &meta, snaps.remove(&p), entries)?;
+        let mut m = Mandrel::reload(p, &caliper.node, pace(&caliper), &meta, snaps.remove(&p), entries)?;
+        m.life = life;
         mandrels.insert(p, m);
     }
     let node = Node {
@@ -946,7 +999,7 @@
         zone: caliper.zone.clone(),
         region: caliper.region.clone(),
         inner: caliper.inner_addr(Role::Lathe),
-        life: tally::wall_ms(),
+        life,
         leaving: false,
         fresh,
     };
@@ -969,6 +1022,7 @@
             lease_until: 0,
             notified: HashMap::new(),
             leaving: false,
+            lagging: Vec::new(),
             // Messages may fill half of the memory.
             memory_limit: (caliper.limits.memory_mb << 20) as usize / 2,
         }),
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -536,3 +536,38 @@
     w.pass(1500);
     assert_eq!(w.owner(), "b", "and can be moved to");
 }
+
+#[test]
+fn an_emptied_owner_does_not_own_by_what_is_said_of_its_former_life() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.disks.remove("a");
+    w.crash("a");
+    w.nodes.get_mut("a").expect("a").life = 9;
+    w.took.clear();
+    w.tell();
+    w.pass(1000);
+    assert!(w.took.is_empty(), "it held nothing, and would have answered from that");
+    assert_eq!(w.nodes["a"].seat, Seat::Follower);
+    w.seize("b");
+    assert!(w.known("b", "m3"));
+    w.pass(3000);
+    assert!(w.known("a", "m3"), "filled by the one that has it");
+}
+
+#[test]
+fn a_follower_with_a_longer_log_than_its_new_owner_is_cut_back() {
+    let mut w = with_traffic(&["a", "b"]);
+    w.hold_sync.insert("a".into());
+    w.message("lost");
+    w.message("lost2");
+    assert!(w.nodes["b"].end() > w.disks["a"].log.keys().max().copied().unwrap_or(0));
+    w.crash("a");
+    w.seize("a");
+    w.chart.homes = vec!["a".into(), "b".into()];
+    w.tell();
+    w.pass(2000);
+    w.message("kept");
+    w.pass(1000);
+    assert!(!w.known("b", "lost") && w.known("b", "kept") && w.known("a", "kept"));
+    assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
+}
