A chair at once when all ended at once; send a lost follower the state, not the log

When every voter says it has heard of no chair since its start, there is none to wait for. Sent frames and bytes are counted by kind and logged.

--- a/crates/apprentice/src/feed.rs
+++ b/crates/apprentice/src/feed.rs
@@ -112,6 +112,6 @@
     // The hatch may drain for as long as it is allowed to; it is fed until then.
     session.set_leaving();
     tokio::time::sleep(Duration::from_millis((caliper.constraints.grace_s * 750.0) as u64)).await;
-    tally::report(&caliper.node);
+    tally::report(&caliper.node, &dovetail::sent());
     Ok(())
 }
--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -205,7 +205,7 @@
                     tally::count("session_misses");
                     turn += 1;
                     failures += 1;
-                    let pause = (quiet / 80.0) * f64::from(1 << failures.min(4));
+                    let pause = (quiet / 80.0) * f64::from(1 << failures.min(2));
                     tokio::time::sleep(Duration::from_millis(pause as u64)).await;
                 }
             }
--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -20,6 +20,82 @@
     out.reserve(len + 4);
     out.extend_from_slice(&(len as u32).to_be_bytes());
     envelope.encode(out).expect("room was reserved");
+    if let Some(b) = &envelope.body {
+        let (frames, bytes) = &SENT[kind(b)];
+        frames.fetch_add(1, Ordering::Relaxed);
+        bytes.fetch_add(len as u64 + 4, Ordering::Relaxed);
+    }
+}
+
+/// Frames and bytes sent by this process, by kind.
+static SENT: [(AtomicU64, AtomicU64); 26] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; 26];
+
+fn kind(b: &Body) -> usize {
+    match b {
+        Body::Watch(_) => 0,
+        Body::News(_) => 1,
+        Body::Lease(_) => 2,
+        Body::LeaseAck(_) => 3,
+        Body::Order(_) => 4,
+        Body::OrderAck(_) => 5,
+        Body::Vise(_) => 6,
+        Body::Accept(_) => 7,
+        Body::Accepted(_) => 8,
+        Body::Lookup(_) => 9,
+        Body::Found(_) => 10,
+        Body::Run(_) => 11,
+        Body::RunAck(_) => 12,
+        Body::Report(_) => 13,
+        Body::ReportAck(_) => 14,
+        Body::Holding(_) => 15,
+        Body::Held(_) => 16,
+        Body::Notify(_) => 17,
+        Body::NotifyAck(_) => 18,
+        Body::Entries(_) => 19,
+        Body::EntriesAck(_) => 20,
+        Body::Chunk(_) => 21,
+        Body::Status(_) => 22,
+        Body::StatusAck(_) => 23,
+        Body::Gossip(_) => 24,
+        Body::Ack(_) => 25,
+    }
+}
+
+/// What this process has sent to others so far: `kind=frames/bytes`, most first.
+pub fn sent() -> String {
+    let names = [
+        "watch",
+        "news",
+        "lease",
+        "lease_ack",
+        "order",
+        "order_ack",
+        "vise",
+        "accept",
+        "accepted",
+        "lookup",
+        "found",
+        "run",
+        "run_ack",
+        "report",
+        "report_ack",
+        "holding",
+        "held",
+        "notify",
+        "notify_ack",
+        "entries",
+        "entries_ack",
+        "chunk",
+        "status",
+        "status_ack",
+        "gossip",
+        "ack",
+    ];
+    let load = |n: usize| (SENT[n].1.load(Ordering::Relaxed), SENT[n].0.load(Ordering::Relaxed));
+    let mut all: Vec<(u64, u64, &str)> =
+        names.iter().enumerate().map(|(n, name)| (load(n).0, load(n).1, *name)).filter(|s| s.1 > 0).collect();
+    all.sort_unstable_by(|a, b| b.cmp(a));
+    all.iter().map(|(bytes, frames, name)| format!("{name}={frames}/{bytes}")).collect::<Vec<_>>().join(" ")
 }
 
 /// Takes one whole frame off the front, if there is one.
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -435,6 +435,9 @@
     /// Numbers appends, to tell rounds apart.
     #[prost(uint64, tag = "13")]
     pub round: u64,
+    /// Answer to a trial: has heard of no chair since its process began.
+    #[prost(bool, tag = "14")]
+    pub blank: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -286,7 +286,7 @@
     }
 
     fn refresh_roster(f: &mut Floor, now: u64) {
-        if !f.in_chair || now < f.publish_from {
+        if !f.holds(now) || now < f.publish_from {
             return;
         }
         let nodes: Vec<Node> = f.sessions.values().map(|s| s.node.clone()).collect();
@@ -301,6 +301,14 @@
         let now = self.now();
         self.with(|f| {
             let mut changed = false;
+            if f.in_chair
+                && f.roster.version == 0
+                && w.have.roster > 0
+                && w.node.as_ref().is_some_and(|n| n.role == "foreman")
+            {
+                // Others remember more than this chair: it must not forget them aloud.
+                f.publish_from = f.chaired_at + self.ratio(4.0);
+            }
             for n in w.node.iter().chain(&w.sessions) {
                 changed |= f.tell(n, now);
             }
@@ -402,8 +410,12 @@
             let before = f.sessions.len();
             let me = self.me.clone();
             f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
-            if f.sessions.len() != before && now > f.chaired_at + limit || f.roster.version >> 24 != f.term {
+            let told = f.roster.version;
+            if f.sessions.len() == before || now > f.chaired_at + limit {
+                // Also what could not be published when it was heard.
                 Self::refresh_roster(f, now);
+            }
+            if f.roster.version != told {
                 self.news.notify_waiters();
             }
             let foremen = f.sessions.values().filter(|s| s.node.role == "foreman");
@@ -861,7 +873,7 @@
                 }
             }
             if rounds.is_multiple_of(600) {
-                tally::report(&s.caliper.node);
+                tally::report(&s.caliper.node, &dovetail::sent());
             }
         }
     });
@@ -869,7 +881,7 @@
     let _ = shop.inputs.send(Input::StepDown);
     let _ = close.send(spindle::Closing::Draining);
     tokio::time::sleep(Duration::from_millis(shop.ratio(16.0))).await;
-    tally::report(&caliper.node);
+    tally::report(&caliper.node, &dovetail::sent());
     Ok(())
 }
 
@@ -962,7 +974,7 @@
                         f.chaired_at = now;
                         f.term = vise.hard.term;
                         f.roster_seq = 0;
-                        f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(4.0) };
+                        f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(16.0) };
                         f.plumbs.clear();
                         f.leases.clear();
                         f.unclaimed.clear();
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -99,6 +99,12 @@
     election_at: u64,
     beat_at: u64,
     votes: HashSet<String>,
+    /// Has heard of no chair since this process began.
+    blank: bool,
+    blank_at: u64,
+    /// Voters that said the same in answer to a trial, and whether they would
+    /// elect this one.
+    blanks: HashMap<String, bool>,
     next: HashMap<String, u64>,
     matched: HashMap<String, u64>,
     /// When the round was sent that a voter has answered last.
@@ -132,6 +138,9 @@
             election_at: 0,
             beat_at: 0,
             votes: HashSet::new(),
+            blank: true,
+            blank_at: now,
+            blanks: HashMap::new(),
             next: HashMap::new(),
             matched: HashMap::new(),
             answered: HashMap::new(),
@@ -302,6 +311,11 @@
             if self.hard.may_vote {
                 self.campaign(now, true, false, out);
             }
+        } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote {
+            // All may have ended at once: then nobody counts on a chair, and there is
+            // nothing to wait for.
+            self.blank_at = now + self.pace.election / 8 + self.dice % (self.pace.election / 8).max(1);
+            self.campaign(now, true, false, out);
         }
     }
 
@@ -310,6 +324,7 @@
         self.votes.insert(self.me.clone());
         let mut m = self.message(ViseKind::Ask);
         if trial {
+            self.blanks.clear();
             self.seat = Seat::Trial;
             m.term = self.hard.term + 1;
         } else {
@@ -337,6 +352,7 @@
             Seat::Trial => self.campaign(now, false, false, out),
             Seat::Candidate => {
                 self.seat = Seat::Chair;
+                self.blank = false;
                 self.chair = self.me.clone();
                 let next = self.last().0 + 1;
                 self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
@@ -461,9 +477,24 @@
             return;
         }
         if m.trial {
-            if self.seat == Seat::Trial && m.ok && m.term == self.hard.term + 1 {
-                self.votes.insert(m.from);
-                self.count_votes(now, out);
+            if self.seat == Seat::Trial && m.term == self.hard.term + 1 {
+                if m.blank {
+                    self.blanks.insert(m.from.clone(), m.index > 0);
+                }
+                if m.ok {
+                    self.votes.insert(m.from);
+                    self.count_votes(now, out);
+                }
+                let others: Vec<&String> = self.voters.iter().filter(|v| **v != self.me).collect();
+                let willing = others.iter().filter(|v| self.blanks.get(**v) == Some(&true)).count();
+                if self.seat == Seat::Trial
+                    && self.blank
+                    && others.iter().all(|v| self.blanks.contains_key(*v))
+                    && willing + 1 >= self.majority()
+                {
+                    // Every voter is in a new life, the last chair among them.
+                    self.campaign(now, false, true, out);
+                }
             }
             return;
         }
@@ -499,6 +530,8 @@
         if m.trial {
             r.term = m.term;
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
+            r.blank = self.blank && self.seat != Seat::Chair;
+            r.index = u64::from(newer && self.hard.may_vote);
             out.push(Effect::Send(m.from, r));
             return;
         }
@@ -533,6 +566,7 @@
             self.leave_chair(now, out);
         }
         self.chair = m.from.clone();
+        self.blank = false;
         self.heard = now;
         self.wait_again(now);
         let mut save = Save::default();
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -388,3 +388,29 @@
         assert_eq!(w.nodes[n].hard.term, before);
     }
 }
+
+#[test]
+fn when_all_ended_at_once_there_is_a_chair_without_waiting_for_an_old_one() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.chair().expect("a chair");
+    w.put(&c, 0, 3);
+    w.pass(300);
+    w.net.clear();
+    for n in ALL {
+        w.start(n);
+    }
+    w.pass(PACE.election * 3 / 4);
+    let c = w.chair().expect("a chair already");
+    assert_eq!(w.racks[&c].revision, 3);
+    // One that stays alive is no such case: it still has its time.
+    let alone: Vec<String> = ALL.iter().filter(|n| **n != c).map(|n| n.to_string()).collect();
+    for n in &alone {
+        w.start(n);
+    }
+    w.down.insert(c.clone());
+    w.pass(PACE.election - 20);
+    assert!(alone.iter().all(|n| w.nodes[n].seat != Seat::Chair), "the old chair may still act");
+    w.pass(3000);
+    assert!(w.chair().is_some());
+}
--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -204,7 +204,10 @@
         let headers = [("Content-Type", "application/json")];
         let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes() };
         let within = Duration::from_millis((self.hatch.caliper.constraints.notify_s * 300.0) as u64);
-        match self.chuck.call(&addr, call, 16, within).await {
+        // Receivers take few connections, and there is a delivery node for them in
+        // each zone.
+        let limit = (48 / self.hatch.caliper.zones.len().max(1)).max(2);
+        match self.chuck.call(&addr, call, limit, within).await {
             Ok(a) => a.status as u32,
             Err(_) => 0,
         }
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -345,7 +345,7 @@
             rounds += 1;
             b.sweep();
             if rounds.is_multiple_of(30) {
-                tally::report(&name);
+                tally::report(&name, &dovetail::sent());
             }
         }
     });
@@ -363,6 +363,6 @@
             break;
         }
     }
-    tally::report(&caliper.node);
+    tally::report(&caliper.node, &dovetail::sent());
     Ok(())
 }
--- a/crates/lathe/src/jig.rs
+++ b/crates/lathe/src/jig.rs
@@ -141,6 +141,11 @@
         self.body_bytes + self.pieces.len() * PIECE_BYTES
     }
 
+    /// Bytes of a snapshot, about.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.body_bytes + self.pieces.len() * (PIECE_BYTES / 4)
+    }
+
     pub fn find(&self, id: &str) -> Option<u64> {
         self.ids.get(id).copied()
     }
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -314,7 +314,15 @@
         if p.sent >= end && !notice {
             return;
         }
-        if p.sent + 1 < self.first {
+        // One that lacks much is sent the state instead of all that led to it, when
+        // that is less: bodies of what has ended are not in it.
+        let lacks = self.jig.position.saturating_sub(p.sent) as usize;
+        let behind = lacks > 256 && {
+            let from = (p.sent + 1).saturating_sub(self.first) as usize;
+            let bytes: usize = self.log.iter().skip(from).take(lacks).map(|e| e.record.len()).sum();
+            bytes > 2 * self.jig.snapshot_bytes()
+        };
+        if p.sent + 1 < self.first || behind {
             self.send_snapshot(node, now, out);
             return;
         }
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -766,7 +766,7 @@
             }
         }
         if rounds.is_multiple_of(300) {
-            tally::report(&self.caliper.node);
+            tally::report(&self.caliper.node, &dovetail::sent());
         }
     }
 
@@ -1095,6 +1095,6 @@
     });
     let _ = stop.wait_for(|s| *s).await;
     post.clone().leave().await;
-    tally::report(&caliper.node);
+    tally::report(&caliper.node, &dovetail::sent());
     Ok(())
 }
--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -77,10 +77,12 @@
     all.iter().map(|(k, v)| format!("{k}={v}")).collect::<Vec<_>>().join(" ")
 }
 
-/// Writes the counters as one line if they moved since the last time.
-pub fn report(who: &str) {
+/// Writes the counters as one line if they moved since the last time, and what
+/// was sent to others as a second one.
+pub fn report(who: &str, sent: &str) {
     let sum: u64 = COUNTERS.lock().unwrap().values().sum();
     if SINCE.swap(sum, Ordering::Relaxed) != sum {
         change!("counters {who} {}", render());
+        change!("sent {who} {sent}");
     }
 }
