A newcomer among the foremen asks who is in the chair; nothing is given to the unheard

Now it asks the seeds who is in the chair, and a session moves on from a foreman that follows nobody. A new chair gives a partition only to a node that has told it its life. Ruled out: the seizures, whose terms went up without anybody hearing of them.

--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -196,6 +196,12 @@
                         }
                     }
                     self.take(&n);
+                    if n.chair.is_empty() {
+                        // It follows nobody itself: others may know more.
+                        turn += 1;
+                        tokio::time::sleep(Duration::from_millis((quiet / 80.0) as u64)).await;
+                        continue;
+                    }
                     if turn != 0 && self.order_foremen().first() != Some(&addr) {
                         // Once in a while back to the nearest.
                         turn = 0;
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -214,11 +214,12 @@
 
 /// What becomes of a partition when some of its nodes' lives have ended.
 /// `stands` tells whether a node's session stands and its disk holds what it
-/// held when it took part last; `life` is the life that it is in.
-pub fn seize(p: &Partition, stands: impl Fn(&str) -> bool, life: impl Fn(&str) -> u64) -> Option<Partition> {
+/// held when it took part last; `life` is the life that it is in, if it has told
+/// that already: who has not is presumed to be as it was, but is given nothing.
+pub fn seize(p: &Partition, stands: impl Fn(&str) -> bool, life: impl Fn(&str) -> Option<u64>) -> Option<Partition> {
     let mut now = p.clone();
     // An owner in another life remembers nothing of its term: a new one is needed.
-    let owner = stands(&p.owner) && life(&p.owner) == p.joined_life(&p.owner);
+    let owner = stands(&p.owner) && life(&p.owner).is_none_or(|l| l == p.joined_life(&p.owner));
     if owner && p.grant.as_ref().is_none_or(|g| stands(&g.candidate)) {
         // Only followers can be missing: they stop holding up the owner.
         now.insync.retain(|n| *n == p.owner || stands(n));
@@ -235,23 +236,23 @@
         .filter(|n| p.grant.as_ref().is_none_or(|g| g.insync.contains(n)))
         .filter(|n| stands(n))
         .collect();
-    let next = eligible
-        .iter()
+    let told = || eligible.iter().filter(|n| life(n).is_some());
+    let next = told()
         .find(|n| **n != &p.owner && p.homes.first() == Some(**n))
-        .or(eligible.iter().find(|n| **n != &p.owner))
-        .or(eligible.first())?;
+        .or(told().find(|n| **n != &p.owner))
+        .or(told().next())?;
     now.owner = next.to_string();
     now.term = p.grant.as_ref().map_or(p.term, |g| g.term) + 1;
     now.insync = eligible.iter().map(|n| n.to_string()).collect();
     now.grant = None;
     now.seized = true;
-    now.set_joined(next, life(next));
+    now.set_joined(next, life(next)?);
     Some(now)
 }
 
 /// Nobody acts as a partition's owner, though nodes that hold all of it are
 /// there: as after the end of all processes at once. One of them begins anew.
-pub fn revive(p: &Partition, stands: impl Fn(&str) -> bool, life: impl Fn(&str) -> u64) -> Option<Partition> {
+pub fn revive(p: &Partition, stands: impl Fn(&str) -> bool, life: impl Fn(&str) -> Option<u64>) -> Option<Partition> {
     let all =
         || p.insync.iter().filter(|n| p.grant.as_ref().is_none_or(|g| g.insync.contains(n))).filter(|n| stands(n));
     let next = all().find(|n| **n == p.owner).or_else(|| all().next())?;
@@ -263,6 +264,6 @@
         seized: true,
         ..p.clone()
     };
-    now.set_joined(next, life(next));
+    now.set_joined(next, life(next)?);
     Some(now)
 }
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -456,9 +456,7 @@
                 f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
             let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
             for p in &partitions {
-                // The life that a node is in; who has not asked this chair for a lease
-                // yet is taken to be in the one that is logged.
-                let life = |n: &str| f.leases.get(n).map_or(p.joined_life(n), |l| l.life);
+                let life = |n: &str| f.leases.get(n).map(|l| l.life);
                 // An emptied disk holds what it was filled with in this life only.
                 let holds = |n: &str| f.leases.get(n).is_none_or(|l| !l.fresh || p.joined_life(n) == l.life);
                 let lag = |n: &str| f.leases.get(n).map_or(0, |l| l.lag);
@@ -657,8 +655,10 @@
 
     /// A foreman that is not in the chair keeps a session with it, tells it its own
     /// sessions, and takes the soft state from it.
-    async fn follow(self: Arc<Self>) {
+    async fn follow(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
         let wait = self.ratio(8.0);
+        // A newcomer is known to nobody: whoever runs is asked who is in the chair.
+        let (mut hint, mut turn) = (String::new(), 0usize);
         loop {
             let (chair, mine, have, sessions) = self.with(|f| {
                 let now = self.now();
@@ -676,10 +676,30 @@
                     .collect();
                 (f.chair.clone(), in_chair, Self::have(f), list)
             });
-            if mine || chair.is_empty() || chair == self.me {
+            if mine || chair == self.me {
                 tokio::time::sleep(Duration::from_millis(wait / 4)).await;
                 continue;
             }
+            let known = !chair.is_empty();
+            let chair = if known { chair } else { std::mem::take(&mut hint) };
+            let chair = if chair.is_empty() || chair == self.me {
+                tokio::time::sleep(Duration::from_millis(wait / 8)).await;
+                let seeds: Vec<String> =
+                    settings.borrow().seed_foremen().into_iter().filter(|s| *s != self.me).collect();
+                turn += 1;
+                let Some(seed) = seeds.get(turn % seeds.len().max(1)) else { continue };
+                let w = Watch {
+                    have: Have { template: u64::MAX, charter: u64::MAX, roster: u64::MAX },
+                    wait_ms: 1,
+                    ..Watch::default()
+                };
+                if let Ok(Body::News(n)) = self.bench.to(seed).call(Body::Watch(w), Duration::from_millis(wait)).await {
+                    hint = n.chair;
+                }
+                continue;
+            } else {
+                chair
+            };
             let w = Watch {
                 node: Some(self.node()),
                 have: Have { template: u64::MAX, charter: u64::MAX, ..have },
@@ -700,7 +720,10 @@
                         self.news.notify_waiters();
                     }
                 }),
-                _ => tokio::time::sleep(Duration::from_millis(wait / 4)).await,
+                _ => {
+                    hint.clear();
+                    tokio::time::sleep(Duration::from_millis(wait / 4)).await;
+                }
             }
         }
     }
@@ -852,7 +875,7 @@
         tokio::spawn(async move { shop.connection_ended(connection).await });
     };
     tokio::spawn(dovetail::serve_and_tell(listener, silence, move |b, p| s.handle(b, p), ended));
-    tokio::spawn(shop.clone().follow());
+    tokio::spawn(shop.clone().follow(settings.clone()));
     let s = shop.clone();
     tokio::spawn(async move { s.list(settings).await });
     tokio::spawn(turn(shop.clone(), vise, drawer, rx));
@@ -994,7 +1017,7 @@
         let until = vise.serves_until(shop.now());
         shop.with(|f| {
             f.serves_until = until;
-            f.chair.clone_from(&vise.chair);
+            vise.chair_at(shop.now()).clone_into(&mut f.chair);
             if f.voters != vise.voters() {
                 f.voters = vise.voters().to_vec();
             }
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -257,6 +257,12 @@
         if self.seat == Seat::Chair && applied { self.contact(now) + self.pace.election } else { 0 }
     }
 
+    /// Who is in the chair, while it is heard of.
+    pub fn chair_at(&self, now: u64) -> &str {
+        let heard = self.seat == Seat::Chair || now < self.heard + 3 * self.pace.election;
+        if heard { &self.chair } else { "" }
+    }
+
     /// The latest moment at which a majority is known to have followed.
     fn contact(&self, now: u64) -> u64 {
         let mut times: Vec<u64> = self
--- a/crates/foreman/tests/duties.rs
+++ b/crates/foreman/tests/duties.rs
@@ -25,11 +25,11 @@
 #[test]
 fn a_dead_owner_is_succeeded_only_by_one_in_sync() {
     let p = partition("a", &["a", "b"]);
-    assert_eq!(seize(&p, |_| true, |_| 0), None);
-    let s = seize(&p, |n| n != "a", |_| 0).expect("b takes over");
+    assert_eq!(seize(&p, |_| true, |_| Some(0)), None);
+    let s = seize(&p, |n| n != "a", |_| Some(0)).expect("b takes over");
     assert_eq!((s.owner.as_str(), s.term, s.seized, s.insync), ("b", 5, true, names(&["b"])));
-    assert_eq!(seize(&partition("a", &["a"]), |n| n != "a", |_| 0), None, "nobody else holds everything");
-    let s = seize(&p, |n| n != "b", |_| 0).expect("b is dropped");
+    assert_eq!(seize(&partition("a", &["a"]), |n| n != "a", |_| Some(0)), None, "nobody else holds everything");
+    let s = seize(&p, |n| n != "b", |_| Some(0)).expect("b is dropped");
     assert_eq!((s.owner.as_str(), s.term, s.insync), ("a", 4, names(&["a"])));
 }
 
@@ -38,15 +38,19 @@
     let mut p = partition("a", &["a", "b"]);
     p.set_joined("a", 7);
     p.set_joined("b", 7);
-    assert_eq!(seize(&p, |_| true, |_| 7), None);
+    assert_eq!(seize(&p, |_| true, |_| Some(7)), None);
     // Restarted with its disk: the other one goes on, both hold everything.
-    let s = seize(&p, |_| true, |n| if n == "a" { 9 } else { 7 }).expect("a new term");
+    let s = seize(&p, |_| true, |n| Some(if n == "a" { 9 } else { 7 })).expect("a new term");
     assert_eq!((s.owner.as_str(), s.term, s.insync.len(), s.joined_life("b")), ("b", 5, 2, 7));
     // Alone, it goes on itself, in its new life.
-    let s = seize(&p, |n| n == "a", |_| 9).expect("a new term");
+    let s = seize(&p, |n| n == "a", |_| Some(9)).expect("a new term");
     assert_eq!((s.owner.as_str(), s.term, s.joined_life("a")), ("a", 5, 9));
+    // A chair that is new waits for a node to tell its life before it gives it anything.
+    let told = |n: &str| (n != "b").then_some(9);
+    assert_eq!(seize(&p, |_| true, told).map(|s| s.owner), Some("a".into()));
+    assert_eq!(seize(&p, |n| n == "b", |_| None), None);
     // A follower that came back empty does not stand: it is out until it joins anew.
-    let s = seize(&p, |n| n != "b", |n| if n == "b" { 9 } else { 7 }).expect("b is dropped");
+    let s = seize(&p, |n| n != "b", |n| Some(if n == "b" { 9 } else { 7 })).expect("b is dropped");
     assert_eq!((s.owner.as_str(), s.term, s.insync), ("a", 4, names(&["a"])));
     let mut join = order(OrderKind::Join, 4, "b");
     join.life = 9;
@@ -58,11 +62,11 @@
 fn with_a_grant_out_only_those_of_both_terms_are_eligible() {
     let mut p = partition("a", &["a", "b"]);
     p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["b"]) });
-    let s = seize(&p, |n| n == "b", |_| 0).expect("the candidate");
+    let s = seize(&p, |n| n == "b", |_| Some(0)).expect("the candidate");
     assert_eq!((s.owner.as_str(), s.term), ("b", 6));
-    assert_eq!(seize(&p, |n| n == "a", |_| 0), None, "the candidate may have taken messages alone");
+    assert_eq!(seize(&p, |n| n == "a", |_| Some(0)), None, "the candidate may have taken messages alone");
     p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["a", "b"]) });
-    let s = seize(&p, |n| n == "a", |_| 0).expect("the incumbent goes on");
+    let s = seize(&p, |n| n == "a", |_| Some(0)).expect("the incumbent goes on");
     assert_eq!((s.owner.as_str(), s.term, s.grant), ("a", 6, None));
 }
 
@@ -233,11 +237,11 @@
 #[test]
 fn when_nobody_acts_as_owner_one_that_holds_everything_begins_anew() {
     let mut p = partition("a", &["a", "b"]);
-    let r = revive(&p, |_| true, |_| 0).expect("the same owner");
+    let r = revive(&p, |_| true, |_| Some(0)).expect("the same owner");
     assert_eq!((r.owner.as_str(), r.term, r.seized, r.insync), ("a", 5, true, names(&["a", "b"])));
-    assert_eq!(revive(&p, |n| n == "b", |_| 0).map(|r| r.owner), Some("b".into()));
+    assert_eq!(revive(&p, |n| n == "b", |_| Some(0)).map(|r| r.owner), Some("b".into()));
     p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["b"]) });
-    let r = revive(&p, |_| true, |_| 0).expect("the candidate may have more");
+    let r = revive(&p, |_| true, |_| Some(0)).expect("the candidate may have more");
     assert_eq!((r.owner.as_str(), r.term), ("b", 6));
-    assert_eq!(revive(&p, |n| n == "a", |_| 0), None);
+    assert_eq!(revive(&p, |n| n == "a", |_| Some(0)), None);
 }
