Try dark machines again at once; leave room for old connections; count what is sent

Endpoints reset connections over their limit after a take-over: those of the former delivery node still stood.

--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -302,15 +302,25 @@
     }
 }
 
-async fn run(addr: String, silence: Duration, mut rx: mpsc::UnboundedReceiver<Envelope>, waiting: Waiting) {
-    let connected = tokio::time::timeout(silence, TcpStream::connect(&addr)).await;
-    let stream = match connected {
-        Ok(Ok(s)) => s,
-        _ => {
-            rx.close();
-            fail_all(&waiting, Verdict::NotRun);
-            return;
+/// Tries again in short steps while nobody answers: a machine that was dark for
+/// the first packet would else be noticed only when that is repeated, seconds
+/// later.
+async fn connect(addr: &str, silence: Duration) -> Option<TcpStream> {
+    let end = tokio::time::Instant::now() + silence;
+    while tokio::time::Instant::now() < end {
+        match tokio::time::timeout(silence / 8, TcpStream::connect(addr)).await {
+            Ok(s) => return s.ok(),
+            Err(_) => tally::count("connects_again"),
         }
+    }
+    None
+}
+
+async fn run(addr: String, silence: Duration, mut rx: mpsc::UnboundedReceiver<Envelope>, waiting: Waiting) {
+    let Some(stream) = connect(&addr, silence).await else {
+        rx.close();
+        fail_all(&waiting, Verdict::NotRun);
+        return;
     };
     tune(&stream, silence);
     let (mut read, mut write) = stream.into_split();
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -895,7 +895,7 @@
                     s.judge().await;
                 }
             }
-            if rounds.is_multiple_of(600) {
+            if rounds.is_multiple_of(300) {
                 tally::report(&s.caliper.node, &dovetail::sent());
             }
         }
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -274,7 +274,9 @@
     pub fn choose(&mut self, plant: &Plant, now: u64) -> Option<Choice> {
         if let Some(address) = &plant.endpoint {
             let (load, s) = self.load(&plant.name, now);
-            let room = if s.failures > 0 { 1 } else { (plant.conn_limit * 3 / 4).max(1) };
+            // Half: after a take-over the connections of another delivery node may
+            // still stand there.
+            let room = if s.failures > 0 { 1 } else { (plant.conn_limit / 2).max(1) };
             if now < s.shut_until || s.flights >= room || load >= plant.conn_limit {
                 return None;
             }
