Send changes of charter and roster, not the whole

Entries carry the version in which they were news; what is gone is remembered for a while. A new chair, and whoever is too far behind, is answered with the whole. Tests: gaps, reorder, a restarted source, forgotten removals.

--- a/crates/apprentice/src/feed.rs
+++ b/crates/apprentice/src/feed.rs
@@ -97,6 +97,7 @@
         life: tally::wall_ms(),
         leaving: false,
         fresh: false,
+        changed: 0,
     };
     let bench = Bench::new(silence);
     let session = Session::new(caliper.clone(), node, bench);
--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -36,21 +36,12 @@
         if let Some(c) = &news.charter
             && c.version > self.charter.version
         {
-            self.charter = Arc::new(c.clone());
-            moved = true;
+            moved |= Arc::make_mut(&mut self.charter).take(c);
         }
         if let Some(r) = &news.roster
             && r.version > self.roster.version
         {
-            let mut r = r.clone();
-            if !r.listed && self.roster.listed {
-                // From a chair that could not ask the platform yet: that is no
-                // news of processors.
-                r.units = self.roster.units.clone();
-                r.listed = true;
-            }
-            self.roster = Arc::new(r);
-            moved = true;
+            moved |= Arc::make_mut(&mut self.roster).take(r);
         }
         if !news.chair.is_empty() && news.chair != self.chair {
             self.chair = news.chair.clone();
@@ -65,8 +56,8 @@
         News {
             have: mine,
             template: (mine.template > have.template).then(|| self.json.clone()),
-            charter: (mine.charter > have.charter).then(|| (*self.charter).clone()),
-            roster: (mine.roster > have.roster).then(|| (*self.roster).clone()),
+            charter: (mine.charter > have.charter).then(|| self.charter.since(have.charter)),
+            roster: (mine.roster > have.roster).then(|| self.roster.since(have.roster)),
             chair: self.chair.clone(),
             foremen: Vec::new(),
         }
--- a/crates/dovetail/src/lib.rs
+++ b/crates/dovetail/src/lib.rs
@@ -1,6 +1,7 @@
 //! The inner protocol: what the processes of the system say to one another,
 //! and the framed connections it travels on.
 
+mod delta;
 mod link;
 pub mod msg;
 pub use link::*;
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -100,6 +100,9 @@
     /// Started with an empty disk, though not at the system's first start.
     #[prost(bool, tag = "8")]
     pub fresh: bool,
+    /// In a roster: the version in which this was news.
+    #[prost(uint64, tag = "9")]
+    pub changed: u64,
 }
 
 /// The versions of the three things that are passed on.
@@ -184,6 +187,9 @@
     pub rollouts: Vec<Rollout>,
     #[prost(message, repeated, tag = "4")]
     pub retires: Vec<Retire>,
+    /// Not 0: only what has changed since that version.
+    #[prost(uint64, tag = "5")]
+    pub since: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -207,6 +213,9 @@
     /// The lives in which nodes took part last: as owner, or when they joined.
     #[prost(message, repeated, tag = "8")]
     pub joined: Vec<Joined>,
+    /// The charter's version in which this was news.
+    #[prost(uint64, tag = "9")]
+    pub changed: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -283,6 +292,26 @@
     pub units: Vec<Unit>,
     #[prost(bool, tag = "4")]
     pub listed: bool,
+    /// Not 0: only what has changed since that version.
+    #[prost(uint64, tag = "5")]
+    pub since: u64,
+    /// What is no longer there.
+    #[prost(message, repeated, tag = "6")]
+    pub gone: Vec<Gone>,
+    /// From which version on `gone` is complete.
+    #[prost(uint64, tag = "7")]
+    pub from: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Gone {
+    /// A node's name, or a processor's id.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(bool, tag = "2")]
+    pub unit: bool,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 
 /// A processor as the platform lists it.
@@ -304,6 +333,9 @@
     pub draining: bool,
     #[prost(bool, tag = "8")]
     pub cold: bool,
+    /// In a roster: the version in which this was news.
+    #[prost(uint64, tag = "9")]
+    pub changed: u64,
 }
 
 /// An owner's lease on its life: renewed with the foreman in the chair.
--- /dev/null
+++ b/crates/dovetail/tests/news.rs
@@ -0,0 +1,120 @@
+//! Changes instead of the whole: with gaps, out of order, and from a source that
+//! began anew.
+
+use dovetail::msg::*;
+
+fn node(name: &str, life: u64) -> Node {
+    Node { name: name.into(), role: "hatch".into(), life, ..Node::default() }
+}
+
+fn unit(id: &str, draining: bool) -> Unit {
+    Unit { id: id.into(), draining, ..Unit::default() }
+}
+
+fn publish(r: &mut Roster, version: u64, nodes: &[Node], units: &[Unit]) {
+    assert!(r.differs(&nodes.iter().collect::<Vec<_>>(), units, true));
+    r.publish(version, &nodes.iter().collect::<Vec<_>>(), units, true);
+    assert!(!r.differs(&nodes.iter().collect::<Vec<_>>(), units, true));
+}
+
+/// Names, lives, ids and what drains: all that counts.
+type View = (Vec<(String, u64)>, Vec<(String, bool)>);
+
+fn view(r: &Roster) -> View {
+    let n = r.nodes.iter().map(|n| (n.name.clone(), n.life)).collect();
+    (n, r.units.iter().map(|u| (u.id.clone(), u.draining)).collect())
+}
+
+const T1: u64 = 1 << 24;
+const T2: u64 = 2 << 24;
+
+#[test]
+fn a_roster_by_changes_is_the_whole_roster() {
+    let mut chair = Roster::default();
+    publish(&mut chair, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false), unit("u2", false)]);
+    let mut far = Roster::default();
+    assert!(far.take(&chair.since(0)));
+    let mut late = far.clone();
+    publish(&mut chair, T1 + 2, &[node("a", 1), node("b", 2)], &[unit("u1", true), unit("u2", false)]);
+    let first = chair.since(far.version);
+    assert_eq!((first.nodes.len(), first.units.len(), first.since), (1, 1, T1 + 1), "only what changed");
+    publish(&mut chair, T1 + 3, &[node("b", 2), node("c", 1)], &[unit("u2", false), unit("u3", false)]);
+    let second = chair.since(first.version);
+    // Out of order: the second leaves a gap, and is not taken.
+    assert!(!late.take(&second));
+    assert!(far.take(&first) && far.take(&second) && !far.take(&first), "an older one changes nothing");
+    assert_eq!(view(&far), view(&chair));
+    // One that missed both gets them in one, from a neighbour as well.
+    assert!(late.take(&far.since(late.version)));
+    assert_eq!(view(&late), view(&chair));
+}
+
+#[test]
+fn a_chair_that_began_anew_sends_the_whole() {
+    let mut old = Roster::default();
+    publish(&mut old, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false)]);
+    // The next chair has this copy; the old one still tells some of another change.
+    let mut next = Roster::default();
+    next.take(&old.since(0));
+    publish(&mut old, T1 + 2, &[node("a", 1)], &[unit("u1", true)]);
+    let mut far = Roster::default();
+    far.take(&old.since(0));
+    publish(&mut next, T2 + 1, &[node("a", 1), node("b", 1), node("c", 1)], &[unit("u1", false)]);
+    let news = next.since(far.version);
+    assert_eq!(news.since, 0, "what it did not know of cannot be told by changes");
+    assert!(far.take(&news));
+    assert_eq!(view(&far), view(&next));
+    assert!(!far.take(&old.since(T1 + 1)), "the old chair is not heard any more");
+}
+
+#[test]
+fn a_chair_that_has_not_listed_leaves_the_processors_alone() {
+    let mut far = Roster::default();
+    publish(&mut far, T1 + 1, &[node("a", 1)], &[unit("u1", true)]);
+    let mut blank = Roster::default();
+    let b = node("b", 1);
+    blank.publish(T2 + 1, &[&b], &[], false);
+    assert!(far.take(&blank.since(far.version)));
+    assert_eq!(view(&far), (vec![("b".into(), 1)], vec![("u1".into(), true)]));
+    assert!(far.listed);
+    // Once it has, its list counts.
+    blank.publish(T2 + 2, &[&b], &[unit("u2", false)], true);
+    assert!(far.take(&blank.since(0)));
+    assert_eq!(view(&far).1, vec![("u2".into(), false)]);
+}
+
+#[test]
+fn removals_too_old_to_remember_are_told_by_the_whole() {
+    let mut chair = Roster::default();
+    let ids: Vec<Unit> = (0..600).map(|n| unit(&format!("u{n:04}"), false)).collect();
+    publish(&mut chair, T1 + 1, &[], &ids);
+    let mut far = Roster::default();
+    far.take(&chair.since(0));
+    for n in 1..=500u64 {
+        publish(&mut chair, T1 + 1 + n, &[], &ids[n as usize..]);
+    }
+    let news = chair.since(far.version);
+    assert_eq!(news.since, 0);
+    assert!(far.take(&news));
+    assert_eq!(view(&far), view(&chair));
+    assert!(chair.since(T1 + 499).units.is_empty() && chair.since(T1 + 499).gone.len() == 2);
+}
+
+#[test]
+fn a_charter_by_changes_is_the_whole_charter() {
+    let part = |id: u32, term: u64, changed: u64| Partition { id, term, changed, ..Partition::default() };
+    let mut chair = Charter { version: 5, partitions: (0..8).map(|i| part(i, 1, 5)).collect(), ..Charter::default() };
+    let mut far = Charter::default();
+    assert!(far.take(&chair.since(0)));
+    chair.partitions[3] = part(3, 2, 7);
+    chair.version = 7;
+    let first = chair.since(far.version);
+    assert_eq!(first.partitions.len(), 1);
+    chair.partitions[3] = part(3, 3, 9);
+    chair.partitions[4] = part(4, 2, 8);
+    chair.version = 9;
+    let second = chair.since(7);
+    assert!(!far.clone().take(&second), "a gap is not taken");
+    assert!(far.take(&first) && far.take(&second) && !far.take(&first));
+    assert_eq!(far, chair);
+}
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -116,6 +116,7 @@
                     return Applied::Beaten;
                 }
                 *slot = p.now;
+                slot.changed = index;
             }
             Word::Rollout(r) => {
                 self.charter.rollouts.retain(|x| x.plant != r.plant);
@@ -130,6 +131,9 @@
                     return Applied::Beaten;
                 }
                 self.charter.partitions = l.partitions;
+                for p in &mut self.charter.partitions {
+                    p.changed = index;
+                }
             }
         }
         self.charter.version = index;
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -289,11 +289,10 @@
         if !f.holds(now) || now < f.publish_from {
             return;
         }
-        let nodes: Vec<Node> = f.sessions.values().map(|s| s.node.clone()).collect();
-        if nodes != f.roster.nodes || f.units != f.roster.units || f.listed != f.roster.listed {
+        let nodes: Vec<&Node> = f.sessions.values().map(|s| &s.node).collect();
+        if f.roster.differs(&nodes, &f.units, f.listed) {
             f.roster_seq += 1;
-            f.roster =
-                Roster { version: (f.term << 24) + f.roster_seq, nodes, units: f.units.clone(), listed: f.listed };
+            f.roster.publish((f.term << 24) + f.roster_seq, &nodes, &f.units, f.listed);
         }
     }
 
@@ -335,8 +334,8 @@
             News {
                 have,
                 template: (have.template > w.have.template).then(|| f.rack.template.clone()),
-                charter: (have.charter > w.have.charter).then(|| f.rack.charter.clone()),
-                roster: (have.roster > w.have.roster).then(|| f.roster.clone()),
+                charter: (have.charter > w.have.charter).then(|| f.rack.charter.since(w.have.charter)),
+                roster: (have.roster > w.have.roster).then(|| f.roster.since(w.have.roster)),
                 chair: if f.chair == self.me && !f.holds(self.now()) { String::new() } else { f.chair.clone() },
                 foremen: f
                     .sessions
@@ -632,6 +631,7 @@
                     capacity: u.capacity,
                     draining: u.state != "ready",
                     cold: u.cold_left_ms > 0.0,
+                    changed: 0,
                 }));
                 token = page.next_token.filter(|t| !t.is_empty());
                 if token.is_none() {
@@ -712,11 +712,10 @@
                         return;
                     }
                     if let Some(r) = n.roster
-                        && r.version > f.roster.version
+                        && f.roster.take(&r)
                     {
-                        f.units = r.units.clone();
-                        f.listed = r.listed;
-                        f.roster = r;
+                        f.units.clone_from(&f.roster.units);
+                        f.listed = f.roster.listed;
                         self.news.notify_waiters();
                     }
                 }),
@@ -743,6 +742,7 @@
             life: self.life,
             leaving: false,
             fresh: false,
+            changed: 0,
         }
     }
 
@@ -1003,7 +1003,8 @@
                         f.unclaimed.clear();
                         // Who told another foreman is taken over, and must tell again.
                         for n in f.roster.nodes.clone() {
-                            f.sessions.entry(n.name.clone()).or_insert(Session { node: n, seen: now });
+                            let node = Node { changed: 0, ..n };
+                            f.sessions.entry(node.name.clone()).or_insert(Session { node, seen: now });
                         }
                     });
                 }
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -1002,6 +1002,7 @@
         life,
         leaving: false,
         fresh,
+        changed: 0,
     };
     let bench = Bench::new(silence);
     let session = Session::new(caliper.clone(), node, bench.clone());
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -20,7 +20,7 @@
     };
     let nodes = vec![hatch("h1", "x"), hatch("h2", "x"), hatch("h3", "y")];
     let mut t = Turret::new("x", "r", TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 });
-    let roster = Roster { version: 1, nodes, units, listed: true };
+    let roster = Roster { version: 1, nodes, units, listed: true, ..Roster::default() };
     t.news(&Arc::new(roster), &Arc::new(Charter { rollouts, ..Charter::default() }));
     t
 }
