--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -491,8 +491,12 @@
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now: put })));
                     continue;
                 }
-                // Homes: of retiring nodes, and of nodes away for twice the settling time.
-                let away = (self.caliper.constraints.settle_s * 2000.0) as u64;
+                // Homes: of retiring nodes, and of nodes that are away: for twice the
+                // settling time, or a quarter of it where a node without any work is
+                // there, as after a machine was replaced by one at another address.
+                let idle = |n: &Stand| !partitions.iter().any(|q| q.homes.contains(&n.name));
+                let patience = if spare.iter().any(idle) { 250.0 } else { 2000.0 };
+                let away = (self.caliper.constraints.settle_s * patience) as u64;
                 let gone = p.homes.iter().find(|h| {
                     retiring.contains(h)
                         || (now > f.chaired_at + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
@@ -964,7 +968,29 @@
         }
         for e in effects {
             match e {
-                Effect::Save(s) => save(&drawer, s).await,
+                Effect::Save(s) => {
+                    let saving = save(&drawer, s);
+                    tokio::pin!(saving);
+                    let patience = Duration::from_millis(shop.ratio(32.0));
+                    if tokio::time::timeout(patience, &mut saving).await.is_err() {
+                        if vise.seat == Seat::Chair && vise.voters().len() > 1 {
+                            // It cannot write, so it cannot lead: another one can at once.
+                            tally::change!("the disk does not answer: naming a successor");
+                            for e in vise.step(shop.now(), Event::StepDown) {
+                                if let Effect::Send(to, m) = e {
+                                    shop.bench.to(&to).send(Body::Vise(m));
+                                }
+                            }
+                            shop.with(|f| {
+                                f.in_chair = false;
+                                f.serves_until = 0;
+                                f.chair.clear();
+                            });
+                            waiting.clear();
+                        }
+                        saving.await;
+                    }
+                }
                 Effect::Send(to, m) => shop.bench.to(&to).send(Body::Vise(m)),
                 Effect::Proposed(index, term) => {
                     if let Some(a) = answer.take() {
