Wait for what a silent delivery node may hold; play a replaced core machine on loopback

Read in the code: after a take-over a delivery node that did not answer counted as holding nothing. Now what it was given last waits until that attempt's time is over; one that refuses connections holds nothing, as its process has ended. The loopback test replaces a foreman by one at another address and then ends everything that keeps something at once.

--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -252,18 +252,24 @@
                 tokio::spawn(async move {
                     for _ in 0..2 {
                         match end.call(Body::Holding(Holding { partition, term }), wait).await {
-                            Ok(Body::Held(h)) => return h.positions,
-                            Err(Verdict::MayHaveRun) => return Vec::new(),
+                            Ok(Body::Held(h)) => return Some(h.positions),
+                            Err(Verdict::MayHaveRun) => return None,
                             _ => tokio::time::sleep(wait / 8).await,
                         }
                     }
-                    Vec::new()
+                    // Nobody listens there: what it held ended with its process.
+                    Some(Vec::new())
                 }),
             ));
         }
-        let mut held = Vec::new();
+        let (mut held, mut silent) = (Vec::new(), HashSet::new());
         for (name, a) in asked {
-            held.extend(a.await.unwrap_or_default().into_iter().map(|p| (p, name.clone())));
+            match a.await.ok().flatten() {
+                Some(positions) => held.extend(positions.into_iter().map(|p| (p, name.clone()))),
+                None => {
+                    silent.insert(name);
+                }
+            }
         }
         let mut i = self.inside.lock().unwrap();
         let i = &mut *i;
@@ -287,6 +293,16 @@
         let pending: Vec<u64> = m.jig.pending.iter().copied().collect();
         let owed: Vec<u64> = m.jig.pieces.iter().filter(|(_, w)| w.owes_notice()).map(|(p, _)| *p).collect();
         for pos in pending {
+            // Silence is not "nothing": what was last given to a node that did not
+            // answer waits until that attempt cannot be running any more.
+            let w = &i.mandrels[&partition].jig.pieces[&pos];
+            let cutoff = known.template.channel(&w.item.channel).map_or(0, |c| c.cutoff_ms as u64);
+            let over = w.sent_ms + cutoff + self.ratio(16.0);
+            if silent.contains(&w.node) && over > wall {
+                tally::count("runs_maybe_held");
+                i.turret.later((partition, pos), over);
+                continue;
+            }
             self.schedule(i, (partition, pos), wall);
         }
         for pos in owed {
--- a/crates/willowslip/tests/whole.rs
+++ b/crates/willowslip/tests/whole.rs
@@ -124,7 +124,7 @@
     }
 }
 
-fn until(what: &str, f: impl Fn() -> bool) {
+fn until(what: &str, mut f: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(60);
     while !f() {
         assert!(Instant::now() < end, "not in time: {what}");
@@ -270,6 +270,31 @@
         assert_eq!(send(n), 202, "message {n}");
     }
 
+    // A core machine is replaced by an empty one at another address.
+    s.end("foreman-4", "-KILL");
+    s.start("foreman", 8, false);
+    let (new, old) = (format!("127.0.0.8:{}", s.base), format!("127.0.0.4:{}", s.base));
+    until("the newcomer votes", || {
+        let Some(status) = s.ctl(&["status"]) else { return false };
+        let votes = |a: &String| status["voters"].as_array().is_some_and(|v| v.iter().any(|x| x == a.as_str()));
+        votes(&new) && !votes(&old)
+    });
+    // Everything that keeps something ends at once, and comes back with its disks.
+    let kept = ["foreman-2", "foreman-3", "foreman-8", "lathe-6", "lathe-7"];
+    for k in kept {
+        s.end(k, "-KILL");
+    }
+    for k in kept {
+        let (role, machine) = k.split_once('-').expect("role and machine");
+        s.start(role, machine.parse().expect("a number"), false);
+    }
+    until("back", || s.ctl(&["config", "read"]).is_some_and(|c| c["revision"] == 1));
+    let mut again = 500;
+    until("taken again", || {
+        again += 1;
+        send(again) == 202
+    });
+
     until("all are settled", || {
         names.iter().all(|(_, name)| {
             let r = format!("GET /message/{name} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
