--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -61,6 +61,8 @@
     /// until the nodes have told it their sessions.
     publish_from: u64,
     voters: Vec<String>,
+    /// How far the other foremen are behind, as the chair knows it.
+    behind: Vec<(String, u64)>,
     term: u64,
     roster_seq: u64,
     units: Vec<Unit>,
@@ -768,9 +770,17 @@
                 .iter()
                 .map(|n| serde_json::json!({"name": n.name, "role": n.role, "zone": n.zone, "inner": n.inner, "leaving": n.leaving}))
                 .collect();
+            let behind: BTreeMap<&String, u64> = f.behind.iter().map(|(n, b)| (n, *b)).collect();
+            // Store machines whose disks do not keep up.
+            let disks: BTreeMap<&String, &str> = f
+                .leases
+                .iter()
+                .filter(|(_, l)| l.lag > 0)
+                .map(|(n, l)| (n, if l.lag == 1 { "slow" } else { "does not answer" }))
+                .collect();
             serde_json::json!({"node": self.caliper.node, "chair": f.chair, "inChair": f.in_chair,
                 "duties": if f.in_chair { vec!["lister", "judge", "assigner"] } else { vec![] },
-                "voters": f.voters, "revision": f.rack.revision, "charter": f.rack.charter.version, "roster": f.roster.version,
+                "voters": f.voters, "behind": behind, "disks": disks, "revision": f.rack.revision, "charter": f.rack.charter.version, "roster": f.roster.version,
                 "units": f.roster.units.len(), "partitions": parts, "nodes": nodes, "counters": tally::render()})
             .to_string()
         })
@@ -848,6 +858,7 @@
             chaired_at: 0,
             publish_from: 0,
             voters: Vec::new(),
+            behind: Vec::new(),
             term: 0,
             roster_seq: 0,
             units: Vec::new(),
@@ -960,6 +971,7 @@
             _ = ticks.tick() => Event::Tick,
         };
         let now = shop.now();
+        let ticked = matches!(event, Event::Tick);
         let mut effects = vise.step(now, event);
         if vise.length() > 512 {
             let index = vise.applied();
@@ -1045,6 +1057,9 @@
         shop.with(|f| {
             f.serves_until = until;
             vise.chair_at(shop.now()).clone_into(&mut f.chair);
+            if ticked {
+                f.behind = vise.behind();
+            }
             if f.voters != vise.voters() {
                 f.voters = vise.voters().to_vec();
             }
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -166,6 +166,16 @@
         &self.voters
     }
 
+    /// How many committed entries each other foreman is not known to hold.
+    pub fn behind(&self) -> Vec<(String, u64)> {
+        if self.seat != Seat::Chair {
+            return Vec::new();
+        }
+        let others = self.voters.iter().chain(&self.learners).filter(|f| **f != self.me);
+        let held = |f: &String| self.matched.get(f).copied().unwrap_or(0);
+        others.map(|f| (f.clone(), self.commit.saturating_sub(held(f)))).collect()
+    }
+
     /// When the round was sent that a foreman has answered last.
     pub fn last_answer(&self, foreman: &str) -> u64 {
         self.answered.get(foreman).copied().unwrap_or(0)
