Say 504 only where a message may have been written; send nothing to a dark owner

Now a call that was given up before its frame went to the network has not run, and is not written later; an owner that answers nothing for a sixteenth of quietMs is sent nothing new; what may have been written is asked about for longer, up to four fifths of the client's time, since a 504 ends it for the client. Ruled out: holding what has not run; that is still told 503 after five times the aim.

--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -228,11 +228,27 @@
     let _ = write.shutdown().await;
 }
 
-type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<Result<Body, Verdict>>>>>;
+/// A call that is waited for.
+struct Wait {
+    tx: oneshot::Sender<Result<Body, Verdict>>,
+    /// When its frame went to the network; until then it cannot have run.
+    written: Option<Instant>,
+}
+
+impl Wait {
+    fn fail(self) {
+        let verdict = if self.written.is_some() { Verdict::MayHaveRun } else { Verdict::NotRun };
+        let _ = self.tx.send(Err(verdict));
+    }
+}
+
+type Waiting = Arc<Mutex<HashMap<u64, Wait>>>;
 
 struct Live {
     tx: mpsc::UnboundedSender<Envelope>,
     waiting: Waiting,
+    /// When the other side was heard last.
+    heard: Arc<Mutex<Instant>>,
 }
 
 /// The calling end of a connection to one address; connects when first used,
@@ -253,23 +269,33 @@
         &self.addr
     }
 
+    /// Whether a call has gone unanswered for so long, with nothing else heard
+    /// meanwhile: the other side is dark, frozen or cut off.
+    pub fn stuck(&self, bound: Duration) -> bool {
+        let live = self.live.lock().unwrap();
+        let Some(l) = live.as_ref().filter(|l| !l.tx.is_closed()) else { return false };
+        let old = |at: Instant| at.elapsed() > bound;
+        old(*l.heard.lock().unwrap()) && l.waiting.lock().unwrap().values().any(|w| w.written.is_some_and(old))
+    }
+
     fn push(self: &Arc<Self>, envelope: Envelope, wait: Option<oneshot::Sender<Result<Body, Verdict>>>) {
         let mut live = self.live.lock().unwrap();
         if live.as_ref().is_none_or(|l| l.tx.is_closed()) {
             let (tx, rx) = mpsc::unbounded_channel();
             let waiting: Waiting = Arc::default();
-            tokio::spawn(run(self.addr.clone(), self.silence, rx, waiting.clone()));
-            *live = Some(Live { tx, waiting });
+            let heard = Arc::new(Mutex::new(Instant::now()));
+            tokio::spawn(run(self.addr.clone(), self.silence, rx, waiting.clone(), heard.clone()));
+            *live = Some(Live { tx, waiting, heard });
         }
         let l = live.as_ref().expect("set above");
         let call = envelope.call;
-        if let Some(w) = wait {
-            l.waiting.lock().unwrap().insert(call, w);
+        if let Some(tx) = wait {
+            l.waiting.lock().unwrap().insert(call, Wait { tx, written: None });
         }
         if l.tx.send(envelope).is_err()
             && let Some(w) = l.waiting.lock().unwrap().remove(&call)
         {
-            let _ = w.send(Err(Verdict::NotRun));
+            w.fail();
         }
     }
 
@@ -287,21 +313,36 @@
             Ok(Ok(r)) => r,
             Ok(Err(_)) => Err(Verdict::MayHaveRun),
             Err(_) => {
-                if let Some(l) = self.live.lock().unwrap().as_ref() {
-                    l.waiting.lock().unwrap().remove(&call);
+                // What nobody waits for any more is not written later.
+                let live = self.live.lock().unwrap();
+                let w = live.as_ref().and_then(|l| l.waiting.lock().unwrap().remove(&call));
+                match w {
+                    Some(Wait { written: None, .. }) => Err(Verdict::NotRun),
+                    _ => Err(Verdict::MayHaveRun),
                 }
-                Err(Verdict::MayHaveRun)
             }
         }
     }
 }
 
-fn fail_all(waiting: &Waiting, verdict: Verdict) {
+fn fail_all(waiting: &Waiting) {
     for (_, w) in waiting.lock().unwrap().drain() {
-        let _ = w.send(Err(verdict));
+        w.fail();
     }
 }
 
+/// Puts a frame into the buffer that goes to the network next, unless it is a
+/// call that nobody waits for any more.
+fn put_wanted(out: &mut BytesMut, e: &Envelope, waiting: &Waiting) {
+    if e.call != 0 {
+        match waiting.lock().unwrap().get_mut(&e.call) {
+            Some(w) => w.written = Some(Instant::now()),
+            None => return,
+        }
+    }
+    put_frame(out, e);
+}
+
 /// Tries again in short steps while nobody answers: a machine that was dark for
 /// the first packet would else be noticed only when that is repeated, seconds
 /// later.
@@ -316,10 +357,16 @@
     None
 }
 
-async fn run(addr: String, silence: Duration, mut rx: mpsc::UnboundedReceiver<Envelope>, waiting: Waiting) {
+async fn run(
+    addr: String,
+    silence: Duration,
+    mut rx: mpsc::UnboundedReceiver<Envelope>,
+    waiting: Waiting,
+    heard: Arc<Mutex<Instant>>,
+) {
     let Some(stream) = connect(&addr, silence).await else {
         rx.close();
-        fail_all(&waiting, Verdict::NotRun);
+        fail_all(&waiting);
         return;
     };
     tune(&stream, silence);
@@ -331,25 +378,29 @@
             while let Some(e) = take_frame(&mut buf).map_err(io::Error::other)? {
                 let w = incoming.lock().unwrap().remove(&e.call);
                 if let (Some(w), Some(b)) = (w, e.body) {
-                    let _ = w.send(Ok(b));
+                    let _ = w.tx.send(Ok(b));
                 }
             }
             buf.reserve(4 << 10);
             if read.read_buf(&mut buf).await? == 0 {
                 return Err::<(), io::Error>(io::ErrorKind::UnexpectedEof.into());
             }
+            *heard.lock().unwrap() = Instant::now();
         }
     };
     let writer = async {
         let mut out = BytesMut::new();
         while let Some(e) = rx.recv().await {
-            put_frame(&mut out, &e);
+            put_wanted(&mut out, &e, &waiting);
             while out.len() < 256 << 10 {
                 match rx.try_recv() {
-                    Ok(e) => put_frame(&mut out, &e),
+                    Ok(e) => put_wanted(&mut out, &e, &waiting),
                     Err(_) => break,
                 }
             }
+            if out.is_empty() {
+                continue;
+            }
             write.write_all(&out).await?;
             if out.capacity() > 64 << 10 {
                 out = BytesMut::new();
@@ -360,7 +411,7 @@
     };
     tokio::select! { _ = reader => {}, _ = writer => {} }
     rx.close();
-    fail_all(&waiting, Verdict::MayHaveRun);
+    fail_all(&waiting);
 }
 
 /// The calling ends to all addresses in use.
--- a/crates/dovetail/tests/links.rs
+++ b/crates/dovetail/tests/links.rs
@@ -87,3 +87,55 @@
     let l = Lookup { position: 3, ..Lookup::default() };
     assert!(Tenon::new(&addr, SILENCE).call(Body::Lookup(l), SILENCE).await.is_ok());
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn what_was_given_up_before_it_was_written_is_never_written() {
+    // A listener whose queue is full answers no opening packet, like a dark machine.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("it listens");
+    socket.set_nonblocking(true).expect("nonblocking");
+    let listener = TcpListener::from_std(socket.into()).expect("a listener");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let fill = async || tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(&addr)).await;
+    let mut filled = Vec::new();
+    while let Ok(s) = fill().await {
+        filled.push(s);
+    }
+    let seen = Arc::new(AtomicUsize::new(0));
+    let count = seen.clone();
+    let handle = move |body, peg: dovetail::Peg| {
+        if let Body::Lookup(l) = body {
+            count.fetch_add(1, Ordering::Relaxed);
+            peg.send(Body::Found(Found { seal: l.position.to_string(), ..Found::default() }));
+        }
+    };
+    let t = Tenon::new(&addr, SILENCE);
+    let first = Body::Lookup(Lookup { position: 1, ..Lookup::default() });
+    let given_up = t.call(first, Duration::from_millis(100)).await;
+    assert_eq!(given_up.err(), Some(Verdict::NotRun));
+    tokio::spawn(dovetail::serve_and_tell(listener, SILENCE, handle, |_| ()));
+    // The next one on the same connection arrives, that one never does.
+    let next = t.call(Body::Lookup(Lookup { position: 2, ..Lookup::default() }), SILENCE).await;
+    assert!(matches!(next, Ok(Body::Found(f)) if f.seal == "2"));
+    assert_eq!(seen.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_side_that_answers_nothing_is_known_before_its_connection_breaks() {
+    let (addr, _) = other_end().await;
+    let t = Tenon::new(&addr, SILENCE);
+    let bound = Duration::from_millis(100);
+    let l = Body::Lookup(Lookup::default());
+    assert!(t.call(l.clone(), SILENCE).await.is_ok() && !t.stuck(bound));
+    // Written, and not answered: it may have run.
+    let mute = tokio::spawn({
+        let t = t.clone();
+        async move { t.call(Body::Gossip(Gossip::default()), Duration::from_millis(400)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(t.stuck(bound));
+    // Any answer shows that it lives.
+    assert!(t.call(l, SILENCE).await.is_ok() && !t.stuck(bound));
+    assert_eq!(mute.await.expect("no panic").err(), Some(Verdict::MayHaveRun));
+}
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -946,7 +946,7 @@
 async fn turn(shop: Arc<Shop>, mut vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
     let mut waiting: HashMap<u64, (u64, Answered)> = HashMap::new();
     let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
-    let wanted = 2 * shop.caliper.tolerance.machines as usize + 1;
+    let wanted = (2 * shop.caliper.tolerance.machines as usize + 1).max(3);
     let away = (shop.caliper.constraints.settle_s * 500.0) as u64;
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -138,6 +138,9 @@
         // four fifths of the client's own time are over.
         let given = number("x-deadline-ms").flatten().unwrap_or(f64::MAX) * 0.8;
         let budget = Duration::from_millis((setpoint * 5.0).min(given) as u64);
+        // What may have been written is not given up on as early: a 504 ends it for
+        // the client, and the next owner knows, or takes it, once there is one.
+        let longest = Duration::from_millis((setpoint * 15.0).min(given) as u64);
         let order_key = r.header("x-order-key").unwrap_or("");
         let item = Item {
             id: id.to_owned(),
@@ -159,7 +162,7 @@
         let (mut unclear, mut hint) = (false, None::<String>);
         let mut rx = self.known.subscribe();
         loop {
-            let left = budget.saturating_sub(begun.elapsed());
+            let left = if unclear { longest } else { budget }.saturating_sub(begun.elapsed());
             if left.is_zero() {
                 break;
             }
@@ -184,9 +187,13 @@
                 };
                 let end = self.bench.to(&addr);
                 let moved = rx.wait_for(|k| owner_addr(k, partition) != place);
+                // Nothing is sent to where nothing is answered: it would be unclear
+                // whether it was taken.
+                let dark = end.stuck(self.ratio(16.0));
                 let asked = tokio::select! {
-                    a = end.call(Body::Accept(accept), left) => a,
-                    _ = moved => Err(Verdict::MayHaveRun),
+                    a = end.call(Body::Accept(accept), left), if !dark => a,
+                    _ = moved, if !dark => Err(Verdict::MayHaveRun),
+                    _ = tokio::time::sleep(self.ratio(100.0)), if dark => Err(Verdict::NotRun),
                 };
                 match asked {
                     Ok(Body::Accepted(a)) => {
@@ -212,7 +219,7 @@
                 unclear = true;
             }
             tally::count("accepts_again");
-            let pause = self.ratio(400.0).min(budget.saturating_sub(begun.elapsed()));
+            let pause = self.ratio(400.0).min(left);
             tokio::time::sleep(pause).await;
         }
         if unclear {
