--- a/crates/foreman/tests/sessions.rs
+++ b/crates/foreman/tests/sessions.rs
@@ -10,8 +10,8 @@
 
 const WAIT: Duration = Duration::from_secs(5);
 
-fn free_base() -> u16 {
-    let from = 30_000 + (std::process::id() % 500) as u16 * 20;
+fn free_base(from: u16) -> u16 {
+    let from = from + (std::process::id() % 500) as u16 * 20;
     (from..60_000)
         .step_by(20)
         .find(|b| (*b..*b + 5).all(|p| std::net::TcpListener::bind(("127.0.0.1", p)).is_ok()))
@@ -36,10 +36,27 @@
     }
 
     async fn beat(&self, charter: &Charter) -> bool {
+        self.tell(charter, 0).await.granted
+    }
+
+    /// Asks for the lease and says how the disk does.
+    async fn tell(&self, charter: &Charter, lag: u32) -> LeaseAck {
         let mine = charter.partitions.iter().filter(|p| p.owner == self.node.name);
         let claims = mine.map(|p| Holding { partition: p.id, term: p.term }).collect();
-        let l = Lease { node: self.node.clone(), samples: vec![], claims, lag: 0 };
-        matches!(self.end.call(Body::Lease(l), WAIT).await, Ok(Body::LeaseAck(a)) if a.granted)
+        let l = Lease { node: self.node.clone(), samples: vec![], claims, lag };
+        match self.end.call(Body::Lease(l), WAIT).await {
+            Ok(Body::LeaseAck(a)) => a,
+            _ => LeaseAck::default(),
+        }
+    }
+
+    async fn join(&self, partition: &Partition, node: &StandIn) -> OrderAck {
+        let (name, life, kind) = (node.node.name.clone(), node.node.life, OrderKind::Join as i32);
+        let o = Order { partition: partition.id, term: partition.term, node: name, kind, life, ..Order::default() };
+        match self.end.call(Body::Order(o), WAIT).await {
+            Ok(Body::OrderAck(a)) => a,
+            _ => OrderAck::default(),
+        }
     }
 }
 
@@ -51,10 +68,26 @@
     }
 }
 
-#[tokio::test(flavor = "current_thread")]
-async fn an_owner_whose_process_ended_is_succeeded_before_its_lease_is_over() {
-    let base = free_base();
-    let dir = std::env::temp_dir().join(format!("willowslip-sessions-{}", std::process::id()));
+struct World {
+    dir: std::path::PathBuf,
+    lease: Duration,
+    stop: tokio::sync::watch::Sender<bool>,
+    running: JoinHandle<Result<(), String>>,
+    watcher: Arc<Tenon>,
+}
+
+impl World {
+    async fn end(self) {
+        let _ = self.stop.send(true);
+        let _ = self.running.await;
+        let _ = std::fs::remove_dir_all(self.dir);
+    }
+}
+
+/// One foreman, two lathes, and the partitions laid out.
+async fn laid_out(from: u16) -> (World, StandIn, StandIn, Charter) {
+    let base = free_base(from);
+    let dir = std::env::temp_dir().join(format!("willowslip-sessions-{from}-{}", std::process::id()));
     let mut c = Caliper {
         node: "core-1".into(),
         ip: "127.0.0.1".into(),
@@ -66,7 +99,7 @@
         ..Caliper::default()
     };
     (c.limits.memory_mb, c.limits.disk_mb, c.tolerance.machines) = (128, 128, 1);
-    // A lease of four seconds.
+    // A lease of more than two seconds.
     (c.constraints.quiet_ms, c.constraints.ack_ms, c.constraints.settle_s) = (32_000.0, 5000.0, 60.0);
     let lease = Duration::from_millis(c.lease_ms());
     let foreman = format!("127.0.0.1:{base}");
@@ -83,6 +116,49 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         now = charter(&watcher).await;
     }
+    (World { dir, lease, stop, running, watcher }, a, b, now)
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_slow_disk_leaves_the_in_sync_sets_and_a_silent_one_is_succeeded() {
+    let (w, a, b, first) = laid_out(45_000).await;
+    let owned = |c: &Charter, n: &str| c.partitions.iter().filter(|p| p.owner == n).cloned().collect::<Vec<_>>();
+    let mut now = first;
+    // Slow at b: it holds up nothing of a's, and keeps what it owns until it hands over.
+    while owned(&now, "a").iter().any(|p| p.insync.len() > 1) {
+        assert!(a.beat(&now).await && b.tell(&now, 1).await.granted);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        now = charter(&w.watcher).await;
+    }
+    assert_eq!(a.tell(&now, 0).await.lagging, ["b"]);
+    assert!(owned(&now, "b").iter().all(|p| p.insync.len() == 2 && p.term == 1));
+    let p = owned(&now, "a")[0].clone();
+    assert!(a.join(&p, &b).await.refused, "not while it is slow");
+    b.beat(&now).await;
+    assert!(a.join(&p, &b).await.ok);
+    // b's disk does not answer: it has stopped, and is not waited for.
+    let begun = Instant::now();
+    assert!(!b.tell(&now, 2).await.granted);
+    while !owned(&now, "b").is_empty() {
+        assert!(begun.elapsed() < w.lease, "the lease had to be waited for");
+        a.beat(&now).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        now = charter(&w.watcher).await;
+    }
+    assert!(now.partitions.iter().filter(|p| p.seized).all(|p| p.owner == "a" && p.term == 2));
+    // It claims what it had: it is told before its lease counts again.
+    let claims = vec![Holding { partition: now.partitions.iter().find(|p| p.seized).expect("one").id, term: 1 }];
+    let l = Lease { node: b.node.clone(), samples: vec![], claims, lag: 0 };
+    let Ok(Body::LeaseAck(ack)) = b.end.call(Body::Lease(l), WAIT).await else { panic!("answered") };
+    assert!(ack.granted && ack.outdated.len() == 1 && ack.outdated[0].owner == "a");
+    w.end().await;
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_owner_whose_process_ended_is_succeeded_before_its_lease_is_over() {
+    let (w, a, b, now) = laid_out(30_000).await;
+    let (watcher, lease) = (w.watcher.clone(), w.lease);
+    let foreman = watcher.addr().to_owned();
     let of = |c: &Charter, n: &str| c.partitions.iter().filter(|p| p.owner == n).count();
     assert_eq!((of(&now, "a"), of(&now, "b")), (2, 2));
     assert!(a.beat(&now).await && b.beat(&now).await);
@@ -109,7 +185,5 @@
         assert!(ended.elapsed() < lease, "the lease had to be waited for");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let _ = stop.send(true);
-    let _ = running.await;
-    let _ = std::fs::remove_dir_all(dir);
+    w.end().await;
 }
