--- a/crates/drawer/tests/power.rs
+++ b/crates/drawer/tests/power.rs
@@ -165,3 +165,32 @@
     let why = open(&dir).err().expect("refused");
     assert!(why.contains("missing"), "{why}");
 }
+
+#[test]
+fn a_refused_write_counts_once_it_is_taken() {
+    let (dir, away) = (folder("refused"), folder("refused-away"));
+    std::fs::remove_dir(&away).expect("removed");
+    let (mut s, _) = open(&dir).expect("an empty folder");
+    let mut model = Pairs::new();
+    for n in 0..9u64 {
+        let ops = vec![Op::Put(key(b'l', 1, n), vec![n as u8; 100 << 10].into())];
+        // Where a new segment is due, the disk refuses it for a while.
+        std::fs::rename(&dir, &away).expect("moved");
+        let refused = s.commit(&ops).is_err();
+        std::fs::rename(&away, &dir).expect("moved back");
+        if refused {
+            assert_eq!(open_copy(&dir).expect("it opens"), model, "nothing of it counts yet");
+            s.commit(&ops).expect("taken now");
+        }
+        apply(&mut model, &ops);
+        assert_eq!(open_copy(&dir).expect("it opens"), model);
+    }
+    assert!(files(&dir).len() > 2, "segments were begun");
+}
+
+/// What a process would find that started now.
+fn open_copy(dir: &Path) -> Result<Pairs, String> {
+    let copy = folder("copy");
+    lay(&copy, &files(dir));
+    Ok(open(&copy)?.1)
+}
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -23,6 +23,8 @@
     racks: BTreeMap<String, Rack>,
     applied: BTreeMap<String, Vec<(u64, Applied)>>,
     down: BTreeSet<String>,
+    /// On the other side of a cut: they reach each other only.
+    beyond: BTreeSet<String>,
     net: VecDeque<(String, ViseMsg)>,
 }
 
@@ -35,6 +37,7 @@
             racks: BTreeMap::new(),
             applied: BTreeMap::new(),
             down: BTreeSet::new(),
+            beyond: BTreeSet::new(),
             net: VecDeque::new(),
         };
         let voters: Vec<String> = ALL.iter().map(|s| s.to_string()).collect();
@@ -94,6 +97,7 @@
                 if let Some((to, m)) = self.net.pop_front()
                     && !self.down.contains(&to)
                     && !self.down.contains(&m.from)
+                    && self.beyond.contains(&to) == self.beyond.contains(&m.from)
                 {
                     self.step(&to, Event::Message(m));
                 }
@@ -414,3 +418,32 @@
     w.pass(3000);
     assert!(w.chair().is_some());
 }
+
+#[test]
+fn of_two_changes_on_either_side_of_a_cut_one_is_confirmed() {
+    let mut w = World::new();
+    w.pass(2000);
+    let old = w.chair().expect("a chair");
+    w.put(&old, 0, 3);
+    w.pass(200);
+    w.beyond.insert(old.clone());
+    // Written down beyond the cut, while its authority has not run out yet.
+    w.put(&old, 3, 5);
+    let until = w.nodes[&old].serves_until(w.now);
+    let mut new = None;
+    for _ in 0..300 {
+        w.pass(10);
+        new = w.nodes.iter().find(|(n, v)| **n != old && v.seat == Seat::Chair).map(|(n, _)| n.clone());
+        if new.is_some() {
+            break;
+        }
+    }
+    let new = new.expect("a chair on the side of the majority");
+    assert!(w.now >= until && w.nodes[&old].serves_until(w.now) <= w.now, "never two at once");
+    w.put(&new, 3, 7);
+    w.pass(300);
+    assert_eq!((w.racks[&new].revision, w.racks[&old].revision), (7, 3));
+    w.beyond.clear();
+    w.pass(3000);
+    assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(5, 3, 5)), "the other one never counts");
+}
