Look up routes, nodes and zones by index; owners of a zone do not meet

Cause, read in the code: each choice of a processor scanned all nodes for each processor of another zone, each accept looked up 120 owners among 300 nodes, routes and channels were lists of over a thousand, a new roster compared all with all; and equal loads fell to the first processor in the list for every owner of a zone. Now indexes are made once for a version (Pattern, Turret::news, sorted rosters), and each owner begins its search elsewhere. Two random choices were ruled out: they use more processors at low load.

--- a/crates/dovetail/src/delta.rs
+++ b/crates/dovetail/src/delta.rs
@@ -2,6 +2,7 @@
 //! since the version that the other has.
 
 use crate::msg::{Charter, Gone, Node, Roster, Unit};
+use std::collections::{HashMap, HashSet};
 
 /// So many removals are remembered for those that are behind.
 const REMEMBERED: usize = 256;
@@ -80,20 +81,22 @@
             self.from = version;
         }
         let old = std::mem::take(&mut self.nodes);
+        let by_name: HashMap<&str, &Node> = old.iter().map(|n| (n.name.as_str(), n)).collect();
         for n in nodes {
-            let known = old.iter().find(|o| same_node(o, n)).map_or(version, |o| o.changed);
+            let known = by_name.get(n.name.as_str()).filter(|o| same_node(o, n)).map_or(version, |o| o.changed);
             self.nodes.push(Node { changed: known, ..(*n).clone() });
         }
-        for o in old.iter().filter(|o| !nodes.iter().any(|n| n.name == o.name)) {
+        let now: HashSet<&str> = nodes.iter().map(|n| n.name.as_str()).collect();
+        for o in old.iter().filter(|o| !now.contains(o.name.as_str())) {
             self.gone.push(Gone { name: o.name.clone(), unit: false, version });
         }
         let old = std::mem::take(&mut self.units);
-        let by_id: std::collections::HashMap<&str, &Unit> = old.iter().map(|u| (u.id.as_str(), u)).collect();
+        let by_id: HashMap<&str, &Unit> = old.iter().map(|u| (u.id.as_str(), u)).collect();
         for u in units {
             let known = by_id.get(u.id.as_str()).filter(|o| same_unit(o, u)).map_or(version, |o| o.changed);
             self.units.push(Unit { changed: known, ..u.clone() });
         }
-        let now: std::collections::HashSet<&str> = units.iter().map(|u| u.id.as_str()).collect();
+        let now: HashSet<&str> = units.iter().map(|u| u.id.as_str()).collect();
         for o in old.iter().filter(|o| !now.contains(o.id.as_str())) {
             self.gone.push(Gone { name: o.id.clone(), unit: true, version });
         }
--- a/crates/gauge/src/template.rs
+++ b/crates/gauge/src/template.rs
@@ -123,27 +123,9 @@
         Ok(())
     }
 
-    /// The route of a request: by host, then by the longest prefix of its path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Channel> {
-        let host = host.rsplit_once(':').map_or(
-            host,
-            |(h, port)| {
-                if port.bytes().all(|b| b.is_ascii_digit()) { h } else { host }
-            },
-        );
-        self.channels
-            .iter()
-            .filter(|c| c.host.eq_ignore_ascii_case(host) && path.starts_with(&c.prefix))
-            .max_by_key(|c| c.prefix.len())
-    }
-
     pub fn plant(&self, name: &str) -> Option<&Plant> {
         self.plants.iter().find(|p| p.name == name)
     }
-
-    pub fn channel(&self, name: &str) -> Option<&Channel> {
-        self.channels.iter().find(|c| c.name == name)
-    }
 }
 
 /// Applies a change of named items to a whole configuration. Fields this
--- a/crates/gauge/tests/checks.rs
+++ b/crates/gauge/tests/checks.rs
@@ -74,7 +74,7 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_routes() {
-    let t = Template::read(config().to_string().as_bytes()).expect("good");
+    let t = Pattern::from(Template::read(config().to_string().as_bytes()).expect("good"));
     assert_eq!(t.route("h", "/a/x").map(|c| c.name.as_str()), Some("r1"));
     assert_eq!(t.route("H:80", "/a/b/x").map(|c| c.name.as_str()), Some("r2"));
     assert!(t.route("other", "/a/x").is_none() && t.route("h", "/b").is_none());
--- a/crates/hatch/tests/answers.rs
+++ b/crates/hatch/tests/answers.rs
@@ -4,7 +4,7 @@
 use apprentice::Known;
 use dovetail::Body;
 use dovetail::msg::*;
-use gauge::{Caliper, Template};
+use gauge::{Caliper, Pattern, Template};
 use hatch::{Hatch, partition_of};
 use spindle::Request;
 use std::sync::Arc;
@@ -99,7 +99,7 @@
 #[test]
 fn a_key_has_one_partition_whatever_its_service_and_zone() {
     let k = known("10.0.0.1:1");
-    let t = Template::read(CONFIG.as_bytes()).expect("good");
+    let t = Pattern::from(Template::read(CONFIG.as_bytes()).expect("good"));
     let of = |channel: &str, key: &str, id: &str, zone: &str| {
         partition_of(&k, &t, t.channel(channel).expect("there"), key, id, zone).expect("one")
     };
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -5,7 +5,7 @@
 use dovetail::msg::{Charter, Node, Outcome, Report, Roster, Sample, Unit};
 use gauge::{Channel, Plant};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 /// A message: its partition and position.
@@ -75,6 +75,8 @@
 }
 
 pub struct Turret {
+    /// The owner's name: owners begin their search at different processors.
+    me: String,
     zone: String,
     region: String,
     pace: TurretPace,
@@ -90,25 +92,30 @@
     samples: HashMap<(String, String, String), Sample>,
     pub roster: Arc<Roster>,
     by_plant: HashMap<String, Vec<Unit>>,
+    /// By plant, in the order in which this owner looks at them.
+    turns_at: HashMap<String, Vec<usize>>,
+    /// Of the roster in use: delivery nodes by zone, and the zones of this region.
+    hatches: HashMap<String, Vec<usize>>,
+    near: HashSet<String>,
     pub charter: Arc<Charter>,
     pub notices: VecDeque<(u64, Key)>,
     pub notice_flights: HashMap<String, u32>,
 }
 
 fn rendezvous<'a>(key: &str, nodes: impl Iterator<Item = &'a Node>) -> Option<&'a Node> {
-    let hash = |name: &str| {
-        let h = key
-            .bytes()
-            .chain(name.bytes())
-            .fold(0xcbf29ce484222325u64, |h, b| (h ^ b as u64).wrapping_mul(0x100000001b3));
-        (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15)
-    };
-    nodes.max_by_key(|n| hash(&n.name))
+    nodes.max_by_key(|n| hash(key, &n.name))
+}
+
+fn hash(key: &str, name: &str) -> u64 {
+    let bytes = key.bytes().chain(name.bytes());
+    let h = bytes.fold(0xcbf29ce484222325u64, |h, b| (h ^ b as u64).wrapping_mul(0x100000001b3));
+    (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15)
 }
 
 impl Turret {
-    pub fn new(zone: &str, region: &str, pace: TurretPace) -> Turret {
+    pub fn new(me: &str, zone: &str, region: &str, pace: TurretPace) -> Turret {
         Turret {
+            me: me.into(),
             zone: zone.into(),
             region: region.into(),
             pace,
@@ -124,6 +131,9 @@
             samples: HashMap::new(),
             roster: Arc::default(),
             by_plant: HashMap::new(),
+            turns_at: HashMap::new(),
+            hatches: HashMap::new(),
+            near: HashSet::new(),
             charter: Arc::default(),
             notices: VecDeque::new(),
             notice_flights: HashMap::new(),
@@ -140,8 +150,27 @@
         for u in &roster.units {
             self.by_plant.entry(u.plant.clone()).or_default().push(u.clone());
         }
-        let units = &mut self.units;
-        units.retain(|id, s| s.flights > 0 || s.failures > 0 || roster.units.iter().any(|u| u.id == *id));
+        self.turns_at = self
+            .by_plant
+            .iter()
+            .map(|(plant, units)| {
+                let mut order: Vec<usize> = (0..units.len()).collect();
+                order.sort_by_cached_key(|n| hash(&self.me, &units[*n].id));
+                (plant.clone(), order)
+            })
+            .collect();
+        self.hatches.clear();
+        self.near.clear();
+        for (at, n) in roster.nodes.iter().enumerate() {
+            if n.role == "hatch" && !n.leaving {
+                self.hatches.entry(n.zone.clone()).or_default().push(at);
+            }
+            if n.region == self.region {
+                self.near.insert(n.zone.clone());
+            }
+        }
+        let there: HashSet<&str> = roster.units.iter().map(|u| u.id.as_str()).collect();
+        self.units.retain(|id, s| s.flights > 0 || s.failures > 0 || there.contains(id.as_str()));
     }
 
     /// Forgets a partition that is owned elsewhere now.
@@ -258,10 +287,10 @@
     }
 
     fn hatch(&self, key: &str, zone: &str) -> Option<(&str, &str)> {
-        let hatches = || self.roster.nodes.iter().filter(|n| n.role == "hatch" && !n.leaving);
-        let found = rendezvous(key, hatches().filter(|n| n.zone == zone))
-            .or_else(|| rendezvous(key, hatches().filter(|n| n.zone == self.zone)))
-            .or_else(|| rendezvous(key, hatches()))?;
+        let of = |zone: &str| self.hatches.get(zone).into_iter().flatten().map(|at| &self.roster.nodes[*at]);
+        let found = rendezvous(key, of(zone))
+            .or_else(|| rendezvous(key, of(&self.zone)))
+            .or_else(|| rendezvous(key, self.hatches.keys().flat_map(|z| of(z))))?;
         Some((&found.name, &found.inner))
     }
 
@@ -311,10 +340,10 @@
             // what only goes wrong under load shows before the share is raised.
             self.packed(units, now, target)
         } else {
-            self.best(units, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w))
+            self.best(&plant.name, units, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w))
         };
         if fit.is_none() && wants_new == Some(true) && trying {
-            fit = self.best(units, now, |u| u.revision != target);
+            fit = self.best(&plant.name, units, now, |u| u.revision != target);
         }
         let u = fit?.clone();
         if let Some(r) = rollout.filter(|r| r.state == "running") {
@@ -345,9 +374,12 @@
         })
     }
 
-    fn best<'a>(&self, units: &'a [Unit], now: u64, fits: impl Fn(&Unit) -> bool) -> Option<&'a Unit> {
+    /// The least loaded, near ones before far ones. Of equals each owner takes
+    /// another first: they know little of each other's runs, and would else meet.
+    fn best<'a>(&self, plant: &str, units: &'a [Unit], now: u64, fits: impl Fn(&Unit) -> bool) -> Option<&'a Unit> {
         let mut best: Option<(f64, &Unit)> = None;
-        for u in units.iter().filter(|u| !u.draining && fits(u)) {
+        let order = self.turns_at.get(plant)?.iter().map(|n| &units[*n]);
+        for u in order.filter(|u| !u.draining && fits(u)) {
             let (load, s) = self.load(&u.id, now);
             let capacity = u.capacity.max(1);
             let room = if s.failures > 0 { 1 } else { capacity };
@@ -356,7 +388,7 @@
             }
             let far = if u.zone == self.zone {
                 0.0
-            } else if self.roster.nodes.iter().any(|n| n.zone == u.zone && n.region == self.region) {
+            } else if self.near.contains(&u.zone) {
                 0.5
             } else {
                 1.0
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -19,7 +19,7 @@
         ..Node::default()
     };
     let nodes = vec![hatch("h1", "x"), hatch("h2", "x"), hatch("h3", "y")];
-    let mut t = Turret::new("x", "r", TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 });
+    let mut t = Turret::new("me", "x", "r", TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 });
     let roster = Roster { version: 1, nodes, units, listed: true, ..Roster::default() };
     t.news(&Arc::new(roster), &Arc::new(Charter { rollouts, ..Charter::default() }));
     t
@@ -199,3 +199,24 @@
     t.ready((0, 2), "p", 4800);
     assert_eq!(t.first_ready("p", 5500, 1000), Some((0, 2)), "950 ms of 1,000 are over for the first");
 }
+
+#[test]
+fn owners_that_know_nothing_of_each_other_do_not_meet_at_one_processor() {
+    // Ten owners of a zone, each of which gives out five at the same moment to the
+    // zone's twenty-six processors of two slots.
+    let units: Vec<Unit> = (0..26).map(|n| unit(&format!("u{n:02}"), "x", "v1")).collect();
+    let mut given = std::collections::HashMap::new();
+    for owner in 0..10 {
+        let nodes = vec![Node { name: "h".into(), role: "hatch".into(), zone: "x".into(), ..Node::default() }];
+        let pace = TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 };
+        let mut t = Turret::new(&format!("store-x-{owner}"), "x", "r", pace);
+        let roster = Roster { version: 1, nodes, units: units.clone(), listed: true, ..Roster::default() };
+        t.news(&Arc::new(roster), &Arc::default());
+        for pos in 0..5 {
+            let c = launch(&mut t, pos).expect("room");
+            *given.entry(c.unit).or_insert(0) += 1;
+        }
+    }
+    let over = given.values().filter(|n| **n > 4).count();
+    assert!(given.len() >= 18 && over <= 2, "{} processors used, {over} with over four", given.len());
+}
