Log route changes, not lists; send the foremen's log in pieces that fit a frame

Cause: 120 partitions each logged the whole list of routes on every change, and up to 64 configurations went in one frame: one that was away during a storm of large ones was sent what no frame may hold, again and again. The log is cut by bytes as well.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -5,6 +5,9 @@
 use dovetail::msg::{ViseEntry, ViseKind, ViseMsg};
 use std::collections::{HashMap, HashSet};
 
+/// Bytes of entries that go in one message, unless one alone is larger.
+const APPEND_BYTES: usize = dovetail::FRAME_LIMIT / 4;
+
 pub enum Event {
     Tick,
     Message(ViseMsg),
@@ -458,7 +461,15 @@
             m.index = next - 1;
             m.log_term = self.term_at(next - 1).unwrap_or(0);
             let from = (next - self.hard.base - 1) as usize;
-            m.entries = self.log[from.min(self.log.len())..].iter().take(64).cloned().collect();
+            // Bounded by bytes too: an entry may hold a whole configuration.
+            let mut bytes = 0;
+            let lacks = &self.log[from.min(self.log.len())..];
+            let fits = lacks.iter().take(64).take_while(|e| {
+                let first = bytes == 0;
+                bytes += e.data.len() + 64;
+                first || bytes <= APPEND_BYTES
+            });
+            m.entries = fits.cloned().collect();
             // Sent once; a refusal or a lost answer brings it back.
             self.next.insert(to.into(), next + m.entries.len() as u64);
         }
@@ -719,6 +730,11 @@
         self.log.len()
     }
 
+    /// Bytes of the entries that could be cut away.
+    pub fn weight(&self) -> usize {
+        self.log.iter().take_while(|e| e.index <= self.applied).map(|e| e.data.len()).sum()
+    }
+
     pub fn applied(&self) -> u64 {
         self.applied
     }
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -16,6 +16,12 @@
     log: BTreeMap<u64, ViseEntry>,
 }
 
+/// A larger message would end its connection, again and again.
+fn within_a_frame(m: &ViseMsg) -> bool {
+    assert!(m.encoded_len() < dovetail::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
+    true
+}
+
 struct World {
     now: u64,
     nodes: BTreeMap<String, Vise>,
@@ -95,6 +101,7 @@
             }
             for _ in 0..self.net.len() {
                 if let Some((to, m)) = self.net.pop_front()
+                    && within_a_frame(&m)
                     && !self.down.contains(&to)
                     && !self.down.contains(&m.from)
                     && self.beyond.contains(&to) == self.beyond.contains(&m.from)
@@ -447,3 +454,24 @@
     w.pass(3000);
     assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(5, 3, 5)), "the other one never counts");
 }
+
+#[test]
+fn one_that_was_away_is_sent_large_configurations_in_pieces() {
+    let mut w = World::new();
+    w.pass(3000);
+    let chair = w.chair().expect("a chair");
+    let away = ALL.iter().find(|n| **n != chair).expect("another").to_string();
+    w.down.insert(away.clone());
+    for n in 0..30u64 {
+        let json = Bytes::from(vec![b' '; 400 << 10]);
+        let t = PutTemplate { base: n, revision: n + 1, json, print: n };
+        let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
+        w.step(&chair, Event::Propose(data.into()));
+        w.pass(50);
+    }
+    assert_eq!(w.racks[&chair].revision, 30);
+    assert!(w.nodes[&chair].weight() > 2 * dovetail::FRAME_LIMIT);
+    w.start(&away);
+    w.pass(3000);
+    assert_eq!(w.racks[&away].revision, 30);
+}
--- a/crates/lathe/src/jig.rs
+++ b/crates/lathe/src/jig.rs
@@ -2,7 +2,7 @@
 
 use crate::record::*;
 use dovetail::msg::{Item, Outcome};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Stand {
@@ -154,6 +154,19 @@
         self.routes.contains_key(channel)
     }
 
+    /// What has changed against the routes that are known here: with many routes
+    /// and partitions, whole lists would be most of what the logs carry.
+    pub fn since_known(&self, whole: Routes) -> Routes {
+        if self.revision == 0 {
+            return whole;
+        }
+        let names: HashSet<&str> = whole.routes.iter().map(|r| r.channel.as_str()).collect();
+        let mut gone: Vec<String> = self.routes.keys().filter(|n| !names.contains(n.as_str())).cloned().collect();
+        gone.sort();
+        let routes = whole.routes.iter().filter(|r| self.routes.get(&r.channel) != Some(r)).cloned().collect();
+        Routes { revision: whole.revision, routes, since: self.revision, gone }
+    }
+
     pub fn retain_ms(&self, channel: &str) -> u64 {
         self.routes.get(channel).map_or(0, |r| r.retain_ms)
     }
@@ -285,9 +298,17 @@
                     self.end(*p, Stand::Dead, "", at, &mut out);
                 }
             }
-            Some(Entry::Routes(r)) if r.revision > self.revision => {
+            // Changes since another revision are of no use; their writer sees that
+            // nothing came of them and writes them anew.
+            Some(Entry::Routes(r)) if r.revision > self.revision && [0, self.revision].contains(&r.since) => {
                 self.revision = r.revision;
-                self.routes = r.routes.iter().map(|f| (f.channel.clone(), f.clone())).collect();
+                if r.since == 0 {
+                    self.routes.clear();
+                }
+                for name in &r.gone {
+                    self.routes.remove(name);
+                }
+                self.routes.extend(r.routes.iter().map(|f| (f.channel.clone(), f.clone())));
                 let dropped: Vec<u64> = self
                     .pieces
                     .iter()
--- a/crates/lathe/src/record.rs
+++ b/crates/lathe/src/record.rs
@@ -80,6 +80,11 @@
     pub revision: u64,
     #[prost(message, repeated, tag = "2")]
     pub routes: Vec<RouteFacts>,
+    /// Not 0: only what has changed since that revision, and which are gone.
+    #[prost(uint64, tag = "3")]
+    pub since: u64,
+    #[prost(string, repeated, tag = "4")]
+    pub gone: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/lathe/tests/fold.rs
+++ b/crates/lathe/tests/fold.rs
@@ -29,7 +29,7 @@
 fn routes(revision: u64, names: &[&str], tries: u32) -> Entry {
     let routes =
         names.iter().map(|n| RouteFacts { channel: n.to_string(), tries, retain_ms: 60_000 }).collect::<Vec<_>>();
-    Entry::Routes(Routes { revision, routes })
+    Entry::Routes(Routes { revision, routes, ..Routes::default() })
 }
 
 /// A trace with everything in it: two in order, retries, a dead one, call-backs.
@@ -159,3 +159,32 @@
     s.pieces[0].failed.push(9);
     assert!(Jig::restore(&s, 1000).is_err());
 }
+
+#[test]
+fn changes_of_routes_give_what_the_whole_list_gives() {
+    let facts = |names: &[&str], tries| match routes(0, names, tries) {
+        Entry::Routes(r) => r.routes,
+        _ => unreachable!(),
+    };
+    let whole = |revision, routes| Routes { revision, routes, ..Routes::default() };
+    let mut j = Jig::new(1000);
+    j.fold(1, &record(1, routes(3, &["r-a", "r-b"], 2)));
+    j.fold(2, &record(2, accept("m1", "k")));
+    // A time-out changes nothing that the fold knows: the record is all but empty.
+    let small = j.since_known(whole(5, facts(&["r-a", "r-b"], 2)));
+    assert!(small.since == 3 && small.routes.is_empty() && small.gone.is_empty());
+    // Written against a revision that is not there any more: nothing comes of it.
+    let late = j.since_known(whole(9, facts(&["r-c"], 2)));
+    j.fold(3, &record(3, Entry::Routes(small)));
+    assert_eq!((j.revision, j.fold(4, &record(4, Entry::Routes(late))).len()), (5, 0));
+    assert_eq!(j.revision, 5);
+    // One goes, one comes, one changes; a message of the one that goes has ended.
+    let mut next = facts(&["r-b"], 7);
+    next.extend(facts(&["r-c"], 2));
+    let change = j.since_known(whole(9, next.clone()));
+    assert_eq!((change.routes.len(), change.gone.clone()), (2, vec!["r-a".to_string()]));
+    assert_eq!(j.fold(5, &record(5, Entry::Routes(change))), vec![Change::Ended(2)]);
+    assert!(j.has_route("r-b") && j.has_route("r-c") && !j.has_route("r-a"));
+    assert!(j.since_known(whole(10, next)).routes.is_empty());
+    assert_eq!(j.digest(), j.digest_anew());
+}
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -61,7 +61,7 @@
         w.tell();
         w.settle();
         let routes = RouteFacts { channel: "r".into(), tries: 3, retain_ms: 0 };
-        w.append(Entry::Routes(Routes { revision: 1, routes: vec![routes] }));
+        w.append(Entry::Routes(Routes { revision: 1, routes: vec![routes], ..Routes::default() }));
         w
     }
 
