--- a/crates/willowslip/src/ctl.rs
+++ b/crates/willowslip/src/ctl.rs
@@ -35,8 +35,13 @@
     /// State and bytes of a message.
     #[command(subcommand)]
     Message(MessageCall),
-    /// Nodes, partitions, duties and counters as one foreman knows them.
-    Status,
+    /// Nodes, partitions, duties and counters as one foreman knows them: a summary,
+    /// or all of it with `--json`.
+    Status {
+        /// Also each node and partition with this word in a name, zone or role.
+        #[arg(long)]
+        only: Option<String>,
+    },
     /// Seat, terms, digests and counters of one node, by its inner address.
     Node { inner: String },
 }
@@ -207,7 +212,7 @@
         What::Message(MessageCall::Body { name, host }) => {
             ask(ctl, "GET", &format!("/message-body/{name}"), &[("Host", host)], &[]).await
         }
-        What::Status => ask(ctl, "GET", "/status", &[], &[]).await,
+        What::Status { .. } => ask(ctl, "GET", "/status", &[], &[]).await,
         What::Node { inner } => {
             let bench = dovetail::Bench::new(Duration::from_secs(1));
             let status = dovetail::Body::Status(dovetail::msg::Status {});
@@ -269,7 +274,10 @@
                 return ExitCode::from(1);
             }
             match value {
-                Ok(v) if !ctl.json => plain(&v, 0),
+                Ok(v) if !ctl.json => match &ctl.what {
+                    What::Status { only } => print!("{}", crate::summary::summary(&v, only.as_deref())),
+                    _ => plain(&v, 0),
+                },
                 Ok(v) => println!("{v}"),
                 Err(_) => {
                     use std::io::Write;
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -1,6 +1,7 @@
 //! willowslip: takes in, keeps and delivers messages. A subcommand a role.
 
 mod ctl;
+mod summary;
 
 use clap::{Parser, Subcommand};
 use gauge::Caliper;
--- /dev/null
+++ b/crates/willowslip/src/summary.rs
@@ -0,0 +1,128 @@
+//! `ctl status` for people: a summary first, single nodes and partitions only
+//! where something is the matter or they were asked for.
+
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+fn text<'a>(v: &'a Value, field: &str) -> &'a str {
+    v[field].as_str().unwrap_or("")
+}
+
+fn list<'a>(v: &'a Value, field: &str) -> &'a [Value] {
+    v[field].as_array().map_or(&[], Vec::as_slice)
+}
+
+fn names(v: &Value, field: &str) -> String {
+    list(v, field).iter().filter_map(Value::as_str).collect::<Vec<_>>().join(" ")
+}
+
+/// Why a partition is not where it is to be; empty if it is.
+fn matter(p: &Value) -> String {
+    let (homes, insync) = (list(p, "homes"), list(p, "insync"));
+    let mut why = Vec::new();
+    if insync.len() < homes.len() {
+        why.push(format!("{} of {} in sync", insync.len(), homes.len()));
+    }
+    if homes.first().and_then(Value::as_str) != Some(text(p, "owner")) {
+        why.push("not at its first home".into());
+    }
+    if let Some(c) = p["candidate"].as_str() {
+        why.push(format!("moving to {c}"));
+    }
+    why.join(", ")
+}
+
+/// The status as lines. `only` shows every node and partition that has the word in
+/// its name, zone, role or members.
+pub fn summary(v: &Value, only: Option<&str>) -> String {
+    let mut s = String::new();
+    let duties = names(v, "duties");
+    let _ = writeln!(s, "{} {}", text(v, "node"), if v["inChair"] == true { "in the chair" } else { "follows" });
+    let _ = writeln!(s, "chair {}  duties {}", text(v, "chair"), if duties.is_empty() { "-" } else { &duties });
+    let _ = writeln!(s, "voters {}", names(v, "voters"));
+    for (what, field) in [("behind by entries", "behind"), ("disks in trouble", "disks")] {
+        let all = v[field].as_object().into_iter().flatten();
+        let all: Vec<String> = all.filter(|(_, n)| **n != 0).map(|(k, n)| format!("{k}={n}")).collect();
+        if !all.is_empty() {
+            let _ = writeln!(s, "{what}: {}", all.join(" "));
+        }
+    }
+    let _ = writeln!(
+        s,
+        "revision {}  charter {}  roster {}  processors {}",
+        v["revision"], v["charter"], v["roster"], v["units"]
+    );
+    let nodes = list(v, "nodes");
+    let mut by_zone: BTreeMap<(&str, &str), (usize, usize)> = BTreeMap::new();
+    for n in nodes {
+        let count = by_zone.entry((text(n, "zone"), text(n, "role"))).or_default();
+        count.0 += 1;
+        count.1 += usize::from(n["leaving"] == true);
+    }
+    let _ = writeln!(s, "nodes: {}", nodes.len());
+    for ((zone, role), (all, leaving)) in by_zone {
+        let note = if leaving > 0 { format!(", {leaving} leaving") } else { String::new() };
+        let _ = writeln!(s, "  {zone} {role} {all}{note}");
+    }
+    let partitions = list(v, "partitions");
+    let bad: Vec<(&Value, String)> =
+        partitions.iter().map(|p| (p, matter(p))).filter(|(_, why)| !why.is_empty()).collect();
+    let _ = writeln!(s, "partitions: {}, {} where they are to be", partitions.len(), partitions.len() - bad.len());
+    let shown = bad.len().min(20);
+    for (p, why) in &bad[..shown] {
+        let _ = writeln!(s, "  {} term {} owner {}: {why}", p["id"], p["term"], text(p, "owner"));
+    }
+    if bad.len() > shown {
+        let _ = writeln!(s, "  and {} more: use --only or --json", bad.len() - shown);
+    }
+    if let Some(word) = only {
+        for n in nodes.iter().filter(|n| ["name", "zone", "role"].iter().any(|f| text(n, f).contains(word))) {
+            let leaving = if n["leaving"] == true { " leaving" } else { "" };
+            let _ = writeln!(
+                s,
+                "node {} {} {} {}{leaving}",
+                text(n, "name"),
+                text(n, "role"),
+                text(n, "zone"),
+                text(n, "inner")
+            );
+        }
+        let has = |p: &Value| names(p, "homes").contains(word) || names(p, "insync").contains(word);
+        for p in partitions.iter().filter(|p| has(p)) {
+            let (insync, homes) = (names(p, "insync"), names(p, "homes"));
+            let owner = text(p, "owner");
+            let _ = writeln!(s, "partition {} term {} owner {owner} insync {insync} homes {homes}", p["id"], p["term"]);
+        }
+    }
+    let _ = writeln!(s, "counters: {}", text(v, "counters"));
+    s
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn three_hundred_nodes_are_a_page_and_what_is_amiss_is_on_it() {
+        let zones = ["a", "b", "c", "d", "e", "f"];
+        let node = |n: usize, role: &str| json!({"name": format!("{role}-{n}"), "role": role, "zone": zones[n % 6], "inner": "10.0.0.1:7000", "leaving": role == "hatch" && n == 7});
+        let nodes: Vec<Value> = (0..234).map(|n| node(n, "hatch")).chain((0..60).map(|n| node(n, "lathe"))).collect();
+        let partition = |n: usize| {
+            let homes = [n % 60, (n + 1) % 60].map(|m| format!("lathe-{m}"));
+            let insync = if n == 17 { &homes[..1] } else { &homes[..] };
+            json!({"id": n, "term": 3, "owner": homes[0], "homes": homes, "insync": insync, "candidate": null})
+        };
+        let partitions: Vec<Value> = (0..120).map(partition).collect();
+        let v = json!({"node": "core-1", "inChair": true, "chair": "x", "voters": ["x"], "duties": ["lister"],
+            "behind": {"y": 0, "z": 4}, "disks": {}, "revision": 4, "charter": 5, "roster": 6, "units": 9,
+            "nodes": nodes, "partitions": partitions, "counters": "a=1"});
+        let s = summary(&v, None);
+        assert!(s.lines().count() < 30, "{s}");
+        assert!(s.contains("partitions: 120, 119 where") && s.contains("17 term 3 owner lathe-17: 1 of 2 in sync"));
+        assert!(s.contains("b hatch 39, 1 leaving") && s.contains("behind by entries: z=4"));
+        let s = summary(&v, Some("lathe-59"));
+        assert!(s.contains("node lathe-59 lathe f") && s.lines().filter(|l| l.starts_with("partition ")).count() == 4);
+    }
+}
