Order lives and tell the time by many clocks, not by the one found at start

Cause, read in the code: a life was the time of day, so a process that began while its clock was behind was refused until its former session ended; a lathe kept the clock that it found at its start, so delays and waits were off for its whole life if that was during a step; the judge's clock could step in a trial. Now whoever refuses a life says which one it knows, and the chair tells the middle of all clocks with each lease. After a take-over only what stood in the log then waits for the delivery nodes. Rosters are published once for all who come at one moment. Ruled out: a counter on disk (fronts have none), lives granted by the majority.

--- a/crates/apprentice/src/feed.rs
+++ b/crates/apprentice/src/feed.rs
@@ -94,7 +94,7 @@
         zone: caliper.zone.clone(),
         region: caliper.region.clone(),
         inner: caliper.inner_addr(Role::Hatch),
-        life: tally::wall_ms(),
+        life: dovetail::new_life(),
         leaving: false,
         fresh: false,
         changed: 0,
--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
 use dovetail::msg::*;
-use dovetail::{Bench, Body};
-use gauge::{Caliper, Role, Template};
+use dovetail::{Bench, Body, after, possible};
+use gauge::{Caliper, Pattern, Role, Template};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -11,7 +11,7 @@
 #[derive(Clone, Default)]
 pub struct Known {
     pub json: Bytes,
-    pub template: Arc<Template>,
+    pub template: Arc<Pattern>,
     pub charter: Arc<Charter>,
     pub roster: Arc<Roster>,
     pub chair: String,
@@ -29,7 +29,7 @@
             && let Ok(t) = Template::read(json)
             && t.revision > self.template.revision
         {
-            self.template = Arc::new(t);
+            self.template = Arc::new(t.into());
             self.json = json.clone();
             moved = true;
         }
@@ -59,12 +59,14 @@
             charter: (mine.charter > have.charter).then(|| self.charter.since(have.charter)),
             roster: (mine.roster > have.roster).then(|| self.roster.since(have.roster)),
             chair: self.chair.clone(),
-            foremen: Vec::new(),
+            ..News::default()
         }
     }
 
     pub fn node(&self, name: &str, role: &str) -> Option<&Node> {
-        self.roster.nodes.iter().find(|n| n.name == name && n.role == role)
+        // Rosters are in order of their nodes' names.
+        let at = self.roster.nodes.binary_search_by(|n| n.name.as_str().cmp(name)).ok()?;
+        self.roster.nodes.get(at).filter(|n| n.role == role)
     }
 }
 
@@ -109,6 +111,17 @@
         self.node.lock().unwrap().clone()
     }
 
+    /// A life of this node is known that comes after its own: begins another.
+    pub fn relive(&self, lived: u64) -> Option<u64> {
+        let mut n = self.node.lock().unwrap();
+        if lived < n.life || !possible(lived) {
+            return None;
+        }
+        n.life = after(lived);
+        tally::change!("a life after this one is known: now {}", n.life);
+        Some(n.life)
+    }
+
     pub fn set_leaving(&self) {
         self.node.lock().unwrap().leaving = true;
     }
@@ -172,7 +185,7 @@
                 node: (!node.name.is_empty()).then_some(node),
                 have: self.with_known(|k| k.have()),
                 wait_ms: wait,
-                sessions: Vec::new(),
+                ..Watch::default()
             };
             let asked = self.bench.to(&addr).call(Body::Watch(w), Duration::from_millis(wait as u64 * 2)).await;
             match asked {
@@ -187,6 +200,9 @@
                         }
                     }
                     self.take(&n);
+                    if n.lived > 0 && self.relive(n.lived).is_some() {
+                        continue;
+                    }
                     if n.chair.is_empty() {
                         // It follows nobody itself: others may know more.
                         turn += 1;
--- a/crates/dovetail/src/lib.rs
+++ b/crates/dovetail/src/lib.rs
@@ -2,8 +2,10 @@
 //! and the framed connections it travels on.
 
 mod delta;
+mod life;
 mod link;
 pub mod msg;
+pub use life::*;
 pub use link::*;
 pub use msg::Body;
 
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -128,6 +128,9 @@
     /// Sessions that a foreman holds, told to the one in the chair.
     #[prost(message, repeated, tag = "4")]
     pub sessions: Vec<Node>,
+    /// From a foreman: its time of day.
+    #[prost(uint64, tag = "5")]
+    pub clock_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -146,6 +149,10 @@
     /// Inner addresses of foremen.
     #[prost(string, repeated, tag = "6")]
     pub foremen: Vec<String>,
+    /// A life of the asker's that is known and comes after the one it told: it is
+    /// to begin another after that.
+    #[prost(uint64, tag = "7")]
+    pub lived: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -352,6 +359,9 @@
     /// node has stopped acting as owner before it says so.
     #[prost(uint32, tag = "4")]
     pub lag: u32,
+    /// The node's time of day.
+    #[prost(uint64, tag = "5")]
+    pub clock_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -370,6 +380,12 @@
     /// Store machines whose disks are slow or do not answer.
     #[prost(string, repeated, tag = "5")]
     pub lagging: Vec<String>,
+    /// As in `News`.
+    #[prost(uint64, tag = "6")]
+    pub lived: u64,
+    /// The fleet's time as the chair has it; 0 when it does not know enough clocks.
+    #[prost(uint64, tag = "7")]
+    pub time_ms: u64,
 }
 
 /// What a partition owner or replica asks of the majority.
--- a/crates/foreman/src/lib.rs
+++ b/crates/foreman/src/lib.rs
@@ -1,12 +1,14 @@
 //! The control plane: the majority log, sessions, leases, duties, and the
 //! operator's interface.
 
+mod governor;
 mod layout;
 mod operator;
 mod plumb;
 mod rack;
 mod shop;
 mod vise;
+pub use governor::*;
 pub use layout::*;
 pub use operator::serve as serve_operator;
 pub use plumb::*;
--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -160,6 +160,9 @@
     if running.is_some() {
         return fault(409, "a roll-out of that plant is under way");
     }
+    let Some(began_ms) = shop.time() else {
+        return fault(503, "the time is not known yet").with("Retry-After", "1");
+    };
     let now = Rollout {
         plant: s.plant.clone(),
         target: s.target,
@@ -168,7 +171,7 @@
         within_ms: (s.within_s * 1000.0) as u64,
         old,
         spent: 0,
-        began_ms: tally::wall_ms(),
+        began_ms,
     };
     shop.forget_plumb(&s.plant);
     match shop.propose(Word::Rollout(now)).await {
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -1,18 +1,19 @@
 //! The shell of a foreman: runs the log, keeps sessions and leases, and does
 //! the duties of the one in the chair.
 
+use crate::governor::Governor;
 use crate::layout::*;
 use crate::plumb::{Advice, Plumb};
 use crate::rack::*;
 use crate::vise::*;
 use bytes::Bytes;
 use dovetail::msg::*;
-use dovetail::{Bench, Peg};
+use dovetail::{Bench, Peg, after, new_life, possible};
 use drawer::{Drawer, Op};
 use gauge::{Caliper, Role, Template};
 use prost::Message;
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify as Bell, mpsc, oneshot, watch};
@@ -73,9 +74,20 @@
     steady: (usize, u64),
     /// Since when nobody acts as a partition's owner.
     unclaimed: HashMap<u32, u64>,
+    governor: Governor,
 }
 
 impl Floor {
+    /// The life of a node, if one is known that comes after this one.
+    fn later_life(&self, node: &Node) -> u64 {
+        let lease = self.leases.get(&node.name).map_or(0, |l| l.life);
+        let session = self.sessions.get(&node.name).map_or(0, |s| s.node.life);
+        let told = self.roster.nodes.binary_search_by(|n| n.name.as_str().cmp(&node.name));
+        let told = told.map_or(0, |at| self.roster.nodes[at].life);
+        let known = lease.max(session).max(told);
+        if known > node.life { known } else { 0 }
+    }
+
     /// Checked whenever authority is used: it runs out by the clock alone.
     fn holds(&self, now: u64) -> bool {
         self.in_chair && now < self.serves_until
@@ -110,10 +122,12 @@
     pub me: String,
     floor: Mutex<Floor>,
     news: Bell,
+    /// What nodes told has changed what is to be published.
+    stale: Bell,
     inputs: mpsc::UnboundedSender<Input>,
     bench: Arc<Bench>,
     start: Instant,
-    life: u64,
+    life: AtomicU64,
     assigning: AtomicBool,
 }
 
@@ -135,6 +149,23 @@
         (self.caliper.constraints.quiet_ms / part) as u64
     }
 
+    /// The time wants its own clock and more than half of the store machines', or
+    /// all that come soon.
+    fn settle_time(&self, f: &mut Floor, now: u64) {
+        let mut homes: Vec<&String> = f.rack.charter.partitions.iter().flat_map(|p| &p.homes).collect();
+        homes.sort_unstable();
+        homes.dedup();
+        let wanted = if now > f.chaired_at + self.ratio(16.0) { 1 } else { homes.len() / 2 + 2 };
+        f.governor.hear(&self.caliper.node, tally::wall_ms(), now);
+        f.governor.settle(wanted, now);
+    }
+
+    /// The fleet's time; None while the chair does not know it.
+    pub fn time(&self) -> Option<u64> {
+        let now = self.now();
+        self.with(|f| f.governor.time(now))
+    }
+
     /// Whether this foreman is in the chair and a majority still follows it.
     pub fn holds_chair(&self) -> bool {
         let now = self.now();
@@ -232,13 +263,19 @@
         let now = self.now();
         let chair = self.chair();
         self.with(|f| {
-            if !f.holds(now) {
+            if !f.holds(now) || !possible(l.node.life) {
                 return LeaseAck { chair, ..LeaseAck::default() };
             }
-            if f.leases.get(&l.node.name).is_some_and(|old| old.life > l.node.life) {
-                // A former life of that node, on its way for long.
+            f.governor.hear(&l.node.name, l.clock_ms, now);
+            if f.governor.time(now).is_none() {
+                self.settle_time(f, now);
+            }
+            let lived = f.later_life(&l.node);
+            if lived > 0 {
+                // A former life of that node, on its way for long; or one that began by
+                // a clock that is behind, and is to begin another.
                 tally::count("sessions_outdated");
-                return LeaseAck { chair, ..LeaseAck::default() };
+                return LeaseAck { chair, lived, ..LeaseAck::default() };
             }
             let name = l.node.name.clone();
             if f.ended.get(&name) == Some(&l.node.life) {
@@ -267,8 +304,7 @@
                 },
             );
             if f.tell(&l.node, now) {
-                Self::refresh_roster(f, now);
-                self.news.notify_waiters();
+                self.stale.notify_one();
             }
             for s in &l.samples {
                 if let Some(r) = f.rack.charter.rollouts.iter().find(|r| r.plant == s.plant && r.state == "running") {
@@ -283,6 +319,8 @@
                 chair,
                 outdated: l.claims.iter().filter_map(term).cloned().collect(),
                 lagging: f.leases.iter().filter(|(_, l)| l.lag > 0).map(|(n, _)| n.clone()).collect(),
+                lived: 0,
+                time_ms: f.governor.time(now).unwrap_or(0),
             }
         })
     }
@@ -298,10 +336,34 @@
         }
     }
 
+    /// Publishes what nodes told, a moment after the first of them: when many begin
+    /// at once, each version would else be sent to all that are there already.
+    async fn publish(self: Arc<Self>) {
+        loop {
+            self.stale.notified().await;
+            tokio::time::sleep(Duration::from_millis(self.ratio(400.0))).await;
+            let now = self.now();
+            let moved = self.with(|f| {
+                let told = f.roster.version;
+                Self::refresh_roster(f, now);
+                f.roster.version != told
+            });
+            if moved {
+                tally::count("rosters_published");
+                self.news.notify_waiters();
+            }
+        }
+    }
+
     async fn watch(&self, w: Watch) -> News {
         let now = self.now();
+        let mut lived = 0;
         self.with(|f| {
             let mut changed = false;
+            if let Some(n) = &w.node {
+                lived = f.later_life(n);
+                f.governor.hear(&n.name, w.clock_ms, now);
+            }
             if f.in_chair
                 && f.roster.version == 0
                 && w.have.roster > 0
@@ -310,12 +372,11 @@
                 // Others remember more than this chair: it must not forget them aloud.
                 f.publish_from = f.chaired_at + self.ratio(4.0);
             }
-            for n in w.node.iter().chain(&w.sessions) {
+            for n in w.node.iter().chain(&w.sessions).filter(|n| possible(n.life)) {
                 changed |= f.tell(n, now);
             }
             if changed {
-                Self::refresh_roster(f, now);
-                self.news.notify_waiters();
+                self.stale.notify_one();
             }
         });
         let wait = tokio::time::sleep(Duration::from_millis(w.wait_ms.min(self.ratio(4.0) as u32) as u64));
@@ -326,7 +387,7 @@
                 let h = Self::have(f);
                 h.template > w.have.template || h.charter > w.have.charter || h.roster > w.have.roster
             });
-            if newer {
+            if newer || lived > 0 {
                 break;
             }
             tokio::select! { _ = bell => {}, _ = &mut wait => break }
@@ -345,6 +406,7 @@
                     .filter(|s| s.node.role == "foreman")
                     .map(|s| s.node.inner.clone())
                     .collect(),
+                lived,
             }
         })
     }
@@ -406,6 +468,7 @@
         let lease = self.caliper.lease_ms();
         let mut words: Vec<(String, Word)> = Vec::new();
         self.with(|f| {
+            self.settle_time(f, now);
             // Sessions that ended.
             let limit = self.ratio(3.0);
             let before = f.sessions.len();
@@ -554,9 +617,13 @@
     }
 
     async fn judge(&self) {
-        let wall = tally::wall_ms();
+        // The chair's own clock may step in the middle of a trial.
+        let Some(wall) = self.time() else { return };
         let mut words = Vec::new();
         self.with(|f| {
+            if f.rack.charter.rollouts.iter().all(|r| r.state != "running") {
+                return;
+            }
             let cutoff = Template::read(&f.rack.template)
                 .map(|t| t.channels.iter().map(|c| c.cutoff_ms).fold(0.0, f64::max))
                 .unwrap_or(0.0);
@@ -711,12 +778,18 @@
                 have: Have { template: u64::MAX, charter: u64::MAX, ..have },
                 wait_ms: wait as u32,
                 sessions,
+                clock_ms: tally::wall_ms(),
             };
             match self.bench.to(&chair).call(Body::Watch(w), Duration::from_millis(wait * 2)).await {
                 Ok(Body::News(n)) => self.with(|f| {
                     if f.in_chair {
                         return;
                     }
+                    if n.lived >= self.life.load(Ordering::Relaxed) && possible(n.lived) {
+                        self.life.store(after(n.lived), Ordering::Relaxed);
+                        let own = self.node();
+                        f.sessions.insert(own.name.clone(), Session { node: own, seen: u64::MAX / 2 });
+                    }
                     if let Some(r) = n.roster
                         && f.roster.take(&r)
                     {
@@ -745,7 +818,7 @@
             zone: self.caliper.zone.clone(),
             region: self.caliper.region.clone(),
             inner: self.me.clone(),
-            life: self.life,
+            life: self.life.load(Ordering::Relaxed),
             leaving: false,
             fresh: false,
             changed: 0,
@@ -867,12 +940,14 @@
             first_lathe_at: 0,
             steady: (0, 0),
             unclaimed: HashMap::new(),
+            governor: Governor::new((caliper.constraints.lead_ms / 2.0) as u64, (quiet / 4.0) as u64),
         }),
         news: Bell::new(),
+        stale: Bell::new(),
         inputs,
         bench: Bench::new(Duration::from_millis((quiet / 4.0) as u64)),
         start,
-        life: tally::wall_ms(),
+        life: AtomicU64::new(new_life()),
         assigning: AtomicBool::new(false),
         caliper: caliper.clone(),
     });
@@ -890,6 +965,7 @@
         tokio::spawn(async move { shop.connection_ended(connection).await });
     };
     tokio::spawn(dovetail::serve_and_tell(listener, silence, move |b, p| s.handle(b, p), ended));
+    tokio::spawn(shop.clone().publish());
     tokio::spawn(shop.clone().follow(settings.clone()));
     let s = shop.clone();
     tokio::spawn(async move { s.list(settings).await });
@@ -947,6 +1023,8 @@
     let mut waiting: HashMap<u64, (u64, Answered)> = HashMap::new();
     let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
     let wanted = (2 * shop.caliper.tolerance.machines as usize + 1).max(3);
+    // Large configurations fill the log long before it is long.
+    let heavy = (shop.caliper.limits.memory_mb as usize) << 20 >> 6;
     let away = (shop.caliper.constraints.settle_s * 500.0) as u64;
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -973,7 +1051,7 @@
         let now = shop.now();
         let ticked = matches!(event, Event::Tick);
         let mut effects = vise.step(now, event);
-        if vise.length() > 512 {
+        if vise.length() > 512 || vise.weight() > heavy {
             let index = vise.applied();
             let state = shop.with(|f| f.rack.encode_to_vec());
             effects.extend(vise.step(now, Event::Snapshot { index, state: state.into() }));
@@ -1038,6 +1116,7 @@
                         f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(16.0) };
                         f.plumbs.clear();
                         f.leases.clear();
+                        f.governor.forget();
                         f.unclaimed.clear();
                         // Who told another foreman is taken over, and must tell again.
                         for n in f.roster.nodes.clone() {
--- a/crates/foreman/tests/sessions.rs
+++ b/crates/foreman/tests/sessions.rs
@@ -43,7 +43,7 @@
     async fn tell(&self, charter: &Charter, lag: u32) -> LeaseAck {
         let mine = charter.partitions.iter().filter(|p| p.owner == self.node.name);
         let claims = mine.map(|p| Holding { partition: p.id, term: p.term }).collect();
-        let l = Lease { node: self.node.clone(), samples: vec![], claims, lag };
+        let l = Lease { node: self.node.clone(), claims, lag, clock_ms: tally::wall_ms(), ..Lease::default() };
         match self.end.call(Body::Lease(l), WAIT).await {
             Ok(Body::LeaseAck(a)) => a,
             _ => LeaseAck::default(),
@@ -61,7 +61,7 @@
 }
 
 async fn charter(foreman: &Arc<Tenon>) -> Charter {
-    let w = Watch { node: None, have: Have::default(), wait_ms: 1, sessions: vec![] };
+    let w = Watch { wait_ms: 1, ..Watch::default() };
     match foreman.call(Body::Watch(w), WAIT).await {
         Ok(Body::News(n)) => n.charter.unwrap_or_default(),
         _ => Charter::default(),
@@ -148,12 +148,41 @@
     assert!(now.partitions.iter().filter(|p| p.seized).all(|p| p.owner == "a" && p.term == 2));
     // It claims what it had: it is told before its lease counts again.
     let claims = vec![Holding { partition: now.partitions.iter().find(|p| p.seized).expect("one").id, term: 1 }];
-    let l = Lease { node: b.node.clone(), samples: vec![], claims, lag: 0 };
+    let l = Lease { node: b.node.clone(), claims, ..Lease::default() };
     let Ok(Body::LeaseAck(ack)) = b.end.call(Body::Lease(l), WAIT).await else { panic!("answered") };
     assert!(ack.granted && ack.outdated.len() == 1 && ack.outdated[0].owner == "a");
     w.end().await;
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn a_process_that_began_by_a_clock_behind_is_told_and_gets_its_lease() {
+    let (w, a, mut b, now) = laid_out(40_000).await;
+    b.node.life = 50;
+    assert!(a.beat(&now).await && b.beat(&now).await);
+    // It comes back while its clock is behind: its life seems an older one.
+    b.node.life = 20;
+    let ack = b.tell(&now, 0).await;
+    assert!(!ack.granted && ack.lived == 50, "not shut out, but told what is known");
+    b.node.life = dovetail::after(ack.lived);
+    assert!(b.beat(&now).await);
+    // The copy that is still on its way does not win any more, nor does nonsense.
+    b.node.life = 20;
+    assert!(!b.beat(&now).await);
+    b.node.life = u64::MAX;
+    let ack = b.tell(&now, 0).await;
+    assert!(!ack.granted && ack.lived == 0);
+    b.node.life = 51;
+    let ack = b.tell(&now, 0).await;
+    assert!(ack.granted && ack.time_ms > 0, "with the fleet's time");
+    // The same holds for sessions.
+    let behind = Node { life: 7, leaving: true, ..b.node.clone() };
+    let watch = Watch { node: Some(behind), wait_ms: 1000, ..Watch::default() };
+    let Ok(Body::News(n)) = w.watcher.call(Body::Watch(watch), WAIT).await else { panic!("answered") };
+    assert_eq!(n.lived, 51);
+    assert!(!n.roster.expect("whole").nodes.iter().any(|n| n.name == "b" && n.leaving));
+    w.end().await;
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn an_owner_whose_process_ended_is_succeeded_before_its_lease_is_over() {
     let (w, a, b, now) = laid_out(30_000).await;
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -2,7 +2,7 @@
 use apprentice::{Known, loopback};
 use dovetail::msg::*;
 use dovetail::{Bench, Body, Verdict};
-use gauge::{Caliper, Channel, Role, Template};
+use gauge::{Caliper, Channel, Pattern, Role};
 use spindle::{Bounds, Closing, Reply, Request};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,7 +27,7 @@
 /// The partition that a message belongs to. All with one order key share one,
 /// whatever their service; all for one endpoint share one, so that one owner
 /// meters it; others go to an owner near the client.
-pub fn partition_of(known: &Known, t: &Template, c: &Channel, order_key: &str, id: &str, zone: &str) -> Option<u32> {
+pub fn partition_of(known: &Known, t: &Pattern, c: &Channel, order_key: &str, id: &str, zone: &str) -> Option<u32> {
     let all = &known.charter.partitions;
     if all.is_empty() {
         return None;
@@ -291,7 +291,7 @@
     async fn follow(self: Arc<Self>) {
         let wait = self.ratio(8.0);
         let addr = loopback(&self.caliper);
-        let life = tally::wall_ms();
+        let life = dovetail::new_life();
         let mut told = false;
         loop {
             let leaving = *self.closing.borrow() != Closing::Open;
@@ -306,7 +306,7 @@
             let have = self.known.borrow().have();
             let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
             told = leaving;
-            let w = Watch { node: Some(node), have, wait_ms, sessions: Vec::new() };
+            let w = Watch { node: Some(node), have, wait_ms, ..Watch::default() };
             let mut closing = self.closing.subscribe();
             let end = self.bench.to(&addr);
             let asked = tokio::select! {
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -595,6 +595,14 @@
         self.verified_from = 0;
     }
 
+    /// This process goes on in another life: what it owned was another's word.
+    pub fn relive(&mut self, life: u64, out: &mut Vec<Effect>) {
+        self.life = life;
+        if self.seat == Seat::Owner {
+            self.follow(self.term, "", out);
+        }
+    }
+
     /// The candidate saw the committed stop marker that names it.
     fn resume(&mut self, now: u64, s: Stop, out: &mut Vec<Effect>) {
         tally::count("splices_resumed");
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -1,6 +1,7 @@
 //! The shell of a lathe: carries out the effects of its partitions' state
 //! machines, keeps the lease, and gives deliveries to the delivery nodes.
 
+use crate::flywheel::Flywheel;
 use crate::jig::{Change, Stand};
 use crate::mandrel::*;
 use crate::record::*;
@@ -31,8 +32,9 @@
     fresh_ids: HashMap<String, Key>,
     /// Reports that are written and not committed yet: the attempt, and where.
     answering: HashMap<Key, (u64, u64)>,
-    /// Partitions taken over whose delivery nodes have not all answered.
-    asking: HashSet<u32>,
+    /// Partitions taken over whose delivery nodes have not all answered, and where
+    /// their logs ended then: what came after that nobody else can have given out.
+    asking: HashMap<u32, u64>,
     lease_until: u64,
     notified: HashMap<u32, Vec<u64>>,
     leaving: bool,
@@ -50,7 +52,8 @@
     bell: Bell,
     synced: mpsc::UnboundedSender<(u32, u64, u64)>,
     start: Instant,
-    start_wall: u64,
+    /// A lock of its own: it is looked at while the other one is held.
+    flywheel: Mutex<Flywheel>,
 }
 
 impl Toolpost {
@@ -58,10 +61,11 @@
         self.start.elapsed().as_millis() as u64 + 1_000_000
     }
 
-    /// The time of day as this process found it at its start, carried on by the
-    /// steady clock: a step of the clock neither ends messages nor makes them due.
+    /// The fleet's time. Before the chair has told it nothing is owned here, and
+    /// the machine's own clock serves for what is only written down.
     fn wall(&self) -> u64 {
-        self.start_wall + self.start.elapsed().as_millis() as u64
+        let told = self.flywheel.lock().unwrap().time(self.now());
+        told.unwrap_or_else(tally::wall_ms)
     }
 
     fn ratio(&self, part: f64) -> u64 {
@@ -108,8 +112,9 @@
                 Effect::TookOver { seized } => {
                     tally::count(if seized { "partitions_seized" } else { "partitions_taken" });
                     i.turret.drop_partition(partition);
-                    i.asking.insert(partition);
-                    let term = i.mandrels[&partition].term;
+                    let m = &i.mandrels[&partition];
+                    let term = m.term;
+                    i.asking.insert(partition, m.end());
                     tally::change!(
                         "owner of partition {partition} at term {term}{}",
                         if seized { ", seized" } else { "" }
@@ -563,10 +568,10 @@
         let mut touched = HashSet::new();
         for name in i.turret.plants_ready() {
             let Some(plant) = known.template.plant(&name) else { continue };
-            let aims = known.template.channels.iter().filter(|c| c.plant == name).map(|c| c.start_setpoint_ms);
-            let aim = aims.fold(f64::MAX, f64::min) as u64;
+            let aim = known.template.aim_ms(&name) as u64;
             while let Some(k) = i.turret.first_ready(&name, wall, aim) {
-                if i.asking.contains(&k.0) || i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
+                let asked = i.asking.get(&k.0).is_some_and(|end| k.1 <= *end);
+                if asked || i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
                     // Taken over or moving: another look comes with the next step.
                     i.turret.unqueue(k);
                     i.turret.later(k, wall + self.ratio(100.0));
@@ -728,7 +733,7 @@
             if m.open() {
                 let mut records = Vec::new();
                 if known.template.revision > m.jig.revision {
-                    records.push(Entry::Routes(routes(&known.template)));
+                    records.push(Entry::Routes(m.jig.since_known(routes(&known.template))));
                 }
                 if let Some(n) = i.notified.remove(&p).filter(|n| !n.is_empty()) {
                     records.push(Entry::Notified(Positions { positions: n }));
@@ -815,7 +820,8 @@
             let seeds = self.session.order_foremen();
             let addr = if chair.is_empty() { seeds[turn % seeds.len()].clone() } else { chair.clone() };
             turn += 1;
-            let l = Lease { node: self.session.me(), samples, claims: claims.clone(), lag };
+            let clock_ms = tally::wall_ms();
+            let l = Lease { node: self.session.me(), samples, claims: claims.clone(), lag, clock_ms };
             match self.bench.to(&addr).call(Body::Lease(l), period * 2).await {
                 Ok(Body::LeaseAck(a)) if a.granted => {
                     self.session.take(&News { chair: addr, ..News::default() });
@@ -828,9 +834,24 @@
                         }
                         guard.lagging = a.lagging;
                     }
+                    let timed = {
+                        let mut f = self.flywheel.lock().unwrap();
+                        f.told(a.time_ms, asked, self.now());
+                        f.known()
+                    };
+                    if !timed {
+                        // Soon known: an owner without the time would have everything
+                        // due at the wrong moment.
+                        tokio::time::sleep(period / 6).await;
+                        continue;
+                    }
                     self.extend_lease(asked + a.ttl_ms as u64);
                     self.sleep_while(lag, period).await;
                 }
+                Ok(Body::LeaseAck(a)) if a.lived > 0 => {
+                    self.relive(a.lived);
+                    tokio::time::sleep(period / 60).await;
+                }
                 Ok(Body::LeaseAck(a)) => {
                     if !a.chair.is_empty() {
                         self.session.take(&News { chair: a.chair, ..News::default() });
@@ -868,9 +889,22 @@
         }
     }
 
+    /// A life of this node that comes after its own is known to the chair, as when
+    /// this process began by a clock that is behind.
+    fn relive(self: &Arc<Self>, lived: u64) {
+        let Some(life) = self.session.relive(lived) else { return };
+        tally::count("lives_begun_again");
+        let mut guard = self.inside.lock().unwrap();
+        guard.lease_until = 0;
+        for p in guard.mandrels.keys().copied().collect::<Vec<_>>() {
+            self.step(&mut guard, p, |m, _, out| m.relive(life, out));
+        }
+    }
+
     /// Learns from a foreman who is in the chair.
     async fn ask_chair(&self, foreman: &str, claims: &[Holding], wait: Duration) {
-        let ask = Lease { node: self.session.me(), samples: Vec::new(), claims: claims.to_vec(), lag: self.lag() };
+        let (node, claims, clock_ms) = (self.session.me(), claims.to_vec(), tally::wall_ms());
+        let ask = Lease { node, claims, lag: self.lag(), clock_ms, ..Lease::default() };
         if let Ok(Body::LeaseAck(a)) = self.bench.to(foreman).call(Body::Lease(ask), wait).await {
             let chair = if a.granted { foreman.to_owned() } else { a.chair };
             if !chair.is_empty() {
@@ -958,7 +992,7 @@
         .map(|c| RouteFacts { channel: c.name.clone(), tries: c.tries, retain_ms: (c.retain_s * 1000.0) as u64 })
         .collect();
     routes.sort_by(|a, b| a.channel.cmp(&b.channel));
-    Routes { revision: t.revision, routes }
+    Routes { revision: t.revision, routes, ..Routes::default() }
 }
 
 /// Runs a lathe until it is told to stop.
@@ -1000,7 +1034,7 @@
         return Err(b);
     }
     let fresh = metas.is_empty() && !caliper.initial_start;
-    let life = tally::wall_ms();
+    let life = dovetail::new_life();
     let mut mandrels = BTreeMap::new();
     for (p, meta) in metas {
         let mut entries = logs.remove(&p).unwrap_or_default();
@@ -1031,11 +1065,11 @@
     let post = Arc::new(Toolpost {
         inside: Mutex::new(Inside {
             mandrels,
-            turret: Turret::new(&caliper.zone, &caliper.region, turret_pace),
+            turret: Turret::new(&caliper.node, &caliper.zone, &caliper.region, turret_pace),
             waiters: HashMap::new(),
             fresh_ids: HashMap::new(),
             answering: HashMap::new(),
-            asking: HashSet::new(),
+            asking: HashMap::new(),
             lease_until: 0,
             notified: HashMap::new(),
             leaving: false,
@@ -1046,7 +1080,7 @@
         bell: Bell::new(),
         synced,
         start: Instant::now(),
-        start_wall: tally::wall_ms(),
+        flywheel: Mutex::new(Flywheel::new((caliper.constraints.lead_ms / 2.0) as u64)),
         session: session.clone(),
         bench,
         drawer,
