--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -220,3 +220,49 @@
     let over = given.values().filter(|n| **n > 4).count();
     assert!(given.len() >= 18 && over <= 2, "{} processors used, {over} with over four", given.len());
 }
+
+#[test]
+fn sixty_owners_together_stay_inside_the_exposure() {
+    // Each tosses its own coin and knows nothing of the others; the new version's
+    // processors may come long after the order, when all of them want one.
+    for late in [0u64, 9, 25, 60] {
+        let old: Vec<Unit> = (0..8).map(|n| Unit { capacity: 99, ..unit(&format!("o{n}"), "x", "v1") }).collect();
+        let new: Vec<Unit> = (0..8).map(|n| Unit { capacity: 99, ..unit(&format!("n{n}"), "x", "v2") }).collect();
+        let running = Rollout {
+            plant: "p".into(),
+            target: "v2".into(),
+            state: "running".into(),
+            share: foreman_first_share(),
+            ..Rollout::default()
+        };
+        let mut owners: Vec<Turret> = (0..60).map(|_| turret(old.clone(), vec![running.clone()])).collect();
+        let (mut all, mut fresh) = (0.0, 0.0);
+        for round in 0..200u64 {
+            if round == late {
+                owners = owners.into_iter().map(|t| with_units(t, &old, &new, &running)).collect();
+            }
+            for t in &mut owners {
+                let c = launch(t, round).expect("room");
+                t.land((0, round));
+                all += 1.0;
+                fresh += f64::from(c.revision == "v2");
+                assert!(fresh <= 0.1 * all + 50.0, "{fresh} of {all}, processors from round {late}");
+            }
+        }
+        assert!(fresh > 0.04 * all, "{fresh} of {all}: too few to judge by");
+    }
+}
+
+/// Half of what a bad version may receive, and a little: as the chair begins.
+fn foreman_first_share() -> u32 {
+    60
+}
+
+fn with_units(mut t: Turret, old: &[Unit], new: &[Unit], rollout: &Rollout) -> Turret {
+    let hatch = Node { name: "h1".into(), role: "hatch".into(), zone: "x".into(), ..Node::default() };
+    let mut units = [new, old].concat();
+    units.sort_by(|a, b| a.id.cmp(&b.id));
+    let roster = Roster { version: 2, nodes: vec![hatch], units, listed: true, ..Roster::default() };
+    t.news(&Arc::new(roster), &Arc::new(Charter { rollouts: vec![rollout.clone()], ..Charter::default() }));
+    t
+}
