--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -94,6 +94,9 @@
     voters_at: u64,
     /// Foremen without a vote that are kept up to date.
     learners: Vec<String>,
+    /// The round in which another one's log was last gone back for: refusals of what
+    /// was sent before then are answered already.
+    gone_back: HashMap<String, u64>,
     pub commit: u64,
     applied: u64,
     pub seat: Seat,
@@ -131,6 +134,7 @@
             voters: Vec::new(),
             voters_at: 0,
             learners: Vec::new(),
+            gone_back: HashMap::new(),
             commit: base,
             applied: base,
             seat: Seat::Floor,
@@ -374,6 +378,7 @@
                 self.blank = false;
                 self.chair = self.me.clone();
                 let next = self.last().0 + 1;
+                self.gone_back.clear();
                 self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
                 self.matched.clear();
                 self.sent.clear();
@@ -457,6 +462,8 @@
             m.log_term = self.hard.base_term;
             m.state = self.state.clone();
             m.voters = self.hard.voters.clone();
+            // Sent once, as entries are.
+            self.next.insert(to.into(), self.hard.base + 1);
         } else {
             m.index = next - 1;
             m.log_term = self.term_at(next - 1).unwrap_or(0);
@@ -488,6 +495,9 @@
             let n = held[self.majority() - 1];
             if n > self.commit && self.term_at(n) == Some(self.hard.term) {
                 self.commit = n;
+                // The others are told with the next tick and not the next beat: what
+                // is committed may be a new owner, and its own foreman tells it.
+                self.beat_at = 0;
             }
         }
         while self.applied < self.commit {
@@ -668,6 +678,13 @@
             *a = (*a).max(*at);
         }
         if !m.ok {
+            // Many may be under way when the first is refused. Each would else bring
+            // back the whole of what is lacking, and the next refusal with it.
+            if self.gone_back.get(&m.from).is_some_and(|r| m.round <= *r) {
+                tally::count("vise_refusals_known");
+                return;
+            }
+            self.gone_back.insert(m.from.clone(), self.round);
             self.next.insert(m.from.clone(), m.index + 1);
             self.send_log(&m.from, out);
             return;
@@ -677,6 +694,10 @@
         if m.index < last && m.index >= old && self.next.get(&m.from).is_none_or(|n| *n <= m.index || *n > last + 1) {
             self.next.insert(m.from.clone(), m.index + 1);
         }
+        if m.index < last && self.next.get(&m.from) == Some(&(m.index + 1)) {
+            // It holds all that it was sent: the next piece without waiting for a beat.
+            self.send_log(&m.from, out);
+        }
         if m.readmit {
             self.readmit(&m, out);
         } else {
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -475,3 +475,40 @@
     w.pass(3000);
     assert_eq!(w.racks[&away].revision, 30);
 }
+
+#[test]
+fn one_that_lacks_the_log_is_sent_it_once_however_much_is_under_way() {
+    for cut in [false, true] {
+        let mut w = World::new();
+        w.pass(3000);
+        let chair = w.chair().expect("a chair");
+        let away = ALL.iter().find(|n| **n != chair).expect("another").to_string();
+        w.down.insert(away.clone());
+        let put = |n: u64| {
+            let t = PutTemplate { base: n, revision: n + 1, json: vec![b' '; 20_000].into(), print: n };
+            Event::Propose(Command { word: Some(Word::Template(t)) }.encode_to_vec().into())
+        };
+        for n in 0..30 {
+            w.step(&chair, put(n));
+            w.pass(50);
+        }
+        if cut {
+            let (index, state) = (w.nodes[&chair].applied(), w.racks[&chair].encode_to_vec().into());
+            w.step(&chair, Event::Snapshot { index, state });
+        }
+        w.start(&away);
+        // Two hundred changes at one moment, as when all owners begin anew.
+        for n in 30..230 {
+            w.step(&chair, put(n));
+        }
+        let (mut sent, mut last) = (0, w.now);
+        while w.racks[&away].revision < 230 {
+            sent += w.net.iter().filter(|(to, _)| *to == away).map(|(_, m)| m.encoded_len()).sum::<usize>();
+            w.pass(10);
+            assert!(w.now < last + 2000, "not there after {sent} bytes");
+        }
+        last = w.now;
+        let whole = 230 * 20_000;
+        assert!(sent < 2 * whole + 400_000, "{sent} bytes by {last} for a log of {whole}");
+    }
+}
