--- a/crates/dovetail/tests/links.rs
+++ b/crates/dovetail/tests/links.rs
@@ -139,3 +139,49 @@
     assert!(t.call(l, SILENCE).await.is_ok() && !t.stuck(bound));
     assert_eq!(mute.await.expect("no panic").err(), Some(Verdict::MayHaveRun));
 }
+
+/// Reads `take` bytes of what is sent, answers with `give`, and resets.
+async fn resets_after(take: usize, give: Vec<u8>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        let (mut s, _) = listener.accept().await.expect("a connection");
+        let mut buf = vec![0; take];
+        s.read_exact(&mut buf).await.expect("as much as was sent");
+        s.write_all(&give).await.expect("room");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        s.set_zero_linger().expect("resets");
+    });
+    addr
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_reset_at_any_byte_of_a_call_or_its_answer_is_never_told_as_not_run() {
+    let mut frame = bytes::BytesMut::new();
+    let ask = Lookup { position: 7, ..Lookup::default() };
+    dovetail::put_frame(&mut frame, &Envelope { call: 1, reply: false, body: Some(Body::Lookup(ask.clone())) });
+    let asked = frame.len();
+    let found = Found { seal: "s".into(), ..Found::default() };
+    let mut answer = bytes::BytesMut::new();
+    dovetail::put_frame(&mut answer, &Envelope { call: 1, reply: true, body: Some(Body::Found(found)) });
+    // Before anything was read, within the length, behind it, one short, and whole.
+    let cuts = [0, 1, 3, 4, 5, asked - 1, asked].map(|n| (n, 0));
+    let partly = [1, 3, 4, 5, answer.len() - 1].map(|n| (asked, n));
+    for (take, give) in cuts.into_iter().chain(partly) {
+        let addr = resets_after(take, answer[..give].to_vec()).await;
+        let got = Tenon::new(&addr, SILENCE).call(Body::Lookup(ask.clone()), SILENCE).await;
+        assert!(matches!(got, Err(Verdict::MayHaveRun)), "{take} read, {give} answered: {got:?}");
+    }
+    // The whole answer came before the reset: it counts.
+    let addr = resets_after(asked, answer.to_vec()).await;
+    let t = Tenon::new(&addr, SILENCE);
+    assert!(matches!(t.call(Body::Lookup(ask.clone()), SILENCE).await, Ok(Body::Found(f)) if f.seal == "s"));
+    // Once nobody listens any more nothing is sent.
+    for _ in 0..200 {
+        if let Err(Verdict::NotRun) = t.call(Body::Lookup(ask.clone()), SILENCE / 40).await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("a refused connection is told as one that may have run");
+}
