Never give a batch's number to other writes when freeing a segment failed

What failed is now written before anything else. Ruled out: renumbering (a gap in the numbers is damage, and must stay so).

--- a/crates/drawer/src/store.rs
+++ b/crates/drawer/src/store.rs
@@ -38,6 +38,9 @@
     live: u64,
     /// A write or sync of the newest segment failed: nothing more goes there.
     spoilt: bool,
+    /// What was to be written anew when that failed: it may stand on the disk under
+    /// the next number, so that number is for nothing else.
+    redo: Option<Vec<Op>>,
 }
 
 fn bad(why: impl Into<String>) -> Error {
@@ -119,6 +122,7 @@
             limit: limit.clamp(256 << 10, 16 << 20),
             live: 0,
             spoilt: false,
+            redo: None,
         };
         let mut held: HashMap<u64, Vec<u8>> = HashMap::new();
         let (mut holding, mut last) = (0, None::<u64>);
@@ -228,6 +232,16 @@
     /// Writes one batch and syncs it. After an error nothing of it counts, and
     /// the same batch may be given again.
     pub fn commit(&mut self, ops: &[Op]) -> Result<()> {
+        if let Some(first) = self.redo.take()
+            && let Err(e) = self.put(&first)
+        {
+            self.redo = Some(first);
+            return Err(e);
+        }
+        self.put(ops)
+    }
+
+    fn put(&mut self, ops: &[Op]) -> Result<()> {
         let mut last: HashMap<&Key, usize> = HashMap::new();
         for (n, o) in ops.iter().enumerate() {
             match o {
@@ -314,7 +328,10 @@
                 file.read_exact_at(&mut v, u64::from(p.at))?;
                 ops.push(Op::Put(*k, v.into()));
             }
-            self.commit(&ops)?;
+            if let Err(e) = self.commit(&ops) {
+                self.redo = self.redo.take().or(Some(ops));
+                return Err(e);
+            }
             std::fs::remove_file(path(&self.dir, oldest))?;
             File::open(&self.dir)?.sync_all()?;
             self.segments.pop_front();
