Take an answer only for the call whose id it carries

An answer that names another request says nothing of this one: it is read past, and the connection is not used again. A processor in trouble sends a second answer in the place where the next one is due; the look at an idle connection before its reuse does not close that race. Test: a stand-in that sends another's answer first.

--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -129,11 +129,15 @@
             host: &run.item.host,
             headers: &headers,
             body: &run.item.body,
+            id: &run.item.id,
         };
         // The processor ends its work at the cutoff and says so; a little longer for that to arrive.
         let within = Duration::from_millis(run.cutoff_ms as u64) * 21 / 20;
         let asked = self.chuck.call(&run.address, call, run.conn_limit.max(1) as usize, within).await;
         let (outcome, seal) = read_answer(&asked);
+        if asked.as_ref().is_ok_and(|a| a.header("x-attempt-id").is_none()) {
+            tally::count("answers_without_id");
+        }
         let told = asked.as_ref().ok().and_then(load);
         let report = Report {
             partition: run.partition,
@@ -202,7 +206,7 @@
         }
         .to_string();
         let headers = [("Content-Type", "application/json")];
-        let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes() };
+        let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes(), id: "" };
         let within = Duration::from_millis((self.hatch.caliper.constraints.notify_s * 300.0) as u64);
         // Receivers take few connections, and there is a delivery node for them in
         // each zone.
--- a/crates/hatch/tests/answers.rs
+++ b/crates/hatch/tests/answers.rs
@@ -111,3 +111,40 @@
     assert!((0..20).all(|i| of("r4", "", &i.to_string(), "y") == e), "one owner meters an endpoint");
     assert!((0..20).all(|i| of("r1", "", &i.to_string(), "x") % 2 == 0), "others stay in the client's zone");
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_surplus_answer_is_no_answer_to_the_call_in_whose_place_it_comes() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((mut s, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut buf = [0u8; 4096];
+                while let Ok(n) = s.read(&mut buf).await {
+                    let text = String::from_utf8_lossy(&buf[..n]).into_owned();
+                    let Some(at) = text.find("X-Attempt-Id: ") else { return };
+                    let id = text[at + 14..].split('\r').next().unwrap_or("").to_owned();
+                    // Another one's first, then its own.
+                    for (id, seal) in [("other", "wrong"), (id.as_str(), "right")] {
+                        let a = format!(
+                            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Seal: {seal}\r\nContent-Length: 2\r\n\r\nok"
+                        );
+                        let _ = s.write_all(a.as_bytes()).await;
+                    }
+                }
+            });
+        }
+    });
+    let chuck = spindle::Chuck::new(Duration::from_secs(9));
+    for id in ["m1", "m2"] {
+        let headers = [("X-Attempt-Id", id)];
+        let call = spindle::Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id };
+        let a = chuck.call(&addr, call, 4, Duration::from_secs(2)).await.expect("an answer");
+        assert_eq!((a.header("x-seal"), a.header("x-attempt-id")), (Some("right"), Some(id)));
+    }
+    assert_eq!(accepted.load(Ordering::Relaxed), 2, "a connection that is out of step is not used again");
+}
--- a/crates/spindle/src/call.rs
+++ b/crates/spindle/src/call.rs
@@ -40,6 +40,8 @@
     pub host: &'a str,
     pub headers: &'a [(&'a str, &'a str)],
     pub body: &'a [u8],
+    /// The id that the answer is to carry back; empty: none is sent.
+    pub id: &'a str,
 }
 
 struct OpenCount<'a> {
@@ -132,7 +134,7 @@
         out.put_slice(call.body);
         let exchange = async {
             stream.write_all(&out).await.map_err(|_| Miss::Lost)?;
-            read_answer(&mut stream, call.method == "HEAD").await
+            read_own_answer(&mut stream, &call).await
         };
         let (answer, left) = match tokio::time::timeout_at(end, exchange).await {
             Ok(r) => r?,
@@ -157,17 +159,33 @@
     }
 }
 
-async fn read_answer(stream: &mut TcpStream, to_head: bool) -> Result<(Answer, bool), Miss> {
+/// Reads on until the answer to this very call: a surplus one may come in its
+/// place, and says nothing of it. Tells whether the connection is out of step.
+async fn read_own_answer(stream: &mut TcpStream, call: &Call<'_>) -> Result<(Answer, bool), Miss> {
     let mut buf = BytesMut::with_capacity(2 << 10);
+    let mut surplus = false;
+    loop {
+        let answer = read_answer(stream, call.method == "HEAD", &mut buf).await?;
+        match answer.header("x-attempt-id") {
+            Some(id) if !call.id.is_empty() && id != call.id => {
+                tally::count("answers_of_others");
+                surplus = true;
+            }
+            _ => return Ok((answer, surplus || !buf.is_empty())),
+        }
+    }
+}
+
+async fn read_answer(stream: &mut TcpStream, to_head: bool, buf: &mut BytesMut) -> Result<Answer, Miss> {
     let (mut answer, framing) = loop {
-        match take_answer_head(&mut buf, to_head) {
+        match take_answer_head(buf, to_head) {
             Ok(Some((a, _))) if a.status < 200 => continue,
             Ok(Some(h)) => break h,
             Ok(None) => {}
             Err(_) => return Err(Miss::Lost),
         }
         buf.reserve(1 << 10);
-        match stream.read_buf(&mut buf).await {
+        match stream.read_buf(buf).await {
             Ok(n) if n > 0 => {}
             _ => return Err(Miss::Lost),
         }
@@ -181,7 +199,7 @@
             }
             while buf.len() < n {
                 buf.reserve((n - buf.len()).min(64 << 10));
-                match stream.read_buf(&mut buf).await {
+                match stream.read_buf(buf).await {
                     Ok(k) if k > 0 => {}
                     _ => return Err(Miss::Lost),
                 }
@@ -191,13 +209,13 @@
         Framing::Chunked => {
             let mut chunks = Chunks::default();
             answer.body = loop {
-                match chunks.take(&mut buf, limit) {
+                match chunks.take(buf, limit) {
                     Ok(Some(b)) => break b,
                     Ok(None) => {}
                     Err(_) => return Err(Miss::Lost),
                 }
                 buf.reserve(2 << 10);
-                match stream.read_buf(&mut buf).await {
+                match stream.read_buf(buf).await {
                     Ok(k) if k > 0 => {}
                     _ => return Err(Miss::Lost),
                 }
@@ -206,14 +224,14 @@
         Framing::ToClose => {
             while buf.len() < limit {
                 buf.reserve(2 << 10);
-                match stream.read_buf(&mut buf).await {
+                match stream.read_buf(buf).await {
                     Ok(0) => break,
                     Ok(_) => {}
                     Err(_) => return Err(Miss::Lost),
                 }
             }
-            answer.body = std::mem::take(&mut buf).freeze();
+            answer.body = std::mem::take(buf).freeze();
         }
     }
-    Ok((answer, !buf.is_empty()))
+    Ok(answer)
 }
