Order the majority's words on a partition, refuse in the log, know when a disk was empty

Four ways by which an owner's in-sync set could be smaller than the majority's, or a member hold less than was counted; each can end in LOST and, as names are positions, in MIXED. And a delivery node that is cut off was taken for one that had ended: silence was 'nothing'.

--- a/crates/apprentice/src/feed.rs
+++ b/crates/apprentice/src/feed.rs
@@ -95,9 +95,7 @@
         region: caliper.region.clone(),
         inner: caliper.inner_addr(Role::Hatch),
         life: dovetail::new_life(),
-        leaving: false,
-        fresh: false,
-        changed: 0,
+        ..Node::default()
     };
     let bench = Bench::new(silence);
     let session = Session::new(caliper.clone(), node, bench);
--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -122,6 +122,11 @@
         Some(n.life)
     }
 
+    /// This node's disk is another one than was known, since that life.
+    pub fn reborn(&self, life: u64) {
+        self.node.lock().unwrap().born = life;
+    }
+
     pub fn set_leaving(&self) {
         self.node.lock().unwrap().leaving = true;
     }
--- a/crates/dovetail/src/delta.rs
+++ b/crates/dovetail/src/delta.rs
@@ -54,7 +54,7 @@
 }
 
 fn same_node(a: &Node, b: &Node) -> bool {
-    (a.life, a.leaving, a.fresh) == (b.life, b.leaving, b.fresh)
+    (a.life, a.leaving, a.born) == (b.life, b.leaving, b.born)
         && [&a.name, &a.role, &a.zone, &a.region, &a.inner] == [&b.name, &b.role, &b.zone, &b.region, &b.inner]
 }
 
--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -343,6 +343,13 @@
     put_frame(out, e);
 }
 
+/// Whether the machine at that address says that nobody listens there: silence is
+/// not that.
+pub async fn refuses(addr: &str, within: Duration) -> bool {
+    let tried = tokio::time::timeout(within, TcpStream::connect(addr)).await;
+    matches!(tried, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Tries again in short steps while nobody answers: a machine that was dark for
 /// the first packet would else be noticed only when that is repeated, seconds
 /// later.
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -97,12 +97,13 @@
     pub life: u64,
     #[prost(bool, tag = "7")]
     pub leaving: bool,
-    /// Started with an empty disk, though not at the system's first start.
-    #[prost(bool, tag = "8")]
-    pub fresh: bool,
     /// In a roster: the version in which this was news.
     #[prost(uint64, tag = "9")]
     pub changed: u64,
+    /// The life in which its disk was empty; 0: at the system's first start. What it
+    /// joined before that it does not hold.
+    #[prost(uint64, tag = "10")]
+    pub born: u64,
 }
 
 /// The versions of the three things that are passed on.
@@ -405,6 +406,10 @@
     /// With `Own` and `Join`: the node's life.
     #[prost(uint64, tag = "6")]
     pub life: u64,
+    /// With `Join`: the entry of the majority's log that the asker goes by. What was
+    /// asked before another entry concerned the partition is not granted behind it.
+    #[prost(uint64, tag = "7")]
+    pub seen: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -37,8 +37,9 @@
     life: u64,
     /// When it was last renewed.
     at: u64,
-    /// Began with an empty disk: what it was in sync with before does not count.
-    fresh: bool,
+    /// The life in which its disk was empty: what it was in sync with before that
+    /// does not count.
+    born: u64,
     claims: Vec<Holding>,
     connection: u64,
     /// How its disk does: 0 well, 1 slow, 2 it does not answer.
@@ -240,10 +241,7 @@
         });
         let Some((name, life, inner)) = found else { return };
         let wait = Duration::from_millis(self.caliper.lease_ms());
-        let tried = tokio::time::timeout(wait, tokio::net::TcpStream::connect(&inner)).await;
-        if let Ok(Err(e)) = tried
-            && e.kind() == std::io::ErrorKind::ConnectionRefused
-        {
+        if dovetail::refuses(&inner, wait).await {
             let now = self.now();
             let known = self.with(|f| {
                 let same = f.leases.get(&name).is_some_and(|l| l.life == life);
@@ -297,7 +295,7 @@
                 Leased {
                     life: l.node.life,
                     at: now,
-                    fresh: l.node.fresh,
+                    born: l.node.born,
                     claims: l.claims.clone(),
                     connection,
                     lag: l.lag,
@@ -411,20 +409,33 @@
         })
     }
 
+    fn partition(&self, id: u32) -> Option<Partition> {
+        self.with(|f| f.rack.charter.partitions.iter().find(|p| p.id == id).cloned())
+    }
+
     async fn order(&self, o: Order) -> OrderAck {
         let mut ack = OrderAck { chair: self.chair(), ..OrderAck::default() };
         if !self.holds_chair() {
             return ack;
         }
-        let Some(was) = self.with(|f| f.rack.charter.partitions.iter().find(|p| p.id == o.partition).cloned()) else {
+        let Some(was) = self.partition(o.partition) else {
             ack.refused = true;
             return ack;
         };
         // One comes into sync only in the life that holds a lease, and with a disk
         // that keeps up.
         let fit = self.with(|f| f.leases.get(&o.node).is_some_and(|l| l.life == o.life && l.lag == 0));
+        if o.kind == OrderKind::Join as i32 && o.seen != was.changed {
+            // Asked before the last word on this partition: with that, it may ask anew.
+            ack.partition = Some(was);
+            return ack;
+        }
         if o.kind == OrderKind::Join as i32 && !fit {
-            ack.refused = true;
+            // A refusal is logged as well: whoever hears it counts that node no longer,
+            // so no earlier ask may be granted behind it.
+            let put = Word::Partition(PutPartition { was: was.clone(), now: was });
+            ack.refused = self.propose(put).await == Some(Applied::Done);
+            ack.partition = self.partition(o.partition);
             return ack;
         }
         match rule(&was, &o) {
@@ -437,11 +448,11 @@
                 ack.partition = Some(was);
             }
             Ruling::Put(now) => {
-                let put = Word::Partition(PutPartition { was, now: now.clone() });
+                let put = Word::Partition(PutPartition { was, now });
                 if self.propose(put).await == Some(Applied::Done) {
                     tally::count("partition_orders");
                     ack.ok = true;
-                    ack.partition = Some(now);
+                    ack.partition = self.partition(o.partition);
                 }
             }
         }
@@ -521,8 +532,8 @@
             let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
             for p in &partitions {
                 let life = |n: &str| f.leases.get(n).map(|l| l.life);
-                // An emptied disk holds what it was filled with in this life only.
-                let holds = |n: &str| f.leases.get(n).is_none_or(|l| !l.fresh || p.joined_life(n) == l.life);
+                // An emptied disk holds what it was filled with since then only.
+                let holds = |n: &str| f.leases.get(n).is_none_or(|l| p.joined_life(n) >= l.born);
                 let lag = |n: &str| f.leases.get(n).map_or(0, |l| l.lag);
                 // A slow disk does not hold up an owner whose own is well.
                 let slows = |n: &str| {
@@ -688,7 +699,7 @@
             let (mut units, mut token, mut whole) = (Vec::new(), None::<String>, false);
             loop {
                 let path = token.as_ref().map_or("/units".into(), |t| format!("/units?pageToken={t}"));
-                let call = spindle::Call { method: "GET", path: &path, host: &addr, headers: &[], body: &[] };
+                let call = spindle::Call { method: "GET", path: &path, host: &addr, headers: &[], body: &[], id: "" };
                 tally::count("platform_calls");
                 let Ok(a) = chuck.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
                 if a.status != 200 {
@@ -819,9 +830,7 @@
             region: self.caliper.region.clone(),
             inner: self.me.clone(),
             life: self.life.load(Ordering::Relaxed),
-            leaving: false,
-            fresh: false,
-            changed: 0,
+            ..Node::default()
         }
     }
 
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -136,6 +136,8 @@
     chunk_from: (u64, u64),
     own_asked: u64,
     own_known: bool,
+    /// The majority's entry that its last word came from: older ones say nothing.
+    told: u64,
     pace: Pace,
     since_snapshot: usize,
 }
@@ -175,6 +177,7 @@
             chunk_from: (0, 0),
             own_asked: 0,
             own_known: false,
+            told: 0,
             pace,
             since_snapshot: 0,
         }
@@ -508,6 +511,13 @@
 
     /// The majority's word on this partition.
     pub fn charter(&mut self, p: &Partition, now: u64, out: &mut Vec<Effect>) {
+        if p.changed < self.told {
+            // It came by another way than a newer one: an in-sync set that went back
+            // would have commits that a member does not hold.
+            tally::count("charters_outdated");
+            return;
+        }
+        self.told = p.changed;
         self.homes.clone_from(&p.homes);
         if p.term > self.term {
             if p.owner == self.me {
@@ -619,8 +629,8 @@
             term: self.term,
             node: self.me.clone(),
             kind: OrderKind::Own as i32,
-            leaving: String::new(),
             life: self.life,
+            ..Order::default()
         }));
     }
 
@@ -727,7 +737,7 @@
             node: m.candidate.clone(),
             kind: OrderKind::Grant as i32,
             leaving: if m.leaving { self.me.clone() } else { String::new() },
-            life: 0,
+            ..Order::default()
         }));
     }
 
@@ -736,6 +746,12 @@
         if let Some(p) = &ack.partition {
             self.charter(p, now, out);
         }
+        let join = order.kind == OrderKind::Join as i32;
+        if join && !ack.ok && !ack.refused && order.seen != self.told && self.joining.contains_key(&order.node) {
+            // Asked by an older word on this partition: at once by the newer one.
+            self.joining.insert(order.node.clone(), now);
+            self.ask_join(&order.node, out);
+        }
         if ack.refused && order.term == self.term {
             match OrderKind::try_from(order.kind) {
                 Ok(OrderKind::Grant) => self.moving = None,
@@ -852,6 +868,14 @@
             self.follow(c.term, &c.owner, out);
         }
         self.owner.clone_from(&c.owner);
+        if c.position <= self.commit {
+            // Nothing new, and what is held behind it counts for the owner already.
+            if c.last {
+                let ack = self.ack(false);
+                out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(ack)));
+            }
+            return;
+        }
         if c.part == 0 {
             self.chunks.clear();
             self.chunk_from = (c.term, c.position);
@@ -998,8 +1022,9 @@
             term: self.term,
             node: node.to_owned(),
             kind: OrderKind::Join as i32,
-            leaving: String::new(),
             life: self.peers.get(node).map_or(0, |p| p.life),
+            seen: self.told,
+            ..Order::default()
         }));
     }
 
@@ -1063,8 +1088,7 @@
                         term: self.term,
                         node: n,
                         kind: OrderKind::Drop as i32,
-                        leaving: String::new(),
-                        life: 0,
+                        ..Order::default()
                     }));
                 }
             }
--- a/crates/lathe/src/record.rs
+++ b/crates/lathe/src/record.rs
@@ -34,6 +34,32 @@
     Stop(Stop),
 }
 
+/// What a store machine's disk knows of itself.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Birth {
+    /// The life in which it was empty; 0 at the system's first start.
+    #[prost(uint64, tag = "1")]
+    pub born: u64,
+    /// The last life that was lived on it.
+    #[prost(uint64, tag = "2")]
+    pub top: u64,
+    /// Found empty, and no life lived on it yet.
+    #[prost(bool, tag = "3")]
+    pub empty: bool,
+}
+
+impl Birth {
+    /// A process begins on this disk: its life, after all that were lived here.
+    pub fn live(&mut self, life: u64) -> u64 {
+        let life = if life > self.top { life } else { dovetail::after(self.top) };
+        if self.empty {
+            self.born = life;
+        }
+        (self.top, self.empty) = (life, false);
+        life
+    }
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AcceptRecord {
     #[prost(message, required, tag = "1")]
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -262,8 +262,9 @@
                             _ => tokio::time::sleep(wait / 8).await,
                         }
                     }
-                    // Nobody listens there: what it held ended with its process.
-                    Some(Vec::new())
+                    // What it held ended with its process only where its machine says
+                    // that nobody listens; one that is cut off says nothing.
+                    dovetail::refuses(&h.inner, wait).await.then(Vec::new)
                 }),
             ));
         }
@@ -894,6 +895,10 @@
     fn relive(self: &Arc<Self>, lived: u64) {
         let Some(life) = self.session.relive(lived) else { return };
         tally::count("lives_begun_again");
+        // A life that this disk does not know was lived on another one.
+        let birth = Birth { born: life, top: life, empty: false };
+        self.session.reborn(life);
+        self.drawer.write(vec![Op::Put(key(b'd', 0, 0), birth.encode_to_vec().into())], || ());
         let mut guard = self.inside.lock().unwrap();
         guard.lease_until = 0;
         for p in guard.mandrels.keys().copied().collect::<Vec<_>>() {
@@ -956,8 +961,7 @@
                 term: 0,
                 node: self.caliper.node.clone(),
                 kind: OrderKind::Drop as i32,
-                leaving: String::new(),
-                life: 0,
+                ..Order::default()
             };
             asks.push(tokio::spawn(self.clone().order(p, o)));
         }
@@ -1006,7 +1010,7 @@
     let mut metas: BTreeMap<u32, Meta> = BTreeMap::new();
     let mut snaps: HashMap<u32, Bytes> = HashMap::new();
     let mut logs: HashMap<u32, Vec<(u64, LogEntry)>> = HashMap::new();
-    let mut broken = None;
+    let (mut broken, mut birth) = (None, None);
     let drawer = Drawer::open(&caliper.data_dir, caliper.limits.disk_mb, caliper.limits.memory_mb, |k, v| {
         if k.len() != 13 {
             return;
@@ -1020,6 +1024,10 @@
                 }
                 Err(e) => broken = Some(format!("partition {p}: {e}")),
             },
+            b'd' => match Birth::decode(v) {
+                Ok(b) => birth = Some(b),
+                Err(e) => broken = Some(format!("the disk's own record: {e}")),
+            },
             b's' => {
                 snaps.insert(p, Bytes::copy_from_slice(v));
             }
@@ -1033,8 +1041,11 @@
     if let Some(b) = broken {
         return Err(b);
     }
-    let fresh = metas.is_empty() && !caliper.initial_start;
-    let life = dovetail::new_life();
+    let mut birth = birth.unwrap_or(Birth { empty: metas.is_empty() && !caliper.initial_start, ..Birth::default() });
+    let life = birth.live(dovetail::new_life());
+    // Before anything else: a disk that was emptied must not pass for a full one
+    // because something was written to it since.
+    drawer.write(vec![Op::Put(key(b'd', 0, 0), birth.encode_to_vec().into())], || ());
     let mut mandrels = BTreeMap::new();
     for (p, meta) in metas {
         let mut entries = logs.remove(&p).unwrap_or_default();
@@ -1051,7 +1062,7 @@
         inner: caliper.inner_addr(Role::Lathe),
         life,
         leaving: false,
-        fresh,
+        born: birth.born,
         changed: 0,
     };
     let bench = Bench::new(silence);
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -571,3 +571,50 @@
     assert!(!w.known("b", "lost") && w.known("b", "kept") && w.known("a", "kept"));
     assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
 }
+
+#[test]
+fn an_older_word_of_the_majority_takes_nobody_out_of_sync() {
+    let mut w = with_traffic(&["a", "b"]);
+    // c joins: the owner hears it from the chair, ahead of a foreman that is behind.
+    let older = Partition { changed: 7, ..w.chart.clone() };
+    w.chart.homes.push("c".into());
+    w.chart.insync.push("c".into());
+    w.chart.changed = 9;
+    w.tell();
+    w.pass(600);
+    w.step("a", |m, now, out| m.charter(&older, now, out));
+    assert_eq!(w.nodes["a"].in_sync(), ["a", "b", "c"]);
+    // What c does not have is not committed.
+    w.hold_sync.insert("c".into());
+    let pos = w.message("held").expect("open");
+    w.pass(300);
+    assert!(w.nodes["a"].commit < pos);
+    w.hold_sync.remove("c");
+    w.pass(300);
+    assert!(w.nodes["a"].commit >= pos);
+}
+
+#[test]
+fn a_snapshot_of_what_is_held_takes_nothing_back() {
+    let mut w = with_traffic(&["a", "b"]);
+    let (end, commit) = (w.nodes["b"].end(), w.nodes["b"].commit);
+    let (position, data) = (commit - 3, Bytes::new());
+    let c = Chunk { term: 1, owner: "a".into(), position, position_term: 1, last: true, data, ..Chunk::default() };
+    w.step("b", |m, now, out| m.chunk(c, now, out));
+    assert_eq!((w.nodes["b"].end(), w.nodes["b"].commit), (end, commit));
+    // The owner is told where it is, so that it goes on from there.
+    assert!(matches!(w.net.back(), Some((to, Body::EntriesAck(a))) if to == "a" && a.durable == end));
+}
+
+#[test]
+fn a_disk_knows_since_which_life_it_holds_anything() {
+    // At the very first start nothing can have been lost.
+    let mut first = Birth::default();
+    assert_eq!((first.live(100), first.born), (100, 0));
+    assert_eq!((first.live(90), first.born), (101, 0), "a clock that is behind: still a later life");
+    // Emptied, and its process ended twice before anybody heard of it: what it
+    // joined in life 101 it does not hold, though the disk is not empty any more.
+    let mut emptied = Birth { empty: true, ..Birth::default() };
+    assert_eq!((emptied.live(200), emptied.born), (200, 200));
+    assert_eq!((emptied.live(300), emptied.born), (300, 200));
+}
