--- a/crates/apprentice/src/feed.rs
+++ b/crates/apprentice/src/feed.rs
@@ -17,7 +17,7 @@
         // The hatch beside us, or a neighbour that lacks something.
         Body::Watch(w) => {
             if let Some(n) = &w.node
-                && n.role == "hatch"
+                && n.role == session.me().role
                 && n.inner == session.me().inner
                 && n.leaving
             {
@@ -61,7 +61,7 @@
             k.roster
                 .nodes
                 .iter()
-                .filter(|n| n.role == "hatch" && n.name != me.name && (n.zone == me.zone || round.is_multiple_of(8)))
+                .filter(|n| n.role == me.role && n.name != me.name && (n.zone == me.zone || round.is_multiple_of(8)))
                 .filter_map(|n| n.inner.rsplit_once(':').map(|(ip, _)| format!("{ip}:{port}")))
                 .collect()
         });
@@ -90,7 +90,7 @@
     let silence = Duration::from_millis((quiet / 4.0) as u64);
     let node = Node {
         name: caliper.node.clone(),
-        role: "hatch".into(),
+        role: caliper.front_role().into(),
         zone: caliper.zone.clone(),
         region: caliper.region.clone(),
         inner: caliper.inner_addr(Role::Hatch),
--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -11,15 +11,20 @@
 #[derive(Clone, Default)]
 pub struct Known {
     pub json: Bytes,
+    /// The last changes of the configuration that were taken, to pass them on.
+    pub steps: Vec<TemplateStep>,
     pub template: Arc<Pattern>,
     pub charter: Arc<Charter>,
     pub roster: Arc<Roster>,
     pub chair: String,
+    /// A change did not fit: the whole configuration is wanted.
+    whole: bool,
 }
 
 impl Known {
     pub fn have(&self) -> Have {
-        Have { template: self.template.revision, charter: self.charter.version, roster: self.roster.version }
+        let template = if self.whole { 0 } else { self.template.revision };
+        Have { template, charter: self.charter.version, roster: self.roster.version }
     }
 
     /// Takes whatever is newer; tells whether anything was.
@@ -27,12 +32,15 @@
         let mut moved = false;
         if let Some(json) = &news.template
             && let Ok(t) = Template::read(json)
-            && t.revision > self.template.revision
+            && (t.revision > self.template.revision || (self.whole && t.revision == self.template.revision))
         {
             self.template = Arc::new(t.into());
             self.json = json.clone();
+            self.steps.clear();
+            self.whole = false;
             moved = true;
         }
+        moved |= self.take_steps(&news.steps);
         if let Some(c) = &news.charter
             && c.version > self.charter.version
         {
@@ -50,12 +58,58 @@
         moved
     }
 
+    /// Takes changes of the configuration, each on the revision that it was made for.
+    fn take_steps(&mut self, steps: &[TemplateStep]) -> bool {
+        let (mut json, mut revision) = (self.json.clone(), self.template.revision);
+        for s in steps.iter().filter(|s| s.revision > self.template.revision) {
+            match gauge::adjust(&json, &s.change) {
+                Ok(j) if s.since == revision && dovetail::print(&j) == s.print => {
+                    (json, revision) = (j.into(), s.revision)
+                }
+                _ => {
+                    // Not guessed: the whole is asked for.
+                    tally::count("steps_refused");
+                    self.whole = true;
+                    return false;
+                }
+            }
+        }
+        if revision == self.template.revision {
+            return false;
+        }
+        let Ok(t) = Template::read(&json) else {
+            self.whole = true;
+            return false;
+        };
+        let limit = json.len() / 2;
+        self.steps.extend(steps.iter().filter(|s| s.revision > self.template.revision).cloned());
+        while self.steps.iter().map(|s| s.change.len()).sum::<usize>() > limit {
+            self.steps.remove(0);
+        }
+        (self.json, self.template) = (json, Arc::new(t.into()));
+        true
+    }
+
+    /// The configuration for one that has revision `have`: what changed since, or
+    /// the whole.
+    fn template_since(&self, have: u64) -> (Option<Bytes>, Vec<TemplateStep>) {
+        if self.template.revision <= have {
+            return (None, Vec::new());
+        }
+        match self.steps.iter().position(|s| s.since == have) {
+            Some(at) => (None, self.steps[at..].to_vec()),
+            None => (Some(self.json.clone()), Vec::new()),
+        }
+    }
+
     /// All that the other lacks, by its versions.
     pub fn news_for(&self, have: &Have) -> News {
-        let mine = self.have();
+        let mine = Have { template: self.template.revision, ..self.have() };
+        let (template, steps) = self.template_since(have.template);
         News {
             have: mine,
-            template: (mine.template > have.template).then(|| self.json.clone()),
+            template,
+            steps,
             charter: (mine.charter > have.charter).then(|| self.charter.since(have.charter)),
             roster: (mine.roster > have.roster).then(|| self.roster.since(have.roster)),
             chair: self.chair.clone(),
--- /dev/null
+++ b/crates/dovetail/src/keeper.rs
@@ -0,0 +1,29 @@
+//! Which front keeps which function: the same everywhere where the same fronts are
+//! known, and when one comes or goes only its own part moves.
+
+use crate::msg::Roster;
+
+/// A front by its name's hash, its name, and its inner address.
+pub type Front = (u64, String, String);
+
+/// A short print of some bytes (FNV-1a).
+pub fn print(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf29ce484222325, |h, b| (h ^ *b as u64).wrapping_mul(0x100000001b3))
+}
+
+fn mix(h: u64) -> u64 {
+    let h = (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15);
+    h ^ (h >> 29)
+}
+
+/// The fronts of a roster that may keep functions.
+pub fn fronts(r: &Roster) -> Vec<Front> {
+    let mine = r.nodes.iter().filter(|n| n.role == "shuttle" && !n.leaving);
+    mine.map(|n| (mix(print(n.name.as_bytes())), n.name.clone(), n.inner.clone())).collect()
+}
+
+/// The keeper of a function: the front whose hash with it is highest.
+pub fn keeper<'a>(fronts: &'a [Front], plant: &str) -> Option<&'a Front> {
+    let p = mix(print(plant.as_bytes()));
+    fronts.iter().max_by_key(|f| mix(f.0 ^ p))
+}
--- a/crates/dovetail/src/lib.rs
+++ b/crates/dovetail/src/lib.rs
@@ -2,9 +2,11 @@
 //! and the framed connections it travels on.
 
 mod delta;
+mod keeper;
 mod life;
 mod link;
 pub mod msg;
+pub use keeper::*;
 pub use life::*;
 pub use link::*;
 pub use msg::Body;
--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -28,7 +28,7 @@
 }
 
 /// Frames and bytes sent by this process, by kind.
-static SENT: [(AtomicU64, AtomicU64); 26] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; 26];
+static SENT: [(AtomicU64, AtomicU64); 35] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; 35];
 
 fn kind(b: &Body) -> usize {
     match b {
@@ -58,6 +58,15 @@
         Body::StatusAck(_) => 23,
         Body::Gossip(_) => 24,
         Body::Ack(_) => 25,
+        Body::SlotAsk(_) => 26,
+        Body::SlotGrant(_) => 27,
+        Body::SlotBack(_) => 28,
+        Body::SlotsHeld(_) => 29,
+        Body::Start(_) => 30,
+        Body::StartAck(_) => 31,
+        Body::Stop(_) => 32,
+        Body::UnitsAsk(_) => 33,
+        Body::Units(_) => 34,
     }
 }
 
@@ -90,6 +99,15 @@
         "status_ack",
         "gossip",
         "ack",
+        "slot_ask",
+        "slot_grant",
+        "slot_back",
+        "slots_held",
+        "start",
+        "start_ack",
+        "stop",
+        "units_ask",
+        "units",
     ];
     let load = |n: usize| (SENT[n].1.load(Ordering::Relaxed), SENT[n].0.load(Ordering::Relaxed));
     let mut all: Vec<(u64, u64, &str)> =
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -11,7 +11,7 @@
     pub reply: bool,
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44"
     )]
     pub body: Option<Body>,
 }
@@ -70,6 +70,24 @@
     Gossip(Gossip),
     #[prost(message, tag = "35")]
     Ack(Ack),
+    #[prost(message, tag = "36")]
+    SlotAsk(SlotAsk),
+    #[prost(message, tag = "37")]
+    SlotGrant(SlotGrant),
+    #[prost(message, tag = "38")]
+    SlotBack(SlotBack),
+    #[prost(message, tag = "39")]
+    SlotsHeld(SlotsHeld),
+    #[prost(message, tag = "40")]
+    Start(Start),
+    #[prost(message, tag = "41")]
+    StartAck(StartAck),
+    #[prost(message, tag = "42")]
+    Stop(StopUnit),
+    #[prost(message, tag = "43")]
+    UnitsAsk(UnitsAsk),
+    #[prost(message, tag = "44")]
+    Units(Units),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -154,6 +172,24 @@
     /// to begin another after that.
     #[prost(uint64, tag = "7")]
     pub lived: u64,
+    /// Instead of the whole configuration: the changes since the asker's, in order.
+    #[prost(message, repeated, tag = "8")]
+    pub steps: Vec<TemplateStep>,
+}
+
+/// What changed from one configuration to the next.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TemplateStep {
+    #[prost(uint64, tag = "1")]
+    pub since: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// As operators write it.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub change: Bytes,
+    /// Of the whole that comes of it: one that differs is fetched whole.
+    #[prost(fixed64, tag = "4")]
+    pub print: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -794,6 +830,165 @@
     pub data: Bytes,
 }
 
+// ---- slots of functions ----
+
+/// A front asks a function's keeper for a slot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotAsk {
+    #[prost(string, tag = "1")]
+    pub plant: String,
+    #[prost(string, tag = "2")]
+    pub front: String,
+    /// Names the slot from now on, among those of this front.
+    #[prost(uint64, tag = "3")]
+    pub ticket: u64,
+    /// How long it is worth waiting for one.
+    #[prost(uint32, tag = "4")]
+    pub patience_ms: u32,
+    /// How long it may be held, at the most.
+    #[prost(uint32, tag = "5")]
+    pub hold_ms: u32,
+    /// The aim of the request.
+    #[prost(uint32, tag = "6")]
+    pub aim_ms: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotGrant {
+    #[prost(enumeration = "SlotOutcome", tag = "1")]
+    pub outcome: i32,
+    #[prost(string, tag = "2")]
+    pub unit: String,
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// It has not answered anybody yet: connect until it does, and say so.
+    #[prost(bool, tag = "4")]
+    pub starting: bool,
+    /// With `None`: after how long another try may do better.
+    #[prost(uint32, tag = "5")]
+    pub retry_ms: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum SlotOutcome {
+    None = 0,
+    Granted = 1,
+    /// Another front keeps this function, as far as is known here.
+    Elsewhere = 2,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum SlotEnd {
+    /// Given back.
+    Done = 0,
+    /// Given back: the processor said that it was full.
+    Full = 1,
+    /// Given back: nobody listens there, or another processor does.
+    Gone = 2,
+    /// Given back: no answer to a connection, or none in time.
+    Dark = 3,
+    /// Still held: the processor has started.
+    Up = 4,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotBack {
+    #[prost(string, tag = "1")]
+    pub plant: String,
+    #[prost(string, tag = "2")]
+    pub front: String,
+    #[prost(uint64, tag = "3")]
+    pub ticket: u64,
+    #[prost(string, tag = "4")]
+    pub unit: String,
+    #[prost(enumeration = "SlotEnd", tag = "5")]
+    pub end: i32,
+    /// How long the request took at the processor; 0 if it did not run.
+    #[prost(uint32, tag = "6")]
+    pub took_ms: u32,
+}
+
+/// A front tells a new keeper what it holds of its functions.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotsHeld {
+    #[prost(string, tag = "1")]
+    pub front: String,
+    #[prost(message, repeated, tag = "2")]
+    pub held: Vec<SlotHeld>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotHeld {
+    #[prost(string, tag = "1")]
+    pub plant: String,
+    #[prost(uint64, tag = "2")]
+    pub ticket: u64,
+    #[prost(string, tag = "3")]
+    pub unit: String,
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// For how much longer, at the most.
+    #[prost(uint32, tag = "5")]
+    pub hold_ms: u32,
+}
+
+/// A keeper wants a processor of a function: asked of the foreman in the chair.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Start {
+    #[prost(string, tag = "1")]
+    pub plant: String,
+    /// The same for every ask of one start, so that it is carried out once.
+    #[prost(string, tag = "2")]
+    pub nonce: String,
+    #[prost(string, tag = "3")]
+    pub zone: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StartAck {
+    /// Empty: not now.
+    #[prost(string, tag = "1")]
+    pub unit: String,
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Where to ask instead.
+    #[prost(string, tag = "3")]
+    pub chair: String,
+    /// No worker has room: asking again at once is of no use.
+    #[prost(bool, tag = "4")]
+    pub full: bool,
+}
+
+/// A front asks for the processors of the functions that it keeps.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UnitsAsk {
+    #[prost(string, tag = "1")]
+    pub front: String,
+    /// Of what it was told last.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Units {
+    /// False: not known here, or not yet; what was told before stands.
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    /// Empty if the digest is that of the ask.
+    #[prost(message, repeated, tag = "2")]
+    pub units: Vec<Unit>,
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StopUnit {
+    #[prost(string, tag = "1")]
+    pub unit: String,
+}
+
 // ---- operators ----
 
 #[derive(Clone, PartialEq, prost::Message)]
--- /dev/null
+++ b/crates/foreman/src/actuate.rs
@@ -0,0 +1,195 @@
+//! The scaler's calls to the platform.
+
+use crate::bellows::Worker;
+use crate::shop::Shop;
+use dovetail::msg::*;
+use gauge::Caliper;
+use spindle::{Call, Chuck};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+impl Shop {
+    /// Keeps the list of workers while this foreman is in the chair.
+    pub(crate) async fn list_workers(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
+        #[derive(serde::Deserialize)]
+        #[serde(rename_all = "camelCase", default)]
+        #[derive(Default)]
+        struct Carrier {
+            name: String,
+            zone: String,
+            headroom_mb: f64,
+            state: String,
+        }
+        #[derive(serde::Deserialize)]
+        struct Page {
+            carriers: Vec<Carrier>,
+        }
+        let period = Duration::from_millis((self.caliper.constraints.converge_ms / 4.0) as u64);
+        let chuck = Chuck::new(period * 4);
+        loop {
+            let addr = settings.borrow().platform.address.clone();
+            if addr.is_empty() || !self.holds_chair() {
+                tokio::time::sleep(period / 8).await;
+                continue;
+            }
+            let (headers, body, id) = (&[], &[], "");
+            let call = Call { method: "GET", path: "/workers", host: &addr, headers, body, id, newest: None };
+            tally::count("platform_calls");
+            let page = match chuck.call(&addr, call, 2, period).await {
+                Ok(a) if a.status == 200 => serde_json::from_slice::<Page>(&a.body).ok(),
+                _ => None,
+            };
+            match page {
+                Some(p) => {
+                    let (carriers, all) = (p.carriers.len(), p.carriers.into_iter());
+                    let workers: Vec<Worker> = all
+                        .filter(|c| !c.name.is_empty() && c.headroom_mb.is_finite() && c.headroom_mb >= 0.0)
+                        .map(|c| Worker {
+                            ready: c.state == "ready",
+                            name: c.name,
+                            zone: c.zone,
+                            headroom_mb: c.headroom_mb,
+                        })
+                        .collect();
+                    tally::add("platform_items_refused", (carriers - workers.len()) as u64);
+                    let now = self.now();
+                    self.with(|f| f.bellows.listed(workers, now));
+                    tokio::time::sleep(period).await;
+                }
+                None => {
+                    tally::count("platform_misses");
+                    tokio::time::sleep(period / 4).await;
+                }
+            }
+        }
+    }
+
+    /// The processors of the functions that a front keeps, as the platform lists them.
+    pub(crate) fn units_of(&self, a: &UnitsAsk) -> Units {
+        let now = self.now();
+        self.with(|f| {
+            if !f.tells_units(now) {
+                return Units::default();
+            }
+            let fronts = dovetail::fronts(&f.roster);
+            let kept = |u: &&Unit| dovetail::keeper(&fronts, &u.plant).is_some_and(|k| k.1 == a.front);
+            let units: Vec<Unit> = f.units().iter().filter(kept).cloned().collect();
+            let digest = units.iter().fold(1u64, |h, u| {
+                let h = (h ^ dovetail::print(u.id.as_bytes())).wrapping_mul(0x9e3779b97f4a7c15);
+                h ^ u64::from(u.draining)
+            });
+            let units = if digest == a.digest { Vec::new() } else { units };
+            Units { known: true, units, digest }
+        })
+    }
+
+    /// Starts one processor; asked again by the same nonce it comes to the same one.
+    pub(crate) async fn start_unit(&self, s: Start, platform: &str) -> StartAck {
+        let chair = self.chair();
+        let end = Instant::now() + Duration::from_millis(self.ratio(5.0));
+        let mut ack = StartAck { chair, ..StartAck::default() };
+        if !self.holds_chair() || s.nonce.is_empty() || s.nonce.len() > 64 {
+            return ack;
+        }
+        let pattern = self.pattern();
+        let Some(memory) = pattern.plant(&s.plant).filter(|p| p.is_function()).map(|p| p.memory_mb) else {
+            tally::count("starts_unknown");
+            ack.full = true;
+            return ack;
+        };
+        while Instant::now() < end && self.holds_chair() {
+            let now = self.now();
+            let (worker, fence, known) = self.with(|f| {
+                let fence = f.term();
+                (f.bellows.choose(memory, &s.zone, now), fence, f.bellows.known())
+            });
+            let Some(worker) = worker else {
+                // Not asked yet is not full.
+                ack.full = known;
+                if known {
+                    tally::count("starts_without_room");
+                    return ack;
+                }
+                tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
+                continue;
+            };
+            let body = serde_json::json!({"plant": s.plant, "carrier": worker, "nonce": s.nonce}).to_string();
+            match self.actuate(platform, "/start", &body, fence, end).await {
+                Some((200, answer)) => {
+                    #[derive(serde::Deserialize)]
+                    struct Started {
+                        id: String,
+                        address: String,
+                    }
+                    let Ok(a) = serde_json::from_slice::<Started>(&answer) else {
+                        tally::count("platform_items_refused");
+                        continue;
+                    };
+                    tally::count("starts");
+                    (ack.unit, ack.address) = (a.id, a.address);
+                    return ack;
+                }
+                Some((409, _)) => {
+                    tally::count("starts_refused");
+                    let now = self.now();
+                    self.with(|f| f.bellows.refused(&worker, now));
+                }
+                Some((400, _)) => {
+                    ack.full = true;
+                    return ack;
+                }
+                // No answer, or not now: it may be done; the nonce makes another try harmless.
+                _ => tokio::time::sleep(Duration::from_millis(self.ratio(100.0))).await,
+            }
+        }
+        ack
+    }
+
+    pub(crate) async fn stop_unit(&self, unit: &str, platform: &str) -> bool {
+        let end = Instant::now() + Duration::from_millis(self.ratio(5.0));
+        let body = serde_json::json!({ "id": unit }).to_string();
+        while Instant::now() < end && self.holds_chair() {
+            let fence = self.with(|f| f.term());
+            if let Some((200 | 404, _)) = self.actuate(platform, "/stop", &body, fence, end).await {
+                tally::count("stops");
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(self.ratio(100.0))).await;
+        }
+        false
+    }
+
+    async fn actuate(
+        &self,
+        platform: &str,
+        path: &str,
+        body: &str,
+        fence: u64,
+        end: Instant,
+    ) -> Option<(u16, bytes::Bytes)> {
+        loop {
+            let now = self.now();
+            match self.with(|f| f.bellows.token(now)) {
+                Ok(()) => break,
+                Err(_) if Instant::now() > end => return None,
+                Err(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            }
+        }
+        let fence = fence.to_string();
+        let headers =
+            [("X-Duty-Holder", self.caliper.node.as_str()), ("X-Fence", &fence), ("Content-Type", "application/json")];
+        let call = Call {
+            method: "POST",
+            path,
+            host: platform,
+            headers: &headers,
+            body: body.as_bytes(),
+            id: "",
+            newest: None,
+        };
+        tally::count("platform_calls");
+        let a = self.hose.call(platform, call, 32, Duration::from_millis(self.ratio(5.0))).await.ok()?;
+        Some((a.status, a.body))
+    }
+}
--- a/crates/foreman/src/lib.rs
+++ b/crates/foreman/src/lib.rs
@@ -1,6 +1,8 @@
 //! The control plane: the majority log, sessions, leases, duties, and the
 //! operator's interface.
 
+mod actuate;
+mod bellows;
 mod governor;
 mod layout;
 mod operator;
@@ -8,6 +10,7 @@
 mod rack;
 mod shop;
 mod vise;
+pub use bellows::*;
 pub use governor::*;
 pub use layout::*;
 pub use operator::serve as serve_operator;
--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -105,7 +105,10 @@
             Err(e) => return fault(400, &e),
         }
     } else {
-        r.body.clone()
+        match gauge::canonical(&r.body) {
+            Ok(j) => j.into(),
+            Err(e) => return fault(400, &e),
+        }
     };
     let template = match Template::read(&json) {
         Ok(t) => t,
@@ -114,7 +117,8 @@
     if template.revision <= current {
         return fault(400, &format!("revision: must be above {current}"));
     }
-    match shop.propose(Word::Template(PutTemplate { base, revision, json, print })).await {
+    let change = gauge::difference(&stored, &json).unwrap_or_default().into();
+    match shop.propose(Word::Template(PutTemplate { base, revision, json, print, change })).await {
         Some(Applied::Done) => {
             tally::change!("configuration {revision} taken");
             Reply::json(200, serde_json::json!({ "revision": revision }).to_string())
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -2,7 +2,7 @@
 //! owns which partition at which term.
 
 use bytes::Bytes;
-use dovetail::msg::{Charter, Grant, Order, OrderKind, Partition, Retire, Rollout};
+use dovetail::msg::{Charter, Grant, Order, OrderKind, Partition, Retire, Rollout, TemplateStep};
 use prost::Message;
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -17,6 +17,9 @@
     /// Every configuration that was taken, to know a repeat of it.
     #[prost(message, repeated, tag = "4")]
     pub taken: Vec<Taken>,
+    /// The last changes of the configuration, for those that are a little behind.
+    #[prost(message, repeated, tag = "5")]
+    pub steps: Vec<TemplateStep>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -61,6 +64,9 @@
     /// Of the operator's call, to know it again.
     #[prost(uint64, tag = "4")]
     pub print: u64,
+    /// What changed, as operators write it; empty: too much for that.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub change: Bytes,
 }
 
 /// Changes one partition if it still is what the proposer saw.
@@ -85,10 +91,7 @@
     Beaten,
 }
 
-/// A short print of some bytes (FNV-1a).
-pub fn print(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf29ce484222325, |h, b| (h ^ *b as u64).wrapping_mul(0x100000001b3))
-}
+pub use dovetail::print;
 
 impl Rack {
     pub fn apply(&mut self, index: u64, data: &Bytes) -> Applied {
@@ -100,6 +103,16 @@
                 if t.base != self.revision || t.revision <= self.revision {
                     return Applied::Beaten;
                 }
+                if t.change.is_empty() {
+                    self.steps.clear();
+                } else {
+                    let (since, revision) = (self.revision, t.revision);
+                    self.steps.push(TemplateStep { since, revision, change: t.change, print: print(&t.json) });
+                    let limit = t.json.len() / 2;
+                    while self.steps.iter().map(|s| s.change.len()).sum::<usize>() > limit {
+                        self.steps.remove(0);
+                    }
+                }
                 self.template = t.json;
                 self.revision = t.revision;
                 self.taken.push(Taken { revision: t.revision, base: t.base, print: t.print });
@@ -140,6 +153,18 @@
         Applied::Done
     }
 
+    /// The configuration for one that has revision `have`: what changed since, or
+    /// the whole.
+    pub fn since(&self, have: u64) -> (Option<Bytes>, Vec<TemplateStep>) {
+        if self.revision <= have {
+            return (None, Vec::new());
+        }
+        match self.steps.iter().position(|s| s.since == have) {
+            Some(at) => (None, self.steps[at..].to_vec()),
+            None => (Some(self.template.clone()), Vec::new()),
+        }
+    }
+
     /// Whether this very call has been taken before.
     pub fn took(&self, revision: u64, base: u64, print: u64) -> bool {
         self.taken.iter().any(|t| t.revision == revision && t.base == base && t.print == print)
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -1,6 +1,7 @@
 //! The shell of a foreman: runs the log, keeps sessions and leases, and does
 //! the duties of the one in the chair.
 
+use crate::bellows::Bellows;
 use crate::governor::Governor;
 use crate::layout::*;
 use crate::plumb::{Advice, Plumb};
@@ -10,7 +11,7 @@
 use dovetail::msg::*;
 use dovetail::{Bench, Peg, after, new_life, possible};
 use drawer::{Drawer, Op};
-use gauge::{Caliper, Role, Template};
+use gauge::{Caliper, Pattern, Role, Template};
 use prost::Message;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -76,9 +77,30 @@
     /// Since when nobody acts as a partition's owner.
     unclaimed: HashMap<u32, u64>,
     governor: Governor,
+    /// A platform for functions.
+    functions: bool,
+    /// Since when the processors are as this chair itself listed them; 0: not yet.
+    listed_at: u64,
+    pub(crate) bellows: Bellows,
+    /// The configuration in force, read once for a version.
+    pattern: Arc<Pattern>,
 }
 
 impl Floor {
+    pub(crate) fn units(&self) -> &[Unit] {
+        &self.units
+    }
+
+    /// Whether this foreman knows what the platform lists now.
+    pub(crate) fn tells_units(&self, now: u64) -> bool {
+        self.holds(now) && self.listed_at > 0
+    }
+
+    /// The chair's term: fences what its holder has the platform do.
+    pub(crate) fn term(&self) -> u64 {
+        self.term
+    }
+
     /// The life of a node, if one is known that comes after this one.
     fn later_life(&self, node: &Node) -> u64 {
         let lease = self.leases.get(&node.name).map_or(0, |l| l.life);
@@ -130,6 +152,9 @@
     start: Instant,
     life: AtomicU64,
     assigning: AtomicBool,
+    settings: watch::Receiver<Caliper>,
+    /// Connections for what the platform is to do.
+    pub(crate) hose: Arc<spindle::Chuck>,
 }
 
 fn key(kind: u8, index: u64) -> drawer::Key {
@@ -146,10 +171,22 @@
         f(&mut self.floor.lock().unwrap())
     }
 
-    fn ratio(&self, part: f64) -> u64 {
+    pub(crate) fn ratio(&self, part: f64) -> u64 {
         (self.caliper.constraints.quiet_ms / part) as u64
     }
 
+    /// The configuration in force, with its indexes.
+    pub fn pattern(&self) -> Arc<Pattern> {
+        self.with(|f| {
+            if f.pattern.revision != f.rack.revision
+                && let Ok(t) = Template::read(&f.rack.template)
+            {
+                f.pattern = Arc::new(t.into());
+            }
+            f.pattern.clone()
+        })
+    }
+
     /// The time wants its own clock and more than half of the store machines', or
     /// all that come soon.
     fn settle_time(&self, f: &mut Floor, now: u64) {
@@ -184,7 +221,7 @@
 
     /// Who is in the chair, as far as is known: nobody, once this foreman's own
     /// authority has run out.
-    fn chair(&self) -> String {
+    pub(crate) fn chair(&self) -> String {
         let now = self.now();
         self.with(|f| if f.chair == self.me && !f.holds(now) { String::new() } else { f.chair.clone() })
     }
@@ -227,6 +264,24 @@
                     peg.send(Body::OrderAck(ack));
                 });
             }
+            Body::UnitsAsk(a) => peg.send(Body::Units(self.units_of(&a))),
+            Body::Start(s) => {
+                let shop = self.clone();
+                tokio::spawn(async move {
+                    let platform = shop.settings.borrow().platform.address.clone();
+                    let ack = shop.start_unit(s, &platform).await;
+                    peg.send(Body::StartAck(ack));
+                });
+            }
+            Body::Stop(s) => {
+                let shop = self.clone();
+                tokio::spawn(async move {
+                    let platform = shop.settings.borrow().platform.address.clone();
+                    if shop.stop_unit(&s.unit, &platform).await {
+                        peg.send(Body::Ack(Ack {}));
+                    }
+                });
+            }
             Body::Status(_) => peg.send(Body::StatusAck(StatusAck { json: self.status() })),
             _ => {}
         }
@@ -328,9 +383,11 @@
             return;
         }
         let nodes: Vec<&Node> = f.sessions.values().map(|s| &s.node).collect();
-        if f.roster.differs(&nodes, &f.units, f.listed) {
+        // Processors of functions are told to their keepers only.
+        let units: &[Unit] = if f.functions { &[] } else { &f.units };
+        if f.roster.differs(&nodes, units, f.listed) {
             f.roster_seq += 1;
-            f.roster.publish((f.term << 24) + f.roster_seq, &nodes, &f.units, f.listed);
+            f.roster.publish((f.term << 24) + f.roster_seq, &nodes, units, f.listed);
         }
     }
 
@@ -392,9 +449,11 @@
         }
         self.with(|f| {
             let have = Self::have(f);
+            let (template, steps) = f.rack.since(w.have.template);
             News {
                 have,
-                template: (have.template > w.have.template).then(|| f.rack.template.clone()),
+                template,
+                steps,
                 charter: (have.charter > w.have.charter).then(|| f.rack.charter.since(w.have.charter)),
                 roster: (have.roster > w.have.roster).then(|| f.roster.since(w.have.roster)),
                 chair: if f.chair == self.me && !f.holds(self.now()) { String::new() } else { f.chair.clone() },
@@ -630,14 +689,16 @@
     async fn judge(&self) {
         // The chair's own clock may step in the middle of a trial.
         let Some(wall) = self.time() else { return };
+        if self.with(|f| f.rack.charter.rollouts.iter().all(|r| r.state != "running")) {
+            return;
+        }
+        let pattern = self.pattern();
         let mut words = Vec::new();
         self.with(|f| {
             if f.rack.charter.rollouts.iter().all(|r| r.state != "running") {
                 return;
             }
-            let cutoff = Template::read(&f.rack.template)
-                .map(|t| t.channels.iter().map(|c| c.cutoff_ms).fold(0.0, f64::max))
-                .unwrap_or(0.0);
+            let cutoff = pattern.channels.iter().map(|c| c.cutoff_ms).fold(0.0, f64::max);
             let linger = cutoff as u64 + self.caliper.constraints.revert_slack_ms as u64;
             for r in f.rack.charter.rollouts.iter().filter(|r| r.state == "running") {
                 let p = f.plumbs.entry(r.plant.clone()).or_default();
@@ -699,7 +760,15 @@
             let (mut units, mut token, mut whole) = (Vec::new(), None::<String>, false);
             loop {
                 let path = token.as_ref().map_or("/units".into(), |t| format!("/units?pageToken={t}"));
-                let call = spindle::Call { method: "GET", path: &path, host: &addr, headers: &[], body: &[], id: "" };
+                let call = spindle::Call {
+                    method: "GET",
+                    path: &path,
+                    host: &addr,
+                    headers: &[],
+                    body: &[],
+                    id: "",
+                    newest: None,
+                };
                 tally::count("platform_calls");
                 let Ok(a) = chuck.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
                 if a.status != 200 {
@@ -729,6 +798,7 @@
                 self.with(|f| {
                     f.units = units;
                     f.listed = true;
+                    f.listed_at = now;
                     Self::refresh_roster(f, now);
                 });
                 self.news.notify_waiters();
@@ -804,7 +874,9 @@
                     if let Some(r) = n.roster
                         && f.roster.take(&r)
                     {
-                        f.units.clone_from(&f.roster.units);
+                        if !f.functions {
+                            f.units.clone_from(&f.roster.units);
+                        }
                         f.listed = f.roster.listed;
                         self.news.notify_waiters();
                     }
@@ -949,7 +1021,17 @@
             first_lathe_at: 0,
             steady: (0, 0),
             unclaimed: HashMap::new(),
-            governor: Governor::new((caliper.constraints.lead_ms / 2.0) as u64, (quiet / 4.0) as u64),
+            governor: Governor::new(
+                (caliper.constraints.lead_ms / 2.0).max(quiet / 100.0) as u64,
+                (quiet / 4.0) as u64,
+            ),
+            functions: caliper.runs_functions(),
+            listed_at: 0,
+            bellows: Bellows::new(
+                caliper.platform.lag_ms as u64 + (caliper.constraints.converge_ms / 4.0) as u64,
+                caliper.platform.duty_per_s,
+            ),
+            pattern: Arc::default(),
         }),
         news: Bell::new(),
         stale: Bell::new(),
@@ -958,6 +1040,8 @@
         start,
         life: AtomicU64::new(new_life()),
         assigning: AtomicBool::new(false),
+        settings: settings.clone(),
+        hose: spindle::Chuck::new(Duration::from_millis(quiet as u64)),
         caliper: caliper.clone(),
     });
     let own = shop.node();
@@ -976,6 +1060,9 @@
     tokio::spawn(dovetail::serve_and_tell(listener, silence, move |b, p| s.handle(b, p), ended));
     tokio::spawn(shop.clone().publish());
     tokio::spawn(shop.clone().follow(settings.clone()));
+    if caliper.runs_functions() {
+        tokio::spawn(shop.clone().list_workers(settings.clone()));
+    }
     let s = shop.clone();
     tokio::spawn(async move { s.list(settings).await });
     tokio::spawn(turn(shop.clone(), vise, drawer, rx));
@@ -1120,6 +1207,7 @@
                     shop.with(|f| {
                         f.in_chair = true;
                         f.chaired_at = now;
+                        f.listed_at = 0;
                         f.term = vise.hard.term;
                         f.roster_seq = 0;
                         f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(16.0) };
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -124,7 +124,13 @@
     }
 
     fn put(&mut self, n: &str, base: u64, revision: u64) {
-        let t = PutTemplate { base, revision, json: Bytes::from(format!("{revision}")), print: revision };
+        let t = PutTemplate {
+            base,
+            revision,
+            json: Bytes::from(format!("{revision}")),
+            print: revision,
+            change: Bytes::new(),
+        };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
         self.step(n, Event::Propose(data.into()));
     }
@@ -464,7 +470,7 @@
     w.down.insert(away.clone());
     for n in 0..30u64 {
         let json = Bytes::from(vec![b' '; 400 << 10]);
-        let t = PutTemplate { base: n, revision: n + 1, json, print: n };
+        let t = PutTemplate { base: n, revision: n + 1, json, print: n, change: Bytes::new() };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
         w.step(&chair, Event::Propose(data.into()));
         w.pass(50);
@@ -485,7 +491,13 @@
         let away = ALL.iter().find(|n| **n != chair).expect("another").to_string();
         w.down.insert(away.clone());
         let put = |n: u64| {
-            let t = PutTemplate { base: n, revision: n + 1, json: vec![b' '; 20_000].into(), print: n };
+            let t = PutTemplate {
+                base: n,
+                revision: n + 1,
+                json: vec![b' '; 20_000].into(),
+                print: n,
+                change: Bytes::new(),
+            };
             Event::Propose(Command { word: Some(Word::Template(t)) }.encode_to_vec().into())
         };
         for n in 0..30 {
--- a/crates/gauge/src/settings.rs
+++ b/crates/gauge/src/settings.rs
@@ -45,6 +45,9 @@
     /// How much is logged: `error`, `change` or `debug`; empty means `change`.
     #[prost(string, tag = "19")]
     pub log_level: String,
+    /// The kind of deployment: `functions`, or empty for messages.
+    #[prost(string, tag = "20")]
+    pub rollout: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -127,6 +130,12 @@
     pub peak_window_s: f64,
     #[prost(double, tag = "19")]
     pub peak_overshoot: f64,
+    #[prost(double, tag = "20")]
+    pub retry_ratio: f64,
+    #[prost(double, tag = "21")]
+    pub retry_window_s: f64,
+    #[prost(double, tag = "22")]
+    pub retry_slack: f64,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -138,6 +147,9 @@
     pub flow_per_s: f64,
     #[prost(double, tag = "3")]
     pub lag_ms: f64,
+    /// Starts and stops a second that the platform takes from all together.
+    #[prost(double, tag = "4")]
+    pub duty_per_s: f64,
 }
 
 /// Why a settings file cannot be used: the field and the reason.
@@ -162,6 +174,7 @@
 pub enum Role {
     Foreman = 0,
     Lathe = 1,
+    /// The hatch, or the shuttle.
     Hatch = 2,
     Apprentice = 3,
 }
@@ -229,15 +242,27 @@
             ("constraints.settleS", c.settle_s),
             ("constraints.drainMs", c.drain_ms),
             ("constraints.convergeMs", c.converge_ms),
-            ("constraints.rollbackMs", c.rollback_ms),
-            ("constraints.statusS", c.status_s),
-            ("constraints.notifyS", c.notify_s),
-            ("constraints.peakWindowS", c.peak_window_s),
         ] {
             if value.is_nan() || value <= 0.0 {
                 return misfit(name, "must be above 0");
             }
         }
+        // Each kind of deployment has bounds of its own.
+        let own: &[(&str, f64)] = if self.runs_functions() {
+            &[("constraints.retryWindowS", c.retry_window_s), ("platform.dutyPerS", self.platform.duty_per_s)]
+        } else {
+            &[
+                ("constraints.rollbackMs", c.rollback_ms),
+                ("constraints.statusS", c.status_s),
+                ("constraints.notifyS", c.notify_s),
+                ("constraints.peakWindowS", c.peak_window_s),
+            ]
+        };
+        for (name, value) in own {
+            if value.is_nan() || *value <= 0.0 {
+                return misfit(name, "must be above 0");
+            }
+        }
         if self.limits.memory_mb == 0 {
             return misfit("limits.memoryMb", "must be above 0");
         }
@@ -247,6 +272,16 @@
         Ok(())
     }
 
+    /// Whether this deployment runs functions rather than keeping messages.
+    pub fn runs_functions(&self) -> bool {
+        self.rollout == "functions"
+    }
+
+    /// What the traffic role of a front machine is called.
+    pub fn front_role(&self) -> &'static str {
+        if self.runs_functions() { "shuttle" } else { "hatch" }
+    }
+
     pub fn inner_addr(&self, role: Role) -> String {
         format!("{}:{}", self.ip, self.inner_port(role))
     }
--- a/crates/gauge/src/template.rs
+++ b/crates/gauge/src/template.rs
@@ -1,5 +1,5 @@
 use serde_json::Value;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 /// The operator's configuration: routes (`channels`), services (`plants`), limits.
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -44,6 +44,10 @@
     pub notify: bool,
     #[prost(double, tag = "13")]
     pub start_setpoint_ms: f64,
+    /// Services that share the route, with their weights; empty: `plant` has it all.
+    #[prost(btree_map = "string, double", tag = "14")]
+    #[serde(deserialize_with = "weights")]
+    pub mix: BTreeMap<String, f64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -51,8 +55,8 @@
 pub struct Plant {
     #[prost(string, tag = "1")]
     pub name: String,
-    #[prost(string, tag = "2")]
-    pub probe: String,
+    #[prost(string, optional, tag = "2")]
+    pub probe: Option<String>,
     #[prost(uint32, tag = "3")]
     pub conn_limit: u32,
     #[prost(double, tag = "4")]
@@ -61,6 +65,20 @@
     pub dedupes: bool,
     #[prost(string, optional, tag = "6")]
     pub endpoint: Option<String>,
+    /// Of a function: what one processor takes on a worker, how long a start takes,
+    /// and how many requests it may hold at once.
+    #[prost(double, tag = "7")]
+    pub memory_mb: f64,
+    #[prost(double, tag = "8")]
+    pub boot_ms: f64,
+    #[prost(uint32, tag = "9")]
+    pub max_inflight: u32,
+}
+
+impl Plant {
+    pub fn is_function(&self) -> bool {
+        self.max_inflight > 0
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -76,6 +94,44 @@
     pub idle_ms: f64,
 }
 
+/// Weights by service: an object of numbers, or a list of items that name a plant
+/// and a weight.
+fn weights<'de, D: serde::Deserializer<'de>>(d: D) -> Result<BTreeMap<String, f64>, D::Error> {
+    #[derive(serde::Deserialize)]
+    struct Part {
+        plant: String,
+        weight: f64,
+    }
+    #[derive(serde::Deserialize)]
+    #[serde(untagged)]
+    enum Mix {
+        Map(BTreeMap<String, f64>),
+        List(Vec<Part>),
+    }
+    let read: Option<Mix> = serde::Deserialize::deserialize(d)?;
+    Ok(match read {
+        None => BTreeMap::new(),
+        Some(Mix::Map(m)) => m,
+        Some(Mix::List(l)) => l.into_iter().map(|p| (p.plant, p.weight)).collect(),
+    })
+}
+
+impl Channel {
+    /// The service of one request: with weights, by a number that differs from one
+    /// request to the next.
+    pub fn plant_for(&self, number: u64) -> &str {
+        let sum: f64 = self.mix.values().sum();
+        let mut at = (number % 1_000_003) as f64 / 1_000_003.0 * sum;
+        for (p, w) in &self.mix {
+            if at < *w {
+                return p;
+            }
+            at -= w;
+        }
+        self.mix.keys().next_back().unwrap_or(&self.plant)
+    }
+}
+
 impl Template {
     /// Reads a whole configuration and checks it; the error names the item.
     pub fn read(json: &[u8]) -> Result<Template, String> {
@@ -96,6 +152,18 @@
             if p.flow_per_s.is_nan() || p.flow_per_s < 0.0 {
                 return Err(format!("plants: {}: flowPerS is not a rate", p.name));
             }
+            // A function has all three; whatever has none is no function.
+            if p.memory_mb != 0.0 || p.boot_ms != 0.0 || p.max_inflight != 0 {
+                for (field, value, most) in [
+                    ("memoryMb", p.memory_mb, 1e7),
+                    ("bootMs", p.boot_ms, 3.6e6),
+                    ("maxInflight", f64::from(p.max_inflight), 1e6),
+                ] {
+                    if value.is_nan() || value <= 0.0 || value > most {
+                        return Err(format!("plants: {}: {field} is not a size", p.name));
+                    }
+                }
+            }
             if let Some(e) = &p.endpoint
                 && e.parse::<std::net::SocketAddr>().is_err()
             {
@@ -113,8 +181,15 @@
             if !places.insert((c.host.to_ascii_lowercase(), c.prefix.as_str())) {
                 return Err(format!("channels: {}: host and prefix are used twice", c.name));
             }
-            if !plants.contains(c.plant.as_str()) {
-                return Err(format!("channels: {}: unknown plant {:?}", c.name, c.plant));
+            let shared = c.mix.keys().map(String::as_str);
+            let own = (c.mix.is_empty() || !c.plant.is_empty()).then_some(c.plant.as_str());
+            if let Some(p) = shared.chain(own).find(|p| !plants.contains(p)) {
+                return Err(format!("channels: {}: unknown plant {p:?}", c.name));
+            }
+            if c.mix.values().any(|w| w.is_nan() || *w < 0.0)
+                || (!c.mix.is_empty() && c.mix.values().sum::<f64>() <= 0.0)
+            {
+                return Err(format!("channels: {}: the weights of mix add up to nothing", c.name));
             }
             if c.cutoff_ms.is_nan() || c.cutoff_ms <= 0.0 {
                 return Err(format!("channels: {}: cutoffMs must be above 0", c.name));
@@ -178,3 +253,47 @@
     top.insert("revision".into(), revision.into());
     serde_json::to_vec(&whole).map_err(|e| e.to_string())
 }
+
+/// A configuration as it is kept: one that says the same has the same bytes.
+pub fn canonical(json: &[u8]) -> Result<Vec<u8>, String> {
+    let whole: Value = serde_json::from_slice(json).map_err(|e| format!("cannot be read in full: {e}"))?;
+    serde_json::to_vec(&whole).map_err(|e| e.to_string())
+}
+
+/// The change that makes `new` of `old`, as `adjust` takes it; None where there is
+/// none, or where the whole is not much more.
+pub fn difference(old: &[u8], new: &[u8]) -> Option<Vec<u8>> {
+    let (was, now): (Value, Value) = (serde_json::from_slice(old).ok()?, serde_json::from_slice(new).ok()?);
+    let (was, now) = (was.as_object()?, now.as_object()?);
+    let (mut upsert, mut remove) = (serde_json::Map::new(), serde_json::Map::new());
+    for (field, value) in now {
+        let before = was.get(field);
+        if before == Some(value) || field == "revision" {
+            continue;
+        }
+        let (Some(items), Some(Value::Array(old))) = (value.as_array(), before) else {
+            // Limits go whole; what else there may be is no change of named items.
+            if field != "limits" {
+                return None;
+            }
+            upsert.insert(field.clone(), value.clone());
+            continue;
+        };
+        let name = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_owned);
+        let by_name: std::collections::HashMap<String, &Value> =
+            old.iter().filter_map(|v| Some((name(v)?, v))).collect();
+        let changed = items.iter().filter(|v| name(v).is_some_and(|n| by_name.get(&n) != Some(v)));
+        let changed: Vec<Value> = changed.cloned().collect();
+        let names: HashSet<String> = items.iter().filter_map(name).collect();
+        let gone: Vec<Value> = old.iter().filter_map(name).filter(|n| !names.contains(n)).map(Value::String).collect();
+        if !changed.is_empty() {
+            upsert.insert(field.clone(), changed.into());
+        }
+        if !gone.is_empty() {
+            remove.insert(field.clone(), gone.into());
+        }
+    }
+    let change = serde_json::json!({"revision": now.get("revision")?, "upsert": upsert, "remove": remove});
+    let change = serde_json::to_vec(&change).ok()?;
+    (change.len() * 2 < new.len() && adjust(old, &change).is_ok_and(|made| made == new)).then_some(change)
+}
--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -130,6 +130,7 @@
             headers: &headers,
             body: &run.item.body,
             id: &run.item.id,
+            newest: None,
         };
         // The processor ends its work at the cutoff and says so; a little longer for that to arrive.
         let within = Duration::from_millis(run.cutoff_ms as u64) * 21 / 20;
@@ -206,7 +207,7 @@
         }
         .to_string();
         let headers = [("Content-Type", "application/json")];
-        let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes(), id: "" };
+        let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes(), id: "", newest: None };
         let within = Duration::from_millis((self.hatch.caliper.constraints.notify_s * 300.0) as u64);
         // Receivers take few connections, and there is a delivery node for them in
         // each zone.
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -73,22 +73,8 @@
     }
 
     fn bounds(&self) -> Bounds {
-        let k = self.known.borrow();
-        let l = &k.template.limits;
-        let mut b = Bounds::default();
-        if l.header_bytes > 0 {
-            b.header_bytes = l.header_bytes as usize;
-        }
-        if l.body_bytes > 0 {
-            b.body_bytes = l.body_bytes as usize;
-        }
-        if l.header_ms > 0.0 {
-            b.header_ms = l.header_ms as u64;
-        }
-        if l.idle_ms > 0.0 {
-            b.idle_ms = l.idle_ms as u64;
-        }
-        b
+        let l = &self.known.borrow().template.limits;
+        Bounds::told(l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms)
     }
 
     pub fn is_ready(&self) -> bool {
--- a/crates/spindle/src/call.rs
+++ b/crates/spindle/src/call.rs
@@ -19,6 +19,7 @@
 
 struct Idle {
     stream: TcpStream,
+    since: Instant,
     until: Instant,
 }
 
@@ -42,6 +43,8 @@
     pub body: &'a [u8],
     /// The id that the answer is to carry back; empty: none is sent.
     pub id: &'a str,
+    /// Only a connection that was used or opened within this time; None: any kept one.
+    pub newest: Option<Duration>,
 }
 
 struct OpenCount<'a> {
@@ -66,7 +69,7 @@
         Arc::new(Chuck { places: Mutex::default(), idle })
     }
 
-    fn take_idle(&self, addr: &str) -> Option<TcpStream> {
+    fn take_idle(&self, addr: &str, newest: Option<Duration>) -> Option<TcpStream> {
         let mut places = self.places.lock().unwrap();
         let place = places.get_mut(addr)?;
         let now = Instant::now();
@@ -74,6 +77,7 @@
             // A kept connection that has something to read was closed, or is out of step.
             let mut one = [0u8; 1];
             if i.until > now
+                && newest.is_none_or(|n| now.duration_since(i.since) <= n)
                 && matches!(i.stream.try_read(&mut one), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
             {
                 return Some(i.stream);
@@ -94,6 +98,23 @@
         });
     }
 
+    /// Opens a connection and keeps it for the next call; tells whether the other
+    /// side refused, or was silent.
+    pub async fn open(&self, addr: &str, within: Duration) -> Result<(), Miss> {
+        match tokio::time::timeout(within, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                let now = Instant::now();
+                let mut places = self.places.lock().unwrap();
+                let until = now + Duration::from_secs(1);
+                places.entry(addr.to_owned()).or_default().idle.push(Idle { stream, since: now, until });
+                Ok(())
+            }
+            Ok(Err(_)) => Err(Miss::NotSent),
+            Err(_) => Err(Miss::Silent),
+        }
+    }
+
     /// Sends one request and reads the whole answer; `limit` connections at the
     /// most are open to that address.
     pub async fn call(&self, addr: &str, call: Call<'_>, limit: usize, within: Duration) -> Result<Answer, Miss> {
@@ -107,7 +128,7 @@
         }
         let _open = OpenCount { chuck: self, addr };
         let end = tokio::time::Instant::now() + within;
-        let mut stream = match self.take_idle(addr) {
+        let mut stream = match self.take_idle(addr, call.newest) {
             Some(s) => s,
             // A quarter of the time at most goes into connecting.
             None => match tokio::time::timeout(within / 4, TcpStream::connect(addr)).await {
@@ -152,7 +173,7 @@
             };
             let mut places = self.places.lock().unwrap();
             if let Some(p) = places.get_mut(addr) {
-                p.idle.push(Idle { stream, until: Instant::now() + kept });
+                p.idle.push(Idle { stream, since: Instant::now(), until: Instant::now() + kept });
             }
         }
         Ok(answer)
--- a/crates/spindle/src/parse.rs
+++ b/crates/spindle/src/parse.rs
@@ -15,6 +15,26 @@
     }
 }
 
+impl Bounds {
+    /// As a configuration tells them; what it leaves out stays as it is by default.
+    pub fn told(header_bytes: u64, body_bytes: u64, header_ms: f64, idle_ms: f64) -> Bounds {
+        let mut b = Bounds::default();
+        if header_bytes > 0 {
+            b.header_bytes = header_bytes as usize;
+        }
+        if body_bytes > 0 {
+            b.body_bytes = body_bytes as usize;
+        }
+        if header_ms > 0.0 {
+            b.header_ms = header_ms as u64;
+        }
+        if idle_ms > 0.0 {
+            b.idle_ms = idle_ms as u64;
+        }
+        b
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Request {
     pub method: String,
@@ -212,6 +232,8 @@
     pub headers: Vec<(String, String)>,
     pub body: Bytes,
     pub keep: bool,
+    /// Its length was told, and all of it came.
+    pub whole: bool,
 }
 
 impl Answer {
@@ -229,7 +251,8 @@
         Ok(httparse::Status::Partial) if buf.len() <= 64 << 10 => return Ok(None),
         _ => return Err("malformed answer"),
     };
-    let mut a = Answer { status: head.code.unwrap_or(0), keep: head.version == Some(1), ..Answer::default() };
+    let mut a =
+        Answer { status: head.code.unwrap_or(0), keep: head.version == Some(1), whole: true, ..Answer::default() };
     let (mut length, mut chunked) = (None, false);
     for h in head.headers.iter() {
         let value = String::from_utf8_lossy(h.value).trim().to_owned();
@@ -255,7 +278,7 @@
             Some(0) => Framing::None,
             Some(n) => Framing::Length(n),
             None => {
-                a.keep = false;
+                (a.keep, a.whole) = (false, false);
                 Framing::ToClose
             }
         }
--- a/crates/spindle/src/serve.rs
+++ b/crates/spindle/src/serve.rs
@@ -14,13 +14,15 @@
     pub headers: Vec<(&'static str, String)>,
     pub body: Bytes,
     pub content_type: &'static str,
+    /// Headers as another server gave them.
+    pub passed: Vec<(String, String)>,
     /// Closes the connection without any answer.
     pub cut: bool,
 }
 
 impl Reply {
     pub fn new(status: u16) -> Reply {
-        Reply { status, headers: Vec::new(), body: Bytes::new(), content_type: "", cut: false }
+        Reply { status, headers: Vec::new(), body: Bytes::new(), content_type: "", passed: Vec::new(), cut: false }
     }
 
     pub fn json(status: u16, body: impl Into<Bytes>) -> Reply {
@@ -70,6 +72,9 @@
     for (n, v) in &reply.headers {
         let _ = write!(text, "{n}: {v}\r\n");
     }
+    for (n, v) in &reply.passed {
+        let _ = write!(text, "{n}: {v}\r\n");
+    }
     if !keep {
         text.push_str("Connection: close\r\n");
     }
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -22,6 +22,8 @@
 enum Command {
     /// Front machines: takes messages from clients, carries out deliveries.
     Hatch,
+    /// Front machines of a platform for functions: passes requests on, keeps slots.
+    Shuttle,
     /// Front machines: keeps the session with the control plane, feeds the hatch.
     Apprentice,
     /// Store machines: owns and replicates partitions of messages.
@@ -74,6 +76,7 @@
         tokio::spawn(signals(stop, changed, path, cli.log));
         match cli.command {
             Command::Hatch => hatch::run(caliper, stopped).await,
+            Command::Shuttle => shuttle::run(caliper, stopped).await,
             Command::Apprentice => apprentice::run(caliper, stopped, settings).await,
             Command::Lathe => lathe::run(caliper, stopped, settings).await,
             _ => foreman::run(caliper, stopped, settings).await,
