Answer all that was read before ending; say 'not known' only when caught up

A hatch that leaves waited for its deliveries and not for clients' requests that were read and not answered; a new owner whose fold lagged said 404 of an accepted message; a delivery given again before the last report's return was taken and not run until it was overdue. Test for the second; spindle counts what is unanswered.

--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -20,7 +20,8 @@
     /// The highest term that spoke for a partition; older ones are refused.
     terms: HashMap<u32, u64>,
     /// Deliveries under way, and those whose report nobody has taken yet.
-    under_way: HashSet<(u32, u64)>,
+    /// By partition, position and attempt.
+    under_way: HashSet<(u32, u64, u64)>,
 }
 
 /// What an answer means for the message.
@@ -63,7 +64,7 @@
     pub fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
         match body {
             Body::Run(run) => {
-                let key = (run.partition, run.position);
+                let key = (run.partition, run.position, run.attempt);
                 let leaving = *self.hatch.closing.borrow() != Closing::Open;
                 let mut h = self.held.lock().unwrap();
                 let term = h.terms.entry(run.partition).or_insert(0);
@@ -161,7 +162,7 @@
             });
         }
         self.report(report).await;
-        self.held.lock().unwrap().under_way.remove(&(run.partition, run.position));
+        self.held.lock().unwrap().under_way.remove(&(run.partition, run.position, run.attempt));
     }
 
     /// Tells the owner, whoever that is by now, until it has it.
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -352,7 +352,7 @@
     let _ = hatch.closing.send(Closing::Shut);
     while begun.elapsed() < grace * 4 / 5 {
         tokio::time::sleep(silence / 10).await;
-        if bobbin.idle() && begun.elapsed() > grace / 2 {
+        if bobbin.idle() && spindle::unanswered() == 0 && begun.elapsed() > grace / 2 {
             break;
         }
     }
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -138,6 +138,8 @@
     own_known: bool,
     /// The majority's entry that its last word came from: older ones say nothing.
     told: u64,
+    /// Where the log ended when this node became owner.
+    took_at: u64,
     pace: Pace,
     since_snapshot: usize,
 }
@@ -178,6 +180,7 @@
             own_asked: 0,
             own_known: false,
             told: 0,
+            took_at: 0,
             pace,
             since_snapshot: 0,
         }
@@ -246,6 +249,12 @@
             && !matches!(&self.moving, Some(m) if matches!(m.phase, Phase::Stopping { .. } | Phase::Marked { .. }))
     }
 
+    /// Whether the fold holds all that may have been committed before this node
+    /// became owner: until then it cannot say that a message is not known.
+    pub fn caught_up(&self) -> bool {
+        self.jig.position >= self.took_at
+    }
+
     pub fn is_moving(&self) -> bool {
         self.moving.is_some()
     }
@@ -579,6 +588,7 @@
         self.chunks.clear();
         // Followers say themselves where they are.
         let end = self.end();
+        self.took_at = end;
         for n in self.homes.iter().chain(&self.insync).filter(|n| **n != self.me) {
             self.peers.insert(n.clone(), Peer { sent: end, heard: now, ..Peer::default() });
         }
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -496,6 +496,7 @@
         };
         let pos = if l.id.is_empty() { Some(l.position) } else { m.jig.find(&l.id) };
         match pos.and_then(|p| m.jig.pieces.get(&p)) {
+            None if !m.caught_up() => Found::default(),
             Some(w) => Found {
                 owner: true,
                 known: true,
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -618,3 +618,21 @@
     assert_eq!((emptied.live(200), emptied.born), (200, 200));
     assert_eq!((emptied.live(300), emptied.born), (300, 200));
 }
+
+#[test]
+fn a_new_owner_does_not_say_that_it_knows_no_message_before_it_has_caught_up() {
+    let mut w = with_traffic(&["a", "b", "c"]);
+    let pos = w.message("last").expect("open");
+    // b has it, and does not know yet that it is committed; c is dark.
+    w.cut.extend(["a".to_owned(), "c".to_owned()]);
+    let term = w.chart.term + 1;
+    let insync = vec!["b".to_owned(), "c".to_owned()];
+    w.chart = Partition { term, owner: "b".into(), insync, seized: true, ..w.chart.clone() };
+    w.tell();
+    w.settle();
+    assert!(w.nodes["b"].open());
+    assert!(w.nodes["b"].jig.position < pos && !w.nodes["b"].caught_up());
+    w.cut.clear();
+    w.pass(600);
+    assert!(w.nodes["b"].caught_up() && w.known("b", "last"));
+}
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -686,7 +686,7 @@
     let _ = shuttle.closing.send(Closing::Shut);
     while begun.elapsed() < grace * 4 / 5 {
         tokio::time::sleep(silence / 10).await;
-        if shuttle.inside.lock().unwrap().holds.is_empty() && begun.elapsed() > grace / 2 {
+        if spindle::unanswered() == 0 && begun.elapsed() > grace / 2 {
             break;
         }
     }
--- /dev/null
+++ b/crates/shuttle/tests/keeper.rs
@@ -0,0 +1,254 @@
+//! The keeper of functions: slots granted, given back, lost; starts and stops.
+
+use dovetail::msg::*;
+use shuttle::*;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+const FACTS: Facts = Facts { most: 2, boot_ms: 500 };
+const SETTLE: u64 = 100;
+
+fn listed(ids: &[&str]) -> Vec<Listed> {
+    ids.iter().map(|i| Listed { id: i.to_string(), address: format!("10.0.0.1:{i}"), draining: false }).collect()
+}
+
+/// A keeper with its clock, and what came of its steps.
+struct World {
+    creel: Creel,
+    now: u64,
+    out: Vec<Effect>,
+    tickets: u64,
+}
+
+impl World {
+    /// A keeper of `f`, settled, with the processors that the platform lists.
+    fn new(ids: &[&str]) -> World {
+        let mut w = World { creel: Creel::new("front-1", 7, SETTLE, 1000), now: 10_000, out: vec![], tickets: 0 };
+        w.list(ids);
+        w.pass(SETTLE);
+        w
+    }
+
+    fn list(&mut self, ids: &[&str]) {
+        let kept = HashMap::from([("f".to_owned(), (FACTS, listed(ids)))]);
+        self.creel.keep(&kept, self.now, &mut self.out);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        self.creel.tick(self.now, &mut self.out);
+    }
+
+    fn ask(&mut self, patience_ms: u32) -> u64 {
+        self.tickets += 1;
+        let (plant, front) = ("f".to_owned(), "a".to_owned());
+        let a = SlotAsk { plant, front, ticket: self.tickets, patience_ms, hold_ms: 3000, aim_ms: 400 };
+        self.creel.ask(&a, self.now, &mut self.out);
+        self.tickets
+    }
+
+    fn back(&mut self, ticket: u64, unit: &str, end: SlotEnd) {
+        let (plant, front, unit) = ("f".to_owned(), "a".to_owned(), unit.to_owned());
+        let b = SlotBack { plant, front, ticket, unit, end: end as i32, took_ms: 50 };
+        self.creel.back(&b, self.now, &mut self.out);
+    }
+
+    /// What was granted since the last look: ticket, unit, whether it is starting.
+    fn granted(&mut self) -> Vec<(u64, String, bool)> {
+        let all = std::mem::take(&mut self.out);
+        let (grants, rest): (Vec<Effect>, Vec<Effect>) =
+            all.into_iter().partition(|e| matches!(e, Effect::Grant { .. }));
+        self.out = rest;
+        let one = |e| match e {
+            Effect::Grant { hand, unit, starting, .. } => (hand.1, unit, starting),
+            _ => unreachable!(),
+        };
+        grants.into_iter().map(one).collect()
+    }
+
+    fn starts(&mut self) -> Vec<String> {
+        let all = std::mem::take(&mut self.out);
+        all.into_iter().filter_map(|e| if let Effect::Start { nonce, .. } = e { Some(nonce) } else { None }).collect()
+    }
+}
+
+#[test]
+fn a_cold_function_is_started_once_and_its_first_holder_opens_it() {
+    let mut w = World::new(&[]);
+    let (a, b) = (w.ask(2000), w.ask(2000));
+    assert!(w.granted().is_empty());
+    let starts = w.starts();
+    assert_eq!(starts.len(), 1, "two slots come with one start");
+    w.creel.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
+    assert_eq!(w.granted(), [(a, "u1".into(), true)], "the first one connects until it is up");
+    // The answer of a start that was asked again by the same nonce changes nothing.
+    w.creel.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
+    w.pass(300);
+    assert!(w.granted().is_empty());
+    w.back(a, "u1", SlotEnd::Up);
+    assert_eq!(w.granted(), [(b, "u1".into(), false)]);
+    let c = w.ask(2000);
+    assert!(w.granted().is_empty(), "both slots are held");
+    w.back(b, "u1", SlotEnd::Done);
+    assert_eq!(w.granted(), [(c, "u1".into(), false)]);
+}
+
+#[test]
+fn what_no_start_can_serve_in_time_is_told_at_once() {
+    let mut w = World::new(&[]);
+    w.ask(300);
+    assert!(w.out.iter().any(|e| matches!(e, Effect::Refuse { retry_ms, .. } if *retry_ms > 0)), "{:?}", w.out);
+    assert_eq!(w.starts().len(), 1, "the next one will find it");
+}
+
+#[test]
+fn a_lost_start_is_found_in_the_list_and_nothing_runs_for_nobody() {
+    let mut w = World::new(&[]);
+    let a = w.ask(2000);
+    let starts = w.starts();
+    // No answer came of it; the platform had done it all the same.
+    w.creel.not_started("f", &starts[0], false, w.now, &mut w.out);
+    w.list(&["u1"]);
+    assert_eq!(w.granted(), [(a, "u1".into(), false)]);
+    w.out.clear();
+    w.back(a, "u1", SlotEnd::Done);
+    w.pass(5 * FACTS.boot_ms);
+    assert!(w.out.contains(&Effect::Stop { plant: "f".into(), unit: "u1".into() }), "idle, so stopped: {:?}", w.out);
+    // The list shows it for a while still: it is not used again.
+    w.list(&["u1"]);
+    w.ask(2000);
+    assert!(w.granted().is_empty());
+}
+
+#[test]
+fn a_new_keeper_waits_for_what_the_fronts_hold() {
+    let mut w = World { creel: Creel::new("front-1", 7, SETTLE, 1000), now: 10_000, out: vec![], tickets: 0 };
+    w.list(&["u1"]);
+    let a = w.ask(2000);
+    assert!(w.granted().is_empty(), "not before the others could tell");
+    // Another front holds both slots by the former keeper's word.
+    for ticket in [71, 72] {
+        let (plant, unit, address) = ("f".to_owned(), "u1".to_owned(), "10.0.0.1:u1".to_owned());
+        w.creel.held("b", &SlotHeld { plant, ticket, unit, address, hold_ms: 400 }, w.now);
+    }
+    w.pass(SETTLE);
+    assert!(w.granted().is_empty(), "both are held");
+    w.pass(400);
+    assert_eq!(w.granted(), [(a, "u1".into(), false)], "theirs are over");
+}
+
+#[test]
+fn slots_of_a_front_that_is_gone_are_free_and_a_crashed_processor_is_not_used() {
+    let mut w = World::new(&["u1", "u2"]);
+    let (a, b) = (w.ask(2000), w.ask(2000));
+    assert_eq!(w.granted(), [(a, "u2".into(), false), (b, "u2".into(), false)], "packed, so that the other falls idle");
+    w.back(a, "u2", SlotEnd::Gone);
+    let c = w.ask(2000);
+    assert_eq!(w.granted(), [(c, "u1".into(), false)]);
+    w.list(&["u1", "u2"]);
+    let d = w.ask(2000);
+    assert_eq!(w.granted(), [(d, "u1".into(), false)], "listed still, and not used");
+    w.creel.fronts(&HashSet::from(["b".to_owned()]), w.now, &mut w.out);
+    let e = w.ask(2000);
+    assert_eq!(w.granted(), [(e, "u1".into(), false)], "a's slots are free");
+}
+
+#[test]
+fn no_processor_holds_more_than_its_slots_under_any_order() {
+    for seed in 1..60u64 {
+        let mut x = seed.wrapping_mul(0x9e3779b97f4a7c15);
+        let mut chance = |n: u64| {
+            x ^= x << 13;
+            x ^= x >> 7;
+            x ^= x << 17;
+            x % n
+        };
+        let mut w = World::new(&[]);
+        let mut held: BTreeMap<u64, String> = BTreeMap::new();
+        let (mut nonces, mut units, mut served) = (Vec::new(), 0, 0);
+        for _ in 0..400 {
+            match chance(10) {
+                0..=3 => {
+                    w.ask(1500);
+                }
+                4..=6 => {
+                    let at = chance(held.len().max(1) as u64) as usize;
+                    if let Some((t, u)) = held.iter().nth(at).map(|(t, u)| (*t, u.clone())) {
+                        held.remove(&t);
+                        let end = [SlotEnd::Done, SlotEnd::Done, SlotEnd::Full, SlotEnd::Gone][chance(4) as usize];
+                        if end == SlotEnd::Gone {
+                            held.retain(|_, x| *x != u);
+                        }
+                        w.back(t, &u, end);
+                        if chance(5) == 0 {
+                            w.back(t, &u, end);
+                        }
+                    }
+                }
+                7 if !nonces.is_empty() => {
+                    let n: String = nonces.swap_remove(chance(nonces.len() as u64) as usize);
+                    if chance(4) == 0 {
+                        w.creel.not_started("f", &n, false, w.now, &mut w.out);
+                    } else {
+                        units += 1;
+                        w.creel.started("f", &n, &format!("u{units}"), "10.0.0.1:9", w.now, &mut w.out);
+                    }
+                }
+                _ => w.pass(chance(120)),
+            }
+            for e in std::mem::take(&mut w.out) {
+                match e {
+                    Effect::Grant { hand, unit, starting, .. } => {
+                        served += 1;
+                        held.insert(hand.1, unit.clone());
+                        if starting && chance(2) == 0 {
+                            w.back(hand.1, &unit, SlotEnd::Up);
+                        }
+                    }
+                    Effect::Start { nonce, .. } => nonces.push(nonce),
+                    Effect::Stop { unit, .. } => held.retain(|_, u| *u != unit),
+                    Effect::Refuse { .. } => {}
+                }
+            }
+            let mut count: HashMap<&str, usize> = HashMap::new();
+            for u in held.values() {
+                *count.entry(u).or_default() += 1;
+            }
+            assert!(count.values().all(|n| *n <= FACTS.most), "seed {seed}: {count:?}");
+        }
+        assert!(served > 20, "seed {seed}: {served} served");
+    }
+}
+
+#[test]
+fn repeats_of_all_fronts_together_stay_within_the_ration() {
+    use std::time::{Duration, Instant};
+    let (ratio, window, slack, fronts) = (0.2, Duration::from_secs(10), 194.0, 77);
+    let start = Instant::now();
+    let mut all: Vec<Ration> = (0..fronts).map(|_| Ration::new(ratio, window, start)).collect();
+    let (mut first, mut again) = (Vec::new(), Vec::new());
+    for tick in 0..300u64 {
+        let now = start + Duration::from_millis(tick * 100);
+        // Busy, then quiet, then busy; every send wants to be repeated.
+        if (tick / 70).is_multiple_of(2) {
+            for r in &mut all {
+                r.sent(now);
+                first.push(tick);
+            }
+        }
+        for r in &mut all {
+            if r.again(slack / f64::from(fronts), now) {
+                again.push(tick);
+            }
+        }
+    }
+    assert!(again.len() > 500, "{} were let through", again.len());
+    for from in 0..200u64 {
+        let within = |all: &[u64]| all.iter().filter(|t| (from..from + 100).contains(*t)).count() as f64;
+        assert!(
+            within(&again) <= ratio * within(&first) + slack + 1.0,
+            "from {from}: {} of {}",
+            within(&again),
+            within(&first)
+        );
+    }
+}
--- a/crates/spindle/src/serve.rs
+++ b/crates/spindle/src/serve.rs
@@ -130,6 +130,7 @@
                 return;
             }
         };
+        let _unanswered = Unanswered::new();
         let (keep, head_only) = (request.keep, request.method == "HEAD");
         let reply = handler(request).await;
         if reply.cut {
@@ -216,6 +217,28 @@
     }
 }
 
+/// Requests that are read and not answered yet, of every server of this process.
+static OPEN: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+
+pub fn unanswered() -> usize {
+    OPEN.load(std::sync::atomic::Ordering::Relaxed)
+}
+
+struct Unanswered;
+
+impl Unanswered {
+    fn new() -> Unanswered {
+        OPEN.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        Unanswered
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        OPEN.fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+    }
+}
+
 /// Takes connections until the server shuts.
 pub async fn listen<H, F>(
     listener: TcpListener,
