A dark keeper is passed over at once; a lost answer of a safe request is asked for beside

A front that gets no answer from a keeper (asked apart, as a wait may be long) shuns it for half of quietMs and asks the next by hash, telling it whom it shuns. A safe request that takes three times as long as runs do is sent beside, within the ration. A wait that is given up gives back what it may have been granted.

--- a/crates/dovetail/src/keeper.rs
+++ b/crates/dovetail/src/keeper.rs
@@ -24,6 +24,11 @@
 
 /// The keeper of a function: the front whose hash with it is highest.
 pub fn keeper<'a>(fronts: &'a [Front], plant: &str) -> Option<&'a Front> {
+    keeper_but(fronts, plant, |_| false)
+}
+
+/// The keeper as long as some do not answer.
+pub fn keeper_but<'a>(fronts: &'a [Front], plant: &str, dark: impl Fn(&str) -> bool) -> Option<&'a Front> {
     let p = mix(print(plant.as_bytes()));
-    fronts.iter().max_by_key(|f| mix(f.0 ^ p))
+    fronts.iter().filter(|f| !dark(&f.1)).max_by_key(|f| mix(f.0 ^ p))
 }
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -851,6 +851,9 @@
     /// The aim of the request.
     #[prost(uint32, tag = "6")]
     pub aim_ms: u32,
+    /// Fronts that come before the asked one and do not answer the asker.
+    #[prost(string, repeated, tag = "7")]
+    pub dark: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/shuttle/src/creel.rs
+++ b/crates/shuttle/src/creel.rs
@@ -140,6 +140,11 @@
         all
     }
 
+    /// Whether anything is held or waited for here, though another may keep it.
+    pub fn keeps(&self, plant: &str) -> bool {
+        self.cones.get(plant).is_some_and(|c| !c.waits.is_empty() || c.units.values().any(|u| !u.held.is_empty()))
+    }
+
     fn cone(&mut self, plant: &str, now: u64) -> &mut Cone {
         let open = now + self.settle;
         self.cones.entry(plant.to_owned()).or_insert_with(|| Cone { open, ..Cone::default() })
@@ -201,6 +206,15 @@
             let took = f64::from(b.took_ms);
             c.hold_ms = if c.hold_ms == 0.0 { took } else { c.hold_ms * 0.9 + took * 0.1 };
         }
+        if b.unit.is_empty() {
+            // Given up by one that does not know whether it was granted.
+            c.waits.retain(|w| w.hand != hand);
+            for u in c.units.values_mut() {
+                if u.held.remove(&hand).is_some() && u.held.is_empty() {
+                    u.idle = now;
+                }
+            }
+        }
         if let Some(u) = c.units.get_mut(&b.unit) {
             if end != SlotEnd::Up {
                 u.held.remove(&hand);
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -6,7 +6,7 @@
 use apprentice::{Known, loopback};
 use dovetail::msg::*;
 use dovetail::{Bench, Body, Peg};
-use gauge::{Caliper, Channel, Pattern, Role};
+use gauge::{Caliper, Channel, Role};
 use spindle::{Answer, Bounds, Call, Chuck, Closing, Miss, Reply, Request};
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,6 +34,10 @@
 struct Inside {
     creel: Creel,
     waiters: HashMap<Hand, Waiter>,
+    /// Fronts that do not answer, and until when they are left out.
+    dark: HashMap<String, Instant>,
+    /// How long runs take, by function, about.
+    took: HashMap<String, f64>,
     /// What this front holds: by ticket, of which function, and until when.
     holds: HashMap<u64, (SlotHeld, Instant)>,
     ration: Ration,
@@ -81,6 +85,19 @@
         || connection.split(',').any(|c| c.trim().eq_ignore_ascii_case(name))
 }
 
+/// A client's request on its way.
+struct Passing<'a> {
+    request: &'a Request,
+    channel: &'a Channel,
+    plant: &'a str,
+    id: &'a str,
+    connection: &'a str,
+    end: Instant,
+    safe: bool,
+    /// Connections to one processor.
+    limit: usize,
+}
+
 /// What is to be done with what a processor said.
 enum Heard {
     /// Its answer, whole: the client's.
@@ -112,10 +129,32 @@
         Bounds::told(l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms)
     }
 
-    /// The front that keeps a function: its name and address.
+    /// The front that keeps a function, as far as this one can tell: its name and address.
     fn keeper(&self, plant: &str) -> Option<(String, String)> {
+        let dark = self.dark();
+        self.keeper_but(plant, &dark)
+    }
+
+    fn keeper_but(&self, plant: &str, dark: &[String]) -> Option<(String, String)> {
         let fronts = self.fronts.lock().unwrap().clone();
-        dovetail::keeper(&fronts, plant).map(|f| (f.1.clone(), f.2.clone()))
+        let but = |n: &str| dark.iter().any(|d| d == n);
+        dovetail::keeper_but(&fronts, plant, but).map(|f| (f.1.clone(), f.2.clone()))
+    }
+
+    /// The fronts that did not answer of late.
+    fn dark(&self) -> Vec<String> {
+        let now = Instant::now();
+        self.inside.lock().unwrap().dark.iter().filter(|(_, until)| **until > now).map(|(n, _)| n.clone()).collect()
+    }
+
+    /// A front does not answer: another one keeps its functions until it does again,
+    /// or until its session is over.
+    fn shun(self: &Arc<Self>, name: &str) {
+        let until = Instant::now() + self.ratio(2.0);
+        if self.inside.lock().unwrap().dark.insert(name.to_owned(), until).is_none_or(|u| u < Instant::now()) {
+            tally::change!("{name} does not answer");
+            self.arrange();
+        }
     }
 
     fn carry_out(self: &Arc<Self>, i: &mut Inside, effects: Vec<Effect>) {
@@ -209,6 +248,7 @@
     fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
         match body {
             Body::SlotAsk(a) => self.asked(a, Waiter::Far(peg)),
+            Body::Ack(a) => peg.send(Body::Ack(a)),
             Body::SlotBack(b) => self.step(|c, now, out| c.back(&b, now, out)),
             Body::SlotsHeld(h) => self.step(|c, now, _| {
                 for one in &h.held {
@@ -236,7 +276,9 @@
     }
 
     fn asked(self: &Arc<Self>, a: SlotAsk, w: Waiter) {
-        if self.keeper(&a.plant).is_none_or(|k| k.0 != self.caliper.node) {
+        // Whoever asks may know better which of the others do not answer.
+        let mine = |dark: &[String]| self.keeper_but(&a.plant, dark).is_some_and(|k| k.0 == self.caliper.node);
+        if !mine(&self.dark()) && !mine(&a.dark) {
             let outcome = SlotOutcome::Elsewhere as i32;
             return w.send(SlotGrant { outcome, ..SlotGrant::default() });
         }
@@ -263,7 +305,13 @@
                 patience_ms: patience.as_millis() as u32,
                 hold_ms: (c.cutoff_ms as u32).saturating_add(patience.as_millis() as u32),
                 aim_ms: c.setpoint_ms as u32,
+                dark: self.dark(),
             };
+            // Dropped before there is an answer: the keeper is told, whether it granted
+            // one by then or not.
+            let empty =
+                SlotBack { plant: plant.to_owned(), front: self.caliper.node.clone(), ticket, ..SlotBack::default() };
+            let mut given_up = Back { shuttle: self, back: Some(empty) };
             let granted = if name == self.caliper.node {
                 let (tx, rx) = oneshot::channel();
                 self.asked(ask, Waiter::Near(tx));
@@ -281,15 +329,33 @@
                         }
                     }
                 };
+                // A wait may be long; whether there is anybody at all is asked apart.
+                let there = async {
+                    loop {
+                        tokio::time::sleep(self.ratio(16.0)).await;
+                        if end.call(Body::Ack(Ack {}), self.ratio(16.0)).await.is_err() {
+                            return;
+                        }
+                    }
+                };
                 let asked = tokio::select! {
-                    a = end.call(Body::SlotAsk(ask), patience) => a.ok(),
-                    _ = gone => None,
+                    a = end.call(Body::SlotAsk(ask), patience) => a.map_err(|_| ()),
+                    _ = gone => Ok(Body::Ack(Ack {})),
+                    _ = there => Err(()),
                 };
                 match asked {
-                    Some(Body::SlotGrant(g)) => Some(g),
-                    _ => None,
+                    Ok(Body::SlotGrant(g)) => Some(g),
+                    Ok(_) => None,
+                    Err(()) => {
+                        self.shun(&name);
+                        None
+                    }
                 }
             };
+            if granted.is_some() {
+                given_up.back = None;
+            }
+            drop(given_up);
             match granted {
                 Some(g) if g.outcome == SlotOutcome::Granted as i32 => {
                     let held = SlotHeld {
@@ -307,7 +373,7 @@
                 _ => {}
             }
             said = 100;
-            tokio::time::sleep(self.ratio(200.0).min(end.saturating_duration_since(Instant::now()))).await;
+            tokio::time::sleep(self.ratio(400.0).min(end.saturating_duration_since(Instant::now()))).await;
         }
         Err(said.max(50))
     }
@@ -332,29 +398,78 @@
         if template.revision == 0 {
             return busy(500);
         }
-        let host = r.header("host").unwrap_or("").to_owned();
+        let host = r.header("host").unwrap_or("");
         let path = r.path.split('?').next().unwrap_or("");
-        let Some(c) = template.route(&host, path) else { return fault(404, "no such route") };
-        let Some(id) = r.header("x-attempt-id").filter(|v| !v.is_empty() && v.len() <= 128).map(str::to_owned) else {
+        let Some(c) = template.route(host, path) else { return fault(404, "no such route") };
+        let Some(id) = r.header("x-attempt-id").filter(|v| !v.is_empty() && v.len() <= 128) else {
             return fault(400, "X-Attempt-Id is missing");
         };
-        let given = r.header("x-deadline-ms").map(|v| v.parse::<f64>());
-        let given = match given {
-            Some(Ok(d)) if d >= 0.0 && d < 1e9 => d,
+        let given = match r.header("x-deadline-ms").map(|v| v.parse::<f64>()) {
+            Some(Ok(d)) if (0.0..1e9).contains(&d) => d,
             Some(_) => return fault(400, "X-Deadline-Ms is not a time"),
             None => c.cutoff_ms,
         };
         let end = begun + Duration::from_micros((given * 1000.0) as u64);
         let plant = c.plant_for(dovetail::print(id.as_bytes())).to_owned();
         self.inside.lock().unwrap().ration.sent(begun);
-        let connection = r.header("connection").unwrap_or("").to_owned();
-        let safe = c.mode == "safe";
+        let ask = Passing {
+            connection: r.header("connection").unwrap_or(""),
+            limit: template.plant(&plant).map_or(8, |p| p.conn_limit.max(1)) as usize,
+            safe: c.mode == "safe",
+            request: &r,
+            channel: c,
+            plant: &plant,
+            id,
+            end,
+        };
+        let first = self.tries(&ask);
+        if !ask.safe {
+            return first.await;
+        }
+        // An answer may be lost, or its processor slow: when it takes far longer than
+        // runs do, another is asked as well, and the first answer is the client's.
+        tokio::pin!(first);
+        let usual = self.inside.lock().unwrap().took.get(&plant).copied();
+        let patience = c.setpoint_ms.max(1.0) * 0.6;
+        let late = Duration::from_micros((usual.map_or(patience, |t| patience.max(3.0 * t)) * 1000.0) as u64);
+        tokio::select! {
+            reply = &mut first => return reply,
+            _ = tokio::time::sleep(late), if usual.is_some() => {}
+        }
+        if !self.holds_any(&plant) || !self.again() {
+            return first.await;
+        }
+        tally::count("sent_beside");
+        let second = self.tries(&ask);
+        tokio::pin!(second);
+        tokio::select! {
+            a = &mut first => if a.status < 500 { a } else { second.await },
+            b = &mut second => if b.status < 500 { b } else { first.await },
+        }
+    }
+
+    /// Whether a slot of this function is held here; if none is, whoever waits waits
+    /// for a start, and another ask would only wait beside it.
+    fn holds_any(&self, plant: &str) -> bool {
+        self.inside.lock().unwrap().holds.values().any(|h| h.0.plant == plant)
+    }
+
+    /// Takes one of the repeats that are allowed to this front.
+    fn again(&self) -> bool {
+        let fronts = self.fronts.lock().unwrap().len().max(1);
+        let slack = self.caliper.constraints.retry_slack / fronts as f64;
+        self.inside.lock().unwrap().ration.again(slack, Instant::now())
+    }
+
+    /// Sends one request until there is an answer, or another try must not be.
+    async fn tries(self: &Arc<Self>, ask: &Passing<'_>) -> Reply {
+        let c = ask.channel;
         let (mut tries, mut unclear) = (0, false);
         loop {
-            let left = end.saturating_duration_since(Instant::now());
+            let left = ask.end.saturating_duration_since(Instant::now());
             // What is left must do for a run; nine tenths of it may go into waiting.
             let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-            let g = match self.slot(&plant, c, left * 9 / 10, ticket).await {
+            let g = match self.slot(ask.plant, c, left * 9 / 10, ticket).await {
                 Ok(g) => g,
                 Err(_) if unclear => return fault(502, "it may have run"),
                 Err(retry) => {
@@ -363,15 +478,16 @@
                 }
             };
             let back = SlotBack {
-                plant: plant.clone(),
+                plant: ask.plant.to_owned(),
                 front: self.caliper.node.clone(),
                 ticket,
                 unit: g.unit.clone(),
                 ..SlotBack::default()
             };
             let sent = Instant::now();
-            let mut guard = Back { shuttle: &self, back: Some(SlotBack { end: SlotEnd::Done as i32, ..back.clone() }) };
-            let heard = self.pass(&r, &template, c, &plant, &g, &id, &connection, end, &back).await;
+            // If nobody waits for this try any more, the processor drops it as well.
+            let mut guard = Back { shuttle: self, back: Some(back.clone()) };
+            let heard = self.pass(ask, &g, &back).await;
             guard.back = None;
             let took = sent.elapsed().as_millis().max(1) as u32;
             let (ended, took) = match &heard {
@@ -380,6 +496,11 @@
                 Heard::Unclear => (SlotEnd::Done, 0),
                 Heard::Late => (if g.starting { SlotEnd::Dark } else { SlotEnd::Done }, 0),
             };
+            if took > 0 {
+                let mut i = self.inside.lock().unwrap();
+                let t = i.took.entry(ask.plant.to_owned()).or_insert(f64::from(took));
+                *t = *t * 0.9 + f64::from(took) * 0.1;
+            }
             self.tell(SlotBack { end: ended as i32, took_ms: took, ..back });
             tries += 1;
             match heard {
@@ -391,37 +512,21 @@
                 Heard::NotRun(_) => tally::count("sends_not_run"),
                 Heard::Unclear => {
                     tally::count("sends_unclear");
-                    if !safe {
-                        return fault(502, "it may have run");
-                    }
                     unclear = true;
-                    if tries >= c.tries.max(1) {
+                    if !ask.safe || tries >= c.tries.max(1) {
                         return fault(502, "it may have run");
                     }
                 }
             }
-            let fronts = self.fronts.lock().unwrap().len().max(1);
-            let slack = self.caliper.constraints.retry_slack / fronts as f64;
-            if !self.inside.lock().unwrap().ration.again(slack, Instant::now()) {
+            if !self.again() {
                 return if unclear { fault(502, "it may have run") } else { busy(100) };
             }
             tally::count("sent_again");
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    async fn pass(
-        self: &Arc<Self>,
-        r: &Request,
-        template: &Pattern,
-        c: &Channel,
-        plant: &str,
-        g: &SlotGrant,
-        id: &str,
-        connection: &str,
-        end: Instant,
-        back: &SlotBack,
-    ) -> Heard {
+    async fn pass(self: &Arc<Self>, ask: &Passing<'_>, g: &SlotGrant, back: &SlotBack) -> Heard {
+        let (r, c, id, end) = (ask.request, ask.channel, ask.id, ask.end);
         let step = self.ratio(200.0);
         if g.starting {
             // It refuses until it has started.
@@ -446,7 +551,7 @@
         let mut headers: Vec<(&str, &str)> = Vec::with_capacity(r.headers.len() + 2);
         for (n, v) in &r.headers {
             let own = ["host", "x-deadline-ms", "x-target-instance"];
-            if !hop_by_hop(n, connection) && !own.iter().any(|o| n.eq_ignore_ascii_case(o)) {
+            if !hop_by_hop(n, ask.connection) && !own.iter().any(|o| n.eq_ignore_ascii_case(o)) {
                 headers.push((n, v));
             }
         }
@@ -454,10 +559,9 @@
         headers.push(("X-Target-Instance", &g.unit));
         let host = r.header("host").unwrap_or("");
         // What must not run twice goes over a connection that was heard just now.
-        let newest = (c.mode != "safe").then(|| self.ratio(20.0));
+        let newest = (!ask.safe).then(|| self.ratio(20.0));
         let call = Call { method: &r.method, path: &r.path, host, headers: &headers, body: &r.body, id, newest };
-        let limit = template.plant(plant).map_or(8, |p| p.conn_limit.max(1)) as usize;
-        match self.chuck.call(&g.address, call, limit, within).await {
+        match self.chuck.call(&g.address, call, ask.limit, within).await {
             Ok(a) if a.header("x-attempt-id") != Some(id) && a.header("x-not-run").is_none() && a.status != 421 => {
                 tally::count("answers_without_id");
                 Heard::Unclear
@@ -518,12 +622,17 @@
         }
     }
 
+    fn keeps(&self, plant: &str) -> bool {
+        self.inside.lock().unwrap().creel.keeps(plant)
+    }
+
     /// Asks the chair what the platform lists of what is kept here.
     async fn ask_units(self: Arc<Self>) {
         let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
         let mut digest = 0;
         loop {
-            tokio::time::sleep(period).await;
+            // At the start nothing is known of what runs already.
+            tokio::time::sleep(if digest == 0 { period / 8 } else { period }).await;
             let chair = self.known.borrow().chair.clone();
             if chair.is_empty() {
                 continue;
@@ -546,19 +655,15 @@
         let known = self.known.borrow().clone();
         let fronts = dovetail::fronts(&known.roster);
         let before = self.fronts.lock().unwrap().clone();
-        let moved = *before != fronts;
+        let dark = self.dark();
+        let moved = *before != fronts || !dark.is_empty();
         let there: HashSet<String> =
             known.roster.nodes.iter().filter(|n| n.role == "shuttle").map(|n| n.name.clone()).collect();
-        let keepers: HashMap<String, Option<(String, String)>> = if moved {
-            let held: HashSet<String> = self.inside.lock().unwrap().holds.values().map(|h| h.0.plant.clone()).collect();
-            held.into_iter().map(|p| (p.clone(), self.keeper(&p))).collect()
-        } else {
-            HashMap::new()
-        };
         *self.fronts.lock().unwrap() = Arc::new(fronts);
         let mut kept: HashMap<String, (Facts, Vec<Listed>)> = HashMap::new();
         for p in known.template.plants.iter().filter(|p| p.is_function()) {
-            if self.keeper(&p.name).is_some_and(|k| k.0 == self.caliper.node) {
+            let mine = |dark: &[String]| self.keeper_but(&p.name, dark).is_some_and(|k| k.0 == self.caliper.node);
+            if mine(&dark) || mine(&[]) || self.keeps(&p.name) {
                 let facts = Facts { most: p.max_inflight as usize, boot_ms: p.boot_ms as u64 };
                 kept.insert(p.name.clone(), (facts, Vec::new()));
             }
@@ -579,9 +684,9 @@
         {
             let i = self.inside.lock().unwrap();
             for (held, until) in i.holds.values() {
-                let now = self.keeper(&held.plant);
+                let now = self.keeper_but(&held.plant, &dark);
                 if let Some((name, inner)) = &now
-                    && keepers.get(&held.plant).is_some_and(|k| *k != now)
+                    && moved
                     && *name != self.caliper.node
                 {
                     let hold_ms = until.saturating_duration_since(Instant::now()).as_millis() as u32;
@@ -630,6 +735,8 @@
         inside: Mutex::new(Inside {
             creel: Creel::new(&caliper.node, life, (quiet / 40.0) as u64, (quiet / 4.0) as u64),
             waiters: HashMap::new(),
+            dark: HashMap::new(),
+            took: HashMap::new(),
             holds: HashMap::new(),
             ration: Ration::new(c.retry_ratio, window, Instant::now()),
         }),
--- a/crates/shuttle/tests/keeper.rs
+++ b/crates/shuttle/tests/keeper.rs
@@ -41,7 +41,7 @@
     fn ask(&mut self, patience_ms: u32) -> u64 {
         self.tickets += 1;
         let (plant, front) = ("f".to_owned(), "a".to_owned());
-        let a = SlotAsk { plant, front, ticket: self.tickets, patience_ms, hold_ms: 3000, aim_ms: 400 };
+        let a = SlotAsk { plant, front, ticket: self.tickets, patience_ms, hold_ms: 3000, aim_ms: 400, dark: vec![] };
         self.creel.ask(&a, self.now, &mut self.out);
         self.tickets
     }
@@ -252,3 +252,36 @@
         );
     }
 }
+
+#[test]
+fn a_wait_that_is_given_up_takes_no_slot() {
+    let mut w = World::new(&["u1"]);
+    let (a, b) = (w.ask(2000), w.ask(2000));
+    assert_eq!(w.granted().len(), 2);
+    let c = w.ask(2000);
+    let d = w.ask(2000);
+    // c is given up while it waits, a after it was granted and before anybody knew.
+    w.back(c, "", SlotEnd::Done);
+    w.back(a, "", SlotEnd::Done);
+    assert_eq!(w.granted(), [(d, "u1".into(), false)]);
+    w.back(b, "u1", SlotEnd::Done);
+    assert!(w.granted().is_empty());
+}
+
+#[test]
+fn while_a_keeper_is_dark_the_next_one_keeps_its_functions_and_no_other_moves() {
+    let node = |n: usize| Node { name: format!("front-{n}"), role: "shuttle".into(), ..Node::default() };
+    let roster = Roster { nodes: (0..77).map(node).collect(), ..Roster::default() };
+    let fronts = dovetail::fronts(&roster);
+    let plants: Vec<String> = (0..1000).map(|n| format!("p{n}")).collect();
+    let mut kept: HashMap<&str, usize> = HashMap::new();
+    for p in &plants {
+        *kept.entry(&dovetail::keeper(&fronts, p).expect("one").1).or_default() += 1;
+    }
+    assert!(kept.len() == 77 && kept.values().all(|n| *n < 40), "{kept:?}");
+    for p in &plants {
+        let first = &dovetail::keeper(&fronts, p).expect("one").1;
+        let next = &dovetail::keeper_but(&fronts, p, |n| n == "front-5").expect("one").1;
+        assert_eq!(first != next, first == "front-5");
+    }
+}
