Log and read changes of a configuration as changes, on one tree

Now the log holds what the operator sent, foremen and fronts apply it to a tree, and a front takes what follows closely together.

--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
 use dovetail::msg::*;
 use dovetail::{Bench, Body, after, possible};
-use gauge::{Caliper, Pattern, Role, Template};
+use gauge::{Caliper, Pattern, Role, Template, Tree};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -60,26 +60,31 @@
 
     /// Takes changes of the configuration, each on the revision that it was made for.
     fn take_steps(&mut self, steps: &[TemplateStep]) -> bool {
-        let (mut json, mut revision) = (self.json.clone(), self.template.revision);
-        for s in steps.iter().filter(|s| s.revision > self.template.revision) {
-            match gauge::adjust(&json, &s.change) {
-                Ok(j) if s.since == revision && dovetail::print(&j) == s.print => {
-                    (json, revision) = (j.into(), s.revision)
-                }
-                _ => {
-                    // Not guessed: the whole is asked for.
-                    tally::count("steps_refused");
-                    self.whole = true;
-                    return false;
+        let new: Vec<&TemplateStep> = steps.iter().filter(|s| s.revision > self.template.revision).collect();
+        let Some(last) = new.last() else { return false };
+        // One after the other on one tree; the last one's print is that of the whole.
+        let made = Tree::read(self.template.revision, &self.json).and_then(|mut tree| {
+            for s in &new {
+                if s.since != tree.revision {
+                    return Err("a change is missing".to_owned());
                 }
+                tree.adjust(&s.change)?;
+            }
+            tree.text()
+        });
+        let read = made.and_then(|j| match dovetail::print(&j) == last.print {
+            true => Template::read(&j).map(|t| (Bytes::from(j), t)),
+            false => Err("another print".into()),
+        });
+        let (json, t) = match read {
+            Ok(r) => r,
+            Err(e) => {
+                // Not guessed: the whole is asked for.
+                tally::debug!("changes of the configuration not taken: {e}");
+                tally::count("steps_refused");
+                self.whole = true;
+                return false;
             }
-        }
-        if revision == self.template.revision {
-            return false;
-        }
-        let Ok(t) = Template::read(&json) else {
-            self.whole = true;
-            return false;
         };
         let limit = json.len() / 2;
         self.steps.extend(steps.iter().filter(|s| s.revision > self.template.revision).cloned());
@@ -259,6 +264,12 @@
                         }
                     }
                     self.take(&n);
+                    if self.caliper.runs_functions() && !n.steps.is_empty() {
+                        // Reading a large configuration costs a small machine much: what
+                        // follows closely is taken together.
+                        tokio::time::sleep(Duration::from_millis((self.caliper.constraints.converge_ms / 16.0) as u64))
+                            .await;
+                    }
                     if n.lived > 0 && self.relive(n.lived).is_some() {
                         continue;
                     }
--- a/crates/foreman/src/actuate.rs
+++ b/crates/foreman/src/actuate.rs
@@ -1,14 +1,35 @@
 //! The scaler's calls to the platform.
 
 use crate::bellows::Worker;
-use crate::shop::Shop;
+use crate::shop::{Floor, Shop};
 use dovetail::msg::*;
 use gauge::Caliper;
 use spindle::{Call, Chuck};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+impl Floor {
+    /// Which front is to know which processors, as of the last listing and roster.
+    fn share_units(&mut self) {
+        let of = (self.roster.version, self.listed_at());
+        if (self.shares.0, self.shares.1) == of {
+            return;
+        }
+        let fronts = dovetail::fronts(&self.roster);
+        let mut all: HashMap<String, Units> = HashMap::new();
+        for u in self.units() {
+            let Some(k) = dovetail::keeper(&fronts, &u.plant) else { continue };
+            let share = all.entry(k.1.clone()).or_insert_with(|| Units { known: true, units: vec![], digest: 1 });
+            let h = (share.digest ^ dovetail::print(u.id.as_bytes())).wrapping_mul(0x9e3779b97f4a7c15);
+            share.digest = h ^ u64::from(u.draining);
+            share.units.push(u.clone());
+        }
+        self.shares = (of.0, of.1, all);
+    }
+}
+
 impl Shop {
     /// Keeps the list of workers while this foreman is in the chair.
     pub(crate) async fn list_workers(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
@@ -72,15 +93,12 @@
             if !f.tells_units(now) {
                 return Units::default();
             }
-            let fronts = dovetail::fronts(&f.roster);
-            let kept = |u: &&Unit| dovetail::keeper(&fronts, &u.plant).is_some_and(|k| k.1 == a.front);
-            let units: Vec<Unit> = f.units().iter().filter(kept).cloned().collect();
-            let digest = units.iter().fold(1u64, |h, u| {
-                let h = (h ^ dovetail::print(u.id.as_bytes())).wrapping_mul(0x9e3779b97f4a7c15);
-                h ^ u64::from(u.draining)
-            });
-            let units = if digest == a.digest { Vec::new() } else { units };
-            Units { known: true, units, digest }
+            f.share_units();
+            match f.shares.2.get(&a.front) {
+                Some(u) if u.digest == a.digest => Units { units: Vec::new(), ..u.clone() },
+                Some(u) => u.clone(),
+                None => Units { known: true, units: Vec::new(), digest: 1 },
+            }
         })
     }
 
--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -99,16 +99,20 @@
     if base != current {
         return fault(412, &format!("revision {current} is in place"));
     }
-    let json: Bytes = if adjust {
-        match gauge::adjust(&stored, &r.body) {
-            Ok(j) => j.into(),
-            Err(e) => return fault(400, &e),
-        }
+    // A change is tried on a copy of what is in force, and logged as it came.
+    let made = if adjust {
+        let tree = shop.with(|f| (f.tree.revision == f.rack.revision).then(|| f.tree.clone()));
+        let tree = tree.map_or_else(|| gauge::Tree::read(current, &stored), Ok);
+        tree.and_then(|mut t| {
+            t.adjust(&r.body)?;
+            t.text()
+        })
     } else {
-        match gauge::canonical(&r.body) {
-            Ok(j) => j.into(),
-            Err(e) => return fault(400, &e),
-        }
+        gauge::canonical(&r.body)
+    };
+    let json: Bytes = match made {
+        Ok(j) => j.into(),
+        Err(e) => return fault(400, &e),
     };
     let template = match Template::read(&json) {
         Ok(t) => t,
@@ -117,7 +121,12 @@
     if template.revision <= current {
         return fault(400, &format!("revision: must be above {current}"));
     }
-    let change = gauge::difference(&stored, &json).unwrap_or_default().into();
+    let (json, change): (Bytes, Bytes) = if adjust && !stored.is_empty() {
+        (Bytes::new(), r.body.clone())
+    } else {
+        let change = gauge::difference(&stored, &json).unwrap_or_default().into();
+        (json, change)
+    };
     match shop.propose(Word::Template(PutTemplate { base, revision, json, print, change })).await {
         Some(Applied::Done) => {
             tally::change!("configuration {revision} taken");
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use dovetail::msg::{Charter, Grant, Order, OrderKind, Partition, Retire, Rollout, TemplateStep};
+use gauge::Tree;
 use prost::Message;
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -64,7 +65,8 @@
     /// Of the operator's call, to know it again.
     #[prost(uint64, tag = "4")]
     pub print: u64,
-    /// What changed, as operators write it; empty: too much for that.
+    /// What changed, as operators write it; empty: too much for that. With it and
+    /// without `json` it is all that is logged.
     #[prost(bytes = "bytes", tag = "5")]
     pub change: Bytes,
 }
@@ -95,6 +97,11 @@
 
 impl Rack {
     pub fn apply(&mut self, index: u64, data: &Bytes) -> Applied {
+        self.apply_with(&mut Tree::default(), index, data)
+    }
+
+    /// As `apply`; the tree is of the configuration in force, or of none.
+    pub fn apply_with(&mut self, tree: &mut Tree, index: u64, data: &Bytes) -> Applied {
         let Ok(Command { word: Some(word) }) = Command::decode(data.clone()) else {
             return Applied::Done;
         };
@@ -103,17 +110,27 @@
                 if t.base != self.revision || t.revision <= self.revision {
                     return Applied::Beaten;
                 }
+                // A change of named items is logged as such, and comes to the same whole
+                // everywhere.
+                let json = if t.json.is_empty() {
+                    match self.adjusted(tree, &t.change) {
+                        Ok(j) => j,
+                        Err(_) => return Applied::Beaten,
+                    }
+                } else {
+                    t.json
+                };
                 if t.change.is_empty() {
                     self.steps.clear();
                 } else {
                     let (since, revision) = (self.revision, t.revision);
-                    self.steps.push(TemplateStep { since, revision, change: t.change, print: print(&t.json) });
-                    let limit = t.json.len() / 2;
+                    self.steps.push(TemplateStep { since, revision, change: t.change, print: print(&json) });
+                    let limit = json.len() / 2;
                     while self.steps.iter().map(|s| s.change.len()).sum::<usize>() > limit {
                         self.steps.remove(0);
                     }
                 }
-                self.template = t.json;
+                self.template = json;
                 self.revision = t.revision;
                 self.taken.push(Taken { revision: t.revision, base: t.base, print: t.print });
                 if self.taken.len() > 256 {
@@ -153,6 +170,18 @@
         Applied::Done
     }
 
+    /// The whole that a change makes of the configuration in force.
+    fn adjusted(&self, tree: &mut Tree, change: &[u8]) -> Result<Bytes, String> {
+        if tree.revision != self.revision {
+            *tree = Tree::read(self.revision, &self.template)?;
+        }
+        let made = tree.adjust(change).and_then(|()| tree.text());
+        if made.is_err() {
+            *tree = Tree::default();
+        }
+        made.map(Bytes::from)
+    }
+
     /// The configuration for one that has revision `have`: what changed since, or
     /// the whole.
     pub fn since(&self, have: u64) -> (Option<Bytes>, Vec<TemplateStep>) {
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -84,6 +84,10 @@
     pub(crate) bellows: Bellows,
     /// The configuration in force, read once for a version.
     pattern: Arc<Pattern>,
+    /// The same as a tree, for changes.
+    pub(crate) tree: gauge::Tree,
+    /// The processors that each front is told, made once for a listing and a roster.
+    pub(crate) shares: (u64, u64, HashMap<String, Units>),
 }
 
 impl Floor {
@@ -91,6 +95,10 @@
         &self.units
     }
 
+    pub(crate) fn listed_at(&self) -> u64 {
+        self.listed_at
+    }
+
     /// Whether this foreman knows what the platform lists now.
     pub(crate) fn tells_units(&self, now: u64) -> bool {
         self.holds(now) && self.listed_at > 0
@@ -1032,6 +1040,8 @@
                 caliper.platform.duty_per_s,
             ),
             pattern: Arc::default(),
+            tree: gauge::Tree::default(),
+            shares: (0, 0, HashMap::new()),
         }),
         news: Bell::new(),
         stale: Bell::new(),
@@ -1184,7 +1194,7 @@
                     }
                 }
                 Effect::Apply(e) => {
-                    let applied = shop.with(|f| f.rack.apply(e.index, &e.data));
+                    let applied = shop.with(|f| f.rack.apply_with(&mut f.tree, e.index, &e.data));
                     if let Some((term, a)) = waiting.remove(&e.index) {
                         let _ = a.send((term == e.term).then_some(applied));
                     }
@@ -1192,7 +1202,10 @@
                 }
                 Effect::Restore(state) => {
                     match Rack::decode(state) {
-                        Ok(rack) => shop.with(|f| f.rack = rack),
+                        Ok(rack) => shop.with(|f| {
+                            f.rack = rack;
+                            f.tree = gauge::Tree::default();
+                        }),
                         Err(e) => {
                             // Never go on with a blank one.
                             tally::error!("the state that the chair sent cannot be read, ending: {e}");
--- a/crates/gauge/src/template.rs
+++ b/crates/gauge/src/template.rs
@@ -206,52 +206,79 @@
 /// Applies a change of named items to a whole configuration. Fields this
 /// program does not know are kept as they are.
 pub fn adjust(base: &[u8], change: &[u8]) -> Result<Vec<u8>, String> {
-    let mut whole: Value = if base.is_empty() {
-        serde_json::json!({"channels": [], "plants": [], "limits": {}})
-    } else {
-        serde_json::from_slice(base).map_err(|e| format!("stored configuration: {e}"))?
-    };
-    let change: Value = serde_json::from_slice(change).map_err(|e| format!("cannot be read in full: {e}"))?;
-    let Some(revision) = change.get("revision").and_then(Value::as_u64) else {
-        return Err("revision: missing".into());
-    };
-    let top = whole.as_object_mut().ok_or("stored configuration is no object")?;
-    let name_of = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_owned);
-    if let Some(remove) = change.get("remove").filter(|v| !v.is_null()) {
-        let remove = remove.as_object().ok_or("remove: wants lists of names")?;
-        for (list, names) in remove {
-            let names = names.as_array().ok_or_else(|| format!("remove: {list}: wants a list"))?;
-            let Some(items) = top.get_mut(list).and_then(Value::as_array_mut) else {
-                return Err(format!("remove: unknown list {list:?}"));
-            };
-            for n in names {
-                let n = n.as_str().ok_or_else(|| format!("remove: {list}: wants names"))?;
-                items.retain(|i| name_of(i).as_deref() != Some(n));
-            }
-        }
+    let mut tree = Tree::read(0, base)?;
+    tree.adjust(change)?;
+    tree.text()
+}
+
+/// A configuration read into a tree, so that changes one after the other need not
+/// each read the whole anew.
+#[derive(Clone, Default)]
+pub struct Tree {
+    pub revision: u64,
+    whole: Value,
+}
+
+impl Tree {
+    pub fn read(revision: u64, json: &[u8]) -> Result<Tree, String> {
+        let whole = if json.is_empty() {
+            serde_json::json!({"channels": [], "plants": [], "limits": {}})
+        } else {
+            serde_json::from_slice(json).map_err(|e| format!("stored configuration: {e}"))?
+        };
+        Ok(Tree { revision, whole })
+    }
+
+    pub fn text(&self) -> Result<Vec<u8>, String> {
+        serde_json::to_vec(&self.whole).map_err(|e| e.to_string())
     }
-    if let Some(upsert) = change.get("upsert").filter(|v| !v.is_null()) {
-        let upsert = upsert.as_object().ok_or("upsert: wants lists of items")?;
-        for (list, new) in upsert {
-            if list == "limits" {
-                top.insert(list.clone(), new.clone());
-                continue;
+
+    /// Applies a change; after an error the tree is of no use.
+    pub fn adjust(&mut self, change: &[u8]) -> Result<(), String> {
+        let whole = &mut self.whole;
+        let change: Value = serde_json::from_slice(change).map_err(|e| format!("cannot be read in full: {e}"))?;
+        let Some(revision) = change.get("revision").and_then(Value::as_u64) else {
+            return Err("revision: missing".into());
+        };
+        let top = whole.as_object_mut().ok_or("stored configuration is no object")?;
+        let name_of = |v: &Value| v.get("name").and_then(Value::as_str).map(str::to_owned);
+        if let Some(remove) = change.get("remove").filter(|v| !v.is_null()) {
+            let remove = remove.as_object().ok_or("remove: wants lists of names")?;
+            for (list, names) in remove {
+                let names = names.as_array().ok_or_else(|| format!("remove: {list}: wants a list"))?;
+                let Some(items) = top.get_mut(list).and_then(Value::as_array_mut) else {
+                    return Err(format!("remove: unknown list {list:?}"));
+                };
+                for n in names {
+                    let n = n.as_str().ok_or_else(|| format!("remove: {list}: wants names"))?;
+                    items.retain(|i| name_of(i).as_deref() != Some(n));
+                }
             }
-            let new = new.as_array().ok_or_else(|| format!("upsert: {list}: wants a list"))?;
-            let Some(items) = top.get_mut(list).and_then(Value::as_array_mut) else {
-                return Err(format!("upsert: unknown list {list:?}"));
-            };
-            for n in new {
-                let name = name_of(n).ok_or_else(|| format!("upsert: {list}: item without a name"))?;
-                match items.iter_mut().find(|i| name_of(i).as_deref() == Some(&name)) {
-                    Some(slot) => *slot = n.clone(),
-                    None => items.push(n.clone()),
+        }
+        if let Some(upsert) = change.get("upsert").filter(|v| !v.is_null()) {
+            let upsert = upsert.as_object().ok_or("upsert: wants lists of items")?;
+            for (list, new) in upsert {
+                if list == "limits" {
+                    top.insert(list.clone(), new.clone());
+                    continue;
+                }
+                let new = new.as_array().ok_or_else(|| format!("upsert: {list}: wants a list"))?;
+                let Some(items) = top.get_mut(list).and_then(Value::as_array_mut) else {
+                    return Err(format!("upsert: unknown list {list:?}"));
+                };
+                for n in new {
+                    let name = name_of(n).ok_or_else(|| format!("upsert: {list}: item without a name"))?;
+                    match items.iter_mut().find(|i| name_of(i).as_deref() == Some(&name)) {
+                        Some(slot) => *slot = n.clone(),
+                        None => items.push(n.clone()),
+                    }
                 }
             }
         }
+        top.insert("revision".into(), revision.into());
+        self.revision = revision;
+        Ok(())
     }
-    top.insert("revision".into(), revision.into());
-    serde_json::to_vec(&whole).map_err(|e| e.to_string())
 }
 
 /// A configuration as it is kept: one that says the same has the same bytes.
--- a/crates/gauge/tests/checks.rs
+++ b/crates/gauge/tests/checks.rs
@@ -99,3 +99,58 @@
         assert!(adjust(base.as_bytes(), bad.to_string().as_bytes()).is_err(), "{bad}");
     }
 }
+
+#[test]
+fn what_changed_makes_the_same_whole_again() {
+    let old = canonical(config().to_string().as_bytes()).expect("read");
+    let mut now = config();
+    now["revision"] = json!(9);
+    now["channels"][1]["cutoffMs"] = json!(20);
+    now["limits"] = json!({"bodyBytes": 200});
+    // Much of a small one has changed: told whole. Of a large one it is a part.
+    let many = |v: &Value| {
+        let mut v = v.clone();
+        let more =
+            (0..60).map(|n| json!({"name": format!("x{n}"), "host": "h", "prefix": format!("/{n}/"), "plant": "p"}));
+        let all = v["channels"].as_array_mut().expect("a list");
+        all.extend(more);
+        canonical(v.to_string().as_bytes()).expect("read")
+    };
+    let (old_many, mut now_many) = (many(&config()), many(&now));
+    assert_eq!(difference(&old, &old_many), None);
+    let change = difference(&old_many, &now_many).expect("small beside the whole");
+    assert!(change.len() < now_many.len() / 10);
+    assert_eq!(adjust(&old_many, &change).expect("applies"), now_many);
+    // Removed and added: at the end, as an adjustment puts it.
+    let mut v: Value = serde_json::from_slice(&now_many).expect("json");
+    let all = v["channels"].as_array_mut().expect("a list");
+    all.remove(0);
+    all.push(json!({"name": "new", "host": "h", "prefix": "/n/", "plant": "p"}));
+    v["revision"] = json!(11);
+    let last = canonical(v.to_string().as_bytes()).expect("read");
+    let change = difference(&now_many, &last).expect("small");
+    assert_eq!(adjust(&now_many, &change).expect("applies"), last);
+    // In another order it is not what a change of named items can make.
+    v["channels"].as_array_mut().expect("a list").reverse();
+    now_many = canonical(v.to_string().as_bytes()).expect("read");
+    assert_eq!(difference(&last, &now_many), None);
+}
+
+#[test]
+fn functions_with_senseless_sizes_are_refused_by_name() {
+    let read = |v: &Value| Template::read(v.to_string().as_bytes());
+    let mut c = config();
+    c["plants"][0] = json!({"name": "p", "probe": null, "memoryMb": 128, "bootMs": 900, "maxInflight": 1});
+    assert!(read(&c).is_ok());
+    for (field, value) in [("memoryMb", json!(0)), ("bootMs", json!(-1)), ("maxInflight", json!(0))] {
+        let mut bad = c.clone();
+        bad["plants"][0][field] = value;
+        let e = read(&bad).expect_err(field);
+        assert!(e.contains(field) && e.contains("p:"), "{e}");
+    }
+    // A split route: weights of known services that add up to something.
+    c["channels"][0]["mix"] = json!({"p": 3, "q": 1});
+    assert!(read(&c).expect_err("unknown").contains("\"q\""));
+    c["channels"][0]["mix"] = json!({"p": 0});
+    assert!(read(&c).expect_err("nothing").contains("r1"));
+}
