--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -30,12 +30,12 @@
     /// Takes whatever is newer; tells whether anything was.
     pub fn take(&mut self, news: &News) -> bool {
         let mut moved = false;
-        if let Some(json) = &news.template
-            && let Ok(t) = Template::read(json)
+        if let Some(json) = news.whole_template()
+            && let Ok(t) = Template::read(&json)
             && (t.revision > self.template.revision || (self.whole && t.revision == self.template.revision))
         {
             self.template = Arc::new(t.into());
-            self.json = json.clone();
+            self.json = json;
             self.steps.clear();
             self.whole = false;
             moved = true;
@@ -111,15 +111,18 @@
     pub fn news_for(&self, have: &Have) -> News {
         let mine = Have { template: self.template.revision, ..self.have() };
         let (template, steps) = self.template_since(have.template);
-        News {
+        let mut news = News {
             have: mine,
-            template,
             steps,
             charter: (mine.charter > have.charter).then(|| self.charter.since(have.charter)),
             roster: (mine.roster > have.roster).then(|| self.roster.since(have.roster)),
             chair: self.chair.clone(),
             ..News::default()
+        };
+        if let Some(json) = template {
+            news.put_template(json);
         }
+        news
     }
 
     pub fn node(&self, name: &str, role: &str) -> Option<&Node> {
@@ -251,7 +254,9 @@
                 wait_ms: wait,
                 ..Watch::default()
             };
-            let asked = self.bench.to(&addr).call(Body::Watch(w), Duration::from_millis(wait as u64 * 2)).await;
+            // The first answer brings the whole, over what may be a slow link.
+            let times = if w.have.template == 0 { 4 } else { 2 };
+            let asked = self.bench.to(&addr).call(Body::Watch(w), Duration::from_millis(wait as u64 * times)).await;
             match asked {
                 Ok(Body::News(n)) => {
                     failures = 0;
--- a/crates/dovetail/src/delta.rs
+++ b/crates/dovetail/src/delta.rs
@@ -1,12 +1,41 @@
 //! Charter and roster as they are passed on: whole, or only what has changed
 //! since the version that the other has.
 
-use crate::msg::{Charter, Gone, Node, Roster, Unit};
+use crate::msg::{Charter, Gone, News, Node, Roster, Unit};
+use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 
 /// So many removals are remembered for those that are behind.
 const REMEMBERED: usize = 256;
 
+/// What is packed is never longer than this when it is whole again.
+const UNPACKED: usize = 4 << 20;
+
+impl News {
+    /// Puts in a whole configuration, packed if that is worth it.
+    pub fn put_template(&mut self, json: Bytes) {
+        if json.len() < 4096 {
+            self.template = Some(json);
+        } else {
+            self.packed = lz4_flex::compress_prepend_size(&json).into();
+        }
+    }
+
+    /// The whole configuration, if there is one.
+    pub fn whole_template(&self) -> Option<Bytes> {
+        if self.packed.is_empty() {
+            return self.template.clone();
+        }
+        let size =
+            self.packed.get(..4).and_then(|s| s.try_into().ok()).map_or(usize::MAX, |s| u32::from_le_bytes(s) as usize);
+        let whole = (size <= UNPACKED).then(|| lz4_flex::decompress_size_prepended(&self.packed).ok()).flatten();
+        if whole.is_none() {
+            tally::count("news_not_unpacked");
+        }
+        whole.map(Bytes::from)
+    }
+}
+
 impl Charter {
     /// What one that has version `have` lacks.
     pub fn since(&self, have: u64) -> Charter {
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -172,6 +172,9 @@
     /// to begin another after that.
     #[prost(uint64, tag = "7")]
     pub lived: u64,
+    /// The whole configuration, packed; a large one takes a slow link for seconds else.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub packed: Bytes,
     /// Instead of the whole configuration: the changes since the asker's, in order.
     #[prost(message, repeated, tag = "8")]
     pub steps: Vec<TemplateStep>,
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -458,9 +458,8 @@
         self.with(|f| {
             let have = Self::have(f);
             let (template, steps) = f.rack.since(w.have.template);
-            News {
+            let mut news = News {
                 have,
-                template,
                 steps,
                 charter: (have.charter > w.have.charter).then(|| f.rack.charter.since(w.have.charter)),
                 roster: (have.roster > w.have.roster).then(|| f.roster.since(w.have.roster)),
@@ -472,7 +471,12 @@
                     .map(|s| s.node.inner.clone())
                     .collect(),
                 lived,
+                ..News::default()
+            };
+            if let Some(json) = template {
+                news.put_template(json);
             }
+            news
         })
     }
 
--- a/crates/shuttle/src/creel.rs
+++ b/crates/shuttle/src/creel.rs
@@ -200,6 +200,7 @@
     pub fn back(&mut self, b: &SlotBack, now: u64, out: &mut Vec<Effect>) {
         let shy = self.shy;
         let Some(c) = self.cones.get_mut(&b.plant) else { return };
+        let boot = c.boot();
         let hand = (b.front.clone(), b.ticket);
         let end = SlotEnd::try_from(b.end).unwrap_or(SlotEnd::Done);
         if b.took_ms > 0 {
@@ -224,8 +225,11 @@
             }
             match end {
                 SlotEnd::Done | SlotEnd::Up => u.up = true,
-                // Somebody holds a slot that was not granted here: let it end first.
-                SlotEnd::Full => u.shy = now + (c.hold_ms as u64).max(10),
+                // Somebody holds a slot that was not granted here, as by another
+                // keeper: one less is granted until that is over.
+                SlotEnd::Full => {
+                    u.held.insert((String::new(), b.ticket), now + (2 * boot).max(shy / 2));
+                }
                 SlotEnd::Dark => u.shy = now + shy,
                 SlotEnd::Gone => {
                     c.units.remove(&b.unit);
@@ -273,7 +277,7 @@
         for p in plants {
             if let Some(c) = self.cones.get_mut(&p) {
                 for u in c.units.values_mut() {
-                    u.held.retain(|h, _| there.contains(&h.0));
+                    u.held.retain(|h, _| h.0.is_empty() || there.contains(&h.0));
                 }
                 c.waits.retain(|w| there.contains(&w.hand.0));
             }
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -31,11 +31,19 @@
     }
 }
 
+/// A front that does not answer: until when it is passed over, and in which life.
+struct Dark {
+    until: Instant,
+    life: u64,
+}
+
 struct Inside {
     creel: Creel,
     waiters: HashMap<Hand, Waiter>,
     /// Fronts that do not answer, and until when they are left out.
-    dark: HashMap<String, Instant>,
+    dark: HashMap<String, Dark>,
+    /// Those of them that were known when keepers were worked out last.
+    passed_over: Vec<String>,
     /// How long runs take, by function, about.
     took: HashMap<String, f64>,
     /// What this front holds: by ticket, of which function, and until when.
@@ -144,19 +152,52 @@
     /// The fronts that did not answer of late.
     fn dark(&self) -> Vec<String> {
         let now = Instant::now();
-        self.inside.lock().unwrap().dark.iter().filter(|(_, until)| **until > now).map(|(n, _)| n.clone()).collect()
+        let mut i = self.inside.lock().unwrap();
+        if i.dark.is_empty() {
+            return Vec::new();
+        }
+        i.dark.retain(|_, d| d.until > now);
+        let mut all: Vec<String> = i.dark.keys().cloned().collect();
+        all.sort();
+        all
     }
 
-    /// A front does not answer: another one keeps its functions until it does again,
-    /// or until its session is over.
+    /// A front does not answer: another one keeps its functions until its session is
+    /// over, or it begins another life, or half of `quietMs` is.
     fn shun(self: &Arc<Self>, name: &str) {
+        let life = self.known.borrow().node(name, "shuttle").map_or(0, |n| n.life);
         let until = Instant::now() + self.ratio(2.0);
-        if self.inside.lock().unwrap().dark.insert(name.to_owned(), until).is_none_or(|u| u < Instant::now()) {
+        if self.inside.lock().unwrap().dark.insert(name.to_owned(), Dark { until, life }).is_none() {
             tally::change!("{name} does not answer");
             self.arrange();
         }
     }
 
+    /// Whether anybody is there at a front.
+    async fn answers(&self, inner: &str) -> bool {
+        self.bench.to(inner).call(Body::Ack(Ack {}), self.ratio(16.0)).await.is_ok()
+    }
+
+    /// Another front passes some over that are well as far as is known here: they are
+    /// looked for from here too, before there are two keepers of one function.
+    async fn look_for(self: Arc<Self>, a: SlotAsk, w: Waiter) {
+        let fronts = self.fronts.lock().unwrap().clone();
+        let mine = self.dark();
+        let asked: Vec<(String, String)> = fronts
+            .iter()
+            .filter(|f| a.dark.contains(&f.1) && !mine.contains(&f.1))
+            .map(|f| (f.1.clone(), f.2.clone()))
+            .collect();
+        for (name, inner) in asked {
+            if self.answers(&inner).await {
+                let outcome = SlotOutcome::Elsewhere as i32;
+                return w.send(SlotGrant { outcome, unit: name, ..SlotGrant::default() });
+            }
+            self.shun(&name);
+        }
+        self.taken(a, w);
+    }
+
     fn carry_out(self: &Arc<Self>, i: &mut Inside, effects: Vec<Effect>) {
         for e in effects {
             match e {
@@ -199,32 +240,29 @@
     async fn start_unit(self: Arc<Self>, plant: String, nonce: String) {
         let wait = self.ratio(4.0);
         let end = Instant::now() + 4 * wait;
-        let mut full = false;
+        let (mut full, mut pause) = (false, self.ratio(100.0));
         while Instant::now() < end {
             let chair = self.known.borrow().chair.clone();
-            if chair.is_empty() {
-                tokio::time::sleep(self.ratio(100.0)).await;
-                continue;
-            }
             let ask = Start { plant: plant.clone(), nonce: nonce.clone(), zone: self.caliper.zone.clone() };
-            match self.bench.to(&chair).call(Body::Start(ask), wait).await {
-                Ok(Body::StartAck(a)) if !a.unit.is_empty() => {
+            let asked =
+                if chair.is_empty() { None } else { self.bench.to(&chair).call(Body::Start(ask), wait).await.ok() };
+            if let Some(Body::StartAck(a)) = asked {
+                if !a.unit.is_empty() {
                     self.step(|c, now, out| c.started(&plant, &nonce, &a.unit, &a.address, now, out));
                     return;
                 }
-                Ok(Body::StartAck(a)) => {
-                    if a.full {
-                        full = true;
-                        break;
-                    }
-                    if !a.chair.is_empty() && a.chair != chair {
-                        self.known.send_if_modified(|k| k.take(&News { chair: a.chair, ..News::default() }));
-                    } else {
-                        tokio::time::sleep(self.ratio(100.0)).await;
-                    }
+                if a.full {
+                    full = true;
+                    break;
+                }
+                if !a.chair.is_empty() && a.chair != chair {
+                    self.known.send_if_modified(|k| k.take(&News { chair: a.chair, ..News::default() }));
                 }
-                _ => tokio::time::sleep(self.ratio(100.0)).await,
             }
+            // Longer each time: hundreds of functions may be asked for while nobody is
+            // in the chair.
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(wait / 2);
         }
         tally::count("starts_given_up");
         self.step(|c, now, out| c.not_started(&plant, &nonce, full, now, out));
@@ -276,12 +314,18 @@
     }
 
     fn asked(self: &Arc<Self>, a: SlotAsk, w: Waiter) {
-        // Whoever asks may know better which of the others do not answer.
         let mine = |dark: &[String]| self.keeper_but(&a.plant, dark).is_some_and(|k| k.0 == self.caliper.node);
-        if !mine(&self.dark()) && !mine(&a.dark) {
+        if mine(&self.dark()) {
+            self.taken(a, w);
+        } else if mine(&a.dark) {
+            tokio::spawn(self.clone().look_for(a, w));
+        } else {
             let outcome = SlotOutcome::Elsewhere as i32;
-            return w.send(SlotGrant { outcome, ..SlotGrant::default() });
+            w.send(SlotGrant { outcome, ..SlotGrant::default() });
         }
+    }
+
+    fn taken(self: &Arc<Self>, a: SlotAsk, w: Waiter) {
         let mut guard = self.inside.lock().unwrap();
         let i = &mut *guard;
         i.waiters.insert((a.front.clone(), a.ticket), w);
@@ -333,7 +377,7 @@
                 let there = async {
                     loop {
                         tokio::time::sleep(self.ratio(16.0)).await;
-                        if end.call(Body::Ack(Ack {}), self.ratio(16.0)).await.is_err() {
+                        if !self.answers(&inner).await {
                             return;
                         }
                     }
@@ -370,6 +414,10 @@
                     return Ok(g);
                 }
                 Some(g) if g.outcome == SlotOutcome::None as i32 => return Err(u64::from(g.retry_ms)),
+                Some(g) if !g.unit.is_empty() => {
+                    // That one does answer others: it is asked again.
+                    self.inside.lock().unwrap().dark.remove(&g.unit);
+                }
                 _ => {}
             }
             said = 100;
@@ -655,8 +703,11 @@
         let known = self.known.borrow().clone();
         let fronts = dovetail::fronts(&known.roster);
         let before = self.fronts.lock().unwrap().clone();
+        // One that begins again may be asked at once.
+        self.inside.lock().unwrap().dark.retain(|n, d| known.node(n, "shuttle").is_some_and(|x| x.life == d.life));
         let dark = self.dark();
-        let moved = *before != fronts || !dark.is_empty();
+        let passed_over = std::mem::replace(&mut self.inside.lock().unwrap().passed_over, dark.clone());
+        let moved = *before != fronts || dark != passed_over;
         let there: HashSet<String> =
             known.roster.nodes.iter().filter(|n| n.role == "shuttle").map(|n| n.name.clone()).collect();
         *self.fronts.lock().unwrap() = Arc::new(fronts);
@@ -736,6 +787,7 @@
             creel: Creel::new(&caliper.node, life, (quiet / 40.0) as u64, (quiet / 4.0) as u64),
             waiters: HashMap::new(),
             dark: HashMap::new(),
+            passed_over: Vec::new(),
             took: HashMap::new(),
             holds: HashMap::new(),
             ration: Ration::new(c.retry_ratio, window, Instant::now()),
@@ -775,6 +827,9 @@
             tokio::time::sleep(s.ratio(50.0)).await;
             rounds += 1;
             s.step(|c, now, out| c.tick(now, out));
+            if s.dark() != s.inside.lock().unwrap().passed_over {
+                s.arrange();
+            }
             if rounds.is_multiple_of(50) {
                 s.chuck.sweep(|_| true);
             }
--- a/crates/shuttle/tests/keeper.rs
+++ b/crates/shuttle/tests/keeper.rs
@@ -163,7 +163,9 @@
             x % n
         };
         let mut w = World::new(&[]);
+        // What the fronts hold, and until when: a ticket runs out for them as well.
         let mut held: BTreeMap<u64, String> = BTreeMap::new();
+        let mut until: HashMap<u64, u64> = HashMap::new();
         let (mut nonces, mut units, mut served) = (Vec::new(), 0, 0);
         for _ in 0..400 {
             match chance(10) {
@@ -200,6 +202,7 @@
                     Effect::Grant { hand, unit, starting, .. } => {
                         served += 1;
                         held.insert(hand.1, unit.clone());
+                        until.insert(hand.1, w.now + 3000);
                         if starting && chance(2) == 0 {
                             w.back(hand.1, &unit, SlotEnd::Up);
                         }
@@ -209,6 +212,7 @@
                     Effect::Refuse { .. } => {}
                 }
             }
+            held.retain(|t, _| until[t] > w.now);
             let mut count: HashMap<&str, usize> = HashMap::new();
             for u in held.values() {
                 *count.entry(u).or_default() += 1;
@@ -253,6 +257,19 @@
     }
 }
 
+#[test]
+fn a_processor_that_is_fuller_than_was_thought_is_given_less_for_a_while() {
+    let mut w = World::new(&["u1"]);
+    let a = w.ask(2000);
+    w.granted();
+    // Another keeper's request is there: one slot less until that is over.
+    w.back(a, "u1", SlotEnd::Full);
+    let (b, c) = (w.ask(3000), w.ask(3000));
+    assert_eq!(w.granted(), [(b, "u1".into(), false)]);
+    w.pass(2 * FACTS.boot_ms);
+    assert_eq!(w.granted(), [(c, "u1".into(), false)]);
+}
+
 #[test]
 fn a_wait_that_is_given_up_takes_no_slot() {
     let mut w = World::new(&["u1"]);
