--- a/crates/dovetail/tests/links.rs
+++ b/crates/dovetail/tests/links.rs
@@ -185,3 +185,25 @@
     }
     panic!("a refused connection is told as one that may have run");
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn only_a_machine_that_says_so_has_nobody_listening() {
+    let wait = std::time::Duration::from_millis(300);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    assert!(!dovetail::refuses(&addr, wait).await, "somebody listens");
+    drop(listener);
+    assert!(dovetail::refuses(&addr, wait).await);
+    // A queue of new connections that is full answers nothing at all: silence.
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let full = socket.listen(0).expect("listening");
+    let addr = full.local_addr().expect("an address").to_string();
+    let mut held = Vec::new();
+    for _ in 0..4 {
+        if let Ok(Ok(s)) = tokio::time::timeout(wait, tokio::net::TcpStream::connect(&addr)).await {
+            held.push(s);
+        }
+    }
+    assert!(!dovetail::refuses(&addr, wait).await);
+}
--- a/crates/drawer/tests/power.rs
+++ b/crates/drawer/tests/power.rs
@@ -194,3 +194,37 @@
     lay(&copy, &files(dir));
     Ok(open(&copy)?.1)
 }
+
+#[test]
+fn a_rewrite_that_failed_comes_before_anything_else_and_loses_nothing() {
+    let dir = folder("redo");
+    let (mut s, _) = open(&dir).expect("a store");
+    let kept = key(b'k', 1, 1);
+    let mut model = Pairs::new();
+    let mut put = |s: &mut Store, k: Key, v: Vec<u8>| {
+        s.commit(&[Op::Put(k, v.clone().into())]).expect("written");
+        model.insert(k, v);
+    };
+    put(&mut s, kept, vec![7; 90]);
+    let newest = |dir: &Path| files(dir).last().map(|(p, d)| (p.clone(), d.len())).expect("a segment");
+    let mut n = 0u8;
+    // Old segments full of what was written over, and the newest one full as well.
+    while s.used_bytes() < 1 << 20 || newest(&dir).1 < 256 << 10 {
+        put(&mut s, key(b'x', 1, 1), vec![n; 50_000]);
+        n = n.wrapping_add(1);
+    }
+    // The next segment cannot be begun.
+    let name = newest(&dir).0;
+    let id: u64 = name.file_stem().and_then(|n| n.to_str()).and_then(|n| n.parse().ok()).expect("a number");
+    let blocked = dir.join(format!("{:010}.log", id + 1));
+    std::fs::create_dir(&blocked).expect("a folder");
+    assert!(s.clean().is_err(), "there was something to free");
+    assert!(s.commit(&[Op::Put(key(b'y', 1, 1), vec![1].into())]).is_err(), "nothing counts before it");
+    std::fs::remove_dir(&blocked).expect("removed");
+    put(&mut s, key(b'y', 1, 1), vec![2]);
+    s.clean().expect("freed");
+    drop(s);
+    let (_, read) = open(&dir).expect("whole");
+    assert_eq!(read, model);
+    let _ = std::fs::remove_dir_all(&dir);
+}
