--- /dev/null
+++ b/crates/foreman/tests/scaler.rs
@@ -0,0 +1,204 @@
+//! The scaler against a stand-in platform on loopback: answers that are lost, workers
+//! without room, and a chair that ends in between.
+
+use dovetail::msg::*;
+use dovetail::{Body, Tenon};
+use gauge::Caliper;
+use spindle::{Bounds, Call, Chuck, Closing, Reply};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const WAIT: Duration = Duration::from_secs(5);
+const CONFIG: &str = r#"{"revision":1,"channels":[{"name":"r","host":"h","prefix":"/a/","mode":"safe","cutoffMs":900,"plant":"f"}],
+  "plants":[{"name":"f","probe":null,"memoryMb":100,"bootMs":50,"maxInflight":2},{"name":"big","memoryMb":5000,"bootMs":50,"maxInflight":2}],"limits":{}}"#;
+
+#[derive(Default)]
+struct Platform {
+    /// Processors by nonce, and in which worker each stands.
+    started: HashMap<String, (String, String)>,
+    stopped: Vec<String>,
+    fences: Vec<u64>,
+    calls: usize,
+    /// So many answers to starts are lost after they were carried out.
+    lose: usize,
+}
+
+fn answer(p: &Arc<Mutex<Platform>>, r: &spindle::Request) -> Reply {
+    let mut p = p.lock().unwrap();
+    let said: serde_json::Value = serde_json::from_slice(&r.body).unwrap_or_default();
+    let text = |f: &str| said[f].as_str().unwrap_or("").to_owned();
+    match r.path.as_str() {
+        // Small says that it has room, and refuses all the same.
+        "/workers" => Reply::json(
+            200,
+            r#"{"carriers":[{"name":"small","zone":"z","memoryMb":900,"headroomMb":900,"state":"ready"},
+              {"name":"large","zone":"y","memoryMb":900,"headroomMb":600,"state":"ready"},
+              {"name":"leaving","zone":"z","memoryMb":9000,"headroomMb":9000,"state":"draining"},
+              {"name":"","zone":"z","memoryMb":1,"headroomMb":-5,"state":"ready"}]}"#,
+        ),
+        "/start" => {
+            p.calls += 1;
+            p.fences.push(r.header("x-fence").and_then(|f| f.parse().ok()).unwrap_or(0));
+            assert_eq!(r.header("x-duty-holder"), Some("core-1"));
+            if text("carrier") != "large" {
+                return Reply::new(409);
+            }
+            let n = p.started.len() + 1;
+            let one = p.started.entry(text("nonce")).or_insert((format!("i-{n}"), text("carrier"))).clone();
+            if p.lose > 0 {
+                p.lose -= 1;
+                return Reply { cut: true, ..Reply::new(200) };
+            }
+            Reply::json(200, serde_json::json!({"id": one.0, "address": "127.0.0.1:9"}).to_string())
+        }
+        "/stop" => {
+            p.stopped.push(text("id"));
+            Reply::new(if p.stopped.len() > 1 { 404 } else { 200 })
+        }
+        _ => {
+            let all = p.started.values().map(|(id, _)| {
+                serde_json::json!({"id": id, "plant": "f", "address": "127.0.0.1:9", "zone": "y", "revision": "v1", "capacity": 2, "state": "ready", "coldLeftMs": 0})
+            });
+            let units: Vec<serde_json::Value> = all.collect();
+            Reply::json(200, serde_json::json!({"units": units, "nextToken": null}).to_string())
+        }
+    }
+}
+
+struct World {
+    platform: Arc<Mutex<Platform>>,
+    caliper: Caliper,
+    foreman: Arc<Tenon>,
+}
+
+impl World {
+    async fn new() -> World {
+        let platform = Arc::new(Mutex::new(Platform::default()));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let p = platform.clone();
+        let (open, closing) = watch::channel(Closing::Open);
+        std::mem::forget(open);
+        tokio::spawn(spindle::listen(listener, Bounds::default, closing, move |r| {
+            let p = p.clone();
+            async move { answer(&p, &r) }
+        }));
+        let from = 50_000 + (std::process::id() % 400) as u16 * 20;
+        let free = |b: &u16| (*b..*b + 6).all(|p| std::net::TcpListener::bind(("127.0.0.1", p)).is_ok());
+        let base = (from..60_000).step_by(20).find(free).expect("free ports") as u32;
+        let mut c = Caliper {
+            node: "core-1".into(),
+            ip: "127.0.0.1".into(),
+            zone: "z".into(),
+            port_range: vec![base, base + 3],
+            seeds: vec![format!("127.0.0.1:{}", base + 4)],
+            initial_start: true,
+            rollout: "functions".into(),
+            data_dir: std::env::temp_dir().join(format!("willowslip-scaler-{base}")).display().to_string(),
+            ..Caliper::default()
+        };
+        c.listen.control = format!("127.0.0.1:{}", base + 4);
+        (c.limits.memory_mb, c.limits.disk_mb) = (128, 128);
+        (c.constraints.quiet_ms, c.constraints.ack_ms, c.constraints.settle_s) = (2000.0, 5000.0, 4.0);
+        c.constraints.converge_ms = 1000.0;
+        (c.platform.address, c.platform.duty_per_s, c.platform.lag_ms) = (address, 200.0, 300.0);
+        let foreman = Tenon::new(&format!("127.0.0.1:{base}"), WAIT);
+        World { platform, caliper: c, foreman }
+    }
+
+    fn run(&self) -> (watch::Sender<bool>, tokio::task::JoinHandle<Result<(), String>>) {
+        let (stop, stopped) = watch::channel(false);
+        let settings = watch::channel(self.caliper.clone()).1;
+        (stop, tokio::spawn(foreman::run(self.caliper.clone(), stopped, settings)))
+    }
+
+    async fn start(&self, plant: &str, nonce: &str) -> StartAck {
+        let s = Start { plant: plant.into(), nonce: nonce.into(), zone: "z".into() };
+        match self.foreman.call(Body::Start(s), WAIT).await {
+            Ok(Body::StartAck(a)) => a,
+            _ => StartAck::default(),
+        }
+    }
+
+    /// Asks until there is a processor, as a keeper does.
+    async fn started(&self, nonce: &str) -> String {
+        let begun = Instant::now();
+        loop {
+            let a = self.start("f", nonce).await;
+            if !a.unit.is_empty() {
+                return a.unit;
+            }
+            assert!(begun.elapsed() < 3 * WAIT, "nothing started by {nonce}: {a:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_start_is_carried_out_once_whatever_is_lost() {
+    let w = World::new().await;
+    let (stop, running) = w.run();
+    let chuck = Chuck::new(WAIT);
+    let headers = [("X-Base-Revision", "0")];
+    let control = w.caliper.listen.control.clone();
+    let begun = Instant::now();
+    loop {
+        let body = CONFIG.as_bytes();
+        let call = Call {
+            method: "POST",
+            path: "/config/replace",
+            host: &control,
+            headers: &headers,
+            body,
+            id: "",
+            newest: None,
+        };
+        if chuck.call(&control, call, 2, WAIT).await.is_ok_and(|a| a.status == 200) {
+            break;
+        }
+        assert!(begun.elapsed() < 3 * WAIT, "no configuration");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Two answers are lost after the platform did it; one worker refuses.
+    w.platform.lock().unwrap().lose = 2;
+    let a = w.started("n-1").await;
+    assert_eq!(a, "i-1");
+    assert_eq!(w.started("n-1").await, a, "asked again by the same nonce");
+    assert_eq!(w.started("n-2").await, "i-2");
+    // No worker is large enough: told at once, and nothing was called for it.
+    let calls = w.platform.lock().unwrap().calls;
+    let none = w.start("big", "n-3").await;
+    assert!(none.full && none.unit.is_empty());
+    assert!(w.start("unknown", "n-4").await.full);
+    assert_eq!(w.platform.lock().unwrap().calls, calls);
+    // The chair ends and another life of it goes on: the list is the truth, the nonce
+    // still comes to the same processor, and the fence is a higher one.
+    let before = w.platform.lock().unwrap().fences.iter().copied().max().expect("some");
+    let _ = stop.send(true);
+    let _ = running.await;
+    let (stop, running) = w.run();
+    w.platform.lock().unwrap().lose = 1;
+    assert_eq!(w.started("n-2").await, "i-2");
+    {
+        let p = w.platform.lock().unwrap();
+        assert_eq!(p.started.len(), 2, "none was started twice");
+        assert!(*p.fences.last().expect("some") > before && before > 0);
+    }
+    // Stopped, and stopped again by one that did not hear of it.
+    for _ in 0..2 {
+        let stop = Body::Stop(StopUnit { unit: "i-1".into() });
+        assert!(matches!(w.foreman.call(stop, WAIT).await, Ok(Body::Ack(_))));
+    }
+    // A keeper that is not known to the roster is told nothing that is another's.
+    let ask = UnitsAsk { front: "front-9".into(), digest: 0 };
+    match w.foreman.call(Body::UnitsAsk(ask), WAIT).await {
+        Ok(Body::Units(u)) => assert!(u.units.is_empty()),
+        other => panic!("{other:?}"),
+    }
+    let _ = stop.send(true);
+    let _ = running.await;
+    let _ = std::fs::remove_dir_all(&w.caliper.data_dir);
+}
