--- a/crates/apprentice/src/session.rs
+++ b/crates/apprentice/src/session.rs
@@ -16,7 +16,7 @@
     pub template: Arc<Pattern>,
     pub charter: Arc<Charter>,
     pub roster: Arc<Roster>,
-    pub chair: String,
+    pub leader: String,
     /// A change did not fit: the whole configuration is wanted.
     whole: bool,
 }
@@ -51,8 +51,8 @@
         {
             moved |= Arc::make_mut(&mut self.roster).take(r);
         }
-        if !news.chair.is_empty() && news.chair != self.chair {
-            self.chair = news.chair.clone();
+        if !news.leader.is_empty() && news.leader != self.leader {
+            self.leader = news.leader.clone();
             moved = true;
         }
         moved
@@ -116,7 +116,7 @@
             steps,
             charter: (mine.charter > have.charter).then(|| self.charter.since(have.charter)),
             roster: (mine.roster > have.roster).then(|| self.roster.since(have.roster)),
-            chair: self.chair.clone(),
+            leader: self.leader.clone(),
             ..News::default()
         };
         if let Some(json) = template {
@@ -278,7 +278,7 @@
                     if n.lived > 0 && self.relive(n.lived).is_some() {
                         continue;
                     }
-                    if n.chair.is_empty() {
+                    if n.leader.is_empty() {
                         // It follows nobody itself: others may know more.
                         turn += 1;
                         tokio::time::sleep(Duration::from_millis((quiet / 80.0) as u64)).await;
--- a/crates/dovetail/src/delta.rs
+++ b/crates/dovetail/src/delta.rs
@@ -75,10 +75,10 @@
     }
 }
 
-/// A chair's term stands in the upper bits of a roster's version: changes are
-/// counted within one chair's time only, as another one starts from what it
+/// A leader's term stands in the upper bits of a roster's version: changes are
+/// counted within one leader's time only, as another one starts from what it
 /// happened to know.
-fn chair(version: u64) -> u64 {
+fn leader(version: u64) -> u64 {
     version >> 24
 }
 
@@ -102,10 +102,10 @@
             || !self.units.iter().zip(units).all(|(a, b)| same_unit(a, b))
     }
 
-    /// The chair's next version. Nodes come in order of their names, processors in
+    /// The leader's next version. Nodes come in order of their names, processors in
     /// that of their ids.
     pub fn publish(&mut self, version: u64, nodes: &[&Node], units: &[Unit], listed: bool) {
-        if chair(self.version) != chair(version) {
+        if leader(self.version) != leader(version) {
             self.gone.clear();
             self.from = version;
         }
@@ -144,7 +144,7 @@
 
     /// What one that has version `have` lacks.
     pub fn since(&self, have: u64) -> Roster {
-        if have < self.from || have > self.version || chair(have) != chair(self.version) {
+        if have < self.from || have > self.version || leader(have) != leader(self.version) {
             return Roster { gone: Vec::new(), from: 0, ..self.clone() };
         }
         Roster {
@@ -168,14 +168,14 @@
             let listed = self.listed;
             *self = Roster { gone: Vec::new(), from: r.version, ..r.clone() };
             if !r.listed && listed {
-                // From a chair that could not ask the platform yet: that is no
+                // From a leader that could not ask the platform yet: that is no
                 // news of processors.
                 self.units = units;
                 self.listed = true;
             }
             return true;
         }
-        if r.since > self.version || chair(r.since) != chair(self.version) {
+        if r.since > self.version || leader(r.since) != leader(self.version) {
             return false;
         }
         for g in &r.gone {
--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -144,7 +144,7 @@
     pub have: Have,
     #[prost(uint32, tag = "3")]
     pub wait_ms: u32,
-    /// Sessions that a foreman holds, told to the one in the chair.
+    /// Sessions that a foreman holds, told to the leader.
     #[prost(message, repeated, tag = "4")]
     pub sessions: Vec<Node>,
     /// From a foreman: its time of day.
@@ -162,9 +162,9 @@
     pub charter: Option<Charter>,
     #[prost(message, optional, tag = "4")]
     pub roster: Option<Roster>,
-    /// Inner address of the foreman in the chair, if known.
+    /// Inner address of the leader, if known.
     #[prost(string, tag = "5")]
-    pub chair: String,
+    pub leader: String,
     /// Inner addresses of foremen.
     #[prost(string, repeated, tag = "6")]
     pub foremen: Vec<String>,
@@ -385,7 +385,7 @@
     pub changed: u64,
 }
 
-/// An owner's lease on its life: renewed with the foreman in the chair.
+/// An owner's lease on its life: renewed with the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Lease {
     #[prost(message, required, tag = "1")]
@@ -413,7 +413,7 @@
     pub ttl_ms: u32,
     /// Where to ask instead.
     #[prost(string, tag = "3")]
-    pub chair: String,
+    pub leader: String,
     /// Claimed partitions that are at a higher term by now.
     #[prost(message, repeated, tag = "4")]
     pub outdated: Vec<Partition>,
@@ -423,7 +423,7 @@
     /// As in `News`.
     #[prost(uint64, tag = "6")]
     pub lived: u64,
-    /// The fleet's time as the chair has it; 0 when it does not know enough clocks.
+    /// The fleet's time as the leader has it; 0 when it does not know enough clocks.
     #[prost(uint64, tag = "7")]
     pub time_ms: u64,
 }
@@ -473,7 +473,7 @@
     #[prost(bool, tag = "2")]
     pub refused: bool,
     #[prost(string, tag = "3")]
-    pub chair: String,
+    pub leader: String,
     #[prost(message, optional, tag = "4")]
     pub partition: Option<Partition>,
 }
@@ -520,14 +520,14 @@
     pub readmit: bool,
     /// Only asks whether it would be elected.
     #[prost(bool, tag = "11")]
-    pub trial: bool,
+    pub pre_vote: bool,
     /// With `Install`: who voted as of that state.
     #[prost(string, repeated, tag = "12")]
     pub voters: Vec<String>,
     /// Numbers appends, to tell rounds apart.
     #[prost(uint64, tag = "13")]
     pub round: u64,
-    /// Answer to a trial: has heard of no chair since its process began.
+    /// Answer to a pre-vote: has heard of no leader since its process began.
     #[prost(bool, tag = "14")]
     pub blank: bool,
 }
@@ -536,13 +536,13 @@
 #[repr(i32)]
 pub enum ViseKind {
     None = 0,
-    Ask = 1,
+    RequestVote = 1,
     Vote = 2,
     Append = 3,
     AppendAck = 4,
-    Install = 5,
-    /// The one in the chair names its successor.
-    Succeed = 6,
+    InstallSnapshot = 5,
+    /// The leader names its successor.
+    TimeoutNow = 6,
 }
 
 // ---- messages on their way ----
@@ -940,7 +940,7 @@
     pub hold_ms: u32,
 }
 
-/// A keeper wants a processor of a function: asked of the foreman in the chair.
+/// A keeper wants a processor of a function: asked of the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Start {
     #[prost(string, tag = "1")]
@@ -961,7 +961,7 @@
     pub address: String,
     /// Where to ask instead.
     #[prost(string, tag = "3")]
-    pub chair: String,
+    pub leader: String,
     /// No worker has room: asking again at once is of no use.
     #[prost(bool, tag = "4")]
     pub full: bool,
--- a/crates/dovetail/tests/news.rs
+++ b/crates/dovetail/tests/news.rs
@@ -30,30 +30,30 @@
 
 #[test]
 fn a_roster_by_changes_is_the_whole_roster() {
-    let mut chair = Roster::default();
-    publish(&mut chair, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false), unit("u2", false)]);
+    let mut leader = Roster::default();
+    publish(&mut leader, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false), unit("u2", false)]);
     let mut far = Roster::default();
-    assert!(far.take(&chair.since(0)));
+    assert!(far.take(&leader.since(0)));
     let mut late = far.clone();
-    publish(&mut chair, T1 + 2, &[node("a", 1), node("b", 2)], &[unit("u1", true), unit("u2", false)]);
-    let first = chair.since(far.version);
+    publish(&mut leader, T1 + 2, &[node("a", 1), node("b", 2)], &[unit("u1", true), unit("u2", false)]);
+    let first = leader.since(far.version);
     assert_eq!((first.nodes.len(), first.units.len(), first.since), (1, 1, T1 + 1), "only what changed");
-    publish(&mut chair, T1 + 3, &[node("b", 2), node("c", 1)], &[unit("u2", false), unit("u3", false)]);
-    let second = chair.since(first.version);
+    publish(&mut leader, T1 + 3, &[node("b", 2), node("c", 1)], &[unit("u2", false), unit("u3", false)]);
+    let second = leader.since(first.version);
     // Out of order: the second leaves a gap, and is not taken.
     assert!(!late.take(&second));
     assert!(far.take(&first) && far.take(&second) && !far.take(&first), "an older one changes nothing");
-    assert_eq!(view(&far), view(&chair));
+    assert_eq!(view(&far), view(&leader));
     // One that missed both gets them in one, from a neighbour as well.
     assert!(late.take(&far.since(late.version)));
-    assert_eq!(view(&late), view(&chair));
+    assert_eq!(view(&late), view(&leader));
 }
 
 #[test]
-fn a_chair_that_began_anew_sends_the_whole() {
+fn a_leader_that_began_anew_sends_the_whole() {
     let mut old = Roster::default();
     publish(&mut old, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false)]);
-    // The next chair has this copy; the old one still tells some of another change.
+    // The next leader has this copy; the old one still tells some of another change.
     let mut next = Roster::default();
     next.take(&old.since(0));
     publish(&mut old, T1 + 2, &[node("a", 1)], &[unit("u1", true)]);
@@ -64,11 +64,11 @@
     assert_eq!(news.since, 0, "what it did not know of cannot be told by changes");
     assert!(far.take(&news));
     assert_eq!(view(&far), view(&next));
-    assert!(!far.take(&old.since(T1 + 1)), "the old chair is not heard any more");
+    assert!(!far.take(&old.since(T1 + 1)), "the old leader is not heard any more");
 }
 
 #[test]
-fn a_chair_that_has_not_listed_leaves_the_processors_alone() {
+fn a_leader_that_has_not_listed_leaves_the_processors_alone() {
     let mut far = Roster::default();
     publish(&mut far, T1 + 1, &[node("a", 1)], &[unit("u1", true)]);
     let mut blank = Roster::default();
@@ -85,36 +85,36 @@
 
 #[test]
 fn removals_too_old_to_remember_are_told_by_the_whole() {
-    let mut chair = Roster::default();
+    let mut leader = Roster::default();
     let ids: Vec<Unit> = (0..600).map(|n| unit(&format!("u{n:04}"), false)).collect();
-    publish(&mut chair, T1 + 1, &[], &ids);
+    publish(&mut leader, T1 + 1, &[], &ids);
     let mut far = Roster::default();
-    far.take(&chair.since(0));
+    far.take(&leader.since(0));
     for n in 1..=500u64 {
-        publish(&mut chair, T1 + 1 + n, &[], &ids[n as usize..]);
+        publish(&mut leader, T1 + 1 + n, &[], &ids[n as usize..]);
     }
-    let news = chair.since(far.version);
+    let news = leader.since(far.version);
     assert_eq!(news.since, 0);
     assert!(far.take(&news));
-    assert_eq!(view(&far), view(&chair));
-    assert!(chair.since(T1 + 499).units.is_empty() && chair.since(T1 + 499).gone.len() == 2);
+    assert_eq!(view(&far), view(&leader));
+    assert!(leader.since(T1 + 499).units.is_empty() && leader.since(T1 + 499).gone.len() == 2);
 }
 
 #[test]
 fn a_charter_by_changes_is_the_whole_charter() {
     let part = |id: u32, term: u64, changed: u64| Partition { id, term, changed, ..Partition::default() };
-    let mut chair = Charter { version: 5, partitions: (0..8).map(|i| part(i, 1, 5)).collect(), ..Charter::default() };
+    let mut leader = Charter { version: 5, partitions: (0..8).map(|i| part(i, 1, 5)).collect(), ..Charter::default() };
     let mut far = Charter::default();
-    assert!(far.take(&chair.since(0)));
-    chair.partitions[3] = part(3, 2, 7);
-    chair.version = 7;
-    let first = chair.since(far.version);
+    assert!(far.take(&leader.since(0)));
+    leader.partitions[3] = part(3, 2, 7);
+    leader.version = 7;
+    let first = leader.since(far.version);
     assert_eq!(first.partitions.len(), 1);
-    chair.partitions[3] = part(3, 3, 9);
-    chair.partitions[4] = part(4, 2, 8);
-    chair.version = 9;
-    let second = chair.since(7);
+    leader.partitions[3] = part(3, 3, 9);
+    leader.partitions[4] = part(4, 2, 8);
+    leader.version = 9;
+    let second = leader.since(7);
     assert!(!far.clone().take(&second), "a gap is not taken");
     assert!(far.take(&first) && far.take(&second) && !far.take(&first));
-    assert_eq!(far, chair);
+    assert_eq!(far, leader);
 }
--- a/crates/foreman/src/actuate.rs
+++ b/crates/foreman/src/actuate.rs
@@ -31,7 +31,7 @@
 }
 
 impl Shop {
-    /// Keeps the list of workers while this foreman is in the chair.
+    /// Keeps the list of workers while this foreman leads.
     pub(crate) async fn list_workers(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
         #[derive(serde::Deserialize)]
         #[serde(rename_all = "camelCase", default)]
@@ -50,7 +50,7 @@
         let chuck = Chuck::new(period * 4);
         loop {
             let addr = settings.borrow().platform.address.clone();
-            if addr.is_empty() || !self.holds_chair() {
+            if addr.is_empty() || !self.holds_leadership() {
                 tokio::time::sleep(period / 8).await;
                 continue;
             }
@@ -104,10 +104,10 @@
 
     /// Starts one processor; asked again by the same nonce it comes to the same one.
     pub(crate) async fn start_unit(&self, s: Start, platform: &str) -> StartAck {
-        let chair = self.chair();
+        let leader = self.leader();
         let end = Instant::now() + Duration::from_millis(self.ratio(5.0));
-        let mut ack = StartAck { chair, ..StartAck::default() };
-        if !self.holds_chair() || s.nonce.is_empty() || s.nonce.len() > 64 {
+        let mut ack = StartAck { leader, ..StartAck::default() };
+        if !self.holds_leadership() || s.nonce.is_empty() || s.nonce.len() > 64 {
             return ack;
         }
         let pattern = self.pattern();
@@ -116,7 +116,7 @@
             ack.full = true;
             return ack;
         };
-        while Instant::now() < end && self.holds_chair() {
+        while Instant::now() < end && self.holds_leadership() {
             let now = self.now();
             let (worker, fence, known) = self.with(|f| {
                 let fence = f.term();
@@ -167,7 +167,7 @@
     pub(crate) async fn stop_unit(&self, unit: &str, platform: &str) -> bool {
         let end = Instant::now() + Duration::from_millis(self.ratio(5.0));
         let body = serde_json::json!({ "id": unit }).to_string();
-        while Instant::now() < end && self.holds_chair() {
+        while Instant::now() < end && self.holds_leadership() {
             let fence = self.with(|f| f.term());
             if let Some((200 | 404, _)) = self.actuate(platform, "/stop", &body, fence, end).await {
                 tally::count("stops");
--- a/crates/foreman/src/bellows.rs
+++ b/crates/foreman/src/bellows.rs
@@ -1,4 +1,4 @@
-//! Where processors of functions are started: a duty of the one in the chair. The
+//! Where processors of functions are started: a duty of the leader. The
 //! platform's lists are the truth; what is remembered here is only what they do not
 //! show yet.
 
--- a/crates/foreman/src/governor.rs
+++ b/crates/foreman/src/governor.rs
@@ -1,5 +1,5 @@
 //! The fleet's time: the middle of what many clocks say, carried on by the steady
-//! clock of the one in the chair. Clocks step; a middle of many does not.
+//! clock of the leader. Clocks step; a middle of many does not.
 
 use std::collections::HashMap;
 
--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -45,10 +45,10 @@
     if parts[..] == ["status"] {
         return Reply::json(200, shop.status());
     }
-    if !shop.holds_chair() {
-        return match shop.chair_control() {
+    if !shop.holds_leadership() {
+        return match shop.leader_control() {
             Some(addr) => Reply::new(307).with("Location", format!("http://{addr}{}", r.path)),
-            None => fault(503, "no foreman is in the chair").with("Retry-After", "1"),
+            None => fault(503, "no foreman leads").with("Retry-After", "1"),
         };
     }
     match (r.method.as_str(), &parts[..]) {
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -1,5 +1,5 @@
 //! The shell of a foreman: runs the log, keeps sessions and leases, and does
-//! the duties of the one in the chair.
+//! the duties of the leader.
 
 use crate::bellows::Bellows;
 use crate::governor::Governor;
@@ -55,16 +55,16 @@
     leases: HashMap<String, Leased>,
     /// Lives that were seen to end.
     ended: HashMap<String, u64>,
-    pub chair: String,
-    pub in_chair: bool,
+    pub leader: String,
+    pub is_leader: bool,
     /// Until when this foreman may act for the majority; 0 when it may not.
     serves_until: u64,
-    chaired_at: u64,
-    /// From when the roster of this chair is news: one that remembers none waits
+    leader_since: u64,
+    /// From when the roster of this leader is news: one that remembers none waits
     /// until the nodes have told it their sessions.
     publish_from: u64,
     voters: Vec<String>,
-    /// How far the other foremen are behind, as the chair knows it.
+    /// How far the other foremen are behind, as the leader knows it.
     behind: Vec<(String, u64)>,
     term: u64,
     roster_seq: u64,
@@ -79,7 +79,7 @@
     governor: Governor,
     /// A platform for functions.
     functions: bool,
-    /// Since when the processors are as this chair itself listed them; 0: not yet.
+    /// Since when the processors are as this leader itself listed them; 0: not yet.
     listed_at: u64,
     pub(crate) bellows: Bellows,
     /// The configuration in force, read once for a version.
@@ -104,7 +104,7 @@
         self.holds(now) && self.listed_at > 0
     }
 
-    /// The chair's term: fences what its holder has the platform do.
+    /// The leader's term: fences what its holder has the platform do.
     pub(crate) fn term(&self) -> u64 {
         self.term
     }
@@ -121,7 +121,7 @@
 
     /// Checked whenever authority is used: it runs out by the clock alone.
     fn holds(&self, now: u64) -> bool {
-        self.in_chair && now < self.serves_until
+        self.is_leader && now < self.serves_until
     }
 
     /// Takes what a node says of itself, from whoever brings it: a later life
@@ -201,19 +201,19 @@
         let mut homes: Vec<&String> = f.rack.charter.partitions.iter().flat_map(|p| &p.homes).collect();
         homes.sort_unstable();
         homes.dedup();
-        let wanted = if now > f.chaired_at + self.ratio(16.0) { 1 } else { homes.len() / 2 + 2 };
+        let wanted = if now > f.leader_since + self.ratio(16.0) { 1 } else { homes.len() / 2 + 2 };
         f.governor.hear(&self.caliper.node, tally::wall_ms(), now);
         f.governor.settle(wanted, now);
     }
 
-    /// The fleet's time; None while the chair does not know it.
+    /// The fleet's time; None while the leader does not know it.
     pub fn time(&self) -> Option<u64> {
         let now = self.now();
         self.with(|f| f.governor.time(now))
     }
 
-    /// Whether this foreman is in the chair and a majority still follows it.
-    pub fn holds_chair(&self) -> bool {
+    /// Whether this foreman leads and a majority still follows it.
+    pub fn holds_leadership(&self) -> bool {
         let now = self.now();
         self.with(|f| f.holds(now))
     }
@@ -227,20 +227,20 @@
         tokio::time::timeout(wait, rx).await.ok()?.ok()?
     }
 
-    /// Who is in the chair, as far as is known: nobody, once this foreman's own
+    /// Who leads, as far as is known: nobody, once this foreman's own
     /// authority has run out.
-    pub(crate) fn chair(&self) -> String {
+    pub(crate) fn leader(&self) -> String {
         let now = self.now();
-        self.with(|f| if f.chair == self.me && !f.holds(now) { String::new() } else { f.chair.clone() })
+        self.with(|f| if f.leader == self.me && !f.holds(now) { String::new() } else { f.leader.clone() })
     }
 
-    /// The control address of the foreman in the chair, if it is another one.
-    pub fn chair_control(&self) -> Option<String> {
-        let chair = self.chair();
-        if chair.is_empty() || chair == self.me {
+    /// The control address of the leader, if it is another one.
+    pub fn leader_control(&self) -> Option<String> {
+        let leader = self.leader();
+        if leader.is_empty() || leader == self.me {
             return None;
         }
-        let ip = chair.rsplit_once(':')?.0.to_owned();
+        let ip = leader.rsplit_once(':')?.0.to_owned();
         let port = self.caliper.listen.control.rsplit_once(':')?.1;
         Some(format!("{ip}:{port}"))
     }
@@ -322,10 +322,10 @@
 
     fn lease(&self, l: Lease, connection: u64) -> LeaseAck {
         let now = self.now();
-        let chair = self.chair();
+        let leader = self.leader();
         self.with(|f| {
             if !f.holds(now) || !possible(l.node.life) {
-                return LeaseAck { chair, ..LeaseAck::default() };
+                return LeaseAck { leader, ..LeaseAck::default() };
             }
             f.governor.hear(&l.node.name, l.clock_ms, now);
             if f.governor.time(now).is_none() {
@@ -336,7 +336,7 @@
                 // A former life of that node, on its way for long; or one that began by
                 // a clock that is behind, and is to begin another.
                 tally::count("sessions_outdated");
-                return LeaseAck { chair, lived, ..LeaseAck::default() };
+                return LeaseAck { leader, lived, ..LeaseAck::default() };
             }
             let name = l.node.name.clone();
             if f.ended.get(&name) == Some(&l.node.life) {
@@ -377,7 +377,7 @@
             LeaseAck {
                 granted: l.lag < 2,
                 ttl_ms: self.caliper.lease_ms() as u32,
-                chair,
+                leader,
                 outdated: l.claims.iter().filter_map(term).cloned().collect(),
                 lagging: f.leases.iter().filter(|(_, l)| l.lag > 0).map(|(n, _)| n.clone()).collect(),
                 lived: 0,
@@ -427,13 +427,13 @@
                 lived = f.later_life(n);
                 f.governor.hear(&n.name, w.clock_ms, now);
             }
-            if f.in_chair
+            if f.is_leader
                 && f.roster.version == 0
                 && w.have.roster > 0
                 && w.node.as_ref().is_some_and(|n| n.role == "foreman")
             {
-                // Others remember more than this chair: it must not forget them aloud.
-                f.publish_from = f.chaired_at + self.ratio(4.0);
+                // Others remember more than this leader: it must not forget them aloud.
+                f.publish_from = f.leader_since + self.ratio(4.0);
             }
             for n in w.node.iter().chain(&w.sessions).filter(|n| possible(n.life)) {
                 changed |= f.tell(n, now);
@@ -463,7 +463,7 @@
                 steps,
                 charter: (have.charter > w.have.charter).then(|| f.rack.charter.since(w.have.charter)),
                 roster: (have.roster > w.have.roster).then(|| f.roster.since(w.have.roster)),
-                chair: if f.chair == self.me && !f.holds(self.now()) { String::new() } else { f.chair.clone() },
+                leader: if f.leader == self.me && !f.holds(self.now()) { String::new() } else { f.leader.clone() },
                 foremen: f
                     .sessions
                     .values()
@@ -485,8 +485,8 @@
     }
 
     async fn order(&self, o: Order) -> OrderAck {
-        let mut ack = OrderAck { chair: self.chair(), ..OrderAck::default() };
-        if !self.holds_chair() {
+        let mut ack = OrderAck { leader: self.leader(), ..OrderAck::default() };
+        if !self.holds_leadership() {
             return ack;
         }
         let Some(was) = self.partition(o.partition) else {
@@ -530,14 +530,14 @@
         ack
     }
 
-    // ---- duties of the one in the chair ----
+    // ---- duties of the leader ----
 
     fn alive(f: &Floor, now: u64, lease: u64, name: &str) -> bool {
         // A lease runs from when the node sent its request; a quarter is added
         // for what clocks and queues may differ.
-        let grace = f.chaired_at + lease * 2;
+        let grace = f.leader_since + lease * 2;
         f.leases.get(name).map_or(now < grace, |l| {
-            l.lag < 2 && f.ended.get(name) != Some(&l.life) && now < l.at.max(f.chaired_at) + lease * 5 / 4
+            l.lag < 2 && f.ended.get(name) != Some(&l.life) && now < l.at.max(f.leader_since) + lease * 5 / 4
         })
     }
 
@@ -557,7 +557,7 @@
             let me = self.me.clone();
             f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
             let told = f.roster.version;
-            if f.sessions.len() == before || now > f.chaired_at + limit {
+            if f.sessions.len() == before || now > f.leader_since + limit {
                 // Also what could not be published when it was heard.
                 Self::refresh_roster(f, now);
             }
@@ -646,7 +646,7 @@
                 let away = (self.caliper.constraints.settle_s * patience) as u64;
                 let gone = p.homes.iter().find(|h| {
                     retiring.contains(h)
-                        || (now > f.chaired_at + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
+                        || (now > f.leader_since + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
                 });
                 if let Some(gone) = gone
                     && spare.len() >= replicas
@@ -699,7 +699,7 @@
     }
 
     async fn judge(&self) {
-        // The chair's own clock may step in the middle of a trial.
+        // The leader's own clock may step in the middle of a trial.
         let Some(wall) = self.time() else { return };
         if self.with(|f| f.rack.charter.rollouts.iter().all(|r| r.state != "running")) {
             return;
@@ -765,7 +765,7 @@
         let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
         loop {
             let addr = settings.borrow().platform.address.clone();
-            if addr.is_empty() || !self.holds_chair() {
+            if addr.is_empty() || !self.holds_leadership() {
                 tokio::time::sleep(period / 4).await;
                 continue;
             }
@@ -819,19 +819,19 @@
         }
     }
 
-    /// A foreman that is not in the chair keeps a session with it, tells it its own
+    /// A foreman that does not lead keeps a session with it, tells it its own
     /// sessions, and takes the soft state from it.
     async fn follow(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
         let wait = self.ratio(8.0);
-        // A newcomer is known to nobody: whoever runs is asked who is in the chair.
+        // A newcomer is known to nobody: whoever runs is asked who leads.
         let (mut hint, mut turn) = (String::new(), 0usize);
         loop {
-            let (chair, mine, have, sessions) = self.with(|f| {
+            let (leader, mine, have, sessions) = self.with(|f| {
                 let now = self.now();
                 let limit = self.ratio(3.0);
-                let in_chair = f.in_chair;
+                let is_leader = f.is_leader;
                 let me = self.me.clone();
-                if !in_chair {
+                if !is_leader {
                     f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
                 }
                 let list: Vec<Node> = f
@@ -840,15 +840,15 @@
                     .filter(|s| s.node.inner != me && s.node.role != "foreman" && s.node.role != "lathe")
                     .map(|s| s.node.clone())
                     .collect();
-                (f.chair.clone(), in_chair, Self::have(f), list)
+                (f.leader.clone(), is_leader, Self::have(f), list)
             });
-            if mine || chair == self.me {
+            if mine || leader == self.me {
                 tokio::time::sleep(Duration::from_millis(wait / 4)).await;
                 continue;
             }
-            let known = !chair.is_empty();
-            let chair = if known { chair } else { std::mem::take(&mut hint) };
-            let chair = if chair.is_empty() || chair == self.me {
+            let known = !leader.is_empty();
+            let leader = if known { leader } else { std::mem::take(&mut hint) };
+            let leader = if leader.is_empty() || leader == self.me {
                 tokio::time::sleep(Duration::from_millis(wait / 8)).await;
                 let seeds: Vec<String> =
                     settings.borrow().seed_foremen().into_iter().filter(|s| *s != self.me).collect();
@@ -860,11 +860,11 @@
                     ..Watch::default()
                 };
                 if let Ok(Body::News(n)) = self.bench.to(seed).call(Body::Watch(w), Duration::from_millis(wait)).await {
-                    hint = n.chair;
+                    hint = n.leader;
                 }
                 continue;
             } else {
-                chair
+                leader
             };
             let w = Watch {
                 node: Some(self.node()),
@@ -873,9 +873,9 @@
                 sessions,
                 clock_ms: tally::wall_ms(),
             };
-            match self.bench.to(&chair).call(Body::Watch(w), Duration::from_millis(wait * 2)).await {
+            match self.bench.to(&leader).call(Body::Watch(w), Duration::from_millis(wait * 2)).await {
                 Ok(Body::News(n)) => self.with(|f| {
-                    if f.in_chair {
+                    if f.is_leader {
                         return;
                     }
                     if n.lived >= self.life.load(Ordering::Relaxed) && possible(n.lived) {
@@ -944,8 +944,8 @@
                 .filter(|(_, l)| l.lag > 0)
                 .map(|(n, l)| (n, if l.lag == 1 { "slow" } else { "does not answer" }))
                 .collect();
-            serde_json::json!({"node": self.caliper.node, "chair": f.chair, "inChair": f.in_chair,
-                "duties": if f.in_chair { vec!["lister", "judge", "assigner"] } else { vec![] },
+            serde_json::json!({"node": self.caliper.node, "leader": f.leader, "isLeader": f.is_leader,
+                "duties": if f.is_leader { vec!["lister", "judge", "assigner"] } else { vec![] },
                 "voters": f.voters, "behind": behind, "disks": disks, "revision": f.rack.revision, "charter": f.rack.charter.version, "roster": f.roster.version,
                 "units": f.roster.units.len(), "partitions": parts, "nodes": nodes, "counters": tally::render()})
             .to_string()
@@ -961,11 +961,11 @@
 ) -> Result<(), String> {
     let me = caliper.inner_addr(Role::Foreman);
     let quiet = caliper.constraints.quiet_ms;
-    let (mut hard, mut state, mut log) = (None::<Hard>, Bytes::new(), Vec::new());
+    let (mut hard, mut state, mut log) = (None::<HardState>, Bytes::new(), Vec::new());
     let mut broken = None;
     let drawer =
         Drawer::open(&caliper.data_dir, caliper.limits.disk_mb, caliper.limits.memory_mb, |k, v| match k[0] {
-            b'h' => match Hard::decode(v) {
+            b'h' => match HardState::decode(v) {
                 Ok(h) => hard = Some(h),
                 Err(e) => broken = Some(format!("the vote record: {e}")),
             },
@@ -985,10 +985,10 @@
     }
     // Only the first start of all takes the voters from the seeds; any later
     // newcomer is told them by the log.
-    let hard = hard.unwrap_or_else(|| Hard {
+    let hard = hard.unwrap_or_else(|| HardState {
         voters: if caliper.initial_start { caliper.seed_foremen() } else { Vec::new() },
         may_vote: caliper.initial_start,
-        ..Hard::default()
+        ..HardState::default()
     });
     log.retain(|e: &ViseEntry| e.index > hard.base);
     log.sort_by_key(|e| e.index);
@@ -1018,10 +1018,10 @@
             sessions: BTreeMap::new(),
             leases: HashMap::new(),
             ended: HashMap::new(),
-            chair: String::new(),
-            in_chair: false,
+            leader: String::new(),
+            is_leader: false,
             serves_until: 0,
-            chaired_at: 0,
+            leader_since: 0,
             publish_from: 0,
             voters: Vec::new(),
             behind: Vec::new(),
@@ -1090,7 +1090,7 @@
         loop {
             tokio::time::sleep(period).await;
             rounds += 1;
-            if s.holds_chair() {
+            if s.holds_leadership() {
                 s.assign().await;
                 if rounds.is_multiple_of(3) {
                     s.judge().await;
@@ -1173,7 +1173,7 @@
                     tokio::pin!(saving);
                     let patience = Duration::from_millis(shop.ratio(32.0));
                     if tokio::time::timeout(patience, &mut saving).await.is_err() {
-                        if vise.seat == Seat::Chair && vise.voters().len() > 1 {
+                        if vise.role == StateRole::Leader && vise.voters().len() > 1 {
                             // It cannot write, so it cannot lead: another one can at once.
                             tally::change!("the disk does not answer: naming a successor");
                             for e in vise.step(shop.now(), Event::StepDown) {
@@ -1182,9 +1182,9 @@
                                 }
                             }
                             shop.with(|f| {
-                                f.in_chair = false;
+                                f.is_leader = false;
                                 f.serves_until = 0;
-                                f.chair.clear();
+                                f.leader.clear();
                             });
                             waiting.clear();
                         }
@@ -1212,18 +1212,18 @@
                         }),
                         Err(e) => {
                             // Never go on with a blank one.
-                            tally::error!("the state that the chair sent cannot be read, ending: {e}");
+                            tally::error!("the state that the leader sent cannot be read, ending: {e}");
                             std::process::exit(3);
                         }
                     }
                     shop.news.notify_waiters();
                 }
-                Effect::ChairTaken => {
-                    tally::change!("in the chair at term {}", vise.hard.term);
+                Effect::BecameLeader => {
+                    tally::change!("leader at term {}", vise.hard.term);
                     let now = shop.now();
                     shop.with(|f| {
-                        f.in_chair = true;
-                        f.chaired_at = now;
+                        f.is_leader = true;
+                        f.leader_since = now;
                         f.listed_at = 0;
                         f.term = vise.hard.term;
                         f.roster_seq = 0;
@@ -1239,9 +1239,9 @@
                         }
                     });
                 }
-                Effect::ChairLost => {
-                    tally::change!("left the chair");
-                    shop.with(|f| f.in_chair = false);
+                Effect::SteppedDown => {
+                    tally::change!("no longer the leader");
+                    shop.with(|f| f.is_leader = false);
                     waiting.clear();
                 }
             }
@@ -1249,7 +1249,7 @@
         let until = vise.serves_until(shop.now());
         shop.with(|f| {
             f.serves_until = until;
-            vise.chair_at(shop.now()).clone_into(&mut f.chair);
+            vise.leader_at(shop.now()).clone_into(&mut f.leader);
             if ticked {
                 f.behind = vise.behind();
             }
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -11,13 +11,13 @@
 pub enum Event {
     Tick,
     Message(ViseMsg),
-    /// Adds an entry; only in the chair.
+    /// Adds an entry; only while leading.
     Propose(Bytes),
-    /// Name a successor and leave the chair.
+    /// Name a successor and stop leading.
     StepDown,
     /// The foremen whose sessions stand: those without a vote are kept up to date.
     Foremen(Vec<String>),
-    /// Add or remove one voter; only in the chair, and one change at a time.
+    /// Add or remove one voter; only while leading, and one change at a time.
     SetVoters(Vec<String>),
     /// The shell's state as of `index`, to cut the log with.
     Snapshot {
@@ -36,17 +36,17 @@
     Restore(Bytes),
     /// The proposal just made has this index and term.
     Proposed(u64, u64),
-    ChairTaken,
-    ChairLost,
+    BecameLeader,
+    SteppedDown,
 }
 
 /// What the disk keeps about votes.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Hard {
+pub struct HardState {
     #[prost(uint64, tag = "1")]
     pub term: u64,
     #[prost(string, tag = "2")]
-    pub voted: String,
+    pub voted_for: String,
     #[prost(bool, tag = "3")]
     pub may_vote: bool,
     /// The voters as of `base`; later entries of the log may change them.
@@ -60,7 +60,7 @@
 
 #[derive(Debug, Default)]
 pub struct Save {
-    pub hard: Option<Hard>,
+    pub hard: Option<HardState>,
     /// The whole state as of `hard.base`.
     pub state: Option<Bytes>,
     pub put: Vec<ViseEntry>,
@@ -69,11 +69,11 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Seat {
-    Floor,
-    Trial,
+pub enum StateRole {
+    Follower,
+    PreCandidate,
     Candidate,
-    Chair,
+    Leader,
 }
 
 /// Bounds of the state machine's clock, in milliseconds.
@@ -85,7 +85,7 @@
 
 pub struct Vise {
     me: String,
-    pub hard: Hard,
+    pub hard: HardState,
     state: Bytes,
     log: Vec<ViseEntry>,
     /// The voters that the newest entry about them names, committed or not, and
@@ -99,16 +99,16 @@
     gone_back: HashMap<String, u64>,
     pub commit: u64,
     applied: u64,
-    pub seat: Seat,
-    pub chair: String,
+    pub role: StateRole,
+    pub leader: String,
     heard: u64,
     election_at: u64,
     beat_at: u64,
     votes: HashSet<String>,
-    /// Has heard of no chair since this process began.
+    /// Has heard of no leader since this process began.
     blank: bool,
     blank_at: u64,
-    /// Voters that said the same in answer to a trial, and whether they would
+    /// Voters that said the same in answer to a pre_vote, and whether they would
     /// elect this one.
     blanks: HashMap<String, bool>,
     next: HashMap<String, u64>,
@@ -124,7 +124,7 @@
 }
 
 impl Vise {
-    pub fn new(me: &str, hard: Hard, state: Bytes, log: Vec<ViseEntry>, pace: Pace, seed: u64, now: u64) -> Vise {
+    pub fn new(me: &str, hard: HardState, state: Bytes, log: Vec<ViseEntry>, pace: Pace, seed: u64, now: u64) -> Vise {
         let base = hard.base;
         let mut v = Vise {
             me: me.into(),
@@ -137,9 +137,9 @@
             gone_back: HashMap::new(),
             commit: base,
             applied: base,
-            seat: Seat::Floor,
-            chair: String::new(),
-            // It may have heard a chair just before it ended: that one may still
+            role: StateRole::Follower,
+            leader: String::new(),
+            // It may have heard a leader just before it ended: that one may still
             // count on this voter for an election time.
             heard: now,
             election_at: 0,
@@ -175,7 +175,7 @@
 
     /// How many committed entries each other foreman is not known to hold.
     pub fn behind(&self) -> Vec<(String, u64)> {
-        if self.seat != Seat::Chair {
+        if self.role != StateRole::Leader {
             return Vec::new();
         }
         let others = self.voters.iter().chain(&self.learners).filter(|f| **f != self.me);
@@ -189,7 +189,7 @@
     }
 
     /// Whether a foreman without a vote could have one: it holds what is
-    /// committed, and has not forgotten what it voted before.
+    /// committed, and has not forgotten what it voted_for before.
     pub fn could_vote(&self, foreman: &str, now: u64) -> bool {
         self.matched.get(foreman).is_some_and(|m| *m >= self.commit)
             && !self.waiting.contains_key(foreman)
@@ -221,9 +221,11 @@
     }
 
     /// Whether the voters can be changed: the last change is over, and this
-    /// chair has committed an entry of its own.
+    /// leader has committed an entry of its own.
     pub fn may_change_voters(&self) -> bool {
-        self.seat == Seat::Chair && self.voters_at <= self.commit && self.term_at(self.commit) == Some(self.hard.term)
+        self.role == StateRole::Leader
+            && self.voters_at <= self.commit
+            && self.term_at(self.commit) == Some(self.hard.term)
     }
 
     fn wait_again(&mut self, now: u64) {
@@ -260,24 +262,24 @@
         ViseMsg { from: self.me.clone(), term: self.hard.term, kind: kind as i32, ..ViseMsg::default() }
     }
 
-    /// In the chair, and a majority has answered rounds sent within an election
+    /// Leads, and a majority has answered rounds sent within an election
     /// time: nobody else can have been elected yet.
-    pub fn holds_chair(&self, now: u64) -> bool {
-        self.seat == Seat::Chair && self.contact(now) + self.pace.election > now
+    pub fn holds_leadership(&self, now: u64) -> bool {
+        self.role == StateRole::Leader && self.contact(now) + self.pace.election > now
     }
 
-    /// Until when it may act for the majority: it holds the chair until then, and
+    /// Until when it may act for the majority: it leads until then, and
     /// has applied all that was acknowledged before its term, so that it knows what
     /// to answer. To be compared with the clock whenever authority is used.
     pub fn serves_until(&self, now: u64) -> u64 {
         let applied = self.applied > self.hard.base && self.term_at(self.applied) == Some(self.hard.term);
-        if self.seat == Seat::Chair && applied { self.contact(now) + self.pace.election } else { 0 }
+        if self.role == StateRole::Leader && applied { self.contact(now) + self.pace.election } else { 0 }
     }
 
-    /// Who is in the chair, while it is heard of.
-    pub fn chair_at(&self, now: u64) -> &str {
-        let heard = self.seat == Seat::Chair || now < self.heard + 3 * self.pace.election;
-        if heard { &self.chair } else { "" }
+    /// Who leads, while it is heard of.
+    pub fn leader_at(&self, now: u64) -> &str {
+        let heard = self.role == StateRole::Leader || now < self.heard + 3 * self.pace.election;
+        if heard { &self.leader } else { "" }
     }
 
     /// The latest moment at which a majority is known to have followed.
@@ -297,7 +299,7 @@
             Event::Tick => self.tick(now, &mut out),
             Event::Message(m) => self.receive(now, m, &mut out),
             Event::Propose(data) => {
-                if self.seat == Seat::Chair {
+                if self.role == StateRole::Leader {
                     self.append(now, data, &mut out);
                 }
             }
@@ -323,9 +325,9 @@
     }
 
     fn tick(&mut self, now: u64, out: &mut Vec<Effect>) {
-        if self.seat == Seat::Chair {
+        if self.role == StateRole::Leader {
             if self.contact(now) + 3 * self.pace.election < now {
-                self.leave_chair(now, out);
+                self.become_follower(now, out);
             } else if now >= self.beat_at {
                 self.broadcast(now, out);
             }
@@ -335,31 +337,31 @@
                 self.campaign(now, true, false, out);
             }
         } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote {
-            // All may have ended at once: then nobody counts on a chair, and there is
+            // All may have ended at once: then nobody counts on a leader, and there is
             // nothing to wait for.
             self.blank_at = now + self.pace.election / 8 + self.dice % (self.pace.election / 8).max(1);
             self.campaign(now, true, false, out);
         }
     }
 
-    fn campaign(&mut self, now: u64, trial: bool, named: bool, out: &mut Vec<Effect>) {
+    fn campaign(&mut self, now: u64, pre_vote: bool, named: bool, out: &mut Vec<Effect>) {
         self.votes.clear();
         self.votes.insert(self.me.clone());
-        let mut m = self.message(ViseKind::Ask);
-        if trial {
+        let mut m = self.message(ViseKind::RequestVote);
+        if pre_vote {
             self.blanks.clear();
-            self.seat = Seat::Trial;
+            self.role = StateRole::PreCandidate;
             m.term = self.hard.term + 1;
         } else {
-            self.seat = Seat::Candidate;
+            self.role = StateRole::Candidate;
             self.hard.term += 1;
-            self.hard.voted = self.me.clone();
-            self.chair.clear();
+            self.hard.voted_for = self.me.clone();
+            self.leader.clear();
             out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
             m.term = self.hard.term;
         }
         (m.index, m.log_term) = self.last();
-        m.trial = trial;
+        m.pre_vote = pre_vote;
         m.ok = named;
         for v in self.voters.iter().filter(|v| **v != self.me) {
             out.push(Effect::Send(v.clone(), m.clone()));
@@ -371,12 +373,12 @@
         if self.votes.len() < self.majority() {
             return;
         }
-        match self.seat {
-            Seat::Trial => self.campaign(now, false, false, out),
-            Seat::Candidate => {
-                self.seat = Seat::Chair;
+        match self.role {
+            StateRole::PreCandidate => self.campaign(now, false, false, out),
+            StateRole::Candidate => {
+                self.role = StateRole::Leader;
                 self.blank = false;
-                self.chair = self.me.clone();
+                self.leader = self.me.clone();
                 let next = self.last().0 + 1;
                 self.gone_back.clear();
                 self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
@@ -384,7 +386,7 @@
                 self.sent.clear();
                 self.waiting.clear();
                 self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
-                out.push(Effect::ChairTaken);
+                out.push(Effect::BecameLeader);
                 // An entry of its own term, so that older ones can count as held.
                 // It names the voters anew, for those who hold no earlier entry.
                 let voters = self.voters.clone();
@@ -394,18 +396,18 @@
         }
     }
 
-    fn leave_chair(&mut self, now: u64, out: &mut Vec<Effect>) {
-        if self.seat == Seat::Chair {
-            out.push(Effect::ChairLost);
+    fn become_follower(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.role == StateRole::Leader {
+            out.push(Effect::SteppedDown);
         }
-        self.seat = Seat::Floor;
-        self.chair.clear();
+        self.role = StateRole::Follower;
+        self.leader.clear();
         self.wait_again(now);
     }
 
     fn step_down(&mut self, now: u64, out: &mut Vec<Effect>) {
-        if self.seat != Seat::Chair {
-            self.hard.may_vote = false; // Leaving: does not run for the chair again.
+        if self.role != StateRole::Leader {
+            self.hard.may_vote = false; // Leaving: does not run for leadership again.
             return;
         }
         let best =
@@ -413,10 +415,10 @@
                 (self.matched.get(*v).copied().unwrap_or(0), self.answered.get(*v).copied().unwrap_or(0))
             });
         if let Some(to) = best.cloned() {
-            let m = self.message(ViseKind::Succeed);
+            let m = self.message(ViseKind::TimeoutNow);
             out.push(Effect::Send(to, m));
         }
-        self.leave_chair(now, out);
+        self.become_follower(now, out);
         self.election_at = now + 8 * self.pace.election;
     }
 
@@ -457,7 +459,7 @@
         m.round = self.round;
         m.commit = self.commit;
         if next <= self.hard.base {
-            m.kind = ViseKind::Install as i32;
+            m.kind = ViseKind::InstallSnapshot as i32;
             m.index = self.hard.base;
             m.log_term = self.hard.base_term;
             m.state = self.state.clone();
@@ -484,7 +486,7 @@
     }
 
     fn advance(&mut self, out: &mut Vec<Effect>) {
-        if self.seat == Seat::Chair {
+        if self.role == StateRole::Leader {
             let last = self.last().0;
             let mut held: Vec<u64> = self
                 .voters
@@ -509,12 +511,12 @@
 
     fn receive(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         let kind = ViseKind::try_from(m.kind).unwrap_or(ViseKind::None);
-        if kind == ViseKind::Ask {
+        if kind == ViseKind::RequestVote {
             self.asked(now, m, out);
             return;
         }
-        if m.trial {
-            if self.seat == Seat::Trial && m.term == self.hard.term + 1 {
+        if m.pre_vote {
+            if self.role == StateRole::PreCandidate && m.term == self.hard.term + 1 {
                 if m.blank {
                     self.blanks.insert(m.from.clone(), m.index > 0);
                 }
@@ -524,12 +526,12 @@
                 }
                 let others: Vec<&String> = self.voters.iter().filter(|v| **v != self.me).collect();
                 let willing = others.iter().filter(|v| self.blanks.get(**v) == Some(&true)).count();
-                if self.seat == Seat::Trial
+                if self.role == StateRole::PreCandidate
                     && self.blank
                     && others.iter().all(|v| self.blanks.contains_key(*v))
                     && willing + 1 >= self.majority()
                 {
-                    // Every voter is in a new life, the last chair among them.
+                    // Every voter is in a new life, the last leader among them.
                     self.campaign(now, false, true, out);
                 }
             }
@@ -537,18 +539,18 @@
         }
         if m.term > self.hard.term {
             self.hard.term = m.term;
-            self.hard.voted.clear();
+            self.hard.voted_for.clear();
             out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
-            self.leave_chair(now, out);
+            self.become_follower(now, out);
         }
         match kind {
-            ViseKind::Vote if m.ok && m.term == self.hard.term && self.seat == Seat::Candidate => {
+            ViseKind::Vote if m.ok && m.term == self.hard.term && self.role == StateRole::Candidate => {
                 self.votes.insert(m.from);
                 self.count_votes(now, out);
             }
-            ViseKind::Append | ViseKind::Install => self.appended(now, m, kind, out),
+            ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
             ViseKind::AppendAck => self.acked(m, out),
-            ViseKind::Succeed if m.term == self.hard.term && self.hard.may_vote && self.is_voter() => {
+            ViseKind::TimeoutNow if m.term == self.hard.term && self.hard.may_vote && self.is_voter() => {
                 self.campaign(now, false, true, out);
             }
             _ => {}
@@ -556,18 +558,18 @@
     }
 
     fn asked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
-        let followed = self.seat == Seat::Chair || now < self.heard + self.pace.election;
+        let followed = self.role == StateRole::Leader || now < self.heard + self.pace.election;
         let mut r = self.message(ViseKind::Vote);
-        r.trial = m.trial;
+        r.pre_vote = m.pre_vote;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
         if !self.voters.contains(&m.from) {
             tally::count("vise_strangers");
             return;
         }
-        if m.trial {
+        if m.pre_vote {
             r.term = m.term;
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
-            r.blank = self.blank && self.seat != Seat::Chair;
+            r.blank = self.blank && self.role != StateRole::Leader;
             r.index = u64::from(newer && self.hard.may_vote);
             out.push(Effect::Send(m.from, r));
             return;
@@ -577,14 +579,14 @@
         }
         if m.term > self.hard.term {
             self.hard.term = m.term;
-            self.hard.voted.clear();
-            self.leave_chair(now, out);
+            self.hard.voted_for.clear();
+            self.become_follower(now, out);
         }
         r.term = self.hard.term;
-        let free = self.hard.voted.is_empty() || self.hard.voted == m.from;
+        let free = self.hard.voted_for.is_empty() || self.hard.voted_for == m.from;
         r.ok = m.term == self.hard.term && free && newer && self.hard.may_vote;
         if r.ok {
-            self.hard.voted = m.from.clone();
+            self.hard.voted_for = m.from.clone();
             self.wait_again(now);
         }
         out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
@@ -599,10 +601,10 @@
             out.push(Effect::Send(m.from, r));
             return;
         }
-        if self.seat != Seat::Floor {
-            self.leave_chair(now, out);
+        if self.role != StateRole::Follower {
+            self.become_follower(now, out);
         }
-        self.chair = m.from.clone();
+        self.leader = m.from.clone();
         self.blank = false;
         self.heard = now;
         self.wait_again(now);
@@ -611,7 +613,7 @@
             self.hard.may_vote = true;
             save.hard = Some(self.hard.clone());
         }
-        if kind == ViseKind::Install && m.index > self.commit {
+        if kind == ViseKind::InstallSnapshot && m.index > self.commit {
             let last = self.last().0;
             save.del = Some((self.hard.base + 1, last));
             self.log.clear();
@@ -666,7 +668,7 @@
     }
 
     fn acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
-        if self.seat != Seat::Chair || m.term != self.hard.term {
+        if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
         }
         if !self.voters.contains(&m.from) && !self.learners.contains(&m.from) {
@@ -707,7 +709,7 @@
     }
 
     /// One that lost its disk votes again once it holds the whole log, and every
-    /// other voter that a majority needs has followed this chair since it asked:
+    /// other voter that a majority needs has followed this leader since it asked:
     /// no vote or entry that it forgot can matter then.
     fn readmit(&mut self, m: &ViseMsg, out: &mut Vec<Effect>) {
         let asked = *self.waiting.entry(m.from.clone()).or_insert(self.round);
--- a/crates/foreman/tests/clocks.rs
+++ b/crates/foreman/tests/clocks.rs
@@ -23,7 +23,7 @@
 fn a_third_of_the_clocks_stepping_does_not_move_the_time() {
     for by in [-2400, 2400, -86_400_000, 86_400_000] {
         let mut g = Governor::new(50, 2000);
-        // All come back at once in the middle of the step: its chair has no memory.
+        // All come back at once in the middle of the step: its leader has no memory.
         told(&mut g, 1000, 60, 20, by);
         g.settle(31, 1000);
         assert!(off(&g, 1000).abs() <= 10, "step of {by}: {}", off(&g, 1000));
--- a/crates/foreman/tests/duties.rs
+++ b/crates/foreman/tests/duties.rs
@@ -1,4 +1,4 @@
-//! What the one in the chair decides: owners, homes, verdicts.
+//! What the leader decides: owners, homes, verdicts.
 
 use dovetail::msg::*;
 use foreman::*;
@@ -45,7 +45,7 @@
     // Alone, it goes on itself, in its new life.
     let s = seize(&p, |n| n == "a", |_| Some(9)).expect("a new term");
     assert_eq!((s.owner.as_str(), s.term, s.joined_life("a")), ("a", 5, 9));
-    // A chair that is new waits for a node to tell its life before it gives it anything.
+    // A leader that is new waits for a node to tell its life before it gives it anything.
     let told = |n: &str| (n != "b").then_some(9);
     assert_eq!(seize(&p, |_| true, told).map(|s| s.owner), Some("a".into()));
     assert_eq!(seize(&p, |n| n == "b", |_| None), None);
--- a/crates/foreman/tests/scaler.rs
+++ b/crates/foreman/tests/scaler.rs
@@ -1,5 +1,5 @@
 //! The scaler against a stand-in platform on loopback: answers that are lost, workers
-//! without room, and a chair that ends in between.
+//! without room, and a leader that ends in between.
 
 use dovetail::msg::*;
 use dovetail::{Body, Tenon};
@@ -174,7 +174,7 @@
     assert!(none.full && none.unit.is_empty());
     assert!(w.start("unknown", "n-4").await.full);
     assert_eq!(w.platform.lock().unwrap().calls, calls);
-    // The chair ends and another life of it goes on: the list is the truth, the nonce
+    // The leader ends and another life of it goes on: the list is the truth, the nonce
     // still comes to the same processor, and the fence is a higher one.
     let before = w.platform.lock().unwrap().fences.iter().copied().max().expect("some");
     let _ = stop.send(true);
--- a/crates/foreman/tests/sessions.rs
+++ b/crates/foreman/tests/sessions.rs
@@ -225,7 +225,7 @@
 async fn an_emptied_disk_holds_nothing_however_often_its_process_began_since() {
     let (w, a, mut b, now) = laid_out(34_000).await;
     assert!(a.beat(&now).await && b.beat(&now).await);
-    // b lost its disk, began in life 5, ended before the chair heard of it, and began
+    // b lost its disk, began in life 5, ended before the leader heard of it, and began
     // in life 6 with what little was written in between.
     (b.node.life, b.node.born) = (6, 5);
     assert!(b.beat(&now).await);
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -11,7 +11,7 @@
 
 #[derive(Clone, Default)]
 struct Disk {
-    hard: Hard,
+    hard: HardState,
     state: Bytes,
     log: BTreeMap<u64, ViseEntry>,
 }
@@ -48,7 +48,7 @@
         };
         let voters: Vec<String> = ALL.iter().map(|s| s.to_string()).collect();
         for n in ALL {
-            let hard = Hard { voters: voters.clone(), may_vote: true, ..Hard::default() };
+            let hard = HardState { voters: voters.clone(), may_vote: true, ..HardState::default() };
             w.disks.insert(n.into(), Disk { hard, ..Disk::default() });
             w.start(n);
         }
@@ -112,14 +112,14 @@
         }
     }
 
-    fn chair(&self) -> Option<String> {
+    fn leader(&self) -> Option<String> {
         let held: Vec<&String> = self
             .nodes
             .iter()
-            .filter(|(n, v)| !self.down.contains(*n) && v.holds_chair(self.now))
+            .filter(|(n, v)| !self.down.contains(*n) && v.holds_leadership(self.now))
             .map(|(n, _)| n)
             .collect();
-        assert!(held.len() <= 1, "two chairs: {held:?}");
+        assert!(held.len() <= 1, "two leaders: {held:?}");
         held.first().map(|s| s.to_string())
     }
 
@@ -137,22 +137,22 @@
 
     fn wipe(&mut self, n: &str) {
         let voters = ALL.iter().map(|s| s.to_string()).collect();
-        self.disks.insert(n.into(), Disk { hard: Hard { voters, ..Hard::default() }, ..Disk::default() });
+        self.disks.insert(n.into(), Disk { hard: HardState { voters, ..HardState::default() }, ..Disk::default() });
         self.start(n);
     }
 }
 
 #[test]
-fn one_chair_and_what_it_acknowledged_survives_it() {
+fn one_leader_and_what_it_acknowledged_survives_it() {
     let mut w = World::new();
     w.pass(2000);
-    let first = w.chair().expect("a chair");
+    let first = w.leader().expect("a leader");
     w.put(&first, 0, 3);
     w.pass(200);
     assert!(w.racks.values().all(|r| r.revision == 3));
     w.down.insert(first.clone());
     w.pass(3000);
-    let second = w.chair().expect("another chair");
+    let second = w.leader().expect("another leader");
     assert_ne!(first, second);
     assert_eq!(w.racks[&second].revision, 3);
     w.put(&second, 3, 5);
@@ -167,9 +167,9 @@
 fn two_configurations_on_one_base_and_one_wins() {
     let mut w = World::new();
     w.pass(2000);
-    let chair = w.chair().expect("a chair");
-    w.put(&chair, 0, 3);
-    w.put(&chair, 0, 4);
+    let leader = w.leader().expect("a leader");
+    w.put(&leader, 0, 3);
+    w.put(&leader, 0, 4);
     w.pass(300);
     for n in ALL {
         let got: Vec<Applied> = w.applied[n].iter().map(|a| a.1).collect();
@@ -183,28 +183,28 @@
 fn without_a_majority_nothing_is_taken() {
     let mut w = World::new();
     w.pass(2000);
-    let chair = w.chair().expect("a chair");
-    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != chair).collect();
+    let leader = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != leader).collect();
     w.down.extend(others.iter().map(|s| s.to_string()));
-    w.put(&chair, 0, 3);
+    w.put(&leader, 0, 3);
     w.pass(3000);
-    assert_eq!(w.chair(), None, "it knows that nobody follows");
-    assert_eq!(w.racks[&chair].revision, 0);
+    assert_eq!(w.leader(), None, "it knows that nobody follows");
+    assert_eq!(w.racks[&leader].revision, 0);
     for o in others {
         w.start(o);
     }
     w.pass(3000);
-    assert!(w.chair().is_some());
+    assert!(w.leader().is_some());
 }
 
 #[test]
 fn one_that_lost_its_disk_does_not_vote_until_readmitted() {
     let mut w = World::new();
     w.pass(2000);
-    let chair = w.chair().expect("a chair");
-    w.put(&chair, 0, 3);
+    let leader = w.leader().expect("a leader");
+    w.put(&leader, 0, 3);
     w.pass(300);
-    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != chair).collect();
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != leader).collect();
     let (lost, other) = (others[0], others[1]);
     // The other one is away, so nobody can vouch for what the lost one forgot.
     w.down.insert(other.into());
@@ -215,36 +215,36 @@
     w.pass(1000);
     assert!(w.nodes[lost].hard.may_vote, "readmitted once it holds all and the others follow");
     assert_eq!(w.racks[lost].revision, 3);
-    w.down.insert(chair);
+    w.down.insert(leader);
     w.pass(3000);
-    assert!(w.chair().is_some(), "and its vote counts again");
+    assert!(w.leader().is_some(), "and its vote counts again");
 }
 
 #[test]
-fn the_one_in_the_chair_names_its_successor() {
+fn the_leader_names_its_successor() {
     let mut w = World::new();
     w.pass(2000);
-    let chair = w.chair().expect("a chair");
-    w.step(&chair, Event::StepDown);
+    let leader = w.leader().expect("a leader");
+    w.step(&leader, Event::StepDown);
     w.pass(100);
-    let next = w.chair().expect("named, without waiting for an election");
-    assert_ne!(next, chair);
+    let next = w.leader().expect("named, without waiting for an election");
+    assert_ne!(next, leader);
 }
 
 #[test]
 fn a_log_that_was_cut_is_sent_as_a_whole_state() {
     let mut w = World::new();
     w.pass(2000);
-    let chair = w.chair().expect("a chair");
-    let late = ALL.into_iter().find(|n| *n != chair).expect("another");
+    let leader = w.leader().expect("a leader");
+    let late = ALL.into_iter().find(|n| *n != leader).expect("another");
     w.down.insert(late.into());
     for r in 1..20 {
-        w.put(&chair, r - 1, r);
+        w.put(&leader, r - 1, r);
         w.pass(50);
     }
-    let state = w.racks[&chair].encode_to_vec();
-    let index = w.nodes[&chair].applied();
-    w.step(&chair, Event::Snapshot { index, state: state.into() });
+    let state = w.racks[&leader].encode_to_vec();
+    let index = w.nodes[&leader].applied();
+    w.step(&leader, Event::Snapshot { index, state: state.into() });
     w.start(late);
     w.pass(1000);
     assert_eq!(w.racks[late].revision, 19);
@@ -257,8 +257,8 @@
 fn after_the_end_of_all_at_once_nothing_is_answered_before_the_log_is_applied() {
     let mut w = World::new();
     w.pass(2000);
-    let chair = w.chair().expect("a chair");
-    w.put(&chair, 0, 3);
+    let leader = w.leader().expect("a leader");
+    w.put(&leader, 0, 3);
     w.pass(300);
     for n in ALL {
         w.start(n);
@@ -282,11 +282,11 @@
         self.start(n);
     }
 
-    /// What the duty of the one in the chair does from time to time.
+    /// What the duty of the leader does from time to time.
     fn tend(&mut self, ms: u64) {
         for _ in 0..ms / 50 {
             self.pass(50);
-            let Some(c) = self.chair() else { continue };
+            let Some(c) = self.leader() else { continue };
             let up: Vec<String> = self.nodes.keys().filter(|n| !self.down.contains(*n)).cloned().collect();
             let zones: Vec<(String, String)> = up.iter().map(|n| (n.clone(), format!("zone-{n}"))).collect();
             match self.nodes[&c].next_voters(&zones, 3, AWAY, self.now) {
@@ -301,7 +301,7 @@
 fn a_lost_voter_is_replaced_by_a_newcomer_one_change_at_a_time() {
     let mut w = World::new();
     w.pass(2000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     w.put(&c, 0, 3);
     w.pass(200);
     let lost = ALL.iter().find(|n| **n != c).expect("another").to_string();
@@ -311,7 +311,7 @@
     assert_eq!(w.nodes["n"].voters().len(), 3, "told by the log who votes");
     assert!(w.nodes[&c].voters().contains(&lost), "silence shorter than the bound replaces nobody");
     w.tend(4000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     let mut now = w.nodes[&c].voters().to_vec();
     now.sort();
     assert!(now.contains(&"n".to_string()) && !now.contains(&lost) && now.len() == 3, "{now:?}");
@@ -319,7 +319,7 @@
     // The newcomer counts: with one more gone, it and the last one go on.
     w.down.insert(c.clone());
     w.pass(3000);
-    let d = w.chair().expect("the newcomer is half of the majority");
+    let d = w.leader().expect("the newcomer is half of the majority");
     w.put(&d, 3, 5);
     w.pass(300);
     assert_eq!(w.racks[&d].revision, 5);
@@ -327,14 +327,14 @@
     w.start(&lost);
     w.down.insert(d.clone());
     w.pass(5000);
-    assert!(w.chair().is_none_or(|c| c != lost), "it was voted out");
+    assert!(w.leader().is_none_or(|c| c != lost), "it was voted out");
 }
 
 #[test]
 fn a_newcomer_without_the_log_is_not_made_a_voter() {
     let mut w = World::new();
     w.pass(2000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     let lost = ALL.iter().find(|n| **n != c).expect("another").to_string();
     w.down.insert(lost);
     w.newcomer("n");
@@ -351,15 +351,16 @@
 fn a_voter_that_just_came_back_waits_before_it_votes() {
     let mut w = World::new();
     w.pass(2000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     let other = ALL.iter().find(|n| **n != c).expect("another").to_string();
     w.start(&other);
     let term = w.nodes[&c].hard.term + 1;
-    let mut ask = ViseMsg { from: c.clone(), term, kind: dovetail::msg::ViseKind::Ask as i32, ..ViseMsg::default() };
+    let mut ask =
+        ViseMsg { from: c.clone(), term, kind: dovetail::msg::ViseKind::RequestVote as i32, ..ViseMsg::default() };
     (ask.index, ask.log_term) = (1000, term);
     w.net.clear();
     w.step(&other, Event::Message(ask.clone()));
-    assert!(w.net.iter().all(|(_, m)| !m.ok), "the old chair may still count on it");
+    assert!(w.net.iter().all(|(_, m)| !m.ok), "the old leader may still count on it");
     w.now += PACE.election;
     w.step(&other, Event::Message(ask));
     assert!(w.net.iter().any(|(_, m)| m.ok));
@@ -369,7 +370,7 @@
 fn authority_runs_out_by_the_clock_without_a_step() {
     let mut w = World::new();
     w.pass(2000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     let until = w.nodes[&c].serves_until(w.now);
     assert!(until > w.now && until <= w.now + PACE.election);
     // Frozen, or waiting for its disk, it steps nothing: what it computed last
@@ -377,19 +378,19 @@
     w.down.insert(c.clone());
     for _ in 0..200 {
         w.pass(10);
-        if w.nodes.iter().any(|(n, v)| *n != c && v.seat == Seat::Chair) {
+        if w.nodes.iter().any(|(n, v)| *n != c && v.role == StateRole::Leader) {
             assert!(w.now >= until);
             return;
         }
     }
-    panic!("nobody took the chair");
+    panic!("nobody became the leader");
 }
 
 #[test]
 fn frames_of_strangers_change_nothing() {
     let mut w = World::new();
     w.pass(2000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     let before = w.nodes[&c].hard.term;
     let ask = ViseMsg {
         from: "x".into(),
@@ -397,7 +398,7 @@
         index: 99,
         log_term: 99,
         ok: true,
-        kind: dovetail::msg::ViseKind::Ask as i32,
+        kind: dovetail::msg::ViseKind::RequestVote as i32,
         ..ViseMsg::default()
     };
     for n in ALL {
@@ -407,10 +408,10 @@
 }
 
 #[test]
-fn when_all_ended_at_once_there_is_a_chair_without_waiting_for_an_old_one() {
+fn when_all_ended_at_once_there_is_a_leader_without_waiting_for_an_old_one() {
     let mut w = World::new();
     w.pass(2000);
-    let c = w.chair().expect("a chair");
+    let c = w.leader().expect("a leader");
     w.put(&c, 0, 3);
     w.pass(300);
     w.net.clear();
@@ -418,7 +419,7 @@
         w.start(n);
     }
     w.pass(PACE.election * 3 / 4);
-    let c = w.chair().expect("a chair already");
+    let c = w.leader().expect("a leader already");
     assert_eq!(w.racks[&c].revision, 3);
     // One that stays alive is no such case: it still has its time.
     let alone: Vec<String> = ALL.iter().filter(|n| **n != c).map(|n| n.to_string()).collect();
@@ -427,16 +428,16 @@
     }
     w.down.insert(c.clone());
     w.pass(PACE.election - 20);
-    assert!(alone.iter().all(|n| w.nodes[n].seat != Seat::Chair), "the old chair may still act");
+    assert!(alone.iter().all(|n| w.nodes[n].role != StateRole::Leader), "the old leader may still act");
     w.pass(3000);
-    assert!(w.chair().is_some());
+    assert!(w.leader().is_some());
 }
 
 #[test]
 fn of_two_changes_on_either_side_of_a_cut_one_is_confirmed() {
     let mut w = World::new();
     w.pass(2000);
-    let old = w.chair().expect("a chair");
+    let old = w.leader().expect("a leader");
     w.put(&old, 0, 3);
     w.pass(200);
     w.beyond.insert(old.clone());
@@ -446,12 +447,12 @@
     let mut new = None;
     for _ in 0..300 {
         w.pass(10);
-        new = w.nodes.iter().find(|(n, v)| **n != old && v.seat == Seat::Chair).map(|(n, _)| n.clone());
+        new = w.nodes.iter().find(|(n, v)| **n != old && v.role == StateRole::Leader).map(|(n, _)| n.clone());
         if new.is_some() {
             break;
         }
     }
-    let new = new.expect("a chair on the side of the majority");
+    let new = new.expect("a leader on the side of the majority");
     assert!(w.now >= until && w.nodes[&old].serves_until(w.now) <= w.now, "never two at once");
     w.put(&new, 3, 7);
     w.pass(300);
@@ -465,18 +466,18 @@
 fn one_that_was_away_is_sent_large_configurations_in_pieces() {
     let mut w = World::new();
     w.pass(3000);
-    let chair = w.chair().expect("a chair");
-    let away = ALL.iter().find(|n| **n != chair).expect("another").to_string();
+    let leader = w.leader().expect("a leader");
+    let away = ALL.iter().find(|n| **n != leader).expect("another").to_string();
     w.down.insert(away.clone());
     for n in 0..30u64 {
         let json = Bytes::from(vec![b' '; 400 << 10]);
         let t = PutTemplate { base: n, revision: n + 1, json, print: n, change: Bytes::new() };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
-        w.step(&chair, Event::Propose(data.into()));
+        w.step(&leader, Event::Propose(data.into()));
         w.pass(50);
     }
-    assert_eq!(w.racks[&chair].revision, 30);
-    assert!(w.nodes[&chair].weight() > 2 * dovetail::FRAME_LIMIT);
+    assert_eq!(w.racks[&leader].revision, 30);
+    assert!(w.nodes[&leader].weight() > 2 * dovetail::FRAME_LIMIT);
     w.start(&away);
     w.pass(3000);
     assert_eq!(w.racks[&away].revision, 30);
@@ -487,8 +488,8 @@
     for cut in [false, true] {
         let mut w = World::new();
         w.pass(3000);
-        let chair = w.chair().expect("a chair");
-        let away = ALL.iter().find(|n| **n != chair).expect("another").to_string();
+        let leader = w.leader().expect("a leader");
+        let away = ALL.iter().find(|n| **n != leader).expect("another").to_string();
         w.down.insert(away.clone());
         let put = |n: u64| {
             let t = PutTemplate {
@@ -501,17 +502,17 @@
             Event::Propose(Command { word: Some(Word::Template(t)) }.encode_to_vec().into())
         };
         for n in 0..30 {
-            w.step(&chair, put(n));
+            w.step(&leader, put(n));
             w.pass(50);
         }
         if cut {
-            let (index, state) = (w.nodes[&chair].applied(), w.racks[&chair].encode_to_vec().into());
-            w.step(&chair, Event::Snapshot { index, state });
+            let (index, state) = (w.nodes[&leader].applied(), w.racks[&leader].encode_to_vec().into());
+            w.step(&leader, Event::Snapshot { index, state });
         }
         w.start(&away);
         // Two hundred changes at one moment, as when all owners begin anew.
         for n in 30..230 {
-            w.step(&chair, put(n));
+            w.step(&leader, put(n));
         }
         let (mut sent, mut last) = (0, w.now);
         while w.racks[&away].revision < 230 {
--- a/crates/lathe/src/flywheel.rs
+++ b/crates/lathe/src/flywheel.rs
@@ -1,6 +1,6 @@
-//! The time of day as a store machine uses it: the fleet's, as the chair tells it
+//! The time of day as a store machine uses it: the fleet's, as the leader tells it
 //! with every lease, carried on by the steady clock in between. The machine's own
-//! clock is only told to the chair; it may be off, and it may step.
+//! clock is only told to the leader; it may be off, and it may step.
 
 /// All in milliseconds; `now` is of the steady clock.
 pub struct Flywheel {
@@ -14,7 +14,7 @@
         Flywheel { ahead: None, slack: slack as i64 }
     }
 
-    /// The chair's time, in an answer to what was asked at `asked`; 0 if it has none.
+    /// The leader's time, in an answer to what was asked at `asked`; 0 if it has none.
     pub fn told(&mut self, time_ms: u64, asked: u64, now: u64) {
         if time_ms == 0 || time_ms > i64::MAX as u64 || now < asked {
             return;
@@ -36,7 +36,7 @@
         self.ahead.is_some()
     }
 
-    /// None before the chair has told it.
+    /// None before the leader has told it.
     pub fn time(&self, now: u64) -> Option<u64> {
         self.ahead.map(|a| (now as i64 + a).max(1) as u64)
     }
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -61,7 +61,7 @@
         self.start.elapsed().as_millis() as u64 + 1_000_000
     }
 
-    /// The fleet's time. Before the chair has told it nothing is owned here, and
+    /// The fleet's time. Before the leader has told it nothing is owned here, and
     /// the machine's own clock serves for what is only written down.
     fn wall(&self) -> u64 {
         let told = self.flywheel.lock().unwrap().time(self.now());
@@ -152,14 +152,14 @@
     }
 
     async fn order(self: Arc<Self>, partition: u32, order: Order) {
-        let chair = self.session.with_known(|k| k.chair.clone());
-        if chair.is_empty() {
+        let leader = self.session.with_known(|k| k.leader.clone());
+        if leader.is_empty() {
             return;
         }
         let wait = Duration::from_millis(self.ratio(4.0));
-        if let Ok(Body::OrderAck(ack)) = self.bench.to(&chair).call(Body::Order(order.clone()), wait).await {
-            if !ack.chair.is_empty() {
-                self.session.take(&News { chair: ack.chair.clone(), ..News::default() });
+        if let Ok(Body::OrderAck(ack)) = self.bench.to(&leader).call(Body::Order(order.clone()), wait).await {
+            if !ack.leader.is_empty() {
+                self.session.take(&News { leader: ack.leader.clone(), ..News::default() });
             }
             let mut i = self.inside.lock().unwrap();
             self.step(&mut i, partition, |m, now, out| m.ordered(&order, &ack, now, out));
@@ -818,15 +818,15 @@
                 let claims = owned.map(|m| Holding { partition: m.id, term: m.term }).collect::<Vec<_>>();
                 (i.turret.take_samples(), claims)
             };
-            let chair = self.session.with_known(|k| k.chair.clone());
+            let leader = self.session.with_known(|k| k.leader.clone());
             let seeds = self.session.order_foremen();
-            let addr = if chair.is_empty() { seeds[turn % seeds.len()].clone() } else { chair.clone() };
+            let addr = if leader.is_empty() { seeds[turn % seeds.len()].clone() } else { leader.clone() };
             turn += 1;
             let clock_ms = tally::wall_ms();
             let l = Lease { node: self.session.me(), samples, claims: claims.clone(), lag, clock_ms };
             match self.bench.to(&addr).call(Body::Lease(l), period * 2).await {
                 Ok(Body::LeaseAck(a)) if a.granted => {
-                    self.session.take(&News { chair: addr, ..News::default() });
+                    self.session.take(&News { leader: addr, ..News::default() });
                     {
                         let mut guard = self.inside.lock().unwrap();
                         // What passed on while this node was not looking is given up
@@ -855,18 +855,18 @@
                     tokio::time::sleep(period / 60).await;
                 }
                 Ok(Body::LeaseAck(a)) => {
-                    if !a.chair.is_empty() {
-                        self.session.take(&News { chair: a.chair, ..News::default() });
+                    if !a.leader.is_empty() {
+                        self.session.take(&News { leader: a.leader, ..News::default() });
                     } else {
-                        // It knows nobody in the chair: the others may.
-                        self.ask_chair(&seeds[turn % seeds.len()], &claims, period).await;
+                        // It knows no leader: the others may.
+                        self.ask_leader(&seeds[turn % seeds.len()], &claims, period).await;
                     }
                     tokio::time::sleep(period / 6).await;
                 }
                 _ => {
                     tally::count("lease_misses");
-                    // The chair may have passed on: ask the others who has it.
-                    self.ask_chair(&seeds[turn % seeds.len()], &claims, period).await;
+                    // The leader may have passed on: ask the others who leads.
+                    self.ask_leader(&seeds[turn % seeds.len()], &claims, period).await;
                     tokio::time::sleep(period / 6).await;
                 }
             }
@@ -891,7 +891,7 @@
         }
     }
 
-    /// A life of this node that comes after its own is known to the chair, as when
+    /// A life of this node that comes after its own is known to the leader, as when
     /// this process began by a clock that is behind.
     fn relive(self: &Arc<Self>, lived: u64) {
         let Some(life) = self.session.relive(lived) else { return };
@@ -907,14 +907,14 @@
         }
     }
 
-    /// Learns from a foreman who is in the chair.
-    async fn ask_chair(&self, foreman: &str, claims: &[Holding], wait: Duration) {
+    /// Learns from the leader.
+    async fn ask_leader(&self, foreman: &str, claims: &[Holding], wait: Duration) {
         let (node, claims, clock_ms) = (self.session.me(), claims.to_vec(), tally::wall_ms());
         let ask = Lease { node, claims, lag: self.lag(), clock_ms, ..Lease::default() };
         if let Ok(Body::LeaseAck(a)) = self.bench.to(foreman).call(Body::Lease(ask), wait).await {
-            let chair = if a.granted { foreman.to_owned() } else { a.chair };
-            if !chair.is_empty() {
-                self.session.take(&News { chair, ..News::default() });
+            let leader = if a.granted { foreman.to_owned() } else { a.leader };
+            if !leader.is_empty() {
+                self.session.take(&News { leader, ..News::default() });
             }
         }
     }
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -253,7 +253,7 @@
     }
 }
 
-/// Half of what a bad version may receive, and a little: as the chair begins.
+/// Half of what a bad version may receive, and a little: as the leader begins.
 fn foreman_first_share() -> u32 {
     60
 }
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -575,7 +575,7 @@
 #[test]
 fn an_older_word_of_the_majority_takes_nobody_out_of_sync() {
     let mut w = with_traffic(&["a", "b"]);
-    // c joins: the owner hears it from the chair, ahead of a foreman that is behind.
+    // c joins: the owner hears it from the leader, ahead of a foreman that is behind.
     let older = Partition { changed: 7, ..w.chart.clone() };
     w.chart.homes.push("c".into());
     w.chart.insync.push("c".into());
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -60,7 +60,7 @@
     inside: Mutex<Inside>,
     /// Fronts by which keepers are chosen, as of the last roster.
     fronts: Mutex<Arc<Vec<dovetail::Front>>>,
-    /// The processors of what is kept here, as the chair told them last.
+    /// The processors of what is kept here, as the leader told them last.
     units: Mutex<Vec<Unit>>,
     start: Instant,
     tickets: AtomicU64,
@@ -236,16 +236,16 @@
         self.carry_out(i, out);
     }
 
-    /// Asks the chair for a processor, by one nonce until it is clear what came of it.
+    /// Asks the leader for a processor, by one nonce until it is clear what came of it.
     async fn start_unit(self: Arc<Self>, plant: String, nonce: String) {
         let wait = self.ratio(4.0);
         let end = Instant::now() + 4 * wait;
         let (mut full, mut pause) = (false, self.ratio(100.0));
         while Instant::now() < end {
-            let chair = self.known.borrow().chair.clone();
+            let leader = self.known.borrow().leader.clone();
             let ask = Start { plant: plant.clone(), nonce: nonce.clone(), zone: self.caliper.zone.clone() };
             let asked =
-                if chair.is_empty() { None } else { self.bench.to(&chair).call(Body::Start(ask), wait).await.ok() };
+                if leader.is_empty() { None } else { self.bench.to(&leader).call(Body::Start(ask), wait).await.ok() };
             if let Some(Body::StartAck(a)) = asked {
                 if !a.unit.is_empty() {
                     self.step(|c, now, out| c.started(&plant, &nonce, &a.unit, &a.address, now, out));
@@ -255,12 +255,12 @@
                     full = true;
                     break;
                 }
-                if !a.chair.is_empty() && a.chair != chair {
-                    self.known.send_if_modified(|k| k.take(&News { chair: a.chair, ..News::default() }));
+                if !a.leader.is_empty() && a.leader != leader {
+                    self.known.send_if_modified(|k| k.take(&News { leader: a.leader, ..News::default() }));
                 }
             }
             // Longer each time: hundreds of functions may be asked for while nobody is
-            // in the chair.
+            // leading.
             tokio::time::sleep(pause).await;
             pause = (pause * 2).min(wait / 2);
         }
@@ -270,10 +270,10 @@
 
     async fn stop_unit(self: Arc<Self>, unit: String) {
         for _ in 0..4 {
-            let chair = self.known.borrow().chair.clone();
-            if !chair.is_empty()
+            let leader = self.known.borrow().leader.clone();
+            if !leader.is_empty()
                 && let Ok(Body::Ack(_)) =
-                    self.bench.to(&chair).call(Body::Stop(StopUnit { unit: unit.clone() }), self.ratio(4.0)).await
+                    self.bench.to(&leader).call(Body::Stop(StopUnit { unit: unit.clone() }), self.ratio(4.0)).await
             {
                 return;
             }
@@ -674,19 +674,19 @@
         self.inside.lock().unwrap().creel.keeps(plant)
     }
 
-    /// Asks the chair what the platform lists of what is kept here.
+    /// Asks the leader what the platform lists of what is kept here.
     async fn ask_units(self: Arc<Self>) {
         let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
         let mut digest = 0;
         loop {
             // At the start nothing is known of what runs already.
             tokio::time::sleep(if digest == 0 { period / 8 } else { period }).await;
-            let chair = self.known.borrow().chair.clone();
-            if chair.is_empty() {
+            let leader = self.known.borrow().leader.clone();
+            if leader.is_empty() {
                 continue;
             }
             let ask = UnitsAsk { front: self.caliper.node.clone(), digest };
-            if let Ok(Body::Units(u)) = self.bench.to(&chair).call(Body::UnitsAsk(ask), period).await
+            if let Ok(Body::Units(u)) = self.bench.to(&leader).call(Body::UnitsAsk(ask), period).await
                 && u.known
                 && u.digest != digest
             {
--- a/crates/willowslip/src/summary.rs
+++ b/crates/willowslip/src/summary.rs
@@ -38,8 +38,8 @@
 pub fn summary(v: &Value, only: Option<&str>) -> String {
     let mut s = String::new();
     let duties = names(v, "duties");
-    let _ = writeln!(s, "{} {}", text(v, "node"), if v["inChair"] == true { "in the chair" } else { "follows" });
-    let _ = writeln!(s, "chair {}  duties {}", text(v, "chair"), if duties.is_empty() { "-" } else { &duties });
+    let _ = writeln!(s, "{} {}", text(v, "node"), if v["isLeader"] == true { "leads" } else { "follows" });
+    let _ = writeln!(s, "leader {}  duties {}", text(v, "leader"), if duties.is_empty() { "-" } else { &duties });
     let _ = writeln!(s, "voters {}", names(v, "voters"));
     for (what, field) in [("behind by entries", "behind"), ("disks in trouble", "disks")] {
         let all = v[field].as_object().into_iter().flatten();
@@ -115,7 +115,7 @@
             json!({"id": n, "term": 3, "owner": homes[0], "homes": homes, "insync": insync, "candidate": null})
         };
         let partitions: Vec<Value> = (0..120).map(partition).collect();
-        let v = json!({"node": "core-1", "inChair": true, "chair": "x", "voters": ["x"], "duties": ["lister"],
+        let v = json!({"node": "core-1", "isLeader": true, "leader": "x", "voters": ["x"], "duties": ["lister"],
             "behind": {"y": 0, "z": 4}, "disks": {}, "revision": 4, "charter": 5, "roster": 6, "units": 9,
             "nodes": nodes, "partitions": partitions, "counters": "a=1"});
         let s = summary(&v, None);
--- a/crates/willowslip/tests/ctl.rs
+++ b/crates/willowslip/tests/ctl.rs
@@ -62,12 +62,12 @@
     let end = Instant::now() + Duration::from_secs(20);
     while Instant::now() < end {
         let s = ctl(&f, &["--json", "status"]);
-        if s.status.success() && String::from_utf8_lossy(&s.stdout).contains("\"inChair\":true") {
+        if s.status.success() && String::from_utf8_lossy(&s.stdout).contains("\"isLeader\":true") {
             return f;
         }
         std::thread::sleep(Duration::from_millis(50));
     }
-    panic!("no chair in time");
+    panic!("no leader in time");
 }
 
 fn ctl(f: &Foreman, args: &[&str]) -> Output {
--- a/crates/willowslip/tests/whole.rs
+++ b/crates/willowslip/tests/whole.rs
@@ -86,10 +86,10 @@
         assert!(Command::new("kill").args([signal, &id]).status().is_ok_and(|s| s.success()));
     }
 
-    fn in_chair(&self, machine: u8) -> bool {
+    fn is_leader(&self, machine: u8) -> bool {
         let at = format!("127.0.0.{machine}:{}", self.base + 4);
         let o = Command::new(BIN).args(["ctl", "--json", "--within", "1", "--at", &at, "status"]).output();
-        o.is_ok_and(|o| String::from_utf8_lossy(&o.stdout).contains("\"inChair\":true"))
+        o.is_ok_and(|o| String::from_utf8_lossy(&o.stdout).contains("\"isLeader\":true"))
     }
 
     fn any_foreman(&self, line: &str) -> bool {
@@ -255,12 +255,12 @@
     until("seized", || s.any_foreman("seized from lathe-7"));
     s.signal("lathe-7", "-CONT");
     until("whole after the freeze", || s.whole());
-    // The chair is lost, and then a machine is emptied.
-    let chair = (2..5).find(|m| s.in_chair(*m)).expect("a chair");
-    s.end(&format!("foreman-{chair}"), "-KILL");
-    until("another chair", || (2..5).any(|m| m != chair && s.in_chair(m)));
+    // The leader is lost, and then a machine is emptied.
+    let leader = (2..5).find(|m| s.is_leader(*m)).expect("a leader");
+    s.end(&format!("foreman-{leader}"), "-KILL");
+    until("another leader", || (2..5).any(|m| m != leader && s.is_leader(m)));
     assert_eq!(send(400), 202);
-    s.start("foreman", chair, false);
+    s.start("foreman", leader, false);
     assert!(s.ctl(&["retire", "start", "nowhere"]).is_none());
     until("retire", || s.ctl(&["retire", "start", "lathe-5"]).is_some());
     until("retired", || s.ctl(&["retire", "read", "lathe-5"]).is_some_and(|r| r["state"] == "settled"));
