--- /dev/null
+++ b/crates/foreman/src/authority.rs
@@ -0,0 +1,188 @@
+//! Authority: who leads, until when this foreman may act for the majority, and the
+//! task that steps the log and carries out its effects.
+
+use crate::disk::save;
+use crate::rack::*;
+use crate::shop::*;
+use crate::vise::*;
+use dovetail::msg::*;
+use drawer::Drawer;
+use prost::Message;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+impl Floor {
+    /// Checked whenever authority is used: it runs out by the clock alone.
+    pub(crate) fn holds(&self, now: u64) -> bool {
+        self.is_leader && now < self.serves_until
+    }
+}
+
+impl Shop {
+    /// Whether this foreman leads and a majority still follows it.
+    pub fn holds_leadership(&self) -> bool {
+        let now = self.now();
+        self.with(|f| f.holds(now))
+    }
+
+    /// Puts a command into the log; None when it is unclear whether it is in.
+    pub async fn propose(&self, word: Word) -> Option<Applied> {
+        let (tx, rx) = oneshot::channel();
+        let data = Command { word: Some(word) }.encode_to_vec();
+        self.inputs.send(Input::Propose(data.into(), tx)).ok()?;
+        let wait = Duration::from_millis((self.caliper.constraints.ack_ms * 0.8) as u64);
+        tokio::time::timeout(wait, rx).await.ok()?.ok()?
+    }
+
+    /// Who leads, as far as is known: nobody, once this foreman's own
+    /// authority has run out.
+    pub(crate) fn leader(&self) -> String {
+        let now = self.now();
+        self.with(|f| if f.leader == self.me && !f.holds(now) { String::new() } else { f.leader.clone() })
+    }
+
+    /// The control address of the leader, if it is another one.
+    pub fn leader_control(&self) -> Option<String> {
+        let leader = self.leader();
+        if leader.is_empty() || leader == self.me {
+            return None;
+        }
+        let ip = leader.rsplit_once(':')?.0.to_owned();
+        let port = self.caliper.listen.control.rsplit_once(':')?.1;
+        Some(format!("{ip}:{port}"))
+    }
+}
+
+/// The one task that steps the log.
+pub(crate) async fn turn(shop: Arc<Shop>, mut vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
+    let mut waiting: HashMap<u64, (u64, Answered)> = HashMap::new();
+    let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
+    let wanted = (2 * shop.caliper.tolerance.machines as usize + 1).max(3);
+    // Large configurations fill the log long before it is long.
+    let heavy = (shop.caliper.limits.memory_mb as usize) << 20 >> 6;
+    let away = (shop.caliper.constraints.settle_s * 500.0) as u64;
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut answer = None;
+        let event = tokio::select! {
+            i = rx.recv() => match i {
+                Some(Input::Vise(m)) => Event::Message(m),
+                Some(Input::Propose(d, a)) => { answer = Some(a); Event::Propose(d) }
+                Some(Input::StepDown) => Event::StepDown,
+                Some(Input::Foremen(all)) => {
+                    let now = shop.now();
+                    match vise.next_voters(&all, wanted, away, now) {
+                        Some(v) => {
+                            tally::change!("voters {:?}", v);
+                            Event::SetVoters(v)
+                        }
+                        None => Event::Foremen(all.into_iter().map(|f| f.0).collect()),
+                    }
+                }
+                None => return,
+            },
+            _ = ticks.tick() => Event::Tick,
+        };
+        let now = shop.now();
+        let ticked = matches!(event, Event::Tick);
+        let mut effects = vise.step(now, event);
+        if vise.length() > 512 || vise.weight() > heavy {
+            let index = vise.applied();
+            let state = shop.with(|f| f.rack.encode_to_vec());
+            effects.extend(vise.step(now, Event::Snapshot { index, state: state.into() }));
+        }
+        for e in effects {
+            match e {
+                Effect::Save(s) => {
+                    let saving = save(&drawer, s);
+                    tokio::pin!(saving);
+                    let patience = Duration::from_millis(shop.ratio(32.0));
+                    if tokio::time::timeout(patience, &mut saving).await.is_err() {
+                        if vise.role == StateRole::Leader && vise.voters().len() > 1 {
+                            // It cannot write, so it cannot lead: another one can at once.
+                            tally::change!("the disk does not answer: naming a successor");
+                            for e in vise.step(shop.now(), Event::StepDown) {
+                                if let Effect::Send(to, m) = e {
+                                    shop.bench.to(&to).send(Body::Vise(m));
+                                }
+                            }
+                            shop.with(|f| {
+                                f.is_leader = false;
+                                f.serves_until = 0;
+                                f.leader.clear();
+                            });
+                            waiting.clear();
+                        }
+                        saving.await;
+                    }
+                }
+                Effect::Send(to, m) => shop.bench.to(&to).send(Body::Vise(m)),
+                Effect::Proposed(index, term) => {
+                    if let Some(a) = answer.take() {
+                        waiting.insert(index, (term, a));
+                    }
+                }
+                Effect::Apply(e) => {
+                    let applied = shop.with(|f| f.rack.apply_with(&mut f.tree, e.index, &e.data));
+                    if let Some((term, a)) = waiting.remove(&e.index) {
+                        let _ = a.send((term == e.term).then_some(applied));
+                    }
+                    shop.news.notify_waiters();
+                }
+                Effect::Restore(state) => {
+                    match Rack::decode(state) {
+                        Ok(rack) => shop.with(|f| {
+                            f.rack = rack;
+                            f.tree = gauge::Tree::default();
+                        }),
+                        Err(e) => {
+                            // Never go on with a blank one.
+                            tally::error!("the state that the leader sent cannot be read, ending: {e}");
+                            std::process::exit(3);
+                        }
+                    }
+                    shop.news.notify_waiters();
+                }
+                Effect::BecameLeader => {
+                    tally::change!("leader at term {}", vise.hard.term);
+                    let now = shop.now();
+                    shop.with(|f| {
+                        f.is_leader = true;
+                        f.leader_since = now;
+                        f.listed_at = 0;
+                        f.term = vise.hard.term;
+                        f.roster_seq = 0;
+                        f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(16.0) };
+                        f.plumbs.clear();
+                        f.leases.clear();
+                        f.governor.forget();
+                        f.unclaimed.clear();
+                        // Who told another foreman is taken over, and must tell again.
+                        for n in f.roster.nodes.clone() {
+                            let node = Node { changed: 0, ..n };
+                            f.sessions.entry(node.name.clone()).or_insert(Session { node, seen: now });
+                        }
+                    });
+                }
+                Effect::SteppedDown => {
+                    tally::change!("no longer the leader");
+                    shop.with(|f| f.is_leader = false);
+                    waiting.clear();
+                }
+            }
+        }
+        let until = vise.serves_until(shop.now());
+        shop.with(|f| {
+            f.serves_until = until;
+            vise.leader_at(shop.now()).clone_into(&mut f.leader);
+            if ticked {
+                f.behind = vise.behind();
+            }
+            if f.voters != vise.voters() {
+                f.voters = vise.voters().to_vec();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/foreman/src/duties.rs
@@ -0,0 +1,318 @@
+//! The duties of the leader: who owns which partition, which new versions stand,
+//! and the platform's list of processors.
+
+use crate::layout::*;
+use crate::plumb::Advice;
+use crate::rack::*;
+use crate::shop::*;
+use dovetail::msg::*;
+use gauge::Caliper;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::watch;
+
+impl Shop {
+    pub(crate) fn alive(f: &Floor, now: u64, lease: u64, name: &str) -> bool {
+        // A lease runs from when the node sent its request; a quarter is added
+        // for what clocks and queues may differ.
+        let grace = f.leader_since + lease * 2;
+        f.leases.get(name).map_or(now < grace, |l| {
+            l.lag < 2 && f.ended.get(name) != Some(&l.life) && now < l.at.max(f.leader_since) + lease * 5 / 4
+        })
+    }
+
+    pub(crate) async fn assign(self: &Arc<Self>) {
+        if self.assigning.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let mut proposed = Vec::new();
+        let now = self.now();
+        let lease = self.caliper.lease_ms();
+        let mut words: Vec<(String, Word)> = Vec::new();
+        self.with(|f| {
+            self.settle_time(f, now);
+            // Sessions that ended.
+            let limit = self.ratio(3.0);
+            let before = f.sessions.len();
+            let me = self.me.clone();
+            f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
+            let told = f.roster.version;
+            if f.sessions.len() == before || now > f.leader_since + limit {
+                // Also what could not be published when it was heard.
+                Self::refresh_roster(f, now);
+            }
+            if f.roster.version != told {
+                self.news.notify_waiters();
+            }
+            let foremen = f.sessions.values().filter(|s| s.node.role == "foreman");
+            let _ = self
+                .inputs
+                .send(Input::Foremen(foremen.map(|s| (s.node.inner.clone(), s.node.zone.clone())).collect()));
+            let live: Vec<Stand> = f
+                .sessions
+                .values()
+                .filter(|s| s.node.role == "lathe" && !s.node.leaving && Self::alive(f, now, lease, &s.node.name))
+                .map(|s| Stand { name: s.node.name.clone(), zone: s.node.zone.clone(), region: s.node.region.clone() })
+                .collect();
+            let tolerance = &self.caliper.tolerance;
+            let replicas = tolerance.machines as usize + 1;
+            let spread = Spread { zones: tolerance.zones as usize, regions: tolerance.regions as usize };
+            if f.steady.0 != live.len() {
+                f.steady = (live.len(), now);
+            }
+            if f.rack.charter.partitions.is_empty() {
+                let zones = self.caliper.zones.len().max(1);
+                let waited = f.first_lathe_at != 0 && now > f.first_lathe_at + self.ratio(2.0);
+                // Fixed from then on: not before no more have come for a while.
+                let steady = now > f.steady.1 + self.ratio(8.0);
+                if steady && (live.len() >= zones.max(replicas) || (waited && live.len() >= replicas)) {
+                    let mut partitions = layout(&live, replicas, spread);
+                    for p in &mut partitions {
+                        for h in p.homes.clone() {
+                            p.set_joined(&h, f.leases.get(&h).map_or(0, |l| l.life));
+                        }
+                    }
+                    tally::change!("{} partitions on {} store machines", partitions.len(), live.len());
+                    words.push(("layout".into(), Word::Layout(Layout { partitions })));
+                }
+                return;
+            }
+            let partitions = f.rack.charter.partitions.clone();
+            let retiring: Vec<String> =
+                f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
+            let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
+            for p in &partitions {
+                let life = |n: &str| f.leases.get(n).map(|l| l.life);
+                // An emptied disk holds what it was filled with since then only.
+                let holds = |n: &str| f.leases.get(n).is_none_or(|l| p.joined_life(n) >= l.born);
+                let lag = |n: &str| f.leases.get(n).map_or(0, |l| l.lag);
+                // A slow disk does not hold up an owner whose own is well.
+                let slows = |n: &str| {
+                    let candidate = p.grant.as_ref().is_some_and(|g| g.candidate == n);
+                    n != p.owner && !candidate && lag(n) > 0 && lag(&p.owner) == 0
+                };
+                let stands = |n: &str| Self::alive(f, now, lease, n) && holds(n) && !slows(n);
+                let mut put = seize(p, stands, life);
+                let claimed = f.leases.iter().any(|(n, l)| {
+                    Self::alive(f, now, lease, n) && l.claims.iter().any(|c| c.partition == p.id && c.term >= p.term)
+                });
+                if claimed {
+                    f.unclaimed.remove(&p.id);
+                } else if now > *f.unclaimed.entry(p.id).or_insert(now) + 3 * lease && put.is_none() {
+                    let stands = |n: &str| f.leases.contains_key(n) && Self::alive(f, now, lease, n) && holds(n);
+                    put = revive(p, stands, life);
+                    f.unclaimed.remove(&p.id);
+                }
+                if let Some(put) = put {
+                    if put.term != p.term {
+                        tally::change!(
+                            "partition {} seized from {} for {} at term {}",
+                            p.id,
+                            p.owner,
+                            put.owner,
+                            put.term
+                        );
+                    } else {
+                        tally::change!("partition {} in sync: {:?}", p.id, put.insync);
+                    }
+                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now: put })));
+                    continue;
+                }
+                // Homes: of retiring nodes, and of nodes that are away: for twice the
+                // settling time, or a quarter of it where a node without any work is
+                // there, as after a machine was replaced by one at another address.
+                let idle = |n: &Stand| !partitions.iter().any(|q| q.homes.contains(&n.name));
+                let patience = if spare.iter().any(idle) { 250.0 } else { 2000.0 };
+                let away = (self.caliper.constraints.settle_s * patience) as u64;
+                let gone = p.homes.iter().find(|h| {
+                    retiring.contains(h)
+                        || (now > f.leader_since + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
+                });
+                if let Some(gone) = gone
+                    && spare.len() >= replicas
+                    && let Some(now) = rehome(p, gone, &partitions, &spare, replicas, spread)
+                {
+                    tally::change!("partition {} homes {:?}", p.id, now.homes);
+                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
+                    continue;
+                }
+                if p.homes.len() < replicas
+                    && let Some(n) = new_home(p, &partitions, &spare, replicas, spread)
+                {
+                    let mut now = p.clone();
+                    now.homes.push(n);
+                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
+                }
+            }
+            if words.is_empty()
+                && let Some(now) = rebalance(&partitions, &spare)
+            {
+                tally::change!("partition {} homes {:?}, for balance", now.id, now.homes);
+                let was = partitions.iter().find(|p| p.id == now.id).cloned();
+                words.extend(was.map(|was| ("balance".into(), Word::Partition(PutPartition { was, now }))));
+            }
+            for r in f.rack.charter.retires.iter().filter(|r| !r.done) {
+                let holds = partitions.iter().any(|p| {
+                    p.owner == r.node
+                        || p.homes.contains(&r.node)
+                        || p.insync.contains(&r.node)
+                        || p.insync.len() < replicas
+                        || p.grant.is_some()
+                });
+                if !holds {
+                    tally::change!("retired {}", r.node);
+                    words.push((r.node.clone(), Word::Retire(Retire { node: r.node.clone(), done: true })));
+                }
+            }
+        });
+        for (_, w) in words {
+            // Together: each changes another partition, and only as it was seen here.
+            let shop = self.clone();
+            proposed.push(tokio::spawn(async move {
+                shop.propose(w).await;
+            }));
+        }
+        for p in proposed {
+            let _ = p.await;
+        }
+        self.assigning.store(false, Ordering::Relaxed);
+    }
+
+    pub(crate) async fn judge(&self) {
+        // The leader's own clock may step in the middle of a trial.
+        let Some(wall) = self.time() else { return };
+        if self.with(|f| f.rack.charter.rollouts.iter().all(|r| r.state != "running")) {
+            return;
+        }
+        let pattern = self.pattern();
+        let mut words = Vec::new();
+        self.with(|f| {
+            if f.rack.charter.rollouts.iter().all(|r| r.state != "running") {
+                return;
+            }
+            let cutoff = pattern.channels.iter().map(|c| c.cutoff_ms).fold(0.0, f64::max);
+            let linger = cutoff as u64 + self.caliper.constraints.revert_slack_ms as u64;
+            for r in f.rack.charter.rollouts.iter().filter(|r| r.state == "running") {
+                let p = f.plumbs.entry(r.plant.clone()).or_default();
+                let mut now = r.clone();
+                now.spent = now.spent.max(p.sent_new);
+                match p.advise(r, wall, linger, self.caliper.constraints.revert_slack_ms / 10.0) {
+                    Advice::Wait => continue,
+                    Advice::Share(s) => now.share = s,
+                    Advice::Settle => now.state = "settled".into(),
+                    Advice::Revert(why) => {
+                        tally::change!("roll-out of {} reverted: {why}", r.plant);
+                        now.state = "reverted".into();
+                        now.share = 0;
+                    }
+                }
+                tally::change!(
+                    "roll-out of {} to {}: {} at {} thousandths",
+                    now.plant,
+                    now.target,
+                    now.state,
+                    now.share
+                );
+                words.push(Word::Rollout(now));
+            }
+        });
+        for w in words {
+            self.propose(w).await;
+        }
+    }
+
+    pub(crate) async fn list(&self, settings: watch::Receiver<Caliper>) {
+        #[derive(serde::Deserialize)]
+        #[serde(rename_all = "camelCase", default)]
+        #[derive(Default)]
+        struct Listed {
+            id: String,
+            plant: String,
+            address: String,
+            zone: String,
+            revision: String,
+            capacity: u32,
+            state: String,
+            cold_left_ms: f64,
+        }
+        #[derive(serde::Deserialize)]
+        #[serde(rename_all = "camelCase")]
+        struct Page {
+            units: Vec<Listed>,
+            next_token: Option<String>,
+        }
+        let chuck = spindle::Chuck::new(Duration::from_millis(self.caliper.constraints.quiet_ms as u64));
+        let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
+        loop {
+            let addr = settings.borrow().platform.address.clone();
+            if addr.is_empty() || !self.holds_leadership() {
+                tokio::time::sleep(period / 4).await;
+                continue;
+            }
+            let (mut units, mut token, mut whole) = (Vec::new(), None::<String>, false);
+            loop {
+                let path = token.as_ref().map_or("/units".into(), |t| format!("/units?pageToken={t}"));
+                let call = spindle::Call {
+                    method: "GET",
+                    path: &path,
+                    host: &addr,
+                    headers: &[],
+                    body: &[],
+                    id: "",
+                    newest: None,
+                };
+                tally::count("platform_calls");
+                let Ok(a) = chuck.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
+                if a.status != 200 {
+                    break;
+                }
+                let Ok(page) = serde_json::from_slice::<Page>(&a.body) else { break };
+                units.extend(page.units.into_iter().map(|u| Unit {
+                    id: u.id,
+                    plant: u.plant,
+                    address: u.address,
+                    zone: u.zone,
+                    revision: u.revision,
+                    capacity: u.capacity,
+                    draining: u.state != "ready",
+                    cold: u.cold_left_ms > 0.0,
+                    changed: 0,
+                }));
+                token = page.next_token.filter(|t| !t.is_empty());
+                if token.is_none() {
+                    whole = true;
+                    break;
+                }
+            }
+            if whole {
+                units.sort_by(|a, b| a.id.cmp(&b.id));
+                let now = self.now();
+                self.with(|f| {
+                    f.units = units;
+                    f.listed = true;
+                    f.listed_at = now;
+                    Self::refresh_roster(f, now);
+                });
+                self.news.notify_waiters();
+            }
+            tokio::time::sleep(period).await;
+        }
+    }
+
+    /// Starts judging a plant's roll-out afresh.
+    pub fn forget_plumb(&self, plant: &str) {
+        self.with(|f| f.plumbs.remove(plant));
+    }
+
+    /// The time wants its own clock and more than half of the store machines', or
+    /// all that come soon.
+    pub(crate) fn settle_time(&self, f: &mut Floor, now: u64) {
+        let mut homes: Vec<&String> = f.rack.charter.partitions.iter().flat_map(|p| &p.homes).collect();
+        homes.sort_unstable();
+        homes.dedup();
+        let wanted = if now > f.leader_since + self.ratio(16.0) { 1 } else { homes.len() / 2 + 2 };
+        f.governor.hear(&self.caliper.node, tally::wall_ms(), now);
+        f.governor.settle(wanted, now);
+    }
+}
--- a/crates/foreman/src/lib.rs
+++ b/crates/foreman/src/lib.rs
@@ -2,12 +2,17 @@
 //! operator's interface.
 
 mod actuate;
+mod authority;
 mod bellows;
+mod disk;
+mod duties;
 mod governor;
 mod layout;
 mod operator;
+mod orders;
 mod plumb;
 mod rack;
+mod sessions;
 mod shop;
 mod vise;
 pub use bellows::*;
