Cut the foremen's log only behind what the state holds

When that step was the one that made the log too large - a leader's each time that configurations filled it, a follower's each time at 512 entries - the change was gone after the next start of that process: an acknowledged configuration was read back in its former version (test restart: 7 acknowledged, 6 read), and a follower that lacked one refused all later ones.

A disk whose records contradict each other ends the program with what is wrong and what to do; states of an earlier release, which do not say so, are taken as before.

Ruled out: the leader's cut at 512 entries alone (the step that makes the log that long applies nothing with three voters).

--- a/crates/foreman/src/authority.rs
+++ b/crates/foreman/src/authority.rs
@@ -56,24 +56,23 @@
 }
 
 /// The one task that steps the log.
-pub(crate) async fn turn(shop: Arc<Shop>, mut vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
-    let mut waiting: HashMap<u64, (u64, Answered)> = HashMap::new();
+pub(crate) async fn turn(shop: Arc<Shop>, vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let wanted = (2 * shop.caliper.tolerance.machines as usize + 1).max(3);
     // Large configurations fill the log long before it is long.
     let heavy = (shop.caliper.limits.memory_mb as usize) << 20 >> 6;
     let away = (shop.caliper.constraints.settle_s * 500.0) as u64;
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut hand = Hand { shop, vise, drawer, waiting: HashMap::new(), answer: None };
     loop {
-        let mut answer = None;
         let event = tokio::select! {
             i = rx.recv() => match i {
                 Some(Input::Vise(m)) => Event::Message(m),
-                Some(Input::Propose(d, a)) => { answer = Some(a); Event::Propose(d) }
+                Some(Input::Propose(d, a)) => { hand.answer = Some(a); Event::Propose(d) }
                 Some(Input::StepDown) => Event::StepDown,
                 Some(Input::Foremen(all)) => {
-                    let now = shop.now();
-                    match vise.next_voters(&all, wanted, away, now) {
+                    let now = hand.shop.now();
+                    match hand.vise.next_voters(&all, wanted, away, now) {
                         Some(v) => {
                             tally::change!("voters {:?}", v);
                             Event::SetVoters(v)
@@ -85,104 +84,141 @@
             },
             _ = ticks.tick() => Event::Tick,
         };
-        let now = shop.now();
         let ticked = matches!(event, Event::Tick);
-        let mut effects = vise.step(now, event);
-        if vise.length() > 512 || vise.weight() > heavy {
-            let index = vise.applied();
-            let state = shop.with(|f| f.rack.encode_to_vec());
-            effects.extend(vise.step(now, Event::Snapshot { index, state: state.into() }));
+        hand.step(event).await;
+        hand.answer = None;
+        if hand.vise.length() > 512 || hand.vise.weight() > heavy {
+            hand.cut().await;
+        }
+        hand.tell(ticked);
+    }
+}
+
+/// Carries out what the log asks for, in its order.
+struct Hand {
+    shop: Arc<Shop>,
+    vise: Vise,
+    drawer: Drawer,
+    /// Who waits for which entry, and its term.
+    waiting: HashMap<u64, (u64, Answered)>,
+    /// Who waits for the proposal that is being made.
+    answer: Option<Answered>,
+}
+
+impl Hand {
+    async fn step(&mut self, event: Event) {
+        let now = self.shop.now();
+        for e in self.vise.step(now, event) {
+            self.carry_out(e).await;
         }
-        for e in effects {
-            match e {
-                Effect::Save(s) => {
-                    let saving = save(&drawer, s);
-                    tokio::pin!(saving);
-                    let patience = Duration::from_millis(shop.ratio(32.0));
-                    if tokio::time::timeout(patience, &mut saving).await.is_err() {
-                        if vise.role == StateRole::Leader && vise.voters().len() > 1 {
-                            // It cannot write, so it cannot lead: another one can at once.
-                            tally::change!("the disk does not answer: naming a successor");
-                            for e in vise.step(shop.now(), Event::StepDown) {
-                                if let Effect::Send(to, m) = e {
-                                    shop.bench.to(&to).send(Body::Vise(m));
-                                }
+    }
+
+    /// Cuts the log. The snapshot is the state as it stands now, and says itself
+    /// through which entry that is: all that the log asked for before is carried out.
+    async fn cut(&mut self) {
+        let (index, state) = self.shop.with(|f| (f.rack.applied, f.rack.encode_to_vec()));
+        tally::count("log_cuts");
+        tally::debug!("log cut at {index}: {} bytes of state", state.len());
+        self.step(Event::Snapshot { index, state: state.into() }).await;
+    }
+
+    /// Lets the other tasks know how things stand.
+    fn tell(&self, ticked: bool) {
+        let vise = &self.vise;
+        let now = self.shop.now();
+        self.shop.with(|f| {
+            f.serves_until = vise.serves_until(now);
+            vise.leader_at(now).clone_into(&mut f.leader);
+            if ticked {
+                f.behind = vise.behind();
+            }
+            if f.voters != vise.voters() {
+                f.voters = vise.voters().to_vec();
+            }
+        });
+    }
+
+    async fn carry_out(&mut self, e: Effect) {
+        let Hand { shop, vise, drawer, waiting, answer } = self;
+        match e {
+            Effect::Save(s) => {
+                let saving = save(drawer, s);
+                tokio::pin!(saving);
+                let patience = Duration::from_millis(shop.ratio(32.0));
+                if tokio::time::timeout(patience, &mut saving).await.is_err() {
+                    if vise.role == StateRole::Leader && vise.voters().len() > 1 {
+                        // It cannot write, so it cannot lead: another one can at once.
+                        tally::change!("the disk does not answer: naming a successor");
+                        for e in vise.step(shop.now(), Event::StepDown) {
+                            if let Effect::Send(to, m) = e {
+                                shop.bench.to(&to).send(Body::Vise(m));
                             }
-                            shop.with(|f| {
-                                f.is_leader = false;
-                                f.serves_until = 0;
-                                f.leader.clear();
-                            });
-                            waiting.clear();
                         }
-                        saving.await;
+                        shop.with(|f| {
+                            f.is_leader = false;
+                            f.serves_until = 0;
+                            f.leader.clear();
+                        });
+                        waiting.clear();
                     }
+                    saving.await;
                 }
-                Effect::Send(to, m) => shop.bench.to(&to).send(Body::Vise(m)),
-                Effect::Proposed(index, term) => {
-                    if let Some(a) = answer.take() {
-                        waiting.insert(index, (term, a));
-                    }
+            }
+            Effect::Send(to, m) => shop.bench.to(&to).send(Body::Vise(m)),
+            Effect::Proposed(index, term) => {
+                if let Some(a) = answer.take() {
+                    waiting.insert(index, (term, a));
                 }
-                Effect::Apply(e) => {
-                    let applied = shop.with(|f| f.rack.apply_with(&mut f.tree, e.index, &e.data));
-                    if let Some((term, a)) = waiting.remove(&e.index) {
-                        let _ = a.send((term == e.term).then_some(applied));
-                    }
-                    shop.news.notify_waiters();
+            }
+            Effect::Apply(e) => {
+                let applied = shop.with(|f| f.rack.apply_with(&mut f.tree, e.index, &e.data));
+                if let Some((term, a)) = waiting.remove(&e.index) {
+                    let _ = a.send((term == e.term).then_some(applied));
                 }
-                Effect::Restore(state) => {
-                    match Rack::decode(state) {
-                        Ok(rack) => shop.with(|f| {
-                            f.rack = rack;
-                            f.tree = gauge::Tree::default();
-                        }),
-                        Err(e) => {
-                            // Never go on with a blank one.
-                            tally::error!("the state that the leader sent cannot be read, ending: {e}");
-                            std::process::exit(3);
-                        }
+                shop.news.notify_waiters();
+            }
+            Effect::Restore(state) => {
+                match Rack::decode(state) {
+                    Ok(mut rack) => shop.with(|f| {
+                        // One that does not say so is of an earlier release.
+                        rack.applied = vise.hard.base;
+                        f.rack = rack;
+                        f.tree = gauge::Tree::default();
+                    }),
+                    Err(e) => {
+                        // Never go on with a blank one.
+                        tally::error!("the state that the leader sent cannot be read, ending: {e}");
+                        std::process::exit(3);
                     }
-                    shop.news.notify_waiters();
-                }
-                Effect::BecameLeader => {
-                    tally::change!("leader at term {}", vise.hard.term);
-                    let now = shop.now();
-                    shop.with(|f| {
-                        f.is_leader = true;
-                        f.leader_since = now;
-                        f.listed_at = 0;
-                        f.term = vise.hard.term;
-                        f.roster_seq = 0;
-                        f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(16.0) };
-                        f.plumbs.clear();
-                        f.leases.clear();
-                        f.governor.forget();
-                        f.unclaimed.clear();
-                        // Who told another foreman is taken over, and must tell again.
-                        for n in f.roster.nodes.clone() {
-                            let node = Node { changed: 0, ..n };
-                            f.sessions.entry(node.name.clone()).or_insert(Session { node, seen: now });
-                        }
-                    });
-                }
-                Effect::SteppedDown => {
-                    tally::change!("no longer the leader");
-                    shop.with(|f| f.is_leader = false);
-                    waiting.clear();
                 }
+                shop.news.notify_waiters();
             }
-        }
-        let until = vise.serves_until(shop.now());
-        shop.with(|f| {
-            f.serves_until = until;
-            vise.leader_at(shop.now()).clone_into(&mut f.leader);
-            if ticked {
-                f.behind = vise.behind();
+            Effect::BecameLeader => {
+                tally::change!("leader at term {}", vise.hard.term);
+                let now = shop.now();
+                shop.with(|f| {
+                    f.is_leader = true;
+                    f.leader_since = now;
+                    f.listed_at = 0;
+                    f.term = vise.hard.term;
+                    f.roster_seq = 0;
+                    f.publish_from = if f.roster.version > 0 { 0 } else { now + shop.ratio(16.0) };
+                    f.plumbs.clear();
+                    f.leases.clear();
+                    f.governor.forget();
+                    f.unclaimed.clear();
+                    // Who told another foreman is taken over, and must tell again.
+                    for n in f.roster.nodes.clone() {
+                        let node = Node { changed: 0, ..n };
+                        f.sessions.entry(node.name.clone()).or_insert(Session { node, seen: now });
+                    }
+                });
             }
-            if f.voters != vise.voters() {
-                f.voters = vise.voters().to_vec();
+            Effect::SteppedDown => {
+                tally::change!("no longer the leader");
+                shop.with(|f| f.is_leader = false);
+                waiting.clear();
             }
-        });
+        }
     }
 }
--- a/crates/foreman/src/lib.rs
+++ b/crates/foreman/src/lib.rs
@@ -16,6 +16,7 @@
 mod shop;
 mod vise;
 pub use bellows::*;
+pub use disk::Kept;
 pub use governor::*;
 pub use layout::*;
 pub use operator::serve as serve_operator;
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -21,6 +21,10 @@
     /// The last changes of the configuration, for those that are a little behind.
     #[prost(message, repeated, tag = "5")]
     pub steps: Vec<TemplateStep>,
+    /// The last entry of the log that is in this state: a snapshot says itself as of
+    /// when it is.
+    #[prost(uint64, tag = "6")]
+    pub applied: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -102,6 +106,7 @@
 
     /// As `apply`; the tree is of the configuration in force, or of none.
     pub fn apply_with(&mut self, tree: &mut Tree, index: u64, data: &Bytes) -> Applied {
+        self.applied = index;
         let Ok(Command { word: Some(word) }) = Command::decode(data.clone()) else {
             return Applied::Done;
         };
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -3,7 +3,7 @@
 
 use crate::authority::turn;
 use crate::bellows::Bellows;
-use crate::disk::save;
+use crate::disk::{self, Kept, save};
 use crate::governor::Governor;
 use crate::plumb::Plumb;
 use crate::rack::*;
@@ -11,9 +11,7 @@
 use bytes::Bytes;
 use dovetail::msg::*;
 use dovetail::{Bench, Peg, new_life};
-use drawer::Drawer;
 use gauge::{Caliper, Pattern, Role, Template};
-use prost::Message;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
@@ -253,53 +251,14 @@
 ) -> Result<(), String> {
     let me = caliper.inner_addr(Role::Foreman);
     let quiet = caliper.constraints.quiet_ms;
-    let (mut hard, mut state, mut log) = (None::<HardState>, Bytes::new(), Vec::new());
-    let mut broken = None;
-    let drawer =
-        Drawer::open(&caliper.data_dir, caliper.limits.disk_mb, caliper.limits.memory_mb, |k, v| match k[0] {
-            b'h' => match HardState::decode(v) {
-                Ok(h) => hard = Some(h),
-                Err(e) => broken = Some(format!("the vote record: {e}")),
-            },
-            b'b' => state = Bytes::copy_from_slice(v),
-            b'e' => match ViseEntry::decode(v) {
-                Ok(e) => log.push(e),
-                Err(e) => broken = Some(format!("a log entry: {e}")),
-            },
-            _ => {}
-        })?;
-    if let Some(b) = broken {
-        return Err(format!("{}: {b}; empty this disk and the others will fill it", caliper.data_dir));
-    }
-    let fresh = hard.is_none();
-    if fresh && (!log.is_empty() || !state.is_empty()) {
-        return Err(format!("{}: the vote record is missing; empty this disk", caliper.data_dir));
-    }
-    // Only the first start of all takes the voters from the seeds; any later
-    // newcomer is told them by the log.
-    let hard = hard.unwrap_or_else(|| HardState {
-        voters: if caliper.initial_start { caliper.seed_foremen() } else { Vec::new() },
-        may_vote: caliper.initial_start,
-        ..HardState::default()
-    });
-    log.retain(|e: &ViseEntry| e.index > hard.base);
-    log.sort_by_key(|e| e.index);
-    for (i, e) in log.iter().enumerate() {
-        if e.index != hard.base + 1 + i as u64 {
-            return Err(format!("{}: entry {} is missing from the log", caliper.data_dir, hard.base + 1 + i as u64));
-        }
-    }
+    let (drawer, kept) = disk::load(&caliper)?;
+    let Kept { hard, state, log, rack, fresh } = kept;
     if fresh && !caliper.initial_start {
         tally::change!("the disk is empty: no vote until readmitted");
     }
     let pace = Pace { beat: (quiet / 26.0) as u64, election: (quiet / 9.0) as u64 };
     let start = Instant::now();
     let seed = print(me.as_bytes()) ^ tally::wall_ms();
-    let rack = match (hard.base, Rack::decode(state.clone())) {
-        (0, _) => Rack::default(),
-        (_, Ok(r)) if !state.is_empty() => r,
-        (at, _) => return Err(format!("{}: the state as of entry {at} cannot be read", caliper.data_dir)),
-    };
     let vise = Vise::new(&me, hard.clone(), state, log, pace, seed, 1_000_000);
     let (inputs, rx) = mpsc::unbounded_channel();
     let shop = Arc::new(Shop {
