A leader that has cut its log keeps its authority

Cause: authority wanted an entry of the leader's own term that is applied and still in the log. A cut leaves none, so until the next entry the leader neither answered nor granted leases - and as it was followed, nobody else was elected, and whatever would have made an entry asks for authority first.

Test: a_leader_that_has_cut_its_log_goes_on (failed before). Found by the random schedules of the model checks.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -272,7 +272,8 @@
     /// has applied all that was acknowledged before its term, so that it knows what
     /// to answer. To be compared with the clock whenever authority is used.
     pub fn serves_until(&self, now: u64) -> u64 {
-        let applied = self.applied > self.hard.base && self.term_at(self.applied) == Some(self.hard.term);
+        // Also right behind a cut: the snapshot's term is then its own.
+        let applied = self.term_at(self.applied) == Some(self.hard.term);
         if self.role == StateRole::Leader && applied { self.contact(now) + self.pace.election } else { 0 }
     }
 
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -36,6 +36,10 @@
 
 impl World {
     fn new() -> World {
+        World::of(&ALL)
+    }
+
+    fn of(names: &[&str]) -> World {
         let mut w = World {
             now: 1_000_000,
             nodes: BTreeMap::new(),
@@ -46,10 +50,10 @@
             beyond: BTreeSet::new(),
             net: VecDeque::new(),
         };
-        let voters: Vec<String> = ALL.iter().map(|s| s.to_string()).collect();
-        for n in ALL {
+        let voters: Vec<String> = names.iter().map(|s| s.to_string()).collect();
+        for n in names {
             let hard = HardState { voters: voters.clone(), may_vote: true, ..HardState::default() };
-            w.disks.insert(n.into(), Disk { hard, ..Disk::default() });
+            w.disks.insert(n.to_string(), Disk { hard, ..Disk::default() });
             w.start(n);
         }
         w
@@ -112,6 +116,16 @@
         }
     }
 
+    /// Hands over what is under way to one node, at this moment.
+    fn deliver(&mut self, n: &str) {
+        for _ in 0..self.net.len() {
+            match self.net.pop_front() {
+                Some((to, m)) if to == n => self.step(n, Event::Message(m)),
+                other => self.net.extend(other),
+            }
+        }
+    }
+
     fn leader(&self) -> Option<String> {
         let held: Vec<&String> = self
             .nodes
@@ -525,3 +539,25 @@
         assert!(sent < 2 * whole + 400_000, "{sent} bytes by {last} for a log of {whole}");
     }
 }
+
+#[test]
+fn a_leader_that_has_cut_its_log_goes_on() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    w.put(&c, 0, 3);
+    w.pass(300);
+    let (index, state) = (w.nodes[&c].applied(), w.racks[&c].encode_to_vec());
+    w.step(&c, Event::Snapshot { index, state: state.into() });
+    assert_eq!((w.nodes[&c].length(), w.nodes[&c].hard.base), (0, index));
+    assert!(w.nodes[&c].serves_until(w.now) > w.now, "it led, and nothing has changed");
+    w.pass(2000);
+    assert!(w.nodes[&c].serves_until(w.now) > w.now);
+    // One that begins with nothing but a snapshot has an entry of its own to apply first.
+    for n in ALL {
+        w.start(n);
+    }
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    assert!(w.nodes[&c].serves_until(w.now) > w.now);
+}
