Leaving is a matter of one life of a foreman and is on no disk

Cause: a follower that was told to end gave up its vote in the record that the next word on votes or the next cut writes to its disk. Three of five told to end, then all killed: a majority had no vote, and there never was a leader again.

Change: an event of its own; it does not campaign again in that life, nor takes a leadership that is handed to it, but votes as long as it runs.

Test: leaving_is_a_matter_of_one_life (failed before).

--- a/crates/foreman/src/authority.rs
+++ b/crates/foreman/src/authority.rs
@@ -69,7 +69,7 @@
             i = rx.recv() => match i {
                 Some(Input::Vise(m)) => Event::Message(m),
                 Some(Input::Propose(d, a)) => { hand.answer = Some(a); Event::Propose(d) }
-                Some(Input::StepDown) => Event::StepDown,
+                Some(Input::Leave) => Event::Leave,
                 Some(Input::Foremen(all)) => {
                     let now = hand.shop.now();
                     match hand.vise.next_voters(&all, wanted, away, now) {
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -23,7 +23,8 @@
 pub(crate) enum Input {
     Vise(ViseMsg),
     Propose(Bytes, Answered),
-    StepDown,
+    /// This process is told to end.
+    Leave,
     /// The foremen whose sessions stand, with their zones.
     Foremen(Vec<(String, String)>),
 }
@@ -353,7 +354,7 @@
         }
     });
     let _ = stop.wait_for(|s| *s).await;
-    let _ = shop.inputs.send(Input::StepDown);
+    let _ = shop.inputs.send(Input::Leave);
     let _ = close.send(spindle::Closing::Draining);
     tokio::time::sleep(Duration::from_millis(shop.ratio(16.0))).await;
     tally::report(&caliper.node, &dovetail::sent());
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -13,8 +13,11 @@
     Message(ViseMsg),
     /// Adds an entry; only while leading.
     Propose(Bytes),
-    /// Name a successor and stop leading.
+    /// Name a successor and stop leading, as when the disk does not answer.
     StepDown,
+    /// This process is told to end: it names a successor, and does not campaign again
+    /// in this life. It votes as long as it runs; nothing of it goes to the disk.
+    Leave,
     /// The foremen whose sessions stand: those without a vote are kept up to date.
     Foremen(Vec<String>),
     /// Add or remove one voter; only while leading, and one change at a time.
@@ -87,6 +90,8 @@
     me: String,
     pub hard: HardState,
     state: Bytes,
+    /// Told to end: does not campaign any more.
+    leaving: bool,
     log: Vec<ViseEntry>,
     /// The voters that the newest entry about them names, committed or not, and
     /// that entry's index.
@@ -130,6 +135,7 @@
             me: me.into(),
             hard,
             state,
+            leaving: false,
             log,
             voters: Vec::new(),
             voters_at: 0,
@@ -305,6 +311,10 @@
                 }
             }
             Event::StepDown => self.step_down(now, &mut out),
+            Event::Leave => {
+                self.leaving = true;
+                self.step_down(now, &mut out);
+            }
             Event::Foremen(all) => {
                 let voters = &self.voters;
                 self.learners = all.into_iter().filter(|f| *f != self.me && !voters.contains(f)).collect();
@@ -334,10 +344,10 @@
             }
         } else if now >= self.election_at && self.is_voter() {
             self.wait_again(now);
-            if self.hard.may_vote {
+            if self.hard.may_vote && !self.leaving {
                 self.campaign(now, true, false, out);
             }
-        } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote {
+        } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote && !self.leaving {
             // All may have ended at once: then nobody counts on a leader, and there is
             // nothing to wait for.
             self.blank_at = now + self.pace.election / 8 + self.dice % (self.pace.election / 8).max(1);
@@ -408,7 +418,6 @@
 
     fn step_down(&mut self, now: u64, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader {
-            self.hard.may_vote = false; // Leaving: does not run for leadership again.
             return;
         }
         let best =
@@ -551,7 +560,9 @@
             }
             ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
             ViseKind::AppendAck => self.acked(m, out),
-            ViseKind::TimeoutNow if m.term == self.hard.term && self.hard.may_vote && self.is_voter() => {
+            ViseKind::TimeoutNow
+                if m.term == self.hard.term && self.hard.may_vote && self.is_voter() && !self.leaving =>
+            {
                 self.campaign(now, false, true, out);
             }
             _ => {}
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -561,3 +561,26 @@
     let c = w.leader().expect("a leader");
     assert!(w.nodes[&c].serves_until(w.now) > w.now);
 }
+
+#[test]
+fn leaving_is_a_matter_of_one_life() {
+    let names = ["a", "b", "c", "d", "e"];
+    let mut w = World::of(&names);
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    w.put(&old, 0, 3);
+    w.pass(300);
+    let told: Vec<&str> = names.into_iter().filter(|n| *n != old).take(3).collect();
+    for n in &told {
+        w.step(n, Event::Leave);
+    }
+    w.step(&old, Event::Leave);
+    // The next record about votes goes to their disks with whatever it holds.
+    w.pass(3000);
+    for n in names {
+        w.start(n);
+    }
+    w.pass(4000);
+    let l = w.leader().expect("a majority of those that came back has its vote");
+    assert_eq!(w.racks[&l].revision, 3);
+}
