Readmission counts the voters in force, by the time of their answers

Change: the voters in force count; the time at which a voter's answered round was sent is compared, which is kept for as long as the voter is.

Tests: readmission_counts_the_voters_in_force and one_without_a_vote_is_readmitted_however_many_rounds_go_by (failed before).

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -122,7 +122,7 @@
     answered: HashMap<String, u64>,
     sent: HashMap<u64, u64>,
     round: u64,
-    /// Who waits to be readmitted, and the round in which that was heard.
+    /// Who waits to be readmitted, and when that was first heard.
     waiting: HashMap<String, u64>,
     pace: Pace,
     dice: u64,
@@ -559,7 +559,7 @@
                 self.count_votes(now, out);
             }
             ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
-            ViseKind::AppendAck => self.acked(m, out),
+            ViseKind::AppendAck => self.acked(now, m, out),
             ViseKind::TimeoutNow
                 if m.term == self.hard.term && self.hard.may_vote && self.is_voter() && !self.leaving =>
             {
@@ -679,7 +679,7 @@
         self.advance(out);
     }
 
-    fn acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
+    fn acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
         }
@@ -713,7 +713,7 @@
             self.send_log(&m.from, out);
         }
         if m.readmit {
-            self.readmit(&m, out);
+            self.readmit(now, &m, out);
         } else {
             self.waiting.remove(&m.from);
         }
@@ -723,15 +723,11 @@
     /// One that lost its disk votes again once it holds the whole log, and every
     /// other voter that a majority needs has followed this leader since it asked:
     /// no vote or entry that it forgot can matter then.
-    fn readmit(&mut self, m: &ViseMsg, out: &mut Vec<Effect>) {
-        let asked = *self.waiting.entry(m.from.clone()).or_insert(self.round);
-        let since = self.sent.get(&(asked + 1)).copied().unwrap_or(u64::MAX);
-        let others = self
-            .hard
-            .voters
-            .iter()
-            .filter(|v| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a >= since)))
-            .count();
+    fn readmit(&mut self, now: u64, m: &ViseMsg, out: &mut Vec<Effect>) {
+        let since = *self.waiting.entry(m.from.clone()).or_insert(now);
+        let vouches =
+            |v: &&String| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a > since));
+        let others = self.voters.iter().filter(vouches).count();
         if m.index >= self.commit && others >= self.majority() {
             let mut r = self.message(ViseKind::Append);
             r.readmit = true;
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -584,3 +584,55 @@
     let l = w.leader().expect("a majority of those that came back has its vote");
     assert_eq!(w.racks[&l].revision, 3);
 }
+
+#[test]
+fn readmission_counts_the_voters_in_force() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    w.put(&c, 0, 3);
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    // One is replaced by a newcomer for good; then the other one loses its disk.
+    w.down.insert(others[0].into());
+    w.newcomer("n");
+    w.tend(6000);
+    assert_eq!(w.leader().as_ref(), Some(&c));
+    let in_force = w.nodes[&c].voters().to_vec();
+    assert!(in_force.contains(&"n".to_string()) && !in_force.contains(&others[0].to_string()), "{in_force:?}");
+    w.disks.insert(others[1].into(), Disk::default());
+    w.start(others[1]);
+    w.tend(4000);
+    assert!(w.nodes[others[1]].hard.may_vote, "leader and newcomer are a majority that vouches");
+    // One that was voted out vouches for nobody: the newcomer is away now.
+    w.down.insert("n".into());
+    w.start(others[0]);
+    w.disks.insert(others[1].into(), Disk::default());
+    w.start(others[1]);
+    for _ in 0..40 {
+        w.pass(50);
+        if let Some(c) = w.leader() {
+            // It stays known as a learner, as its session stands.
+            w.step(&c, Event::Foremen(vec![others[0].into()]));
+        }
+    }
+    assert!(!w.nodes[others[1]].hard.may_vote, "counted with one that has no vote");
+}
+
+#[test]
+fn one_without_a_vote_is_readmitted_however_many_rounds_go_by() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    w.down.insert(others[1].into());
+    w.wipe(others[0]);
+    w.pass(500);
+    // Many changes go by before the one that has to vouch is back.
+    for r in 1..=300 {
+        w.put(&c, r - 1, r);
+        w.pass(10);
+    }
+    w.start(others[1]);
+    w.pass(3000);
+    assert!(w.nodes[others[0]].hard.may_vote);
+}
