Votes count for the campaign that asked, while it lasts

Cause, by argument and trace: a vote that was on its way counted whenever it came, also for a later life of the candidate; a voter that lost its disk meanwhile and was readmitted by a leader of a lower term could vote a second time in that term. With three voters all others vouch, so none is left to be elected by it; with five two leaders of one term were possible. An old answer that all had just begun could likewise serve a later life.

Change: a campaign has a number that its answers repeat; votes count for two election times; a disk that lost its vote has it back after three at the earliest, and what it held before does not count as held.

Tests: answers_to_an_earlier_campaign_count_for_nothing, a_forgotten_vote_is_not_given_again_while_it_may_count (failed before).

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -524,7 +524,7 @@
     /// With `Install`: who voted as of that state.
     #[prost(string, repeated, tag = "12")]
     pub voters: Vec<String>,
-    /// Numbers appends, to tell rounds apart.
+    /// Numbers appends, to tell rounds apart; of a campaign: tells it from others.
     #[prost(uint64, tag = "13")]
     pub round: u64,
     /// Answer to a pre-vote: has heard of no leader since its process began.
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -122,6 +122,10 @@
     answered: HashMap<String, u64>,
     sent: HashMap<u64, u64>,
     round: u64,
+    /// When this process began.
+    born: u64,
+    /// Tells the answers to one campaign from those to another.
+    ballot: u64,
     /// Who waits to be readmitted, and when that was first heard.
     waiting: HashMap<String, u64>,
     pace: Pace,
@@ -159,6 +163,8 @@
             answered: HashMap::new(),
             sent: HashMap::new(),
             round: 0,
+            born: now,
+            ballot: seed ^ now,
             waiting: HashMap::new(),
             pace,
             dice: seed | 1,
@@ -358,13 +364,18 @@
     fn campaign(&mut self, now: u64, pre_vote: bool, named: bool, out: &mut Vec<Effect>) {
         self.votes.clear();
         self.votes.insert(self.me.clone());
+        self.ballot = self.ballot.wrapping_add(1).max(1);
         let mut m = self.message(ViseKind::RequestVote);
+        m.round = self.ballot;
         if pre_vote {
             self.blanks.clear();
             self.role = StateRole::PreCandidate;
             m.term = self.hard.term + 1;
         } else {
             self.role = StateRole::Candidate;
+            // Votes count until then and no longer: a voter that loses its disk may
+            // forget its vote, and does not vote again before that.
+            self.wait_again(now);
             self.hard.term += 1;
             self.hard.voted_for = self.me.clone();
             self.leader.clear();
@@ -525,6 +536,13 @@
             self.asked(now, m, out);
             return;
         }
+        if kind == ViseKind::Vote && m.round != self.ballot {
+            // To an earlier campaign, perhaps of a former life.
+            tally::count("vise_late_votes");
+            if m.term <= self.hard.term || m.pre_vote {
+                return;
+            }
+        }
         if m.pre_vote {
             if self.role == StateRole::PreCandidate && m.term == self.hard.term + 1 {
                 if m.blank {
@@ -554,7 +572,13 @@
             self.become_follower(now, out);
         }
         match kind {
-            ViseKind::Vote if m.ok && m.term == self.hard.term && self.role == StateRole::Candidate => {
+            ViseKind::Vote
+                if m.ok
+                    && m.term == self.hard.term
+                    && m.round == self.ballot
+                    && now < self.election_at
+                    && self.role == StateRole::Candidate =>
+            {
                 self.votes.insert(m.from);
                 self.count_votes(now, out);
             }
@@ -573,6 +597,7 @@
         let followed = self.role == StateRole::Leader || now < self.heard + self.pace.election;
         let mut r = self.message(ViseKind::Vote);
         r.pre_vote = m.pre_vote;
+        r.round = m.round;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
         if !self.voters.contains(&m.from) {
             tally::count("vise_strangers");
@@ -621,7 +646,9 @@
         self.heard = now;
         self.wait_again(now);
         let mut save = Save::default();
-        if m.readmit && !self.hard.may_vote {
+        // Whoever was given a vote that this disk lost counts votes for two election
+        // times at the most; a third is for what clocks differ.
+        if m.readmit && !self.hard.may_vote && now >= self.born + 3 * self.pace.election {
             self.hard.may_vote = true;
             save.hard = Some(self.hard.clone());
         }
@@ -691,6 +718,10 @@
             let a = self.answered.entry(m.from.clone()).or_insert(0);
             *a = (*a).max(*at);
         }
+        if !m.ok && m.readmit {
+            // An empty disk: what it held before does not count.
+            self.matched.insert(m.from.clone(), m.index);
+        }
         if !m.ok {
             // Many may be under way when the first is refused. Each would else bring
             // back the whole of what is lacking, and the next refusal with it.
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -636,3 +636,57 @@
     w.pass(3000);
     assert!(w.nodes[others[0]].hard.may_vote);
 }
+
+/// What was sent to one of the kind that it says, as it stands on the way.
+fn sent(w: &World, to: &str, kind: dovetail::msg::ViseKind) -> Vec<ViseMsg> {
+    w.net.iter().filter(|(t, m)| t == to && m.kind == kind as i32).map(|(_, m)| m.clone()).collect()
+}
+
+#[test]
+fn answers_to_an_earlier_campaign_count_for_nothing() {
+    use dovetail::msg::ViseKind;
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    w.down.insert(c.clone());
+    // One campaigns, and the votes for it stay on their way.
+    let (a, b) = (others[0], others[1]);
+    let mut held = Vec::new();
+    for _ in 0..400 {
+        w.now += 10;
+        w.step(a, Event::Tick);
+        w.deliver(b);
+        let real = sent(&w, a, ViseKind::Vote).into_iter().find(|m| m.ok && !m.pre_vote);
+        if let Some(m) = real {
+            held.push(m);
+            break;
+        }
+        w.deliver(a);
+    }
+    let vote = held.pop().expect("a vote");
+    w.net.clear();
+    // Counted in time; but not once a voter that forgot it may have voted again.
+    w.now += 2 * PACE.election;
+    w.step(a, Event::Message(vote.clone()));
+    assert_ne!(w.nodes[a].role, StateRole::Leader, "a vote that came too late");
+    // Nor by the next life of the candidate, which asked nobody.
+    w.start(a);
+    w.step(a, Event::Message(vote));
+    assert_ne!(w.nodes[a].role, StateRole::Leader);
+}
+
+#[test]
+fn a_forgotten_vote_is_not_given_again_while_it_may_count() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let lost = ALL.into_iter().find(|n| *n != c).expect("another");
+    w.wipe(lost);
+    let began = w.now;
+    while !w.nodes[lost].hard.may_vote {
+        w.pass(10);
+        assert!(w.now < began + 10 * PACE.election, "never readmitted");
+    }
+    assert!(w.now >= began + 3 * PACE.election, "after {} ms", w.now - began);
+}
