The leader's authority ends an eighth before others may be elected

Cause: authority and the time for which voters refuse others were the same length, measured by different clocks, so a leader whose clock runs slower by anything could still answer when the next one was elected.

Change: seven eighths of an election time; clocks may differ by an eighth.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -274,10 +274,17 @@
         ViseMsg { from: self.me.clone(), term: self.hard.term, kind: kind as i32, ..ViseMsg::default() }
     }
 
-    /// Leads, and a majority has answered rounds sent within an election
-    /// time: nobody else can have been elected yet.
+    /// How long a round that a majority has answered keeps others from being elected:
+    /// they wait an election time from when they heard it, by their own clocks, which
+    /// may run an eighth faster than this one.
+    fn authority(&self) -> u64 {
+        self.pace.election * 7 / 8
+    }
+
+    /// Leads, and a majority has answered rounds sent within the time that its
+    /// authority lasts: nobody else can have been elected yet.
     pub fn holds_leadership(&self, now: u64) -> bool {
-        self.role == StateRole::Leader && self.contact(now) + self.pace.election > now
+        self.role == StateRole::Leader && self.contact(now) + self.authority() > now
     }
 
     /// Until when it may act for the majority: it leads until then, and
@@ -286,7 +293,7 @@
     pub fn serves_until(&self, now: u64) -> u64 {
         // Also right behind a cut: the snapshot's term is then its own.
         let applied = self.term_at(self.applied) == Some(self.hard.term);
-        if self.role == StateRole::Leader && applied { self.contact(now) + self.pace.election } else { 0 }
+        if self.role == StateRole::Leader && applied { self.contact(now) + self.authority() } else { 0 }
     }
 
     /// Who leads, while it is heard of.
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -386,7 +386,7 @@
     w.pass(2000);
     let c = w.leader().expect("a leader");
     let until = w.nodes[&c].serves_until(w.now);
-    assert!(until > w.now && until <= w.now + PACE.election);
+    assert!(until > w.now && until <= w.now + PACE.election * 7 / 8, "shorter than others wait, as clocks differ");
     // Frozen, or waiting for its disk, it steps nothing: what it computed last
     // still ends before anybody else can have been elected.
     w.down.insert(c.clone());
