Refusing a pre-vote tells the voter's term

Cause: a pre-vote for a term that is not above the voter's own was refused without saying so. One that had the longest log and the lower term asked for the same term for ever, the others were refused for their shorter logs: a majority was up, and there never was a leader (found by the random schedules of the model checks: two lost disks of five, then all killed).

Change: the answer carries the voter's term; one that hears of a higher one takes it and asks for the next.

Test: the_longest_log_wins_also_with_the_lowest_term (failed before).

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -504,6 +504,7 @@
     /// Ask: last entry of the asker. Append: entry before the first one sent.
     #[prost(uint64, tag = "4")]
     pub index: u64,
+    /// Of the entry at `index`; in the answer to a pre-vote: the voter's own term.
     #[prost(uint64, tag = "5")]
     pub log_term: u64,
     #[prost(message, repeated, tag = "6")]
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -552,6 +552,15 @@
         }
         if m.pre_vote {
             if self.role == StateRole::PreCandidate && m.term == self.hard.term + 1 {
+                if !m.ok && m.log_term > self.hard.term {
+                    // With the lower one it would be refused by this voter for ever, and
+                    // may be the only one whose log a majority can follow.
+                    self.hard.term = m.log_term;
+                    self.hard.voted_for.clear();
+                    out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+                    self.become_follower(now, out);
+                    return;
+                }
                 if m.blank {
                     self.blanks.insert(m.from.clone(), m.index > 0);
                 }
@@ -615,6 +624,7 @@
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
             r.blank = self.blank && self.role != StateRole::Leader;
             r.index = u64::from(newer && self.hard.may_vote);
+            r.log_term = self.hard.term;
             out.push(Effect::Send(m.from, r));
             return;
         }
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -690,3 +690,21 @@
     }
     assert!(w.now >= began + 3 * PACE.election, "after {} ms", w.now - began);
 }
+
+#[test]
+fn the_longest_log_wins_also_with_the_lowest_term() {
+    // Two of five are lost. e led at term 1 and has an entry that it acknowledged; b and
+    // c have seen a higher term since. Only e's log can be followed by all three.
+    let names = ["a", "b", "c", "d", "e"];
+    let voters: Vec<String> = names.iter().map(|s| s.to_string()).collect();
+    let mut w = World::of(&names);
+    w.down.extend(["a".to_string(), "d".to_string()]);
+    for (n, term, entries) in [("b", 4, 1), ("c", 4, 1), ("e", 1, 2)] {
+        let hard = HardState { term, voters: voters.clone(), may_vote: true, ..HardState::default() };
+        let log = (1..=entries).map(|i| (i, ViseEntry { index: i, term: 1, ..ViseEntry::default() })).collect();
+        w.disks.insert(n.into(), Disk { hard, log, ..Disk::default() });
+        w.start(n);
+    }
+    w.pass(8 * PACE.election);
+    assert_eq!(w.leader().as_deref(), Some("e"));
+}
