--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -671,8 +671,15 @@
         }
         if kind == ViseKind::InstallSnapshot && m.index > self.commit {
             let last = self.last().0;
-            save.del = Some((self.hard.base + 1, last));
-            self.log.clear();
+            // What it holds behind the snapshot's last entry stands, if that entry is its
+            // own: others may count on it.
+            let keeps = self.term_at(m.index) == Some(m.log_term);
+            save.del = Some((self.hard.base + 1, if keeps { m.index } else { last }));
+            if keeps {
+                self.log.drain(..(m.index - self.hard.base) as usize);
+            } else {
+                self.log.clear();
+            }
             self.hard.base = m.index;
             self.hard.base_term = m.log_term;
             self.hard.voters = m.voters.clone();
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -708,3 +708,41 @@
     w.pass(8 * PACE.election);
     assert_eq!(w.leader().as_deref(), Some("e"));
 }
+
+#[test]
+fn a_snapshot_takes_nothing_back_that_was_acknowledged_behind_it() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    let (holder, late) = (others[0].to_string(), others[1].to_string());
+    w.put(&c, 0, 1);
+    w.pass(300);
+    w.down.insert(late.clone());
+    // Taken by leader and holder; the holder's word for it arrives, but not what the
+    // leader says next: the holder does not know that they are committed.
+    for r in 2..6 {
+        w.put(&c, r - 1, r);
+    }
+    w.deliver(&holder);
+    w.deliver(&c);
+    w.net.clear();
+    assert_eq!(w.racks[&c].revision, 5, "acknowledged");
+    let held = w.disks[&holder].log.keys().max().copied();
+    let (index, state) = (w.nodes[&c].applied() - 2, w.racks[&c].encode_to_vec());
+    w.step(&c, Event::Snapshot { index, state: state.into() });
+    // One is lost on the way, the next finds a gap, and is answered by a snapshot.
+    w.put(&c, 5, 6);
+    w.net.clear();
+    w.put(&c, 6, 7);
+    for _ in 0..20 {
+        w.deliver(&holder);
+        let installed = w.disks[&holder].hard.base >= index;
+        assert!(w.disks[&holder].log.keys().max().copied() >= held, "what it said that it held is gone");
+        if installed {
+            return;
+        }
+        w.deliver(&c);
+    }
+    panic!("no snapshot came");
+}
