--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -513,7 +513,7 @@
     pub commit: u64,
     #[prost(bool, tag = "8")]
     pub ok: bool,
-    /// Whole state, with `Install`.
+    /// With `InstallSnapshot`: the piece of the state from `offset` on.
     #[prost(bytes = "bytes", tag = "9")]
     pub state: Bytes,
     /// From one without a vote: wants to be readmitted. To it: it is.
@@ -522,7 +522,7 @@
     /// Only asks whether it would be elected.
     #[prost(bool, tag = "11")]
     pub pre_vote: bool,
-    /// With `Install`: who voted as of that state.
+    /// With `InstallSnapshot`: who voted as of that state.
     #[prost(string, repeated, tag = "12")]
     pub voters: Vec<String>,
     /// Numbers appends, to tell rounds apart; of a campaign: tells it from others.
@@ -531,6 +531,15 @@
     /// Answer to a pre-vote: has heard of no leader since its process began.
     #[prost(bool, tag = "14")]
     pub blank: bool,
+    /// With `InstallSnapshot`: bytes before this piece; with its answer: bytes held.
+    #[prost(uint64, tag = "15")]
+    pub offset: u64,
+    /// Bytes of the whole snapshot.
+    #[prost(uint64, tag = "16")]
+    pub total: u64,
+    /// SHA-256 of the whole snapshot.
+    #[prost(bytes = "bytes", tag = "17")]
+    pub digest: Bytes,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -544,6 +553,8 @@
     InstallSnapshot = 5,
     /// The leader names its successor.
     TimeoutNow = 6,
+    /// How much of a snapshot is held.
+    SnapshotAck = 7,
 }
 
 // ---- messages on their way ----
--- a/crates/foreman/src/authority.rs
+++ b/crates/foreman/src/authority.rs
@@ -87,7 +87,9 @@
         let ticked = matches!(event, Event::Tick);
         hand.step(event).await;
         hand.answer = None;
-        if hand.vise.length() > 512 || hand.vise.weight() > heavy {
+        // Not behind the back of one that is being sent the last cut, unless it takes long.
+        let room = if hand.vise.sends_snapshot() { 2 } else { 1 };
+        if hand.vise.length() > 512 * room || hand.vise.weight() > heavy * room {
             hand.cut().await;
         }
         hand.tell(ticked);
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -260,7 +260,8 @@
     let pace = Pace { beat: (quiet / 26.0) as u64, election: (quiet / 9.0) as u64 };
     let start = Instant::now();
     let seed = print(me.as_bytes()) ^ tally::wall_ms();
-    let vise = Vise::new(&me, hard.clone(), state, log, pace, seed, 1_000_000);
+    let mut vise = Vise::new(&me, hard.clone(), state, log, pace, seed, 1_000_000);
+    vise.limit_snapshots((caliper.limits.memory_mb as u64) << 20 >> 2);
     let (inputs, rx) = mpsc::unbounded_channel();
     let shop = Arc::new(Shop {
         me: me.clone(),
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -5,7 +5,8 @@
 use dovetail::msg::{ViseEntry, ViseKind, ViseMsg};
 use std::collections::{HashMap, HashSet};
 
-/// Bytes of entries that go in one message, unless one alone is larger.
+/// Bytes of entries that go in one message, unless one alone is larger; also those
+/// of one piece of a snapshot.
 const APPEND_BYTES: usize = dovetail::FRAME_LIMIT / 4;
 
 pub enum Event {
@@ -29,7 +30,7 @@
     },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Effect {
     /// Must be durable before any later effect is carried out.
     Save(Save),
@@ -61,7 +62,7 @@
     pub base_term: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Save {
     pub hard: Option<HardState>,
     /// The whole state as of `hard.base`.
@@ -86,10 +87,48 @@
     pub election: u64,
 }
 
+/// A snapshot on its way to one that lacks it. It is the one with which the sending
+/// began, also when the leader has a newer one by now.
+#[derive(Clone)]
+struct Outgoing {
+    index: u64,
+    term: u64,
+    voters: Vec<String>,
+    state: Bytes,
+    digest: Bytes,
+    /// How many bytes the other side said that it holds.
+    held: u64,
+    /// The round in which the piece from there was sent; 0: not yet.
+    sent: u64,
+}
+
+/// A snapshot of which some pieces have come. It changes nothing before it is whole.
+#[derive(Clone)]
+struct Incoming {
+    index: u64,
+    term: u64,
+    digest: Bytes,
+    total: u64,
+    state: Vec<u8>,
+}
+
+/// SHA-256 of a snapshot.
+fn digest_of(state: &[u8]) -> Bytes {
+    use sha2::Digest;
+    Bytes::copy_from_slice(&sha2::Sha256::digest(state))
+}
+
+#[derive(Clone)]
 pub struct Vise {
     me: String,
     pub hard: HardState,
     state: Bytes,
+    /// Of the snapshot, once somebody wanted it.
+    digest: Option<Bytes>,
+    outgoing: HashMap<String, Outgoing>,
+    incoming: Option<Incoming>,
+    /// The largest snapshot that is taken, in bytes.
+    snapshot_limit: u64,
     /// Told to end: does not campaign any more.
     leaving: bool,
     log: Vec<ViseEntry>,
@@ -139,6 +178,10 @@
             me: me.into(),
             hard,
             state,
+            digest: None,
+            outgoing: HashMap::new(),
+            incoming: None,
+            snapshot_limit: 64 << 20,
             leaving: false,
             log,
             voters: Vec::new(),
@@ -185,6 +228,17 @@
         &self.voters
     }
 
+    /// Takes no snapshot of more bytes than that.
+    pub fn limit_snapshots(&mut self, bytes: u64) {
+        self.snapshot_limit = bytes;
+    }
+
+    /// Whether a snapshot is on its way to somebody: a newer one would be the next to
+    /// send before that one is used.
+    pub fn sends_snapshot(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
     /// How many committed entries each other foreman is not known to hold.
     pub fn behind(&self) -> Vec<(String, u64)> {
         if self.role != StateRole::Leader {
@@ -335,6 +389,8 @@
                 for l in &self.learners {
                     self.next.entry(l.clone()).or_insert(next);
                 }
+                let (voters, learners) = (&self.voters, &self.learners);
+                self.outgoing.retain(|f, _| voters.contains(f) || learners.contains(f));
             }
             Event::SetVoters(voters) => {
                 let added = voters.iter().filter(|v| !self.voters.contains(v)).count();
@@ -412,6 +468,7 @@
                 self.gone_back.clear();
                 self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
                 self.matched.clear();
+                self.outgoing.clear();
                 self.sent.clear();
                 self.waiting.clear();
                 self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
@@ -431,6 +488,7 @@
         }
         self.role = StateRole::Follower;
         self.leader.clear();
+        self.outgoing.clear();
         self.wait_again(now);
     }
 
@@ -486,33 +544,83 @@
         let mut m = self.message(ViseKind::Append);
         m.round = self.round;
         m.commit = self.commit;
-        if next <= self.hard.base {
-            m.kind = ViseKind::InstallSnapshot as i32;
-            m.index = self.hard.base;
-            m.log_term = self.hard.base_term;
-            m.state = self.state.clone();
-            m.voters = self.hard.voters.clone();
-            // Sent once, as entries are.
-            self.next.insert(to.into(), self.hard.base + 1);
-        } else {
-            m.index = next - 1;
-            m.log_term = self.term_at(next - 1).unwrap_or(0);
-            let from = (next - self.hard.base - 1) as usize;
-            // Bounded by bytes too: an entry may hold a whole configuration.
-            let mut bytes = 0;
-            let lacks = &self.log[from.min(self.log.len())..];
-            let fits = lacks.iter().take(64).take_while(|e| {
-                let first = bytes == 0;
-                bytes += e.data.len() + 64;
-                first || bytes <= APPEND_BYTES
-            });
-            m.entries = fits.cloned().collect();
-            // Sent once; a refusal or a lost answer brings it back.
-            self.next.insert(to.into(), next + m.entries.len() as u64);
+        if next <= self.hard.base || self.outgoing.contains_key(to) {
+            self.send_piece(to, m, out);
+            return;
         }
+        m.index = next - 1;
+        m.log_term = self.term_at(next - 1).unwrap_or(0);
+        let from = (next - self.hard.base - 1) as usize;
+        // Bounded by bytes too: an entry may hold a whole configuration.
+        let mut bytes = 0;
+        let lacks = &self.log[from.min(self.log.len())..];
+        let fits = lacks.iter().take(64).take_while(|e| {
+            let first = bytes == 0;
+            bytes += e.data.len() + 64;
+            first || bytes <= APPEND_BYTES
+        });
+        m.entries = fits.cloned().collect();
+        // Sent once; a refusal or a lost answer brings it back.
+        self.next.insert(to.into(), next + m.entries.len() as u64);
         out.push(Effect::Send(to.into(), m));
     }
 
+    /// One piece of a snapshot; once that is sent, an empty one as a beat, which the
+    /// other side answers with what it holds.
+    fn send_piece(&mut self, to: &str, mut m: ViseMsg, out: &mut Vec<Effect>) {
+        if !self.outgoing.contains_key(to) {
+            let digest = self.digest.get_or_insert_with(|| digest_of(&self.state)).clone();
+            let (index, term) = (self.hard.base, self.hard.base_term);
+            let (voters, state) = (self.hard.voters.clone(), self.state.clone());
+            tally::count("vise_snapshots_sent");
+            self.outgoing.insert(to.into(), Outgoing { index, term, voters, state, digest, held: 0, sent: 0 });
+        }
+        let round = self.round;
+        let Some(o) = self.outgoing.get_mut(to) else { return };
+        m.kind = ViseKind::InstallSnapshot as i32;
+        (m.index, m.log_term) = (o.index, o.term);
+        m.voters.clone_from(&o.voters);
+        m.digest = o.digest.clone();
+        (m.offset, m.total) = (o.held, o.state.len() as u64);
+        if o.sent == 0 {
+            let from = o.held as usize;
+            m.state = o.state.slice(from..(from + APPEND_BYTES).min(o.state.len()));
+            o.sent = round;
+        }
+        out.push(Effect::Send(to.into(), m));
+    }
+
+    /// What the other side holds of the snapshot on its way to it.
+    fn snapshot_acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
+        if self.role != StateRole::Leader || m.term != self.hard.term {
+            return;
+        }
+        self.hear_answer(&m);
+        let Some(o) = self.outgoing.get_mut(&m.from).filter(|o| o.index == m.index) else { return };
+        if m.offset > o.state.len() as u64 {
+            tally::count("vise_refused");
+            return;
+        }
+        // Frames of one connection come in order: what was asked later than the piece
+        // was sent, and is answered without it, was answered by one that lost it.
+        if m.offset > o.held || (o.sent > 0 && m.round > o.sent) {
+            o.held = m.offset;
+            o.sent = 0;
+            let mut next = self.message(ViseKind::InstallSnapshot);
+            next.round = self.round;
+            next.commit = self.commit;
+            self.send_piece(&m.from, next, out);
+        }
+    }
+
+    /// When the round was sent that this answers.
+    fn hear_answer(&mut self, m: &ViseMsg) {
+        if let Some(at) = self.sent.get(&m.round) {
+            let a = self.answered.entry(m.from.clone()).or_insert(0);
+            *a = (*a).max(*at);
+        }
+    }
+
     fn advance(&mut self, out: &mut Vec<Effect>) {
         if self.role == StateRole::Leader {
             let last = self.last().0;
@@ -600,6 +708,7 @@
             }
             ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
             ViseKind::AppendAck => self.acked(now, m, out),
+            ViseKind::SnapshotAck => self.snapshot_acked(m, out),
             ViseKind::TimeoutNow
                 if m.term == self.hard.term && self.hard.may_vote && self.is_voter() && !self.leaving =>
             {
@@ -669,7 +778,20 @@
             self.hard.may_vote = true;
             save.hard = Some(self.hard.clone());
         }
+        if self.incoming.as_ref().is_some_and(|i| i.index <= self.commit) {
+            self.incoming = None;
+        }
         if kind == ViseKind::InstallSnapshot && m.index > self.commit {
+            let Some(state) = self.take_piece(&m) else {
+                r.kind = ViseKind::SnapshotAck as i32;
+                r.index = m.index;
+                r.offset = self.incoming.as_ref().map_or(0, |i| i.state.len() as u64);
+                if save.hard.is_some() {
+                    out.push(Effect::Save(save));
+                }
+                out.push(Effect::Send(m.from, r));
+                return;
+            };
             let last = self.last().0;
             // What it holds behind the snapshot's last entry stands, if that entry is its
             // own: others may count on it.
@@ -683,12 +805,14 @@
             self.hard.base = m.index;
             self.hard.base_term = m.log_term;
             self.hard.voters = m.voters.clone();
-            self.state = m.state.clone();
+            self.state = state.clone();
+            self.digest = Some(m.digest.clone());
             self.commit = m.index;
             self.applied = m.index;
             save.hard = Some(self.hard.clone());
-            save.state = Some(m.state.clone());
-            out.push(Effect::Restore(m.state));
+            save.state = Some(state.clone());
+            tally::count("vise_snapshots_taken");
+            out.push(Effect::Restore(state));
         }
         let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
         r.ok = joins;
@@ -730,6 +854,34 @@
         self.advance(out);
     }
 
+    /// Takes one piece of a snapshot; the whole, if this was the last one.
+    fn take_piece(&mut self, m: &ViseMsg) -> Option<Bytes> {
+        let end = m.offset.checked_add(m.state.len() as u64);
+        if m.total > self.snapshot_limit || m.digest.len() != 32 || end.is_none_or(|e| e > m.total) {
+            tally::count("vise_refused");
+            return None;
+        }
+        let same =
+            |i: &Incoming| i.index == m.index && i.term == m.log_term && i.total == m.total && i.digest == m.digest;
+        if !self.incoming.as_ref().is_some_and(same) {
+            let (index, term, digest, total) = (m.index, m.log_term, m.digest.clone(), m.total);
+            self.incoming = Some(Incoming { index, term, digest, total, state: Vec::new() });
+        }
+        let i = self.incoming.as_mut()?;
+        if m.offset == i.state.len() as u64 {
+            i.state.extend_from_slice(&m.state);
+        }
+        if (i.state.len() as u64) < i.total {
+            return None;
+        }
+        let whole = self.incoming.take()?;
+        if digest_of(&whole.state) != whole.digest {
+            tally::count("vise_snapshots_refused");
+            return None;
+        }
+        Some(whole.state.into())
+    }
+
     fn acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
@@ -738,9 +890,11 @@
             tally::count("vise_strangers");
             return;
         }
-        if let Some(at) = self.sent.get(&m.round) {
-            let a = self.answered.entry(m.from.clone()).or_insert(0);
-            *a = (*a).max(*at);
+        self.hear_answer(&m);
+        if self.outgoing.get(&m.from).is_some_and(|o| m.index >= o.index) {
+            // It holds the snapshot, or more than that.
+            self.outgoing.remove(&m.from);
+            self.next.insert(m.from.clone(), m.index + 1);
         }
         if !m.ok && m.readmit {
             // An empty disk: what it held before does not count.
@@ -754,8 +908,10 @@
                 return;
             }
             self.gone_back.insert(m.from.clone(), self.round);
-            self.next.insert(m.from.clone(), m.index + 1);
-            self.send_log(&m.from, out);
+            if !self.outgoing.contains_key(&m.from) {
+                self.next.insert(m.from.clone(), m.index + 1);
+                self.send_log(&m.from, out);
+            }
             return;
         }
         let old = self.matched.insert(m.from.clone(), m.index).unwrap_or(0);
@@ -807,6 +963,7 @@
         self.hard.base = index;
         self.hard.base_term = term;
         self.state = state.clone();
+        self.digest = None;
         let (hard, state) = (Some(self.hard.clone()), Some(state));
         out.push(Effect::Save(Save { hard, state, put: Vec::new(), del: Some((from, index)) }));
     }
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -746,3 +746,114 @@
     }
     panic!("no snapshot came");
 }
+
+/// A leader whose state is larger than any frame, and one that lacks all of it.
+fn one_that_lacks_a_large_state(bytes: usize) -> (World, String, String) {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let away = ALL.into_iter().find(|n| *n != c).expect("another").to_string();
+    w.down.insert(away.clone());
+    w.put(&c, 0, 9);
+    w.pass(300);
+    // Grown beyond any one entry, as by many changes.
+    let json: Vec<u8> = (0..bytes).map(|i| (i * 31 % 251) as u8).collect();
+    w.racks.get_mut(&c).expect("a rack").template = json.into();
+    let (index, state) = (w.nodes[&c].applied(), w.racks[&c].encode_to_vec());
+    assert!(w.racks[&c].revision == 9 && state.len() > bytes);
+    w.step(&c, Event::Snapshot { index, state: state.into() });
+    w.start(&away);
+    (w, c, away)
+}
+
+#[test]
+fn a_state_larger_than_a_frame_is_sent_in_pieces_and_gone_on_with() {
+    let bytes = 3 * dovetail::FRAME_LIMIT / 2;
+    let (mut w, c, away) = one_that_lacks_a_large_state(bytes);
+    let kind = dovetail::msg::ViseKind::InstallSnapshot as i32;
+    let (mut moved, mut lost, mut largest, end) = (0, 0, 0, w.now + 20 * PACE.beat * 10);
+    while w.racks[&away].revision != 9 {
+        // Every third piece is lost on its way, and once the leader as well.
+        let mut n = 0;
+        w.net.retain(|(to, m)| {
+            let piece = *to == away && m.kind == kind && !m.state.is_empty();
+            n += usize::from(piece);
+            largest = largest.max(m.state.len());
+            let drop = piece && (moved + n).is_multiple_of(3);
+            lost += usize::from(drop);
+            !drop
+        });
+        moved += n;
+        w.pass(10);
+        assert!(w.now < end, "not there after {moved} pieces");
+    }
+    assert!(lost > 1 && largest <= dovetail::FRAME_LIMIT / 4, "{lost} lost, {largest} bytes in one");
+    // Each piece goes once, and again when it was lost.
+    assert!(moved <= 7 + lost + 1, "{moved} pieces, {lost} lost");
+    w.pass(1000);
+    assert_eq!(w.racks[&away], w.racks[&c]);
+    let hard = &w.disks[&away].hard;
+    assert!(hard.base > 0 && !hard.voters.is_empty());
+    // From its disk alone it is as far.
+    w.start(&away);
+    assert_eq!(w.racks[&away].revision, 9);
+}
+
+#[test]
+fn one_that_is_killed_in_the_middle_of_a_snapshot_again_and_again_is_level_in_the_end() {
+    let (mut w, c, away) = one_that_lacks_a_large_state(dovetail::FRAME_LIMIT);
+    for n in 0..6 {
+        let before = w.disks[&away].hard.base;
+        w.pass(10 * (n % 3 + 1) * 6);
+        if w.disks[&away].hard.base > before {
+            break;
+        }
+        // Nothing of what has come in part counts, nor is it on the disk.
+        assert!(w.racks[&away].revision == 0 && w.disks[&away].state.is_empty());
+        w.start(&away);
+    }
+    // Its leader ends, and the next one goes on sending.
+    w.down.insert(c.clone());
+    w.pass(3000);
+    let d = w.leader().expect("the two others are a majority");
+    w.pass(1000);
+    assert_eq!((w.racks[&away].revision, w.racks[&d].revision), (9, 9));
+}
+
+#[test]
+fn a_snapshot_that_is_torn_stale_or_too_large_changes_nothing() {
+    let (mut w, c, away) = one_that_lacks_a_large_state(1000);
+    let kind = dovetail::msg::ViseKind::InstallSnapshot;
+    while sent(&w, &away, kind).is_empty() {
+        w.now += 10;
+        w.step(&c, Event::Tick);
+        w.deliver(&away);
+        w.deliver(&c);
+    }
+    let piece = sent(&w, &away, kind).remove(0);
+    w.net.clear();
+    let before = (w.nodes[&away].hard.clone(), w.nodes[&away].commit);
+    let mut torn = piece.clone();
+    let mut bytes = torn.state.to_vec();
+    bytes[500] ^= 1;
+    torn.state = bytes.into();
+    let short = ViseMsg { state: piece.state.slice(..500), total: 500, ..piece.clone() };
+    let huge = ViseMsg { total: 1 << 40, ..piece.clone() };
+    let past = ViseMsg { offset: u64::MAX - 3, ..piece.clone() };
+    let unnamed = ViseMsg { digest: Bytes::new(), ..piece.clone() };
+    for m in [torn, short, huge, past, unnamed] {
+        w.step(&away, Event::Message(m));
+        let after = &w.nodes[&away];
+        assert_eq!((after.hard.base, after.commit), (before.0.base, before.1));
+        assert_eq!(w.racks[&away].revision, 0);
+        assert!(w.disks[&away].state.is_empty());
+    }
+    // An old one does not take back what came since.
+    w.pass(1000);
+    assert_eq!(w.racks[&away].revision, 9);
+    w.put(&c, 9, 11);
+    w.pass(500);
+    let term = w.nodes[&away].hard.term;
+    w.step(&away, Event::Message(ViseMsg { term, ..piece }));
+    assert_eq!(w.racks[&away].revision, 11);
+}
