Test of the scaler: the first life of its foreman really ends

The test was wrong: the tasks of the life that it stopped went on in the same runtime and kept the port, so the second life never began, and it was the stopped one that elected itself again. Each life has a runtime of its own now, and has to end well.

--- a/crates/foreman/tests/scaler.rs
+++ b/crates/foreman/tests/scaler.rs
@@ -109,10 +109,16 @@
         World { platform, caliper: c, foreman }
     }
 
+    /// One life of the foreman: nothing of it goes on when it has ended.
     fn run(&self) -> (watch::Sender<bool>, tokio::task::JoinHandle<Result<(), String>>) {
         let (stop, stopped) = watch::channel(false);
-        let settings = watch::channel(self.caliper.clone()).1;
-        (stop, tokio::spawn(foreman::run(self.caliper.clone(), stopped, settings)))
+        let caliper = self.caliper.clone();
+        let life = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            let settings = watch::channel(caliper.clone()).1;
+            runtime.block_on(foreman::run(caliper, stopped, settings))
+        };
+        (stop, tokio::task::spawn_blocking(life))
     }
 
     async fn start(&self, plant: &str, nonce: &str) -> StartAck {
@@ -178,7 +184,7 @@
     // still comes to the same processor, and the fence is a higher one.
     let before = w.platform.lock().unwrap().fences.iter().copied().max().expect("some");
     let _ = stop.send(true);
-    let _ = running.await;
+    running.await.expect("no panic").expect("it ends well");
     let (stop, running) = w.run();
     w.platform.lock().unwrap().lose = 1;
     assert_eq!(w.started("n-2").await, "i-2");
@@ -199,6 +205,6 @@
         other => panic!("{other:?}"),
     }
     let _ = stop.send(true);
-    let _ = running.await;
+    running.await.expect("no panic").expect("it ends well");
     let _ = std::fs::remove_dir_all(&w.caliper.data_dir);
 }
