--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -261,7 +261,7 @@
     let start = Instant::now();
     let seed = print(me.as_bytes()) ^ tally::wall_ms();
     let mut vise = Vise::new(&me, hard.clone(), state, log, pace, seed, 1_000_000);
-    vise.limit_snapshots((caliper.limits.memory_mb as u64) << 20 >> 2);
+    vise.limit_snapshots(caliper.limits.memory_mb << 20 >> 2);
     let (inputs, rx) = mpsc::unbounded_channel();
     let shop = Arc::new(Shop {
         me: me.clone(),
