What an emptied disk says makes no majority

Cause: the answers of a voter that lost its disk, and says so, counted for the leader's authority and for commits like any other's. With the disk it had forgotten a newer term: a leader that had been cut off, and whose place another one had taken by that very voter's vote, held a majority again with it, beside the newer leader, and could commit another entry at the same index.

Change: until it is readmitted it counts for nothing: not for authority, not for a commit, and not to vouch for another one.

Test: what_an_emptied_disk_says_makes_no_majority (failed before: two led at one time). Found by the random schedules of the model checks.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -356,11 +356,18 @@
         if heard { &self.leader } else { "" }
     }
 
+    /// Whether what a voter says counts towards a majority. One that lost its disk may
+    /// have forgotten a newer leader: it follows, but stands for nothing.
+    fn counts(&self, voter: &str) -> bool {
+        !self.waiting.contains_key(voter)
+    }
+
     /// The latest moment at which a majority is known to have followed.
     fn contact(&self, now: u64) -> u64 {
         let mut times: Vec<u64> = self
             .voters
             .iter()
+            .filter(|v| self.counts(v))
             .map(|v| if *v == self.me { now } else { self.answered.get(v).copied().unwrap_or(0) })
             .collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
@@ -627,10 +634,11 @@
             let mut held: Vec<u64> = self
                 .voters
                 .iter()
+                .filter(|v| self.counts(v))
                 .map(|v| if *v == self.me { last } else { self.matched.get(v).copied().unwrap_or(0) })
                 .collect();
             held.sort_unstable_by(|a, b| b.cmp(a));
-            let n = held[self.majority() - 1];
+            let n = held.get(self.majority() - 1).copied().unwrap_or(0);
             if n > self.commit && self.term_at(n) == Some(self.hard.term) {
                 self.commit = n;
                 // The others are told with the next tick and not the next beat: what
@@ -890,6 +898,9 @@
             tally::count("vise_strangers");
             return;
         }
+        if m.readmit {
+            self.waiting.entry(m.from.clone()).or_insert(now);
+        }
         self.hear_answer(&m);
         if self.outgoing.get(&m.from).is_some_and(|o| m.index >= o.index) {
             // It holds the snapshot, or more than that.
@@ -935,9 +946,9 @@
     /// other voter that a majority needs has followed this leader since it asked:
     /// no vote or entry that it forgot can matter then.
     fn readmit(&mut self, now: u64, m: &ViseMsg, out: &mut Vec<Effect>) {
-        let since = *self.waiting.entry(m.from.clone()).or_insert(now);
+        let since = self.waiting.get(&m.from).copied().unwrap_or(now);
         let vouches =
-            |v: &&String| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a > since));
+            |v: &&String| **v == self.me || (self.counts(v) && self.answered.get(*v).is_some_and(|a| *a > since));
         let others = self.voters.iter().filter(vouches).count();
         if m.index >= self.commit && others >= self.majority() {
             let mut r = self.message(ViseKind::Append);
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -857,3 +857,32 @@
     w.step(&away, Event::Message(ViseMsg { term, ..piece }));
     assert_eq!(w.racks[&away].revision, 11);
 }
+
+#[test]
+fn what_an_emptied_disk_says_makes_no_majority() {
+    let mut w = World::new();
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    w.put(&old, 0, 3);
+    w.pass(300);
+    // Cut off; the two others go on without it.
+    w.beyond.insert(old.clone());
+    while w.leader().is_none_or(|l| l == old) {
+        w.pass(10);
+    }
+    let new = w.leader().expect("another one");
+    let last = ALL.into_iter().find(|n| *n != old && *n != new).expect("a third");
+    w.put(&new, 3, 5);
+    w.pass(50);
+    assert_eq!((w.racks[&new].revision, w.nodes[&old].role), (5, StateRole::Leader));
+    // The third loses its disk, and with it the newer term; it is on the old one's side
+    // now, which was in time to lead once more.
+    w.wipe(last);
+    w.beyond.insert(last.into());
+    w.put(&old, 3, 7);
+    for _ in 0..PACE.election / 20 {
+        w.pass(10);
+        assert!(w.nodes[&old].serves_until(w.now) <= w.now, "two lead at one time");
+    }
+    assert_eq!(w.racks[&old].revision, 3, "nothing is committed with one that may have forgotten");
+}
