One that just came back does not elect itself while its word may count

Cause: a voter that has just begun gives no vote to others for an election time, as it may have answered a leader right before it ended; but it campaigned at once and counted its own. With one other voter that had not heard the leader for a while that was a majority, while the old leader still counted on the answer.

Test: one_that_just_came_back_does_not_elect_itself_while_its_word_may_count (failed before). Found by the random schedules of the model checks.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -466,6 +466,10 @@
             return;
         }
         match self.role {
+            // One that just came back may have answered a leader right before it ended:
+            // for as long as that counts, its own vote is no more to be had than for
+            // others.
+            StateRole::PreCandidate if now < self.heard + self.pace.election => {}
             StateRole::PreCandidate => self.campaign(now, false, false, out),
             StateRole::Candidate => {
                 self.role = StateRole::Leader;
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -886,3 +886,36 @@
     }
     assert_eq!(w.racks[&old].revision, 3, "nothing is committed with one that may have forgotten");
 }
+
+#[test]
+fn one_that_just_came_back_does_not_elect_itself_while_its_word_may_count() {
+    let mut w = World::new();
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != old).collect();
+    let (back, deaf) = (others[0], others[1]);
+    // The deaf one has not heard the leader for an election time; the other one has
+    // just answered it when it is killed, and is there again at once.
+    for _ in 0..PACE.election / 10 + 1 {
+        w.net.retain(|(to, m)| !(to == deaf && m.from == old));
+        w.now += 10;
+        for n in [&old, back] {
+            w.step(n, Event::Tick);
+        }
+        w.net.retain(|(to, m)| !(to == deaf && m.from == old));
+        w.deliver(back);
+        w.deliver(&old);
+    }
+    let until = w.nodes[&old].serves_until(w.now);
+    assert!(until > w.now);
+    w.start(back);
+    w.net.clear();
+    while w.now < until {
+        w.now += 10;
+        w.step(back, Event::Tick);
+        w.net.retain(|(to, _)| *to != old);
+        w.deliver(deaf);
+        w.deliver(back);
+        assert_ne!(w.nodes[back].role, StateRole::Leader, "the old one may still act, by this one's word");
+    }
+}
