Messages between foremen that cannot be are dropped and counted

Cause: a term, an index or a voter set was taken as it came. One message with the largest term shut every later leader out; a gap in the entries or an entry in the place of a committed one was written to the log.

Change: a message of an impossible term or index, of entries that do not follow each other, of a voter set with an empty or a doubled name, of a second leader of a term, or against what is committed changes nothing (vise_refused).

Test: messages_that_cannot_be_change_nothing (failed before).

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -8,6 +8,10 @@
 /// Bytes of entries that go in one message, unless one alone is larger; also those
 /// of one piece of a snapshot.
 const APPEND_BYTES: usize = dovetail::FRAME_LIMIT / 4;
+/// No message is further than that many terms ahead of what is known here.
+const TERM_LEAP: u64 = 1 << 32;
+/// More voters than any settings ask for.
+const MOST_VOTERS: usize = 63;
 
 pub enum Event {
     Tick,
@@ -659,6 +663,10 @@
 
     fn receive(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         let kind = ViseKind::try_from(m.kind).unwrap_or(ViseKind::None);
+        if !self.plausible(kind, &m) {
+            tally::count("vise_refused");
+            return;
+        }
         if kind == ViseKind::RequestVote {
             self.asked(now, m, out);
             return;
@@ -894,6 +902,46 @@
         Some(whole.state.into())
     }
 
+    /// Whether a message can be one of a foreman that works as this one does. What is
+    /// not changes nothing here, whatever it says.
+    fn plausible(&self, kind: ViseKind, m: &ViseMsg) -> bool {
+        let known = |index: u64| index < u64::MAX / 2;
+        let voters = |v: &[String]| {
+            let different: HashSet<&String> = v.iter().collect();
+            v.len() <= MOST_VOTERS && different.len() == v.len() && v.iter().all(|n| !n.is_empty())
+        };
+        let entries = || {
+            let (mut index, mut term) = (m.index, m.log_term);
+            m.entries.iter().all(|e| {
+                let follows = e.index == index + 1 && e.term >= term && e.term <= m.term && voters(&e.voters);
+                (index, term) = (e.index, e.term);
+                // What is committed here is never another one.
+                follows && (e.index > self.commit || e.index <= self.hard.base || self.term_at(e.index) == Some(e.term))
+            })
+        };
+        if m.from.is_empty() || m.from == self.me || m.term == 0 || m.term.max(m.log_term) > self.hard.term + TERM_LEAP
+        {
+            return false;
+        }
+        if !known(m.index) || !known(m.commit) || (m.log_term > m.term && kind != ViseKind::Vote) {
+            return false;
+        }
+        match kind {
+            ViseKind::None => false,
+            ViseKind::RequestVote | ViseKind::Vote | ViseKind::TimeoutNow | ViseKind::SnapshotAck => true,
+            ViseKind::Append | ViseKind::InstallSnapshot => {
+                // A term has one leader.
+                let another = m.term == self.hard.term
+                    && (self.role == StateRole::Leader || (!self.leader.is_empty() && self.leader != m.from));
+                let whole = kind == ViseKind::Append || (!m.voters.is_empty() && voters(&m.voters) && m.index > 0);
+                !another && whole && entries()
+            }
+            ViseKind::AppendAck => {
+                m.term != self.hard.term || self.role != StateRole::Leader || m.index <= self.last().0
+            }
+        }
+    }
+
     fn acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -919,3 +919,66 @@
         assert_ne!(w.nodes[back].role, StateRole::Leader, "the old one may still act, by this one's word");
     }
 }
+
+#[test]
+fn messages_that_cannot_be_change_nothing() {
+    use dovetail::msg::ViseKind;
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<String> = ALL.iter().filter(|n| **n != c).map(|n| n.to_string()).collect();
+    for r in 1..4 {
+        w.put(&c, r - 1, r);
+        w.pass(200);
+    }
+    let (n, from) = (others[0].clone(), others[1].clone());
+    let term = w.nodes[&n].hard.term;
+    let commit = w.nodes[&n].commit;
+    let entry = |index: u64, term: u64| ViseEntry { index, term, ..ViseEntry::default() };
+    let append = |from: &str, term: u64, index: u64, entries: Vec<ViseEntry>| ViseMsg {
+        from: from.into(),
+        term,
+        kind: ViseKind::Append as i32,
+        index,
+        log_term: term,
+        entries,
+        ..ViseMsg::default()
+    };
+    let twice = ViseEntry { voters: vec!["a".into(), "a".into()], ..entry(commit + 1, term) };
+    let nobody = ViseEntry { voters: vec![String::new()], ..entry(commit + 1, term) };
+    let mut ack = append(&from, term, 1 << 40, vec![]);
+    (ack.kind, ack.ok) = (ViseKind::AppendAck as i32, true);
+    let mut ask = append(&from, u64::MAX, commit + 9, vec![]);
+    ask.kind = ViseKind::RequestVote as i32;
+    let all = [
+        (&n, ask.clone()),
+        (&n, ViseMsg { term: 0, ..ask.clone() }),
+        (&n, ViseMsg { term: term + 1, log_term: term + 7, ..ask.clone() }),
+        (&n, append(&c, u64::MAX, commit, vec![])),
+        (&n, append(&c, term, u64::MAX, vec![entry(0, term)])),
+        // A gap, a term that goes back, one above the sender's.
+        (&n, append(&c, term, commit, vec![entry(commit + 2, term)])),
+        (&n, append(&c, term, commit, vec![entry(commit + 1, term - 1)])),
+        (&n, append(&c, term, commit, vec![entry(commit + 1, term + 1)])),
+        (&n, append(&c, term, commit, vec![twice])),
+        (&n, append(&c, term, commit, vec![nobody])),
+        // What is committed is never another entry.
+        (&n, append(&c, term + 1, commit - 1, vec![entry(commit, term + 1)])),
+        // A second leader of the term.
+        (&n, append(&from, term, commit, vec![entry(commit + 1, term)])),
+        (&c, append(&from, term, commit, vec![entry(commit + 1, term)])),
+        (&n, ViseMsg { kind: 77, ..append(&c, term, commit, vec![]) }),
+        (&c, ack),
+    ];
+    for (i, (to, m)) in all.into_iter().enumerate() {
+        let before = (w.nodes[to].hard.clone(), w.nodes[to].commit, w.nodes[to].role, w.disks[to].log.clone());
+        w.net.clear();
+        w.step(to, Event::Message(m));
+        let v = &w.nodes[to];
+        assert_eq!((v.hard.clone(), v.commit, v.role, w.disks[to].log.clone()), before, "message {i}");
+    }
+    w.pass(1000);
+    w.put(&c, 3, 9);
+    w.pass(300);
+    assert!(w.racks.values().all(|r| r.revision == 9), "and all goes on as before");
+}
