A voter that came in while others were away can be elected by them

Cause: a vote was refused to whoever is not a voter by the voter's own log. One that came in while others were away, and holds the newest log, was a stranger to those whose votes it needs; nobody else could win for want of its entries.

Change: who has a newer log is given a vote like any other; without one it is a stranger as before, and as a successor it is taken only when it is known.

Test: a_voter_that_came_in_while_others_were_away_is_elected_by_its_log (failed before). Found by the random schedules, with one machine more lost than the settings bear.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -744,10 +744,13 @@
         r.pre_vote = m.pre_vote;
         r.round = m.round;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
-        if !self.voters.contains(&m.from) {
+        let known = self.voters.contains(&m.from);
+        if !known && (m.log_term, m.index) <= (self.last().1, self.last().0) {
             tally::count("vise_strangers");
             return;
         }
+        // One with a newer log may be a voter by an entry that is not here yet. It is
+        // given a vote like any other, but nobody named it a successor.
         if m.pre_vote {
             r.term = m.term;
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
@@ -757,7 +760,7 @@
             out.push(Effect::Send(m.from, r));
             return;
         }
-        if followed && !m.ok {
+        if followed && !(m.ok && known) {
             return;
         }
         if m.term > self.hard.term {
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -982,3 +982,22 @@
     w.pass(300);
     assert!(w.racks.values().all(|r| r.revision == 9), "and all goes on as before");
 }
+#[test]
+fn a_voter_that_came_in_while_others_were_away_is_elected_by_its_log() {
+    // f came in while c and d were away, and a and b are lost: f's log alone can be
+    // followed by the four that are up.
+    let before: Vec<String> = ["a", "b", "c", "d", "e"].iter().map(|s| s.to_string()).collect();
+    let after: Vec<String> = before.iter().cloned().chain(["f".to_string()]).collect();
+    let mut w = World::of(&["c", "d", "e", "f"]);
+    for (n, entries) in [("c", 1), ("d", 1), ("e", 2), ("f", 3)] {
+        let hard = HardState { term: 1, voters: before.clone(), may_vote: true, ..HardState::default() };
+        let entry = |i: u64| {
+            let voters = if i == 2 { after.clone() } else { vec![] };
+            (i, ViseEntry { index: i, term: 1, voters, ..ViseEntry::default() })
+        };
+        w.disks.insert(n.into(), Disk { hard, log: (1..=entries).map(entry).collect(), ..Disk::default() });
+        w.start(n);
+    }
+    w.pass(8 * PACE.election);
+    assert_eq!(w.leader().as_deref(), Some("f"));
+}
