A foreman that is told to end hands its vote on before it goes

Cause: a planned replacement went down with its vote, which was missed only after half of settleS; a second loss in between left no majority. And between the newcomer's entry and the lost one's going the voters were four with one dead until the next round of duties, which bears no loss either.

Change: sessions tell who is about to end. The leader brings a foreman without a vote in first, and takes the ending one out as soon as that is committed, without waiting for a round; the ending one waits for it where such a foreman is there, half of graceS at the most, and says so when it goes with its vote (votes_kept).

--- a/crates/foreman/src/authority.rs
+++ b/crates/foreman/src/authority.rs
@@ -8,8 +8,9 @@
 use dovetail::msg::*;
 use drawer::Drawer;
 use prost::Message;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -36,6 +37,73 @@
         tokio::time::timeout(wait, rx).await.ok()?.ok()?
     }
 
+    /// How many voters there are to be.
+    pub(crate) fn wanted_voters(&self) -> usize {
+        (2 * self.caliper.tolerance.machines as usize + 1).max(3)
+    }
+
+    /// Lets the log know whose sessions stand.
+    pub(crate) fn tell_foremen(&self, f: &Floor) {
+        let foremen = f.sessions.values().filter(|s| s.node.role == "foreman");
+        let candidate =
+            |s: &Session| Candidate { addr: s.node.inner.clone(), zone: s.node.zone.clone(), leaving: s.node.leaving };
+        let _ = self.inputs.send(Input::Foremen(foremen.map(candidate).collect()));
+    }
+
+    /// Told to end: names a successor if it leads, and waits until its vote has passed
+    /// on, where a foreman without one is there to take it; no longer than half of
+    /// `graceS`. A vote that stays with it counts as lost until it is back.
+    pub(crate) async fn leave(self: &Arc<Self>) {
+        self.leaving.store(true, Ordering::Relaxed);
+        let _ = self.inputs.send(Input::Leave);
+        let end =
+            tokio::time::Instant::now() + Duration::from_millis((self.caliper.constraints.grace_s * 500.0) as u64);
+        let step = Duration::from_millis(self.ratio(100.0));
+        let own = self.node();
+        self.with(|f| {
+            if let Some(s) = f.sessions.get_mut(&own.name) {
+                s.node = own;
+            }
+        });
+        // Whoever was there without a vote when it was told: the next leader's roster may
+        // not name it yet.
+        let mut free = HashSet::new();
+        loop {
+            let (votes, spare) = self.with(|f| {
+                let votes = f.voters.contains(&self.me) || !f.voters_settled;
+                let known = f.roster.nodes.iter().chain(f.sessions.values().map(|s| &s.node));
+                let others = known.filter(|n| n.role == "foreman" && !n.leaving && n.inner != self.me);
+                free.extend(others.filter(|n| !f.voters.contains(&n.inner)).map(|n| n.inner.clone()));
+                // While one changes it may be this one's that passes on.
+                let changing = !f.voters_settled || f.voters.len() > self.wanted_voters();
+                (votes, changing || free.iter().any(|n| !f.voters.contains(n)))
+            });
+            if !votes {
+                tally::change!("the vote has passed on");
+                return;
+            }
+            if !spare {
+                return;
+            }
+            if tokio::time::Instant::now() >= end {
+                tally::count("votes_kept");
+                tally::change!("ends with its vote: nobody took it in time");
+                return;
+            }
+            let leader = self.leader();
+            if !leader.is_empty() && leader != self.me {
+                let w = Watch {
+                    node: Some(self.node()),
+                    have: Have { template: u64::MAX, charter: u64::MAX, roster: u64::MAX },
+                    wait_ms: 1,
+                    ..Watch::default()
+                };
+                let _ = self.bench.to(&leader).call(Body::Watch(w), step * 4).await;
+            }
+            tokio::time::sleep(step).await;
+        }
+    }
+
     /// Who leads, as far as is known: nobody, once this foreman's own
     /// authority has run out.
     pub(crate) fn leader(&self) -> String {
@@ -59,11 +127,12 @@
 pub(crate) async fn turn(shop: Arc<Shop>, vise: Vise, drawer: Drawer, mut rx: mpsc::UnboundedReceiver<Input>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(shop.ratio(100.0)));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let wanted = (2 * shop.caliper.tolerance.machines as usize + 1).max(3);
+    let wanted = shop.wanted_voters();
     // Large configurations fill the log long before it is long.
     let heavy = (shop.caliper.limits.memory_mb as usize) << 20 >> 6;
     let away = (shop.caliper.constraints.settle_s * 500.0) as u64;
-    let mut hand = Hand { shop, vise, drawer, waiting: HashMap::new(), answer: None };
+    let mut hand =
+        Hand { shop, vise, drawer, waiting: HashMap::new(), answer: None, foremen: Vec::new(), wanted, away };
     loop {
         let event = tokio::select! {
             i = rx.recv() => match i {
@@ -71,14 +140,10 @@
                 Some(Input::Propose(d, a)) => { hand.answer = Some(a); Event::Propose(d) }
                 Some(Input::Leave) => Event::Leave,
                 Some(Input::Foremen(all)) => {
-                    let now = hand.shop.now();
-                    match hand.vise.next_voters(&all, wanted, away, now) {
-                        Some(v) => {
-                            tally::change!("voters {:?}", v);
-                            Event::SetVoters(v)
-                        }
-                        None => Event::Foremen(all.into_iter().map(|f| f.0).collect()),
-                    }
+                    hand.vise.set_departing(all.iter().filter(|f| f.leaving).map(|f| f.addr.clone()).collect());
+                    hand.foremen = all;
+                    hand.tend_voters().await;
+                    Event::Foremen(hand.foremen.iter().map(|f| f.addr.clone()).collect())
                 }
                 None => return,
             },
@@ -87,6 +152,10 @@
         let ticked = matches!(event, Event::Tick);
         hand.step(event).await;
         hand.answer = None;
+        if hand.vise.voters().len() > wanted {
+            // One too many, perhaps a lost one among them: not a moment longer than needed.
+            hand.tend_voters().await;
+        }
         // Not behind the back of one that is being sent the last cut, unless it takes long.
         let room = if hand.vise.sends_snapshot() { 2 } else { 1 };
         if hand.vise.length() > 512 * room || hand.vise.weight() > heavy * room {
@@ -105,9 +174,25 @@
     waiting: HashMap<u64, (u64, Answered)>,
     /// Who waits for the proposal that is being made.
     answer: Option<Answered>,
+    /// The foremen whose sessions stood when that was told last.
+    foremen: Vec<Candidate>,
+    /// How many voters there are to be, and after how long a silence, in
+    /// milliseconds, one is replaced.
+    wanted: usize,
+    away: u64,
 }
 
 impl Hand {
+    /// What is to become of the voters, as things stand.
+    async fn tend_voters(&mut self) {
+        let now = self.shop.now();
+        let all: Vec<(String, String)> = self.foremen.iter().map(|f| (f.addr.clone(), f.zone.clone())).collect();
+        if let Some(v) = self.vise.next_voters(&all, self.wanted, self.away, now) {
+            tally::change!("voters {v:?}");
+            self.step(Event::SetVoters(v)).await;
+        }
+    }
+
     async fn step(&mut self, event: Event) {
         let now = self.shop.now();
         for e in self.vise.step(now, event) {
@@ -134,6 +219,7 @@
             if ticked {
                 f.behind = vise.behind();
             }
+            f.voters_settled = vise.voters_settled();
             if f.voters != vise.voters() {
                 f.voters = vise.voters().to_vec();
             }
@@ -141,7 +227,7 @@
     }
 
     async fn carry_out(&mut self, e: Effect) {
-        let Hand { shop, vise, drawer, waiting, answer } = self;
+        let Hand { shop, vise, drawer, waiting, answer, .. } = self;
         match e {
             Effect::Save(s) => {
                 let saving = save(drawer, s);
--- a/crates/foreman/src/duties.rs
+++ b/crates/foreman/src/duties.rs
@@ -45,10 +45,7 @@
             if f.roster.version != told {
                 self.news.notify_waiters();
             }
-            let foremen = f.sessions.values().filter(|s| s.node.role == "foreman");
-            let _ = self
-                .inputs
-                .send(Input::Foremen(foremen.map(|s| (s.node.inner.clone(), s.node.zone.clone())).collect()));
+            self.tell_foremen(f);
             let live: Vec<Stand> = f
                 .sessions
                 .values()
--- a/crates/foreman/src/sessions.rs
+++ b/crates/foreman/src/sessions.rs
@@ -192,6 +192,9 @@
             if changed {
                 self.stale.notify_one();
             }
+            if f.is_leader && w.node.as_ref().is_some_and(|n| n.role == "foreman" && n.leaving) {
+                self.tell_foremen(f);
+            }
         });
         let wait = tokio::time::sleep(Duration::from_millis(w.wait_ms.min(self.ratio(4.0) as u32) as u64));
         tokio::pin!(wait);
@@ -321,6 +324,7 @@
             region: self.caliper.region.clone(),
             inner: self.me.clone(),
             life: self.life.load(Ordering::Relaxed),
+            leaving: self.leaving.load(Ordering::Relaxed),
             ..Node::default()
         }
     }
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -25,8 +25,15 @@
     Propose(Bytes, Answered),
     /// This process is told to end.
     Leave,
-    /// The foremen whose sessions stand, with their zones.
-    Foremen(Vec<(String, String)>),
+    /// The foremen whose sessions stand.
+    Foremen(Vec<Candidate>),
+}
+
+/// A foreman whose session stands, as one that may be given a vote.
+pub(crate) struct Candidate {
+    pub(crate) addr: String,
+    pub(crate) zone: String,
+    pub(crate) leaving: bool,
 }
 
 pub(crate) struct Session {
@@ -64,6 +71,8 @@
     /// until the nodes have told it their sessions.
     pub(crate) publish_from: u64,
     pub(crate) voters: Vec<String>,
+    /// Whether they are committed.
+    pub(crate) voters_settled: bool,
     /// How far the other foremen are behind, as the leader knows it.
     pub(crate) behind: Vec<(String, u64)>,
     pub(crate) term: u64,
@@ -122,6 +131,8 @@
     pub(crate) start: Instant,
     pub(crate) life: AtomicU64,
     pub(crate) assigning: AtomicBool,
+    /// Told to end.
+    pub(crate) leaving: AtomicBool,
     pub(crate) settings: watch::Receiver<Caliper>,
     /// Connections for what the platform is to do.
     pub(crate) hose: Arc<spindle::Chuck>,
@@ -277,6 +288,7 @@
             leader_since: 0,
             publish_from: 0,
             voters: Vec::new(),
+            voters_settled: false,
             behind: Vec::new(),
             term: 0,
             roster_seq: 0,
@@ -307,6 +319,7 @@
         start,
         life: AtomicU64::new(new_life()),
         assigning: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
         settings: settings.clone(),
         hose: spindle::Chuck::new(Duration::from_millis(quiet as u64)),
         caliper: caliper.clone(),
@@ -355,8 +368,8 @@
         }
     });
     let _ = stop.wait_for(|s| *s).await;
-    let _ = shop.inputs.send(Input::Leave);
     let _ = close.send(spindle::Closing::Draining);
+    shop.leave().await;
     tokio::time::sleep(Duration::from_millis(shop.ratio(16.0))).await;
     tally::report(&caliper.node, &dovetail::sent());
     Ok(())
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -135,6 +135,8 @@
     snapshot_limit: u64,
     /// Told to end: does not campaign any more.
     leaving: bool,
+    /// Foremen that said that they are about to end.
+    departing: HashSet<String>,
     log: Vec<ViseEntry>,
     /// The voters that the newest entry about them names, committed or not, and
     /// that entry's index.
@@ -187,6 +189,7 @@
             incoming: None,
             snapshot_limit: 64 << 20,
             leaving: false,
+            departing: HashSet::new(),
             log,
             voters: Vec::new(),
             voters_at: 0,
@@ -232,6 +235,17 @@
         &self.voters
     }
 
+    /// Whether the voters that are in force are committed.
+    pub fn voters_settled(&self) -> bool {
+        self.voters_at <= self.commit
+    }
+
+    /// The foremen that are about to end: their votes pass on where a replacement
+    /// stands ready.
+    pub fn set_departing(&mut self, foremen: HashSet<String>) {
+        self.departing = foremen;
+    }
+
     /// Takes no snapshot of more bytes than that.
     pub fn limit_snapshots(&mut self, bytes: u64) {
         self.snapshot_limit = bytes;
@@ -267,16 +281,20 @@
     }
 
     /// The next change of voters, if one is called for: there are fewer than
-    /// `wanted`, or one has been silent for `away`. `foremen` are those whose
-    /// sessions stand, with their zones. A replacement comes in before the lost
-    /// one goes, and only when it could vote at once.
+    /// `wanted`, or one has been silent for `away` or is about to end. `foremen` are
+    /// those whose sessions stand, with their zones. A replacement comes in before the
+    /// lost one goes, and only when it could vote at once; to be asked again as soon as
+    /// that is committed, as one voter too many with one lost bears no further loss.
     pub fn next_voters(&self, foremen: &[(String, String)], wanted: usize, away: u64, now: u64) -> Option<Vec<String>> {
         if !self.may_change_voters() {
             return None;
         }
-        let lost = |v: &String| *v != self.me && self.last_answer(v) + away < now;
+        let lost = |v: &String| *v != self.me && (self.last_answer(v) + away < now || self.departing.contains(v));
         let longest = self.voters.iter().filter(|v| lost(v)).min_by_key(|v| self.last_answer(v));
         if self.voters.len() > wanted {
+            // Whoever is about to end goes first: it is there only until then.
+            let ending = self.voters.iter().find(|v| **v != self.me && self.departing.contains(*v));
+            let longest = ending.or(longest);
             let out = longest.or(self.voters.iter().rfind(|v| **v != self.me))?;
             return Some(self.voters.iter().filter(|v| *v != out).cloned().collect());
         }
@@ -285,7 +303,9 @@
         }
         let zone = |addr: &str| foremen.iter().find(|f| f.0 == addr).map(|f| f.1.as_str());
         let taken = |z: &str| self.voters.iter().filter(|v| !lost(v) && zone(v) == Some(z)).count();
-        let fit = foremen.iter().filter(|f| !self.voters.contains(&f.0) && self.could_vote(&f.0, now));
+        let fit = foremen
+            .iter()
+            .filter(|f| !self.voters.contains(&f.0) && !self.departing.contains(&f.0) && self.could_vote(&f.0, now));
         let new = fit.min_by_key(|f| taken(&f.1))?;
         Some(self.voters.iter().cloned().chain([new.0.clone()]).collect())
     }
@@ -511,10 +531,10 @@
         if self.role != StateRole::Leader {
             return;
         }
-        let best =
-            self.voters.iter().filter(|v| **v != self.me && !self.waiting.contains_key(*v)).max_by_key(|v| {
-                (self.matched.get(*v).copied().unwrap_or(0), self.answered.get(*v).copied().unwrap_or(0))
-            });
+        let best = self.voters.iter().filter(|v| **v != self.me && !self.waiting.contains_key(*v)).max_by_key(|v| {
+            let held = (self.matched.get(*v).copied().unwrap_or(0), self.answered.get(*v).copied().unwrap_or(0));
+            (!self.departing.contains(*v), held)
+        });
         if let Some(to) = best.cloned() {
             let m = self.message(ViseKind::TimeoutNow);
             out.push(Effect::Send(to, m));
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -1001,3 +1001,37 @@
     w.pass(8 * PACE.election);
     assert_eq!(w.leader().as_deref(), Some("f"));
 }
+
+#[test]
+fn one_that_is_about_to_end_hands_its_vote_on_first() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    w.put(&c, 0, 3);
+    let ending = ALL.into_iter().find(|n| *n != c).expect("another").to_string();
+    let last = ALL.into_iter().find(|n| *n != c && *n != ending).expect("a third").to_string();
+    let tell = |w: &mut World, departing: &[&str]| {
+        let departing = departing.iter().map(|s| s.to_string()).collect();
+        w.nodes.get_mut(&c).expect("the leader").set_departing(departing);
+    };
+    // Nobody is there to take it: it stays.
+    tell(&mut w, &[&ending]);
+    w.tend(500);
+    assert!(w.nodes[&c].voters().contains(&ending));
+    w.newcomer("n");
+    w.tend(2000);
+    let begun = w.now;
+    let now = w.nodes[&c].voters().to_vec();
+    assert!(now.contains(&"n".to_string()) && !now.contains(&ending) && now.len() == 3, "{now:?}");
+    assert!(w.nodes[&c].voters_settled());
+    // From here on it may go, and one more with it.
+    w.down.extend([ending.clone(), last.clone()]);
+    w.put(&c, 3, 5);
+    w.pass(300);
+    assert_eq!(w.racks[&c].revision, 5, "{} ms after", w.now - begun);
+    // One that is about to end is given none.
+    tell(&mut w, &["n", &ending]);
+    w.start(&ending);
+    w.tend(1000);
+    assert!(!w.nodes[&c].voters().contains(&ending));
+}
