A copy counts as in sync only with all that its owner took over

- A new owner let a node join that held what it knew itself to be committed.
Right after a take-over that may be less than what its predecessor had committed, so with two machines lost the one without the rest could be named owner (LOST within a tolerance of two).
It must hold all that the owner found when it took over.
- A partition that was never written to let nobody join, so its owner stayed the only one that held it, and with it the partition was gone.

Tests, all failed before: nobody_joins_without_what_may_have_been_committed_ before_the_owner_took_over, an_empty_partition_gets_its_copies_as_well, a_snapshot_takes_nothing_back_that_is_held_behind_it.

--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -878,9 +878,14 @@
             self.follow(c.term, &c.owner, out);
         }
         self.owner.clone_from(&c.owner);
-        if c.position <= self.commit {
+        if c.position <= self.commit || self.term_at(c.position) == Some(c.position_term) {
             // Nothing new, and what is held behind it counts for the owner already.
             if c.last {
+                self.matched = self.matched.max(c.position);
+                self.commit = self.commit.max(c.position);
+                if let Err(e) = self.fold_on(now, true, out) {
+                    tally::error!("{e}");
+                }
                 let ack = self.ack(false);
                 out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(ack)));
             }
@@ -971,7 +976,7 @@
         if self.seat != Seat::Owner || a.term != self.term {
             return;
         }
-        let (commit, first, end) = (self.commit, self.first, self.end());
+        let (commit, first, end, took_at) = (self.commit, self.first, self.end(), self.took_at);
         let Some(p) = self.peers.get_mut(&a.node) else { return };
         p.heard = now;
         if p.life != a.life {
@@ -1012,8 +1017,8 @@
         if wanted
             && !self.insync.contains(&a.node)
             && !self.joining.contains_key(&a.node)
-            && acked >= commit
-            && acked > 0
+            // Also what its owner found when it took over, and may have been committed.
+            && acked >= commit.max(took_at)
             && !refused
         {
             self.joining.insert(a.node.clone(), now);
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -4,6 +4,7 @@
 use dovetail::Body;
 use dovetail::msg::*;
 use lathe::*;
+use prost::Message;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const PACE: Pace = Pace { epoch: 500, window: 300, again: 250, status: 100_000, keep_bytes: 1 << 20 };
@@ -636,3 +637,88 @@
     w.pass(600);
     assert!(w.nodes["b"].caught_up() && w.known("b", "last"));
 }
+
+#[test]
+fn an_empty_partition_gets_its_copies_as_well() {
+    let mut w = World::new(&["a", "b"]);
+    // Nothing has ever been written: as if the first layout had been a moment ago.
+    for n in ["a", "b", "c"] {
+        w.nodes.insert(n.into(), Mandrel::new(0, n, PACE));
+        w.disks.remove(n);
+        w.unsynced.remove(n);
+    }
+    w.net.clear();
+    w.chart.insync = vec!["a".into()];
+    w.tell();
+    w.pass(1000);
+    assert_eq!(w.chart.insync, vec!["a", "b"], "its owner would be the only one that holds it for ever");
+}
+
+/// a owned and ended; b and c were in sync with it, and b takes over without knowing
+/// how far a had come. `lacks` is what c has not got of that.
+fn taken_over_without_the_last_commits(w: &mut World) -> u64 {
+    w.hold_sync.clear();
+    w.cut.insert("a".into());
+    let term = w.chart.term + 1;
+    w.chart = Partition {
+        term,
+        owner: "b".into(),
+        insync: vec!["b".into(), "x".into()],
+        homes: vec!["b".into(), "c".into()],
+        seized: true,
+        ..w.chart.clone()
+    };
+    w.nodes["b"].end()
+}
+
+#[test]
+fn nobody_joins_without_what_may_have_been_committed_before_the_owner_took_over() {
+    // A third member of the set, x, is silent, so that b commits nothing for now.
+    let mut w = with_traffic(&["a", "b"]);
+    w.crash("c");
+    let c = w.disks["b"].clone();
+    let (held, all) = (w.nodes["b"].commit - 5, w.nodes["b"].end());
+    // c has most of it from an earlier time.
+    let log = c.log.iter().filter(|(p, _)| **p <= held).map(|(p, e)| (*p, e.clone())).collect();
+    let meta = Meta { term: 1, commit: held - 3, ..c.meta.clone() };
+    w.disks.insert("c".into(), Disk { meta, log, ..Disk::default() });
+    w.crash("c");
+    // b was told late: what it knows to be committed is less than what is.
+    let mut known = w.disks["b"].clone();
+    known.meta.commit = held - 3;
+    w.disks.insert("b".into(), known);
+    w.crash("b");
+    taken_over_without_the_last_commits(&mut w);
+    w.mute = true;
+    w.tell();
+    // c says that it holds more than b knows to be committed, and less than there is.
+    let ack = EntriesAck { partition: 0, term: w.chart.term, node: "c".into(), durable: held, ..EntriesAck::default() };
+    let mut out = Vec::new();
+    let now = w.now;
+    w.nodes.get_mut("b").expect("b").acked(ack.clone(), now, &mut out);
+    let asks = |out: &[Effect]| out.iter().any(|e| matches!(e, Effect::Ask(o) if o.node == "c"));
+    assert!(!asks(&out), "{held} of {all} is not all that may have been committed");
+    w.nodes.get_mut("b").expect("b").acked(EntriesAck { durable: all, ..ack }, now, &mut out);
+    assert!(asks(&out), "now it holds everything");
+}
+
+#[test]
+fn a_snapshot_takes_nothing_back_that_is_held_behind_it() {
+    let mut w = with_traffic(&["a", "b"]);
+    let end = w.nodes["b"].end();
+    // What b was told to be committed is less than what it holds, and has acknowledged.
+    let mut d = w.disks["b"].clone();
+    d.meta.commit = end - 10;
+    w.disks.insert("b".into(), d.clone());
+    w.crash("b");
+    let position = end - 5;
+    let data: Bytes = w.nodes["a"].jig.snapshot().encode_to_vec().into();
+    let term = w.nodes["b"].term;
+    let position_term = d.log[&position].term;
+    let c = Chunk { term, owner: "a".into(), position, position_term, last: true, data, ..Chunk::default() };
+    w.step("b", |m, now, out| m.chunk(c, now, out));
+    w.settle();
+    assert_eq!(w.nodes["b"].end(), end, "the owner counts on what it said that it holds");
+    assert!(w.disks["b"].log.contains_key(&end));
+    assert!(w.nodes["b"].commit >= position);
+}
