A store machine that is replaced hands its copies on before it ends

Cause: a machine told to end left the in-sync sets at once, with its replacement standing beside it empty. Its partitions were on one disk until the leader gave up waiting for it; and as the newcomer had been given a part of the work for balance by then, it no longer looked like a replacement, so that took twice settleS: longer than until the next loss is to be borne.

Change: where another machine could take all that one holds without holding more than its part, it replaces it: at once when that one says that it ends, after a quarter of settleS when it is silent. Balance waits settleS for a newcomer. The one that ends stays while its copies are due elsewhere, within its time, and says with how many it went (copies_left).

--- a/crates/dovetail/src/lib.rs
+++ b/crates/dovetail/src/lib.rs
@@ -2,10 +2,12 @@
 //! and the framed connections it travels on.
 
 mod delta;
+mod homes;
 mod keeper;
 mod life;
 mod link;
 pub mod msg;
+pub use homes::*;
 pub use keeper::*;
 pub use life::*;
 pub use link::*;
--- a/crates/foreman/src/duties.rs
+++ b/crates/foreman/src/duties.rs
@@ -7,6 +7,7 @@
 use crate::shop::*;
 use dovetail::msg::*;
 use gauge::Caliper;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -78,7 +79,31 @@
             let partitions = f.rack.charter.partitions.clone();
             let retiring: Vec<String> =
                 f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
+            let ending: Vec<String> = f
+                .sessions
+                .values()
+                .filter(|s| s.node.role == "lathe" && s.node.leaving)
+                .map(|s| s.node.name.clone())
+                .collect();
             let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
+            // Who is to be no home any more: retiring nodes, and nodes that are away for
+            // twice the settling time, or a quarter of it where another one is there to
+            // take its place, as after a machine was replaced by one at another address.
+            // Where that is so, one that is about to end is replaced before it goes.
+            let settle = self.caliper.constraints.settle_s;
+            let silent = |h: &str, patience: f64| {
+                let away = (settle * patience) as u64;
+                now > f.leader_since + away && f.leases.get(h).is_none_or(|l| now > l.at + away)
+            };
+            let mut homes: Vec<&str> = partitions.iter().flat_map(|p| &p.homes).map(String::as_str).collect();
+            homes.sort_unstable();
+            homes.dedup();
+            homes.retain(|h| {
+                let replaced = || dovetail::has_replacement(&partitions, h, spare.iter().map(|n| n.name.as_str()));
+                let ends = ending.iter().any(|e| e == h) || silent(h, 250.0);
+                retiring.iter().any(|r| r == h) || silent(h, 2000.0) || (ends && replaced())
+            });
+            let gone: HashSet<&str> = homes.into_iter().collect();
             for p in &partitions {
                 let life = |n: &str| f.leases.get(n).map(|l| l.life);
                 // An emptied disk holds what it was filled with since then only.
@@ -116,16 +141,7 @@
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now: put })));
                     continue;
                 }
-                // Homes: of retiring nodes, and of nodes that are away: for twice the
-                // settling time, or a quarter of it where a node without any work is
-                // there, as after a machine was replaced by one at another address.
-                let idle = |n: &Stand| !partitions.iter().any(|q| q.homes.contains(&n.name));
-                let patience = if spare.iter().any(idle) { 250.0 } else { 2000.0 };
-                let away = (self.caliper.constraints.settle_s * patience) as u64;
-                let gone = p.homes.iter().find(|h| {
-                    retiring.contains(h)
-                        || (now > f.leader_since + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
-                });
+                let gone = p.homes.iter().find(|h| gone.contains(h.as_str()));
                 if let Some(gone) = gone
                     && spare.len() >= replicas
                     && let Some(now) = rehome(p, gone, &partitions, &spare, replicas, spread)
@@ -142,7 +158,11 @@
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
                 }
             }
+            // A machine that has just come may be there to replace one that is about to go:
+            // it is kept free for that until it would count as settled.
+            let kept_free = (self.caliper.constraints.settle_s * 1000.0) as u64;
             if words.is_empty()
+                && now > f.steady.1 + kept_free
                 && let Some(now) = rebalance(&partitions, &spare)
             {
                 tally::change!("partition {} homes {:?}, for balance", now.id, now.homes);
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -919,6 +919,21 @@
         }
     }
 
+    /// Whether this node's copy of a partition is still to be taken by another one: it has
+    /// a new home that is not in sync yet, or there is a store machine to take its place,
+    /// which the leader is about to give it to.
+    fn copy_due(&self, known: &apprentice::Known, partition: u32) -> bool {
+        let me = &self.caliper.node;
+        let all = &known.charter.partitions;
+        let Some(p) = all.iter().find(|p| p.id == partition) else { return false };
+        if !p.homes.contains(me) {
+            let replicas = self.caliper.tolerance.machines as usize + 1;
+            return p.insync.iter().filter(|n| *n != me).count() < replicas;
+        }
+        let others = known.roster.nodes.iter().filter(|n| n.role == "lathe" && !n.leaving);
+        dovetail::has_replacement(all, me, others.map(|n| n.name.as_str()))
+    }
+
     /// On SIGTERM: hand everything over by planned moves, then leave the in-sync sets.
     async fn leave(self: Arc<Self>) {
         let limit = Duration::from_millis((self.caliper.constraints.grace_s * 800.0) as u64);
@@ -938,7 +953,7 @@
                         continue;
                     }
                     let to = m.candidates().into_iter().find(|c| known.node(c, "lathe").is_some_and(|n| !n.leaving));
-                    if to.is_some() || m.is_moving() {
+                    if to.is_some() || m.is_moving() || self.copy_due(&known, p) {
                         owned += 1;
                     }
                     if let (Some(to), false) = (to, m.is_moving()) {
@@ -951,6 +966,21 @@
             }
             tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
         }
+        // What it follows stays with it until it stands elsewhere, where somebody is there
+        // to take it.
+        let due = || {
+            let known = self.session.known();
+            let i = self.inside.lock().unwrap();
+            i.mandrels.keys().filter(|p| self.copy_due(&known, **p)).count()
+        };
+        while due() > 0 && begun.elapsed() < limit {
+            tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
+        }
+        let left = due();
+        if left > 0 {
+            tally::add("copies_left", left as u64);
+            tally::change!("ends with {left} copies that stand nowhere else yet");
+        }
         let followed: Vec<u32> = {
             let i = self.inside.lock().unwrap();
             i.mandrels.values().filter(|m| m.seat == Seat::Follower).map(|m| m.id).collect()
--- a/crates/willowslip/tests/whole.rs
+++ b/crates/willowslip/tests/whole.rs
@@ -1,136 +1,13 @@
 //! The whole system on loopback: three foremen, three lathes, a front machine and
 //! a stand-in endpoint; store machines are stopped, killed, frozen and retired.
 
-use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
-
-struct System {
-    dir: PathBuf,
-    base: u16,
-    children: HashMap<String, Child>,
-}
-
-impl Drop for System {
-    fn drop(&mut self) {
-        for c in self.children.values_mut() {
-            let _ = c.kill();
-            let _ = c.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
-}
-
-impl System {
-    fn new() -> System {
-        // Machines are 127.0.0.2 to .8, all with the same ports.
-        let from = 40_000 + (std::process::id() % 500) as u16 * 20;
-        let free =
-            |b: &u16| (2..9).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
-        let base = (from..65_000).step_by(20).find(free).expect("free ports");
-        let dir = std::env::temp_dir().join(format!("willowslip-whole-{}", std::process::id()));
-        System { dir, base, children: HashMap::new() }
-    }
-
-    /// Starts a program on a machine; `first` is the system's very first start.
-    fn start(&mut self, role: &str, machine: u8, first: bool) {
-        let (b, ip) = (self.base, format!("127.0.0.{machine}"));
-        let name = format!("{role}-{machine}");
-        let data = self.dir.join(&name);
-        std::fs::create_dir_all(&data).expect("a folder");
-        let node = if role == "apprentice" { format!("hatch-{machine}") } else { name.clone() };
-        let listen = match role {
-            "foreman" => format!("control = \"{ip}:{}\"", b + 4),
-            "hatch" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", b + 5, b + 6),
-            _ => String::new(),
-        };
-        let seeds: Vec<String> = (2..5).map(|m| format!("\"127.0.0.{m}:{}\"", b + 4)).collect();
-        let settings = format!(
-            "node = \"{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\nportRange = [{b}, {}]\nseeds = [{}]\ninitialStart = {first}\n\
-             dataDir = \"{}\"\n[listen]\n{listen}\n[limits]\nmemoryMb = 200\ndiskMb = 200\n[tolerance]\nmachines = 1\n\
-             [constraints]\nquietMs = 4000\nackMs = 5000\ngraceS = 6\nsettleS = 4\ndrainMs = 3000\nconvergeMs = 3000\n\
-             rollbackMs = 5000\nstatusS = 60\nnotifyS = 5\npeakWindowS = 5\nexposure = 0.1\n",
-            machine % 3,
-            b + 3,
-            seeds.join(","),
-            data.display()
-        );
-        let path = self.dir.join(format!("{name}.toml"));
-        std::fs::write(&path, settings).expect("settings written");
-        let log = std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")));
-        let child = Command::new(BIN)
-            .arg(role)
-            .env("WILLOWSLIP_SETTINGS", &path)
-            .stderr(Stdio::from(log.expect("a log file")))
-            .spawn()
-            .expect("it starts");
-        self.children.insert(name, child);
-    }
-
-    fn end(&mut self, name: &str, signal: &str) {
-        let mut c = self.children.remove(name).expect("it runs");
-        let done = Command::new("kill").args([signal, &c.id().to_string()]).status().expect("kill runs");
-        assert!(done.success());
-        let ended = c.wait().expect("it ends");
-        assert!(signal == "-KILL" || ended.success(), "{name}: {ended}");
-    }
-
-    fn signal(&self, name: &str, signal: &str) {
-        let id = self.children[name].id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().is_ok_and(|s| s.success()));
-    }
-
-    fn is_leader(&self, machine: u8) -> bool {
-        let at = format!("127.0.0.{machine}:{}", self.base + 4);
-        let o = Command::new(BIN).args(["ctl", "--json", "--within", "1", "--at", &at, "status"]).output();
-        o.is_ok_and(|o| String::from_utf8_lossy(&o.stdout).contains("\"isLeader\":true"))
-    }
-
-    fn any_foreman(&self, line: &str) -> bool {
-        (2..5).any(|m| self.log(&format!("foreman-{m}")).contains(line))
-    }
-
-    fn log(&self, name: &str) -> String {
-        std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
-    }
-
-    fn front(&self) -> String {
-        format!("127.0.0.8:{}", self.base + 5)
-    }
-
-    fn ctl(&self, args: &[&str]) -> Option<serde_json::Value> {
-        let at = format!("127.0.0.2:{},127.0.0.3:{}", self.base + 4, self.base + 4);
-        let o = Command::new(BIN).args(["ctl", "--json", "--at", &at]).args(args).output().expect("it runs");
-        o.status.success().then(|| serde_json::from_slice(&o.stdout).ok()).flatten()
-    }
-
-    /// All partitions are held by the lathes that are to hold them.
-    fn whole(&self) -> bool {
-        let Some(s) = self.ctl(&["status"]) else { return false };
-        s["partitions"].as_array().is_some_and(|ps| {
-            !ps.is_empty()
-                && ps.iter().all(|p| {
-                    p["homes"].as_array().is_some_and(|h| {
-                        h.len() == 2 && h.iter().all(|n| p["insync"].as_array().is_some_and(|i| i.contains(n)))
-                    }) && p["owner"] == p["homes"][0]
-                })
-        })
-    }
-}
-
-fn until(what: &str, mut f: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(60);
-    while !f() {
-        assert!(Instant::now() < end, "not in time: {what}");
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
+mod common;
+use common::*;
 
 fn call(addr: &str, request: &str) -> Option<(u16, String)> {
     let mut s = TcpStream::connect(addr).ok()?;
