--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -318,6 +318,9 @@
     pub spent: u64,
     #[prost(uint64, tag = "8")]
     pub began_ms: u64,
+    /// The index of the log at which it began: tells it from any other one.
+    #[prost(uint64, tag = "9")]
+    pub began: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -326,6 +329,13 @@
     pub node: String,
     #[prost(bool, tag = "2")]
     pub done: bool,
+    /// The index of the log at which it began.
+    #[prost(uint64, tag = "3")]
+    pub began: u64,
+    /// Once done: the birth of the disk that was emptied. A machine of that name
+    /// whose disk began later is another one.
+    #[prost(uint64, tag = "4")]
+    pub born: u64,
 }
 
 /// Soft state: who is a member, and which processors there are.
--- a/crates/foreman/src/duties.rs
+++ b/crates/foreman/src/duties.rs
@@ -22,6 +22,15 @@
         })
     }
 
+    /// Store machines that are to hold nothing: those being emptied, and those that
+    /// were, until a machine of that name comes with another disk. Once it is
+    /// settled such a machine is taken away at any moment, disk included.
+    pub(crate) fn retiring(f: &Floor) -> Vec<String> {
+        let same_disk = |r: &Retire| f.leases.get(&r.node).is_none_or(|l| l.born <= r.born);
+        let retires = f.rack.charter.retires.iter();
+        retires.filter(|r| !r.done || same_disk(r)).map(|r| r.node.clone()).collect()
+    }
+
     pub(crate) async fn assign(self: &Arc<Self>) {
         if self.assigning.swap(true, Ordering::Relaxed) {
             return;
@@ -79,8 +88,7 @@
                 return;
             }
             let partitions = f.rack.charter.partitions.clone();
-            let retiring: Vec<String> =
-                f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
+            let retiring: Vec<String> = Self::retiring(f);
             let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
             for p in &partitions {
                 let life = |n: &str| f.leases.get(n).map(|l| l.life);
@@ -153,16 +161,11 @@
                 words.extend(was.map(|was| ("balance".into(), Word::Partition(PutPartition { was, now }))));
             }
             for r in f.rack.charter.retires.iter().filter(|r| !r.done) {
-                let holds = partitions.iter().any(|p| {
-                    p.owner == r.node
-                        || p.homes.contains(&r.node)
-                        || p.insync.contains(&r.node)
-                        || p.insync.len() < replicas
-                        || p.grant.is_some()
-                });
-                if !holds {
+                if emptied(&partitions, &r.node, replicas) {
                     tally::change!("retired {}", r.node);
-                    words.push((r.node.clone(), Word::Retire(Retire { node: r.node.clone(), done: true })));
+                    let born = f.leases.get(&r.node).map_or(0, |l| l.born);
+                    let finish = FinishRetire { node: r.node.clone(), began: r.began, replicas: replicas as u32, born };
+                    words.push((r.node.clone(), Word::FinishRetire(finish)));
                 }
             }
         });
@@ -195,6 +198,7 @@
             let linger = cutoff as u64 + self.caliper.constraints.revert_slack_ms as u64;
             for r in f.rack.charter.rollouts.iter().filter(|r| r.state == "running") {
                 let p = f.plumbs.entry(r.plant.clone()).or_default();
+                p.judges(r.began);
                 let mut now = r.clone();
                 now.spent = now.spent.max(p.sent_new);
                 match p.advise(r, wall, linger, self.caliper.constraints.revert_slack_ms / 10.0) {
@@ -214,7 +218,7 @@
                     now.state,
                     now.share
                 );
-                words.push(Word::Rollout(now));
+                words.push(Word::PutRollout(PutRollout { was: r.clone(), now }));
             }
         });
         for w in words {
@@ -300,11 +304,6 @@
         }
     }
 
-    /// Starts judging a plant's roll-out afresh.
-    pub fn forget_plumb(&self, plant: &str) {
-        self.with(|f| f.plumbs.remove(plant));
-    }
-
     /// The time wants its own clock and more than half of the store machines', or
     /// all that come soon.
     pub(crate) fn settle_time(&self, f: &mut Floor, now: u64) {
--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -4,7 +4,7 @@
 use crate::rack::*;
 use crate::shop::Shop;
 use bytes::Bytes;
-use dovetail::msg::{Retire, Rollout};
+use dovetail::msg::Rollout;
 use gauge::Template;
 use spindle::{Bounds, Closing, Reply, Request};
 use std::sync::Arc;
@@ -39,6 +39,14 @@
     .await;
 }
 
+/// To where the leader is, as far as that is known; never to this process.
+fn elsewhere(shop: &Shop, r: &Request) -> Reply {
+    match shop.leader_control() {
+        Some(addr) => Reply::new(307).with("Location", format!("http://{addr}{}", r.path)),
+        None => fault(503, "no foreman leads").with("Retry-After", "1"),
+    }
+}
+
 async fn answer(shop: &Arc<Shop>, r: Request) -> Reply {
     let path = r.path.split('?').next().unwrap_or("").to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
@@ -46,26 +54,27 @@
         return Reply::json(200, shop.status());
     }
     if !shop.holds_leadership() {
-        return match shop.leader_control() {
-            Some(addr) => Reply::new(307).with("Location", format!("http://{addr}{}", r.path)),
-            None => fault(503, "no foreman leads").with("Retry-After", "1"),
-        };
-    }
-    match (r.method.as_str(), &parts[..]) {
-        ("POST", ["config", "replace"]) => put(shop, &r, false).await,
-        ("POST", ["config", "adjust"]) => put(shop, &r, true).await,
+        return elsewhere(shop, &r);
+    }
+    decide(shop, &r, &parts).await
+}
+
+async fn decide(shop: &Arc<Shop>, r: &Request, parts: &[&str]) -> Reply {
+    match (r.method.as_str(), parts) {
+        ("POST", ["config", "replace"]) => put(shop, r, false).await,
+        ("POST", ["config", "adjust"]) => put(shop, r, true).await,
         ("GET", ["config", "read"]) => {
             let (revision, json) = shop.with(|f| (f.rack.revision, f.rack.template.clone()));
             if revision == 0 { fault(404, "there is no configuration yet") } else { Reply::json(200, json) }
         }
-        ("POST", ["rollouts", "start"]) => start_rollout(shop, &r).await,
+        ("POST", ["rollouts", "start"]) => start_rollout(shop, r).await,
         ("GET", ["rollouts", plant, "read"]) => {
             match shop.with(|f| f.rack.charter.rollouts.iter().find(|x| x.plant == *plant).cloned()) {
                 Some(x) => Reply::json(200, serde_json::json!({"state": x.state, "target": x.target}).to_string()),
                 None => fault(404, "no roll-out of that plant"),
             }
         }
-        ("POST", ["retire", node, "start"]) => start_retire(shop, node).await,
+        ("POST", ["retire", node, "start"]) => start_retire(shop, node, r).await,
         ("GET", ["retire", node, "read"]) => {
             match shop.with(|f| f.rack.charter.retires.iter().find(|x| x.node == *node).cloned()) {
                 Some(x) => {
@@ -83,18 +92,24 @@
     let Some(base) = r.header("x-base-revision").and_then(|v| v.parse::<u64>().ok()) else {
         return fault(400, "X-Base-Revision: missing or not a number");
     };
-    let sent: serde_json::Value = match serde_json::from_slice(&r.body) {
-        Ok(v) => v,
+    #[derive(serde::Deserialize)]
+    struct Numbered {
+        revision: Option<u64>,
+    }
+    // A list would pass for the fields in their order.
+    if r.body.trim_ascii_start().first() != Some(&b'{') {
+        return fault(400, "cannot be read in full: wants an object");
+    }
+    let revision = match serde_json::from_slice::<Numbered>(&r.body) {
+        Ok(Numbered { revision: Some(n) }) => n,
+        Ok(_) => return fault(400, "revision: missing"),
         Err(e) => return fault(400, &format!("cannot be read in full: {e}")),
     };
-    let Some(revision) = sent.get("revision").and_then(serde_json::Value::as_u64) else {
-        return fault(400, "revision: missing");
-    };
-    let print = print(&r.body);
-    let (current, stored, took) =
-        shop.with(|f| (f.rack.revision, f.rack.template.clone(), f.rack.took(revision, base, print)));
+    let digest = digest(if adjust { "adjust" } else { "replace" }, "", base, revision, &r.body);
+    let (current, stored, took) = shop.with(|f| (f.rack.revision, f.rack.template.clone(), f.rack.took(&digest)));
+    let again = || Reply::json(200, serde_json::json!({ "revision": revision, "again": true }).to_string());
     if took {
-        return Reply::json(200, serde_json::json!({ "revision": revision }).to_string());
+        return again();
     }
     if base != current {
         return fault(412, &format!("revision {current} is in place"));
@@ -114,11 +129,10 @@
         Ok(j) => j.into(),
         Err(e) => return fault(400, &e),
     };
-    let template = match Template::read(&json) {
-        Ok(t) => t,
-        Err(e) => return fault(400, &e),
-    };
-    if template.revision <= current {
+    if let Err(e) = Template::read(&json) {
+        return fault(400, &e);
+    }
+    if revision <= current {
         return fault(400, &format!("revision: must be above {current}"));
     }
     let (json, change): (Bytes, Bytes) = if adjust && !stored.is_empty() {
@@ -127,18 +141,39 @@
         let change = gauge::difference(&stored, &json).unwrap_or_default().into();
         (json, change)
     };
-    match shop.propose(Word::Template(PutTemplate { base, revision, json, print, change })).await {
+    match shop.propose(Word::Template(PutTemplate { base, revision, json, digest, change })).await {
         Some(Applied::Done) => {
             tally::change!("configuration {revision} taken");
             Reply::json(200, serde_json::json!({ "revision": revision }).to_string())
         }
-        Some(Applied::Beaten) => {
-            if shop.with(|f| f.rack.took(revision, base, print)) {
-                return Reply::json(200, serde_json::json!({ "revision": revision }).to_string());
-            }
-            fault(412, "another configuration came first")
-        }
-        None => fault(504, "it may or may not be in force: send it again unchanged"),
+        Some(Applied::Repeated) => again(),
+        Some(Applied::Beaten) => fault(412, "another configuration came first"),
+        Some(Applied::Refused) => fault(400, "the change does not apply"),
+        Some(Applied::Undecoded) | None => fault(504, "it may or may not be in force: send it again unchanged"),
+    }
+}
+
+/// Marks an order other than a configuration. Operators send one again for `ackMs` at
+/// most; a quarter more is for what the time of two leaders may differ. After that the
+/// same bytes are a new order: one begins the same roll-out anew after a revert.
+/// None while the fleet's time is not known.
+fn stamp(shop: &Shop, digest: Bytes) -> Option<Stamp> {
+    let at_ms = shop.time()?;
+    Some(Stamp { digest, at_ms, until_ms: at_ms + (shop.caliper.constraints.ack_ms * 1.25) as u64 })
+}
+
+fn no_time() -> Reply {
+    fault(503, "the time is not known yet").with("Retry-After", "1")
+}
+
+/// What the fold made of an order other than a configuration.
+fn started(applied: Option<Applied>, beaten: &str, refused: impl FnOnce() -> Reply) -> Reply {
+    match applied {
+        Some(Applied::Done) => Reply::json(200, r#"{"state":"running"}"#),
+        Some(Applied::Repeated) => Reply::json(200, r#"{"again":true}"#),
+        Some(Applied::Beaten) => fault(409, beaten),
+        Some(Applied::Refused) => refused(),
+        Some(Applied::Undecoded) | None => fault(504, "it may or may not have been started: send it again unchanged"),
     }
 }
 
@@ -153,9 +188,10 @@
     let Ok(s) = serde_json::from_slice::<Start>(&r.body) else {
         return fault(400, "wants plant, target and withinS");
     };
-    let (known, running, old) = shop.with(|f| {
-        let known = Template::read(&f.rack.template).is_ok_and(|t| t.plant(&s.plant).is_some());
-        let running = f.rack.charter.rollouts.iter().find(|x| x.plant == s.plant && x.state == "running").cloned();
+    let Some(stamp) = stamp(shop, digest("rollout", &s.plant, 0, 0, &r.body)) else { return no_time() };
+    let pattern = shop.pattern();
+    let (running, took, old) = shop.with(|f| {
+        let running = f.rack.charter.rollouts.iter().any(|x| x.plant == s.plant && x.state == "running");
         let mut old: Vec<String> = f
             .roster
             .units
@@ -165,52 +201,58 @@
             .collect();
         old.sort();
         old.dedup();
-        (known, running, old)
+        (running, f.rack.took_order(&stamp, running), old)
     });
-    if !known {
+    if took {
+        return started(Some(Applied::Repeated), "", no_time);
+    }
+    if pattern.plant(&s.plant).is_none() {
         return fault(404, "unknown plant");
     }
-    if running.is_some() {
-        return fault(409, "a roll-out of that plant is under way");
+    let beaten = "a roll-out of that plant is under way";
+    if running {
+        return fault(409, beaten);
     }
-    let Some(began_ms) = shop.time() else {
-        return fault(503, "the time is not known yet").with("Retry-After", "1");
-    };
-    let now = Rollout {
-        plant: s.plant.clone(),
+    let rollout = Rollout {
+        plant: s.plant,
         target: s.target,
         state: "running".into(),
         share: Plumb::first_share(shop.caliper.constraints.exposure),
         within_ms: (s.within_s * 1000.0) as u64,
         old,
         spent: 0,
-        began_ms,
+        began_ms: stamp.at_ms,
+        began: 0,
     };
-    shop.forget_plumb(&s.plant);
-    match shop.propose(Word::Rollout(now)).await {
-        Some(_) => Reply::json(200, r#"{"state":"running"}"#),
-        None => fault(504, "it may or may not have been started"),
-    }
+    started(shop.propose(Word::StartRollout(StartRollout { rollout, stamp })).await, beaten, no_time)
 }
 
-async fn start_retire(shop: &Arc<Shop>, node: &str) -> Reply {
-    let left = shop.caliper.tolerance.machines as usize + 1;
-    let state = shop.with(|f| {
-        let under = f.rack.charter.retires.iter().any(|x| x.node == node);
-        let lathes: Vec<&str> =
-            f.roster.nodes.iter().filter(|n| n.role == "lathe" && !n.leaving).map(|n| n.name.as_str()).collect();
+async fn start_retire(shop: &Arc<Shop>, node: &str, r: &Request) -> Reply {
+    let Some(stamp) = stamp(shop, digest("retire", node, 0, 0, &r.body)) else { return no_time() };
+    let least = shop.caliper.tolerance.machines + 1;
+    let now = shop.now();
+    let (took, running, known, told, stores) = shop.with(|f| {
+        let running = f.rack.charter.retires.iter().any(|x| x.node == node && !x.done);
+        let retired = Shop::retiring(f);
+        let stands = |n: &&dovetail::msg::Node| n.role == "lathe" && !n.leaving && !retired.contains(&n.name);
+        let stores: Vec<String> = f.roster.nodes.iter().filter(stands).map(|n| n.name.clone()).collect();
         let holds = f.rack.charter.partitions.iter().any(|p| p.homes.iter().any(|h| h == node));
-        let staying =
-            lathes.iter().filter(|n| **n != node && !f.rack.charter.retires.iter().any(|x| x.node == **n)).count();
-        (under, lathes.contains(&node) || holds, staying)
+        // A new leader may not have heard of all that stand.
+        let told = f.roster.version != 0 && now > f.leader_since + shop.ratio(3.0);
+        (f.rack.took_order(&stamp, running), running, holds || stores.iter().any(|n| n == node), told, stores)
     });
-    match state {
-        (true, _, _) => fault(409, "it is being retired"),
-        (_, false, _) => fault(404, "no such node"),
-        (_, _, staying) if staying < left => fault(409, "too few would be left"),
-        _ => match shop.propose(Word::Retire(Retire { node: node.into(), done: false })).await {
-            Some(_) => Reply::json(200, r#"{"state":"running"}"#),
-            None => fault(504, "it may or may not have been started"),
-        },
+    if took {
+        return started(Some(Applied::Repeated), "", no_time);
+    }
+    let early = || fault(503, "the store machines are still telling themselves").with("Retry-After", "1");
+    let beaten = "it is being retired";
+    if running {
+        return fault(409, beaten);
+    }
+    if !known {
+        return if told { fault(404, "no such node") } else { early() };
     }
+    let refused = || if told { fault(409, "too few would be left") } else { early() };
+    let word = StartRetire { node: node.into(), stores, least, stamp };
+    started(shop.propose(Word::StartRetire(word)).await, beaten, refused)
 }
--- a/crates/foreman/src/plumb.rs
+++ b/crates/foreman/src/plumb.rs
@@ -32,6 +32,8 @@
     /// Runs of the new version since the share was last raised.
     since_raise: f64,
     raised_ms: u64,
+    /// Which roll-out, by the index at which it began; 0: not known yet.
+    began: u64,
 }
 
 #[derive(Debug, PartialEq)]
@@ -53,6 +55,15 @@
 const LEAST_BAD: f64 = 5.0;
 
 impl Plumb {
+    /// Says which roll-out is judged: what was seen of an earlier one says nothing.
+    /// Samples that come before the first call are of the one that is named then.
+    pub fn judges(&mut self, began: u64) {
+        if self.began != 0 && self.began != began {
+            *self = Plumb::default();
+        }
+        self.began = began;
+    }
+
     pub fn add(&mut self, target: &str, s: &Sample) {
         let new = s.revision == target;
         self.sent_all += s.sent as u64;
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -5,6 +5,12 @@
 use dovetail::msg::{Charter, Grant, Order, OrderKind, Partition, Retire, Rollout, TemplateStep};
 use gauge::Tree;
 use prost::Message;
+use sha2::{Digest as _, Sha256};
+
+/// So many configurations are known again, the newest ones.
+const CONFIGURATIONS: usize = 1024;
+/// So many other orders are known again, within their time.
+const ORDERS: usize = 256;
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Rack {
@@ -21,6 +27,9 @@
     /// The last changes of the configuration, for those that are a little behind.
     #[prost(message, repeated, tag = "5")]
     pub steps: Vec<TemplateStep>,
+    /// Roll-outs and retires that were taken, while they may be sent again.
+    #[prost(message, repeated, tag = "7")]
+    pub orders: Vec<Stamp>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -29,13 +38,39 @@
     pub revision: u64,
     #[prost(uint64, tag = "2")]
     pub base: u64,
+    /// As `digest` makes it.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub digest: Bytes,
+}
+
+/// The identity of an order other than a configuration, and for how long it is one.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Stamp {
+    /// As `digest` makes it.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: Bytes,
+    /// The fleet's time when it was proposed, ms.
+    #[prost(uint64, tag = "2")]
+    pub at_ms: u64,
+    /// Until then the same bytes are the same order, sent again; ms.
     #[prost(uint64, tag = "3")]
-    pub print: u64,
+    pub until_ms: u64,
+}
+
+/// The identity of an order: SHA-256 over all that tells it from others, each part
+/// behind its length. `name` is of the plant or node; empty for a configuration.
+pub fn digest(kind: &str, name: &str, base: u64, number: u64, body: &[u8]) -> Bytes {
+    let mut h = Sha256::new();
+    for part in [kind.as_bytes(), name.as_bytes(), &base.to_be_bytes(), &number.to_be_bytes(), body] {
+        h.update((part.len() as u64).to_be_bytes());
+        h.update(part);
+    }
+    Bytes::copy_from_slice(&h.finalize())
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Word", tags = "1, 2, 5, 6, 7, 8, 9")]
     pub word: Option<Word>,
 }
 
@@ -46,12 +81,16 @@
     Template(PutTemplate),
     #[prost(message, tag = "2")]
     Partition(PutPartition),
-    #[prost(message, tag = "3")]
-    Rollout(Rollout),
-    #[prost(message, tag = "4")]
-    Retire(Retire),
     #[prost(message, tag = "5")]
     Layout(Layout),
+    #[prost(message, tag = "6")]
+    StartRollout(StartRollout),
+    #[prost(message, tag = "7")]
+    PutRollout(PutRollout),
+    #[prost(message, tag = "8")]
+    StartRetire(StartRetire),
+    #[prost(message, tag = "9")]
+    FinishRetire(FinishRetire),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -62,9 +101,9 @@
     pub revision: u64,
     #[prost(bytes = "bytes", tag = "3")]
     pub json: Bytes,
-    /// Of the operator's call, to know it again.
-    #[prost(uint64, tag = "4")]
-    pub print: u64,
+    /// Of the operator's call, to know it again; as `digest` makes it.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub digest: Bytes,
     /// What changed, as operators write it; empty: too much for that. With it and
     /// without `json` it is all that is logged.
     #[prost(bytes = "bytes", tag = "5")]
@@ -86,11 +125,76 @@
     pub partitions: Vec<Partition>,
 }
 
+/// Begins a roll-out, unless one of that plant is running.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StartRollout {
+    #[prost(message, required, tag = "1")]
+    pub rollout: Rollout,
+    #[prost(message, required, tag = "2")]
+    pub stamp: Stamp,
+}
+
+/// Changes a roll-out if it still is what the judge saw.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PutRollout {
+    #[prost(message, required, tag = "1")]
+    pub was: Rollout,
+    #[prost(message, required, tag = "2")]
+    pub now: Rollout,
+}
+
+/// Begins to empty a store machine, if enough others stay.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StartRetire {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// The store machines that stand and aren't leaving, as the proposer saw them.
+    #[prost(string, repeated, tag = "2")]
+    pub stores: Vec<String>,
+    /// So many of them must stay.
+    #[prost(uint32, tag = "3")]
+    pub least: u32,
+    #[prost(message, required, tag = "4")]
+    pub stamp: Stamp,
+}
+
+/// The end of the retire that began at an index, if the node is empty.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FinishRetire {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(uint64, tag = "2")]
+    pub began: u64,
+    /// So many copies each partition is to have.
+    #[prost(uint32, tag = "3")]
+    pub replicas: u32,
+    #[prost(uint64, tag = "4")]
+    pub born: u64,
+}
+
+/// What the fold made of a command: the same on every foreman.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Applied {
     Done,
-    /// Something else came first.
+    /// This very order was taken before; it changes nothing.
+    Repeated,
+    /// Something else came first, or is under way.
     Beaten,
+    /// It cannot be granted as things stand.
+    Refused,
+    /// A command that cannot be decoded; it changes nothing.
+    Undecoded,
+}
+
+/// Whether nothing is held by a node any more, and all of it stands elsewhere.
+pub fn emptied(partitions: &[Partition], node: &str, replicas: usize) -> bool {
+    !partitions.iter().any(|p| {
+        p.owner == node
+            || p.homes.iter().any(|h| h == node)
+            || p.insync.iter().any(|n| n == node)
+            || p.insync.len() < replicas
+            || p.grant.is_some()
+    })
 }
 
 pub use dovetail::print;
@@ -102,11 +206,18 @@
 
     /// As `apply`; the tree is of the configuration in force, or of none.
     pub fn apply_with(&mut self, tree: &mut Tree, index: u64, data: &Bytes) -> Applied {
+        if data.is_empty() {
+            return Applied::Done; // The log's own.
+        }
         let Ok(Command { word: Some(word) }) = Command::decode(data.clone()) else {
-            return Applied::Done;
+            tally::count("commands_undecoded");
+            return Applied::Undecoded;
         };
         match word {
             Word::Template(t) => {
+                if self.took(&t.digest) {
+                    return Applied::Repeated;
+                }
                 if t.base != self.revision || t.revision <= self.revision {
                     return Applied::Beaten;
                 }
@@ -115,7 +226,7 @@
                 let json = if t.json.is_empty() {
                     match self.adjusted(tree, &t.change) {
                         Ok(j) => j,
-                        Err(_) => return Applied::Beaten,
+                        Err(_) => return Applied::Refused,
                     }
                 } else {
                     t.json
@@ -132,8 +243,8 @@
                 }
                 self.template = json;
                 self.revision = t.revision;
-                self.taken.push(Taken { revision: t.revision, base: t.base, print: t.print });
-                if self.taken.len() > 256 {
+                self.taken.push(Taken { revision: t.revision, base: t.base, digest: t.digest });
+                if self.taken.len() > CONFIGURATIONS {
                     self.taken.remove(0);
                 }
                 return Applied::Done;
@@ -148,13 +259,52 @@
                 *slot = p.now;
                 slot.changed = index;
             }
-            Word::Rollout(r) => {
-                self.charter.rollouts.retain(|x| x.plant != r.plant);
-                self.charter.rollouts.push(r);
+            Word::StartRollout(StartRollout { rollout, stamp }) => {
+                let slot = self.charter.rollouts.iter().position(|x| x.plant == rollout.plant);
+                let running = slot.is_some_and(|i| self.charter.rollouts[i].state == "running");
+                if self.took_order(&stamp, running) {
+                    return Applied::Repeated;
+                }
+                if running {
+                    return Applied::Beaten;
+                }
+                if let Some(i) = slot {
+                    self.charter.rollouts.remove(i);
+                }
+                self.charter.rollouts.push(Rollout { began: index, ..rollout });
+                self.remember(stamp);
+            }
+            Word::PutRollout(PutRollout { was, now }) => {
+                let slot = self.charter.rollouts.iter_mut().find(|x| **x == was);
+                let Some(slot) = slot.filter(|x| x.state == "running") else {
+                    return Applied::Beaten;
+                };
+                *slot = Rollout { plant: was.plant, began: was.began, ..now };
             }
-            Word::Retire(r) => {
+            Word::StartRetire(r) => {
+                let running = self.charter.retires.iter().any(|x| x.node == r.node && !x.done);
+                if self.took_order(&r.stamp, running) {
+                    return Applied::Repeated;
+                }
+                if running {
+                    return Applied::Beaten;
+                }
+                let stays = |n: &&String| **n != r.node && !self.is_retired(n);
+                if r.stores.iter().filter(stays).count() < r.least as usize {
+                    return Applied::Refused;
+                }
                 self.charter.retires.retain(|x| x.node != r.node);
-                self.charter.retires.push(r);
+                self.charter.retires.push(Retire { node: r.node, done: false, began: index, born: 0 });
+                self.remember(r.stamp);
+            }
+            Word::FinishRetire(r) => {
+                let empty = emptied(&self.charter.partitions, &r.node, r.replicas as usize);
+                let slot = self.charter.retires.iter_mut().find(|x| x.node == r.node && x.began == r.began && !x.done);
+                let Some(slot) = slot.filter(|_| empty) else {
+                    return Applied::Beaten;
+                };
+                slot.done = true;
+                slot.born = r.born;
             }
             Word::Layout(l) => {
                 if !self.charter.partitions.is_empty() {
@@ -195,8 +345,29 @@
     }
 
     /// Whether this very call has been taken before.
-    pub fn took(&self, revision: u64, base: u64, print: u64) -> bool {
-        self.taken.iter().any(|t| t.revision == revision && t.base == base && t.print == print)
+    pub fn took(&self, digest: &[u8]) -> bool {
+        !digest.is_empty() && self.taken.iter().any(|t| t.digest == digest)
+    }
+
+    /// Whether an order is one that was taken, sent again. `running`: what it asks for
+    /// is under way, so that its time is not looked at.
+    pub fn took_order(&self, order: &Stamp, running: bool) -> bool {
+        let same = |t: &&Stamp| !order.digest.is_empty() && t.digest == order.digest;
+        self.orders.iter().find(same).is_some_and(|t| running || order.at_ms <= t.until_ms)
+    }
+
+    fn remember(&mut self, order: Stamp) {
+        self.orders.retain(|t| t.digest != order.digest && order.at_ms <= t.until_ms);
+        if self.orders.len() >= ORDERS {
+            self.orders.remove(0);
+        }
+        self.orders.push(order);
+    }
+
+    /// Whether a store machine is being emptied, or was and holds nothing again.
+    fn is_retired(&self, node: &str) -> bool {
+        let holds = || self.charter.partitions.iter().any(|p| p.homes.iter().any(|h| h == node));
+        self.charter.retires.iter().any(|r| r.node == node && (!r.done || !holds()))
     }
 }
 
--- /dev/null
+++ b/crates/foreman/tests/orders.rs
@@ -0,0 +1,283 @@
+//! Operators' orders against the state that the log folds into: what is taken, known
+//! again, beaten or refused, whoever leads and after a snapshot.
+
+use bytes::Bytes;
+use dovetail::msg::{Grant, Partition, Rollout, Sample};
+use foreman::*;
+use prost::Message;
+
+/// One log; two members fold its entries, one of which begins anew from a snapshot
+/// before each, and now and then once there are very many.
+#[derive(Default)]
+struct Log {
+    index: u64,
+    rack: Rack,
+}
+
+impl Log {
+    fn put(&mut self, word: Word) -> Applied {
+        self.raw(Command { word: Some(word) }.encode_to_vec().into())
+    }
+
+    fn raw(&mut self, data: Bytes) -> Applied {
+        self.index += 1;
+        if self.index > 1000 && !self.index.is_multiple_of(100) {
+            return self.rack.apply(self.index, &data);
+        }
+        let mut other = Rack::decode(self.rack.encode_to_vec().as_slice()).expect("a snapshot");
+        let applied = self.rack.apply(self.index, &data);
+        assert_eq!(other.apply(self.index, &data), applied);
+        assert!(other == self.rack, "the fold depends on more than its state and the log");
+        applied
+    }
+
+    fn config(&mut self, kind: &str, base: u64, revision: u64, body: &str) -> Applied {
+        let digest = digest(kind, "", base, revision, body.as_bytes());
+        let (json, change) = if kind == "adjust" {
+            (Bytes::new(), body.to_owned().into())
+        } else {
+            (body.to_owned().into(), Bytes::new())
+        };
+        self.put(Word::Template(PutTemplate { base, revision, json, change, digest }))
+    }
+
+    fn rollout(&mut self, target: &str, at_ms: u64) -> Applied {
+        let stamp = Stamp { digest: digest("rollout", "p", 0, 0, target.as_bytes()), at_ms, until_ms: at_ms + 1000 };
+        let rollout =
+            Rollout { plant: "p".into(), target: target.into(), state: "running".into(), ..Rollout::default() };
+        self.put(Word::StartRollout(StartRollout { rollout, stamp }))
+    }
+
+    fn running(&self) -> Rollout {
+        self.rack.charter.rollouts[0].clone()
+    }
+
+    fn judge(&mut self, was: &Rollout, state: &str) -> Applied {
+        let (was, now) = (was.clone(), Rollout { state: state.into(), ..was.clone() });
+        self.put(Word::PutRollout(PutRollout { was, now }))
+    }
+
+    fn retire(&mut self, node: &str, stores: &[&str], at_ms: u64) -> Applied {
+        let stamp = Stamp { digest: digest("retire", node, 0, 0, b"{}"), at_ms, until_ms: at_ms + 1000 };
+        let stores = stores.iter().map(|s| s.to_string()).collect();
+        self.put(Word::StartRetire(StartRetire { node: node.into(), stores, least: 2, stamp }))
+    }
+
+    fn finish(&mut self, node: &str, began: u64) -> Applied {
+        self.put(Word::FinishRetire(FinishRetire { node: node.into(), began, replicas: 2, born: 7 }))
+    }
+
+    fn partition(&mut self, change: impl Fn(&mut Partition)) {
+        let was = self.rack.charter.partitions[0].clone();
+        let mut now = was.clone();
+        change(&mut now);
+        assert_eq!(self.put(Word::Partition(PutPartition { was, now })), Applied::Done);
+    }
+}
+
+const WHOLE: &str = r#"{"revision":3,"channels":[],"plants":[{"name":"p"}],"limits":{}}"#;
+
+#[test]
+fn of_two_roll_outs_of_a_plant_one_is_taken_and_its_repeat_is_known() {
+    let mut l = Log::default();
+    assert_eq!((l.rollout("v2", 10), l.rollout("v3", 10)), (Applied::Done, Applied::Beaten));
+    // Under way with one leader and sent to the next; and long after, while it runs.
+    assert_eq!((l.rollout("v2", 500), l.rollout("v2", 90_000)), (Applied::Repeated, Applied::Repeated));
+    let first = l.running();
+    assert_eq!((first.target.as_str(), first.began), ("v2", 1));
+    assert_eq!(l.judge(&first, "reverted"), Applied::Done);
+    // Within its time it is the order that was taken; behind that it is a new one.
+    assert_eq!(l.rollout("v2", 1010), Applied::Repeated);
+    assert_eq!(l.running().state, "reverted");
+    assert_eq!(l.rollout("v2", 1011), Applied::Done);
+    let second = l.running();
+    assert_eq!((second.state.as_str(), second.began), ("running", 7));
+    assert_eq!(l.rollout("v2", 1900), Applied::Repeated);
+    // One that was beaten was never taken: it may come again once the way is free.
+    assert_eq!(l.rollout("v3", 1950), Applied::Beaten);
+    l.judge(&second, "settled");
+    assert_eq!(l.rollout("v3", 1960), Applied::Done);
+}
+
+#[test]
+fn the_judge_moves_only_the_roll_out_that_it_saw() {
+    let mut l = Log::default();
+    l.rollout("v2", 10);
+    let first = l.running();
+    assert_eq!((l.judge(&first, "reverted"), l.judge(&first, "settled")), (Applied::Done, Applied::Beaten));
+    let ended = l.running();
+    assert_eq!(l.judge(&ended, "running"), Applied::Beaten, "an end is an end");
+    // The same once more, all fields but its beginning alike: what was seen of the
+    // first decides nothing.
+    assert_eq!(l.rollout("v2", 5000), Applied::Done);
+    assert_eq!(Rollout { began: first.began, ..l.running() }, first);
+    assert_eq!(l.judge(&first, "settled"), Applied::Beaten);
+    assert_eq!(l.running().state, "running");
+    let mut other = l.running();
+    other.began = 99;
+    let (was, now) = (l.running(), other);
+    assert_eq!(l.put(Word::PutRollout(PutRollout { was, now })), Applied::Done);
+    assert_ne!(l.running().began, 99, "it stays what it is");
+}
+
+#[test]
+fn what_was_seen_of_one_roll_out_stays_until_another_one_begins() {
+    let sample = |revision: &str, good, bad| Sample {
+        revision: revision.into(),
+        channel: "r".into(),
+        good,
+        bad,
+        sent: good + bad,
+        ms_sum: f64::from(good) * 50.0,
+        ..Sample::default()
+    };
+    let r = Rollout { within_ms: 10_000, share: 60, target: "v2".into(), ..Rollout::default() };
+    let mut p = Plumb::default();
+    p.add("v2", &sample("v1", 200, 0));
+    p.add("v2", &sample("v2", 2, 8));
+    p.judges(5);
+    p.judges(5);
+    assert!(matches!(p.advise(&r, 1000, 500, 25.0), Advice::Revert(_)), "an order that was refused hides nothing");
+    p.judges(9);
+    assert_eq!(p.advise(&r, 1000, 500, 25.0), Advice::Wait);
+}
+
+#[test]
+fn three_retires_at_once_leave_two_machines() {
+    let all = ["a", "b", "c"];
+    let mut l = Log::default();
+    let names = |of: &[&str]| of.iter().map(|s| s.to_string()).collect::<Vec<_>>();
+    let p = Partition {
+        id: 0,
+        owner: "a".into(),
+        homes: names(&["a", "b"]),
+        insync: names(&["a", "b"]),
+        ..Partition::default()
+    };
+    l.put(Word::Layout(Layout { partitions: vec![p] }));
+    let got = all.map(|n| l.retire(n, &all, 10));
+    assert_eq!(got, [Applied::Done, Applied::Refused, Applied::Refused]);
+    assert_eq!((l.retire("a", &all, 20), l.retire("a", &[], 900)), (Applied::Repeated, Applied::Repeated));
+    let began = l.rack.charter.retires[0].began;
+    // Done when the log itself says that it holds nothing, and that all is elsewhere.
+    assert_eq!(l.finish("a", began), Applied::Beaten, "it owns one");
+    l.partition(|p| (p.owner, p.homes) = ("b".into(), vec!["b".into(), "c".into()]));
+    assert_eq!(l.finish("a", began), Applied::Beaten, "it follows one");
+    l.partition(|p| p.insync = vec!["b".into()]);
+    assert_eq!(l.finish("a", began), Applied::Beaten, "one copy is lacking");
+    l.partition(|p| p.insync = vec!["b".into(), "c".into()]);
+    l.partition(|p| p.grant = Some(Grant { term: 2, candidate: "c".into(), insync: vec![] }));
+    assert_eq!(l.finish("a", began), Applied::Beaten, "a move is under way");
+    l.partition(|p| p.grant = None);
+    assert_eq!(l.finish("a", began + 1), Applied::Beaten, "another retire");
+    assert_eq!((l.finish("a", began), l.finish("a", began)), (Applied::Done, Applied::Beaten));
+    // Sent again though the node is gone; and one that still stands does not count.
+    assert_eq!(l.retire("a", &["b", "c"], 1000), Applied::Repeated);
+    assert_eq!(l.retire("b", &all, 1000), Applied::Refused);
+    // A machine of that name that is in use again is one more, and may be emptied anew.
+    l.partition(|p| (p.homes, p.insync) = (vec!["b".into(), "a".into()], vec!["b".into(), "a".into()]));
+    assert_eq!(l.retire("a", &all, 2000), Applied::Done);
+    assert!(l.rack.charter.retires[0].began > began && !l.rack.charter.retires[0].done);
+}
+
+#[test]
+fn an_order_is_known_by_all_that_tells_it_from_others() {
+    let parts =
+        [("replace", "", 0, 3, "x"), ("adjust", "", 0, 3, "x"), ("replace", "", 1, 3, "x"), ("replace", "", 0, 4, "x")];
+    let more = [
+        ("replace", "", 0, 3, "y"),
+        ("replac", "e", 0, 3, "x"),
+        ("replace", "x", 0, 3, ""),
+        ("replace", "", 3, 0, "x"),
+    ];
+    let all: std::collections::HashSet<Bytes> =
+        parts.iter().chain(&more).map(|(k, n, b, r, body)| digest(k, n, *b, *r, body.as_bytes())).collect();
+    assert_eq!(all.len(), parts.len() + more.len());
+    assert!(all.iter().all(|d| d.len() == 32));
+}
+
+#[test]
+fn one_number_is_one_configuration() {
+    let mut l = Log::default();
+    // Eight at once, some with one number, some with equal bytes; each of them twice.
+    let other = WHOLE.replace("\"p\"", "\"q\"");
+    let bodies: Vec<(&str, u64, String)> =
+        (0..8u64).map(|n| ("replace", 3 + n / 4, if n % 2 == 0 { WHOLE.to_owned() } else { other.clone() })).collect();
+    let first: Vec<Applied> = bodies.iter().map(|(k, r, b)| l.config(k, 0, *r, b)).collect();
+    let same = |n: usize| bodies[n].1 == 3 && bodies[n].2 == WHOLE;
+    for (n, got) in first.iter().enumerate() {
+        let wanted = if n == 0 {
+            Applied::Done
+        } else if same(n) {
+            Applied::Repeated
+        } else {
+            Applied::Beaten
+        };
+        assert_eq!(*got, wanted, "{n}");
+    }
+    assert_eq!(l.rack.template, WHOLE);
+    // Equal bytes as another kind of order, or on another base, are no repeat.
+    assert_eq!(l.config("adjust", 0, 3, WHOLE), Applied::Beaten);
+    assert_eq!(l.config("replace", 2, 3, WHOLE), Applied::Beaten);
+    assert_eq!(l.config("replace", 3, 3, WHOLE), Applied::Beaten, "a number is not used twice");
+    // Changes that do not apply: on the newest version, and on a stale one.
+    let before = l.rack.clone();
+    for (base, wanted) in [(3, Applied::Refused), (2, Applied::Beaten)] {
+        assert_eq!(l.config("adjust", base, 9, r#"{"revision":9,"remove":{"nowhere":["p"]}}"#), wanted);
+        assert_eq!(l.config("adjust", base, 9, "no json"), wanted);
+    }
+    assert!(l.rack == before);
+    assert_eq!(l.config("adjust", 3, 9, r#"{"revision":9,"remove":{"plants":["p"]}}"#), Applied::Done);
+    // Taken stays taken, with other changes since.
+    assert_eq!(l.config("replace", 0, 3, WHOLE), Applied::Repeated);
+    assert_eq!(l.config("replace", 0, 3, &other), Applied::Beaten);
+    // What carries no digest is no repeat of anything.
+    let bare = PutTemplate { base: 9, revision: 11, json: "{}".into(), ..PutTemplate::default() };
+    assert_eq!(l.put(Word::Template(bare.clone())), Applied::Done);
+    assert_eq!(l.put(Word::Template(bare)), Applied::Beaten);
+}
+
+#[test]
+fn what_is_known_again_is_bounded() {
+    let mut l = Log::default();
+    let (mut largest, mut began) = (0, 0);
+    for n in 0..5000u64 {
+        l.config("replace", n, n + 1, "{}");
+        if l.rollout(&format!("v{n}"), n * 10) == Applied::Done {
+            let r = l.running();
+            l.judge(&r, "settled");
+            began += 1;
+        }
+        largest = largest.max(l.rack.encoded_len());
+    }
+    assert_eq!(began, 5000);
+    for n in [4999, 4990, 5000 - 256] {
+        assert!(l.rack.took(&digest("replace", "", n, n + 1, b"{}")), "{n}");
+    }
+    // All that may come again is there, and what may not is not.
+    assert!((100..=102).contains(&l.rack.orders.len()), "{}", l.rack.orders.len());
+    assert!(largest < 64 << 10, "{largest} bytes of state");
+    // Also when the time does not go on.
+    for n in 0..1000 {
+        l.rollout(&format!("w{n}"), 49_990);
+        let r = l.running();
+        l.judge(&r, "settled");
+    }
+    assert_eq!(l.rack.orders.len(), 256);
+}
+
+#[test]
+fn what_cannot_be_decoded_is_counted_and_changes_nothing() {
+    let mut l = Log::default();
+    l.config("replace", 0, 3, WHOLE);
+    let before = (l.rack.clone(), tally::get("commands_undecoded"));
+    // Noise, a command cut short, and one of a kind that this program does not know.
+    let mut whole = Command { word: Some(Word::Layout(Layout::default())) }.encode_to_vec();
+    whole.truncate(1);
+    for bad in [&b"\xff\xff\xff"[..], &whole, &[0xfa, 0x01, 0x00]] {
+        assert_eq!(l.raw(Bytes::copy_from_slice(bad)), Applied::Undecoded, "{bad:?}");
+    }
+    assert!(l.rack == before.0);
+    assert_eq!(tally::get("commands_undecoded"), before.1 + 6, "once for each member");
+    assert_eq!(l.raw(Bytes::new()), Applied::Done, "the log's own entries carry nothing");
+}
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -16,6 +16,11 @@
     log: BTreeMap<u64, ViseEntry>,
 }
 
+/// The identity of an order on a base.
+fn word(base: u64, revision: u64) -> Bytes {
+    digest("replace", "", base, revision, b"")
+}
+
 /// A larger message would end its connection, again and again.
 fn within_a_frame(m: &ViseMsg) -> bool {
     assert!(m.encoded_len() < dovetail::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
@@ -128,7 +133,7 @@
             base,
             revision,
             json: Bytes::from(format!("{revision}")),
-            print: revision,
+            digest: word(base, revision),
             change: Bytes::new(),
         };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
@@ -175,7 +180,7 @@
         let got: Vec<Applied> = w.applied[n].iter().map(|a| a.1).collect();
         assert_eq!(got[got.len() - 2..], [Applied::Done, Applied::Beaten]);
         assert_eq!(w.racks[n].revision, 3);
-        assert!(w.racks[n].took(3, 0, 3) && !w.racks[n].took(4, 0, 4));
+        assert!(w.racks[n].took(&word(0, 3)) && !w.racks[n].took(&word(0, 4)));
     }
 }
 
@@ -459,7 +464,7 @@
     assert_eq!((w.racks[&new].revision, w.racks[&old].revision), (7, 3));
     w.beyond.clear();
     w.pass(3000);
-    assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(5, 3, 5)), "the other one never counts");
+    assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(&word(3, 5))), "the other one never counts");
 }
 
 #[test]
@@ -471,7 +476,7 @@
     w.down.insert(away.clone());
     for n in 0..30u64 {
         let json = Bytes::from(vec![b' '; 400 << 10]);
-        let t = PutTemplate { base: n, revision: n + 1, json, print: n, change: Bytes::new() };
+        let t = PutTemplate { base: n, revision: n + 1, json, digest: word(n, n + 1), change: Bytes::new() };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
         w.step(&leader, Event::Propose(data.into()));
         w.pass(50);
@@ -496,7 +501,7 @@
                 base: n,
                 revision: n + 1,
                 json: vec![b' '; 20_000].into(),
-                print: n,
+                digest: word(n, n + 1),
                 change: Bytes::new(),
             };
             Event::Propose(Command { word: Some(Word::Template(t)) }.encode_to_vec().into())
--- /dev/null
+++ b/crates/willowslip/tests/orders.rs
@@ -0,0 +1,247 @@
+//! Orders over HTTP against three foremen and three store machines on loopback:
+//! sent at the same moment, sent again, to the next leader, and too large.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
+
+struct Fleet {
+    dir: PathBuf,
+    base: u16,
+    children: HashMap<String, Child>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for c in self.children.values_mut() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// One request on a connection of its own; None without a whole answer.
+fn call(at: &str, method: &str, path: &str, base: Option<u64>, body: &[u8]) -> Option<(u16, String, String)> {
+    let mut s = TcpStream::connect(at).ok()?;
+    s.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
+    let base = base.map_or(String::new(), |b| format!("X-Base-Revision: {b}\r\n"));
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n{base}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    s.write_all(head.as_bytes()).ok()?;
+    s.write_all(body).ok()?;
+    let mut all = String::new();
+    s.read_to_string(&mut all).ok()?;
+    let (head, body) = all.split_once("\r\n\r\n")?;
+    Some((head.split(' ').nth(1)?.parse().ok()?, head.to_owned(), body.to_owned()))
+}
+
+fn until<T>(what: &str, mut f: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + Duration::from_secs(60);
+    loop {
+        if let Some(t) = f() {
+            return t;
+        }
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+impl Fleet {
+    fn new(name: &str, machines: std::ops::Range<u8>) -> Fleet {
+        let from = 42_000 + (std::process::id() % 400) as u16 * 40 + if name == "large" { 20 } else { 0 };
+        let free = |b: &u16| {
+            (machines.clone()).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.1.{m}"), p)).is_ok()))
+        };
+        let base = (from..65_000).step_by(40).find(free).expect("free ports");
+        let dir = std::env::temp_dir().join(format!("willowslip-orders-{name}-{}", std::process::id()));
+        Fleet { dir, base, children: HashMap::new() }
+    }
+
+    fn control(&self, machine: u8) -> String {
+        format!("127.0.1.{machine}:{}", self.base + 4)
+    }
+
+    fn start(&mut self, role: &str, machine: u8, first: bool, foremen: std::ops::Range<u8>) {
+        let (b, ip) = (self.base, format!("127.0.1.{machine}"));
+        let name = format!("{role}-{machine}");
+        let data = self.dir.join(&name);
+        std::fs::create_dir_all(&data).expect("a folder");
+        let control = if role == "foreman" { self.control(machine) } else { String::new() };
+        let seeds: Vec<String> = foremen.map(|m| format!("\"{}\"", self.control(m))).collect();
+        let settings = format!(
+            "node = \"{name}\"\nip = \"{ip}\"\nzone = \"z{}\"\nportRange = [{b}, {}]\nseeds = [{}]\ninitialStart = {first}\n\
+             dataDir = \"{}\"\n[listen]\ncontrol = \"{control}\"\n[limits]\nmemoryMb = 256\ndiskMb = 200\n\
+             [tolerance]\nmachines = 1\n[constraints]\nquietMs = 3000\nackMs = 60000\ngraceS = 6\nsettleS = 3\n\
+             drainMs = 3000\nconvergeMs = 3000\nrollbackMs = 5000\nstatusS = 60\nnotifyS = 5\npeakWindowS = 5\nexposure = 0.1\n",
+            machine % 3,
+            b + 3,
+            seeds.join(","),
+            data.display()
+        );
+        let path = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&path, settings).expect("settings written");
+        let child = Command::new(BIN)
+            .arg(role)
+            .env("WILLOWSLIP_SETTINGS", &path)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("starts");
+        self.children.insert(name, child);
+    }
+
+    fn kill(&mut self, name: &str) {
+        let mut c = self.children.remove(name).expect("it runs");
+        let _ = c.kill();
+        let _ = c.wait();
+    }
+
+    fn leads(&self, machine: u8) -> bool {
+        call(&self.control(machine), "GET", "/status", None, b"").is_some_and(|a| a.2.contains("\"isLeader\":true"))
+    }
+
+    fn leader(&self) -> u8 {
+        until("a leader", || {
+            (2..5).filter(|m| self.children.contains_key(&format!("foreman-{m}"))).find(|m| self.leads(*m))
+        })
+    }
+
+    /// As the operator sends: to one node after the other until there is a clear answer.
+    fn send(&self, method: &str, path: &str, base: Option<u64>, body: &str) -> (u16, String) {
+        until(path, || {
+            let all = (2..5).filter_map(|m| call(&self.control(m), method, path, base, body.as_bytes()));
+            all.map(|a| (a.0, a.2)).find(|a| a.0 < 500 && a.0 != 307)
+        })
+    }
+
+    /// Sends all at the same moment, again and again until each has a clear answer.
+    fn at_once(&self, orders: &[(String, String)]) -> Vec<u16> {
+        std::thread::scope(|s| {
+            let all: Vec<_> = orders.iter().map(|(p, b)| s.spawn(move || self.send("POST", p, None, b).0)).collect();
+            all.into_iter().map(|h| h.join().expect("no panic")).collect()
+        })
+    }
+}
+
+const CONFIG: &str = r#"{"revision": 3, "channels": [], "plants": [{"name": "p"}, {"name": "q"}], "limits": {}}"#;
+
+#[test]
+fn orders_sent_at_once_sent_again_and_to_the_next_leader() {
+    let mut f = Fleet::new("once", 2..8);
+    for m in 2..5 {
+        f.start("foreman", m, true, 2..5);
+    }
+    for m in 5..8 {
+        f.start("lathe", m, true, 2..5);
+    }
+    assert_eq!(f.send("POST", "/config/replace", Some(0), CONFIG).0, 200);
+    let status = |f: &Fleet| -> serde_json::Value {
+        let at = f.control(f.leader());
+        call(&at, "GET", "/status", None, b"").and_then(|a| serde_json::from_str(&a.2).ok()).unwrap_or_default()
+    };
+    until("partitions", || {
+        let s = status(&f);
+        let whole = |p: &serde_json::Value| p["insync"].as_array().is_some_and(|i| i.len() == 2);
+        s["partitions"].as_array().filter(|p| !p.is_empty() && p.iter().all(whole)).map(|_| ())
+    });
+
+    // Two roll-outs of one service at the same moment: one of them.
+    let start =
+        |t: &str| ("/rollouts/start".to_owned(), format!(r#"{{"plant": "p", "target": "{t}", "withinS": 3600}}"#));
+    let both = [start("v2"), start("v3"), start("v4"), start("v5")];
+    let got = f.at_once(&both);
+    assert_eq!(got.iter().filter(|s| **s == 200).count(), 1, "{got:?}");
+    assert!(got.iter().all(|s| [200, 409].contains(s)), "{got:?}");
+    let taken = got.iter().position(|s| *s == 200).expect("one");
+    let read = f.send("GET", "/rollouts/p/read", None, "").1;
+    assert!(read.contains(&format!("\"v{}\"", taken + 2)), "{read}");
+    let (path, body) = both[taken].clone();
+    assert_eq!(f.send("POST", &path, None, &body).0, 200, "a repeat is acknowledged");
+
+    // Three retires at the same moment: two machines must stay.
+    let retire = |m: u8| (format!("/retire/lathe-{m}/start"), r#"{"withinS": 60}"#.to_owned());
+    let all = [retire(5), retire(6), retire(7)];
+    let got = f.at_once(&all);
+    assert_eq!(got.iter().filter(|s| **s == 200).count(), 1, "{got:?}");
+    let gone = got.iter().position(|s| *s == 200).expect("one");
+    let (retire_path, retire_body) = all[gone].clone();
+    assert_eq!(f.send("POST", &retire_path, None, &retire_body).0, 200, "a repeat is acknowledged");
+    let read = retire_path.replace("start", "read");
+    until("settled", || f.send("GET", &read, None, "").1.contains("settled").then_some(()));
+    // Settled, it may be taken away at any moment: it is given nothing any more.
+    let given = || status(&f)["partitions"].to_string().contains(&format!("\"lathe-{}\"", gone + 5));
+    for _ in 0..20 {
+        assert!(!given(), "{}", status(&f)["partitions"]);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    f.kill(&format!("lathe-{}", gone + 5));
+
+    // The next leader knows all of it, and so do all after an end of every one.
+    let again = |f: &Fleet| {
+        assert_eq!(f.send("POST", "/config/replace", Some(0), CONFIG).0, 200);
+        assert_eq!(f.send("POST", &path, None, &body).0, 200);
+        assert_eq!(f.send("POST", &start("v9").0, None, &start("v9").1).0, 409);
+        assert_eq!(f.send("POST", &retire_path, None, &retire_body).0, 200, "though the node is gone");
+        assert_eq!(f.send("POST", "/retire/lathe-99/start", None, &retire_body).0, 404);
+        assert_eq!(f.send("POST", "/config/replace", Some(0), &CONFIG.replace('q', "r")).0, 412, "another body");
+        assert_eq!(f.send("POST", "/config/adjust", Some(0), CONFIG).0, 412, "another kind of order");
+    };
+    again(&f);
+    let old = f.leader();
+    f.kill(&format!("foreman-{old}"));
+    again(&f);
+    f.start("foreman", old, false, 2..5);
+    for m in 2..5 {
+        f.kill(&format!("foreman-{m}"));
+    }
+    for m in 2..5 {
+        f.start("foreman", m, false, 2..5);
+    }
+    again(&f);
+
+    // A leader that was frozen answers nothing by what it knew; redirects name
+    // another machine, and keep path and query.
+    let old = f.leader();
+    let signal = |s: &str| {
+        let id = f.children[&format!("foreman-{old}")].id().to_string();
+        assert!(Command::new("kill").args([s, &id]).status().is_ok_and(|s| s.success()));
+    };
+    let at = f.control(old);
+    std::thread::scope(|s| {
+        signal("-STOP");
+        let asks: Vec<_> = (0..8)
+            .map(|n| {
+                let at = &at;
+                s.spawn(move || match n % 4 {
+                    0 => call(at, "GET", "/config/read?n=1", None, b""),
+                    1 => call(at, "GET", "/rollouts/q/read?n=1", None, b""),
+                    2 => call(at, "POST", "/config/replace?n=1", Some(2), CONFIG.as_bytes()),
+                    _ => call(at, "POST", "/retire/lathe-99/start?n=1", None, b"{}"),
+                })
+            })
+            .collect();
+        let next = r#"{"revision": 9, "upsert": {"plants": [{"name": "z"}]}}"#;
+        let taken = until("another leader's change", || {
+            let others = (2..5).filter(|m| *m != old);
+            others
+                .filter_map(|m| call(&f.control(m), "POST", "/config/adjust", Some(3), next.as_bytes()))
+                .find(|a| a.0 == 200)
+        });
+        assert_eq!(taken.0, 200);
+        signal("-CONT");
+        for a in asks {
+            let (status, head, _) = a.join().expect("no panic").expect("an answer");
+            assert!(status == 503 || status == 307, "{head}");
+            if status == 307 {
+                assert!(!head.contains(&at) && head.contains("?n=1\r\n"), "{head}");
+            }
+        }
+    });
+}
