Answers from the state want authority behind the reading as well

Cause: `config/read`, the other reads, refusals of operators' orders and those of store machines' orders were given on a check made before the state was read. A process that stands still in between answers by what it knew. A check of leadership alone behind the reading does not close it either: a leader that lost its place and won it again in between passes.

Change: the term at which this foreman leads is taken before and must be the same behind the reading, with a majority in contact at both moments. If it lapsed, it is waited for over a few beats, as reading a large configuration keeps one thread from hearing the others; then 307 or 503. What was taken stays true, and 5xx says nothing: those go out at once.

Result: orders_sent_at_once_sent_again_and_to_the_next_leader freezes the leader with eight calls waiting; all of them end with 307 to another machine, with path and query, or 503.

--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -8,6 +8,7 @@
 use gauge::Template;
 use spindle::{Bounds, Closing, Reply, Request};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::watch;
 
 fn fault(status: u16, why: &str) -> Reply {
@@ -53,10 +54,22 @@
     if parts[..] == ["status"] {
         return Reply::json(200, shop.status());
     }
-    if !shop.holds_leadership() {
-        return elsewhere(shop, &r);
+    let Some(term) = shop.authority() else { return elsewhere(shop, &r) };
+    let reply = decide(shop, &r, &parts).await;
+    // That an order was taken stays true whoever leads, and 5xx says nothing.
+    if reply.status >= 500 || (reply.status == 200 && r.method == "POST") {
+        return reply;
     }
-    decide(shop, &r, &parts).await
+    // All else was read from the state: it was the last word if this process leads at
+    // the same term behind that. Reading a large configuration keeps it from hearing
+    // the others: it does in a beat or two.
+    for _ in 0..4 {
+        if shop.authority() == Some(term) {
+            return reply;
+        }
+        tokio::time::sleep(Duration::from_millis(shop.ratio(52.0))).await;
+    }
+    elsewhere(shop, &r)
 }
 
 async fn decide(shop: &Arc<Shop>, r: &Request, parts: &[&str]) -> Reply {
--- a/crates/foreman/src/orders.rs
+++ b/crates/foreman/src/orders.rs
@@ -5,17 +5,22 @@
 use dovetail::msg::*;
 
 impl Shop {
+    /// The term at which this foreman leads and a majority follows it. What was read
+    /// while it is the same before and after was the last word: nobody else led.
+    pub(crate) fn authority(&self) -> Option<u64> {
+        let now = self.now();
+        self.with(|f| f.holds(now).then_some(f.term))
+    }
+
     pub(crate) fn partition(&self, id: u32) -> Option<Partition> {
         self.with(|f| f.rack.charter.partitions.iter().find(|p| p.id == id).cloned())
     }
 
     pub(crate) async fn order(&self, o: Order) -> OrderAck {
         let mut ack = OrderAck { leader: self.leader(), ..OrderAck::default() };
-        if !self.holds_leadership() {
-            return ack;
-        }
+        let Some(term) = self.authority() else { return ack };
         let Some(was) = self.partition(o.partition) else {
-            ack.refused = true;
+            ack.refused = self.authority() == Some(term);
             return ack;
         };
         // One comes into sync only in the life that holds a lease, and with a disk
@@ -35,13 +40,14 @@
             return ack;
         }
         match rule(&was, &o) {
-            Ruling::Refused => {
-                ack.refused = true;
-                ack.partition = Some(was);
-            }
-            Ruling::Stands => {
-                ack.ok = true;
-                ack.partition = Some(was);
+            // By what was read here, and given only if that was the last word: this
+            // process may have stood still in between.
+            verdict @ (Ruling::Refused | Ruling::Stands) => {
+                if self.authority() == Some(term) {
+                    ack.refused = verdict == Ruling::Refused;
+                    ack.ok = !ack.refused;
+                    ack.partition = Some(was);
+                }
             }
             Ruling::Put(now) => {
                 let put = Word::Partition(PutPartition { was, now });
