--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -27,6 +27,10 @@
     /// The last changes of the configuration, for those that are a little behind.
     #[prost(message, repeated, tag = "5")]
     pub steps: Vec<TemplateStep>,
+    /// The last entry of the log that is in this state: a snapshot says itself as of
+    /// when it is.
+    #[prost(uint64, tag = "6")]
+    pub applied: u64,
     /// Roll-outs and retires that were taken, while they may be sent again.
     #[prost(message, repeated, tag = "7")]
     pub orders: Vec<Stamp>,
@@ -206,6 +210,7 @@
 
     /// As `apply`; the tree is of the configuration in force, or of none.
     pub fn apply_with(&mut self, tree: &mut Tree, index: u64, data: &Bytes) -> Applied {
+        self.applied = index;
         if data.is_empty() {
             return Applied::Done; // The log's own.
         }
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -5,7 +5,8 @@
 use dovetail::msg::{ViseEntry, ViseKind, ViseMsg};
 use std::collections::{HashMap, HashSet};
 
-/// Bytes of entries that go in one message, unless one alone is larger.
+/// Bytes of entries that go in one message, unless one alone is larger; also those
+/// of one piece of a snapshot.
 const APPEND_BYTES: usize = dovetail::FRAME_LIMIT / 4;
 
 pub enum Event {
@@ -13,8 +14,11 @@
     Message(ViseMsg),
     /// Adds an entry; only while leading.
     Propose(Bytes),
-    /// Name a successor and stop leading.
+    /// Name a successor and stop leading, as when the disk does not answer.
     StepDown,
+    /// This process is told to end: it names a successor, and does not campaign again
+    /// in this life. It votes as long as it runs; nothing of it goes to the disk.
+    Leave,
     /// The foremen whose sessions stand: those without a vote are kept up to date.
     Foremen(Vec<String>),
     /// Add or remove one voter; only while leading, and one change at a time.
@@ -26,7 +30,7 @@
     },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Effect {
     /// Must be durable before any later effect is carried out.
     Save(Save),
@@ -58,7 +62,7 @@
     pub base_term: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Save {
     pub hard: Option<HardState>,
     /// The whole state as of `hard.base`.
@@ -83,10 +87,50 @@
     pub election: u64,
 }
 
+/// A snapshot on its way to one that lacks it. It is the one with which the sending
+/// began, also when the leader has a newer one by now.
+#[derive(Clone)]
+struct Outgoing {
+    index: u64,
+    term: u64,
+    voters: Vec<String>,
+    state: Bytes,
+    digest: Bytes,
+    /// How many bytes the other side said that it holds.
+    held: u64,
+    /// The round in which the piece from there was sent; 0: not yet.
+    sent: u64,
+}
+
+/// A snapshot of which some pieces have come. It changes nothing before it is whole.
+#[derive(Clone)]
+struct Incoming {
+    index: u64,
+    term: u64,
+    digest: Bytes,
+    total: u64,
+    state: Vec<u8>,
+}
+
+/// SHA-256 of a snapshot.
+fn digest_of(state: &[u8]) -> Bytes {
+    use sha2::Digest;
+    Bytes::copy_from_slice(&sha2::Sha256::digest(state))
+}
+
+#[derive(Clone)]
 pub struct Vise {
     me: String,
     pub hard: HardState,
     state: Bytes,
+    /// Of the snapshot, once somebody wanted it.
+    digest: Option<Bytes>,
+    outgoing: HashMap<String, Outgoing>,
+    incoming: Option<Incoming>,
+    /// The largest snapshot that is taken, in bytes.
+    snapshot_limit: u64,
+    /// Told to end: does not campaign any more.
+    leaving: bool,
     log: Vec<ViseEntry>,
     /// The voters that the newest entry about them names, committed or not, and
     /// that entry's index.
@@ -117,7 +161,11 @@
     answered: HashMap<String, u64>,
     sent: HashMap<u64, u64>,
     round: u64,
-    /// Who waits to be readmitted, and the round in which that was heard.
+    /// When this process began.
+    born: u64,
+    /// Tells the answers to one campaign from those to another.
+    ballot: u64,
+    /// Who waits to be readmitted, and when that was first heard.
     waiting: HashMap<String, u64>,
     pace: Pace,
     dice: u64,
@@ -130,6 +178,11 @@
             me: me.into(),
             hard,
             state,
+            digest: None,
+            outgoing: HashMap::new(),
+            incoming: None,
+            snapshot_limit: 64 << 20,
+            leaving: false,
             log,
             voters: Vec::new(),
             voters_at: 0,
@@ -153,6 +206,8 @@
             answered: HashMap::new(),
             sent: HashMap::new(),
             round: 0,
+            born: now,
+            ballot: seed ^ now,
             waiting: HashMap::new(),
             pace,
             dice: seed | 1,
@@ -173,6 +228,17 @@
         &self.voters
     }
 
+    /// Takes no snapshot of more bytes than that.
+    pub fn limit_snapshots(&mut self, bytes: u64) {
+        self.snapshot_limit = bytes;
+    }
+
+    /// Whether a snapshot is on its way to somebody: a newer one would be the next to
+    /// send before that one is used.
+    pub fn sends_snapshot(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
     /// How many committed entries each other foreman is not known to hold.
     pub fn behind(&self) -> Vec<(String, u64)> {
         if self.role != StateRole::Leader {
@@ -262,18 +328,26 @@
         ViseMsg { from: self.me.clone(), term: self.hard.term, kind: kind as i32, ..ViseMsg::default() }
     }
 
-    /// Leads, and a majority has answered rounds sent within an election
-    /// time: nobody else can have been elected yet.
+    /// How long a round that a majority has answered keeps others from being elected:
+    /// they wait an election time from when they heard it, by their own clocks, which
+    /// may run an eighth faster than this one.
+    fn authority(&self) -> u64 {
+        self.pace.election * 7 / 8
+    }
+
+    /// Leads, and a majority has answered rounds sent within the time that its
+    /// authority lasts: nobody else can have been elected yet.
     pub fn holds_leadership(&self, now: u64) -> bool {
-        self.role == StateRole::Leader && self.contact(now) + self.pace.election > now
+        self.role == StateRole::Leader && self.contact(now) + self.authority() > now
     }
 
     /// Until when it may act for the majority: it leads until then, and
     /// has applied all that was acknowledged before its term, so that it knows what
     /// to answer. To be compared with the clock whenever authority is used.
     pub fn serves_until(&self, now: u64) -> u64 {
-        let applied = self.applied > self.hard.base && self.term_at(self.applied) == Some(self.hard.term);
-        if self.role == StateRole::Leader && applied { self.contact(now) + self.pace.election } else { 0 }
+        // Also right behind a cut: the snapshot's term is then its own.
+        let applied = self.term_at(self.applied) == Some(self.hard.term);
+        if self.role == StateRole::Leader && applied { self.contact(now) + self.authority() } else { 0 }
     }
 
     /// Who leads, while it is heard of.
@@ -304,6 +378,10 @@
                 }
             }
             Event::StepDown => self.step_down(now, &mut out),
+            Event::Leave => {
+                self.leaving = true;
+                self.step_down(now, &mut out);
+            }
             Event::Foremen(all) => {
                 let voters = &self.voters;
                 self.learners = all.into_iter().filter(|f| *f != self.me && !voters.contains(f)).collect();
@@ -311,6 +389,8 @@
                 for l in &self.learners {
                     self.next.entry(l.clone()).or_insert(next);
                 }
+                let (voters, learners) = (&self.voters, &self.learners);
+                self.outgoing.retain(|f, _| voters.contains(f) || learners.contains(f));
             }
             Event::SetVoters(voters) => {
                 let added = voters.iter().filter(|v| !self.voters.contains(v)).count();
@@ -333,10 +413,10 @@
             }
         } else if now >= self.election_at && self.is_voter() {
             self.wait_again(now);
-            if self.hard.may_vote {
+            if self.hard.may_vote && !self.leaving {
                 self.campaign(now, true, false, out);
             }
-        } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote {
+        } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote && !self.leaving {
             // All may have ended at once: then nobody counts on a leader, and there is
             // nothing to wait for.
             self.blank_at = now + self.pace.election / 8 + self.dice % (self.pace.election / 8).max(1);
@@ -347,13 +427,18 @@
     fn campaign(&mut self, now: u64, pre_vote: bool, named: bool, out: &mut Vec<Effect>) {
         self.votes.clear();
         self.votes.insert(self.me.clone());
+        self.ballot = self.ballot.wrapping_add(1).max(1);
         let mut m = self.message(ViseKind::RequestVote);
+        m.round = self.ballot;
         if pre_vote {
             self.blanks.clear();
             self.role = StateRole::PreCandidate;
             m.term = self.hard.term + 1;
         } else {
             self.role = StateRole::Candidate;
+            // Votes count until then and no longer: a voter that loses its disk may
+            // forget its vote, and does not vote again before that.
+            self.wait_again(now);
             self.hard.term += 1;
             self.hard.voted_for = self.me.clone();
             self.leader.clear();
@@ -383,6 +468,7 @@
                 self.gone_back.clear();
                 self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
                 self.matched.clear();
+                self.outgoing.clear();
                 self.sent.clear();
                 self.waiting.clear();
                 self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
@@ -402,12 +488,12 @@
         }
         self.role = StateRole::Follower;
         self.leader.clear();
+        self.outgoing.clear();
         self.wait_again(now);
     }
 
     fn step_down(&mut self, now: u64, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader {
-            self.hard.may_vote = false; // Leaving: does not run for leadership again.
             return;
         }
         let best =
@@ -458,33 +544,83 @@
         let mut m = self.message(ViseKind::Append);
         m.round = self.round;
         m.commit = self.commit;
-        if next <= self.hard.base {
-            m.kind = ViseKind::InstallSnapshot as i32;
-            m.index = self.hard.base;
-            m.log_term = self.hard.base_term;
-            m.state = self.state.clone();
-            m.voters = self.hard.voters.clone();
-            // Sent once, as entries are.
-            self.next.insert(to.into(), self.hard.base + 1);
-        } else {
-            m.index = next - 1;
-            m.log_term = self.term_at(next - 1).unwrap_or(0);
-            let from = (next - self.hard.base - 1) as usize;
-            // Bounded by bytes too: an entry may hold a whole configuration.
-            let mut bytes = 0;
-            let lacks = &self.log[from.min(self.log.len())..];
-            let fits = lacks.iter().take(64).take_while(|e| {
-                let first = bytes == 0;
-                bytes += e.data.len() + 64;
-                first || bytes <= APPEND_BYTES
-            });
-            m.entries = fits.cloned().collect();
-            // Sent once; a refusal or a lost answer brings it back.
-            self.next.insert(to.into(), next + m.entries.len() as u64);
+        if next <= self.hard.base || self.outgoing.contains_key(to) {
+            self.send_piece(to, m, out);
+            return;
+        }
+        m.index = next - 1;
+        m.log_term = self.term_at(next - 1).unwrap_or(0);
+        let from = (next - self.hard.base - 1) as usize;
+        // Bounded by bytes too: an entry may hold a whole configuration.
+        let mut bytes = 0;
+        let lacks = &self.log[from.min(self.log.len())..];
+        let fits = lacks.iter().take(64).take_while(|e| {
+            let first = bytes == 0;
+            bytes += e.data.len() + 64;
+            first || bytes <= APPEND_BYTES
+        });
+        m.entries = fits.cloned().collect();
+        // Sent once; a refusal or a lost answer brings it back.
+        self.next.insert(to.into(), next + m.entries.len() as u64);
+        out.push(Effect::Send(to.into(), m));
+    }
+
+    /// One piece of a snapshot; once that is sent, an empty one as a beat, which the
+    /// other side answers with what it holds.
+    fn send_piece(&mut self, to: &str, mut m: ViseMsg, out: &mut Vec<Effect>) {
+        if !self.outgoing.contains_key(to) {
+            let digest = self.digest.get_or_insert_with(|| digest_of(&self.state)).clone();
+            let (index, term) = (self.hard.base, self.hard.base_term);
+            let (voters, state) = (self.hard.voters.clone(), self.state.clone());
+            tally::count("vise_snapshots_sent");
+            self.outgoing.insert(to.into(), Outgoing { index, term, voters, state, digest, held: 0, sent: 0 });
+        }
+        let round = self.round;
+        let Some(o) = self.outgoing.get_mut(to) else { return };
+        m.kind = ViseKind::InstallSnapshot as i32;
+        (m.index, m.log_term) = (o.index, o.term);
+        m.voters.clone_from(&o.voters);
+        m.digest = o.digest.clone();
+        (m.offset, m.total) = (o.held, o.state.len() as u64);
+        if o.sent == 0 {
+            let from = o.held as usize;
+            m.state = o.state.slice(from..(from + APPEND_BYTES).min(o.state.len()));
+            o.sent = round;
         }
         out.push(Effect::Send(to.into(), m));
     }
 
+    /// What the other side holds of the snapshot on its way to it.
+    fn snapshot_acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
+        if self.role != StateRole::Leader || m.term != self.hard.term {
+            return;
+        }
+        self.hear_answer(&m);
+        let Some(o) = self.outgoing.get_mut(&m.from).filter(|o| o.index == m.index) else { return };
+        if m.offset > o.state.len() as u64 {
+            tally::count("vise_refused");
+            return;
+        }
+        // Frames of one connection come in order: what was asked later than the piece
+        // was sent, and is answered without it, was answered by one that lost it.
+        if m.offset > o.held || (o.sent > 0 && m.round > o.sent) {
+            o.held = m.offset;
+            o.sent = 0;
+            let mut next = self.message(ViseKind::InstallSnapshot);
+            next.round = self.round;
+            next.commit = self.commit;
+            self.send_piece(&m.from, next, out);
+        }
+    }
+
+    /// When the round was sent that this answers.
+    fn hear_answer(&mut self, m: &ViseMsg) {
+        if let Some(at) = self.sent.get(&m.round) {
+            let a = self.answered.entry(m.from.clone()).or_insert(0);
+            *a = (*a).max(*at);
+        }
+    }
+
     fn advance(&mut self, out: &mut Vec<Effect>) {
         if self.role == StateRole::Leader {
             let last = self.last().0;
@@ -515,8 +651,24 @@
             self.asked(now, m, out);
             return;
         }
+        if kind == ViseKind::Vote && m.round != self.ballot {
+            // To an earlier campaign, perhaps of a former life.
+            tally::count("vise_late_votes");
+            if m.term <= self.hard.term || m.pre_vote {
+                return;
+            }
+        }
         if m.pre_vote {
             if self.role == StateRole::PreCandidate && m.term == self.hard.term + 1 {
+                if !m.ok && m.log_term > self.hard.term {
+                    // With the lower one it would be refused by this voter for ever, and
+                    // may be the only one whose log a majority can follow.
+                    self.hard.term = m.log_term;
+                    self.hard.voted_for.clear();
+                    out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+                    self.become_follower(now, out);
+                    return;
+                }
                 if m.blank {
                     self.blanks.insert(m.from.clone(), m.index > 0);
                 }
@@ -544,13 +696,22 @@
             self.become_follower(now, out);
         }
         match kind {
-            ViseKind::Vote if m.ok && m.term == self.hard.term && self.role == StateRole::Candidate => {
+            ViseKind::Vote
+                if m.ok
+                    && m.term == self.hard.term
+                    && m.round == self.ballot
+                    && now < self.election_at
+                    && self.role == StateRole::Candidate =>
+            {
                 self.votes.insert(m.from);
                 self.count_votes(now, out);
             }
             ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
-            ViseKind::AppendAck => self.acked(m, out),
-            ViseKind::TimeoutNow if m.term == self.hard.term && self.hard.may_vote && self.is_voter() => {
+            ViseKind::AppendAck => self.acked(now, m, out),
+            ViseKind::SnapshotAck => self.snapshot_acked(m, out),
+            ViseKind::TimeoutNow
+                if m.term == self.hard.term && self.hard.may_vote && self.is_voter() && !self.leaving =>
+            {
                 self.campaign(now, false, true, out);
             }
             _ => {}
@@ -561,6 +722,7 @@
         let followed = self.role == StateRole::Leader || now < self.heard + self.pace.election;
         let mut r = self.message(ViseKind::Vote);
         r.pre_vote = m.pre_vote;
+        r.round = m.round;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
         if !self.voters.contains(&m.from) {
             tally::count("vise_strangers");
@@ -571,6 +733,7 @@
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
             r.blank = self.blank && self.role != StateRole::Leader;
             r.index = u64::from(newer && self.hard.may_vote);
+            r.log_term = self.hard.term;
             out.push(Effect::Send(m.from, r));
             return;
         }
@@ -609,23 +772,47 @@
         self.heard = now;
         self.wait_again(now);
         let mut save = Save::default();
-        if m.readmit && !self.hard.may_vote {
+        // Whoever was given a vote that this disk lost counts votes for two election
+        // times at the most; a third is for what clocks differ.
+        if m.readmit && !self.hard.may_vote && now >= self.born + 3 * self.pace.election {
             self.hard.may_vote = true;
             save.hard = Some(self.hard.clone());
         }
+        if self.incoming.as_ref().is_some_and(|i| i.index <= self.commit) {
+            self.incoming = None;
+        }
         if kind == ViseKind::InstallSnapshot && m.index > self.commit {
+            let Some(state) = self.take_piece(&m) else {
+                r.kind = ViseKind::SnapshotAck as i32;
+                r.index = m.index;
+                r.offset = self.incoming.as_ref().map_or(0, |i| i.state.len() as u64);
+                if save.hard.is_some() {
+                    out.push(Effect::Save(save));
+                }
+                out.push(Effect::Send(m.from, r));
+                return;
+            };
             let last = self.last().0;
-            save.del = Some((self.hard.base + 1, last));
-            self.log.clear();
+            // What it holds behind the snapshot's last entry stands, if that entry is its
+            // own: others may count on it.
+            let keeps = self.term_at(m.index) == Some(m.log_term);
+            save.del = Some((self.hard.base + 1, if keeps { m.index } else { last }));
+            if keeps {
+                self.log.drain(..(m.index - self.hard.base) as usize);
+            } else {
+                self.log.clear();
+            }
             self.hard.base = m.index;
             self.hard.base_term = m.log_term;
             self.hard.voters = m.voters.clone();
-            self.state = m.state.clone();
+            self.state = state.clone();
+            self.digest = Some(m.digest.clone());
             self.commit = m.index;
             self.applied = m.index;
             save.hard = Some(self.hard.clone());
-            save.state = Some(m.state.clone());
-            out.push(Effect::Restore(m.state));
+            save.state = Some(state.clone());
+            tally::count("vise_snapshots_taken");
+            out.push(Effect::Restore(state));
         }
         let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
         r.ok = joins;
@@ -667,7 +854,35 @@
         self.advance(out);
     }
 
-    fn acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
+    /// Takes one piece of a snapshot; the whole, if this was the last one.
+    fn take_piece(&mut self, m: &ViseMsg) -> Option<Bytes> {
+        let end = m.offset.checked_add(m.state.len() as u64);
+        if m.total > self.snapshot_limit || m.digest.len() != 32 || end.is_none_or(|e| e > m.total) {
+            tally::count("vise_refused");
+            return None;
+        }
+        let same =
+            |i: &Incoming| i.index == m.index && i.term == m.log_term && i.total == m.total && i.digest == m.digest;
+        if !self.incoming.as_ref().is_some_and(same) {
+            let (index, term, digest, total) = (m.index, m.log_term, m.digest.clone(), m.total);
+            self.incoming = Some(Incoming { index, term, digest, total, state: Vec::new() });
+        }
+        let i = self.incoming.as_mut()?;
+        if m.offset == i.state.len() as u64 {
+            i.state.extend_from_slice(&m.state);
+        }
+        if (i.state.len() as u64) < i.total {
+            return None;
+        }
+        let whole = self.incoming.take()?;
+        if digest_of(&whole.state) != whole.digest {
+            tally::count("vise_snapshots_refused");
+            return None;
+        }
+        Some(whole.state.into())
+    }
+
+    fn acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
         }
@@ -675,9 +890,15 @@
             tally::count("vise_strangers");
             return;
         }
-        if let Some(at) = self.sent.get(&m.round) {
-            let a = self.answered.entry(m.from.clone()).or_insert(0);
-            *a = (*a).max(*at);
+        self.hear_answer(&m);
+        if self.outgoing.get(&m.from).is_some_and(|o| m.index >= o.index) {
+            // It holds the snapshot, or more than that.
+            self.outgoing.remove(&m.from);
+            self.next.insert(m.from.clone(), m.index + 1);
+        }
+        if !m.ok && m.readmit {
+            // An empty disk: what it held before does not count.
+            self.matched.insert(m.from.clone(), m.index);
         }
         if !m.ok {
             // Many may be under way when the first is refused. Each would else bring
@@ -687,8 +908,10 @@
                 return;
             }
             self.gone_back.insert(m.from.clone(), self.round);
-            self.next.insert(m.from.clone(), m.index + 1);
-            self.send_log(&m.from, out);
+            if !self.outgoing.contains_key(&m.from) {
+                self.next.insert(m.from.clone(), m.index + 1);
+                self.send_log(&m.from, out);
+            }
             return;
         }
         let old = self.matched.insert(m.from.clone(), m.index).unwrap_or(0);
@@ -701,7 +924,7 @@
             self.send_log(&m.from, out);
         }
         if m.readmit {
-            self.readmit(&m, out);
+            self.readmit(now, &m, out);
         } else {
             self.waiting.remove(&m.from);
         }
@@ -711,15 +934,11 @@
     /// One that lost its disk votes again once it holds the whole log, and every
     /// other voter that a majority needs has followed this leader since it asked:
     /// no vote or entry that it forgot can matter then.
-    fn readmit(&mut self, m: &ViseMsg, out: &mut Vec<Effect>) {
-        let asked = *self.waiting.entry(m.from.clone()).or_insert(self.round);
-        let since = self.sent.get(&(asked + 1)).copied().unwrap_or(u64::MAX);
-        let others = self
-            .hard
-            .voters
-            .iter()
-            .filter(|v| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a >= since)))
-            .count();
+    fn readmit(&mut self, now: u64, m: &ViseMsg, out: &mut Vec<Effect>) {
+        let since = *self.waiting.entry(m.from.clone()).or_insert(now);
+        let vouches =
+            |v: &&String| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a > since));
+        let others = self.voters.iter().filter(vouches).count();
         if m.index >= self.commit && others >= self.majority() {
             let mut r = self.message(ViseKind::Append);
             r.readmit = true;
@@ -744,6 +963,7 @@
         self.hard.base = index;
         self.hard.base_term = term;
         self.state = state.clone();
+        self.digest = None;
         let (hard, state) = (Some(self.hard.clone()), Some(state));
         out.push(Effect::Save(Save { hard, state, put: Vec::new(), del: Some((from, index)) }));
     }
--- a/crates/foreman/tests/orders.rs
+++ b/crates/foreman/tests/orders.rs
@@ -226,7 +226,7 @@
         assert_eq!(l.config("adjust", base, 9, r#"{"revision":9,"remove":{"nowhere":["p"]}}"#), wanted);
         assert_eq!(l.config("adjust", base, 9, "no json"), wanted);
     }
-    assert!(l.rack == before);
+    assert!(l.rack == Rack { applied: l.index, ..before });
     assert_eq!(l.config("adjust", 3, 9, r#"{"revision":9,"remove":{"plants":["p"]}}"#), Applied::Done);
     // Taken stays taken, with other changes since.
     assert_eq!(l.config("replace", 0, 3, WHOLE), Applied::Repeated);
@@ -277,7 +277,7 @@
     for bad in [&b"\xff\xff\xff"[..], &whole, &[0xfa, 0x01, 0x00]] {
         assert_eq!(l.raw(Bytes::copy_from_slice(bad)), Applied::Undecoded, "{bad:?}");
     }
-    assert!(l.rack == before.0);
+    assert!(l.rack == Rack { applied: l.index, ..before.0 });
     assert_eq!(tally::get("commands_undecoded"), before.1 + 6, "once for each member");
     assert_eq!(l.raw(Bytes::new()), Applied::Done, "the log's own entries carry nothing");
 }
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -41,6 +41,10 @@
 
 impl World {
     fn new() -> World {
+        World::of(&ALL)
+    }
+
+    fn of(names: &[&str]) -> World {
         let mut w = World {
             now: 1_000_000,
             nodes: BTreeMap::new(),
@@ -51,10 +55,10 @@
             beyond: BTreeSet::new(),
             net: VecDeque::new(),
         };
-        let voters: Vec<String> = ALL.iter().map(|s| s.to_string()).collect();
-        for n in ALL {
+        let voters: Vec<String> = names.iter().map(|s| s.to_string()).collect();
+        for n in names {
             let hard = HardState { voters: voters.clone(), may_vote: true, ..HardState::default() };
-            w.disks.insert(n.into(), Disk { hard, ..Disk::default() });
+            w.disks.insert(n.to_string(), Disk { hard, ..Disk::default() });
             w.start(n);
         }
         w
@@ -117,6 +121,16 @@
         }
     }
 
+    /// Hands over what is under way to one node, at this moment.
+    fn deliver(&mut self, n: &str) {
+        for _ in 0..self.net.len() {
+            match self.net.pop_front() {
+                Some((to, m)) if to == n => self.step(n, Event::Message(m)),
+                other => self.net.extend(other),
+            }
+        }
+    }
+
     fn leader(&self) -> Option<String> {
         let held: Vec<&String> = self
             .nodes
@@ -377,7 +391,7 @@
     w.pass(2000);
     let c = w.leader().expect("a leader");
     let until = w.nodes[&c].serves_until(w.now);
-    assert!(until > w.now && until <= w.now + PACE.election);
+    assert!(until > w.now && until <= w.now + PACE.election * 7 / 8, "shorter than others wait, as clocks differ");
     // Frozen, or waiting for its disk, it steps nothing: what it computed last
     // still ends before anybody else can have been elected.
     w.down.insert(c.clone());
@@ -530,3 +544,321 @@
         assert!(sent < 2 * whole + 400_000, "{sent} bytes by {last} for a log of {whole}");
     }
 }
+
+#[test]
+fn a_leader_that_has_cut_its_log_goes_on() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    w.put(&c, 0, 3);
+    w.pass(300);
+    let (index, state) = (w.nodes[&c].applied(), w.racks[&c].encode_to_vec());
+    w.step(&c, Event::Snapshot { index, state: state.into() });
+    assert_eq!((w.nodes[&c].length(), w.nodes[&c].hard.base), (0, index));
+    assert!(w.nodes[&c].serves_until(w.now) > w.now, "it led, and nothing has changed");
+    w.pass(2000);
+    assert!(w.nodes[&c].serves_until(w.now) > w.now);
+    // One that begins with nothing but a snapshot has an entry of its own to apply first.
+    for n in ALL {
+        w.start(n);
+    }
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    assert!(w.nodes[&c].serves_until(w.now) > w.now);
+}
+
+#[test]
+fn leaving_is_a_matter_of_one_life() {
+    let names = ["a", "b", "c", "d", "e"];
+    let mut w = World::of(&names);
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    w.put(&old, 0, 3);
+    w.pass(300);
+    let told: Vec<&str> = names.into_iter().filter(|n| *n != old).take(3).collect();
+    for n in &told {
+        w.step(n, Event::Leave);
+    }
+    w.step(&old, Event::Leave);
+    // The next record about votes goes to their disks with whatever it holds.
+    w.pass(3000);
+    for n in names {
+        w.start(n);
+    }
+    w.pass(4000);
+    let l = w.leader().expect("a majority of those that came back has its vote");
+    assert_eq!(w.racks[&l].revision, 3);
+}
+
+#[test]
+fn readmission_counts_the_voters_in_force() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    w.put(&c, 0, 3);
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    // One is replaced by a newcomer for good; then the other one loses its disk.
+    w.down.insert(others[0].into());
+    w.newcomer("n");
+    w.tend(6000);
+    assert_eq!(w.leader().as_ref(), Some(&c));
+    let in_force = w.nodes[&c].voters().to_vec();
+    assert!(in_force.contains(&"n".to_string()) && !in_force.contains(&others[0].to_string()), "{in_force:?}");
+    w.disks.insert(others[1].into(), Disk::default());
+    w.start(others[1]);
+    w.tend(4000);
+    assert!(w.nodes[others[1]].hard.may_vote, "leader and newcomer are a majority that vouches");
+    // One that was voted out vouches for nobody: the newcomer is away now.
+    w.down.insert("n".into());
+    w.start(others[0]);
+    w.disks.insert(others[1].into(), Disk::default());
+    w.start(others[1]);
+    for _ in 0..40 {
+        w.pass(50);
+        if let Some(c) = w.leader() {
+            // It stays known as a learner, as its session stands.
+            w.step(&c, Event::Foremen(vec![others[0].into()]));
+        }
+    }
+    assert!(!w.nodes[others[1]].hard.may_vote, "counted with one that has no vote");
+}
+
+#[test]
+fn one_without_a_vote_is_readmitted_however_many_rounds_go_by() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    w.down.insert(others[1].into());
+    w.wipe(others[0]);
+    w.pass(500);
+    // Many changes go by before the one that has to vouch is back.
+    for r in 1..=300 {
+        w.put(&c, r - 1, r);
+        w.pass(10);
+    }
+    w.start(others[1]);
+    w.pass(3000);
+    assert!(w.nodes[others[0]].hard.may_vote);
+}
+
+/// What was sent to one of the kind that it says, as it stands on the way.
+fn sent(w: &World, to: &str, kind: dovetail::msg::ViseKind) -> Vec<ViseMsg> {
+    w.net.iter().filter(|(t, m)| t == to && m.kind == kind as i32).map(|(_, m)| m.clone()).collect()
+}
+
+#[test]
+fn answers_to_an_earlier_campaign_count_for_nothing() {
+    use dovetail::msg::ViseKind;
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    w.down.insert(c.clone());
+    // One campaigns, and the votes for it stay on their way.
+    let (a, b) = (others[0], others[1]);
+    let mut held = Vec::new();
+    for _ in 0..400 {
+        w.now += 10;
+        w.step(a, Event::Tick);
+        w.deliver(b);
+        let real = sent(&w, a, ViseKind::Vote).into_iter().find(|m| m.ok && !m.pre_vote);
+        if let Some(m) = real {
+            held.push(m);
+            break;
+        }
+        w.deliver(a);
+    }
+    let vote = held.pop().expect("a vote");
+    w.net.clear();
+    // Counted in time; but not once a voter that forgot it may have voted again.
+    w.now += 2 * PACE.election;
+    w.step(a, Event::Message(vote.clone()));
+    assert_ne!(w.nodes[a].role, StateRole::Leader, "a vote that came too late");
+    // Nor by the next life of the candidate, which asked nobody.
+    w.start(a);
+    w.step(a, Event::Message(vote));
+    assert_ne!(w.nodes[a].role, StateRole::Leader);
+}
+
+#[test]
+fn a_forgotten_vote_is_not_given_again_while_it_may_count() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let lost = ALL.into_iter().find(|n| *n != c).expect("another");
+    w.wipe(lost);
+    let began = w.now;
+    while !w.nodes[lost].hard.may_vote {
+        w.pass(10);
+        assert!(w.now < began + 10 * PACE.election, "never readmitted");
+    }
+    assert!(w.now >= began + 3 * PACE.election, "after {} ms", w.now - began);
+}
+
+#[test]
+fn the_longest_log_wins_also_with_the_lowest_term() {
+    // Two of five are lost. e led at term 1 and has an entry that it acknowledged; b and
+    // c have seen a higher term since. Only e's log can be followed by all three.
+    let names = ["a", "b", "c", "d", "e"];
+    let voters: Vec<String> = names.iter().map(|s| s.to_string()).collect();
+    let mut w = World::of(&names);
+    w.down.extend(["a".to_string(), "d".to_string()]);
+    for (n, term, entries) in [("b", 4, 1), ("c", 4, 1), ("e", 1, 2)] {
+        let hard = HardState { term, voters: voters.clone(), may_vote: true, ..HardState::default() };
+        let log = (1..=entries).map(|i| (i, ViseEntry { index: i, term: 1, ..ViseEntry::default() })).collect();
+        w.disks.insert(n.into(), Disk { hard, log, ..Disk::default() });
+        w.start(n);
+    }
+    w.pass(8 * PACE.election);
+    assert_eq!(w.leader().as_deref(), Some("e"));
+}
+
+#[test]
+fn a_snapshot_takes_nothing_back_that_was_acknowledged_behind_it() {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
+    let (holder, late) = (others[0].to_string(), others[1].to_string());
+    w.put(&c, 0, 1);
+    w.pass(300);
+    w.down.insert(late.clone());
+    // Taken by leader and holder; the holder's word for it arrives, but not what the
+    // leader says next: the holder does not know that they are committed.
+    for r in 2..6 {
+        w.put(&c, r - 1, r);
+    }
+    w.deliver(&holder);
+    w.deliver(&c);
+    w.net.clear();
+    assert_eq!(w.racks[&c].revision, 5, "acknowledged");
+    let held = w.disks[&holder].log.keys().max().copied();
+    let (index, state) = (w.nodes[&c].applied() - 2, w.racks[&c].encode_to_vec());
+    w.step(&c, Event::Snapshot { index, state: state.into() });
+    // One is lost on the way, the next finds a gap, and is answered by a snapshot.
+    w.put(&c, 5, 6);
+    w.net.clear();
+    w.put(&c, 6, 7);
+    for _ in 0..20 {
+        w.deliver(&holder);
+        let installed = w.disks[&holder].hard.base >= index;
+        assert!(w.disks[&holder].log.keys().max().copied() >= held, "what it said that it held is gone");
+        if installed {
+            return;
+        }
+        w.deliver(&c);
+    }
+    panic!("no snapshot came");
+}
+
+/// A leader whose state is larger than any frame, and one that lacks all of it.
+fn one_that_lacks_a_large_state(bytes: usize) -> (World, String, String) {
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let away = ALL.into_iter().find(|n| *n != c).expect("another").to_string();
+    w.down.insert(away.clone());
+    w.put(&c, 0, 9);
+    w.pass(300);
+    // Grown beyond any one entry, as by many changes.
+    let json: Vec<u8> = (0..bytes).map(|i| (i * 31 % 251) as u8).collect();
+    w.racks.get_mut(&c).expect("a rack").template = json.into();
+    let (index, state) = (w.nodes[&c].applied(), w.racks[&c].encode_to_vec());
+    assert!(w.racks[&c].revision == 9 && state.len() > bytes);
+    w.step(&c, Event::Snapshot { index, state: state.into() });
+    w.start(&away);
+    (w, c, away)
+}
+
+#[test]
+fn a_state_larger_than_a_frame_is_sent_in_pieces_and_gone_on_with() {
+    let bytes = 3 * dovetail::FRAME_LIMIT / 2;
+    let (mut w, c, away) = one_that_lacks_a_large_state(bytes);
+    let kind = dovetail::msg::ViseKind::InstallSnapshot as i32;
+    let (mut moved, mut lost, mut largest, end) = (0, 0, 0, w.now + 20 * PACE.beat * 10);
+    while w.racks[&away].revision != 9 {
+        // Every third piece is lost on its way, and once the leader as well.
+        let mut n = 0;
+        w.net.retain(|(to, m)| {
+            let piece = *to == away && m.kind == kind && !m.state.is_empty();
+            n += usize::from(piece);
+            largest = largest.max(m.state.len());
+            let drop = piece && (moved + n).is_multiple_of(3);
+            lost += usize::from(drop);
+            !drop
+        });
+        moved += n;
+        w.pass(10);
+        assert!(w.now < end, "not there after {moved} pieces");
+    }
+    assert!(lost > 1 && largest <= dovetail::FRAME_LIMIT / 4, "{lost} lost, {largest} bytes in one");
+    // Each piece goes once, and again when it was lost.
+    assert!(moved <= 7 + lost + 1, "{moved} pieces, {lost} lost");
+    w.pass(1000);
+    assert_eq!(w.racks[&away], w.racks[&c]);
+    let hard = &w.disks[&away].hard;
+    assert!(hard.base > 0 && !hard.voters.is_empty());
+    // From its disk alone it is as far.
+    w.start(&away);
+    assert_eq!(w.racks[&away].revision, 9);
+}
+
+#[test]
+fn one_that_is_killed_in_the_middle_of_a_snapshot_again_and_again_is_level_in_the_end() {
+    let (mut w, c, away) = one_that_lacks_a_large_state(dovetail::FRAME_LIMIT);
+    for n in 0..6 {
+        let before = w.disks[&away].hard.base;
+        w.pass(10 * (n % 3 + 1) * 6);
+        if w.disks[&away].hard.base > before {
+            break;
+        }
+        // Nothing of what has come in part counts, nor is it on the disk.
+        assert!(w.racks[&away].revision == 0 && w.disks[&away].state.is_empty());
+        w.start(&away);
+    }
+    // Its leader ends, and the next one goes on sending.
+    w.down.insert(c.clone());
+    w.pass(3000);
+    let d = w.leader().expect("the two others are a majority");
+    w.pass(1000);
+    assert_eq!((w.racks[&away].revision, w.racks[&d].revision), (9, 9));
+}
+
+#[test]
+fn a_snapshot_that_is_torn_stale_or_too_large_changes_nothing() {
+    let (mut w, c, away) = one_that_lacks_a_large_state(1000);
+    let kind = dovetail::msg::ViseKind::InstallSnapshot;
+    while sent(&w, &away, kind).is_empty() {
+        w.now += 10;
+        w.step(&c, Event::Tick);
+        w.deliver(&away);
+        w.deliver(&c);
+    }
+    let piece = sent(&w, &away, kind).remove(0);
+    w.net.clear();
+    let before = (w.nodes[&away].hard.clone(), w.nodes[&away].commit);
+    let mut torn = piece.clone();
+    let mut bytes = torn.state.to_vec();
+    bytes[500] ^= 1;
+    torn.state = bytes.into();
+    let short = ViseMsg { state: piece.state.slice(..500), total: 500, ..piece.clone() };
+    let huge = ViseMsg { total: 1 << 40, ..piece.clone() };
+    let past = ViseMsg { offset: u64::MAX - 3, ..piece.clone() };
+    let unnamed = ViseMsg { digest: Bytes::new(), ..piece.clone() };
+    for m in [torn, short, huge, past, unnamed] {
+        w.step(&away, Event::Message(m));
+        let after = &w.nodes[&away];
+        assert_eq!((after.hard.base, after.commit), (before.0.base, before.1));
+        assert_eq!(w.racks[&away].revision, 0);
+        assert!(w.disks[&away].state.is_empty());
+    }
+    // An old one does not take back what came since.
+    w.pass(1000);
+    assert_eq!(w.racks[&away].revision, 9);
+    w.put(&c, 9, 11);
+    w.pass(500);
+    let term = w.nodes[&away].hard.term;
+    w.step(&away, Event::Message(ViseMsg { term, ..piece }));
+    assert_eq!(w.racks[&away].revision, 11);
+}
