A configuration has a stated limit, and takes less memory while it changes

Change: 413 with `limitBytes`, for a body and for what a change would make: a 128th of the machine's memory, at most half a frame (2 MiB at 256 MB). The bound of the body over HTTP is the same one, and its answer names it too. A member that is given a whole configuration drops its tree of the last one; the difference of two is tried only after their trees are gone.

Followers and the other programs were not measured. Test: a_configuration_has_a_stated_limit_and_a_member_bears_it, which found no limit in the 413 before.

--- a/crates/foreman/src/operator.rs
+++ b/crates/foreman/src/operator.rs
@@ -15,6 +15,19 @@
     Reply::json(status, serde_json::json!({ "fault": why }).to_string())
 }
 
+/// How large a configuration may be, in bytes of JSON, on a machine with so much
+/// memory: it lies there as text, as a tree, with its indexes, in the log and in the
+/// snapshot, each of them twice while it changes. And it fits a frame together with
+/// the change that made it, which is at most half as long.
+pub fn configuration_limit(memory_mb: u64) -> usize {
+    ((memory_mb << 20) / 128).min(dovetail::FRAME_LIMIT as u64 / 2) as usize
+}
+
+fn too_large(limit: usize) -> Reply {
+    let why = format!("larger than {limit} bytes");
+    Reply::json(413, serde_json::json!({ "fault": why, "limitBytes": limit }).to_string())
+}
+
 pub async fn serve(shop: Arc<Shop>, closing: watch::Receiver<Closing>) {
     let addr = shop.caliper.listen.control.clone();
     if addr.is_empty() {
@@ -27,7 +40,7 @@
             std::process::exit(2);
         }
     };
-    let bounds = Bounds { body_bytes: 2 << 20, ..Bounds::default() };
+    let bounds = Bounds { body_bytes: configuration_limit(shop.caliper.limits.memory_mb), ..Bounds::default() };
     spindle::listen(
         listener,
         move || bounds,
@@ -142,6 +155,10 @@
         Ok(j) => j.into(),
         Err(e) => return fault(400, &e),
     };
+    let limit = configuration_limit(shop.caliper.limits.memory_mb);
+    if json.len() > limit {
+        return too_large(limit);
+    }
     if let Err(e) = Template::read(&json) {
         return fault(400, &e);
     }
--- a/crates/foreman/src/rack.rs
+++ b/crates/foreman/src/rack.rs
@@ -234,6 +234,7 @@
                         Err(_) => return Applied::Refused,
                     }
                 } else {
+                    *tree = Tree::default(); // Of no use any more, and many times as large.
                     t.json
                 };
                 if t.change.is_empty() {
--- a/crates/gauge/src/template.rs
+++ b/crates/gauge/src/template.rs
@@ -290,6 +290,13 @@
 /// The change that makes `new` of `old`, as `adjust` takes it; None where there is
 /// none, or where the whole is not much more.
 pub fn difference(old: &[u8], new: &[u8]) -> Option<Vec<u8>> {
+    let change = changed_items(old, new)?;
+    (change.len() * 2 < new.len() && adjust(old, &change).is_ok_and(|made| made == new)).then_some(change)
+}
+
+/// As `difference`, not tried yet. Its trees are gone before that: they take many
+/// times what the text does.
+fn changed_items(old: &[u8], new: &[u8]) -> Option<Vec<u8>> {
     let (was, now): (Value, Value) = (serde_json::from_slice(old).ok()?, serde_json::from_slice(new).ok()?);
     let (was, now) = (was.as_object()?, now.as_object()?);
     let (mut upsert, mut remove) = (serde_json::Map::new(), serde_json::Map::new());
@@ -321,6 +328,5 @@
         }
     }
     let change = serde_json::json!({"revision": now.get("revision")?, "upsert": upsert, "remove": remove});
-    let change = serde_json::to_vec(&change).ok()?;
-    (change.len() * 2 < new.len() && adjust(old, &change).is_ok_and(|made| made == new)).then_some(change)
+    serde_json::to_vec(&change).ok()
 }
--- a/crates/spindle/src/serve.rs
+++ b/crates/spindle/src/serve.rs
@@ -116,7 +116,9 @@
             Ok(None) => return,
             Err(t) => {
                 out.clear();
-                put_reply(&mut out, &Reply::json(t.status, format!("{{\"fault\":\"{}\"}}", t.why)), false, false);
+                let limit = if t.status == 413 { format!(",\"limitBytes\":{}", b.body_bytes) } else { String::new() };
+                let body = format!("{{\"fault\":\"{}\"{limit}}}", t.why);
+                put_reply(&mut out, &Reply::json(t.status, body), false, false);
                 let _ = stream.write_all(&out).await;
                 let _ = stream.shutdown().await;
                 // Reads what is still under way, so that the answer is not lost to a reset.
--- a/crates/willowslip/tests/orders.rs
+++ b/crates/willowslip/tests/orders.rs
@@ -245,3 +245,72 @@
         }
     });
 }
+
+/// Peak and present memory of a process, in kB.
+fn memory(id: u32) -> (u64, u64) {
+    let text = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+    let line = |name: &str| text.lines().find_map(|l| l.strip_prefix(name)).expect("a line");
+    let kb = |l: &str| l.trim().trim_end_matches(" kB").parse().expect("a number");
+    (kb(line("VmHWM:")), kb(line("VmRSS:")))
+}
+
+/// So many routes of usual size.
+fn routes(revision: u64, count: usize) -> String {
+    let one = |n: usize| {
+        format!(
+            r#"{{"name":"r-x5wa{n:05}","host":"boye61.example","prefix":"/bose230/zi{n:05}/","mode":"deferred","cutoffMs":1500,"setpointMs":200,"rank":2,"plant":"p","tries":3,"sequenced":false,"retainS":90.0,"notify":true,"startSetpointMs":1200}}"#
+        )
+    };
+    let all: Vec<String> = (0..count).map(one).collect();
+    format!(r#"{{"revision":{revision},"channels":[{}],"plants":[{{"name":"p"}}],"limits":{{}}}}"#, all.join(","))
+}
+
+#[test]
+fn a_configuration_has_a_stated_limit_and_a_member_bears_it() {
+    let mut f = Fleet::new("large", 2..3);
+    f.start("foreman", 2, true, 2..3);
+    let at = f.control(2);
+    until("a leader", || f.leads(2).then_some(()));
+    // As the operator sends: again while there is no clear answer.
+    let post = |path: &str, base: u64, body: &str| {
+        let clear = |a: &(u16, String, String)| a.0 < 500;
+        until(path, || call(&at, "POST", path, Some(base), body.as_bytes()).filter(clear))
+    };
+    let few = routes(1, 1700);
+    assert_eq!(post("/config/replace", 0, &few).0, 200);
+    let id = f.children["foreman-2"].id();
+    println!("with 1700 routes, {} bytes: {:?} kB", few.len(), memory(id));
+    // Far beyond, a little beyond, and grown beyond by changes: each is told the limit.
+    let limit = |a: (u16, String, String)| {
+        assert_eq!(a.0, 413, "{}", a.2);
+        serde_json::from_str::<serde_json::Value>(&a.2).expect("json")["limitBytes"].as_u64().expect("a limit") as usize
+    };
+    let most = limit(post("/config/replace", 1, &routes(2, 60_000)));
+    assert!(most > 3 * few.len(), "{most} for routes of {}", few.len());
+    let each = few.len() / 1700;
+    assert_eq!(limit(post("/config/replace", 1, &routes(2, most / each + 50))), most);
+    let count = most / each - 400;
+    assert_eq!(post("/config/replace", 1, &routes(2, count)).0, 200);
+    let more = |revision: u64, from: usize, count: usize| {
+        let all: serde_json::Value = serde_json::from_str(&routes(1, from + count)).expect("json");
+        let new = &all["channels"].as_array().expect("a list")[from..];
+        serde_json::json!({"revision": revision, "upsert": {"channels": new}}).to_string()
+    };
+    let mut revision = 2;
+    for n in 0..10 {
+        assert_eq!(post("/config/adjust", revision, &more(revision + 1, count + n * 30, 30)).0, 200);
+        revision += 1;
+    }
+    assert_eq!(limit(post("/config/adjust", revision, &more(revision + 1, count + 300, 1000))), most);
+    assert_eq!(post("/config/adjust", revision, &more(revision + 1, count + 300, 30)).0, 200, "below it all goes on");
+    println!("changed at the limit: {:?} kB", memory(id));
+    // Whole ones at the limit, more of them than the log keeps.
+    revision += 1;
+    for _ in 0..12 {
+        assert_eq!(post("/config/replace", revision, &routes(revision + 1, count)).0, 200);
+        revision += 1;
+    }
+    let (peak, now) = memory(id);
+    println!("limit {most} bytes, {count} routes: peak {peak} kB, then {now} kB, of 256 MB");
+    assert!(peak < 128 << 10, "{peak} kB");
+}
