ctl: says what was acknowledged again, refused or left unclear

Cause: a repeat looked like a first acknowledgement; a refusal did not say that nothing had changed; and what was left unclear could not be sent again unchanged, as `--base` defaults to the revision in force, which that very change may have made.

Exit codes stay as they are.

Result: crates/willowslip/tests/ctl.rs, two tests, with a repeat, 412, 413 and an address that takes the call and never answers. Changed test: the assertions on a repeat and on 412 ask for more than before.

--- a/crates/willowslip/src/ctl.rs
+++ b/crates/willowslip/src/ctl.rs
@@ -108,6 +108,19 @@
     },
 }
 
+impl Ctl {
+    /// Whether the call is an order.
+    fn changes(&self) -> bool {
+        use What::*;
+        matches!(
+            &self.what,
+            Config(self::Config::Replace { .. } | self::Config::Adjust { .. })
+                | Rollout(RolloutCall::Start { .. })
+                | Retire(RetireCall::Start { .. })
+        )
+    }
+}
+
 pub fn read_input(path: &str) -> Result<Vec<u8>, String> {
     let mut bytes = Vec::new();
     let read = match path {
@@ -176,6 +189,18 @@
         .ok_or(Failure { why: "the configuration in force cannot be read".into(), may_have_run: false })
 }
 
+/// Sends a change of the configuration. The base is part of what it is: sent again
+/// on another one, it is another order.
+async fn put(ctl: &Ctl, path: &str, base: Option<u64>, bytes: &[u8]) -> Result<Answer, Failure> {
+    let base = base_of(ctl, base).await?;
+    ask(ctl, "POST", path, &[("X-Base-Revision", &base)], bytes).await.map_err(|mut f| {
+        if f.may_have_run {
+            f.why += &format!(" (sent with --base {base})");
+        }
+        f
+    })
+}
+
 async fn order(ctl: &Ctl) -> Result<Answer, Failure> {
     let bad = |why: String| Failure { why, may_have_run: false };
     match &ctl.what {
@@ -186,13 +211,11 @@
             if *dry_run {
                 return Ok(Answer { status: 200, body: "{\"checked\":true}".into(), ..Answer::default() });
             }
-            let base = base_of(ctl, *base).await?;
-            ask(ctl, "POST", "/config/replace", &[("X-Base-Revision", &base)], &bytes).await
+            put(ctl, "/config/replace", *base, &bytes).await
         }
         What::Config(Config::Adjust { file, base }) => {
             let bytes = read_input(file).map_err(bad)?;
-            let base = base_of(ctl, *base).await?;
-            ask(ctl, "POST", "/config/adjust", &[("X-Base-Revision", &base)], &bytes).await
+            put(ctl, "/config/adjust", *base, &bytes).await
         }
         What::Rollout(RolloutCall::Start { plant, target, within_s }) => {
             let body = serde_json::json!({"plant": plant, "target": target, "withinS": within_s}).to_string();
@@ -269,10 +292,21 @@
             let value = serde_json::from_slice::<serde_json::Value>(&a.body);
             let good = (200..300).contains(&a.status);
             if !good {
-                let why = value.as_ref().ok().and_then(|v| v["fault"].as_str().map(str::to_owned));
-                eprintln!("refused ({}): {}", a.status, why.unwrap_or_default());
+                let value = value.unwrap_or_default();
+                let limit = value["limitBytes"].as_u64().map_or(String::new(), |l| format!(" (at most {l} bytes)"));
+                let why = value["fault"].as_str().unwrap_or_default();
+                // What was taken is acknowledged again: a refusal says that it was not,
+                // but for an order that is under way.
+                let effect = match a.status {
+                    409 => "; nothing was changed by this call",
+                    _ => "; it has not taken effect",
+                };
+                eprintln!("refused ({}): {why}{limit}{}", a.status, if ctl.changes() { effect } else { "" });
                 return ExitCode::from(1);
             }
+            if value.as_ref().is_ok_and(|v| v["again"] == true) {
+                eprintln!("acknowledged again: it was taken before");
+            }
             match value {
                 Ok(v) if !ctl.json => match &ctl.what {
                     What::Status { only } => print!("{}", crate::summary::summary(&v, only.as_deref())),
@@ -287,7 +321,10 @@
             ExitCode::SUCCESS
         }
         Err(f) => {
-            let effect = if f.may_have_run { "it may have taken effect" } else { "it has not taken effect" };
+            let effect = match f.may_have_run {
+                true => "it may have taken effect: send it again unchanged",
+                false => "it has not taken effect",
+            };
             eprintln!("failed: {}; {effect}", f.why);
             ExitCode::from(if f.may_have_run { 4 } else { 3 })
         }
--- a/crates/willowslip/tests/ctl.rs
+++ b/crates/willowslip/tests/ctl.rs
@@ -95,11 +95,16 @@
     assert!(out(&ctl(&f, &["config", "replace", &good, "--dry-run"])).contains("checked: true"));
     let o = ctl(&f, &["config", "replace", &good]);
     assert!(o.status.success(), "{}", out(&o));
-    assert!(ctl(&f, &["config", "replace", &good, "--base", "0"]).status.success(), "a repeat is acknowledged");
+    let o = ctl(&f, &["config", "replace", &good, "--base", "0"]);
+    assert!(o.status.success() && out(&o).contains("acknowledged again"), "{}", out(&o));
     let other = file(&f, "other.json", &CONFIG.replace("\"revision\": 3", "\"revision\": 5"));
     let o = ctl(&f, &["config", "replace", &other, "--base", "0"]);
     assert_eq!(o.status.code(), Some(1));
-    assert!(out(&o).contains("412"), "{}", out(&o));
+    assert!(out(&o).contains("refused (412)") && out(&o).contains("has not taken effect"), "{}", out(&o));
+    let large = file(&f, "large.json", &(CONFIG.to_owned() + &" ".repeat(3 << 20)));
+    let o = ctl(&f, &["config", "replace", &large]);
+    assert_eq!(o.status.code(), Some(1));
+    assert!(out(&o).contains("refused (413)") && out(&o).contains("at most 1048576 bytes"), "{}", out(&o));
     let bad = file(&f, "bad.json", &CONFIG.replace("\"plant\": \"p\"", "\"plant\": \"q\""));
     let o = ctl(&f, &["config", "replace", &bad]);
     assert!(out(&o).contains("r1") && out(&o).contains("has not taken effect"), "{}", out(&o));
@@ -120,6 +125,16 @@
     assert!(out(&ctl(&f, &["retire", "start", "store-9"])).contains("no such node"));
     let inner = format!("127.0.0.1:{}", f.inner);
     assert!(out(&ctl(&f, &["node", &inner])).contains("duties: [\"lister\",\"judge\",\"assigner\"]"));
+    // Taken or not: whoever asked is told to send it again, and on which base.
+    let mute = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = mute.local_addr().expect("an address").to_string();
+    let one = file(&f, "one.json", CONFIG);
+    let o = Command::new(BIN)
+        .args(["ctl", "--within", "0.5", "--at", &at, "config", "replace", "--base", "7", &one])
+        .output()
+        .expect("it runs");
+    assert_eq!(o.status.code(), Some(4), "{}", out(&o));
+    assert!(out(&o).contains("--base 7") && out(&o).contains("send it again unchanged"), "{}", out(&o));
     let o = Command::new(BIN)
         .args(["ctl", "--within", "0.5", "--at", "127.0.0.1:1", "config", "read"])
         .output()
