--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -8,6 +8,10 @@
 /// Bytes of entries that go in one message, unless one alone is larger; also those
 /// of one piece of a snapshot.
 const APPEND_BYTES: usize = dovetail::FRAME_LIMIT / 4;
+/// No message is further than that many terms ahead of what is known here.
+const TERM_LEAP: u64 = 1 << 32;
+/// More voters than any settings ask for.
+const MOST_VOTERS: usize = 63;
 
 pub enum Event {
     Tick,
@@ -356,11 +360,18 @@
         if heard { &self.leader } else { "" }
     }
 
+    /// Whether what a voter says counts towards a majority. One that lost its disk may
+    /// have forgotten a newer leader: it follows, but stands for nothing.
+    fn counts(&self, voter: &str) -> bool {
+        !self.waiting.contains_key(voter)
+    }
+
     /// The latest moment at which a majority is known to have followed.
     fn contact(&self, now: u64) -> u64 {
         let mut times: Vec<u64> = self
             .voters
             .iter()
+            .filter(|v| self.counts(v))
             .map(|v| if *v == self.me { now } else { self.answered.get(v).copied().unwrap_or(0) })
             .collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
@@ -459,6 +470,10 @@
             return;
         }
         match self.role {
+            // One that just came back may have answered a leader right before it ended:
+            // for as long as that counts, its own vote is no more to be had than for
+            // others.
+            StateRole::PreCandidate if now < self.heard + self.pace.election => {}
             StateRole::PreCandidate => self.campaign(now, false, false, out),
             StateRole::Candidate => {
                 self.role = StateRole::Leader;
@@ -627,10 +642,11 @@
             let mut held: Vec<u64> = self
                 .voters
                 .iter()
+                .filter(|v| self.counts(v))
                 .map(|v| if *v == self.me { last } else { self.matched.get(v).copied().unwrap_or(0) })
                 .collect();
             held.sort_unstable_by(|a, b| b.cmp(a));
-            let n = held[self.majority() - 1];
+            let n = held.get(self.majority() - 1).copied().unwrap_or(0);
             if n > self.commit && self.term_at(n) == Some(self.hard.term) {
                 self.commit = n;
                 // The others are told with the next tick and not the next beat: what
@@ -647,6 +663,10 @@
 
     fn receive(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         let kind = ViseKind::try_from(m.kind).unwrap_or(ViseKind::None);
+        if !self.plausible(kind, &m) {
+            tally::count("vise_refused");
+            return;
+        }
         if kind == ViseKind::RequestVote {
             self.asked(now, m, out);
             return;
@@ -724,10 +744,13 @@
         r.pre_vote = m.pre_vote;
         r.round = m.round;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
-        if !self.voters.contains(&m.from) {
+        let known = self.voters.contains(&m.from);
+        if !known && (m.log_term, m.index) <= (self.last().1, self.last().0) {
             tally::count("vise_strangers");
             return;
         }
+        // One with a newer log may be a voter by an entry that is not here yet. It is
+        // given a vote like any other, but nobody named it a successor.
         if m.pre_vote {
             r.term = m.term;
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
@@ -737,7 +760,7 @@
             out.push(Effect::Send(m.from, r));
             return;
         }
-        if followed && !m.ok {
+        if followed && !(m.ok && known) {
             return;
         }
         if m.term > self.hard.term {
@@ -882,6 +905,46 @@
         Some(whole.state.into())
     }
 
+    /// Whether a message can be one of a foreman that works as this one does. What is
+    /// not changes nothing here, whatever it says.
+    fn plausible(&self, kind: ViseKind, m: &ViseMsg) -> bool {
+        let known = |index: u64| index < u64::MAX / 2;
+        let voters = |v: &[String]| {
+            let different: HashSet<&String> = v.iter().collect();
+            v.len() <= MOST_VOTERS && different.len() == v.len() && v.iter().all(|n| !n.is_empty())
+        };
+        let entries = || {
+            let (mut index, mut term) = (m.index, m.log_term);
+            m.entries.iter().all(|e| {
+                let follows = e.index == index + 1 && e.term >= term && e.term <= m.term && voters(&e.voters);
+                (index, term) = (e.index, e.term);
+                // What is committed here is never another one.
+                follows && (e.index > self.commit || e.index <= self.hard.base || self.term_at(e.index) == Some(e.term))
+            })
+        };
+        if m.from.is_empty() || m.from == self.me || m.term == 0 || m.term.max(m.log_term) > self.hard.term + TERM_LEAP
+        {
+            return false;
+        }
+        if !known(m.index) || !known(m.commit) || (m.log_term > m.term && kind != ViseKind::Vote) {
+            return false;
+        }
+        match kind {
+            ViseKind::None => false,
+            ViseKind::RequestVote | ViseKind::Vote | ViseKind::TimeoutNow | ViseKind::SnapshotAck => true,
+            ViseKind::Append | ViseKind::InstallSnapshot => {
+                // A term has one leader.
+                let another = m.term == self.hard.term
+                    && (self.role == StateRole::Leader || (!self.leader.is_empty() && self.leader != m.from));
+                let whole = kind == ViseKind::Append || (!m.voters.is_empty() && voters(&m.voters) && m.index > 0);
+                !another && whole && entries()
+            }
+            ViseKind::AppendAck => {
+                m.term != self.hard.term || self.role != StateRole::Leader || m.index <= self.last().0
+            }
+        }
+    }
+
     fn acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
@@ -890,6 +953,9 @@
             tally::count("vise_strangers");
             return;
         }
+        if m.readmit {
+            self.waiting.entry(m.from.clone()).or_insert(now);
+        }
         self.hear_answer(&m);
         if self.outgoing.get(&m.from).is_some_and(|o| m.index >= o.index) {
             // It holds the snapshot, or more than that.
@@ -935,9 +1001,9 @@
     /// other voter that a majority needs has followed this leader since it asked:
     /// no vote or entry that it forgot can matter then.
     fn readmit(&mut self, now: u64, m: &ViseMsg, out: &mut Vec<Effect>) {
-        let since = *self.waiting.entry(m.from.clone()).or_insert(now);
+        let since = self.waiting.get(&m.from).copied().unwrap_or(now);
         let vouches =
-            |v: &&String| **v == self.me || (**v != m.from && self.answered.get(*v).is_some_and(|a| *a > since));
+            |v: &&String| **v == self.me || (self.counts(v) && self.answered.get(*v).is_some_and(|a| *a > since));
         let others = self.voters.iter().filter(vouches).count();
         if m.index >= self.commit && others >= self.majority() {
             let mut r = self.message(ViseKind::Append);
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -862,3 +862,147 @@
     w.step(&away, Event::Message(ViseMsg { term, ..piece }));
     assert_eq!(w.racks[&away].revision, 11);
 }
+
+#[test]
+fn what_an_emptied_disk_says_makes_no_majority() {
+    let mut w = World::new();
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    w.put(&old, 0, 3);
+    w.pass(300);
+    // Cut off; the two others go on without it.
+    w.beyond.insert(old.clone());
+    while w.leader().is_none_or(|l| l == old) {
+        w.pass(10);
+    }
+    let new = w.leader().expect("another one");
+    let last = ALL.into_iter().find(|n| *n != old && *n != new).expect("a third");
+    w.put(&new, 3, 5);
+    w.pass(50);
+    assert_eq!((w.racks[&new].revision, w.nodes[&old].role), (5, StateRole::Leader));
+    // The third loses its disk, and with it the newer term; it is on the old one's side
+    // now, which was in time to lead once more.
+    w.wipe(last);
+    w.beyond.insert(last.into());
+    w.put(&old, 3, 7);
+    for _ in 0..PACE.election / 20 {
+        w.pass(10);
+        assert!(w.nodes[&old].serves_until(w.now) <= w.now, "two lead at one time");
+    }
+    assert_eq!(w.racks[&old].revision, 3, "nothing is committed with one that may have forgotten");
+}
+
+#[test]
+fn one_that_just_came_back_does_not_elect_itself_while_its_word_may_count() {
+    let mut w = World::new();
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    let others: Vec<&str> = ALL.into_iter().filter(|n| *n != old).collect();
+    let (back, deaf) = (others[0], others[1]);
+    // The deaf one has not heard the leader for an election time; the other one has
+    // just answered it when it is killed, and is there again at once.
+    for _ in 0..PACE.election / 10 + 1 {
+        w.net.retain(|(to, m)| !(to == deaf && m.from == old));
+        w.now += 10;
+        for n in [&old, back] {
+            w.step(n, Event::Tick);
+        }
+        w.net.retain(|(to, m)| !(to == deaf && m.from == old));
+        w.deliver(back);
+        w.deliver(&old);
+    }
+    let until = w.nodes[&old].serves_until(w.now);
+    assert!(until > w.now);
+    w.start(back);
+    w.net.clear();
+    while w.now < until {
+        w.now += 10;
+        w.step(back, Event::Tick);
+        w.net.retain(|(to, _)| *to != old);
+        w.deliver(deaf);
+        w.deliver(back);
+        assert_ne!(w.nodes[back].role, StateRole::Leader, "the old one may still act, by this one's word");
+    }
+}
+
+#[test]
+fn messages_that_cannot_be_change_nothing() {
+    use dovetail::msg::ViseKind;
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let others: Vec<String> = ALL.iter().filter(|n| **n != c).map(|n| n.to_string()).collect();
+    for r in 1..4 {
+        w.put(&c, r - 1, r);
+        w.pass(200);
+    }
+    let (n, from) = (others[0].clone(), others[1].clone());
+    let term = w.nodes[&n].hard.term;
+    let commit = w.nodes[&n].commit;
+    let entry = |index: u64, term: u64| ViseEntry { index, term, ..ViseEntry::default() };
+    let append = |from: &str, term: u64, index: u64, entries: Vec<ViseEntry>| ViseMsg {
+        from: from.into(),
+        term,
+        kind: ViseKind::Append as i32,
+        index,
+        log_term: term,
+        entries,
+        ..ViseMsg::default()
+    };
+    let twice = ViseEntry { voters: vec!["a".into(), "a".into()], ..entry(commit + 1, term) };
+    let nobody = ViseEntry { voters: vec![String::new()], ..entry(commit + 1, term) };
+    let mut ack = append(&from, term, 1 << 40, vec![]);
+    (ack.kind, ack.ok) = (ViseKind::AppendAck as i32, true);
+    let mut ask = append(&from, u64::MAX, commit + 9, vec![]);
+    ask.kind = ViseKind::RequestVote as i32;
+    let all = [
+        (&n, ask.clone()),
+        (&n, ViseMsg { term: 0, ..ask.clone() }),
+        (&n, ViseMsg { term: term + 1, log_term: term + 7, ..ask.clone() }),
+        (&n, append(&c, u64::MAX, commit, vec![])),
+        (&n, append(&c, term, u64::MAX, vec![entry(0, term)])),
+        // A gap, a term that goes back, one above the sender's.
+        (&n, append(&c, term, commit, vec![entry(commit + 2, term)])),
+        (&n, append(&c, term, commit, vec![entry(commit + 1, term - 1)])),
+        (&n, append(&c, term, commit, vec![entry(commit + 1, term + 1)])),
+        (&n, append(&c, term, commit, vec![twice])),
+        (&n, append(&c, term, commit, vec![nobody])),
+        // What is committed is never another entry.
+        (&n, append(&c, term + 1, commit - 1, vec![entry(commit, term + 1)])),
+        // A second leader of the term.
+        (&n, append(&from, term, commit, vec![entry(commit + 1, term)])),
+        (&c, append(&from, term, commit, vec![entry(commit + 1, term)])),
+        (&n, ViseMsg { kind: 77, ..append(&c, term, commit, vec![]) }),
+        (&c, ack),
+    ];
+    for (i, (to, m)) in all.into_iter().enumerate() {
+        let before = (w.nodes[to].hard.clone(), w.nodes[to].commit, w.nodes[to].role, w.disks[to].log.clone());
+        w.net.clear();
+        w.step(to, Event::Message(m));
+        let v = &w.nodes[to];
+        assert_eq!((v.hard.clone(), v.commit, v.role, w.disks[to].log.clone()), before, "message {i}");
+    }
+    w.pass(1000);
+    w.put(&c, 3, 9);
+    w.pass(300);
+    assert!(w.racks.values().all(|r| r.revision == 9), "and all goes on as before");
+}
+#[test]
+fn a_voter_that_came_in_while_others_were_away_is_elected_by_its_log() {
+    // f came in while c and d were away, and a and b are lost: f's log alone can be
+    // followed by the four that are up.
+    let before: Vec<String> = ["a", "b", "c", "d", "e"].iter().map(|s| s.to_string()).collect();
+    let after: Vec<String> = before.iter().cloned().chain(["f".to_string()]).collect();
+    let mut w = World::of(&["c", "d", "e", "f"]);
+    for (n, entries) in [("c", 1), ("d", 1), ("e", 2), ("f", 3)] {
+        let hard = HardState { term: 1, voters: before.clone(), may_vote: true, ..HardState::default() };
+        let entry = |i: u64| {
+            let voters = if i == 2 { after.clone() } else { vec![] };
+            (i, ViseEntry { index: i, term: 1, voters, ..ViseEntry::default() })
+        };
+        w.disks.insert(n.into(), Disk { hard, log: (1..=entries).map(entry).collect(), ..Disk::default() });
+        w.start(n);
+    }
+    w.pass(8 * PACE.election);
+    assert_eq!(w.leader().as_deref(), Some("f"));
+}
