Tests: one order over two leaders, and callers sent on come to an end

An order that one leader had under way when it was lost is sent to the next, 0 to 290 ms later: it is taken once, and known again wherever it had been logged. At every step of every schedule of vise.rs, following the leaders that nodes name ends.

Ruled out: redirects in a circle. No schedule shows one: a node forgets its leader with its term, so names go up in terms.

--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -100,9 +100,24 @@
         }
     }
 
+    /// Whoever is sent on by one node after the other comes to an end.
+    fn redirects_end(&self) -> bool {
+        self.nodes.keys().all(|n| {
+            let mut at = n.as_str();
+            for _ in 0..self.nodes.len() {
+                match self.nodes.get(at).map(|v| v.leader_at(self.now)) {
+                    Some(to) if !to.is_empty() && to != at => at = to,
+                    _ => return true,
+                }
+            }
+            false
+        })
+    }
+
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms / 10 {
             self.now += 10;
+            assert!(self.redirects_end(), "callers are sent in a circle");
             for n in self.nodes.keys().cloned().collect::<Vec<_>>() {
                 if !self.down.contains(&n) {
                     self.step(&n, Event::Tick);
@@ -1006,3 +1021,30 @@
     w.pass(8 * PACE.election);
     assert_eq!(w.leader().as_deref(), Some("f"));
 }
+
+#[test]
+fn an_order_under_way_with_one_leader_and_sent_to_the_next_is_taken_once() {
+    let (mut repeated, mut anew) = (0, 0);
+    for ms in (0..300).step_by(10) {
+        let mut w = World::new();
+        w.pass(2000);
+        let first = w.leader().expect("a leader");
+        w.put(&first, 0, 3);
+        w.pass(ms);
+        w.down.insert(first.clone());
+        w.pass(3000);
+        let second = w.leader().expect("another leader");
+        let from = w.applied[&second].len();
+        let known = w.racks[&second].took(&word(0, 3));
+        w.put(&second, 0, 3);
+        w.start(&first);
+        w.pass(2000);
+        // Orders that came in between are none of its business.
+        let got: Vec<Applied> = w.applied[&second][from..].iter().map(|a| a.1).collect();
+        assert_eq!(got, [if known { Applied::Repeated } else { Applied::Done }], "after {ms} ms");
+        repeated += u32::from(known);
+        anew += u32::from(!known);
+        assert!(w.racks.values().all(|r| r.revision == 3 && r.taken.len() == 1));
+    }
+    assert!(repeated > 0 && anew > 0, "{repeated} {anew}");
+}
