--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -16,6 +16,11 @@
     log: BTreeMap<u64, ViseEntry>,
 }
 
+/// The identity of an order on a base.
+fn word(base: u64, revision: u64) -> Bytes {
+    digest("replace", "", base, revision, b"")
+}
+
 /// A larger message would end its connection, again and again.
 fn within_a_frame(m: &ViseMsg) -> bool {
     assert!(m.encoded_len() < dovetail::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
@@ -95,9 +100,24 @@
         }
     }
 
+    /// Whoever is sent on by one node after the other comes to an end.
+    fn redirects_end(&self) -> bool {
+        self.nodes.keys().all(|n| {
+            let mut at = n.as_str();
+            for _ in 0..self.nodes.len() {
+                match self.nodes.get(at).map(|v| v.leader_at(self.now)) {
+                    Some(to) if !to.is_empty() && to != at => at = to,
+                    _ => return true,
+                }
+            }
+            false
+        })
+    }
+
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms / 10 {
             self.now += 10;
+            assert!(self.redirects_end(), "callers are sent in a circle");
             for n in self.nodes.keys().cloned().collect::<Vec<_>>() {
                 if !self.down.contains(&n) {
                     self.step(&n, Event::Tick);
@@ -142,7 +162,7 @@
             base,
             revision,
             json: Bytes::from(format!("{revision}")),
-            print: revision,
+            digest: word(base, revision),
             change: Bytes::new(),
         };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
@@ -189,7 +209,7 @@
         let got: Vec<Applied> = w.applied[n].iter().map(|a| a.1).collect();
         assert_eq!(got[got.len() - 2..], [Applied::Done, Applied::Beaten]);
         assert_eq!(w.racks[n].revision, 3);
-        assert!(w.racks[n].took(3, 0, 3) && !w.racks[n].took(4, 0, 4));
+        assert!(w.racks[n].took(&word(0, 3)) && !w.racks[n].took(&word(0, 4)));
     }
 }
 
@@ -473,7 +493,7 @@
     assert_eq!((w.racks[&new].revision, w.racks[&old].revision), (7, 3));
     w.beyond.clear();
     w.pass(3000);
-    assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(5, 3, 5)), "the other one never counts");
+    assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(&word(3, 5))), "the other one never counts");
 }
 
 #[test]
@@ -485,7 +505,7 @@
     w.down.insert(away.clone());
     for n in 0..30u64 {
         let json = Bytes::from(vec![b' '; 400 << 10]);
-        let t = PutTemplate { base: n, revision: n + 1, json, print: n, change: Bytes::new() };
+        let t = PutTemplate { base: n, revision: n + 1, json, digest: word(n, n + 1), change: Bytes::new() };
         let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
         w.step(&leader, Event::Propose(data.into()));
         w.pass(50);
@@ -510,7 +530,7 @@
                 base: n,
                 revision: n + 1,
                 json: vec![b' '; 20_000].into(),
-                print: n,
+                digest: word(n, n + 1),
                 change: Bytes::new(),
             };
             Event::Propose(Command { word: Some(Word::Template(t)) }.encode_to_vec().into())
@@ -1002,6 +1022,33 @@
     assert_eq!(w.leader().as_deref(), Some("f"));
 }
 
+#[test]
+fn an_order_under_way_with_one_leader_and_sent_to_the_next_is_taken_once() {
+    let (mut repeated, mut anew) = (0, 0);
+    for ms in (0..300).step_by(10) {
+        let mut w = World::new();
+        w.pass(2000);
+        let first = w.leader().expect("a leader");
+        w.put(&first, 0, 3);
+        w.pass(ms);
+        w.down.insert(first.clone());
+        w.pass(3000);
+        let second = w.leader().expect("another leader");
+        let from = w.applied[&second].len();
+        let known = w.racks[&second].took(&word(0, 3));
+        w.put(&second, 0, 3);
+        w.start(&first);
+        w.pass(2000);
+        // Orders that came in between are none of its business.
+        let got: Vec<Applied> = w.applied[&second][from..].iter().map(|a| a.1).collect();
+        assert_eq!(got, [if known { Applied::Repeated } else { Applied::Done }], "after {ms} ms");
+        repeated += u32::from(known);
+        anew += u32::from(!known);
+        assert!(w.racks.values().all(|r| r.revision == 3 && r.taken.len() == 1));
+    }
+    assert!(repeated > 0 && anew > 0, "{repeated} {anew}");
+}
+
 #[test]
 fn one_that_is_about_to_end_hands_its_vote_on_first() {
     let mut w = World::new();
