--- a/crates/willowslip/tests/foremen.rs
+++ b/crates/willowslip/tests/foremen.rs
@@ -1,7 +1,8 @@
 //! Foremen alone on loopback: one is replaced as planned, and another is lost right after.
 
 use std::collections::HashMap;
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -95,6 +96,42 @@
         std::fs::read_to_string(self.dir.join(format!("{m}.log"))).unwrap_or_default()
     }
 
+    /// One call to the operators' interface, without the client.
+    fn call(&self, m: u8, path: &str, base: u64, body: &str) -> Option<(u16, String)> {
+        let mut s = TcpStream::connect((format!("127.0.0.{m}"), self.base + 4)).ok()?;
+        s.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        let head = format!("POST {path} HTTP/1.1\r\nHost: c\r\nX-Base-Revision: {base}\r\nConnection: close\r\n");
+        write!(s, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+        let mut said = String::new();
+        s.read_to_string(&mut said).ok()?;
+        Some((said.get(9..12)?.parse().ok()?, said.split_once("\r\n\r\n")?.1.to_owned()))
+    }
+
+    /// Sends a change until it is acknowledged, to whoever leads.
+    fn change(&self, path: &str, base: u64, body: &str) {
+        let end = Instant::now() + Duration::from_secs(20);
+        loop {
+            let all = self.children.keys().filter_map(|m| self.call(*m, path, base, body));
+            for (status, said) in all {
+                match status {
+                    200 => return,
+                    307 | 500.. => {}
+                    _ => panic!("{status} on {base}: {said}"),
+                }
+            }
+            assert!(Instant::now() < end, "no clear answer on {base}");
+        }
+    }
+
+    /// Bytes on a member's disk, and bytes of memory that its process has had at most.
+    fn weight(&self, m: u8) -> (u64, u64) {
+        let files = std::fs::read_dir(self.dir.join(m.to_string())).expect("a folder");
+        let disk = files.filter_map(|f| f.ok()?.metadata().ok()).map(|f| f.len()).sum();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.children[&m].id())).unwrap_or_default();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).and_then(|l| l.split_whitespace().next());
+        (disk, peak.and_then(|k| k.parse::<u64>().ok()).unwrap_or(0) << 10)
+    }
+
     fn put(&self, revision: u64) -> bool {
         let path = self.dir.join("config.json");
         std::fs::write(&path, format!(r#"{{"revision":{revision},"channels":[],"plants":[],"limits":{{}}}}"#))
@@ -140,3 +177,53 @@
     f.start(second, false);
     until("all are level", || f.children.keys().all(|m| f.status(*m).is_some_and(|s| s["revision"] == 2)));
 }
+
+fn route(i: u64, cutoff: u64) -> serde_json::Value {
+    serde_json::json!({"name": format!("r{i}"), "host": "h", "prefix": format!("/p{i}/"), "mode": "deferred",
+        "cutoffMs": cutoff, "setpointMs": 200, "rank": 1, "plant": "s", "tries": 3, "sequenced": false,
+        "retainS": 60.0, "notify": false, "startSetpointMs": 1000})
+}
+
+/// `WILLOWSLIP_CHANGES` and `WILLOWSLIP_ROUTES` make it a longer run.
+fn size(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(usual)
+}
+
+#[test]
+fn one_that_was_down_for_many_changes_is_level_soon_and_never_leads_before() {
+    let (changes, routes) = (size("WILLOWSLIP_CHANGES", 600), size("WILLOWSLIP_ROUTES", 60));
+    let mut f = Foremen::new("behind");
+    until("a leader", || f.leader().is_some());
+    let channels: Vec<serde_json::Value> = (0..routes).map(|i| route(i, 900)).collect();
+    let plant = serde_json::json!({"name": "s", "probe": "/probe", "connLimit": 10, "protocol": "h1", "tls": false,
+        "flowPerS": 0.0, "dedupes": false, "pull": false, "endpoint": null});
+    let whole = serde_json::json!({"revision": 1, "channels": channels, "plants": [plant], "limits": {}}).to_string();
+    f.change("/config/replace", 0, &whole);
+    let away = (12..15).find(|m| Some(*m) != f.leader()).expect("a follower");
+    f.end(away, "-KILL");
+    for n in 1..=changes {
+        let change = serde_json::json!({"revision": n + 1, "upsert": {"channels": [route(n % routes, 900 + n)]}});
+        f.change("/config/adjust", n, &change.to_string());
+    }
+    let newest = changes + 1;
+    f.start(away, false);
+    let begun = Instant::now();
+    // Whenever it is asked it says nothing older as current, and it is level soon.
+    until("it is level", || {
+        let s = f.status(away);
+        assert!(s.as_ref().is_none_or(|s| s["isLeader"] == false || s["revision"] == newest), "it leads with less");
+        s.is_some_and(|s| s["revision"] == newest)
+    });
+    println!("level {:?} after its start, {changes} changes of {routes} routes behind", begun.elapsed());
+    assert!(begun.elapsed() < Duration::from_secs(4), "settleS is 4: {:?}", begun.elapsed());
+    // The others go, and it leads with all of it.
+    for m in (12..15).filter(|m| *m != away) {
+        let (disk, peak) = f.weight(m);
+        println!("core-{m}: {disk} bytes of disk, at most {peak} of memory");
+        // A segment is a twenty-fourth of the disk, and what is cut goes with its segment.
+        assert!(disk < 40 << 20 && peak < 100 << 20, "{disk} {peak}");
+    }
+    let leader = f.leader().expect("a leader");
+    f.end(leader, "-KILL");
+    f.change("/config/adjust", newest, &serde_json::json!({"revision": newest + 1, "remove": {}}).to_string());
+}
