Take an answer that names no request for nobody's

Cause: an answer without X-Attempt-Id settled the call in whose place it came. Change: the reader goes on behind it as behind another's answer, the connection is not kept, and it is counted where it is read; if nothing else comes the outcome is unknown. Tests: an_answer_that_names_no_request_says_nothing_of_any (failed before). Ruled out: a reset, close or half an answer on a kept connection told as not run (nothing_after_a_send_says_that_it_did_not_run).

--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -137,9 +137,6 @@
         let within = Duration::from_millis(run.cutoff_ms as u64) * 21 / 20;
         let asked = self.chuck.call(&run.address, call, run.conn_limit.max(1) as usize, within).await;
         let (outcome, seal) = read_answer(&asked);
-        if asked.as_ref().is_ok_and(|a| a.header("x-attempt-id").is_none()) {
-            tally::count("answers_without_id");
-        }
         let told = asked.as_ref().ok().and_then(load);
         let report = Report {
             partition: run.partition,
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -610,10 +610,6 @@
         let newest = (!ask.safe).then(|| self.ratio(20.0));
         let call = Call { method: &r.method, path: &r.path, host, headers: &headers, body: &r.body, id, newest };
         match self.chuck.call(&g.address, call, ask.limit, within).await {
-            Ok(a) if a.header("x-attempt-id") != Some(id) && a.header("x-not-run").is_none() && a.status != 421 => {
-                tally::count("answers_without_id");
-                Heard::Unclear
-            }
             Ok(a) if a.status == 421 => Heard::NotRun(SlotEnd::Gone),
             Ok(a) if a.header("x-not-run").is_some() && a.status >= 400 => Heard::NotRun(SlotEnd::Full),
             Ok(a) if (200..300).contains(&a.status) => {
--- a/crates/spindle/src/call.rs
+++ b/crates/spindle/src/call.rs
@@ -181,19 +181,19 @@
 }
 
 /// Reads on until the answer to this very call: a surplus one may come in its
-/// place, and says nothing of it. Tells whether the connection is out of step.
+/// place, or one that names nobody, and says nothing of it. Tells whether the
+/// connection is out of step.
 async fn read_own_answer(stream: &mut TcpStream, call: &Call<'_>) -> Result<(Answer, bool), Miss> {
     let mut buf = BytesMut::with_capacity(2 << 10);
     let mut surplus = false;
     loop {
         let answer = read_answer(stream, call.method == "HEAD", &mut buf).await?;
         match answer.header("x-attempt-id") {
-            Some(id) if !call.id.is_empty() && id != call.id => {
-                tally::count("answers_of_others");
-                surplus = true;
-            }
+            Some(id) if !call.id.is_empty() && id != call.id => tally::count("answers_of_others"),
+            None if !call.id.is_empty() => tally::count("answers_without_id"),
             _ => return Ok((answer, surplus || !buf.is_empty())),
         }
+        surplus = true;
     }
 }
 
--- /dev/null
+++ b/crates/spindle/tests/calls.rs
@@ -0,0 +1,134 @@
+//! Calls against stand-in servers on loopback that answer out of turn, cut and keep
+//! silent: which answer is taken for which call.
+
+use spindle::*;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const WAIT: Duration = Duration::from_millis(300);
+
+/// What a stand-in does with a request.
+#[derive(Clone, Debug)]
+enum Do {
+    Send(Vec<u8>),
+    Reset,
+    Close,
+}
+
+#[derive(Default)]
+struct Seen {
+    connections: usize,
+    /// How often each request was read whole, by its id.
+    runs: HashMap<String, usize>,
+}
+
+fn answer(id: &str, body: &str) -> Vec<u8> {
+    let named = if id.is_empty() { String::new() } else { format!("X-Attempt-Id: {id}\r\n") };
+    format!("HTTP/1.1 200 OK\r\n{named}X-Seal: s-{body}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// A server that does what `plan` says: of a request's id and its turn on its connection.
+async fn server(plan: impl Fn(&str, usize) -> Vec<Do> + Send + Sync + 'static) -> (String, Arc<Mutex<Seen>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let (seen, plan) = (Arc::new(Mutex::new(Seen::default())), Arc::new(plan));
+    let all = seen.clone();
+    tokio::spawn(async move {
+        while let Ok((mut s, _)) = listener.accept().await {
+            seen.lock().unwrap().connections += 1;
+            let (seen, plan) = (seen.clone(), plan.clone());
+            tokio::spawn(async move {
+                let (mut buf, mut turn) = (Vec::new(), 0);
+                while let Some(id) = read_one(&mut s, &mut buf).await {
+                    *seen.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+                    for step in plan(&id, turn) {
+                        match step {
+                            Do::Send(bytes) => {
+                                if s.write_all(&bytes).await.is_err() {
+                                    return;
+                                }
+                            }
+                            Do::Reset => return s.set_zero_linger().expect("set"),
+                            Do::Close => return,
+                        }
+                    }
+                    turn += 1;
+                }
+            });
+        }
+    });
+    (addr, all)
+}
+
+/// The id of the next request on a connection: its `X-Attempt-Id`, or its path.
+async fn read_one(s: &mut TcpStream, buf: &mut Vec<u8>) -> Option<String> {
+    loop {
+        let text = String::from_utf8_lossy(buf).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let of = |n: &str| text[..end].split("\r\n").find_map(|l| l.strip_prefix(n)).map(str::to_owned);
+            let length = of("Content-Length: ").map_or(0, |l| l.parse().expect("a length"));
+            if buf.len() >= end + 4 + length {
+                buf.drain(..end + 4 + length);
+                return of("X-Attempt-Id: ").or_else(|| text.split(' ').nth(1).map(str::to_owned));
+            }
+        }
+        if s.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+async fn call(chuck: &Chuck, addr: &str, id: &str, path: &str) -> Result<Answer, Miss> {
+    let headers = [("X-Attempt-Id", id)];
+    let headers: &[(&str, &str)] = if id.is_empty() { &[] } else { &headers };
+    let call = Call { method: "POST", path, host: "h", headers, body: b"x", id, newest: None };
+    chuck.call(addr, call, 4, WAIT).await
+}
+
+fn body(a: &Result<Answer, Miss>) -> String {
+    a.as_ref().map_or_else(|m| format!("{m:?}"), |a| String::from_utf8_lossy(&a.body).into_owned())
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_that_names_no_request_says_nothing_of_any() {
+    let plan = |id: &str, _| match id {
+        "mixed" => vec![Do::Send(answer("", "another's")), Do::Send(answer(id, "own"))],
+        "unnamed" => vec![Do::Send(answer("", "another's")), Do::Close],
+        // A promise that names nobody may be that of another.
+        "not run" => {
+            vec![Do::Send(b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_vec()), Do::Close]
+        }
+        _ => vec![Do::Send(answer(id, "own"))],
+    };
+    let (addr, seen) = server(plan).await;
+    let chuck = Chuck::new(Duration::from_secs(9));
+    assert_eq!(body(&call(&chuck, &addr, "mixed", "/").await), "own");
+    assert_eq!(body(&call(&chuck, &addr, "unnamed", "/").await), "Lost");
+    assert_eq!(body(&call(&chuck, &addr, "not run", "/").await), "Lost");
+    assert_eq!(body(&call(&chuck, &addr, "a", "/").await), "own");
+    assert_eq!(seen.lock().unwrap().connections, 4, "none of them is used again");
+    assert_eq!(body(&call(&chuck, &addr, "b", "/").await), "own");
+    assert_eq!(seen.lock().unwrap().connections, 4, "one that is in step is");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn nothing_after_a_send_says_that_it_did_not_run() {
+    // Over a kept connection that the other side forgot: reset, closed, or half an answer.
+    for (id, end) in [("reset", Do::Reset), ("close", Do::Close)] {
+        for cut in [0, 1, 20, answer(id, "own").len() - 1] {
+            let end = end.clone();
+            let plan = move |id: &str, turn| match turn {
+                0 => vec![Do::Send(answer(id, "own"))],
+                _ => vec![Do::Send(answer(id, "own")[..cut].to_vec()), end.clone()],
+            };
+            let (addr, seen) = server(plan).await;
+            let chuck = Chuck::new(Duration::from_secs(9));
+            assert_eq!(body(&call(&chuck, &addr, "a", "/").await), "own");
+            assert_eq!(body(&call(&chuck, &addr, id, "/").await), "Lost", "{id} after {cut}");
+            assert_eq!(seen.lock().unwrap().runs[id], 1, "the pool itself sends nothing twice");
+        }
+    }
+}
