Give calls whose answers name nobody a connection of their own

Cause: call-backs and platform calls carry no id and used kept connections again; a late second answer stood in the place of the next one, so a call-back that was never taken was marked as taken, and a start named another processor. A look whether bytes are there already does not close that race. Change: the pool gives a call without an id a new connection and keeps none behind it. Opened connections are counted (connections_opened). Test: a_call_whose_answer_names_nobody_has_a_connection_of_its_own (failed before: the second call had the first one's answer).

--- a/crates/spindle/src/call.rs
+++ b/crates/spindle/src/call.rs
@@ -41,7 +41,8 @@
     pub host: &'a str,
     pub headers: &'a [(&'a str, &'a str)],
     pub body: &'a [u8],
-    /// The id that the answer is to carry back; empty: none is sent.
+    /// The id that the answer is to carry back. Empty: none is sent, and the call has
+    /// a connection of its own.
     pub id: &'a str,
     /// Only a connection that was used or opened within this time; None: any kept one.
     pub newest: Option<Duration>,
@@ -128,12 +129,16 @@
         }
         let _open = OpenCount { chuck: self, addr };
         let end = tokio::time::Instant::now() + within;
-        let mut stream = match self.take_idle(addr, call.newest) {
+        // An answer that names nobody belongs to the one request of its connection, or
+        // to nobody knows which.
+        let named = !call.id.is_empty();
+        let mut stream = match if named { self.take_idle(addr, call.newest) } else { None } {
             Some(s) => s,
             // A quarter of the time at most goes into connecting.
             None => match tokio::time::timeout(within / 4, TcpStream::connect(addr)).await {
                 Ok(Ok(s)) => {
                     let _ = s.set_nodelay(true);
+                    tally::count("connections_opened");
                     s
                 }
                 _ => return Err(Miss::NotSent),
@@ -161,7 +166,7 @@
             Ok(r) => r?,
             Err(_) => return Err(Miss::Silent),
         };
-        if answer.keep && !left {
+        if answer.keep && !left && named {
             let said = answer.header("keep-alive").and_then(|v| {
                 let at = v.find("timeout=")? + 8;
                 v[at..].split([',', ' ', ';']).next()?.parse::<f64>().ok()
--- a/crates/spindle/tests/calls.rs
+++ b/crates/spindle/tests/calls.rs
@@ -114,6 +114,21 @@
     assert_eq!(seen.lock().unwrap().connections, 4, "one that is in step is");
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn a_call_whose_answer_names_nobody_has_a_connection_of_its_own() {
+    // The answer to the first comes a second time, just when the second call is read.
+    let plan = |path: &str, turn| {
+        let late = if turn > 0 { answer("", "/first") } else { Vec::new() };
+        vec![Do::Send(late), Do::Send(answer("", path))]
+    };
+    let (addr, seen) = server(plan).await;
+    let chuck = Chuck::new(Duration::from_secs(9));
+    for path in ["/first", "/second", "/third"] {
+        assert_eq!(body(&call(&chuck, &addr, "", path).await), path);
+    }
+    assert!(seen.lock().unwrap().runs.values().all(|n| *n == 1));
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn nothing_after_a_send_says_that_it_did_not_run() {
     // Over a kept connection that the other side forgot: reset, closed, or half an answer.
