Refuse answers of which the end is unclear

Cause: an answer with a length and chunks, an unknown coding or '+3' as its length was read by a guess, and what followed could be taken for the next answer; 'close' beside another word in Connection was not seen. Change: answers are framed as strictly as requests. Test: an_answer_with_two_lengths_or_a_false_one_is_none (failed before).

--- a/crates/spindle/src/parse.rs
+++ b/crates/spindle/src/parse.rs
@@ -257,18 +257,29 @@
     for h in head.headers.iter() {
         let value = String::from_utf8_lossy(h.value).trim().to_owned();
         if h.name.eq_ignore_ascii_case("content-length") {
+            if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+                return Err("malformed length");
+            }
             let n = value.parse::<usize>().map_err(|_| "malformed length")?;
             if length.is_some_and(|l| l != n) {
                 return Err("conflicting lengths");
             }
             length = Some(n);
         } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            if chunked || !value.eq_ignore_ascii_case("chunked") {
+                return Err("unknown coding");
+            }
             chunked = true;
-        } else if h.name.eq_ignore_ascii_case("connection") && value.eq_ignore_ascii_case("close") {
+        } else if h.name.eq_ignore_ascii_case("connection")
+            && value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"))
+        {
             a.keep = false;
         }
         a.headers.push((h.name.to_owned(), value));
     }
+    if chunked && length.is_some() {
+        return Err("both length and chunks");
+    }
     let framing = if to_head || a.status < 200 || a.status == 204 || a.status == 304 {
         Framing::None
     } else if chunked {
--- a/crates/spindle/tests/calls.rs
+++ b/crates/spindle/tests/calls.rs
@@ -129,6 +129,22 @@
     assert!(seen.lock().unwrap().runs.values().all(|n| *n == 1));
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_with_two_lengths_or_a_false_one_is_none() {
+    for bad in [
+        "Content-Length: +3\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip\r\n",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n{bad}\r\n3\r\nabc\r\n0\r\n\r\n");
+        let (addr, _) = server(move |_, _| vec![Do::Send(text.clone().into_bytes())]).await;
+        let got = call(&Chuck::new(WAIT), &addr, "a", "/").await;
+        assert!(got.is_err(), "{bad:?}: {got:?}");
+    }
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn nothing_after_a_send_says_that_it_did_not_run() {
     // Over a kept connection that the other side forgot: reset, closed, or half an answer.
