Take no run that is fenced, given up, outdated by a freeze, or beside another

Causes, all read in the delivery node and played against its state machine: (a) a process that has just begun had heard of no term and took a run of any, so one of a former owner ran beside the next owner's; (b) 'what do you hold' was answered before the run it asked for arrived by a connection that was replaced, and it ran when it came, beside the next attempt; (c) a node that was frozen read runs that had lain there until their owner gave them up; (d) runs were told apart by attempt only: another attempt at the same message ran beside the first, and a number that is used again after a crash was taken for the one that is held. Fenced by the greater of the owners' words and the charter, and with neither; an attempt is given up by name (Run with revoked) and remembered for statusS; a gap in a beat of quietMs/40 of more than quietMs/12 makes what is read in the next hundredth of it too old; one attempt of a message at a time. A report and what is held carry the term.

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -661,9 +661,13 @@
     pub item: Item,
     #[prost(uint32, tag = "8")]
     pub conn_limit: u32,
-    /// Position of the dispatch record: names this attempt.
+    /// Position of the dispatch record: with the term it names this attempt.
     #[prost(uint64, tag = "9")]
     pub attempt: u64,
+    /// Not to be run: this attempt is given up, and refused from then on, unless it
+    /// was taken already.
+    #[prost(bool, tag = "10")]
+    pub revoked: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -712,6 +716,9 @@
     pub took_ms: u32,
     #[prost(uint64, tag = "10")]
     pub attempt: u64,
+    /// At which the attempt was given out; 0 if not told.
+    #[prost(uint64, tag = "11")]
+    pub term: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -734,6 +741,11 @@
 pub struct Held {
     #[prost(uint64, repeated, tag = "1")]
     pub positions: Vec<u64>,
+    /// The attempt and the term of each, in the same order.
+    #[prost(uint64, repeated, tag = "2")]
+    pub attempts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub terms: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -2,10 +2,10 @@
 //! partition by then, and held until that owner has it on its disks.
 
 use crate::front::Hatch;
+use crate::spool::*;
 use dovetail::msg::*;
 use dovetail::{Body, Peg};
 use spindle::{Answer, Call, Chuck, Closing, Miss};
-use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,15 +13,7 @@
     hatch: Arc<Hatch>,
     chuck: Arc<Chuck>,
     held: Mutex<Spool>,
-}
-
-#[derive(Default)]
-struct Spool {
-    /// The highest term that spoke for a partition; older ones are refused.
-    terms: HashMap<u32, u64>,
-    /// Deliveries under way, and those whose report nobody has taken yet.
-    /// By partition, position and attempt.
-    under_way: HashSet<(u32, u64, u64)>,
+    start: Instant,
 }
 
 /// What an answer means for the message.
@@ -50,11 +42,22 @@
 impl Bobbin {
     pub fn new(hatch: Arc<Hatch>) -> Arc<Bobbin> {
         let idle = Duration::from_millis(hatch.caliper.constraints.quiet_ms as u64);
-        Arc::new(Bobbin { hatch, chuck: Chuck::new(idle), held: Mutex::default() })
+        let c = &hatch.caliper.constraints;
+        let held = Mutex::new(Spool::new(c.quiet_ms as u64, (c.status_s * 1000.0) as u64));
+        Arc::new(Bobbin { hatch, chuck: Chuck::new(idle), held, start: Instant::now() })
     }
 
     pub fn idle(&self) -> bool {
-        self.held.lock().unwrap().under_way.is_empty()
+        self.held.lock().unwrap().under_way() == 0
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// Called every fortieth of `quietMs`.
+    pub fn beat(&self) {
+        self.held.lock().unwrap().beat(self.now());
     }
 
     pub fn sweep(&self) {
@@ -64,27 +67,20 @@
     pub fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
         match body {
             Body::Run(run) => {
-                let key = (run.partition, run.position, run.attempt);
                 let leaving = *self.hatch.closing.borrow() != Closing::Open;
-                let mut h = self.held.lock().unwrap();
-                let term = h.terms.entry(run.partition).or_insert(0);
-                if run.term < *term || leaving {
-                    tally::count("runs_refused");
-                    peg.send(Body::RunAck(RunAck { taken: false }));
-                    return;
-                }
-                *term = run.term;
-                if h.under_way.insert(key) {
+                let term = {
+                    let k = self.hatch.known.borrow();
+                    k.charter.partitions.iter().find(|p| p.id == run.partition).map(|p| p.term)
+                };
+                let word = self.held.lock().unwrap().run(&run, term, leaving, self.now());
+                if word == Word::Go {
                     tokio::spawn(self.clone().deliver(run));
                 }
-                peg.send(Body::RunAck(RunAck { taken: true }));
+                peg.send(Body::RunAck(RunAck { taken: word != Word::Refused }));
             }
             Body::Holding(q) => {
-                let mut h = self.held.lock().unwrap();
-                let term = h.terms.entry(q.partition).or_insert(0);
-                *term = (*term).max(q.term);
-                let positions = h.under_way.iter().filter(|k| k.0 == q.partition).map(|k| k.1).collect();
-                peg.send(Body::Held(Held { positions }));
+                let held = self.held.lock().unwrap().holding(&q);
+                peg.send(Body::Held(held));
             }
             Body::Notify(n) => {
                 let b = self.clone();
@@ -102,7 +98,7 @@
                     k.template,
                     k.charter,
                     k.roster,
-                    self.held.lock().unwrap().under_way.len(),
+                    self.held.lock().unwrap().under_way(),
                     tally::render()
                 );
                 peg.send(Body::StatusAck(StatusAck { json }));
@@ -148,6 +144,7 @@
             waiting: told.map_or(0, |t| t.1),
             loaded: told.is_some(),
             attempt: run.attempt,
+            term: run.term,
             took_ms: begun.elapsed().as_millis() as u32,
         };
         tally::count("deliveries");
@@ -159,7 +156,7 @@
             });
         }
         self.report(report).await;
-        self.held.lock().unwrap().under_way.remove(&(run.partition, run.position, run.attempt));
+        self.held.lock().unwrap().over(run.partition, run.position);
     }
 
     /// Tells the owner, whoever that is by now, until it has it.
--- a/crates/hatch/src/front.rs
+++ b/crates/hatch/src/front.rs
@@ -329,6 +329,13 @@
     let front = bind(caliper.listen.front.clone()).await?;
     let (h, hb) = (hatch.clone(), hatch.clone());
     tokio::spawn(spindle::listen(front, move || hb.bounds(), hatch.closing.subscribe(), move |r| h.clone().answer(r)));
+    let (b, beat) = (bobbin.clone(), silence / 10);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(beat).await;
+            b.beat();
+        }
+    });
     let b = bobbin.clone();
     let name = caliper.node.clone();
     tokio::spawn(async move {
--- a/crates/hatch/src/lib.rs
+++ b/crates/hatch/src/lib.rs
@@ -3,5 +3,7 @@
 
 mod deliver;
 mod front;
+mod spool;
 pub use deliver::read_answer;
 pub use front::{Hatch, partition_of, run};
+pub use spool::{Spool, Word};
