Land an attempt only by its own report, and give it up by name

Cause: the report of an attempt that was given up landed the next attempt's delivery, and a third was sent while the second was out; likewise the task that saw the first run off, after up to half of quietMs. One that was never answered was taken for not held after three silent asks. Change: a delivery under way has the term and number of its attempt, and only its own report, or its own task, ends it (reports_outdated); the run is revoked at the delivery node, and where that stays silent it is left until it must be over, or its machine says that nobody listens. A delivery is overdue a twentieth of its cutoff later, as the delivery node waits that much longer. A success that is reported after another one is counted (repeats_after_success).

--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -257,7 +257,13 @@
                 tokio::spawn(async move {
                     for _ in 0..2 {
                         match end.call(Body::Holding(Holding { partition, term }), wait).await {
-                            Ok(Body::Held(h)) => return Some(h.positions),
+                            Ok(Body::Held(h)) => {
+                                let named = |n: usize, of: &[u64]| of.get(n).copied().unwrap_or(0);
+                                let held = h.positions.iter().enumerate();
+                                return Some(
+                                    held.map(|(n, p)| (*p, named(n, &h.terms), named(n, &h.attempts))).collect(),
+                                );
+                            }
                             Err(Verdict::MayHaveRun) => return None,
                             _ => tokio::time::sleep(wait / 8).await,
                         }
@@ -271,7 +277,7 @@
         let (mut held, mut silent) = (Vec::new(), HashSet::new());
         for (name, a) in asked {
             match a.await.ok().flatten() {
-                Some(positions) => held.extend(positions.into_iter().map(|p| (p, name.clone()))),
+                Some(all) => held.extend(all.into_iter().map(|p: (u64, u64, u64)| (p, name.clone()))),
                 None => {
                     silent.insert(name);
                 }
@@ -286,13 +292,14 @@
         let now = self.now();
         let known = self.session.known();
         let m = &i.mandrels[&partition];
-        for (pos, hatch) in held {
+        for ((pos, of_term, attempt), hatch) in held {
             if let Some(w) = m.jig.pieces.get(&pos)
                 && w.stand == Stand::Pending
                 && let Some(c) = known.template.channel(&w.item.channel)
             {
-                let until = now + c.cutoff_ms as u64 + self.ratio(8.0);
+                let until = now + c.cutoff_ms as u64 * 21 / 20 + self.ratio(8.0);
                 i.turret.adopt((partition, pos), c, &w.unit, &hatch, until);
+                i.turret.name((partition, pos), of_term, attempt);
             }
         }
         let wall = self.wall();
@@ -430,11 +437,20 @@
             peg.send(Body::ReportAck(ReportAck { kept: false }));
             return;
         }
-        if let Some(f) = i.turret.land(k) {
+        // Of an attempt that was given up: it says what became of that one, and another
+        // is out still.
+        let outdated = i.turret.outdated(k, r.term, r.attempt);
+        if outdated {
+            tally::count("reports_outdated");
+        } else if let Some(f) = i.turret.land(k) {
             i.turret.learn(&f, &r, now);
         }
         let m = &i.mandrels[&k.0];
-        let pending = m.jig.pieces.get(&k.1).is_some_and(|w| w.stand == Stand::Pending);
+        let piece = m.jig.pieces.get(&k.1);
+        let pending = piece.is_some_and(|w| w.stand == Stand::Pending);
+        if r.outcome == Outcome::Done as i32 && piece.is_some_and(|w| w.stand == Stand::Settled && w.seal != r.seal) {
+            tally::count("repeats_after_success");
+        }
         let outcome = Outcome::try_from(r.outcome).unwrap_or(Outcome::Unknown);
         tally::count(match outcome {
             Outcome::Done => "runs_done",
@@ -469,6 +485,7 @@
                 }
                 self.carry_out(i, k.0, out);
             }
+            _ if outdated => peg.send(Body::ReportAck(ReportAck { kept: true })),
             Outcome::NotRun => {
                 peg.send(Body::ReportAck(ReportAck { kept: true }));
                 let again = match r.status {
@@ -631,8 +648,11 @@
             cutoff_ms: cutoff as u32,
             item,
             conn_limit: plant.conn_limit,
+            revoked: false,
         };
-        i.turret.launch(k, &choice, channel, now + cutoff + self.ratio(8.0));
+        // A delivery node waits a twentieth longer than the processor may take.
+        i.turret.launch(k, &choice, channel, now + cutoff * 21 / 20 + self.ratio(8.0));
+        i.turret.name(k, run.term, attempt);
         self.carry_out(i, k.0, out);
         tally::count("dispatched");
         let post = self.clone();
@@ -643,28 +663,39 @@
     /// Sees one delivery into the delivery node's hands.
     async fn run(self: Arc<Self>, run: Run, choice: Choice) {
         let k = (run.partition, run.position);
-        let (partition, term) = (run.partition, run.term);
+        let (term, attempt) = (run.term, run.attempt);
         let wait = Duration::from_millis(self.ratio(8.0));
         let end = self.bench.to(&choice.hatch_inner);
+        let (item, address, unit) = (Item::default(), String::new(), String::new());
+        let revoke = Run { revoked: true, item, address, unit, ..run };
         match end.call(Body::Run(run), wait).await {
             Ok(Body::RunAck(a)) if a.taken => return,
             Ok(_) | Err(Verdict::NotRun) => {}
             Err(_) => {
-                // It may have it: ask until it says, or is gone.
+                // It may have it, or get it yet, by a connection that was replaced: it
+                // is told that this attempt is given up, and says whether it was taken.
+                let mut clear = false;
                 for _ in 0..3 {
-                    match end.call(Body::Holding(Holding { partition, term }), wait).await {
-                        Ok(Body::Held(h)) if h.positions.contains(&k.1) => return,
-                        Ok(_) => break,
+                    match end.call(Body::Run(revoke.clone()), wait).await {
+                        Ok(Body::RunAck(a)) if a.taken => return,
+                        Ok(_) => {
+                            clear = true;
+                            break;
+                        }
                         Err(Verdict::NotRun) => tokio::time::sleep(wait / 8).await,
                         Err(_) => {}
                     }
                 }
+                if !clear && !dovetail::refuses(&choice.hatch_inner, wait).await {
+                    // Silent still: given up once such a run must be over.
+                    return;
+                }
             }
         }
         tally::count("runs_not_given");
         let mut i = self.inside.lock().unwrap();
         let i = &mut *i;
-        if i.turret.flights.get(&k).is_some_and(|f| f.hatch == choice.hatch) {
+        if i.turret.flights.get(&k).is_some_and(|f| f.attempt == (term, attempt)) {
             i.turret.land(k);
             i.turret.later(k, self.wall() + self.ratio(200.0));
             self.bell.notify_one();
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -20,6 +20,8 @@
     pub revision: String,
     pub hatch: String,
     pub until: u64,
+    /// Which attempt it is: its term and number; 0 if not known.
+    pub attempt: (u64, u64),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -413,6 +415,7 @@
             revision: choice.revision.clone(),
             hatch: choice.hatch.clone(),
             until,
+            attempt: (0, 0),
         };
         if let Some(s) = self.sample(&flight) {
             s.sent += 1;
@@ -434,10 +437,24 @@
             revision: String::new(),
             hatch: hatch.to_owned(),
             until,
+            attempt: (0, 0),
         };
         self.flights.insert(key, flight);
     }
 
+    /// Says which attempt is under way.
+    pub fn name(&mut self, key: Key, term: u64, attempt: u64) {
+        if let Some(f) = self.flights.get_mut(&key) {
+            f.attempt = (term, attempt);
+        }
+    }
+
+    /// Whether another attempt at that message is under way than the one told of.
+    pub fn outdated(&self, key: Key, term: u64, attempt: u64) -> bool {
+        let differs = |a: u64, b: u64| a != 0 && b != 0 && a != b;
+        self.flights.get(&key).is_some_and(|f| differs(f.attempt.0, term) || differs(f.attempt.1, attempt))
+    }
+
     pub fn land(&mut self, key: Key) -> Option<Flight> {
         let f = self.flights.remove(&key)?;
         if let Some(s) = self.units.get_mut(&f.unit) {
