Say in one table who sends what again

For each way a send can miss its answer and each class of request (message, sequenced, dedupes, function safe and unsafe) the verdict type says who sends it again and when; owners and fronts act by it. What they do is unchanged but for a counter. Tests: the whole table, and what each answer of a processor says (verdict.rs, answers.rs). Ruled out by them: an unsafe request sent again where it may have run; a message sent again at once beside one that may be at work.

--- a/crates/dovetail/src/lib.rs
+++ b/crates/dovetail/src/lib.rs
@@ -6,18 +6,9 @@
 mod life;
 mod link;
 pub mod msg;
+mod verdict;
 pub use keeper::*;
 pub use life::*;
 pub use link::*;
 pub use msg::Body;
-
-/// Whether a request that came to no clear end may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It never left, or the other side said that it did nothing.
-    NotRun,
-    /// It left, and nobody said what came of it.
-    MayHaveRun,
-    /// The other side did it.
-    Ran,
-}
+pub use verdict::*;
--- a/crates/hatch/tests/answers.rs
+++ b/crates/hatch/tests/answers.rs
@@ -149,3 +149,25 @@
     }
     assert_eq!(accepted.load(Ordering::Relaxed), 2, "a connection that is out of step is not used again");
 }
+
+#[test]
+fn only_a_processors_word_or_a_send_that_never_left_says_not_run() {
+    use hatch::read_answer;
+    use spindle::{Answer, Miss};
+    let of = |status: u16, headers: &[(&str, &str)]| {
+        let headers = headers.iter().map(|(n, v)| (n.to_string(), v.to_string())).collect();
+        read_answer(&Ok(Answer { status, headers, whole: true, ..Answer::default() })).0
+    };
+    for status in [400, 409, 429, 503] {
+        assert_eq!(of(status, &[("X-Not-Run", "1")]), Outcome::NotRun);
+        assert_eq!(of(status, &[]), Outcome::Unknown, "{status} alone is no such word");
+    }
+    assert_eq!((of(421, &[]), of(500, &[]), of(422, &[])), (Outcome::NotRun, Outcome::Failed, Outcome::Never));
+    assert_eq!((of(200, &[("X-Seal", "s")]), of(200, &[]), of(200, &[("X-Seal", "")])), {
+        (Outcome::Done, Outcome::Unknown, Outcome::Unknown)
+    });
+    assert_eq!(of(200, &[("X-Not-Run", "1"), ("X-Seal", "s")]), Outcome::Done, "it is sealed");
+    assert_eq!((of(504, &[]), of(502, &[])), (Outcome::Unknown, Outcome::Unknown));
+    let missed = [Miss::NotSent, Miss::Lost, Miss::Silent].map(|m| read_answer(&Err(m)).0);
+    assert_eq!(missed, [Outcome::NotRun, Outcome::Unknown, Outcome::Unknown]);
+}
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -9,7 +9,7 @@
 use apprentice::Session;
 use bytes::Bytes;
 use dovetail::msg::*;
-use dovetail::{Bench, Body, Peg, Verdict};
+use dovetail::{Again, Bench, Body, Class, Gap, Peg, Verdict};
 use drawer::{Drawer, Op, key};
 use gauge::{Caliper, Role};
 use prost::Message;
@@ -486,27 +486,34 @@
                 self.carry_out(i, k.0, out);
             }
             _ if outdated => peg.send(Body::ReportAck(ReportAck { kept: true })),
-            Outcome::NotRun => {
-                peg.send(Body::ReportAck(ReportAck { kept: true }));
-                let again = match r.status {
-                    409 | 429 => i.turret.pause(k),
-                    _ => 0,
-                };
-                if again > 0 {
-                    i.turret.later(k, wall + again);
-                } else {
-                    self.schedule(i, k, wall);
-                }
-            }
             _ => {
                 peg.send(Body::ReportAck(ReportAck { kept: true }));
-                let pause = i.turret.pause(k);
-                i.turret.later(k, wall + pause);
+                match gap(outcome, r.status).again(self.class(i, k)) {
+                    Again::Owner => self.schedule(i, k, wall),
+                    _ => {
+                        let pause = i.turret.pause(k);
+                        i.turret.later(k, wall + pause);
+                    }
+                }
             }
         }
         self.bell.notify_one();
     }
 
+    /// What a message is, as far as sending it again goes.
+    fn class(&self, i: &Inside, k: Key) -> Class {
+        let Some(w) = i.mandrels.get(&k.0).and_then(|m| m.jig.pieces.get(&k.1)) else { return Class::Message };
+        let dedupes = self.session.with_known(|s| {
+            let plant = s.template.channel(&w.item.channel).and_then(|c| s.template.plant(&c.plant));
+            plant.is_some_and(|p| p.dedupes)
+        });
+        match (dedupes, w.item.order_key.is_empty()) {
+            (true, _) => Class::Dedupes,
+            (false, false) => Class::Sequenced,
+            (false, true) => Class::Message,
+        }
+    }
+
     fn lookup(&self, i: &Inside, l: &Lookup) -> Found {
         let Some(m) = i.mandrels.get(&l.partition).filter(|m| m.seat == Seat::Owner && self.leased(i)) else {
             return Found::default();
@@ -1192,3 +1199,13 @@
     tally::report(&caliper.node, &dovetail::sent());
     Ok(())
 }
+
+/// How a delivery missed its answer, by its report.
+fn gap(outcome: Outcome, status: u32) -> Gap {
+    match (outcome, status) {
+        (Outcome::NotRun, 0) => Gap::NotSent,
+        (Outcome::NotRun, 409 | 429) => Gap::Busy,
+        (Outcome::NotRun, _) => Gap::Refused,
+        _ => Gap::Lost,
+    }
+}
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -5,7 +5,7 @@
 use crate::ration::Ration;
 use apprentice::{Known, loopback};
 use dovetail::msg::*;
-use dovetail::{Bench, Body, Peg};
+use dovetail::{Again, Bench, Body, Class, Gap, Peg, Verdict};
 use gauge::{Caliper, Channel, Role};
 use spindle::{Answer, Bounds, Call, Chuck, Closing, Miss, Reply, Request};
 use std::collections::{HashMap, HashSet};
@@ -110,12 +110,8 @@
 enum Heard {
     /// Its answer, whole: the client's.
     Whole(Answer),
-    /// It did not run.
-    NotRun(SlotEnd),
-    /// It may have run.
-    Unclear,
-    /// No time is left.
-    Late,
+    /// None; and what its keeper is told of the slot.
+    Missed(Gap, SlotEnd),
 }
 
 impl Shuttle {
@@ -540,9 +536,7 @@
             let took = sent.elapsed().as_millis().max(1) as u32;
             let (ended, took) = match &heard {
                 Heard::Whole(_) => (SlotEnd::Done, if g.starting { 0 } else { took }),
-                Heard::NotRun(e) => (*e, 0),
-                Heard::Unclear => (SlotEnd::Done, 0),
-                Heard::Late => (if g.starting { SlotEnd::Dark } else { SlotEnd::Done }, 0),
+                Heard::Missed(_, end) => (*end, 0),
             };
             if took > 0 {
                 let mut i = self.inside.lock().unwrap();
@@ -551,20 +545,23 @@
             }
             self.tell(SlotBack { end: ended as i32, took_ms: took, ..back });
             tries += 1;
-            match heard {
+            let gap = match heard {
                 Heard::Whole(a) => return reply(a),
-                Heard::Late => {
+                Heard::Missed(gap, _) => gap,
+            };
+            match gap.verdict() {
+                Verdict::NotRun => tally::count("sends_not_run"),
+                _ => tally::count("sends_unclear"),
+            }
+            unclear |= gap.verdict() == Verdict::MayHaveRun;
+            match gap.again(if ask.safe { Class::Safe } else { Class::Unsafe }) {
+                Again::Front => {}
+                Again::FrontTries if tries < c.tries.max(1) => {}
+                _ if gap == Gap::Silent => {
                     tally::count("answers_504");
                     return fault(504, "no answer in time");
                 }
-                Heard::NotRun(_) => tally::count("sends_not_run"),
-                Heard::Unclear => {
-                    tally::count("sends_unclear");
-                    unclear = true;
-                    if !ask.safe || tries >= c.tries.max(1) {
-                        return fault(502, "it may have run");
-                    }
-                }
+                _ => return fault(502, "it may have run"),
             }
             if !self.again() {
                 return if unclear { fault(502, "it may have run") } else { busy(100) };
@@ -581,7 +578,7 @@
             loop {
                 let left = end.saturating_duration_since(Instant::now());
                 if left.is_zero() {
-                    return Heard::NotRun(SlotEnd::Dark);
+                    return Heard::Missed(Gap::NotSent, SlotEnd::Dark);
                 }
                 match self.chuck.open(&g.address, left.min(self.ratio(20.0))).await {
                     Ok(()) => break,
@@ -590,10 +587,12 @@
             }
             self.tell(SlotBack { end: SlotEnd::Up as i32, ..back.clone() });
         }
+        let late = Heard::Missed(Gap::Silent, if g.starting { SlotEnd::Dark } else { SlotEnd::Done });
+        let unclear = Heard::Missed(Gap::Lost, SlotEnd::Done);
         let left = end.saturating_duration_since(Instant::now());
         let within = left.min(Duration::from_micros((c.cutoff_ms * 1000.0) as u64));
         if within < Duration::from_millis(2) {
-            return Heard::Late;
+            return late;
         }
         let deadline = within.as_millis().to_string();
         let mut headers: Vec<(&str, &str)> = Vec::with_capacity(r.headers.len() + 2);
@@ -610,23 +609,23 @@
         let newest = (!ask.safe).then(|| self.ratio(20.0));
         let call = Call { method: &r.method, path: &r.path, host, headers: &headers, body: &r.body, id, newest };
         match self.chuck.call(&g.address, call, ask.limit, within).await {
-            Ok(a) if a.status == 421 => Heard::NotRun(SlotEnd::Gone),
-            Ok(a) if a.header("x-not-run").is_some() && a.status >= 400 => Heard::NotRun(SlotEnd::Full),
+            Ok(a) if a.status == 421 => Heard::Missed(Gap::Refused, SlotEnd::Gone),
+            Ok(a) if a.header("x-not-run").is_some() && a.status >= 400 => Heard::Missed(Gap::Refused, SlotEnd::Full),
             Ok(a) if (200..300).contains(&a.status) => {
                 let sealed = a.header("x-seal").is_some_and(|s| !s.is_empty());
                 if sealed && a.header("content-encoding").is_none() && a.whole {
                     Heard::Whole(a)
                 } else {
                     tally::count("answers_not_whole");
-                    Heard::Unclear
+                    unclear
                 }
             }
-            Ok(a) if a.status == 504 => Heard::Late,
+            Ok(a) if a.status == 504 => late,
             Ok(a) if a.whole => Heard::Whole(a),
-            Ok(_) => Heard::Unclear,
-            Err(Miss::NotSent) => Heard::NotRun(SlotEnd::Gone),
-            Err(Miss::Lost) => Heard::Unclear,
-            Err(Miss::Silent) => Heard::Late,
+            Ok(_) => unclear,
+            Err(Miss::NotSent) => Heard::Missed(Gap::NotSent, SlotEnd::Gone),
+            Err(Miss::Lost) => unclear,
+            Err(Miss::Silent) => late,
         }
     }
 
