Write no call that its caller has dropped, and take only answers for answers

Causes: a caller that turned to something else while the connection was being opened left its call behind, which was written later and ran though nobody waited (what timed out was not); a frame of the other side that is no answer ended the call of that number. Change: a call is written only while its caller waits; frames that are no answers, or whose call was given up, are counted (inner_answers_unwanted); one without a body that is known ends its call as one that may have run.

--- a/crates/dovetail/src/link.rs
+++ b/crates/dovetail/src/link.rs
@@ -206,7 +206,7 @@
         loop {
             match take_frame(&mut buf) {
                 Ok(Some(e)) => {
-                    if let Some(body) = e.body {
+                    if let Some(body) = e.body.filter(|_| !e.reply) {
                         handle(body, Peg { mouth: mouth.clone(), call: e.call, connection });
                     }
                 }
@@ -353,9 +353,14 @@
 /// call that nobody waits for any more.
 fn put_wanted(out: &mut BytesMut, e: &Envelope, waiting: &Waiting) {
     if e.call != 0 {
-        match waiting.lock().unwrap().get_mut(&e.call) {
-            Some(w) => w.written = Some(Instant::now()),
-            None => return,
+        let mut waiting = waiting.lock().unwrap();
+        match waiting.get_mut(&e.call) {
+            Some(w) if !w.tx.is_closed() => w.written = Some(Instant::now()),
+            // Its caller has turned to something else, or the time was up.
+            _ => {
+                waiting.remove(&e.call);
+                return;
+            }
         }
     }
     put_frame(out, e);
@@ -401,9 +406,16 @@
         let mut buf = BytesMut::with_capacity(8 << 10);
         loop {
             while let Some(e) = take_frame(&mut buf).map_err(io::Error::other)? {
+                if !e.reply {
+                    tally::count("inner_answers_unwanted");
+                    continue;
+                }
                 let w = incoming.lock().unwrap().remove(&e.call);
-                if let (Some(w), Some(b)) = (w, e.body) {
-                    let _ = w.tx.send(Ok(b));
+                match (w, e.body) {
+                    (Some(w), Some(b)) => drop(w.tx.send(Ok(b))),
+                    (Some(w), None) => w.fail(),
+                    // The call was given up.
+                    (None, _) => tally::count("inner_answers_unwanted"),
                 }
             }
             buf.reserve(4 << 10);
--- a/crates/dovetail/tests/links.rs
+++ b/crates/dovetail/tests/links.rs
@@ -207,3 +207,83 @@
     }
     assert!(!dovetail::refuses(&addr, wait).await);
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_call_that_was_dropped_before_it_was_written_is_never_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let seen = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let all = seen.clone();
+    let handle = move |body, peg: dovetail::Peg| {
+        if let Body::Lookup(l) = body {
+            all.lock().unwrap().push(l.position);
+            peg.send(Body::Found(Found::default()));
+        }
+    };
+    tokio::spawn(dovetail::serve(listener, SILENCE, handle));
+    let t = Tenon::new(&addr, SILENCE);
+    let ask = |position| Body::Lookup(Lookup { position, ..Lookup::default() });
+    // Polled once: it waits for the connection. Its caller turns to something else.
+    tokio::select! {
+        biased;
+        _ = t.call(ask(1), SILENCE) => panic!("nothing was written yet"),
+        _ = async {} => {}
+    }
+    assert!(t.call(ask(2), SILENCE).await.is_ok());
+    assert_eq!(*seen.lock().unwrap(), [2]);
+}
+
+/// Plays the other end by hand: for each connection, what is sent once a call was read.
+async fn by_hand(plan: Vec<Vec<Envelope>>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        let mut kept = Vec::new();
+        for answers in plan {
+            let (mut s, _) = listener.accept().await.expect("a connection");
+            let mut buf = bytes::BytesMut::new();
+            while dovetail::take_frame(&mut buf).expect("a frame").is_none() {
+                s.read_buf(&mut buf).await.expect("more of it");
+            }
+            let mut out = bytes::BytesMut::new();
+            answers.iter().for_each(|e| dovetail::put_frame(&mut out, e));
+            s.write_all(&out).await.expect("room");
+            kept.push(s);
+        }
+        std::future::pending::<()>().await;
+    });
+    addr
+}
+
+fn found(call: u64, reply: bool, seal: &str) -> Envelope {
+    Envelope { call, reply, body: Some(Body::Found(Found { seal: seal.into(), ..Found::default() })) }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn only_an_answer_with_its_number_on_its_connection_ends_a_call() {
+    // A call of the other side by the same number, one of nobody, and then the answer.
+    let addr = by_hand(vec![vec![found(1, false, "a call"), found(9, true, "nobody's"), found(1, true, "own")]]).await;
+    let ask = || Body::Lookup(Lookup::default());
+    let got = Tenon::new(&addr, SILENCE).call(ask(), SILENCE).await;
+    assert!(matches!(got, Ok(Body::Found(f)) if f.seal == "own"));
+    // The first call is given up; its answer comes while the second one waits.
+    let late = vec![found(1, true, "late"), found(2, true, "own")];
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        let (mut s, _) = listener.accept().await.expect("a connection");
+        let mut buf = bytes::BytesMut::new();
+        for _ in 0..2 {
+            while dovetail::take_frame(&mut buf).expect("a frame").is_none() {
+                s.read_buf(&mut buf).await.expect("more of it");
+            }
+        }
+        let mut out = bytes::BytesMut::new();
+        late.iter().for_each(|e| dovetail::put_frame(&mut out, e));
+        s.write_all(&out).await.expect("room");
+        std::future::pending::<()>().await;
+    });
+    let t = Tenon::new(&addr, SILENCE);
+    assert_eq!(t.call(ask(), SILENCE / 40).await.err(), Some(Verdict::MayHaveRun));
+    assert!(matches!(t.call(ask(), SILENCE).await, Ok(Body::Found(f)) if f.seal == "own"));
+}
