End a connection behind its last answer without a reset

Cause: a connection was closed at once behind an answer that ends it (Connection: close, or a front that is leaving). If the client had sent more by then, the close was a reset, and what was not sent yet of the answer was lost; of 8 MB some hundred KB. Change: the writing side is shut, and the rest is read until the client closes, for headerMs at the most, as was done behind errors already.

--- a/crates/spindle/src/serve.rs
+++ b/crates/spindle/src/serve.rs
@@ -118,15 +118,7 @@
                 out.clear();
                 put_reply(&mut out, &Reply::json(t.status, format!("{{\"fault\":\"{}\"}}", t.why)), false, false);
                 let _ = stream.write_all(&out).await;
-                let _ = stream.shutdown().await;
-                // Reads what is still under way, so that the answer is not lost to a reset.
-                let mut sink = BytesMut::with_capacity(4 << 10);
-                let rest = async {
-                    while matches!(stream.read_buf(&mut sink).await, Ok(n) if n > 0) {
-                        sink.clear();
-                    }
-                };
-                let _ = tokio::time::timeout(Duration::from_millis(b.header_ms / 10), rest).await;
+                end_connection(&mut stream, b.header_ms / 10).await;
                 return;
             }
         };
@@ -143,12 +135,25 @@
             return;
         }
         if !keep {
-            let _ = stream.shutdown().await;
+            end_connection(&mut stream, b.header_ms).await;
             return;
         }
     }
 }
 
+/// Ends a connection so that its last answer is not lost: to close while something is
+/// unread, or still on its way here, is a reset, which takes what was not sent yet along.
+async fn end_connection(stream: &mut TcpStream, within_ms: u64) {
+    let _ = stream.shutdown().await;
+    let mut sink = BytesMut::with_capacity(512);
+    let rest = async {
+        while matches!(stream.read_buf(&mut sink).await, Ok(n) if n > 0) {
+            sink.clear();
+        }
+    };
+    let _ = tokio::time::timeout(Duration::from_millis(within_ms), rest).await;
+}
+
 async fn read_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
