Test the pool against processors in trouble, generated

Answers of others, unnamed, twice, late in the next one's place, garbage, cut, reset, silent, closing; a count at the stand-in says how often each id ran (60 cases, fixed seed; ANSWERS_CASES sets more).

--- a/crates/spindle/tests/calls.rs
+++ b/crates/spindle/tests/calls.rs
@@ -163,3 +163,109 @@
         }
     }
 }
+
+/// What a processor in trouble does with a request.
+#[derive(Clone, Debug)]
+enum Trouble {
+    None,
+    /// Another's answer first: its id, or none.
+    Before(bool),
+    /// Its own answer a second time, at once or in the place of the next one.
+    Again(bool),
+    Unnamed,
+    Garbage(Vec<u8>),
+    Cut(usize, bool),
+    Silent,
+    Closing,
+}
+
+fn steps(id: &str, trouble: Trouble, late: &mut Vec<u8>) -> Vec<Do> {
+    let own = answer(id, id);
+    let held = std::mem::take(late);
+    let mut all = vec![Do::Send(held)];
+    all.extend(match trouble {
+        Trouble::None => vec![Do::Send(own)],
+        Trouble::Before(named) => vec![Do::Send(answer(if named { "other" } else { "" }, "wrong")), Do::Send(own)],
+        Trouble::Again(at_once) => {
+            if !at_once {
+                *late = own.clone();
+            }
+            vec![Do::Send(own.clone()), Do::Send(if at_once { own } else { Vec::new() })]
+        }
+        Trouble::Unnamed => vec![Do::Send(answer("", "wrong"))],
+        Trouble::Garbage(g) => vec![Do::Send(g), Do::Send(own)],
+        Trouble::Cut(n, reset) => {
+            vec![Do::Send(own[..n % own.len()].to_vec()), if reset { Do::Reset } else { Do::Close }]
+        }
+        Trouble::Silent => vec![],
+        Trouble::Closing => vec![Do::Send(own), Do::Close],
+    });
+    all
+}
+
+async fn play(troubles: Vec<Trouble>, together: usize) {
+    let (plan, late) = (Mutex::new(troubles.clone().into_iter()), Mutex::new(HashMap::<u32, Vec<u8>>::new()));
+    let (addr, seen) = server(move |id, turn| {
+        // What is late is so on any connection: it may be in place of anybody's.
+        let trouble = plan.lock().unwrap().next().unwrap_or(Trouble::None);
+        let mut late = late.lock().unwrap();
+        let held = late.entry(0).or_default();
+        if turn == 0 { steps(id, trouble, &mut Vec::new()) } else { steps(id, trouble, held) }
+    })
+    .await;
+    let chuck = Chuck::new(Duration::from_secs(9));
+    let ids: Vec<String> = (0..troubles.len() + 2).map(|n| format!("m{n}")).collect();
+    for some in ids.chunks(together) {
+        let calls = some.iter().map(|id| {
+            let (chuck, addr, id) = (chuck.clone(), addr.clone(), id.clone());
+            tokio::spawn(async move {
+                let headers = [("X-Attempt-Id", id.as_str())];
+                let c =
+                    Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id: &id, newest: None };
+                (id.clone(), chuck.call(&addr, c, 4, WAIT / 10).await)
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        for c in calls {
+            let (id, got) = c.await.expect("no panic");
+            let ran = seen.lock().unwrap().runs.get(&id).copied().unwrap_or(0);
+            match got {
+                Ok(a) => {
+                    assert_eq!(
+                        (a.header("x-attempt-id"), a.header("x-seal")),
+                        (Some(id.as_str()), Some(&*format!("s-{id}")))
+                    );
+                    assert_eq!((&a.body[..], a.whole, ran), (id.as_bytes(), true, 1), "{troubles:?}");
+                }
+                Err(Miss::NotSent) => assert_eq!(ran, 0),
+                Err(_) => assert!(ran <= 1),
+            }
+        }
+    }
+    assert!(seen.lock().unwrap().runs.values().all(|n| *n == 1), "no request is sent twice by the pool");
+}
+
+#[test]
+fn a_call_gets_its_own_answer_or_none_whatever_a_processor_sends() {
+    use proptest::prelude::*;
+    use proptest::test_runner::{RngSeed, TestRunner};
+    let one = prop_oneof![
+        4 => Just(Trouble::None),
+        2 => any::<bool>().prop_map(Trouble::Before),
+        2 => any::<bool>().prop_map(Trouble::Again),
+        1 => Just(Trouble::Unnamed),
+        1 => prop::collection::vec(any::<u8>(), 1..40).prop_map(Trouble::Garbage),
+        2 => (any::<usize>(), any::<bool>()).prop_map(|(n, reset)| Trouble::Cut(n, reset)),
+        1 => Just(Trouble::Silent),
+        1 => Just(Trouble::Closing),
+    ];
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let cases = std::env::var("ANSWERS_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(60);
+    let seed = RngSeed::Fixed(9);
+    TestRunner::new(ProptestConfig { cases, failure_persistence: None, rng_seed: seed, ..ProptestConfig::default() })
+        .run(&(prop::collection::vec(one, 1..10), 1..4usize), |(troubles, together)| {
+            rt.block_on(play(troubles, together));
+            Ok(())
+        })
+        .expect("no case fails");
+}
