Grant one slot for one ticket, none for one that is over, and stop none at work

Causes: a front asks again by the same ticket when an answer is lost or a keeper is passed over; the keeper granted a second slot for it, which came back only when its time was over (the same for a wait that was given up and came later by a new connection); that an ask was given up was told to whoever kept the function by then, not to the one that was asked; a processor that a front held by a former keeper's word, and that the list did not show yet, was stopped after five boot times while it was at work. Change: an ask by a ticket that is known gets the same slot or wait; one that was given up first is refused for as long as a ticket could be on its way; fronts take a new ticket for each ask, give it up where they asked, and use no grant of a former keeper once another is known; what is held is not stopped. Tests: a_slot_that_is_asked_for_twice_by_one_ticket_is_one, a_wait_that_was_given_up_before_it_came_takes_no_slot and a_processor_that_has_work_is_never_stopped (all failed before). Ruled out: slots given back twice, also by a front that was cut off and whose slots are others' by then (a_front_that_was_cut_off_and_came_back_gives_back_only_its_own); a start whose answer went elsewhere (a_lost_start_is_found_in_the_list_and_nothing_runs_for_nobody, and calls to the platform have connections of their own).

--- a/crates/dovetail/tests/links.rs
+++ b/crates/dovetail/tests/links.rs
@@ -267,7 +267,7 @@
     let got = Tenon::new(&addr, SILENCE).call(ask(), SILENCE).await;
     assert!(matches!(got, Ok(Body::Found(f)) if f.seal == "own"));
     // The first call is given up; its answer comes while the second one waits.
-    let late = vec![found(1, true, "late"), found(2, true, "own")];
+    let late = [found(1, true, "late"), found(2, true, "own")];
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address").to_string();
     tokio::spawn(async move {
--- a/crates/shuttle/src/creel.rs
+++ b/crates/shuttle/src/creel.rs
@@ -67,6 +67,8 @@
     open: u64,
     /// When there was no room for a start.
     full: u64,
+    /// Given up before they were heard of, and until when that is remembered.
+    over: HashMap<Hand, u64>,
 }
 
 /// All functions that this front keeps.
@@ -187,6 +189,16 @@
     pub fn ask(&mut self, a: &SlotAsk, now: u64, out: &mut Vec<Effect>) {
         let c = self.cone(&a.plant, now);
         let hand = (a.front.clone(), a.ticket);
+        if c.over.contains_key(&hand) {
+            out.push(Effect::Refuse { hand, retry_ms: 0 });
+            return;
+        }
+        // Asked again, as its answer was lost: the same slot, and the same wait.
+        if let Some((id, u)) = c.units.iter().find(|(_, u)| u.held.contains_key(&hand)) {
+            out.push(Effect::Grant { hand, unit: id.clone(), address: u.address.clone(), starting: !u.up });
+            return;
+        }
+        c.waits.retain(|w| w.hand != hand);
         c.waits.push_back(Wait {
             hand,
             until: now + u64::from(a.patience_ms),
@@ -209,12 +221,21 @@
         }
         if b.unit.is_empty() {
             // Given up by one that does not know whether it was granted.
+            let waiting = c.waits.len();
             c.waits.retain(|w| w.hand != hand);
+            let mut known = c.waits.len() < waiting;
             for u in c.units.values_mut() {
-                if u.held.remove(&hand).is_some() && u.held.is_empty() {
-                    u.idle = now;
+                if u.held.remove(&hand).is_some() {
+                    known = true;
+                    if u.held.is_empty() {
+                        u.idle = now;
+                    }
                 }
             }
+            if !known {
+                // By a connection that was replaced the ask may come yet.
+                c.over.insert(hand.clone(), now + 4 * shy);
+            }
         }
         if let Some(u) = c.units.get_mut(&b.unit) {
             if end != SlotEnd::Up {
@@ -291,6 +312,7 @@
         for p in plants {
             let Some(c) = self.cones.get_mut(&p) else { continue };
             let boot = c.boot();
+            c.over.retain(|_, until| *until > now);
             for u in c.units.values_mut() {
                 let before = u.held.len();
                 u.held.retain(|_, until| *until > now);
@@ -302,8 +324,8 @@
                 }
             }
             // One that does not come up is given up, and stopped in case it does.
-            let late: Vec<String> =
-                c.units.iter().filter(|(_, u)| !u.up && now > u.began + 5 * boot).map(|(id, _)| id.clone()).collect();
+            let late = |u: &Slots| !u.up && u.held.is_empty() && now > u.began + 5 * boot;
+            let late: Vec<String> = c.units.iter().filter(|(_, u)| late(u)).map(|(id, _)| id.clone()).collect();
             let mut stop = late;
             let idle = |u: &Slots| u.up && !u.draining && u.held.is_empty() && now > u.idle + 4 * boot;
             if c.waits.is_empty() {
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -332,12 +332,14 @@
 
     /// A slot for one request; None if none can be had in time, with the time after
     /// which one may.
-    async fn slot(self: &Arc<Self>, plant: &str, c: &Channel, left: Duration, ticket: u64) -> Result<SlotGrant, u64> {
+    async fn slot(self: &Arc<Self>, plant: &str, c: &Channel, left: Duration) -> Result<(u64, SlotGrant), u64> {
         let end = Instant::now() + left;
         let mut said = 0;
         while Instant::now() < end {
             let Some((name, inner)) = self.keeper(plant) else { break };
             let patience = end.saturating_duration_since(Instant::now());
+            // One for each ask: what became of an earlier one is nothing to this one.
+            let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
             let ask = SlotAsk {
                 plant: plant.to_owned(),
                 front: self.caliper.node.clone(),
@@ -351,7 +353,8 @@
             // one by then or not.
             let empty =
                 SlotBack { plant: plant.to_owned(), front: self.caliper.node.clone(), ticket, ..SlotBack::default() };
-            let mut given_up = Back { shuttle: self, back: Some(empty) };
+            let to = Some((name.clone(), inner.clone()));
+            let mut given_up = Back { shuttle: self, to, back: Some(empty) };
             let granted = if name == self.caliper.node {
                 let (tx, rx) = oneshot::channel();
                 self.asked(ask, Waiter::Near(tx));
@@ -379,8 +382,11 @@
                     }
                 };
                 let asked = tokio::select! {
-                    a = end.call(Body::SlotAsk(ask), patience) => a.map_err(|_| ()),
+                    // First: the next keeper is not told of a slot that is granted by
+                    // the former one from now on.
+                    biased;
                     _ = gone => Ok(Body::Ack(Ack {})),
+                    a = end.call(Body::SlotAsk(ask), patience) => a.map_err(|_| ()),
                     _ = there => Err(()),
                 };
                 match asked {
@@ -407,7 +413,7 @@
                     };
                     let until = Instant::now() + patience + Duration::from_millis(c.cutoff_ms as u64);
                     self.inside.lock().unwrap().holds.insert(ticket, (held, until));
-                    return Ok(g);
+                    return Ok((ticket, g));
                 }
                 Some(g) if g.outcome == SlotOutcome::None as i32 => return Err(u64::from(g.retry_ms)),
                 Some(g) if !g.unit.is_empty() => {
@@ -424,10 +430,15 @@
 
     /// Tells the keeper, whoever that is by now.
     fn tell(self: &Arc<Self>, b: SlotBack) {
+        let to = self.keeper(&b.plant);
+        self.tell_to(to, b);
+    }
+
+    fn tell_to(self: &Arc<Self>, to: Option<(String, String)>, b: SlotBack) {
         if b.end != SlotEnd::Up as i32 {
             self.inside.lock().unwrap().holds.remove(&b.ticket);
         }
-        let Some((name, inner)) = self.keeper(&b.plant) else { return };
+        let Some((name, inner)) = to else { return };
         if name == self.caliper.node {
             self.step(|c, now, out| c.back(&b, now, out));
         } else {
@@ -512,8 +523,7 @@
         loop {
             let left = ask.end.saturating_duration_since(Instant::now());
             // What is left must do for a run; nine tenths of it may go into waiting.
-            let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-            let g = match self.slot(ask.plant, c, left * 9 / 10, ticket).await {
+            let (ticket, g) = match self.slot(ask.plant, c, left * 9 / 10).await {
                 Ok(g) => g,
                 Err(_) if unclear => return fault(502, "it may have run"),
                 Err(retry) => {
@@ -530,7 +540,7 @@
             };
             let sent = Instant::now();
             // If nobody waits for this try any more, the processor drops it as well.
-            let mut guard = Back { shuttle: self, back: Some(back.clone()) };
+            let mut guard = Back { shuttle: self, to: None, back: Some(back.clone()) };
             let heard = self.pass(ask, &g, &back).await;
             guard.back = None;
             let took = sent.elapsed().as_millis().max(1) as u32;
@@ -746,16 +756,21 @@
     }
 }
 
-/// Gives the slot back when the client's connection ends before the answer.
+/// Gives the slot back when nobody waits for it any more.
 struct Back<'a> {
     shuttle: &'a Arc<Shuttle>,
+    /// The keeper that was asked; None: whoever it is by then.
+    to: Option<(String, String)>,
     back: Option<SlotBack>,
 }
 
 impl Drop for Back<'_> {
     fn drop(&mut self) {
         if let Some(b) = self.back.take() {
-            self.shuttle.tell(b);
+            match self.to.take() {
+                Some(to) => self.shuttle.tell_to(Some(to), b),
+                None => self.shuttle.tell(b),
+            }
         }
     }
 }
--- a/crates/shuttle/tests/keeper.rs
+++ b/crates/shuttle/tests/keeper.rs
@@ -302,3 +302,81 @@
         assert_eq!(first != next, first == "front-5");
     }
 }
+
+/// An ask by a ticket of one's own choice.
+fn ask_by(w: &mut World, ticket: u64, patience_ms: u32) {
+    let (plant, front) = ("f".to_owned(), "a".to_owned());
+    let a = SlotAsk { plant, front, ticket, patience_ms, hold_ms: 3000, aim_ms: 400, dark: vec![] };
+    w.creel.ask(&a, w.now, &mut w.out);
+}
+
+#[test]
+fn a_slot_that_is_asked_for_twice_by_one_ticket_is_one() {
+    let mut w = World::new(&["u1"]);
+    ask_by(&mut w, 71, 2000);
+    // The answer was lost, and it is asked again: the same slot.
+    ask_by(&mut w, 71, 2000);
+    assert_eq!(w.granted(), [(71, "u1".into(), false), (71, "u1".into(), false)]);
+    assert_eq!(w.creel.tallies(), [("f", 1, 1, 0)]);
+    w.back(71, "u1", SlotEnd::Done);
+    assert_eq!(w.creel.tallies(), [("f", 1, 0, 0)]);
+    // Twice while it waits: one wait.
+    for t in [72, 73, 74, 74] {
+        ask_by(&mut w, t, 2000);
+    }
+    assert_eq!(w.creel.tallies(), [("f", 1, 2, 1)]);
+}
+
+#[test]
+fn a_wait_that_was_given_up_before_it_came_takes_no_slot() {
+    let mut w = World::new(&["u1"]);
+    // By a connection that was replaced the ask comes behind the word that it is over.
+    w.back(71, "", SlotEnd::Done);
+    ask_by(&mut w, 71, 2000);
+    assert!(w.granted().is_empty());
+    assert_eq!(w.creel.tallies(), [("f", 1, 0, 0)]);
+    ask_by(&mut w, 72, 2000);
+    assert_eq!(w.granted(), [(72, "u1".into(), false)]);
+}
+
+#[test]
+fn a_processor_that_has_work_is_never_stopped() {
+    let mut w = World::new(&[]);
+    // A front holds a slot of one that this keeper's list does not show yet.
+    let (plant, unit, address) = ("f".to_owned(), "u9".to_owned(), "10.0.0.1:9".to_owned());
+    w.creel.held("b", &SlotHeld { plant, ticket: 71, unit, address, hold_ms: 9000 }, w.now);
+    let stop = Effect::Stop { plant: "f".into(), unit: "u9".into() };
+    for _ in 0..8 {
+        w.pass(FACTS.boot_ms);
+        assert!(!w.out.contains(&stop), "it is at work");
+    }
+    w.pass(9000);
+    assert!(w.out.contains(&stop), "its holder is gone, and nobody knows it");
+}
+
+#[test]
+fn a_front_that_was_cut_off_and_came_back_gives_back_only_its_own() {
+    let mut w = World::new(&["u1"]);
+    let (a, b) = (w.ask(2000), w.ask(2000));
+    assert_eq!(w.granted().len(), 2);
+    w.creel.fronts(&HashSet::from(["c".to_owned()]), w.now, &mut w.out);
+    let of = |front: &str, ticket| SlotAsk {
+        plant: "f".into(),
+        front: front.into(),
+        ticket,
+        patience_ms: 2000,
+        hold_ms: 3000,
+        ..SlotAsk::default()
+    };
+    for ticket in [1, 2, 3] {
+        w.creel.ask(&of("c", ticket), w.now, &mut w.out);
+    }
+    assert_eq!(w.granted().len(), 2, "its slots are others' now");
+    // It says so of all it had, twice; the numbers are those of the others.
+    for end in [SlotEnd::Done, SlotEnd::Dark, SlotEnd::Done] {
+        w.back(a, "u1", end);
+        w.back(b, "u1", end);
+    }
+    w.pass(1000);
+    assert_eq!((w.granted().len(), w.creel.tallies()), (0, vec![("f", 1, 2, 1)]));
+}
