--- a/crates/hatch/src/deliver.rs
+++ b/crates/hatch/src/deliver.rs
@@ -70,7 +70,10 @@
                 let leaving = *self.hatch.closing.borrow() != Closing::Open;
                 let term = {
                     let k = self.hatch.known.borrow();
-                    k.charter.partitions.iter().find(|p| p.id == run.partition).map(|p| p.term)
+                    let all = &k.charter.partitions;
+                    // Mostly they stand by their numbers.
+                    let at = all.get(run.partition as usize).filter(|p| p.id == run.partition);
+                    at.or_else(|| all.iter().find(|p| p.id == run.partition)).map(|p| p.term)
                 };
                 let word = self.held.lock().unwrap().run(&run, term, leaving, self.now());
                 if word == Word::Go {
