Make two tests find what they are for

Of the planted faults two were not found: the answer was smaller than the buffers of both sides, so it was written before the client sent more; and only lesser attempt numbers were asked about.

--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -274,7 +274,8 @@
     t.name((0, 1), 4, 70);
     assert!(!t.outdated((0, 1), 4, 70) && !t.outdated((0, 1), 0, 70) && !t.outdated((0, 2), 4, 9));
     // Given up, and out again: by another number, or by the same one at a new term.
-    assert!(t.outdated((0, 1), 4, 60) && t.outdated((0, 1), 3, 70));
+    assert!(t.outdated((0, 1), 4, 60) && t.outdated((0, 1), 3, 70) && t.outdated((0, 1), 3, 80));
+    assert!(t.outdated((0, 1), 4, 80));
     // Taken over without a name: any report ends it.
     t.land((0, 1));
     t.adopt((0, 1), &channel(), "u1", "h1", 9999);
--- a/crates/spindle/tests/clients.rs
+++ b/crates/spindle/tests/clients.rs
@@ -132,7 +132,8 @@
 async fn an_answer_that_ends_its_connection_comes_whole_whatever_is_sent_behind_the_request() {
     let (addr, ran, _open) = server(3000).await;
     let mut s = TcpStream::connect(&addr).await.expect("connected");
-    let big = 8 << 20;
+    // More than both sides' buffers hold: it is being written all the while.
+    let big = 48 << 20;
     let close = format!("GET /0/{big} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     s.write_all(close.as_bytes()).await.expect("room");
     // Read slowly, while more is sent that nobody reads.
