Hold an ordered message back after a seizure while a delivery node is silent

Cause, by reading: a run goes out before its dispatch record is committed. Where an owner and its delivery node are cut off or lost together, the record may be in no log that is left, so the next owner took such a message for never given out, and sent it, and then the next of its key, while it may be at work. Change: after a seizure with a silent delivery node, sequenced messages wait until what the former owner gave out must be over (cutoff and quietMs/16 from the take-over). Others are sent at once as before: a repeat of theirs is priced, not forbidden. A planned move has all in its log.

--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -119,7 +119,7 @@
                         "owner of partition {partition} at term {term}{}",
                         if seized { ", seized" } else { "" }
                     );
-                    tokio::spawn(self.clone().ask_hatches(partition, term));
+                    tokio::spawn(self.clone().ask_hatches(partition, term, seized));
                 }
                 Effect::StoodDown(owner) => {
                     tally::change!("partition {partition} is owned by {owner:?} now");
@@ -245,10 +245,11 @@
 
     /// After a take-over: what do the delivery nodes hold? From then on they
     /// refuse older terms.
-    async fn ask_hatches(self: Arc<Self>, partition: u32, term: u64) {
+    async fn ask_hatches(self: Arc<Self>, partition: u32, term: u64, seized: bool) {
         let hatches: Vec<Node> =
             self.session.with_known(|k| k.roster.nodes.iter().filter(|n| n.role == "hatch").cloned().collect());
         let wait = Duration::from_millis(self.ratio(16.0));
+        let taken = self.wall();
         let mut asked = Vec::new();
         for h in hatches {
             let end = self.bench.to(&h.inner);
@@ -310,8 +311,9 @@
             // answer waits until that attempt cannot be running any more.
             let w = &i.mandrels[&partition].jig.pieces[&pos];
             let cutoff = known.template.channel(&w.item.channel).map_or(0, |c| c.cutoff_ms as u64);
-            let over = w.sent_ms + cutoff + self.ratio(16.0);
-            if silent.contains(&w.node) && over > wall {
+            let silence = Silence { any: seized && !silent.is_empty(), last: silent.contains(&w.node) };
+            let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, cutoff + self.ratio(16.0));
+            if over > wall {
                 tally::count("runs_maybe_held");
                 i.turret.later((partition, pos), over);
                 continue;
--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -104,6 +104,29 @@
     pub notice_flights: HashMap<String, u32>,
 }
 
+/// What a new owner knows of the delivery nodes that did not say what they hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Silence {
+    /// One of them does not answer, and no stop marker ends the log; the one that the
+    /// message was last given to does not.
+    pub any: bool,
+    pub last: bool,
+}
+
+impl Silence {
+    /// Until when a pending message may be at work at a silent node, in wall time; 0:
+    /// it is not. `sent`: when the log says that it was given out last; `taken`: when
+    /// this owner took over. What the former owner gave out at the end may stand in no
+    /// log that is left; that holds up only those whose order counts.
+    pub fn until(self, sequenced: bool, sent: u64, taken: u64, longest: u64) -> u64 {
+        match (self.last, self.any && sequenced) {
+            (_, true) => sent.max(taken) + longest,
+            (true, _) => sent + longest,
+            _ => 0,
+        }
+    }
+}
+
 fn rendezvous<'a>(key: &str, nodes: impl Iterator<Item = &'a Node>) -> Option<&'a Node> {
     nodes.max_by_key(|n| hash(key, &n.name))
 }
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -281,3 +281,17 @@
     t.adopt((0, 1), &channel(), "u1", "h1", 9999);
     assert!(!t.outdated((0, 1), 3, 60));
 }
+
+#[test]
+fn what_a_silent_node_may_have_waits_until_it_must_be_over() {
+    let (none, other) = (Silence::default(), Silence { any: true, last: false });
+    let last = Silence { any: true, last: true };
+    for sequenced in [false, true] {
+        assert_eq!(none.until(sequenced, 500, 900, 1600), 0, "all said what they hold");
+    }
+    assert_eq!(last.until(false, 500, 900, 1600), 2100);
+    // The former owner may have given it out again, with nobody left who knows: a
+    // message whose order counts waits for that, others need not.
+    assert_eq!(other.until(false, 500, 900, 1600), 0);
+    assert_eq!((other.until(true, 0, 900, 1600), last.until(true, 500, 900, 1600)), (2500, 2500));
+}
