--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -9,7 +9,7 @@
 use apprentice::Session;
 use bytes::Bytes;
 use dovetail::msg::*;
-use dovetail::{Bench, Body, Peg, Verdict};
+use dovetail::{Again, Bench, Body, Class, Gap, Peg, Verdict};
 use drawer::{Drawer, Op, key};
 use gauge::{Caliper, Role};
 use prost::Message;
@@ -119,7 +119,7 @@
                         "owner of partition {partition} at term {term}{}",
                         if seized { ", seized" } else { "" }
                     );
-                    tokio::spawn(self.clone().ask_hatches(partition, term));
+                    tokio::spawn(self.clone().ask_hatches(partition, term, seized));
                 }
                 Effect::StoodDown(owner) => {
                     tally::change!("partition {partition} is owned by {owner:?} now");
@@ -245,10 +245,11 @@
 
     /// After a take-over: what do the delivery nodes hold? From then on they
     /// refuse older terms.
-    async fn ask_hatches(self: Arc<Self>, partition: u32, term: u64) {
+    async fn ask_hatches(self: Arc<Self>, partition: u32, term: u64, seized: bool) {
         let hatches: Vec<Node> =
             self.session.with_known(|k| k.roster.nodes.iter().filter(|n| n.role == "hatch").cloned().collect());
         let wait = Duration::from_millis(self.ratio(16.0));
+        let taken = self.wall();
         let mut asked = Vec::new();
         for h in hatches {
             let end = self.bench.to(&h.inner);
@@ -257,7 +258,13 @@
                 tokio::spawn(async move {
                     for _ in 0..2 {
                         match end.call(Body::Holding(Holding { partition, term }), wait).await {
-                            Ok(Body::Held(h)) => return Some(h.positions),
+                            Ok(Body::Held(h)) => {
+                                let named = |n: usize, of: &[u64]| of.get(n).copied().unwrap_or(0);
+                                let held = h.positions.iter().enumerate();
+                                return Some(
+                                    held.map(|(n, p)| (*p, named(n, &h.terms), named(n, &h.attempts))).collect(),
+                                );
+                            }
                             Err(Verdict::MayHaveRun) => return None,
                             _ => tokio::time::sleep(wait / 8).await,
                         }
@@ -271,7 +278,7 @@
         let (mut held, mut silent) = (Vec::new(), HashSet::new());
         for (name, a) in asked {
             match a.await.ok().flatten() {
-                Some(positions) => held.extend(positions.into_iter().map(|p| (p, name.clone()))),
+                Some(all) => held.extend(all.into_iter().map(|p: (u64, u64, u64)| (p, name.clone()))),
                 None => {
                     silent.insert(name);
                 }
@@ -286,13 +293,14 @@
         let now = self.now();
         let known = self.session.known();
         let m = &i.mandrels[&partition];
-        for (pos, hatch) in held {
+        for ((pos, of_term, attempt), hatch) in held {
             if let Some(w) = m.jig.pieces.get(&pos)
                 && w.stand == Stand::Pending
                 && let Some(c) = known.template.channel(&w.item.channel)
             {
-                let until = now + c.cutoff_ms as u64 + self.ratio(8.0);
+                let until = now + c.cutoff_ms as u64 * 21 / 20 + self.ratio(8.0);
                 i.turret.adopt((partition, pos), c, &w.unit, &hatch, until);
+                i.turret.name((partition, pos), of_term, attempt);
             }
         }
         let wall = self.wall();
@@ -303,8 +311,9 @@
             // answer waits until that attempt cannot be running any more.
             let w = &i.mandrels[&partition].jig.pieces[&pos];
             let cutoff = known.template.channel(&w.item.channel).map_or(0, |c| c.cutoff_ms as u64);
-            let over = w.sent_ms + cutoff + self.ratio(16.0);
-            if silent.contains(&w.node) && over > wall {
+            let silence = Silence { any: seized && !silent.is_empty(), last: silent.contains(&w.node) };
+            let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, cutoff + self.ratio(16.0));
+            if over > wall {
                 tally::count("runs_maybe_held");
                 i.turret.later((partition, pos), over);
                 continue;
@@ -430,11 +439,20 @@
             peg.send(Body::ReportAck(ReportAck { kept: false }));
             return;
         }
-        if let Some(f) = i.turret.land(k) {
+        // Of an attempt that was given up: it says what became of that one, and another
+        // is out still.
+        let outdated = i.turret.outdated(k, r.term, r.attempt);
+        if outdated {
+            tally::count("reports_outdated");
+        } else if let Some(f) = i.turret.land(k) {
             i.turret.learn(&f, &r, now);
         }
         let m = &i.mandrels[&k.0];
-        let pending = m.jig.pieces.get(&k.1).is_some_and(|w| w.stand == Stand::Pending);
+        let piece = m.jig.pieces.get(&k.1);
+        let pending = piece.is_some_and(|w| w.stand == Stand::Pending);
+        if r.outcome == Outcome::Done as i32 && piece.is_some_and(|w| w.stand == Stand::Settled && w.seal != r.seal) {
+            tally::count("repeats_after_success");
+        }
         let outcome = Outcome::try_from(r.outcome).unwrap_or(Outcome::Unknown);
         tally::count(match outcome {
             Outcome::Done => "runs_done",
@@ -469,27 +487,35 @@
                 }
                 self.carry_out(i, k.0, out);
             }
-            Outcome::NotRun => {
-                peg.send(Body::ReportAck(ReportAck { kept: true }));
-                let again = match r.status {
-                    409 | 429 => i.turret.pause(k),
-                    _ => 0,
-                };
-                if again > 0 {
-                    i.turret.later(k, wall + again);
-                } else {
-                    self.schedule(i, k, wall);
-                }
-            }
+            _ if outdated => peg.send(Body::ReportAck(ReportAck { kept: true })),
             _ => {
                 peg.send(Body::ReportAck(ReportAck { kept: true }));
-                let pause = i.turret.pause(k);
-                i.turret.later(k, wall + pause);
+                match gap(outcome, r.status).again(self.class(i, k)) {
+                    Again::Owner => self.schedule(i, k, wall),
+                    _ => {
+                        let pause = i.turret.pause(k);
+                        i.turret.later(k, wall + pause);
+                    }
+                }
             }
         }
         self.bell.notify_one();
     }
 
+    /// What a message is, as far as sending it again goes.
+    fn class(&self, i: &Inside, k: Key) -> Class {
+        let Some(w) = i.mandrels.get(&k.0).and_then(|m| m.jig.pieces.get(&k.1)) else { return Class::Message };
+        let dedupes = self.session.with_known(|s| {
+            let plant = s.template.channel(&w.item.channel).and_then(|c| s.template.plant(&c.plant));
+            plant.is_some_and(|p| p.dedupes)
+        });
+        match (dedupes, w.item.order_key.is_empty()) {
+            (true, _) => Class::Dedupes,
+            (false, false) => Class::Sequenced,
+            (false, true) => Class::Message,
+        }
+    }
+
     fn lookup(&self, i: &Inside, l: &Lookup) -> Found {
         let Some(m) = i.mandrels.get(&l.partition).filter(|m| m.seat == Seat::Owner && self.leased(i)) else {
             return Found::default();
@@ -631,8 +657,11 @@
             cutoff_ms: cutoff as u32,
             item,
             conn_limit: plant.conn_limit,
+            revoked: false,
         };
-        i.turret.launch(k, &choice, channel, now + cutoff + self.ratio(8.0));
+        // A delivery node waits a twentieth longer than the processor may take.
+        i.turret.launch(k, &choice, channel, now + cutoff * 21 / 20 + self.ratio(8.0));
+        i.turret.name(k, run.term, attempt);
         self.carry_out(i, k.0, out);
         tally::count("dispatched");
         let post = self.clone();
@@ -643,28 +672,39 @@
     /// Sees one delivery into the delivery node's hands.
     async fn run(self: Arc<Self>, run: Run, choice: Choice) {
         let k = (run.partition, run.position);
-        let (partition, term) = (run.partition, run.term);
+        let (term, attempt) = (run.term, run.attempt);
         let wait = Duration::from_millis(self.ratio(8.0));
         let end = self.bench.to(&choice.hatch_inner);
+        let (item, address, unit) = (Item::default(), String::new(), String::new());
+        let revoke = Run { revoked: true, item, address, unit, ..run };
         match end.call(Body::Run(run), wait).await {
             Ok(Body::RunAck(a)) if a.taken => return,
             Ok(_) | Err(Verdict::NotRun) => {}
             Err(_) => {
-                // It may have it: ask until it says, or is gone.
+                // It may have it, or get it yet, by a connection that was replaced: it
+                // is told that this attempt is given up, and says whether it was taken.
+                let mut clear = false;
                 for _ in 0..3 {
-                    match end.call(Body::Holding(Holding { partition, term }), wait).await {
-                        Ok(Body::Held(h)) if h.positions.contains(&k.1) => return,
-                        Ok(_) => break,
+                    match end.call(Body::Run(revoke.clone()), wait).await {
+                        Ok(Body::RunAck(a)) if a.taken => return,
+                        Ok(_) => {
+                            clear = true;
+                            break;
+                        }
                         Err(Verdict::NotRun) => tokio::time::sleep(wait / 8).await,
                         Err(_) => {}
                     }
                 }
+                if !clear && !dovetail::refuses(&choice.hatch_inner, wait).await {
+                    // Silent still: given up once such a run must be over.
+                    return;
+                }
             }
         }
         tally::count("runs_not_given");
         let mut i = self.inside.lock().unwrap();
         let i = &mut *i;
-        if i.turret.flights.get(&k).is_some_and(|f| f.hatch == choice.hatch) {
+        if i.turret.flights.get(&k).is_some_and(|f| f.attempt == (term, attempt)) {
             i.turret.land(k);
             i.turret.later(k, self.wall() + self.ratio(200.0));
             self.bell.notify_one();
@@ -1191,3 +1231,13 @@
     tally::report(&caliper.node, &dovetail::sent());
     Ok(())
 }
+
+/// How a delivery missed its answer, by its report.
+fn gap(outcome: Outcome, status: u32) -> Gap {
+    match (outcome, status) {
+        (Outcome::NotRun, 0) => Gap::NotSent,
+        (Outcome::NotRun, 409 | 429) => Gap::Busy,
+        (Outcome::NotRun, _) => Gap::Refused,
+        _ => Gap::Lost,
+    }
+}
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -5,7 +5,7 @@
 use crate::ration::Ration;
 use apprentice::{Known, loopback};
 use dovetail::msg::*;
-use dovetail::{Bench, Body, Peg};
+use dovetail::{Again, Bench, Body, Class, Gap, Peg, Verdict};
 use gauge::{Caliper, Channel, Role};
 use spindle::{Answer, Bounds, Call, Chuck, Closing, Miss, Reply, Request};
 use std::collections::{HashMap, HashSet};
@@ -110,12 +110,8 @@
 enum Heard {
     /// Its answer, whole: the client's.
     Whole(Answer),
-    /// It did not run.
-    NotRun(SlotEnd),
-    /// It may have run.
-    Unclear,
-    /// No time is left.
-    Late,
+    /// None; and what its keeper is told of the slot.
+    Missed(Gap, SlotEnd),
 }
 
 impl Shuttle {
@@ -336,12 +332,14 @@
 
     /// A slot for one request; None if none can be had in time, with the time after
     /// which one may.
-    async fn slot(self: &Arc<Self>, plant: &str, c: &Channel, left: Duration, ticket: u64) -> Result<SlotGrant, u64> {
+    async fn slot(self: &Arc<Self>, plant: &str, c: &Channel, left: Duration) -> Result<(u64, SlotGrant), u64> {
         let end = Instant::now() + left;
         let mut said = 0;
         while Instant::now() < end {
             let Some((name, inner)) = self.keeper(plant) else { break };
             let patience = end.saturating_duration_since(Instant::now());
+            // One for each ask: what became of an earlier one is nothing to this one.
+            let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
             let ask = SlotAsk {
                 plant: plant.to_owned(),
                 front: self.caliper.node.clone(),
@@ -355,7 +353,8 @@
             // one by then or not.
             let empty =
                 SlotBack { plant: plant.to_owned(), front: self.caliper.node.clone(), ticket, ..SlotBack::default() };
-            let mut given_up = Back { shuttle: self, back: Some(empty) };
+            let to = Some((name.clone(), inner.clone()));
+            let mut given_up = Back { shuttle: self, to, back: Some(empty) };
             let granted = if name == self.caliper.node {
                 let (tx, rx) = oneshot::channel();
                 self.asked(ask, Waiter::Near(tx));
@@ -383,8 +382,11 @@
                     }
                 };
                 let asked = tokio::select! {
-                    a = end.call(Body::SlotAsk(ask), patience) => a.map_err(|_| ()),
+                    // First: the next keeper is not told of a slot that is granted by
+                    // the former one from now on.
+                    biased;
                     _ = gone => Ok(Body::Ack(Ack {})),
+                    a = end.call(Body::SlotAsk(ask), patience) => a.map_err(|_| ()),
                     _ = there => Err(()),
                 };
                 match asked {
@@ -411,7 +413,7 @@
                     };
                     let until = Instant::now() + patience + Duration::from_millis(c.cutoff_ms as u64);
                     self.inside.lock().unwrap().holds.insert(ticket, (held, until));
-                    return Ok(g);
+                    return Ok((ticket, g));
                 }
                 Some(g) if g.outcome == SlotOutcome::None as i32 => return Err(u64::from(g.retry_ms)),
                 Some(g) if !g.unit.is_empty() => {
@@ -428,10 +430,15 @@
 
     /// Tells the keeper, whoever that is by now.
     fn tell(self: &Arc<Self>, b: SlotBack) {
+        let to = self.keeper(&b.plant);
+        self.tell_to(to, b);
+    }
+
+    fn tell_to(self: &Arc<Self>, to: Option<(String, String)>, b: SlotBack) {
         if b.end != SlotEnd::Up as i32 {
             self.inside.lock().unwrap().holds.remove(&b.ticket);
         }
-        let Some((name, inner)) = self.keeper(&b.plant) else { return };
+        let Some((name, inner)) = to else { return };
         if name == self.caliper.node {
             self.step(|c, now, out| c.back(&b, now, out));
         } else {
@@ -516,8 +523,7 @@
         loop {
             let left = ask.end.saturating_duration_since(Instant::now());
             // What is left must do for a run; nine tenths of it may go into waiting.
-            let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-            let g = match self.slot(ask.plant, c, left * 9 / 10, ticket).await {
+            let (ticket, g) = match self.slot(ask.plant, c, left * 9 / 10).await {
                 Ok(g) => g,
                 Err(_) if unclear => return fault(502, "it may have run"),
                 Err(retry) => {
@@ -534,15 +540,13 @@
             };
             let sent = Instant::now();
             // If nobody waits for this try any more, the processor drops it as well.
-            let mut guard = Back { shuttle: self, back: Some(back.clone()) };
+            let mut guard = Back { shuttle: self, to: None, back: Some(back.clone()) };
             let heard = self.pass(ask, &g, &back).await;
             guard.back = None;
             let took = sent.elapsed().as_millis().max(1) as u32;
             let (ended, took) = match &heard {
                 Heard::Whole(_) => (SlotEnd::Done, if g.starting { 0 } else { took }),
-                Heard::NotRun(e) => (*e, 0),
-                Heard::Unclear => (SlotEnd::Done, 0),
-                Heard::Late => (if g.starting { SlotEnd::Dark } else { SlotEnd::Done }, 0),
+                Heard::Missed(_, end) => (*end, 0),
             };
             if took > 0 {
                 let mut i = self.inside.lock().unwrap();
@@ -551,20 +555,23 @@
             }
             self.tell(SlotBack { end: ended as i32, took_ms: took, ..back });
             tries += 1;
-            match heard {
+            let gap = match heard {
                 Heard::Whole(a) => return reply(a),
-                Heard::Late => {
+                Heard::Missed(gap, _) => gap,
+            };
+            match gap.verdict() {
+                Verdict::NotRun => tally::count("sends_not_run"),
+                _ => tally::count("sends_unclear"),
+            }
+            unclear |= gap.verdict() == Verdict::MayHaveRun;
+            match gap.again(if ask.safe { Class::Safe } else { Class::Unsafe }) {
+                Again::Front => {}
+                Again::FrontTries if tries < c.tries.max(1) => {}
+                _ if gap == Gap::Silent => {
                     tally::count("answers_504");
                     return fault(504, "no answer in time");
                 }
-                Heard::NotRun(_) => tally::count("sends_not_run"),
-                Heard::Unclear => {
-                    tally::count("sends_unclear");
-                    unclear = true;
-                    if !ask.safe || tries >= c.tries.max(1) {
-                        return fault(502, "it may have run");
-                    }
-                }
+                _ => return fault(502, "it may have run"),
             }
             if !self.again() {
                 return if unclear { fault(502, "it may have run") } else { busy(100) };
@@ -581,7 +588,7 @@
             loop {
                 let left = end.saturating_duration_since(Instant::now());
                 if left.is_zero() {
-                    return Heard::NotRun(SlotEnd::Dark);
+                    return Heard::Missed(Gap::NotSent, SlotEnd::Dark);
                 }
                 match self.chuck.open(&g.address, left.min(self.ratio(20.0))).await {
                     Ok(()) => break,
@@ -590,10 +597,12 @@
             }
             self.tell(SlotBack { end: SlotEnd::Up as i32, ..back.clone() });
         }
+        let late = Heard::Missed(Gap::Silent, if g.starting { SlotEnd::Dark } else { SlotEnd::Done });
+        let unclear = Heard::Missed(Gap::Lost, SlotEnd::Done);
         let left = end.saturating_duration_since(Instant::now());
         let within = left.min(Duration::from_micros((c.cutoff_ms * 1000.0) as u64));
         if within < Duration::from_millis(2) {
-            return Heard::Late;
+            return late;
         }
         let deadline = within.as_millis().to_string();
         let mut headers: Vec<(&str, &str)> = Vec::with_capacity(r.headers.len() + 2);
@@ -610,27 +619,23 @@
         let newest = (!ask.safe).then(|| self.ratio(20.0));
         let call = Call { method: &r.method, path: &r.path, host, headers: &headers, body: &r.body, id, newest };
         match self.chuck.call(&g.address, call, ask.limit, within).await {
-            Ok(a) if a.header("x-attempt-id") != Some(id) && a.header("x-not-run").is_none() && a.status != 421 => {
-                tally::count("answers_without_id");
-                Heard::Unclear
-            }
-            Ok(a) if a.status == 421 => Heard::NotRun(SlotEnd::Gone),
-            Ok(a) if a.header("x-not-run").is_some() && a.status >= 400 => Heard::NotRun(SlotEnd::Full),
+            Ok(a) if a.status == 421 => Heard::Missed(Gap::Refused, SlotEnd::Gone),
+            Ok(a) if a.header("x-not-run").is_some() && a.status >= 400 => Heard::Missed(Gap::Refused, SlotEnd::Full),
             Ok(a) if (200..300).contains(&a.status) => {
                 let sealed = a.header("x-seal").is_some_and(|s| !s.is_empty());
                 if sealed && a.header("content-encoding").is_none() && a.whole {
                     Heard::Whole(a)
                 } else {
                     tally::count("answers_not_whole");
-                    Heard::Unclear
+                    unclear
                 }
             }
-            Ok(a) if a.status == 504 => Heard::Late,
+            Ok(a) if a.status == 504 => late,
             Ok(a) if a.whole => Heard::Whole(a),
-            Ok(_) => Heard::Unclear,
-            Err(Miss::NotSent) => Heard::NotRun(SlotEnd::Gone),
-            Err(Miss::Lost) => Heard::Unclear,
-            Err(Miss::Silent) => Heard::Late,
+            Ok(_) => unclear,
+            Err(Miss::NotSent) => Heard::Missed(Gap::NotSent, SlotEnd::Gone),
+            Err(Miss::Lost) => unclear,
+            Err(Miss::Silent) => late,
         }
     }
 
@@ -751,16 +756,21 @@
     }
 }
 
-/// Gives the slot back when the client's connection ends before the answer.
+/// Gives the slot back when nobody waits for it any more.
 struct Back<'a> {
     shuttle: &'a Arc<Shuttle>,
+    /// The keeper that was asked; None: whoever it is by then.
+    to: Option<(String, String)>,
     back: Option<SlotBack>,
 }
 
 impl Drop for Back<'_> {
     fn drop(&mut self) {
         if let Some(b) = self.back.take() {
-            self.shuttle.tell(b);
+            match self.to.take() {
+                Some(to) => self.shuttle.tell_to(Some(to), b),
+                None => self.shuttle.tell(b),
+            }
         }
     }
 }
