Model: random schedules of faults against the real log

Cause: the tests of the log play single traces by hand. Change: a harness that does what the shell does around Vise and Rack (saves before later effects, an end between any two, wipes within tolerance, clocks at other speeds) and proptest schedules over it with fixed seeds. Vise derives Clone.

--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -83,6 +83,7 @@
     pub election: u64,
 }
 
+#[derive(Clone)]
 pub struct Vise {
     me: String,
     pub hard: HardState,
--- /dev/null
+++ b/crates/foreman/tests/schedules.rs
@@ -0,0 +1,186 @@
+//! Long random schedules of faults against the real state machines, made smaller when
+//! one of them fails. `FOREMAN_SCHEDULES=N` plays N of each instead.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+#[derive(Clone, Debug)]
+enum Op {
+    Pass(u64),
+    Order(usize, usize),
+    /// An acknowledged one, sent again.
+    Again(usize),
+    Crash(usize),
+    CrashAmid(usize, u32),
+    CrashAll,
+    Start(usize),
+    Wipe(usize),
+    WipeAndCrashAll(usize),
+    Freeze(usize),
+    Stall(usize),
+    Thaw(usize),
+    Cut(usize),
+    CutLink(usize, usize),
+    Heal,
+    Late(usize, usize, u64),
+    Repeat(usize),
+    StepDown(usize),
+    Leave(usize),
+    Snapshot(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Plan {
+    rates: Vec<u64>,
+    late: Vec<u64>,
+    latency: Vec<u64>,
+    ops: Vec<Op>,
+}
+
+fn op(n: usize) -> impl Strategy<Value = Op> {
+    let f = 0..n;
+    prop_oneof![
+        10 => (1..12u64).prop_map(|t| Op::Pass(t * 48)),
+        2 => (4..12u64).prop_map(|t| Op::Pass(t * 400)),
+        6 => (0..2usize, f.clone()).prop_map(|(o, n)| Op::Order(o, n)),
+        1 => (0..8usize).prop_map(Op::Again),
+        1 => f.clone().prop_map(Op::Crash),
+        2 => (f.clone(), 0..6u32).prop_map(|(n, k)| Op::CrashAmid(n, k)),
+        1 => Just(Op::CrashAll),
+        4 => f.clone().prop_map(Op::Start),
+        2 => f.clone().prop_map(Op::Wipe),
+        1 => f.clone().prop_map(Op::WipeAndCrashAll),
+        1 => f.clone().prop_map(Op::Freeze),
+        1 => f.clone().prop_map(Op::Stall),
+        3 => f.clone().prop_map(Op::Thaw),
+        1 => f.clone().prop_map(Op::Cut),
+        2 => (f.clone(), f.clone()).prop_map(|(a, b)| Op::CutLink(a, b)),
+        2 => Just(Op::Heal),
+        3 => (f.clone(), f.clone(), 1..40u64).prop_map(|(a, b, t)| Op::Late(a, b, t * 24)),
+        2 => (0..64usize).prop_map(Op::Repeat),
+        1 => f.clone().prop_map(Op::StepDown),
+        1 => f.clone().prop_map(Op::Leave),
+        2 => f.prop_map(Op::Snapshot),
+    ]
+}
+
+fn plan(n: usize, length: usize) -> impl Strategy<Value = Plan> {
+    let rates = prop::collection::vec(975..=1025u64, n);
+    let late = prop::collection::vec(0..60u64, n);
+    let latency = prop::collection::vec(1..24u64, n * n);
+    let ops = prop::collection::vec(op(n), 1..length);
+    (rates, late, latency, ops).prop_map(|(rates, late, latency, ops)| Plan { rates, late, latency, ops })
+}
+
+fn play(voters: usize, spare: usize, plan: &Plan, trace: bool) -> World {
+    let mut w = World::new(voters, spare);
+    w.trace = trace.then(Vec::new);
+    for (n, node) in w.nodes.iter_mut().enumerate() {
+        (node.rate, node.late) = (plan.rates[n], plan.late[n]);
+    }
+    w.latency.clone_from(&plan.latency);
+    w.pass(1600);
+    for op in &plan.ops {
+        if w.fault.is_some() {
+            return w;
+        }
+        perform(&mut w, op);
+        w.check();
+    }
+    w.settle();
+    w
+}
+
+fn perform(w: &mut World, op: &Op) {
+    let all = 0..w.nodes.len();
+    match op {
+        Op::Pass(ms) => w.pass(*ms),
+        // An operator goes on until a node answers.
+        Op::Order(o, n) => {
+            let n = w.holder().unwrap_or(*n);
+            w.order(*o, n);
+        }
+        Op::Again(k) => {
+            let taken: Vec<usize> = (0..w.calls.len()).filter(|c| w.calls[*c].answer == Answer::Taken).collect();
+            if let (false, Some(n)) = (taken.is_empty(), w.holder()) {
+                w.put(taken[k % taken.len()], n);
+            }
+        }
+        Op::Crash(n) => w.crash(*n),
+        Op::CrashAmid(n, k) => w.nodes[*n].fuse = w.up(*n).then_some(*k),
+        Op::CrashAll => all.for_each(|n| w.crash(n)),
+        Op::Start(n) => w.start(*n),
+        Op::Wipe(n) => {
+            w.wipe(*n);
+        }
+        Op::WipeAndCrashAll(n) => {
+            if w.wipe(*n) {
+                all.clone().for_each(|n| w.crash(n));
+                all.for_each(|n| w.start(n));
+            }
+        }
+        Op::Freeze(n) => w.freeze(*n),
+        Op::Stall(n) => w.nodes[*n].stalls = w.up(*n),
+        Op::Thaw(n) => w.thaw(*n),
+        Op::Cut(n) => w.cut.extend(all.filter(|o| o != n).flat_map(|o| [(*n, o), (o, *n)])),
+        Op::CutLink(a, b) => {
+            w.cut.insert((*a, *b));
+        }
+        Op::Heal => w.cut.clear(),
+        Op::Late(a, b, ms) => {
+            w.slow.insert((*a, *b), *ms);
+        }
+        Op::Repeat(k) => {
+            if let Some(p) = w.past.get(*k).cloned() {
+                w.deliver(p);
+            }
+        }
+        Op::StepDown(n) => w.step(*n, shell::step_down(), None),
+        Op::Leave(n) => w.leave(*n),
+        Op::Snapshot(n) => w.snapshot(*n),
+    }
+}
+
+fn search(voters: usize, spare: usize, seed: u8, cases: u32, length: usize) {
+    let cases = std::env::var("FOREMAN_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
+    let began = std::time::Instant::now();
+    let config = Config {
+        cases,
+        max_shrink_time: 20_000,
+        max_shrink_iters: 20_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let (mut played, mut passed) = (std::cell::Cell::new(0u32), std::cell::Cell::new(0u64));
+    let found = TestRunner::new_with_rng(config, rng).run(&plan(voters + spare, length), |p| {
+        let w = play(voters, spare, &p, false);
+        played.set(played.get() + 1);
+        passed.set(passed.get() + w.now - 10_000);
+        w.fault.map_or(Ok(()), |f| Err(TestCaseError::fail(f)))
+    });
+    let (played, passed) = (played.get_mut(), passed.get_mut());
+    println!(
+        "{voters} voters, {spare} spare, seed {seed}: {played} schedules of up to {length} steps, {} s of the clocks, in {:?}",
+        *passed / 1000,
+        began.elapsed()
+    );
+    if let Err(proptest::test_runner::TestError::Fail(why, least)) = found {
+        let w = play(voters, spare, &least, true);
+        println!("{}", w.trace.unwrap_or_default().join("\n"));
+        panic!("{why}\n{least:?}");
+    }
+}
+
+#[test]
+fn three_voters_and_a_spare() {
+    search(3, 1, 1, 300, 60);
+}
+
+#[test]
+fn five_voters_and_a_spare() {
+    search(5, 1, 2, 150, 60);
+}
