Readmission is of the life that asked, and is told once a round

Change: the ask names the life, the answer repeats it, and counts only where the log joins; one answer a round; every answer of one without a vote says so.

--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -542,6 +542,7 @@
     #[prost(bool, tag = "14")]
     pub blank: bool,
     /// With `InstallSnapshot`: bytes before this piece; with its answer: bytes held.
+    /// With `readmit`: names the life that asks.
     #[prost(uint64, tag = "15")]
     pub offset: u64,
     /// Bytes of the whole snapshot.
--- a/crates/foreman/src/vise.rs
+++ b/crates/foreman/src/vise.rs
@@ -169,10 +169,14 @@
     round: u64,
     /// When this process began.
     born: u64,
+    /// Names this life where it asks to be readmitted.
+    asks_as: u64,
     /// Tells the answers to one campaign from those to another.
     ballot: u64,
     /// Who waits to be readmitted, and when that was first heard.
     waiting: HashMap<String, u64>,
+    /// The round in which each was last told that it is readmitted.
+    granted: HashMap<String, u64>,
     pace: Pace,
     dice: u64,
 }
@@ -214,8 +218,10 @@
             sent: HashMap::new(),
             round: 0,
             born: now,
+            asks_as: (seed ^ now).max(1),
             ballot: seed ^ now,
             waiting: HashMap::new(),
+            granted: HashMap::new(),
             pace,
             dice: seed | 1,
         };
@@ -506,6 +512,7 @@
                 self.outgoing.clear();
                 self.sent.clear();
                 self.waiting.clear();
+                self.granted.clear();
                 self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
                 out.push(Effect::BecameLeader);
                 // An entry of its own term, so that older ones can count as held.
@@ -626,10 +633,13 @@
     }
 
     /// What the other side holds of the snapshot on its way to it.
-    fn snapshot_acked(&mut self, m: ViseMsg, out: &mut Vec<Effect>) {
+    fn snapshot_acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
         }
+        if m.readmit {
+            self.waiting.entry(m.from.clone()).or_insert(now);
+        }
         self.hear_answer(&m);
         let Some(o) = self.outgoing.get_mut(&m.from).filter(|o| o.index == m.index) else { return };
         if m.offset > o.state.len() as u64 {
@@ -748,7 +758,7 @@
             }
             ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
             ViseKind::AppendAck => self.acked(now, m, out),
-            ViseKind::SnapshotAck => self.snapshot_acked(m, out),
+            ViseKind::SnapshotAck => self.snapshot_acked(now, m, out),
             ViseKind::TimeoutNow
                 if m.term == self.hard.term && self.hard.may_vote && self.is_voter() && !self.leaving =>
             {
@@ -815,12 +825,6 @@
         self.heard = now;
         self.wait_again(now);
         let mut save = Save::default();
-        // Whoever was given a vote that this disk lost counts votes for two election
-        // times at the most; a third is for what clocks differ.
-        if m.readmit && !self.hard.may_vote && now >= self.born + 3 * self.pace.election {
-            self.hard.may_vote = true;
-            save.hard = Some(self.hard.clone());
-        }
         if self.incoming.as_ref().is_some_and(|i| i.index <= self.commit) {
             self.incoming = None;
         }
@@ -829,9 +833,7 @@
                 r.kind = ViseKind::SnapshotAck as i32;
                 r.index = m.index;
                 r.offset = self.incoming.as_ref().map_or(0, |i| i.state.len() as u64);
-                if save.hard.is_some() {
-                    out.push(Effect::Save(save));
-                }
+                r.readmit = !self.hard.may_vote;
                 out.push(Effect::Send(m.from, r));
                 return;
             };
@@ -859,6 +861,13 @@
         }
         let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
         r.ok = joins;
+        // Whoever was given a vote that this disk lost counts votes for two election
+        // times at the most; a third is for what clocks differ.
+        let over = now >= self.born + 3 * self.pace.election;
+        if m.readmit && joins && m.offset == self.asks_as && over && !self.hard.may_vote {
+            self.hard.may_vote = true;
+            save.hard = Some(self.hard.clone());
+        }
         if joins {
             let mut held = m.index.max(self.hard.base);
             for e in m.entries {
@@ -890,6 +899,7 @@
             r.index = self.commit;
         }
         r.readmit = !self.hard.may_vote;
+        r.offset = if r.readmit { self.asks_as } else { 0 };
         if save.hard.is_some() || !save.put.is_empty() || save.del.is_some() {
             out.push(Effect::Save(save));
         }
@@ -1025,9 +1035,14 @@
         let vouches =
             |v: &&String| **v == self.me || (self.counts(v) && self.answered.get(*v).is_some_and(|a| *a > since));
         let others = self.voters.iter().filter(vouches).count();
-        if m.index >= self.commit && others >= self.majority() {
+        // Once a round: it may have to wait for longer than an answer takes.
+        let told = self.granted.get(&m.from).is_some_and(|r| m.round <= *r);
+        if m.index >= self.commit && others >= self.majority() && !told {
+            self.granted.insert(m.from.clone(), self.round);
             let mut r = self.message(ViseKind::Append);
             r.readmit = true;
+            // To the life that asked, and to no later one of the same disk.
+            r.offset = m.offset;
             r.round = self.round;
             r.index = m.index;
             r.log_term = self.term_at(m.index).unwrap_or(0);
--- a/crates/foreman/tests/vise.rs
+++ b/crates/foreman/tests/vise.rs
@@ -1082,3 +1082,31 @@
     w.tend(1000);
     assert!(!w.nodes[&c].voters().contains(&ending));
 }
+
+#[test]
+fn readmission_is_of_the_life_that_asked_and_is_told_once_a_round() {
+    use dovetail::msg::ViseKind;
+    let mut w = World::new();
+    w.pass(2000);
+    let c = w.leader().expect("a leader");
+    let lost = ALL.into_iter().find(|n| *n != c).expect("another");
+    w.wipe(lost);
+    let began = w.now;
+    let (mut told, mut kept) = (0, None);
+    while !w.nodes[lost].hard.may_vote {
+        let grants = sent(&w, lost, ViseKind::Append).into_iter().filter(|m| m.readmit);
+        for m in grants {
+            told += 1;
+            kept = Some(m);
+        }
+        w.pass(10);
+    }
+    let rounds = (w.now - began) / PACE.beat + 2;
+    assert!(told <= rounds, "told {told} times in {rounds} rounds");
+    // It loses its disk once more; what was said to the life before comes late.
+    w.wipe(lost);
+    w.net.clear();
+    w.now += 4 * PACE.election;
+    w.step(lost, Event::Message(kept.expect("one")));
+    assert!(!w.nodes[lost].hard.may_vote, "it holds nothing of what it was readmitted for");
+}
