Only a processor that refuses is gone, and one that stands there still is stopped

Cause: no connection in a quarter of the request's time, as when packets are lost, counted as the processor's end. The keeper then granted nothing of it for ten times quietMs and stopped it never; it took the platform's room, and other functions could not be started until all fronts began anew.

Change: gone is who refuses the connection or answers as another one; silence keeps a processor from grants for a quarter of quietMs. What is given up and still listed after quietMs is stopped again.

Test: keeper.rs, one_that_is_taken_for_gone_and_stands_there_still_is_stopped_ in_the_end.

--- a/crates/shuttle/src/creel.rs
+++ b/crates/shuttle/src/creel.rs
@@ -71,6 +71,13 @@
     over: HashMap<Hand, u64>,
 }
 
+#[derive(Clone, Copy)]
+struct Gone {
+    until: u64,
+    /// If it is listed still by then, its stop was lost, or nobody asked for one.
+    stop_again: u64,
+}
+
 /// All functions that this front keeps.
 pub struct Creel {
     me: String,
@@ -78,7 +85,7 @@
     serial: u64,
     cones: HashMap<String, Cone>,
     /// Processors that are gone: the platform's list shows them for a while still.
-    gone: HashMap<String, u64>,
+    gone: HashMap<String, Gone>,
     /// How long a new keeper waits for what the fronts hold, and what makes a silent
     /// processor worth another try.
     settle: u64,
@@ -161,9 +168,18 @@
                 out.push(Effect::Refuse { hand: w.hand, retry_ms: 0 });
             }
         }
-        self.gone.retain(|_, until| *until > now);
+        let shy = self.shy;
+        self.gone.retain(|_, g| g.until > now);
         for (plant, (facts, listed)) in kept {
-            let gone = &self.gone;
+            let gone = &mut self.gone;
+            for l in listed.iter().filter(|l| !l.draining) {
+                // It takes room for as long as it stands there.
+                if let Some(g) = gone.get_mut(&l.id).filter(|g| g.stop_again <= now) {
+                    g.stop_again = now + 4 * shy;
+                    tally::count("stops_again");
+                    out.push(Effect::Stop { plant: plant.clone(), unit: l.id.clone() });
+                }
+            }
             let open = now + self.settle;
             if !self.cones.contains_key(plant) && listed.is_empty() {
                 // Nothing runs and nobody asked: nothing to remember. But others may
@@ -254,7 +270,7 @@
                 SlotEnd::Dark => u.shy = now + shy,
                 SlotEnd::Gone => {
                     c.units.remove(&b.unit);
-                    self.gone.insert(b.unit.clone(), now + 40 * shy);
+                    self.gone.insert(b.unit.clone(), Gone { until: now + 40 * shy, stop_again: now + 4 * shy });
                 }
             }
         }
@@ -333,7 +349,8 @@
             }
             for id in stop {
                 c.units.remove(&id);
-                self.gone.insert(id.clone(), now + 40 * self.shy);
+                let shy = self.shy;
+                self.gone.insert(id.clone(), Gone { until: now + 40 * shy, stop_again: now + 4 * shy });
                 out.push(Effect::Stop { plant: p.clone(), unit: id });
             }
             self.serve(&p, now, out);
--- a/crates/shuttle/src/proxy.rs
+++ b/crates/shuttle/src/proxy.rs
@@ -633,7 +633,11 @@
             Ok(a) if a.status == 504 => late,
             Ok(a) if a.whole => Heard::Whole(a),
             Ok(_) => unclear,
-            Err(Miss::NotSent) => Heard::Missed(Gap::NotSent, SlotEnd::Gone),
+            // Only who refuses is gone: packets of one that is well are lost at times.
+            Err(Miss::NotSent) if dovetail::refuses(&g.address, step).await => {
+                Heard::Missed(Gap::NotSent, SlotEnd::Gone)
+            }
+            Err(Miss::NotSent) => Heard::Missed(Gap::NotSent, SlotEnd::Dark),
             Err(Miss::Lost) => unclear,
             Err(Miss::Silent) => late,
         }
--- a/crates/shuttle/tests/keeper.rs
+++ b/crates/shuttle/tests/keeper.rs
@@ -380,3 +380,29 @@
     w.pass(1000);
     assert_eq!((w.granted().len(), w.creel.tallies()), (0, vec![("f", 1, 2, 1)]));
 }
+
+#[test]
+fn one_that_is_taken_for_gone_and_stands_there_still_is_stopped_in_the_end() {
+    let mut w = World::new(&["u1", "u2"]);
+    let t = w.ask(1000);
+    let (_, unit, _) = w.granted().remove(0);
+    w.back(t, &unit, SlotEnd::Gone);
+    w.out.clear();
+    let stops = |w: &mut World| {
+        let all = std::mem::take(&mut w.out);
+        all.into_iter().filter(|e| matches!(e, Effect::Stop { unit: u, .. } if *u == unit)).count()
+    };
+    // The list lags: at first it says nothing.
+    w.list(&["u1", "u2"]);
+    assert_eq!(stops(&mut w), 0);
+    // It is listed still, and takes room that others need; its stop may be lost, too.
+    for _ in 0..2 {
+        w.pass(4000);
+        w.list(&["u1", "u2"]);
+        w.list(&["u1", "u2"]);
+        assert_eq!(stops(&mut w), 1, "asked for once in a while");
+    }
+    // Nothing is granted of it meanwhile.
+    w.ask(1000);
+    assert!(w.granted().iter().all(|g| g.1 != unit));
+}
