An owner takes no report before it has folded what it took over

Cause: a report of a run whose message the new owner had not folded yet was taken for one of a message that has ended, and kept; what delivery nodes held of such messages was passed over. It came to that because a store machine that was well lost its partitions after a change of leader: it asked the foremen one by one who leads, also those that are gone for good.

Change: reports and what is held wait for the fold; all foremen are asked at once who leads.

Test: an_owner_takes_no_report_before_it_has_folded_what_it_took_over.

--- a/crates/lathe/src/mandrel.rs
+++ b/crates/lathe/src/mandrel.rs
@@ -255,6 +255,12 @@
         self.jig.position >= self.took_at
     }
 
+    /// Whether the owner can say what becomes of a run: what the log may hold of it is
+    /// folded. Before that a message that is not there need not be one that has ended.
+    pub fn takes_reports(&self) -> bool {
+        self.open() && self.caught_up()
+    }
+
     pub fn is_moving(&self) -> bool {
         self.moving.is_some()
     }
--- a/crates/lathe/src/toolpost.rs
+++ b/crates/lathe/src/toolpost.rs
@@ -284,6 +284,18 @@
                 }
             }
         }
+        // What is held is known by its position in the fold: it waits for that.
+        loop {
+            {
+                let i = self.inside.lock().unwrap();
+                match i.mandrels.get(&partition).filter(|m| m.term == term && m.seat == Seat::Owner) {
+                    Some(m) if m.caught_up() => break,
+                    Some(_) => {}
+                    None => return,
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(self.ratio(250.0))).await;
+        }
         let mut i = self.inside.lock().unwrap();
         let i = &mut *i;
         if i.mandrels.get(&partition).is_none_or(|m| m.term != term || m.seat != Seat::Owner) {
@@ -435,7 +447,7 @@
         let k = (r.partition, r.position);
         let now = self.now();
         let wall = self.wall();
-        if i.mandrels.get(&k.0).is_none_or(|m| !m.open()) {
+        if i.mandrels.get(&k.0).is_none_or(|m| !m.takes_reports()) {
             peg.send(Body::ReportAck(ReportAck { kept: false }));
             return;
         }
@@ -899,14 +911,14 @@
                         self.session.take(&News { leader: a.leader, ..News::default() });
                     } else {
                         // It knows no leader: the others may.
-                        self.ask_leader(&seeds[turn % seeds.len()], &claims, period).await;
+                        self.ask_leader(&seeds, &claims, period).await;
                     }
                     tokio::time::sleep(period / 6).await;
                 }
                 _ => {
                     tally::count("lease_misses");
                     // The leader may have passed on: ask the others who leads.
-                    self.ask_leader(&seeds[turn % seeds.len()], &claims, period).await;
+                    self.ask_leader(&seeds, &claims, period).await;
                     tokio::time::sleep(period / 6).await;
                 }
             }
@@ -947,15 +959,26 @@
         }
     }
 
-    /// Learns from the leader.
-    async fn ask_leader(&self, foreman: &str, claims: &[Holding], wait: Duration) {
-        let (node, claims, clock_ms) = (self.session.me(), claims.to_vec(), tally::wall_ms());
-        let ask = Lease { node, claims, lag: self.lag(), clock_ms, ..Lease::default() };
-        if let Ok(Body::LeaseAck(a)) = self.bench.to(foreman).call(Body::Lease(ask), wait).await {
-            let leader = if a.granted { foreman.to_owned() } else { a.leader };
-            if !leader.is_empty() {
-                self.session.take(&News { leader, ..News::default() });
-            }
+    /// Learns from the foremen who leads: all are asked at once, as some may be gone for
+    /// good, and a lease is over before they could be asked one by one.
+    async fn ask_leader(&self, foremen: &[String], claims: &[Holding], wait: Duration) {
+        let (tx, mut rx) = tokio::sync::mpsc::channel(foremen.len().max(1));
+        for f in foremen {
+            let (node, claims, clock_ms) = (self.session.me(), claims.to_vec(), tally::wall_ms());
+            let ask = Lease { node, claims, lag: self.lag(), clock_ms, ..Lease::default() };
+            let (end, name, tx) = (self.bench.to(f), f.clone(), tx.clone());
+            tokio::spawn(async move {
+                if let Ok(Body::LeaseAck(a)) = end.call(Body::Lease(ask), wait).await {
+                    let leader = if a.granted { name } else { a.leader };
+                    if !leader.is_empty() {
+                        let _ = tx.send(leader).await;
+                    }
+                }
+            });
+        }
+        drop(tx);
+        if let Some(leader) = rx.recv().await {
+            self.session.take(&News { leader, ..News::default() });
         }
     }
 
--- a/crates/lathe/tests/splice.rs
+++ b/crates/lathe/tests/splice.rs
@@ -722,3 +722,23 @@
     assert!(w.disks["b"].log.contains_key(&end));
     assert!(w.nodes["b"].commit >= position);
 }
+
+#[test]
+fn an_owner_takes_no_report_before_it_has_folded_what_it_took_over() {
+    let mut w = with_traffic(&["a", "b"]);
+    // b takes over; another member of the set is silent, so nothing is committed yet.
+    let mut known = w.disks["b"].clone();
+    known.meta.commit -= 5;
+    w.disks.insert("b".into(), known);
+    w.crash("b");
+    taken_over_without_the_last_commits(&mut w);
+    w.mute = true;
+    w.tell();
+    let b = &w.nodes["b"];
+    assert!(b.open() && !b.takes_reports(), "what it does not find may be in its log");
+    w.chart.insync = vec!["b".into()];
+    w.chart.changed += 1;
+    w.tell();
+    w.settle();
+    assert!(w.nodes["b"].takes_reports());
+}
