No lease while partitions are being taken from its holder

Cause, from logs and by reading: a seizure on its way to the log was not seen by the granting of leases, so the former owner was given one more and went on beside its successor until it was told.

Change: an owner from which partitions are being taken gets none meanwhile.

--- a/crates/foreman/src/duties.rs
+++ b/crates/foreman/src/duties.rs
@@ -136,6 +136,9 @@
                 }
                 if let Some(put) = put {
                     if put.term != p.term {
+                        if put.owner != p.owner {
+                            f.seizing.insert(p.owner.clone());
+                        }
                         tally::change!(
                             "partition {} seized from {} for {} at term {}",
                             p.id,
@@ -196,6 +199,7 @@
         for p in proposed {
             let _ = p.await;
         }
+        self.with(|f| f.seizing.clear());
         self.assigning.store(false, Ordering::Relaxed);
     }
 
--- a/crates/foreman/src/sessions.rs
+++ b/crates/foreman/src/sessions.rs
@@ -126,7 +126,7 @@
             }
             let term = |c: &Holding| f.rack.charter.partitions.iter().find(|p| p.id == c.partition && p.term > c.term);
             LeaseAck {
-                granted: l.lag < 2,
+                granted: l.lag < 2 && !f.seizing.contains(&name),
                 ttl_ms: self.caliper.lease_ms() as u32,
                 leader,
                 outdated: l.claims.iter().filter_map(term).cloned().collect(),
--- a/crates/foreman/src/shop.rs
+++ b/crates/foreman/src/shop.rs
@@ -12,7 +12,7 @@
 use dovetail::msg::*;
 use dovetail::{Bench, Peg, new_life};
 use gauge::{Caliper, Pattern, Role, Template};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -83,6 +83,9 @@
     pub(crate) first_lathe_at: u64,
     /// How many lathes there are, and since when.
     pub(crate) steady: (usize, u64),
+    /// Owners from which partitions are being taken: they get no lease meanwhile, by
+    /// which they would go on beside their successors.
+    pub(crate) seizing: HashSet<String>,
     /// Since when nobody acts as a partition's owner.
     pub(crate) unclaimed: HashMap<u32, u64>,
     pub(crate) governor: Governor,
@@ -297,6 +300,7 @@
             plumbs: HashMap::new(),
             first_lathe_at: 0,
             steady: (0, 0),
+            seizing: HashSet::new(),
             unclaimed: HashMap::new(),
             governor: Governor::new(
                 (caliper.constraints.lead_ms / 2.0).max(quiet / 100.0) as u64,
