--- a/crates/willowslip/tests/foremen.rs
+++ b/crates/willowslip/tests/foremen.rs
@@ -5,6 +5,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
@@ -28,7 +29,9 @@
 impl Foremen {
     /// Those of 127.0.0.12, .13 and .14 are the first voters.
     fn new(name: &str) -> Foremen {
-        let from = 33_000 + (std::process::id() % 500) as u16 * 16;
+        // Tests run side by side: each looks for ports of its own.
+        static TESTS: AtomicU16 = AtomicU16::new(0);
+        let from = 33_000 + TESTS.fetch_add(1, Ordering::Relaxed) * 9000 + (std::process::id() % 500) as u16 * 16;
         let free =
             |b: &u16| (12..17).all(|m| (*b..*b + 6).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
         let base = (from..60_000).step_by(16).find(free).expect("free ports");
