--- a/crates/dovetail/src/msg.rs
+++ b/crates/dovetail/src/msg.rs
@@ -144,7 +144,7 @@
     pub have: Have,
     #[prost(uint32, tag = "3")]
     pub wait_ms: u32,
-    /// Sessions that a foreman holds, told to the one in the chair.
+    /// Sessions that a foreman holds, told to the leader.
     #[prost(message, repeated, tag = "4")]
     pub sessions: Vec<Node>,
     /// From a foreman: its time of day.
@@ -162,9 +162,9 @@
     pub charter: Option<Charter>,
     #[prost(message, optional, tag = "4")]
     pub roster: Option<Roster>,
-    /// Inner address of the foreman in the chair, if known.
+    /// Inner address of the leader, if known.
     #[prost(string, tag = "5")]
-    pub chair: String,
+    pub leader: String,
     /// Inner addresses of foremen.
     #[prost(string, repeated, tag = "6")]
     pub foremen: Vec<String>,
@@ -385,7 +385,7 @@
     pub changed: u64,
 }
 
-/// An owner's lease on its life: renewed with the foreman in the chair.
+/// An owner's lease on its life: renewed with the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Lease {
     #[prost(message, required, tag = "1")]
@@ -413,7 +413,7 @@
     pub ttl_ms: u32,
     /// Where to ask instead.
     #[prost(string, tag = "3")]
-    pub chair: String,
+    pub leader: String,
     /// Claimed partitions that are at a higher term by now.
     #[prost(message, repeated, tag = "4")]
     pub outdated: Vec<Partition>,
@@ -423,7 +423,7 @@
     /// As in `News`.
     #[prost(uint64, tag = "6")]
     pub lived: u64,
-    /// The fleet's time as the chair has it; 0 when it does not know enough clocks.
+    /// The fleet's time as the leader has it; 0 when it does not know enough clocks.
     #[prost(uint64, tag = "7")]
     pub time_ms: u64,
 }
@@ -473,7 +473,7 @@
     #[prost(bool, tag = "2")]
     pub refused: bool,
     #[prost(string, tag = "3")]
-    pub chair: String,
+    pub leader: String,
     #[prost(message, optional, tag = "4")]
     pub partition: Option<Partition>,
 }
@@ -504,6 +504,7 @@
     /// Ask: last entry of the asker. Append: entry before the first one sent.
     #[prost(uint64, tag = "4")]
     pub index: u64,
+    /// Of the entry at `index`; in the answer to a pre-vote: the voter's own term.
     #[prost(uint64, tag = "5")]
     pub log_term: u64,
     #[prost(message, repeated, tag = "6")]
@@ -512,7 +513,7 @@
     pub commit: u64,
     #[prost(bool, tag = "8")]
     pub ok: bool,
-    /// Whole state, with `Install`.
+    /// With `InstallSnapshot`: the piece of the state from `offset` on.
     #[prost(bytes = "bytes", tag = "9")]
     pub state: Bytes,
     /// From one without a vote: wants to be readmitted. To it: it is.
@@ -520,29 +521,40 @@
     pub readmit: bool,
     /// Only asks whether it would be elected.
     #[prost(bool, tag = "11")]
-    pub trial: bool,
-    /// With `Install`: who voted as of that state.
+    pub pre_vote: bool,
+    /// With `InstallSnapshot`: who voted as of that state.
     #[prost(string, repeated, tag = "12")]
     pub voters: Vec<String>,
-    /// Numbers appends, to tell rounds apart.
+    /// Numbers appends, to tell rounds apart; of a campaign: tells it from others.
     #[prost(uint64, tag = "13")]
     pub round: u64,
-    /// Answer to a trial: has heard of no chair since its process began.
+    /// Answer to a pre-vote: has heard of no leader since its process began.
     #[prost(bool, tag = "14")]
     pub blank: bool,
+    /// With `InstallSnapshot`: bytes before this piece; with its answer: bytes held.
+    #[prost(uint64, tag = "15")]
+    pub offset: u64,
+    /// Bytes of the whole snapshot.
+    #[prost(uint64, tag = "16")]
+    pub total: u64,
+    /// SHA-256 of the whole snapshot.
+    #[prost(bytes = "bytes", tag = "17")]
+    pub digest: Bytes,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
 pub enum ViseKind {
     None = 0,
-    Ask = 1,
+    RequestVote = 1,
     Vote = 2,
     Append = 3,
     AppendAck = 4,
-    Install = 5,
-    /// The one in the chair names its successor.
-    Succeed = 6,
+    InstallSnapshot = 5,
+    /// The leader names its successor.
+    TimeoutNow = 6,
+    /// How much of a snapshot is held.
+    SnapshotAck = 7,
 }
 
 // ---- messages on their way ----
@@ -940,7 +952,7 @@
     pub hold_ms: u32,
 }
 
-/// A keeper wants a processor of a function: asked of the foreman in the chair.
+/// A keeper wants a processor of a function: asked of the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Start {
     #[prost(string, tag = "1")]
@@ -961,7 +973,7 @@
     pub address: String,
     /// Where to ask instead.
     #[prost(string, tag = "3")]
-    pub chair: String,
+    pub leader: String,
     /// No worker has room: asking again at once is of no use.
     #[prost(bool, tag = "4")]
     pub full: bool,
