--- a/crates/foreman/src/duties.rs
+++ b/crates/foreman/src/duties.rs
@@ -7,6 +7,7 @@
 use crate::shop::*;
 use dovetail::msg::*;
 use gauge::Caliper;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,6 +23,15 @@
         })
     }
 
+    /// Store machines that are to hold nothing: those being emptied, and those that
+    /// were, until a machine of that name comes with another disk. Once it is
+    /// settled such a machine is taken away at any moment, disk included.
+    pub(crate) fn retiring(f: &Floor) -> Vec<String> {
+        let same_disk = |r: &Retire| f.leases.get(&r.node).is_none_or(|l| l.born <= r.born);
+        let retires = f.rack.charter.retires.iter();
+        retires.filter(|r| !r.done || same_disk(r)).map(|r| r.node.clone()).collect()
+    }
+
     pub(crate) async fn assign(self: &Arc<Self>) {
         if self.assigning.swap(true, Ordering::Relaxed) {
             return;
@@ -76,9 +86,32 @@
                 return;
             }
             let partitions = f.rack.charter.partitions.clone();
-            let retiring: Vec<String> =
-                f.rack.charter.retires.iter().filter(|r| !r.done).map(|r| r.node.clone()).collect();
+            let retiring: Vec<String> = Self::retiring(f);
+            let ending: Vec<String> = f
+                .sessions
+                .values()
+                .filter(|s| s.node.role == "lathe" && s.node.leaving)
+                .map(|s| s.node.name.clone())
+                .collect();
             let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
+            // Who is to be no home any more: retiring nodes, and nodes that are away for
+            // twice the settling time, or a quarter of it where another one is there to
+            // take its place, as after a machine was replaced by one at another address.
+            // Where that is so, one that is about to end is replaced before it goes.
+            let settle = self.caliper.constraints.settle_s;
+            let silent = |h: &str, patience: f64| {
+                let away = (settle * patience) as u64;
+                now > f.leader_since + away && f.leases.get(h).is_none_or(|l| now > l.at + away)
+            };
+            let mut homes: Vec<&str> = partitions.iter().flat_map(|p| &p.homes).map(String::as_str).collect();
+            homes.sort_unstable();
+            homes.dedup();
+            homes.retain(|h| {
+                let replaced = || dovetail::has_replacement(&partitions, h, spare.iter().map(|n| n.name.as_str()));
+                let ends = ending.iter().any(|e| e == h) || silent(h, 250.0);
+                retiring.iter().any(|r| r == h) || silent(h, 2000.0) || (ends && replaced())
+            });
+            let gone: HashSet<&str> = homes.into_iter().collect();
             for p in &partitions {
                 let life = |n: &str| f.leases.get(n).map(|l| l.life);
                 // An emptied disk holds what it was filled with since then only.
@@ -116,16 +149,7 @@
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now: put })));
                     continue;
                 }
-                // Homes: of retiring nodes, and of nodes that are away: for twice the
-                // settling time, or a quarter of it where a node without any work is
-                // there, as after a machine was replaced by one at another address.
-                let idle = |n: &Stand| !partitions.iter().any(|q| q.homes.contains(&n.name));
-                let patience = if spare.iter().any(idle) { 250.0 } else { 2000.0 };
-                let away = (self.caliper.constraints.settle_s * patience) as u64;
-                let gone = p.homes.iter().find(|h| {
-                    retiring.contains(h)
-                        || (now > f.leader_since + away && f.leases.get(*h).is_none_or(|l| now > l.at + away))
-                });
+                let gone = p.homes.iter().find(|h| gone.contains(h.as_str()));
                 if let Some(gone) = gone
                     && spare.len() >= replicas
                     && let Some(now) = rehome(p, gone, &partitions, &spare, replicas, spread)
@@ -142,7 +166,11 @@
                     words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
                 }
             }
+            // A machine that has just come may be there to replace one that is about to go:
+            // it is kept free for that until it would count as settled.
+            let kept_free = (self.caliper.constraints.settle_s * 1000.0) as u64;
             if words.is_empty()
+                && now > f.steady.1 + kept_free
                 && let Some(now) = rebalance(&partitions, &spare)
             {
                 tally::change!("partition {} homes {:?}, for balance", now.id, now.homes);
@@ -150,16 +178,11 @@
                 words.extend(was.map(|was| ("balance".into(), Word::Partition(PutPartition { was, now }))));
             }
             for r in f.rack.charter.retires.iter().filter(|r| !r.done) {
-                let holds = partitions.iter().any(|p| {
-                    p.owner == r.node
-                        || p.homes.contains(&r.node)
-                        || p.insync.contains(&r.node)
-                        || p.insync.len() < replicas
-                        || p.grant.is_some()
-                });
-                if !holds {
+                if emptied(&partitions, &r.node, replicas) {
                     tally::change!("retired {}", r.node);
-                    words.push((r.node.clone(), Word::Retire(Retire { node: r.node.clone(), done: true })));
+                    let born = f.leases.get(&r.node).map_or(0, |l| l.born);
+                    let finish = FinishRetire { node: r.node.clone(), began: r.began, replicas: replicas as u32, born };
+                    words.push((r.node.clone(), Word::FinishRetire(finish)));
                 }
             }
         });
@@ -192,6 +215,7 @@
             let linger = cutoff as u64 + self.caliper.constraints.revert_slack_ms as u64;
             for r in f.rack.charter.rollouts.iter().filter(|r| r.state == "running") {
                 let p = f.plumbs.entry(r.plant.clone()).or_default();
+                p.judges(r.began);
                 let mut now = r.clone();
                 now.spent = now.spent.max(p.sent_new);
                 match p.advise(r, wall, linger, self.caliper.constraints.revert_slack_ms / 10.0) {
@@ -211,7 +235,7 @@
                     now.state,
                     now.share
                 );
-                words.push(Word::Rollout(now));
+                words.push(Word::PutRollout(PutRollout { was: r.clone(), now }));
             }
         });
         for w in words {
@@ -297,11 +321,6 @@
         }
     }
 
-    /// Starts judging a plant's roll-out afresh.
-    pub fn forget_plumb(&self, plant: &str) {
-        self.with(|f| f.plumbs.remove(plant));
-    }
-
     /// The time wants its own clock and more than half of the store machines', or
     /// all that come soon.
     pub(crate) fn settle_time(&self, f: &mut Floor, now: u64) {
