--- a/crates/lathe/src/turret.rs
+++ b/crates/lathe/src/turret.rs
@@ -20,6 +20,8 @@
     pub revision: String,
     pub hatch: String,
     pub until: u64,
+    /// Which attempt it is: its term and number; 0 if not known.
+    pub attempt: (u64, u64),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -102,6 +104,29 @@
     pub notice_flights: HashMap<String, u32>,
 }
 
+/// What a new owner knows of the delivery nodes that did not say what they hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Silence {
+    /// One of them does not answer, and no stop marker ends the log; the one that the
+    /// message was last given to does not.
+    pub any: bool,
+    pub last: bool,
+}
+
+impl Silence {
+    /// Until when a pending message may be at work at a silent node, in wall time; 0:
+    /// it is not. `sent`: when the log says that it was given out last; `taken`: when
+    /// this owner took over. What the former owner gave out at the end may stand in no
+    /// log that is left; that holds up only those whose order counts.
+    pub fn until(self, sequenced: bool, sent: u64, taken: u64, longest: u64) -> u64 {
+        match (self.last, self.any && sequenced) {
+            (_, true) => sent.max(taken) + longest,
+            (true, _) => sent + longest,
+            _ => 0,
+        }
+    }
+}
+
 fn rendezvous<'a>(key: &str, nodes: impl Iterator<Item = &'a Node>) -> Option<&'a Node> {
     nodes.max_by_key(|n| hash(key, &n.name))
 }
@@ -413,6 +438,7 @@
             revision: choice.revision.clone(),
             hatch: choice.hatch.clone(),
             until,
+            attempt: (0, 0),
         };
         if let Some(s) = self.sample(&flight) {
             s.sent += 1;
@@ -434,10 +460,24 @@
             revision: String::new(),
             hatch: hatch.to_owned(),
             until,
+            attempt: (0, 0),
         };
         self.flights.insert(key, flight);
     }
 
+    /// Says which attempt is under way.
+    pub fn name(&mut self, key: Key, term: u64, attempt: u64) {
+        if let Some(f) = self.flights.get_mut(&key) {
+            f.attempt = (term, attempt);
+        }
+    }
+
+    /// Whether another attempt at that message is under way than the one told of.
+    pub fn outdated(&self, key: Key, term: u64, attempt: u64) -> bool {
+        let differs = |a: u64, b: u64| a != 0 && b != 0 && a != b;
+        self.flights.get(&key).is_some_and(|f| differs(f.attempt.0, term) || differs(f.attempt.1, attempt))
+    }
+
     pub fn land(&mut self, key: Key) -> Option<Flight> {
         let f = self.flights.remove(&key)?;
         if let Some(s) = self.units.get_mut(&f.unit) {
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/lathe/tests/schedule.rs
@@ -266,3 +266,32 @@
     t.news(&Arc::new(roster), &Arc::new(Charter { rollouts: vec![rollout.clone()], ..Charter::default() }));
     t
 }
+
+#[test]
+fn a_late_report_of_an_attempt_that_was_given_up_says_nothing_of_the_next() {
+    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    launch(&mut t, 1);
+    t.name((0, 1), 4, 70);
+    assert!(!t.outdated((0, 1), 4, 70) && !t.outdated((0, 1), 0, 70) && !t.outdated((0, 2), 4, 9));
+    // Given up, and out again: by another number, or by the same one at a new term.
+    assert!(t.outdated((0, 1), 4, 60) && t.outdated((0, 1), 3, 70) && t.outdated((0, 1), 3, 80));
+    assert!(t.outdated((0, 1), 4, 80));
+    // Taken over without a name: any report ends it.
+    t.land((0, 1));
+    t.adopt((0, 1), &channel(), "u1", "h1", 9999);
+    assert!(!t.outdated((0, 1), 3, 60));
+}
+
+#[test]
+fn what_a_silent_node_may_have_waits_until_it_must_be_over() {
+    let (none, other) = (Silence::default(), Silence { any: true, last: false });
+    let last = Silence { any: true, last: true };
+    for sequenced in [false, true] {
+        assert_eq!(none.until(sequenced, 500, 900, 1600), 0, "all said what they hold");
+    }
+    assert_eq!(last.until(false, 500, 900, 1600), 2100);
+    // The former owner may have given it out again, with nobody left who knows: a
+    // message whose order counts waits for that, others need not.
+    assert_eq!(other.until(false, 500, 900, 1600), 0);
+    assert_eq!((other.until(true, 0, 900, 1600), last.until(true, 500, 900, 1600)), (2500, 2500));
+}
