Tests on loopback: one keeper of processes instead of four

Starting a program with its settings and its log, ending it, and cleaning up stood in the tests of the whole system, of functions, of orders and of foremen alike.

--- a/crates/willowslip/tests/common/mod.rs
+++ b/crates/willowslip/tests/common/mod.rs
@@ -7,17 +7,18 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
+pub const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
 
-pub struct System {
+/// Programs that run as processes, each with its settings, its data and its log in one
+/// folder; they end with it.
+pub struct Programs {
     pub dir: PathBuf,
-    pub base: u16,
-    pub children: HashMap<String, Child>,
+    pub running: HashMap<String, Child>,
 }
 
-impl Drop for System {
+impl Drop for Programs {
     fn drop(&mut self) {
-        for c in self.children.values_mut() {
+        for c in self.running.values_mut() {
             let _ = c.kill();
             let _ = c.wait();
         }
@@ -25,6 +26,58 @@
     }
 }
 
+impl Programs {
+    pub fn new(name: &str) -> Programs {
+        let dir = std::env::temp_dir().join(format!("willowslip-{name}-{}", std::process::id()));
+        Programs { dir, running: HashMap::new() }
+    }
+
+    /// The folder for a program's data.
+    pub fn data(&self, name: &str) -> PathBuf {
+        let data = self.dir.join(name);
+        std::fs::create_dir_all(&data).expect("a folder");
+        data
+    }
+
+    pub fn start(&mut self, role: &str, name: &str, settings: String) {
+        let path = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&path, settings).expect("settings written");
+        let log = std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")));
+        let child = Command::new(BIN)
+            .arg(role)
+            .env("WILLOWSLIP_SETTINGS", &path)
+            .stderr(Stdio::from(log.expect("a log file")))
+            .spawn()
+            .expect("it starts");
+        self.running.insert(name.to_owned(), child);
+    }
+
+    pub fn id(&self, name: &str) -> u32 {
+        self.running[name].id()
+    }
+
+    pub fn signal(&self, name: &str, signal: &str) {
+        let id = self.id(name).to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().is_ok_and(|s| s.success()));
+    }
+
+    /// Signals it to end, and sees that it does, and well if it was asked to.
+    pub fn end(&mut self, name: &str, signal: &str) {
+        self.signal(name, signal);
+        let ended = self.running.remove(name).expect("it runs").wait().expect("it ends");
+        assert!(signal == "-KILL" || ended.success(), "{name}: {ended}");
+    }
+
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
+    }
+}
+
+pub struct System {
+    pub programs: Programs,
+    pub base: u16,
+}
+
 impl System {
     pub fn new() -> System {
         // Machines are 127.0.0.2 to .8, all with the same ports.
@@ -32,16 +85,14 @@
         let free =
             |b: &u16| (2..9).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
         let base = (from..65_000).step_by(20).find(free).expect("free ports");
-        let dir = std::env::temp_dir().join(format!("willowslip-whole-{}", std::process::id()));
-        System { dir, base, children: HashMap::new() }
+        System { programs: Programs::new("whole"), base }
     }
 
     /// Starts a program on a machine; `first` is the system's very first start.
     pub fn start(&mut self, role: &str, machine: u8, first: bool) {
         let (b, ip) = (self.base, format!("127.0.0.{machine}"));
         let name = format!("{role}-{machine}");
-        let data = self.dir.join(&name);
-        std::fs::create_dir_all(&data).expect("a folder");
+        let data = self.programs.data(&name);
         let node = if role == "apprentice" { format!("hatch-{machine}") } else { name.clone() };
         let listen = match role {
             "foreman" => format!("control = \"{ip}:{}\"", b + 4),
@@ -59,29 +110,15 @@
             seeds.join(","),
             data.display()
         );
-        let path = self.dir.join(format!("{name}.toml"));
-        std::fs::write(&path, settings).expect("settings written");
-        let log = std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")));
-        let child = Command::new(BIN)
-            .arg(role)
-            .env("WILLOWSLIP_SETTINGS", &path)
-            .stderr(Stdio::from(log.expect("a log file")))
-            .spawn()
-            .expect("it starts");
-        self.children.insert(name, child);
+        self.programs.start(role, &name, settings);
     }
 
     pub fn end(&mut self, name: &str, signal: &str) {
-        let mut c = self.children.remove(name).expect("it runs");
-        let done = Command::new("kill").args([signal, &c.id().to_string()]).status().expect("kill runs");
-        assert!(done.success());
-        let ended = c.wait().expect("it ends");
-        assert!(signal == "-KILL" || ended.success(), "{name}: {ended}");
+        self.programs.end(name, signal);
     }
 
     pub fn signal(&self, name: &str, signal: &str) {
-        let id = self.children[name].id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().is_ok_and(|s| s.success()));
+        self.programs.signal(name, signal);
     }
 
     pub fn is_leader(&self, machine: u8) -> bool {
@@ -95,7 +132,7 @@
     }
 
     pub fn log(&self, name: &str) -> String {
-        std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
+        self.programs.log(name)
     }
 
     pub fn front(&self) -> String {
--- a/crates/willowslip/tests/foremen.rs
+++ b/crates/willowslip/tests/foremen.rs
@@ -1,29 +1,17 @@
 //! Foremen alone on loopback: one is replaced as planned, and another is lost right after.
 
-use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
+mod common;
+use common::*;
 
 struct Foremen {
-    dir: PathBuf,
+    programs: Programs,
     base: u16,
-    children: HashMap<u8, Child>,
-}
-
-impl Drop for Foremen {
-    fn drop(&mut self) {
-        for c in self.children.values_mut() {
-            let _ = c.kill();
-            let _ = c.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
 }
 
 impl Foremen {
@@ -35,16 +23,14 @@
         let free =
             |b: &u16| (12..17).all(|m| (*b..*b + 6).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
         let base = (from..60_000).step_by(16).find(free).expect("free ports");
-        let dir = std::env::temp_dir().join(format!("willowslip-{name}-{}", std::process::id()));
-        let mut f = Foremen { dir, base, children: HashMap::new() };
+        let mut f = Foremen { programs: Programs::new(name), base };
         (12..15).for_each(|m| f.start(m, true));
         f
     }
 
     fn start(&mut self, m: u8, first: bool) {
         let b = self.base;
-        let dir = self.dir.join(m.to_string());
-        std::fs::create_dir_all(&dir).expect("a folder");
+        let dir = self.programs.data(&m.to_string());
         let seeds: Vec<String> = (12..15).map(|m| format!("\"127.0.0.{m}:{}\"", b + 4)).collect();
         let settings = format!(
             "node = \"core-{m}\"\nip = \"127.0.0.{m}\"\nzone = \"z{m}\"\nportRange = [{b}, {}]\nseeds = [{}]\n\
@@ -57,24 +43,16 @@
             dir.display(),
             b + 4
         );
-        let path = self.dir.join(format!("{m}.toml"));
-        std::fs::write(&path, settings).expect("settings written");
-        let log = std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{m}.log")));
-        let child = Command::new(BIN)
-            .arg("foreman")
-            .env("WILLOWSLIP_SETTINGS", &path)
-            .stderr(Stdio::from(log.expect("a log file")))
-            .spawn()
-            .expect("it starts");
-        self.children.insert(m, child);
+        self.programs.start("foreman", &m.to_string(), settings);
     }
 
     fn end(&mut self, m: u8, signal: &str) {
-        let mut c = self.children.remove(&m).expect("it runs");
-        let done = Command::new("kill").args([signal, &c.id().to_string()]).status().expect("kill runs");
-        assert!(done.success());
-        let ended = c.wait().expect("it ends");
-        assert!(signal == "-KILL" || ended.success(), "core-{m}: {ended}");
+        self.programs.end(&m.to_string(), signal);
+    }
+
+    /// The machines whose foremen run.
+    fn up(&self) -> Vec<u8> {
+        self.programs.running.keys().filter_map(|m| m.parse().ok()).collect()
     }
 
     fn ctl(&self, at: &str, args: &[&str]) -> Option<serde_json::Value> {
@@ -87,8 +65,8 @@
     }
 
     fn leader(&self) -> Option<u8> {
-        let leads = |m: &&u8| self.status(**m).is_some_and(|s| s["isLeader"] == true);
-        self.children.keys().find(leads).copied()
+        let leads = |m: &u8| self.status(*m).is_some_and(|s| s["isLeader"] == true);
+        self.up().into_iter().find(leads)
     }
 
     fn inner(&self, m: u8) -> String {
@@ -96,7 +74,7 @@
     }
 
     fn log(&self, m: u8) -> String {
-        std::fs::read_to_string(self.dir.join(format!("{m}.log"))).unwrap_or_default()
+        self.programs.log(&m.to_string())
     }
 
     /// One call to the operators' interface, without the client.
@@ -114,7 +92,7 @@
     fn change(&self, path: &str, base: u64, body: &str) {
         let end = Instant::now() + Duration::from_secs(20);
         loop {
-            let all = self.children.keys().filter_map(|m| self.call(*m, path, base, body));
+            let all = self.up().into_iter().filter_map(|m| self.call(m, path, base, body));
             for (status, said) in all {
                 match status {
                     200 => return,
@@ -128,18 +106,19 @@
 
     /// Bytes on a member's disk, and bytes of memory that its process has had at most.
     fn weight(&self, m: u8) -> (u64, u64) {
-        let files = std::fs::read_dir(self.dir.join(m.to_string())).expect("a folder");
+        let files = std::fs::read_dir(self.programs.data(&m.to_string())).expect("a folder");
         let disk = files.filter_map(|f| f.ok()?.metadata().ok()).map(|f| f.len()).sum();
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.children[&m].id())).unwrap_or_default();
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.programs.id(&m.to_string()))).unwrap_or_default();
         let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).and_then(|l| l.split_whitespace().next());
         (disk, peak.and_then(|k| k.parse::<u64>().ok()).unwrap_or(0) << 10)
     }
 
     fn put(&self, revision: u64) -> bool {
-        let path = self.dir.join("config.json");
+        let path = self.programs.dir.join("config.json");
         std::fs::write(&path, format!(r#"{{"revision":{revision},"channels":[],"plants":[],"limits":{{}}}}"#))
             .expect("written");
-        let all: Vec<String> = self.children.keys().map(|m| format!("127.0.0.{m}:{}", self.base + 4)).collect();
+        let all: Vec<String> = self.up().iter().map(|m| format!("127.0.0.{m}:{}", self.base + 4)).collect();
         let o = Command::new(BIN)
             .args(["ctl", "--within", "10", "--at", &all.join(","), "config", "replace"])
             .arg(&path)
@@ -149,7 +128,7 @@
     }
 }
 
-fn until(what: &str, mut done: impl FnMut() -> bool) {
+fn soon(what: &str, mut done: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(20);
     while !done() {
         assert!(Instant::now() < end, "not in time: {what}");
@@ -160,12 +139,12 @@
 #[test]
 fn a_second_loss_right_after_a_planned_replacement_is_borne() {
     let mut f = Foremen::new("foremen");
-    until("a leader", || f.leader().is_some());
+    soon("a leader", || f.leader().is_some());
     assert!(f.put(1));
     // The new one comes first; then one that votes is told to end - the leader itself.
     f.start(15, false);
     let new = f.inner(15);
-    until("the new one is level", || f.leader().and_then(|m| f.status(m)).is_some_and(|s| s["behind"][&new] == 0));
+    soon("the new one is level", || f.leader().and_then(|m| f.status(m)).is_some_and(|s| s["behind"][&new] == 0));
     let old = f.leader().expect("a leader");
     f.end(old, "-TERM");
     assert!(f.log(old).contains("the vote has passed on"), "{}", f.log(old));
@@ -178,7 +157,7 @@
     // Both come back: neither leads with what it has, and both are level soon.
     f.start(old, false);
     f.start(second, false);
-    until("all are level", || f.children.keys().all(|m| f.status(*m).is_some_and(|s| s["revision"] == 2)));
+    soon("all are level", || f.up().into_iter().all(|m| f.status(m).is_some_and(|s| s["revision"] == 2)));
 }
 
 fn route(i: u64, cutoff: u64) -> serde_json::Value {
@@ -196,7 +175,7 @@
 fn one_that_was_down_for_many_changes_is_level_soon_and_never_leads_before() {
     let (changes, routes) = (size("WILLOWSLIP_CHANGES", 600), size("WILLOWSLIP_ROUTES", 60));
     let mut f = Foremen::new("behind");
-    until("a leader", || f.leader().is_some());
+    soon("a leader", || f.leader().is_some());
     let channels: Vec<serde_json::Value> = (0..routes).map(|i| route(i, 900)).collect();
     let plant = serde_json::json!({"name": "s", "probe": "/probe", "connLimit": 10, "protocol": "h1", "tls": false,
         "flowPerS": 0.0, "dedupes": false, "pull": false, "endpoint": null});
@@ -212,7 +191,7 @@
     f.start(away, false);
     let begun = Instant::now();
     // Whenever it is asked it says nothing older as current, and it is level soon.
-    until("it is level", || {
+    soon("it is level", || {
         let s = f.status(away);
         assert!(s.as_ref().is_none_or(|s| s["isLeader"] == false || s["revision"] == newest), "it leads with less");
         s.is_some_and(|s| s["revision"] == newest)
--- a/crates/willowslip/tests/functions.rs
+++ b/crates/willowslip/tests/functions.rs
@@ -4,12 +4,12 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
+mod common;
+use common::*;
 const MOST: usize = 2;
 
 /// What processors did, and the processors that there are: id, address.
@@ -130,20 +130,9 @@
 }
 
 struct System {
-    dir: PathBuf,
+    programs: Programs,
     base: u16,
     platform: String,
-    children: HashMap<String, Child>,
-}
-
-impl Drop for System {
-    fn drop(&mut self) {
-        for c in self.children.values_mut() {
-            let _ = c.kill();
-            let _ = c.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
 }
 
 impl System {
@@ -165,21 +154,14 @@
             machine % 3,
             b + 3,
             seeds.join(","),
-            self.dir.join(&name).display(),
+            self.programs.data(&name).display(),
             self.platform
         );
-        std::fs::create_dir_all(self.dir.join(&name)).expect("a folder");
-        let path = self.dir.join(format!("{name}.toml"));
-        std::fs::write(&path, settings).expect("settings written");
-        let log = std::fs::File::create(self.dir.join(format!("{name}.log"))).expect("a log file");
-        let child = Command::new(BIN).arg(role).env("WILLOWSLIP_SETTINGS", &path).stderr(Stdio::from(log)).spawn();
-        self.children.insert(name, child.expect("it starts"));
+        self.programs.start(role, &name, settings);
     }
 
     fn kill(&mut self, name: &str) {
-        let mut c = self.children.remove(name).expect("it runs");
-        let _ = c.kill();
-        let _ = c.wait();
+        self.programs.end(name, "-KILL");
     }
 
     fn call(&self, machine: u8, method: &str, path: &str, id: &str) -> Option<(u16, String)> {
@@ -197,14 +179,6 @@
     }
 }
 
-fn until(what: &str, mut f: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(60);
-    while !f() {
-        assert!(Instant::now() < end, "not in time: {what}");
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
-
 /// A few dozen requests, many at once; how many got a 200.
 fn press(sys: &System, fronts: &[u8], tag: &str) -> usize {
     std::thread::scope(|scope| {
@@ -233,15 +207,14 @@
     let from = 20_000 + (std::process::id() % 400) as u16 * 20;
     let free = |b: &u16| (2..8).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
     let base = (from..40_000).step_by(20).find(free).expect("free ports");
-    let dir = std::env::temp_dir().join(format!("willowslip-functions-{}", std::process::id()));
-    let mut sys = System { dir, base, platform: address, children: HashMap::new() };
+    let mut sys = System { programs: Programs::new("functions"), base, platform: address };
     for m in 2..5 {
         sys.start("foreman", m);
     }
     // One front only: the agent beside it listens on the loopback that all share here.
     sys.start("apprentice", 5);
     sys.start("shuttle", 5);
-    let config = sys.dir.join("config.json");
+    let config = sys.programs.dir.join("config.json");
     let route = |name: &str, prefix: &str, mode: &str| {
         format!(
             r#"{{"name":"{name}","host":"fn.example","prefix":"{prefix}","mode":"{mode}","cutoffMs":3000,"setpointMs":3000,"tries":2,"plant":"f"}}"#
--- a/crates/willowslip/tests/orders.rs
+++ b/crates/willowslip/tests/orders.rs
@@ -1,29 +1,17 @@
 //! Orders over HTTP against three foremen and three store machines on loopback:
 //! sent at the same moment, sent again, to the next leader, and too large.
 
-use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
+mod common;
+use common::Programs;
 
 struct Fleet {
-    dir: PathBuf,
+    programs: Programs,
     base: u16,
-    children: HashMap<String, Child>,
-}
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for c in self.children.values_mut() {
-            let _ = c.kill();
-            let _ = c.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
 }
 
 /// One request on a connection of its own; None without a whole answer.
@@ -61,8 +49,7 @@
             (machines.clone()).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.1.{m}"), p)).is_ok()))
         };
         let base = (from..65_000).step_by(40).find(free).expect("free ports");
-        let dir = std::env::temp_dir().join(format!("willowslip-orders-{name}-{}", std::process::id()));
-        Fleet { dir, base, children: HashMap::new() }
+        Fleet { programs: Programs::new(&format!("orders-{name}")), base }
     }
 
     fn control(&self, machine: u8) -> String {
@@ -72,8 +59,7 @@
     fn start(&mut self, role: &str, machine: u8, first: bool, foremen: std::ops::Range<u8>) {
         let (b, ip) = (self.base, format!("127.0.1.{machine}"));
         let name = format!("{role}-{machine}");
-        let data = self.dir.join(&name);
-        std::fs::create_dir_all(&data).expect("a folder");
+        let data = self.programs.data(&name);
         let control = if role == "foreman" { self.control(machine) } else { String::new() };
         let seeds: Vec<String> = foremen.map(|m| format!("\"{}\"", self.control(m))).collect();
         let settings = format!(
@@ -86,21 +72,11 @@
             seeds.join(","),
             data.display()
         );
-        let path = self.dir.join(format!("{name}.toml"));
-        std::fs::write(&path, settings).expect("settings written");
-        let child = Command::new(BIN)
-            .arg(role)
-            .env("WILLOWSLIP_SETTINGS", &path)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("starts");
-        self.children.insert(name, child);
+        self.programs.start(role, &name, settings);
     }
 
     fn kill(&mut self, name: &str) {
-        let mut c = self.children.remove(name).expect("it runs");
-        let _ = c.kill();
-        let _ = c.wait();
+        self.programs.end(name, "-KILL");
     }
 
     fn leads(&self, machine: u8) -> bool {
@@ -109,7 +85,7 @@
 
     fn leader(&self) -> u8 {
         until("a leader", || {
-            (2..5).filter(|m| self.children.contains_key(&format!("foreman-{m}"))).find(|m| self.leads(*m))
+            (2..5).filter(|m| self.programs.running.contains_key(&format!("foreman-{m}"))).find(|m| self.leads(*m))
         })
     }
 
@@ -210,7 +186,7 @@
     // another machine, and keep path and query.
     let old = f.leader();
     let signal = |s: &str| {
-        let id = f.children[&format!("foreman-{old}")].id().to_string();
+        let id = f.programs.id(&format!("foreman-{old}")).to_string();
         assert!(Command::new("kill").args([s, &id]).status().is_ok_and(|s| s.success()));
     };
     let at = f.control(old);
@@ -278,7 +254,7 @@
     };
     let few = routes(1, 1700);
     assert_eq!(post("/config/replace", 0, &few).0, 200);
-    let id = f.children["foreman-2"].id();
+    let id = f.programs.id("foreman-2");
     println!("with 1700 routes, {} bytes: {:?} kB", few.len(), memory(id));
     // Far beyond, a little beyond, and grown beyond by changes: each is told the limit.
     let limit = |a: (u16, String, String)| {
--- a/crates/willowslip/tests/whole.rs
+++ b/crates/willowslip/tests/whole.rs
@@ -81,7 +81,7 @@
         "setpointMs": 1000, "plant": "e", "tries": 3, "sequenced": true, "retainS": 60, "notify": true, "startSetpointMs": 1000}}],
         "plants": [{{"name": "e", "connLimit": 10, "endpoint": "{server}"}}], "limits": {{}}}}"#
     );
-    let file = s.dir.join("config.json");
+    let file = s.programs.dir.join("config.json");
     std::fs::write(&file, config).expect("written");
     until("configuration", || s.ctl(&["config", "replace", &file.display().to_string()]).is_some());
     until("ready", || {
