--- a/crates/apprentice/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -1,21 +1,21 @@
 use crate::session::*;
-use dovetail::msg::*;
-use dovetail::{Bench, Body, Peg};
-use gauge::{Caliper, Role};
+use config::{Role, Settings};
+use rpc::messages::*;
+use rpc::{Body, Responder, RpcClients};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Where the apprentice of a machine feeds its hatch.
-pub fn loopback(caliper: &Caliper) -> String {
-    format!("127.0.0.1:{}", caliper.inner_port(Role::Apprentice))
+/// Where the agent of a machine feeds its front.
+pub fn loopback(settings: &Settings) -> String {
+    format!("127.0.0.1:{}", settings.inner_port(Role::Agent))
 }
 
-fn answer(session: &Arc<Session>, body: Body, peg: Peg) {
+fn answer(session: &Arc<Session>, body: Body, responder: Responder) {
     let session = session.clone();
     match body {
-        // The hatch beside us, or a neighbour that lacks something.
-        Body::Watch(w) => {
+        // The front beside us, or a neighbour that lacks something.
+        Body::WatchRequest(w) => {
             if let Some(n) = &w.node
                 && n.role == session.me().role
                 && n.inner == session.me().inner
@@ -26,21 +26,23 @@
             tokio::spawn(async move {
                 let mut rx = session.subscribe();
                 let wait = Duration::from_millis(w.wait_ms as u64);
-                let newer = |k: &Known| {
+                let newer = |k: &ClusterView| {
                     let h = k.have();
-                    h.template > w.have.template || h.charter > w.have.charter || h.roster > w.have.roster
+                    h.configuration > w.have.configuration
+                        || h.assignments > w.have.assignments
+                        || h.membership > w.have.membership
                 };
                 let _ = tokio::time::timeout(wait, rx.wait_for(newer)).await;
                 let news = session.with_known(|k| k.news_for(&w.have));
-                peg.send(Body::News(news));
+                responder.send(Body::ViewUpdate(news));
             });
         }
         Body::Gossip(g) => {
             let mine = session.with_known(|k| k.have());
             if g.pull {
-                peg.send(Body::News(session.with_known(|k| k.news_for(&g.have))));
+                responder.send(Body::ViewUpdate(session.with_known(|k| k.news_for(&g.have))));
             } else {
-                peg.send(Body::Gossip(Gossip { have: mine, pull: true }));
+                responder.send(Body::Gossip(Gossip { have: mine, pull: true }));
             }
         }
         _ => {}
@@ -49,16 +51,16 @@
 
 /// Compares digests with a few others from time to time, and mends gaps.
 pub async fn gossip(session: Arc<Session>) {
-    let period = Duration::from_millis((session.caliper.constraints.converge_ms / 4.0) as u64);
+    let period = Duration::from_millis((session.settings.constraints.converge_ms / 4.0) as u64);
     let mut round = 0usize;
     loop {
         tokio::time::sleep(period).await;
         round += 1;
-        let port = session.caliper.inner_port(Role::Apprentice);
+        let port = session.settings.inner_port(Role::Agent);
         let me = session.me();
         // Neighbours in the zone; every eighth round anybody.
         let all: Vec<String> = session.with_known(|k| {
-            k.roster
+            k.membership
                 .nodes
                 .iter()
                 .filter(|n| n.role == me.role && n.name != me.name && (n.zone == me.zone || round.is_multiple_of(8)))
@@ -68,49 +70,51 @@
         if all.is_empty() {
             continue;
         }
-        let to = session.bench.to(&all[(round + me.life as usize) % all.len()]);
+        let to = session.rpc_clients.to(&all[(round + me.incarnation as usize) % all.len()]);
         let have = session.with_known(|k| k.have());
         if let Ok(Body::Gossip(g)) = to.call(Body::Gossip(Gossip { have, pull: false }), period).await {
-            let newer = g.have.template > have.template || g.have.charter > have.charter || g.have.roster > have.roster;
-            if newer && let Ok(Body::News(n)) = to.call(Body::Gossip(Gossip { have, pull: true }), period).await {
-                tally::count("gossip_mended");
+            let newer = g.have.configuration > have.configuration
+                || g.have.assignments > have.assignments
+                || g.have.membership > have.membership;
+            if newer && let Ok(Body::ViewUpdate(n)) = to.call(Body::Gossip(Gossip { have, pull: true }), period).await {
+                telemetry::count("gossip_mended");
                 session.take(&n);
             }
         }
     }
 }
 
-/// Runs the apprentice of a front machine until it is told to stop.
+/// Runs the agent of a front machine until it is told to stop.
 pub async fn run(
-    caliper: Caliper,
+    settings: Settings,
     mut stop: watch::Receiver<bool>,
-    settings: watch::Receiver<Caliper>,
+    settings_updates: watch::Receiver<Settings>,
 ) -> Result<(), String> {
-    let quiet = caliper.constraints.quiet_ms;
+    let quiet = settings.constraints.quiet_ms;
     let silence = Duration::from_millis((quiet / 4.0) as u64);
     let node = Node {
-        name: caliper.node.clone(),
-        role: caliper.front_role().into(),
-        zone: caliper.zone.clone(),
-        region: caliper.region.clone(),
-        inner: caliper.inner_addr(Role::Hatch),
-        life: dovetail::new_life(),
+        name: settings.node.clone(),
+        role: settings.front_role().into(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        inner: settings.inner_addr(Role::Front),
+        incarnation: rpc::new_incarnation(),
         ..Node::default()
     };
-    let bench = Bench::new(silence);
-    let session = Session::new(caliper.clone(), node, bench);
-    for addr in [loopback(&caliper), caliper.inner_addr(Role::Apprentice)] {
+    let rpc_clients = RpcClients::new(silence);
+    let session = Session::new(settings.clone(), node, rpc_clients);
+    for addr in [loopback(&settings), settings.inner_addr(Role::Agent)] {
         let listener = tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"))?;
         let s = session.clone();
-        tokio::spawn(dovetail::serve(listener, silence, move |b, p| answer(&s, b, p)));
+        tokio::spawn(rpc::serve(listener, silence, move |b, p| answer(&s, b, p)));
     }
     tokio::spawn(session.clone().keep());
-    tokio::spawn(session.clone().heed(settings));
+    tokio::spawn(session.clone().heed(settings_updates));
     tokio::spawn(gossip(session.clone()));
     let _ = stop.wait_for(|s| *s).await;
-    // The hatch may drain for as long as it is allowed to; it is fed until then.
+    // The front may drain for as long as it is allowed to; it is fed until then.
     session.set_leaving();
-    tokio::time::sleep(Duration::from_millis((caliper.constraints.grace_s * 750.0) as u64)).await;
-    tally::report(&caliper.node, &dovetail::sent());
+    tokio::time::sleep(Duration::from_millis((settings.constraints.grace_s * 750.0) as u64)).await;
+    telemetry::report(&settings.node, &rpc::sent());
     Ok(())
 }
--- a/crates/apprentice/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,5 +1,5 @@
 //! Keeps a process's session with the control plane and gathers the news: the
-//! configuration, the charter and the roster. Used by the `apprentice` program
+//! configuration, the assignments and the membership. Used by the `agent` program
 //! on the front machines and by the store machines for themselves.
 
 mod feed;
--- /dev/null
+++ b/crates/agent/src/session.rs
@@ -0,0 +1,308 @@
+use bytes::Bytes;
+use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Role, Settings};
+use rpc::messages::*;
+use rpc::{Body, RpcClients, after, possible};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// What a process knows of the world. Newer versions replace older ones; it
+/// never goes back.
+#[derive(Clone, Default)]
+pub struct ClusterView {
+    pub json: Bytes,
+    /// The last changes of the configuration that were taken, to pass them on.
+    pub steps: Vec<ConfigurationStep>,
+    pub configuration: Arc<ConfigurationIndex>,
+    pub assignments: Arc<Assignments>,
+    pub membership: Arc<Membership>,
+    pub leader: String,
+    /// A change did not fit: the whole configuration is wanted.
+    whole: bool,
+}
+
+impl ClusterView {
+    pub fn have(&self) -> ViewVersions {
+        let configuration = if self.whole { 0 } else { self.configuration.revision };
+        ViewVersions { configuration, assignments: self.assignments.version, membership: self.membership.version }
+    }
+
+    /// Takes whatever is newer; tells whether anything was.
+    pub fn take(&mut self, news: &ViewUpdate) -> bool {
+        let mut moved = false;
+        if let Some(json) = news.whole_configuration()
+            && let Ok(t) = Configuration::read(&json)
+            && (t.revision > self.configuration.revision || (self.whole && t.revision == self.configuration.revision))
+        {
+            self.configuration = Arc::new(t.into());
+            self.json = json;
+            self.steps.clear();
+            self.whole = false;
+            moved = true;
+        }
+        moved |= self.take_steps(&news.steps);
+        if let Some(c) = &news.assignments
+            && c.version > self.assignments.version
+        {
+            moved |= Arc::make_mut(&mut self.assignments).take(c);
+        }
+        if let Some(r) = &news.membership
+            && r.version > self.membership.version
+        {
+            moved |= Arc::make_mut(&mut self.membership).take(r);
+        }
+        if !news.leader.is_empty() && news.leader != self.leader {
+            self.leader = news.leader.clone();
+            moved = true;
+        }
+        moved
+    }
+
+    /// Takes changes of the configuration, each on the revision that it was made for.
+    fn take_steps(&mut self, steps: &[ConfigurationStep]) -> bool {
+        let new: Vec<&ConfigurationStep> = steps.iter().filter(|s| s.revision > self.configuration.revision).collect();
+        let Some(last) = new.last() else { return false };
+        // One after the other on one tree; the last one's print is that of the whole.
+        let made = ConfigurationDocument::read(self.configuration.revision, &self.json).and_then(|mut document| {
+            for s in &new {
+                if s.since != document.revision {
+                    return Err("a change is missing".to_owned());
+                }
+                document.adjust(&s.change)?;
+            }
+            document.text()
+        });
+        let read = made.and_then(|j| match rpc::fingerprint(&j) == last.fingerprint {
+            true => Configuration::read(&j).map(|t| (Bytes::from(j), t)),
+            false => Err("another print".into()),
+        });
+        let (json, t) = match read {
+            Ok(r) => r,
+            Err(e) => {
+                // Not guessed: the whole is asked for.
+                telemetry::debug!("changes of the configuration not taken: {e}");
+                telemetry::count("steps_refused");
+                self.whole = true;
+                return false;
+            }
+        };
+        let limit = json.len() / 2;
+        self.steps.extend(steps.iter().filter(|s| s.revision > self.configuration.revision).cloned());
+        while self.steps.iter().map(|s| s.change.len()).sum::<usize>() > limit {
+            self.steps.remove(0);
+        }
+        (self.json, self.configuration) = (json, Arc::new(t.into()));
+        true
+    }
+
+    /// The configuration for one that has revision `have`: what changed since, or
+    /// the whole.
+    fn configuration_since(&self, have: u64) -> (Option<Bytes>, Vec<ConfigurationStep>) {
+        if self.configuration.revision <= have {
+            return (None, Vec::new());
+        }
+        match self.steps.iter().position(|s| s.since == have) {
+            Some(at) => (None, self.steps[at..].to_vec()),
+            None => (Some(self.json.clone()), Vec::new()),
+        }
+    }
+
+    /// All that the other lacks, by its versions.
+    pub fn news_for(&self, have: &ViewVersions) -> ViewUpdate {
+        let mine = ViewVersions { configuration: self.configuration.revision, ..self.have() };
+        let (configuration, steps) = self.configuration_since(have.configuration);
+        let mut news = ViewUpdate {
+            have: mine,
+            steps,
+            assignments: (mine.assignments > have.assignments).then(|| self.assignments.since(have.assignments)),
+            membership: (mine.membership > have.membership).then(|| self.membership.since(have.membership)),
+            leader: self.leader.clone(),
+            ..ViewUpdate::default()
+        };
+        if let Some(json) = configuration {
+            news.put_configuration(json);
+        }
+        news
+    }
+
+    pub fn node(&self, name: &str, role: &str) -> Option<&Node> {
+        // Membership are in order of their nodes' names.
+        let at = self.membership.nodes.binary_search_by(|n| n.name.as_str().cmp(name)).ok()?;
+        self.membership.nodes.get(at).filter(|n| n.role == role)
+    }
+}
+
+/// The session of one process: known state and how to reach the control nodes.
+pub struct Session {
+    pub settings: Settings,
+    pub rpc_clients: Arc<RpcClients>,
+    known: watch::Sender<ClusterView>,
+    node: Mutex<Node>,
+    control_nodes: Mutex<Vec<String>>,
+}
+
+impl Session {
+    pub fn new(settings: Settings, node: Node, rpc_clients: Arc<RpcClients>) -> Arc<Session> {
+        let control_nodes = settings.seed_control_nodes();
+        Arc::new(Session {
+            known: watch::channel(ClusterView::default()).0,
+            node: Mutex::new(node),
+            control_nodes: Mutex::new(control_nodes),
+            rpc_clients,
+            settings,
+        })
+    }
+
+    pub fn known(&self) -> ClusterView {
+        self.known.borrow().clone()
+    }
+
+    pub fn with_known<T>(&self, f: impl FnOnce(&ClusterView) -> T) -> T {
+        f(&self.known.borrow())
+    }
+
+    pub fn subscribe(&self) -> watch::Receiver<ClusterView> {
+        self.known.subscribe()
+    }
+
+    pub fn take(&self, news: &ViewUpdate) -> bool {
+        self.known.send_if_modified(|k| k.take(news))
+    }
+
+    pub fn me(&self) -> Node {
+        self.node.lock().unwrap().clone()
+    }
+
+    /// An incarnation of this node is known that comes after its own: begins another.
+    pub fn relive(&self, newer_incarnation: u64) -> Option<u64> {
+        let mut n = self.node.lock().unwrap();
+        if newer_incarnation < n.incarnation || !possible(newer_incarnation) {
+            return None;
+        }
+        n.incarnation = after(newer_incarnation);
+        telemetry::change!("an incarnation after this one is known: now {}", n.incarnation);
+        Some(n.incarnation)
+    }
+
+    /// This node's disk is another one than was known, since that incarnation.
+    pub fn reborn(&self, incarnation: u64) {
+        self.node.lock().unwrap().born = incarnation;
+    }
+
+    pub fn set_leaving(&self) {
+        self.node.lock().unwrap().leaving = true;
+    }
+
+    /// The settings name other control nodes now: they are asked as well.
+    pub fn reseed(&self, seeds: &[String]) {
+        let mut all = self.control_nodes.lock().unwrap();
+        for s in seeds {
+            if !all.contains(s) {
+                telemetry::change!("control node {s} named by the settings");
+                all.push(s.clone());
+            }
+        }
+    }
+
+    /// Takes new seeds whenever the settings change.
+    pub async fn heed(self: Arc<Self>, mut settings_updates: watch::Receiver<Settings>) {
+        while settings_updates.changed().await.is_ok() {
+            let seeds = settings_updates.borrow_and_update().seed_control_nodes();
+            self.reseed(&seeds);
+        }
+    }
+
+    /// Control nodes by how good they are to ask: those of this zone first.
+    pub fn order_control_nodes(&self) -> Vec<String> {
+        let mut all = self.control_nodes.lock().unwrap().clone();
+        self.with_known(|k| {
+            for n in k.membership.nodes.iter().filter(|n| n.role == "control") {
+                if !all.contains(&n.inner) {
+                    all.push(n.inner.clone());
+                }
+            }
+            let near = |addr: &String| {
+                let n = k.membership.nodes.iter().find(|n| n.role == "control" && n.inner == *addr);
+                match n {
+                    Some(n) if n.zone == self.settings.zone => 0,
+                    Some(n) if n.region == self.settings.region => 1,
+                    _ => 2,
+                }
+            };
+            let mine = self.settings.inner_addr(Role::Control);
+            all.sort_by_key(|a| (near(a), *a != mine));
+        });
+        all
+    }
+
+    /// Keeps asking for news; ends never.
+    pub async fn keep(self: Arc<Self>) {
+        let quiet = self.settings.constraints.quiet_ms;
+        let wait = (quiet / 8.0) as u32;
+        let (mut turn, mut failures) = (0usize, 0u32);
+        loop {
+            let control_nodes = self.order_control_nodes();
+            let addr = control_nodes[turn % control_nodes.len()].clone();
+            let mut node = self.me();
+            if node.role == "store" {
+                // A store node's session is its lease.
+                node.name.clear();
+            }
+            let w = WatchRequest {
+                node: (!node.name.is_empty()).then_some(node),
+                have: self.with_known(|k| k.have()),
+                wait_ms: wait,
+                ..WatchRequest::default()
+            };
+            // The first answer brings the whole, over what may be a slow link.
+            let times = if w.have.configuration == 0 { 4 } else { 2 };
+            let asked = self
+                .rpc_clients
+                .to(&addr)
+                .call(Body::WatchRequest(w), Duration::from_millis(wait as u64 * times))
+                .await;
+            match asked {
+                Ok(Body::ViewUpdate(n)) => {
+                    failures = 0;
+                    if !n.control_nodes.is_empty() {
+                        let mut f = self.control_nodes.lock().unwrap();
+                        for a in &n.control_nodes {
+                            if !f.contains(a) {
+                                f.push(a.clone());
+                            }
+                        }
+                    }
+                    self.take(&n);
+                    if self.settings.runs_functions() && !n.steps.is_empty() {
+                        // Reading a large configuration costs a small machine much: what
+                        // follows closely is taken together.
+                        tokio::time::sleep(Duration::from_millis(
+                            (self.settings.constraints.converge_ms / 16.0) as u64,
+                        ))
+                        .await;
+                    }
+                    if n.newer_incarnation > 0 && self.relive(n.newer_incarnation).is_some() {
+                        continue;
+                    }
+                    if n.leader.is_empty() {
+                        // It follows nobody itself: others may know more.
+                        turn += 1;
+                        tokio::time::sleep(Duration::from_millis((quiet / 80.0) as u64)).await;
+                        continue;
+                    }
+                    if turn != 0 && self.order_control_nodes().first() != Some(&addr) {
+                        // Once in a while back to the nearest.
+                        turn = 0;
+                    }
+                }
+                _ => {
+                    telemetry::count("session_misses");
+                    turn += 1;
+                    failures += 1;
+                    let pause = (quiet / 80.0) * f64::from(1 << failures.min(2));
+                    tokio::time::sleep(Duration::from_millis(pause as u64)).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/gauge/src/template.rs
+++ b/crates/config/src/configuration.rs
@@ -1,23 +1,25 @@
 use serde_json::Value;
 use std::collections::{BTreeMap, HashSet};
 
-/// The operator's configuration: routes (`channels`), services (`plants`), limits.
+/// The operator's configuration: routes (`routes`), services (`services`), limits.
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
 #[serde(default, rename_all = "camelCase")]
-pub struct Template {
+pub struct Configuration {
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     #[prost(message, repeated, tag = "2")]
-    pub channels: Vec<Channel>,
+    #[serde(rename = "channels")]
+    pub routes: Vec<Route>,
     #[prost(message, repeated, tag = "3")]
-    pub plants: Vec<Plant>,
+    #[serde(rename = "plants")]
+    pub services: Vec<Service>,
     #[prost(message, required, tag = "4")]
     pub limits: WireLimits,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
 #[serde(default, rename_all = "camelCase")]
-pub struct Channel {
+pub struct Route {
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(string, tag = "2")]
@@ -27,13 +29,16 @@
     #[prost(string, tag = "4")]
     pub mode: String,
     #[prost(double, tag = "5")]
-    pub cutoff_ms: f64,
+    #[serde(rename = "cutoffMs")]
+    pub timeout_ms: f64,
     #[prost(double, tag = "6")]
-    pub setpoint_ms: f64,
+    #[serde(rename = "setpointMs")]
+    pub target_latency_ms: f64,
     #[prost(uint32, tag = "7")]
     pub rank: u32,
     #[prost(string, tag = "8")]
-    pub plant: String,
+    #[serde(rename = "plant")]
+    pub service: String,
     #[prost(uint32, tag = "9")]
     pub tries: u32,
     #[prost(bool, tag = "10")]
@@ -43,8 +48,9 @@
     #[prost(bool, tag = "12")]
     pub notify: bool,
     #[prost(double, tag = "13")]
-    pub start_setpoint_ms: f64,
-    /// Services that share the route, with their weights; empty: `plant` has it all.
+    #[serde(rename = "startSetpointMs")]
+    pub target_start_ms: f64,
+    /// Services that share the route, with their weights; empty: `service` has it all.
     #[prost(btree_map = "string, double", tag = "14")]
     #[serde(deserialize_with = "weights")]
     pub mix: BTreeMap<String, f64>,
@@ -52,7 +58,7 @@
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
 #[serde(default, rename_all = "camelCase")]
-pub struct Plant {
+pub struct Service {
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(string, optional, tag = "2")]
@@ -75,7 +81,7 @@
     pub max_inflight: u32,
 }
 
-impl Plant {
+impl Service {
     pub fn is_function(&self) -> bool {
         self.max_inflight > 0
     }
@@ -94,12 +100,13 @@
     pub idle_ms: f64,
 }
 
-/// Weights by service: an object of numbers, or a list of items that name a plant
+/// Weights by service: an object of numbers, or a list of items that name a service
 /// and a weight.
 fn weights<'de, D: serde::Deserializer<'de>>(d: D) -> Result<BTreeMap<String, f64>, D::Error> {
     #[derive(serde::Deserialize)]
     struct Part {
-        plant: String,
+        #[serde(rename = "plant")]
+        service: String,
         weight: f64,
     }
     #[derive(serde::Deserialize)]
@@ -112,14 +119,14 @@
     Ok(match read {
         None => BTreeMap::new(),
         Some(Mix::Map(m)) => m,
-        Some(Mix::List(l)) => l.into_iter().map(|p| (p.plant, p.weight)).collect(),
+        Some(Mix::List(l)) => l.into_iter().map(|p| (p.service, p.weight)).collect(),
     })
 }
 
-impl Channel {
+impl Route {
     /// The service of one request: with weights, by a number that differs from one
     /// request to the next.
-    pub fn plant_for(&self, number: u64) -> &str {
+    pub fn service_for(&self, number: u64) -> &str {
         let sum: f64 = self.mix.values().sum();
         let mut at = (number % 1_000_003) as f64 / 1_000_003.0 * sum;
         for (p, w) in &self.mix {
@@ -128,14 +135,14 @@
             }
             at -= w;
         }
-        self.mix.keys().next_back().unwrap_or(&self.plant)
+        self.mix.keys().next_back().unwrap_or(&self.service)
     }
 }
 
-impl Template {
+impl Configuration {
     /// Reads a whole configuration and checks it; the error names the item.
-    pub fn read(json: &[u8]) -> Result<Template, String> {
-        let t: Template = serde_json::from_slice(json).map_err(|e| format!("cannot be read in full: {e}"))?;
+    pub fn read(json: &[u8]) -> Result<Configuration, String> {
+        let t: Configuration = serde_json::from_slice(json).map_err(|e| format!("cannot be read in full: {e}"))?;
         t.check()?;
         Ok(t)
     }
@@ -144,9 +151,9 @@
         if self.revision == 0 {
             return Err("revision: must be above 0".into());
         }
-        let mut plants = HashSet::new();
-        for p in &self.plants {
-            if p.name.is_empty() || !plants.insert(p.name.as_str()) {
+        let mut services = HashSet::new();
+        for p in &self.services {
+            if p.name.is_empty() || !services.insert(p.name.as_str()) {
                 return Err(format!("plants: name {:?} is missing or used twice", p.name));
             }
             if p.flow_per_s.is_nan() || p.flow_per_s < 0.0 {
@@ -171,7 +178,7 @@
             }
         }
         let (mut names, mut places) = (HashSet::new(), HashSet::new());
-        for c in &self.channels {
+        for c in &self.routes {
             if c.name.is_empty() || !names.insert(c.name.as_str()) {
                 return Err(format!("channels: name {:?} is missing or used twice", c.name));
             }
@@ -182,8 +189,8 @@
                 return Err(format!("channels: {}: host and prefix are used twice", c.name));
             }
             let shared = c.mix.keys().map(String::as_str);
-            let own = (c.mix.is_empty() || !c.plant.is_empty()).then_some(c.plant.as_str());
-            if let Some(p) = shared.chain(own).find(|p| !plants.contains(p)) {
+            let own = (c.mix.is_empty() || !c.service.is_empty()).then_some(c.service.as_str());
+            if let Some(p) = shared.chain(own).find(|p| !services.contains(p)) {
                 return Err(format!("channels: {}: unknown plant {p:?}", c.name));
             }
             if c.mix.values().any(|w| w.is_nan() || *w < 0.0)
@@ -191,42 +198,42 @@
             {
                 return Err(format!("channels: {}: the weights of mix add up to nothing", c.name));
             }
-            if c.cutoff_ms.is_nan() || c.cutoff_ms <= 0.0 {
+            if c.timeout_ms.is_nan() || c.timeout_ms <= 0.0 {
                 return Err(format!("channels: {}: cutoffMs must be above 0", c.name));
             }
         }
         Ok(())
     }
 
-    pub fn plant(&self, name: &str) -> Option<&Plant> {
-        self.plants.iter().find(|p| p.name == name)
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|p| p.name == name)
     }
 }
 
 /// Applies a change of named items to a whole configuration. Fields this
 /// program does not know are kept as they are.
 pub fn adjust(base: &[u8], change: &[u8]) -> Result<Vec<u8>, String> {
-    let mut tree = Tree::read(0, base)?;
-    tree.adjust(change)?;
-    tree.text()
+    let mut document = ConfigurationDocument::read(0, base)?;
+    document.adjust(change)?;
+    document.text()
 }
 
 /// A configuration read into a tree, so that changes one after the other need not
 /// each read the whole anew.
 #[derive(Clone, Default)]
-pub struct Tree {
+pub struct ConfigurationDocument {
     pub revision: u64,
     whole: Value,
 }
 
-impl Tree {
-    pub fn read(revision: u64, json: &[u8]) -> Result<Tree, String> {
+impl ConfigurationDocument {
+    pub fn read(revision: u64, json: &[u8]) -> Result<ConfigurationDocument, String> {
         let whole = if json.is_empty() {
             serde_json::json!({"channels": [], "plants": [], "limits": {}})
         } else {
             serde_json::from_slice(json).map_err(|e| format!("stored configuration: {e}"))?
         };
-        Ok(Tree { revision, whole })
+        Ok(ConfigurationDocument { revision, whole })
     }
 
     pub fn text(&self) -> Result<Vec<u8>, String> {
--- a/crates/gauge/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,8 @@
 //! Settings of a process and the operator's configuration: reading and checking.
 
-mod pattern;
+mod configuration;
+mod index;
 mod settings;
-mod template;
-pub use pattern::*;
+pub use configuration::*;
+pub use index::*;
 pub use settings::*;
-pub use template::*;
--- a/crates/gauge/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -5,7 +5,7 @@
 /// What a process is told by its settings file.
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
 #[serde(default, rename_all = "camelCase")]
-pub struct Caliper {
+pub struct Settings {
     #[prost(string, tag = "1")]
     pub node: String,
     #[prost(string, tag = "2")]
@@ -154,84 +154,84 @@
 
 /// Why a settings file cannot be used: the field and the reason.
 #[derive(Debug, PartialEq)]
-pub struct Misfit {
+pub struct SettingsError {
     pub field: String,
     pub reason: String,
 }
 
-impl fmt::Display for Misfit {
+impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "settings: {}: {}", self.field, self.reason)
     }
 }
 
-fn misfit<T>(field: &str, reason: impl Into<String>) -> Result<T, Misfit> {
-    Err(Misfit { field: field.into(), reason: reason.into() })
+fn settings_error<T>(field: &str, reason: impl Into<String>) -> Result<T, SettingsError> {
+    Err(SettingsError { field: field.into(), reason: reason.into() })
 }
 
 /// Which of the inner ports a role listens on, counted from the range's start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
-    Foreman = 0,
-    Lathe = 1,
-    /// The hatch, or the shuttle.
-    Hatch = 2,
-    Apprentice = 3,
+    Control = 0,
+    Store = 1,
+    /// The front, or the function gateway.
+    Front = 2,
+    Agent = 3,
 }
 
 impl Role {
     pub fn word(self) -> &'static str {
         match self {
-            Role::Foreman => "foreman",
-            Role::Lathe => "lathe",
-            Role::Hatch => "hatch",
-            Role::Apprentice => "apprentice",
+            Role::Control => "control",
+            Role::Store => "store",
+            Role::Front => "front",
+            Role::Agent => "agent",
         }
     }
 }
 
-impl Caliper {
-    pub fn parse(text: &str) -> Result<Caliper, Misfit> {
-        let c: Caliper = match toml::from_str(text) {
+impl Settings {
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let c: Settings = match toml::from_str(text) {
             Ok(c) => c,
-            Err(e) => return misfit("file", e.message().replace('\n', " ")),
+            Err(e) => return settings_error("file", e.message().replace('\n', " ")),
         };
         c.check()?;
         Ok(c)
     }
 
-    pub fn load(path: &str) -> Result<Caliper, Misfit> {
+    pub fn load(path: &str) -> Result<Settings, SettingsError> {
         match std::fs::read_to_string(path) {
-            Ok(text) => Caliper::parse(&text),
-            Err(e) => misfit("file", format!("cannot read {path}: {e}")),
+            Ok(text) => Settings::parse(&text),
+            Err(e) => settings_error("file", format!("cannot read {path}: {e}")),
         }
     }
 
-    fn check(&self) -> Result<(), Misfit> {
+    fn check(&self) -> Result<(), SettingsError> {
         for (name, value) in [("node", &self.node), ("zone", &self.zone)] {
             if value.is_empty() {
-                return misfit(name, "missing");
+                return settings_error(name, "missing");
             }
         }
         if self.ip.parse::<std::net::Ipv4Addr>().is_err() {
-            return misfit("ip", "not an IPv4 address");
+            return settings_error("ip", "not an IPv4 address");
         }
         match self.port_range[..] {
             [a, b] if a > 0 && a + 3 <= b && b < 65536 => {}
-            _ => return misfit("portRange", "wants first and last of at least four ports"),
+            _ => return settings_error("portRange", "wants first and last of at least four ports"),
         }
         if self.seeds.is_empty() {
-            return misfit("seeds", "missing");
+            return settings_error("seeds", "missing");
         }
         for s in &self.seeds {
             if s.parse::<SocketAddr>().is_err() {
-                return misfit("seeds", format!("{s} is not an address"));
+                return settings_error("seeds", format!("{s} is not an address"));
             }
         }
         let l = &self.listen;
         for (name, value) in [("listen.front", &l.front), ("listen.ready", &l.ready), ("listen.control", &l.control)] {
             if !value.is_empty() && value.parse::<SocketAddr>().is_err() {
-                return misfit(name, "not an address");
+                return settings_error(name, "not an address");
             }
         }
         let c = &self.constraints;
@@ -244,7 +244,7 @@
             ("constraints.convergeMs", c.converge_ms),
         ] {
             if value.is_nan() || value <= 0.0 {
-                return misfit(name, "must be above 0");
+                return settings_error(name, "must be above 0");
             }
         }
         // Each kind of deployment has bounds of its own.
@@ -260,14 +260,14 @@
         };
         for (name, value) in own {
             if value.is_nan() || *value <= 0.0 {
-                return misfit(name, "must be above 0");
+                return settings_error(name, "must be above 0");
             }
         }
         if self.limits.memory_mb == 0 {
-            return misfit("limits.memoryMb", "must be above 0");
+            return settings_error("limits.memoryMb", "must be above 0");
         }
         if !matches!(self.log_level.as_str(), "" | "error" | "change" | "debug") {
-            return misfit("logLevel", "wants error, change or debug");
+            return settings_error("logLevel", "wants error, change or debug");
         }
         Ok(())
     }
@@ -279,7 +279,7 @@
 
     /// What the traffic role of a front machine is called.
     pub fn front_role(&self) -> &'static str {
-        if self.runs_functions() { "shuttle" } else { "hatch" }
+        if self.runs_functions() { "functions" } else { "front" }
     }
 
     pub fn inner_addr(&self, role: Role) -> String {
@@ -290,13 +290,13 @@
         self.port_range[0] + role as u32
     }
 
-    /// Inner addresses of the foremen that the seeds name.
-    pub fn seed_foremen(&self) -> Vec<String> {
+    /// Inner addresses of the control nodes that the seeds name.
+    pub fn seed_control_nodes(&self) -> Vec<String> {
         let mut all: Vec<String> = self
             .seeds
             .iter()
             .filter_map(|s| s.rsplit_once(':'))
-            .map(|(ip, _)| format!("{ip}:{}", self.inner_port(Role::Foreman)))
+            .map(|(ip, _)| format!("{ip}:{}", self.inner_port(Role::Control)))
             .collect();
         all.sort();
         all.dedup();
--- a/crates/gauge/tests/checks.rs
+++ b/crates/config/tests/checks.rs
@@ -1,6 +1,6 @@
 //! Settings and configurations that must not be taken.
 
-use gauge::*;
+use config::*;
 use serde_json::{Value, json};
 
 const SETTINGS: &str = r#"
@@ -27,7 +27,7 @@
 
 #[test]
 fn settings_name_the_field_that_is_wrong() {
-    assert!(Caliper::parse(SETTINGS).is_ok(), "unknown fields are ignored");
+    assert!(Settings::parse(SETTINGS).is_ok(), "unknown fields are ignored");
     for (from, to, field) in [
         ("node = \"core-1\"", "", "node"),
         ("ip = \"127.0.0.1\"", "ip = \"x\"", "ip"),
@@ -37,7 +37,7 @@
         ("memoryMb = 100", "", "limits.memoryMb"),
         ("zone = \"z\"", "zone = 3", "file"),
     ] {
-        let e = Caliper::parse(&SETTINGS.replace(from, to)).expect_err(field);
+        let e = Settings::parse(&SETTINGS.replace(from, to)).expect_err(field);
         assert_eq!(e.field, field, "{e}");
         assert!(!e.to_string().contains('\n'));
     }
@@ -52,7 +52,7 @@
 
 #[test]
 fn invalid_configurations_name_the_item() {
-    let read = |v: &Value| Template::read(v.to_string().as_bytes());
+    let read = |v: &Value| Configuration::read(v.to_string().as_bytes());
     assert!(read(&config()).is_ok());
     for (path, value, names) in [
         ("/channels/1/prefix", json!("/a/"), "r2"),
@@ -69,12 +69,12 @@
         assert!(e.contains(names), "{path}: {e}");
     }
     let text = config().to_string();
-    assert!(Template::read(&text.as_bytes()[..text.len() - 20]).is_err());
+    assert!(Configuration::read(&text.as_bytes()[..text.len() - 20]).is_err());
 }
 
 #[test]
 fn the_longest_prefix_of_the_host_routes() {
-    let t = Pattern::from(Template::read(config().to_string().as_bytes()).expect("good"));
+    let t = ConfigurationIndex::from(Configuration::read(config().to_string().as_bytes()).expect("good"));
     assert_eq!(t.route("h", "/a/x").map(|c| c.name.as_str()), Some("r1"));
     assert_eq!(t.route("H:80", "/a/b/x").map(|c| c.name.as_str()), Some("r2"));
     assert!(t.route("other", "/a/x").is_none() && t.route("h", "/b").is_none());
@@ -138,7 +138,7 @@
 
 #[test]
 fn functions_with_senseless_sizes_are_refused_by_name() {
-    let read = |v: &Value| Template::read(v.to_string().as_bytes());
+    let read = |v: &Value| Configuration::read(v.to_string().as_bytes());
     let mut c = config();
     c["plants"][0] = json!({"name": "p", "probe": null, "memoryMb": 128, "bootMs": 900, "maxInflight": 1});
     assert!(read(&c).is_ok());
--- a/crates/foreman/src/layout.rs
+++ b/crates/control/src/assignment.rs
@@ -1,11 +1,11 @@
-//! Which store machines hold which partitions: the first layout, new homes for
+//! Which store machines hold which partitions: the first layout, new replicas for
 //! what a node leaves, and the moves towards added machines.
 
-use dovetail::msg::Partition;
+use rpc::messages::Partition;
 
 /// A store machine, and where it stands.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Stand {
+pub struct StoreMachine {
     pub name: String,
     pub zone: String,
     pub region: String,
@@ -30,7 +30,7 @@
 /// How well a node fits beside those that hold a partition already: lower is
 /// better. Bytes between regions cost most, then those between zones; but where
 /// a region has several zones, the holders do not all stand in one.
-fn fit(n: &Stand, held: &[&Stand], replicas: usize, spread: Spread) -> (usize, usize) {
+fn fit(n: &StoreMachine, held: &[&StoreMachine], replica_count: usize, spread: Spread) -> (usize, usize) {
     let Some(owner) = held.first() else { return (0, 0) };
     let regions: Vec<&str> = held.iter().map(|h| h.region.as_str()).collect();
     let zones: Vec<&str> = held.iter().map(|h| h.zone.as_str()).collect();
@@ -48,13 +48,13 @@
     if places(&zones) <= spread.zones {
         return (usize::from(!new_zone), usize::from(new_region));
     }
-    let last = held.len() + 1 == replicas;
+    let last = held.len() + 1 == replica_count;
     let zone = if last && places(&zones) == 1 { !new_zone } else { n.zone != owner.zone };
     (usize::from(n.region != owner.region), usize::from(zone))
 }
 
 /// The first layout: every node owns as many as any other and follows about as many.
-pub fn layout(nodes: &[Stand], replicas: usize, spread: Spread) -> Vec<Partition> {
+pub fn layout(nodes: &[StoreMachine], replica_count: usize, spread: Spread) -> Vec<Partition> {
     let mut load = vec![0usize; nodes.len()];
     let mut heirs = std::collections::HashSet::new();
     (0..partition_count(nodes.len()))
@@ -62,15 +62,15 @@
             let at = id as usize % nodes.len();
             load[at] += 1;
             let mut held = vec![at];
-            while held.len() < replicas.min(nodes.len()) {
-                let beside: Vec<&Stand> = held.iter().map(|h| &nodes[*h]).collect();
+            while held.len() < replica_count.min(nodes.len()) {
+                let beside: Vec<&StoreMachine> = held.iter().map(|h| &nodes[*h]).collect();
                 let rest = (0..nodes.len()).filter(|n| !held.contains(n));
                 // From the owner on, so that equals take turns; and another heir for
                 // each partition of one owner.
                 let turn = |n: usize| (n + nodes.len() - at) % nodes.len();
                 let again = |n: usize| held.len() == 1 && heirs.contains(&(at, n));
-                let Some(next) =
-                    rest.min_by_key(|n| (fit(&nodes[*n], &beside, replicas, spread), again(*n), load[*n], turn(*n)))
+                let Some(next) = rest
+                    .min_by_key(|n| (fit(&nodes[*n], &beside, replica_count, spread), again(*n), load[*n], turn(*n)))
                 else {
                     break;
                 };
@@ -80,45 +80,58 @@
                 load[next] += 1;
                 held.push(next);
             }
-            let homes: Vec<String> = held.iter().map(|h| nodes[*h].name.clone()).collect();
-            Partition { id, term: 1, owner: homes[0].clone(), insync: homes.clone(), homes, ..Partition::default() }
+            let replicas: Vec<String> = held.iter().map(|h| nodes[*h].name.clone()).collect();
+            Partition {
+                id,
+                term: 1,
+                owner: replicas[0].clone(),
+                in_sync: replicas.clone(),
+                replicas,
+                ..Partition::default()
+            }
         })
         .collect()
 }
 
 fn load(all: &[Partition], node: &str) -> usize {
-    all.iter().filter(|q| q.homes.iter().any(|h| h == node)).count()
+    all.iter().filter(|q| q.replicas.iter().any(|h| h == node)).count()
 }
 
 fn owned(all: &[Partition], node: &str) -> usize {
-    all.iter().filter(|q| q.homes.first().is_some_and(|h| h == node)).count()
+    all.iter().filter(|q| q.replicas.first().is_some_and(|h| h == node)).count()
 }
 
 /// The node that is to hold a partition as well.
-pub fn new_home(p: &Partition, all: &[Partition], live: &[Stand], replicas: usize, spread: Spread) -> Option<String> {
-    let held: Vec<&Stand> = p.homes.iter().filter_map(|h| live.iter().find(|n| n.name == *h)).collect();
+pub fn new_replica(
+    p: &Partition,
+    all: &[Partition],
+    live: &[StoreMachine],
+    replica_count: usize,
+    spread: Spread,
+) -> Option<String> {
+    let held: Vec<&StoreMachine> = p.replicas.iter().filter_map(|h| live.iter().find(|n| n.name == *h)).collect();
     live.iter()
-        .filter(|n| !p.homes.contains(&n.name))
-        .min_by_key(|n| (fit(n, &held, replicas, spread), load(all, &n.name)))
+        .filter(|n| !p.replicas.contains(&n.name))
+        .min_by_key(|n| (fit(n, &held, replica_count, spread), load(all, &n.name)))
         .map(|n| n.name.clone())
 }
 
-/// New homes for a partition when `gone` is to hold nothing any more.
+/// New replicas for a partition when `gone` is to hold nothing any more.
 pub fn rehome(
     p: &Partition,
     gone: &str,
     all: &[Partition],
-    live: &[Stand],
-    replicas: usize,
+    live: &[StoreMachine],
+    replica_count: usize,
     spread: Spread,
 ) -> Option<Partition> {
-    let at = p.homes.iter().position(|h| h == gone)?;
+    let at = p.replicas.iter().position(|h| h == gone)?;
     let mut now = p.clone();
-    now.homes.remove(at);
-    let live: Vec<Stand> = live.iter().filter(|n| n.name != gone).cloned().collect();
-    if let Some(n) = new_home(&now, all, &live, replicas, spread) {
+    now.replicas.remove(at);
+    let live: Vec<StoreMachine> = live.iter().filter(|n| n.name != gone).cloned().collect();
+    if let Some(n) = new_replica(&now, all, &live, replica_count, spread) {
         // Last, so that the move goes to one that follows already.
-        now.homes.push(n);
+        now.replicas.push(n);
     }
     (now != *p).then_some(now)
 }
@@ -127,12 +140,12 @@
 /// the least loaded node of a region as a home instead of the most loaded one.
 /// Only when every partition is where it is to be, so that one move is over
 /// before the next.
-pub fn rebalance(all: &[Partition], live: &[Stand]) -> Option<Partition> {
+pub fn rebalance(all: &[Partition], live: &[StoreMachine]) -> Option<Partition> {
     let settled = |p: &Partition| {
         p.grant.is_none()
-            && p.homes.first() == Some(&p.owner)
-            && p.insync.len() == p.homes.len()
-            && p.homes.iter().all(|h| p.insync.contains(h) && live.iter().any(|n| n.name == *h))
+            && p.replicas.first() == Some(&p.owner)
+            && p.in_sync.len() == p.replicas.len()
+            && p.replicas.iter().all(|h| p.in_sync.contains(h) && live.iter().any(|n| n.name == *h))
     };
     if !all.iter().all(settled) {
         return None;
@@ -147,10 +160,10 @@
     // Owners move where the least loaded one owns less than the others.
     let wants = owned(all, &least.name) + 1 < owned(all, &most.name) || owned(all, &least.name) == 0;
     let mut fits: Vec<&Partition> =
-        all.iter().filter(|p| p.homes.contains(&most.name) && !p.homes.contains(&least.name)).collect();
-    fits.sort_by_key(|p| ((p.homes[0] == most.name) != wants, p.id));
+        all.iter().filter(|p| p.replicas.contains(&most.name) && !p.replicas.contains(&least.name)).collect();
+    fits.sort_by_key(|p| ((p.replicas[0] == most.name) != wants, p.id));
     let mut now = (*fits.first()?).clone();
-    let at = now.homes.iter().position(|h| *h == most.name)?;
-    now.homes[at] = least.name.clone();
+    let at = now.replicas.iter().position(|h| *h == most.name)?;
+    now.replicas[at] = least.name.clone();
     Some(now)
 }
--- a/crates/foreman/src/governor.rs
+++ b/crates/control/src/cluster_clock.rs
@@ -10,7 +10,7 @@
     at: u64,
 }
 
-pub struct Governor {
+pub struct ClusterClock {
     heard: HashMap<String, Heard>,
     /// How far the fleet's time is ahead of the steady clock, once that is known.
     ahead: Option<i64>,
@@ -20,9 +20,9 @@
     keep: u64,
 }
 
-impl Governor {
-    pub fn new(slack: u64, keep: u64) -> Governor {
-        Governor { heard: HashMap::new(), ahead: None, slack: slack as i64, keep }
+impl ClusterClock {
+    pub fn new(slack: u64, keep: u64) -> ClusterClock {
+        ClusterClock { heard: HashMap::new(), ahead: None, slack: slack as i64, keep }
     }
 
     /// Begins anew: what was heard is from before.
@@ -57,7 +57,7 @@
         match self.ahead {
             Some(a) if (a - middle).abs() <= self.slack => {}
             Some(_) => {
-                tally::change!("the fleet's time set anew by {} clocks", self.heard.len());
+                telemetry::change!("the fleet's time set anew by {} clocks", self.heard.len());
                 self.ahead = Some(middle);
             }
             None => self.ahead = Some(middle),
--- a/crates/foreman/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -1,34 +1,34 @@
 //! The duties of the leader: who owns which partition, which new versions stand,
 //! and the platform's list of processors.
 
-use crate::layout::*;
-use crate::plumb::Advice;
-use crate::rack::*;
-use crate::shop::*;
-use dovetail::msg::*;
-use gauge::Caliper;
+use crate::assignment::*;
+use crate::rollout::RolloutDecision;
+use crate::service::*;
+use crate::state::*;
+use config::Settings;
+use rpc::messages::*;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::watch;
 
-impl Shop {
-    pub(crate) fn alive(f: &Floor, now: u64, lease: u64, name: &str) -> bool {
+impl ControlService {
+    pub(crate) fn alive(f: &ControlShared, now: u64, lease: u64, name: &str) -> bool {
         // A lease runs from when the node sent its request; a quarter is added
         // for what clocks and queues may differ.
         let grace = f.leader_since + lease * 2;
         f.leases.get(name).map_or(now < grace, |l| {
-            l.lag < 2 && f.ended.get(name) != Some(&l.life) && now < l.at.max(f.leader_since) + lease * 5 / 4
+            l.lag < 2 && f.ended.get(name) != Some(&l.incarnation) && now < l.at.max(f.leader_since) + lease * 5 / 4
         })
     }
 
     /// Store machines that are to hold nothing: those being emptied, and those that
     /// were, until a machine of that name comes with another disk. Once it is
     /// settled such a machine is taken away at any moment, disk included.
-    pub(crate) fn retiring(f: &Floor) -> Vec<String> {
+    pub(crate) fn retiring(f: &ControlShared) -> Vec<String> {
         let same_disk = |r: &Retire| f.leases.get(&r.node).is_none_or(|l| l.born <= r.born);
-        let retires = f.rack.charter.retires.iter();
+        let retires = f.control_state.assignments.retires.iter();
         retires.filter(|r| !r.done || same_disk(r)).map(|r| r.node.clone()).collect()
     }
 
@@ -38,8 +38,8 @@
         }
         let mut proposed = Vec::new();
         let now = self.now();
-        let lease = self.caliper.lease_ms();
-        let mut words: Vec<(String, Word)> = Vec::new();
+        let lease = self.settings.lease_ms();
+        let mut words: Vec<(String, CommandPayload)> = Vec::new();
         self.with(|f| {
             self.settle_time(f, now);
             // Sessions that ended.
@@ -47,75 +47,79 @@
             let before = f.sessions.len();
             let me = self.me.clone();
             f.sessions.retain(|_, s| s.node.inner == me || now < s.seen + limit);
-            let told = f.roster.version;
+            let told = f.membership.version;
             if f.sessions.len() == before || now > f.leader_since + limit {
                 // Also what could not be published when it was heard.
-                Self::refresh_roster(f, now);
+                Self::refresh_membership(f, now);
             }
-            if f.roster.version != told {
+            if f.membership.version != told {
                 self.news.notify_waiters();
             }
-            self.tell_foremen(f);
-            let live: Vec<Stand> = f
+            self.tell_control_nodes(f);
+            let live: Vec<StoreMachine> = f
                 .sessions
                 .values()
-                .filter(|s| s.node.role == "lathe" && !s.node.leaving && Self::alive(f, now, lease, &s.node.name))
-                .map(|s| Stand { name: s.node.name.clone(), zone: s.node.zone.clone(), region: s.node.region.clone() })
+                .filter(|s| s.node.role == "store" && !s.node.leaving && Self::alive(f, now, lease, &s.node.name))
+                .map(|s| StoreMachine {
+                    name: s.node.name.clone(),
+                    zone: s.node.zone.clone(),
+                    region: s.node.region.clone(),
+                })
                 .collect();
-            let tolerance = &self.caliper.tolerance;
-            let replicas = tolerance.machines as usize + 1;
+            let tolerance = &self.settings.tolerance;
+            let replica_count = tolerance.machines as usize + 1;
             let spread = Spread { zones: tolerance.zones as usize, regions: tolerance.regions as usize };
             if f.steady.0 != live.len() {
                 f.steady = (live.len(), now);
             }
-            if f.rack.charter.partitions.is_empty() {
-                let zones = self.caliper.zones.len().max(1);
-                let waited = f.first_lathe_at != 0 && now > f.first_lathe_at + self.ratio(2.0);
+            if f.control_state.assignments.partitions.is_empty() {
+                let zones = self.settings.zones.len().max(1);
+                let waited = f.first_store_at != 0 && now > f.first_store_at + self.ratio(2.0);
                 // Fixed from then on: not before no more have come for a while.
                 let steady = now > f.steady.1 + self.ratio(8.0);
-                if steady && (live.len() >= zones.max(replicas) || (waited && live.len() >= replicas)) {
-                    let mut partitions = layout(&live, replicas, spread);
+                if steady && (live.len() >= zones.max(replica_count) || (waited && live.len() >= replica_count)) {
+                    let mut partitions = layout(&live, replica_count, spread);
                     for p in &mut partitions {
-                        for h in p.homes.clone() {
-                            p.set_joined(&h, f.leases.get(&h).map_or(0, |l| l.life));
+                        for h in p.replicas.clone() {
+                            p.set_joined(&h, f.leases.get(&h).map_or(0, |l| l.incarnation));
                         }
                     }
-                    tally::change!("{} partitions on {} store machines", partitions.len(), live.len());
-                    words.push(("layout".into(), Word::Layout(Layout { partitions })));
+                    telemetry::change!("{} partitions on {} store machines", partitions.len(), live.len());
+                    words.push(("layout".into(), CommandPayload::Layout(Layout { partitions })));
                 }
                 return;
             }
-            let partitions = f.rack.charter.partitions.clone();
+            let partitions = f.control_state.assignments.partitions.clone();
             let retiring: Vec<String> = Self::retiring(f);
             let ending: Vec<String> = f
                 .sessions
                 .values()
-                .filter(|s| s.node.role == "lathe" && s.node.leaving)
+                .filter(|s| s.node.role == "store" && s.node.leaving)
                 .map(|s| s.node.name.clone())
                 .collect();
-            let spare: Vec<Stand> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
+            let spare: Vec<StoreMachine> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
             // Who is to be no home any more: retiring nodes, and nodes that are away for
             // twice the settling time, or a quarter of it where another one is there to
             // take its place, as after a machine was replaced by one at another address.
             // Where that is so, one that is about to end is replaced before it goes.
-            let settle = self.caliper.constraints.settle_s;
+            let settle = self.settings.constraints.settle_s;
             let silent = |h: &str, patience: f64| {
                 let away = (settle * patience) as u64;
                 now > f.leader_since + away && f.leases.get(h).is_none_or(|l| now > l.at + away)
             };
-            let mut homes: Vec<&str> = partitions.iter().flat_map(|p| &p.homes).map(String::as_str).collect();
-            homes.sort_unstable();
-            homes.dedup();
-            homes.retain(|h| {
-                let replaced = || dovetail::has_replacement(&partitions, h, spare.iter().map(|n| n.name.as_str()));
+            let mut replicas: Vec<&str> = partitions.iter().flat_map(|p| &p.replicas).map(String::as_str).collect();
+            replicas.sort_unstable();
+            replicas.dedup();
+            replicas.retain(|h| {
+                let replaced = || rpc::has_replacement(&partitions, h, spare.iter().map(|n| n.name.as_str()));
                 let ends = ending.iter().any(|e| e == h) || silent(h, 250.0);
                 retiring.iter().any(|r| r == h) || silent(h, 2000.0) || (ends && replaced())
             });
-            let gone: HashSet<&str> = homes.into_iter().collect();
+            let gone: HashSet<&str> = replicas.into_iter().collect();
             for p in &partitions {
-                let life = |n: &str| f.leases.get(n).map(|l| l.life);
+                let incarnation = |n: &str| f.leases.get(n).map(|l| l.incarnation);
                 // An emptied disk holds what it was filled with since then only.
-                let holds = |n: &str| f.leases.get(n).is_none_or(|l| p.joined_life(n) >= l.born);
+                let holds = |n: &str| f.leases.get(n).is_none_or(|l| p.joined_incarnation(n) >= l.born);
                 let lag = |n: &str| f.leases.get(n).map_or(0, |l| l.lag);
                 // A slow disk does not hold up an owner whose own is well.
                 let slows = |n: &str| {
@@ -123,7 +127,7 @@
                     n != p.owner && !candidate && lag(n) > 0 && lag(&p.owner) == 0
                 };
                 let stands = |n: &str| Self::alive(f, now, lease, n) && holds(n) && !slows(n);
-                let mut put = seize(p, stands, life);
+                let mut put = seize(p, stands, incarnation);
                 let claimed = f.leases.iter().any(|(n, l)| {
                     Self::alive(f, now, lease, n) && l.claims.iter().any(|c| c.partition == p.id && c.term >= p.term)
                 });
@@ -131,7 +135,7 @@
                     f.unclaimed.remove(&p.id);
                 } else if now > *f.unclaimed.entry(p.id).or_insert(now) + 3 * lease && put.is_none() {
                     let stands = |n: &str| f.leases.contains_key(n) && Self::alive(f, now, lease, n) && holds(n);
-                    put = revive(p, stands, life);
+                    put = revive(p, stands, incarnation);
                     f.unclaimed.remove(&p.id);
                 }
                 if let Some(put) = put {
@@ -139,7 +143,7 @@
                         if put.owner != p.owner {
                             f.seizing.insert(p.owner.clone());
                         }
-                        tally::change!(
+                        telemetry::change!(
                             "partition {} seized from {} for {} at term {}",
                             p.id,
                             p.owner,
@@ -147,53 +151,61 @@
                             put.term
                         );
                     } else {
-                        tally::change!("partition {} in sync: {:?}", p.id, put.insync);
+                        telemetry::change!("partition {} in sync: {:?}", p.id, put.in_sync);
                     }
-                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now: put })));
+                    words.push((
+                        format!("p{}", p.id),
+                        CommandPayload::Partition(PutPartition { was: p.clone(), now: put }),
+                    ));
                     continue;
                 }
-                let gone = p.homes.iter().find(|h| gone.contains(h.as_str()));
+                let gone = p.replicas.iter().find(|h| gone.contains(h.as_str()));
                 if let Some(gone) = gone
-                    && spare.len() >= replicas
-                    && let Some(now) = rehome(p, gone, &partitions, &spare, replicas, spread)
+                    && spare.len() >= replica_count
+                    && let Some(now) = rehome(p, gone, &partitions, &spare, replica_count, spread)
                 {
-                    tally::change!("partition {} homes {:?}", p.id, now.homes);
-                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
+                    telemetry::change!("partition {} replicas {:?}", p.id, now.replicas);
+                    words.push((format!("p{}", p.id), CommandPayload::Partition(PutPartition { was: p.clone(), now })));
                     continue;
                 }
-                if p.homes.len() < replicas
-                    && let Some(n) = new_home(p, &partitions, &spare, replicas, spread)
+                if p.replicas.len() < replica_count
+                    && let Some(n) = new_replica(p, &partitions, &spare, replica_count, spread)
                 {
                     let mut now = p.clone();
-                    now.homes.push(n);
-                    words.push((format!("p{}", p.id), Word::Partition(PutPartition { was: p.clone(), now })));
+                    now.replicas.push(n);
+                    words.push((format!("p{}", p.id), CommandPayload::Partition(PutPartition { was: p.clone(), now })));
                 }
             }
             // A machine that has just come may be there to replace one that is about to go:
             // it is kept free for that until it would count as settled.
-            let kept_free = (self.caliper.constraints.settle_s * 1000.0) as u64;
+            let kept_free = (self.settings.constraints.settle_s * 1000.0) as u64;
             if words.is_empty()
                 && now > f.steady.1 + kept_free
                 && let Some(now) = rebalance(&partitions, &spare)
             {
-                tally::change!("partition {} homes {:?}, for balance", now.id, now.homes);
+                telemetry::change!("partition {} replicas {:?}, for balance", now.id, now.replicas);
                 let was = partitions.iter().find(|p| p.id == now.id).cloned();
-                words.extend(was.map(|was| ("balance".into(), Word::Partition(PutPartition { was, now }))));
+                words.extend(was.map(|was| ("balance".into(), CommandPayload::Partition(PutPartition { was, now }))));
             }
-            for r in f.rack.charter.retires.iter().filter(|r| !r.done) {
-                if emptied(&partitions, &r.node, replicas) {
-                    tally::change!("retired {}", r.node);
+            for r in f.control_state.assignments.retires.iter().filter(|r| !r.done) {
+                if emptied(&partitions, &r.node, replica_count) {
+                    telemetry::change!("retired {}", r.node);
                     let born = f.leases.get(&r.node).map_or(0, |l| l.born);
-                    let finish = FinishRetire { node: r.node.clone(), began: r.began, replicas: replicas as u32, born };
-                    words.push((r.node.clone(), Word::FinishRetire(finish)));
+                    let finish = FinishRetire {
+                        node: r.node.clone(),
+                        began: r.began,
+                        replica_count: replica_count as u32,
+                        born,
+                    };
+                    words.push((r.node.clone(), CommandPayload::FinishRetire(finish)));
                 }
             }
         });
         for (_, w) in words {
             // Together: each changes another partition, and only as it was seen here.
-            let shop = self.clone();
+            let control = self.clone();
             proposed.push(tokio::spawn(async move {
-                shop.propose(w).await;
+                control.propose(w).await;
             }));
         }
         for p in proposed {
@@ -206,40 +218,40 @@
     pub(crate) async fn judge(&self) {
         // The leader's own clock may step in the middle of a trial.
         let Some(wall) = self.time() else { return };
-        if self.with(|f| f.rack.charter.rollouts.iter().all(|r| r.state != "running")) {
+        if self.with(|f| f.control_state.assignments.rollouts.iter().all(|r| r.state != "running")) {
             return;
         }
-        let pattern = self.pattern();
+        let configuration_index = self.configuration_index();
         let mut words = Vec::new();
         self.with(|f| {
-            if f.rack.charter.rollouts.iter().all(|r| r.state != "running") {
+            if f.control_state.assignments.rollouts.iter().all(|r| r.state != "running") {
                 return;
             }
-            let cutoff = pattern.channels.iter().map(|c| c.cutoff_ms).fold(0.0, f64::max);
-            let linger = cutoff as u64 + self.caliper.constraints.revert_slack_ms as u64;
-            for r in f.rack.charter.rollouts.iter().filter(|r| r.state == "running") {
-                let p = f.plumbs.entry(r.plant.clone()).or_default();
+            let timeout = configuration_index.routes.iter().map(|c| c.timeout_ms).fold(0.0, f64::max);
+            let linger = timeout as u64 + self.settings.constraints.revert_slack_ms as u64;
+            for r in f.control_state.assignments.rollouts.iter().filter(|r| r.state == "running") {
+                let p = f.plumbs.entry(r.service.clone()).or_default();
                 p.judges(r.began);
                 let mut now = r.clone();
                 now.spent = now.spent.max(p.sent_new);
-                match p.advise(r, wall, linger, self.caliper.constraints.revert_slack_ms / 10.0) {
-                    Advice::Wait => continue,
-                    Advice::Share(s) => now.share = s,
-                    Advice::Settle => now.state = "settled".into(),
-                    Advice::Revert(why) => {
-                        tally::change!("roll-out of {} reverted: {why}", r.plant);
+                match p.advise(r, wall, linger, self.settings.constraints.revert_slack_ms / 10.0) {
+                    RolloutDecision::Wait => continue,
+                    RolloutDecision::Share(s) => now.share = s,
+                    RolloutDecision::Settle => now.state = "settled".into(),
+                    RolloutDecision::Revert(why) => {
+                        telemetry::change!("roll-out of {} reverted: {why}", r.service);
                         now.state = "reverted".into();
                         now.share = 0;
                     }
                 }
-                tally::change!(
+                telemetry::change!(
                     "roll-out of {} to {}: {} at {} thousandths",
-                    now.plant,
+                    now.service,
                     now.target,
                     now.state,
                     now.share
                 );
-                words.push(Word::PutRollout(PutRollout { was: r.clone(), now }));
+                words.push(CommandPayload::PutRollout(PutRollout { was: r.clone(), now }));
             }
         });
         for w in words {
@@ -247,13 +259,14 @@
         }
     }
 
-    pub(crate) async fn list(&self, settings: watch::Receiver<Caliper>) {
+    pub(crate) async fn list(&self, settings_updates: watch::Receiver<Settings>) {
         #[derive(serde::Deserialize)]
         #[serde(rename_all = "camelCase", default)]
         #[derive(Default)]
         struct Listed {
             id: String,
-            plant: String,
+            #[serde(rename = "plant")]
+            service: String,
             address: String,
             zone: String,
             revision: String,
@@ -264,21 +277,22 @@
         #[derive(serde::Deserialize)]
         #[serde(rename_all = "camelCase")]
         struct Page {
-            units: Vec<Listed>,
+            #[serde(rename = "units")]
+            processors: Vec<Listed>,
             next_token: Option<String>,
         }
-        let chuck = spindle::Chuck::new(Duration::from_millis(self.caliper.constraints.quiet_ms as u64));
-        let period = Duration::from_millis((self.caliper.constraints.converge_ms / 5.0) as u64);
+        let pool = http1::ConnectionPool::new(Duration::from_millis(self.settings.constraints.quiet_ms as u64));
+        let period = Duration::from_millis((self.settings.constraints.converge_ms / 5.0) as u64);
         loop {
-            let addr = settings.borrow().platform.address.clone();
+            let addr = settings_updates.borrow().platform.address.clone();
             if addr.is_empty() || !self.holds_leadership() {
                 tokio::time::sleep(period / 4).await;
                 continue;
             }
-            let (mut units, mut token, mut whole) = (Vec::new(), None::<String>, false);
+            let (mut processors, mut token, mut whole) = (Vec::new(), None::<String>, false);
             loop {
                 let path = token.as_ref().map_or("/units".into(), |t| format!("/units?pageToken={t}"));
-                let call = spindle::Call {
+                let call = http1::Call {
                     method: "GET",
                     path: &path,
                     host: &addr,
@@ -287,15 +301,15 @@
                     id: "",
                     newest: None,
                 };
-                tally::count("platform_calls");
-                let Ok(a) = chuck.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
+                telemetry::count("platform_calls");
+                let Ok(a) = pool.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
                 if a.status != 200 {
                     break;
                 }
                 let Ok(page) = serde_json::from_slice::<Page>(&a.body) else { break };
-                units.extend(page.units.into_iter().map(|u| Unit {
+                processors.extend(page.processors.into_iter().map(|u| Processor {
                     id: u.id,
-                    plant: u.plant,
+                    service: u.service,
                     address: u.address,
                     zone: u.zone,
                     revision: u.revision,
@@ -311,13 +325,13 @@
                 }
             }
             if whole {
-                units.sort_by(|a, b| a.id.cmp(&b.id));
+                processors.sort_by(|a, b| a.id.cmp(&b.id));
                 let now = self.now();
                 self.with(|f| {
-                    f.units = units;
+                    f.processors = processors;
                     f.listed = true;
                     f.listed_at = now;
-                    Self::refresh_roster(f, now);
+                    Self::refresh_membership(f, now);
                 });
                 self.news.notify_waiters();
             }
@@ -327,12 +341,13 @@
 
     /// The time wants its own clock and more than half of the store machines', or
     /// all that come soon.
-    pub(crate) fn settle_time(&self, f: &mut Floor, now: u64) {
-        let mut homes: Vec<&String> = f.rack.charter.partitions.iter().flat_map(|p| &p.homes).collect();
-        homes.sort_unstable();
-        homes.dedup();
-        let wanted = if now > f.leader_since + self.ratio(16.0) { 1 } else { homes.len() / 2 + 2 };
-        f.governor.hear(&self.caliper.node, tally::wall_ms(), now);
-        f.governor.settle(wanted, now);
+    pub(crate) fn settle_time(&self, f: &mut ControlShared, now: u64) {
+        let mut replicas: Vec<&String> =
+            f.control_state.assignments.partitions.iter().flat_map(|p| &p.replicas).collect();
+        replicas.sort_unstable();
+        replicas.dedup();
+        let wanted = if now > f.leader_since + self.ratio(16.0) { 1 } else { replicas.len() / 2 + 2 };
+        f.cluster_clock.hear(&self.settings.node, telemetry::wall_ms(), now);
+        f.cluster_clock.settle(wanted, now);
     }
 }
--- a/crates/foreman/src/bellows.rs
+++ b/crates/control/src/instance_launcher.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Worker {
+pub struct InstanceHost {
     pub name: String,
     pub zone: String,
     pub headroom_mb: f64,
@@ -13,8 +13,8 @@
 }
 
 #[derive(Default)]
-pub struct Bellows {
-    workers: Vec<Worker>,
+pub struct InstanceLauncher {
+    workers: Vec<InstanceHost>,
     /// What was started since, by worker: when, and how much.
     taken: HashMap<String, Vec<(u64, f64)>>,
     /// Workers that refused, and until when they are left out.
@@ -26,12 +26,12 @@
     per_s: f64,
 }
 
-impl Bellows {
-    pub fn new(lag: u64, per_s: f64) -> Bellows {
-        Bellows { lag, per_s, ..Bellows::default() }
+impl InstanceLauncher {
+    pub fn new(lag: u64, per_s: f64) -> InstanceLauncher {
+        InstanceLauncher { lag, per_s, ..InstanceLauncher::default() }
     }
 
-    pub fn listed(&mut self, workers: Vec<Worker>, now: u64) {
+    pub fn listed(&mut self, workers: Vec<InstanceHost>, now: u64) {
         let lag = self.lag;
         for t in self.taken.values_mut() {
             t.retain(|(at, _)| now < at + lag);
@@ -48,7 +48,7 @@
     /// The worker with the most room, in that zone if there is one about as good:
     /// processors are spread, so that the end of a worker takes few of them.
     pub fn choose(&mut self, memory_mb: f64, zone: &str, now: u64) -> Option<String> {
-        let room = |w: &Worker| {
+        let room = |w: &InstanceHost| {
             let taken: f64 = self.taken.get(&w.name).map_or(0.0, |t| t.iter().map(|x| x.1).sum());
             w.headroom_mb - taken
         };
@@ -56,7 +56,7 @@
             .workers
             .iter()
             .filter(|w| w.ready && room(w) >= memory_mb && self.refused.get(&w.name).is_none_or(|until| *until <= now));
-        let weigh = |w: &Worker| room(w) + if w.zone == zone { memory_mb } else { 0.0 };
+        let weigh = |w: &InstanceHost| room(w) + if w.zone == zone { memory_mb } else { 0.0 };
         let name = fits.max_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| b.name.cmp(&a.name)))?.name.clone();
         self.taken.entry(name.clone()).or_default().push((now, memory_mb));
         Some(name)
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,26 @@
+//! The control plane: the majority log, sessions, leases, duties, and the
+//! operator's interface.
+
+mod assignment;
+mod cluster_clock;
+mod duties;
+mod instance_launcher;
+mod leadership;
+mod operator;
+mod orders;
+mod raft;
+mod rollout;
+mod scaler;
+mod service;
+mod sessions;
+mod state;
+mod storage;
+pub use assignment::*;
+pub use cluster_clock::*;
+pub use instance_launcher::*;
+pub use operator::serve as serve_operator;
+pub use raft::*;
+pub use rollout::*;
+pub use service::*;
+pub use state::*;
+pub use storage::StoredState;
--- a/crates/foreman/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -1,11 +1,11 @@
 //! Orders of store machines on their partitions: granted by the majority's log.
 
-use crate::rack::*;
-use crate::shop::Shop;
-use dovetail::msg::*;
+use crate::service::ControlService;
+use crate::state::*;
+use rpc::messages::*;
 
-impl Shop {
-    /// The term at which this foreman leads and a majority follows it. What was read
+impl ControlService {
+    /// The term at which this control node leads and a majority follows it. What was read
     /// while it is the same before and after was the last word: nobody else led.
     pub(crate) fn authority(&self) -> Option<u64> {
         let now = self.now();
@@ -13,7 +13,7 @@
     }
 
     pub(crate) fn partition(&self, id: u32) -> Option<Partition> {
-        self.with(|f| f.rack.charter.partitions.iter().find(|p| p.id == id).cloned())
+        self.with(|f| f.control_state.assignments.partitions.iter().find(|p| p.id == id).cloned())
     }
 
     pub(crate) async fn order(&self, o: Order) -> OrderAck {
@@ -23,9 +23,9 @@
             ack.refused = self.authority() == Some(term);
             return ack;
         };
-        // One comes into sync only in the life that holds a lease, and with a disk
+        // One comes into sync only in the incarnation that holds a lease, and with a disk
         // that keeps up.
-        let fit = self.with(|f| f.leases.get(&o.node).is_some_and(|l| l.life == o.life && l.lag == 0));
+        let fit = self.with(|f| f.leases.get(&o.node).is_some_and(|l| l.incarnation == o.incarnation && l.lag == 0));
         if o.kind == OrderKind::Join as i32 && o.seen != was.changed {
             // Asked before the last word on this partition: with that, it may ask anew.
             ack.partition = Some(was);
@@ -34,25 +34,25 @@
         if o.kind == OrderKind::Join as i32 && !fit {
             // A refusal is logged as well: whoever hears it counts that node no longer,
             // so no earlier ask may be granted behind it.
-            let put = Word::Partition(PutPartition { was: was.clone(), now: was });
-            ack.refused = self.propose(put).await == Some(Applied::Done);
+            let put = CommandPayload::Partition(PutPartition { was: was.clone(), now: was });
+            ack.refused = self.propose(put).await == Some(ApplyResult::Done);
             ack.partition = self.partition(o.partition);
             return ack;
         }
         match rule(&was, &o) {
             // By what was read here, and given only if that was the last word: this
             // process may have stood still in between.
-            verdict @ (Ruling::Refused | Ruling::Stands) => {
+            execution @ (RolloutVerdict::Refused | RolloutVerdict::Stands) => {
                 if self.authority() == Some(term) {
-                    ack.refused = verdict == Ruling::Refused;
+                    ack.refused = execution == RolloutVerdict::Refused;
                     ack.ok = !ack.refused;
                     ack.partition = Some(was);
                 }
             }
-            Ruling::Put(now) => {
-                let put = Word::Partition(PutPartition { was, now });
-                if self.propose(put).await == Some(Applied::Done) {
-                    tally::count("partition_orders");
+            RolloutVerdict::Put(now) => {
+                let put = CommandPayload::Partition(PutPartition { was, now });
+                if self.propose(put).await == Some(ApplyResult::Done) {
+                    telemetry::count("partition_orders");
                     ack.ok = true;
                     ack.partition = self.partition(o.partition);
                 }
--- a/crates/foreman/src/vise.rs
+++ b/crates/control/src/raft.rs
@@ -1,13 +1,13 @@
-//! The foremen's log, held by a majority. A state machine without I/O: the
+//! The control nodes' log, held by a majority. A state machine without I/O: the
 //! shell carries out its effects in the order given.
 
 use bytes::Bytes;
-use dovetail::msg::{ViseEntry, ViseKind, ViseMsg};
+use rpc::messages::{RaftEntry, RaftMessage, RaftMessageKind};
 use std::collections::{HashMap, HashSet};
 
 /// Bytes of entries that go in one message, unless one alone is larger; also those
 /// of one piece of a snapshot.
-const APPEND_BYTES: usize = dovetail::FRAME_LIMIT / 4;
+const APPEND_BYTES: usize = rpc::FRAME_LIMIT / 4;
 /// No message is further than that many terms ahead of what is known here.
 const TERM_LEAP: u64 = 1 << 32;
 /// More voters than any settings ask for.
@@ -15,16 +15,16 @@
 
 pub enum Event {
     Tick,
-    Message(ViseMsg),
+    Message(RaftMessage),
     /// Adds an entry; only while leading.
     Propose(Bytes),
     /// Name a successor and stop leading, as when the disk does not answer.
     StepDown,
     /// This process is told to end: it names a successor, and does not campaign again
-    /// in this life. It votes as long as it runs; nothing of it goes to the disk.
+    /// in this incarnation. It votes as long as it runs; nothing of it goes to the disk.
     Leave,
-    /// The foremen whose sessions stand: those without a vote are kept up to date.
-    Foremen(Vec<String>),
+    /// The control nodes whose sessions stand: those without a vote are kept up to date.
+    ControlNodes(Vec<String>),
     /// Add or remove one voter; only while leading, and one change at a time.
     SetVoters(Vec<String>),
     /// The shell's state as of `index`, to cut the log with.
@@ -38,8 +38,8 @@
 pub enum Effect {
     /// Must be durable before any later effect is carried out.
     Save(Save),
-    Send(String, ViseMsg),
-    Apply(ViseEntry),
+    Send(String, RaftMessage),
+    Apply(RaftEntry),
     /// Replace the whole state.
     Restore(Bytes),
     /// The proposal just made has this index and term.
@@ -71,7 +71,7 @@
     pub hard: Option<HardState>,
     /// The whole state as of `hard.base`.
     pub state: Option<Bytes>,
-    pub put: Vec<ViseEntry>,
+    pub put: Vec<RaftEntry>,
     /// Remove all entries from here to there.
     pub del: Option<(u64, u64)>,
 }
@@ -86,7 +86,7 @@
 
 /// Bounds of the state machine's clock, in milliseconds.
 #[derive(Clone, Copy)]
-pub struct Pace {
+pub struct Timing {
     pub beat: u64,
     pub election: u64,
 }
@@ -123,7 +123,7 @@
 }
 
 #[derive(Clone)]
-pub struct Vise {
+pub struct RaftNode {
     me: String,
     pub hard: HardState,
     state: Bytes,
@@ -135,14 +135,14 @@
     snapshot_limit: u64,
     /// Told to end: does not campaign any more.
     leaving: bool,
-    /// Foremen that said that they are about to end.
+    /// Control nodes that said that they are about to end.
     departing: HashSet<String>,
-    log: Vec<ViseEntry>,
+    log: Vec<RaftEntry>,
     /// The voters that the newest entry about them names, committed or not, and
     /// that entry's index.
     voters: Vec<String>,
     voters_at: u64,
-    /// Foremen without a vote that are kept up to date.
+    /// Control nodes without a vote that are kept up to date.
     learners: Vec<String>,
     /// The round in which another one's log was last gone back for: refusals of what
     /// was sent before then are answered already.
@@ -169,7 +169,7 @@
     round: u64,
     /// When this process began.
     born: u64,
-    /// Names this life where it asks to be readmitted.
+    /// Names this incarnation where it asks to be readmitted.
     asks_as: u64,
     /// Tells the answers to one campaign from those to another.
     ballot: u64,
@@ -177,14 +177,22 @@
     waiting: HashMap<String, u64>,
     /// The round in which each was last told that it is readmitted.
     granted: HashMap<String, u64>,
-    pace: Pace,
+    timing: Timing,
     dice: u64,
 }
 
-impl Vise {
-    pub fn new(me: &str, hard: HardState, state: Bytes, log: Vec<ViseEntry>, pace: Pace, seed: u64, now: u64) -> Vise {
+impl RaftNode {
+    pub fn new(
+        me: &str,
+        hard: HardState,
+        state: Bytes,
+        log: Vec<RaftEntry>,
+        timing: Timing,
+        seed: u64,
+        now: u64,
+    ) -> RaftNode {
         let base = hard.base;
-        let mut v = Vise {
+        let mut v = RaftNode {
             me: me.into(),
             hard,
             state,
@@ -222,7 +230,7 @@
             ballot: seed ^ now,
             waiting: HashMap::new(),
             granted: HashMap::new(),
-            pace,
+            timing,
             dice: seed | 1,
         };
         v.count_voters();
@@ -246,10 +254,10 @@
         self.voters_at <= self.commit
     }
 
-    /// The foremen that are about to end: their votes pass on where a replacement
+    /// The control nodes that are about to end: their votes pass on where a replacement
     /// stands ready.
-    pub fn set_departing(&mut self, foremen: HashSet<String>) {
-        self.departing = foremen;
+    pub fn set_departing(&mut self, control_nodes: HashSet<String>) {
+        self.departing = control_nodes;
     }
 
     /// Takes no snapshot of more bytes than that.
@@ -263,7 +271,7 @@
         !self.outgoing.is_empty()
     }
 
-    /// How many committed entries each other foreman is not known to hold.
+    /// How many committed entries each other control node is not known to hold.
     pub fn behind(&self) -> Vec<(String, u64)> {
         if self.role != StateRole::Leader {
             return Vec::new();
@@ -273,25 +281,31 @@
         others.map(|f| (f.clone(), self.commit.saturating_sub(held(f)))).collect()
     }
 
-    /// When the round was sent that a foreman has answered last.
-    pub fn last_answer(&self, foreman: &str) -> u64 {
-        self.answered.get(foreman).copied().unwrap_or(0)
+    /// When the round was sent that a control node has answered last.
+    pub fn last_answer(&self, control: &str) -> u64 {
+        self.answered.get(control).copied().unwrap_or(0)
     }
 
-    /// Whether a foreman without a vote could have one: it holds what is
+    /// Whether a control node without a vote could have one: it holds what is
     /// committed, and has not forgotten what it voted_for before.
-    pub fn could_vote(&self, foreman: &str, now: u64) -> bool {
-        self.matched.get(foreman).is_some_and(|m| *m >= self.commit)
-            && !self.waiting.contains_key(foreman)
-            && self.last_answer(foreman) + self.pace.election > now
+    pub fn could_vote(&self, control: &str, now: u64) -> bool {
+        self.matched.get(control).is_some_and(|m| *m >= self.commit)
+            && !self.waiting.contains_key(control)
+            && self.last_answer(control) + self.timing.election > now
     }
 
     /// The next change of voters, if one is called for: there are fewer than
-    /// `wanted`, or one has been silent for `away` or is about to end. `foremen` are
+    /// `wanted`, or one has been silent for `away` or is about to end. `control_nodes` are
     /// those whose sessions stand, with their zones. A replacement comes in before the
     /// lost one goes, and only when it could vote at once; to be asked again as soon as
     /// that is committed, as one voter too many with one lost bears no further loss.
-    pub fn next_voters(&self, foremen: &[(String, String)], wanted: usize, away: u64, now: u64) -> Option<Vec<String>> {
+    pub fn next_voters(
+        &self,
+        control_nodes: &[(String, String)],
+        wanted: usize,
+        away: u64,
+        now: u64,
+    ) -> Option<Vec<String>> {
         if !self.may_change_voters() {
             return None;
         }
@@ -307,9 +321,9 @@
         if self.voters.len() == wanted && longest.is_none() {
             return None;
         }
-        let zone = |addr: &str| foremen.iter().find(|f| f.0 == addr).map(|f| f.1.as_str());
+        let zone = |addr: &str| control_nodes.iter().find(|f| f.0 == addr).map(|f| f.1.as_str());
         let taken = |z: &str| self.voters.iter().filter(|v| !lost(v) && zone(v) == Some(z)).count();
-        let fit = foremen
+        let fit = control_nodes
             .iter()
             .filter(|f| !self.voters.contains(&f.0) && !self.departing.contains(&f.0) && self.could_vote(&f.0, now));
         let new = fit.min_by_key(|f| taken(&f.1))?;
@@ -328,7 +342,7 @@
         self.dice ^= self.dice << 13;
         self.dice ^= self.dice >> 7;
         self.dice ^= self.dice << 17;
-        self.election_at = now + self.pace.election + self.dice % self.pace.election;
+        self.election_at = now + self.timing.election + self.dice % self.timing.election;
     }
 
     fn last(&self) -> (u64, u64) {
@@ -342,7 +356,7 @@
         self.entry(index).map(|e| e.term)
     }
 
-    fn entry(&self, index: u64) -> Option<&ViseEntry> {
+    fn entry(&self, index: u64) -> Option<&RaftEntry> {
         index.checked_sub(self.hard.base + 1).and_then(|i| self.log.get(i as usize))
     }
 
@@ -354,15 +368,15 @@
         self.voters.contains(&self.me)
     }
 
-    fn message(&self, kind: ViseKind) -> ViseMsg {
-        ViseMsg { from: self.me.clone(), term: self.hard.term, kind: kind as i32, ..ViseMsg::default() }
+    fn message(&self, kind: RaftMessageKind) -> RaftMessage {
+        RaftMessage { from: self.me.clone(), term: self.hard.term, kind: kind as i32, ..RaftMessage::default() }
     }
 
     /// How long a round that a majority has answered keeps others from being elected:
     /// they wait an election time from when they heard it, by their own clocks, which
     /// may run an eighth faster than this one.
     fn authority(&self) -> u64 {
-        self.pace.election * 7 / 8
+        self.timing.election * 7 / 8
     }
 
     /// Leads, and a majority has answered rounds sent within the time that its
@@ -382,7 +396,7 @@
 
     /// Who leads, while it is heard of.
     pub fn leader_at(&self, now: u64) -> &str {
-        let heard = self.role == StateRole::Leader || now < self.heard + 3 * self.pace.election;
+        let heard = self.role == StateRole::Leader || now < self.heard + 3 * self.timing.election;
         if heard { &self.leader } else { "" }
     }
 
@@ -419,7 +433,7 @@
                 self.leaving = true;
                 self.step_down(now, &mut out);
             }
-            Event::Foremen(all) => {
+            Event::ControlNodes(all) => {
                 let voters = &self.voters;
                 self.learners = all.into_iter().filter(|f| *f != self.me && !voters.contains(f)).collect();
                 let next = self.last().0 + 1;
@@ -443,7 +457,7 @@
 
     fn tick(&mut self, now: u64, out: &mut Vec<Effect>) {
         if self.role == StateRole::Leader {
-            if self.contact(now) + 3 * self.pace.election < now {
+            if self.contact(now) + 3 * self.timing.election < now {
                 self.become_follower(now, out);
             } else if now >= self.beat_at {
                 self.broadcast(now, out);
@@ -456,7 +470,7 @@
         } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote && !self.leaving {
             // All may have ended at once: then nobody counts on a leader, and there is
             // nothing to wait for.
-            self.blank_at = now + self.pace.election / 8 + self.dice % (self.pace.election / 8).max(1);
+            self.blank_at = now + self.timing.election / 8 + self.dice % (self.timing.election / 8).max(1);
             self.campaign(now, true, false, out);
         }
     }
@@ -465,7 +479,7 @@
         self.votes.clear();
         self.votes.insert(self.me.clone());
         self.ballot = self.ballot.wrapping_add(1).max(1);
-        let mut m = self.message(ViseKind::RequestVote);
+        let mut m = self.message(RaftMessageKind::RequestVote);
         m.round = self.ballot;
         if pre_vote {
             self.blanks.clear();
@@ -499,7 +513,7 @@
             // One that just came back may have answered a leader right before it ended:
             // for as long as that counts, its own vote is no more to be had than for
             // others.
-            StateRole::PreCandidate if now < self.heard + self.pace.election => {}
+            StateRole::PreCandidate if now < self.heard + self.timing.election => {}
             StateRole::PreCandidate => self.campaign(now, false, false, out),
             StateRole::Candidate => {
                 self.role = StateRole::Leader;
@@ -543,11 +557,11 @@
             (!self.departing.contains(*v), held)
         });
         if let Some(to) = best.cloned() {
-            let m = self.message(ViseKind::TimeoutNow);
+            let m = self.message(RaftMessageKind::TimeoutNow);
             out.push(Effect::Send(to, m));
         }
         self.become_follower(now, out);
-        self.election_at = now + 8 * self.pace.election;
+        self.election_at = now + 8 * self.timing.election;
     }
 
     fn append(&mut self, now: u64, data: Bytes, out: &mut Vec<Effect>) {
@@ -555,7 +569,7 @@
     }
 
     fn append_with(&mut self, now: u64, data: Bytes, voters: Vec<String>, out: &mut Vec<Effect>) {
-        let e = ViseEntry { index: self.last().0 + 1, term: self.hard.term, data, voters };
+        let e = RaftEntry { index: self.last().0 + 1, term: self.hard.term, data, voters };
         out.push(Effect::Proposed(e.index, e.term));
         if !e.voters.is_empty() {
             // In force from here on, committed or not.
@@ -570,7 +584,7 @@
     }
 
     fn broadcast(&mut self, now: u64, out: &mut Vec<Effect>) {
-        self.beat_at = now + self.pace.beat;
+        self.beat_at = now + self.timing.beat;
         self.round += 1;
         self.sent.insert(self.round, now);
         self.sent.remove(&self.round.saturating_sub(256));
@@ -583,7 +597,7 @@
 
     fn send_log(&mut self, to: &str, out: &mut Vec<Effect>) {
         let next = self.next.get(to).copied().unwrap_or(1);
-        let mut m = self.message(ViseKind::Append);
+        let mut m = self.message(RaftMessageKind::Append);
         m.round = self.round;
         m.commit = self.commit;
         if next <= self.hard.base || self.outgoing.contains_key(to) {
@@ -609,17 +623,17 @@
 
     /// One piece of a snapshot; once that is sent, an empty one as a beat, which the
     /// other side answers with what it holds.
-    fn send_piece(&mut self, to: &str, mut m: ViseMsg, out: &mut Vec<Effect>) {
+    fn send_piece(&mut self, to: &str, mut m: RaftMessage, out: &mut Vec<Effect>) {
         if !self.outgoing.contains_key(to) {
             let digest = self.digest.get_or_insert_with(|| digest_of(&self.state)).clone();
             let (index, term) = (self.hard.base, self.hard.base_term);
             let (voters, state) = (self.hard.voters.clone(), self.state.clone());
-            tally::count("vise_snapshots_sent");
+            telemetry::count("raft_snapshots_sent");
             self.outgoing.insert(to.into(), Outgoing { index, term, voters, state, digest, held: 0, sent: 0 });
         }
         let round = self.round;
         let Some(o) = self.outgoing.get_mut(to) else { return };
-        m.kind = ViseKind::InstallSnapshot as i32;
+        m.kind = RaftMessageKind::InstallSnapshot as i32;
         (m.index, m.log_term) = (o.index, o.term);
         m.voters.clone_from(&o.voters);
         m.digest = o.digest.clone();
@@ -633,7 +647,7 @@
     }
 
     /// What the other side holds of the snapshot on its way to it.
-    fn snapshot_acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
+    fn snapshot_acked(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
         }
@@ -643,7 +657,7 @@
         self.hear_answer(&m);
         let Some(o) = self.outgoing.get_mut(&m.from).filter(|o| o.index == m.index) else { return };
         if m.offset > o.state.len() as u64 {
-            tally::count("vise_refused");
+            telemetry::count("raft_refused");
             return;
         }
         // Frames of one connection come in order: what was asked later than the piece
@@ -651,7 +665,7 @@
         if m.offset > o.held || (o.sent > 0 && m.round > o.sent) {
             o.held = m.offset;
             o.sent = 0;
-            let mut next = self.message(ViseKind::InstallSnapshot);
+            let mut next = self.message(RaftMessageKind::InstallSnapshot);
             next.round = self.round;
             next.commit = self.commit;
             self.send_piece(&m.from, next, out);
@@ -659,7 +673,7 @@
     }
 
     /// When the round was sent that this answers.
-    fn hear_answer(&mut self, m: &ViseMsg) {
+    fn hear_answer(&mut self, m: &RaftMessage) {
         if let Some(at) = self.sent.get(&m.round) {
             let a = self.answered.entry(m.from.clone()).or_insert(0);
             *a = (*a).max(*at);
@@ -680,7 +694,7 @@
             if n > self.commit && self.term_at(n) == Some(self.hard.term) {
                 self.commit = n;
                 // The others are told with the next tick and not the next beat: what
-                // is committed may be a new owner, and its own foreman tells it.
+                // is committed may be a new owner, and its own control node tells it.
                 self.beat_at = 0;
             }
         }
@@ -691,19 +705,19 @@
         }
     }
 
-    fn receive(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
-        let kind = ViseKind::try_from(m.kind).unwrap_or(ViseKind::None);
+    fn receive(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
+        let kind = RaftMessageKind::try_from(m.kind).unwrap_or(RaftMessageKind::None);
         if !self.plausible(kind, &m) {
-            tally::count("vise_refused");
+            telemetry::count("raft_refused");
             return;
         }
-        if kind == ViseKind::RequestVote {
+        if kind == RaftMessageKind::RequestVote {
             self.asked(now, m, out);
             return;
         }
-        if kind == ViseKind::Vote && m.round != self.ballot {
-            // To an earlier campaign, perhaps of a former life.
-            tally::count("vise_late_votes");
+        if kind == RaftMessageKind::Vote && m.round != self.ballot {
+            // To an earlier campaign, perhaps of a former incarnation.
+            telemetry::count("raft_late_votes");
             if m.term <= self.hard.term || m.pre_vote {
                 return;
             }
@@ -733,7 +747,7 @@
                     && others.iter().all(|v| self.blanks.contains_key(*v))
                     && willing + 1 >= self.majority()
                 {
-                    // Every voter is in a new life, the last leader among them.
+                    // Every voter is in a new incarnation, the last leader among them.
                     self.campaign(now, false, true, out);
                 }
             }
@@ -746,7 +760,7 @@
             self.become_follower(now, out);
         }
         match kind {
-            ViseKind::Vote
+            RaftMessageKind::Vote
                 if m.ok
                     && m.term == self.hard.term
                     && m.round == self.ballot
@@ -756,10 +770,10 @@
                 self.votes.insert(m.from);
                 self.count_votes(now, out);
             }
-            ViseKind::Append | ViseKind::InstallSnapshot => self.appended(now, m, kind, out),
-            ViseKind::AppendAck => self.acked(now, m, out),
-            ViseKind::SnapshotAck => self.snapshot_acked(now, m, out),
-            ViseKind::TimeoutNow
+            RaftMessageKind::Append | RaftMessageKind::InstallSnapshot => self.appended(now, m, kind, out),
+            RaftMessageKind::AppendAck => self.acked(now, m, out),
+            RaftMessageKind::SnapshotAck => self.snapshot_acked(now, m, out),
+            RaftMessageKind::TimeoutNow
                 if m.term == self.hard.term && self.hard.may_vote && self.is_voter() && !self.leaving =>
             {
                 self.campaign(now, false, true, out);
@@ -768,15 +782,15 @@
         }
     }
 
-    fn asked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
-        let followed = self.role == StateRole::Leader || now < self.heard + self.pace.election;
-        let mut r = self.message(ViseKind::Vote);
+    fn asked(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
+        let followed = self.role == StateRole::Leader || now < self.heard + self.timing.election;
+        let mut r = self.message(RaftMessageKind::Vote);
         r.pre_vote = m.pre_vote;
         r.round = m.round;
         let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
         let known = self.voters.contains(&m.from);
         if !known && (m.log_term, m.index) <= (self.last().1, self.last().0) {
-            tally::count("vise_strangers");
+            telemetry::count("raft_strangers");
             return;
         }
         // One with a newer log may be a voter by an entry that is not here yet. It is
@@ -809,11 +823,11 @@
         out.push(Effect::Send(m.from, r));
     }
 
-    fn appended(&mut self, now: u64, m: ViseMsg, kind: ViseKind, out: &mut Vec<Effect>) {
-        let mut r = self.message(ViseKind::AppendAck);
+    fn appended(&mut self, now: u64, m: RaftMessage, kind: RaftMessageKind, out: &mut Vec<Effect>) {
+        let mut r = self.message(RaftMessageKind::AppendAck);
         r.round = m.round;
         if m.term < self.hard.term {
-            tally::count("vise_stale");
+            telemetry::count("raft_stale");
             out.push(Effect::Send(m.from, r));
             return;
         }
@@ -828,9 +842,9 @@
         if self.incoming.as_ref().is_some_and(|i| i.index <= self.commit) {
             self.incoming = None;
         }
-        if kind == ViseKind::InstallSnapshot && m.index > self.commit {
+        if kind == RaftMessageKind::InstallSnapshot && m.index > self.commit {
             let Some(state) = self.take_piece(&m) else {
-                r.kind = ViseKind::SnapshotAck as i32;
+                r.kind = RaftMessageKind::SnapshotAck as i32;
                 r.index = m.index;
                 r.offset = self.incoming.as_ref().map_or(0, |i| i.state.len() as u64);
                 r.readmit = !self.hard.may_vote;
@@ -856,14 +870,14 @@
             self.applied = m.index;
             save.hard = Some(self.hard.clone());
             save.state = Some(state.clone());
-            tally::count("vise_snapshots_taken");
+            telemetry::count("raft_snapshots_taken");
             out.push(Effect::Restore(state));
         }
         let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
         r.ok = joins;
         // Whoever was given a vote that this disk lost counts votes for two election
         // times at the most; a third is for what clocks differ.
-        let over = now >= self.born + 3 * self.pace.election;
+        let over = now >= self.born + 3 * self.timing.election;
         if m.readmit && joins && m.offset == self.asks_as && over && !self.hard.may_vote {
             self.hard.may_vote = true;
             save.hard = Some(self.hard.clone());
@@ -908,10 +922,10 @@
     }
 
     /// Takes one piece of a snapshot; the whole, if this was the last one.
-    fn take_piece(&mut self, m: &ViseMsg) -> Option<Bytes> {
+    fn take_piece(&mut self, m: &RaftMessage) -> Option<Bytes> {
         let end = m.offset.checked_add(m.state.len() as u64);
         if m.total > self.snapshot_limit || m.digest.len() != 32 || end.is_none_or(|e| e > m.total) {
-            tally::count("vise_refused");
+            telemetry::count("raft_refused");
             return None;
         }
         let same =
@@ -929,15 +943,15 @@
         }
         let whole = self.incoming.take()?;
         if digest_of(&whole.state) != whole.digest {
-            tally::count("vise_snapshots_refused");
+            telemetry::count("raft_snapshots_refused");
             return None;
         }
         Some(whole.state.into())
     }
 
-    /// Whether a message can be one of a foreman that works as this one does. What is
+    /// Whether a message can be one of a control node that works as this one does. What is
     /// not changes nothing here, whatever it says.
-    fn plausible(&self, kind: ViseKind, m: &ViseMsg) -> bool {
+    fn plausible(&self, kind: RaftMessageKind, m: &RaftMessage) -> bool {
         let known = |index: u64| index < u64::MAX / 2;
         let voters = |v: &[String]| {
             let different: HashSet<&String> = v.iter().collect();
@@ -956,31 +970,35 @@
         {
             return false;
         }
-        if !known(m.index) || !known(m.commit) || (m.log_term > m.term && kind != ViseKind::Vote) {
+        if !known(m.index) || !known(m.commit) || (m.log_term > m.term && kind != RaftMessageKind::Vote) {
             return false;
         }
         match kind {
-            ViseKind::None => false,
-            ViseKind::RequestVote | ViseKind::Vote | ViseKind::TimeoutNow | ViseKind::SnapshotAck => true,
-            ViseKind::Append | ViseKind::InstallSnapshot => {
+            RaftMessageKind::None => false,
+            RaftMessageKind::RequestVote
+            | RaftMessageKind::Vote
+            | RaftMessageKind::TimeoutNow
+            | RaftMessageKind::SnapshotAck => true,
+            RaftMessageKind::Append | RaftMessageKind::InstallSnapshot => {
                 // A term has one leader.
                 let another = m.term == self.hard.term
                     && (self.role == StateRole::Leader || (!self.leader.is_empty() && self.leader != m.from));
-                let whole = kind == ViseKind::Append || (!m.voters.is_empty() && voters(&m.voters) && m.index > 0);
+                let whole =
+                    kind == RaftMessageKind::Append || (!m.voters.is_empty() && voters(&m.voters) && m.index > 0);
                 !another && whole && entries()
             }
-            ViseKind::AppendAck => {
+            RaftMessageKind::AppendAck => {
                 m.term != self.hard.term || self.role != StateRole::Leader || m.index <= self.last().0
             }
         }
     }
 
-    fn acked(&mut self, now: u64, m: ViseMsg, out: &mut Vec<Effect>) {
+    fn acked(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
         if self.role != StateRole::Leader || m.term != self.hard.term {
             return;
         }
         if !self.voters.contains(&m.from) && !self.learners.contains(&m.from) {
-            tally::count("vise_strangers");
+            telemetry::count("raft_strangers");
             return;
         }
         if m.readmit {
@@ -1000,7 +1018,7 @@
             // Many may be under way when the first is refused. Each would else bring
             // back the whole of what is lacking, and the next refusal with it.
             if self.gone_back.get(&m.from).is_some_and(|r| m.round <= *r) {
-                tally::count("vise_refusals_known");
+                telemetry::count("raft_refusals_known");
                 return;
             }
             self.gone_back.insert(m.from.clone(), self.round);
@@ -1030,7 +1048,7 @@
     /// One that lost its disk votes again once it holds the whole log, and every
     /// other voter that a majority needs has followed this leader since it asked:
     /// no vote or entry that it forgot can matter then.
-    fn readmit(&mut self, now: u64, m: &ViseMsg, out: &mut Vec<Effect>) {
+    fn readmit(&mut self, now: u64, m: &RaftMessage, out: &mut Vec<Effect>) {
         let since = self.waiting.get(&m.from).copied().unwrap_or(now);
         let vouches =
             |v: &&String| **v == self.me || (self.counts(v) && self.answered.get(*v).is_some_and(|a| *a > since));
@@ -1039,9 +1057,9 @@
         let told = self.granted.get(&m.from).is_some_and(|r| m.round <= *r);
         if m.index >= self.commit && others >= self.majority() && !told {
             self.granted.insert(m.from.clone(), self.round);
-            let mut r = self.message(ViseKind::Append);
+            let mut r = self.message(RaftMessageKind::Append);
             r.readmit = true;
-            // To the life that asked, and to no later one of the same disk.
+            // To the incarnation that asked, and to no later one of the same disk.
             r.offset = m.offset;
             r.round = self.round;
             r.index = m.index;
--- a/crates/foreman/src/plumb.rs
+++ b/crates/control/src/rollout.rs
@@ -1,6 +1,6 @@
 //! The judge of new versions: holds the new one against the old.
 
-use dovetail::msg::{Rollout, Sample};
+use rpc::messages::{Rollout, Sample};
 use std::collections::HashMap;
 
 #[derive(Clone, Copy, Default, Debug)]
@@ -24,7 +24,7 @@
 
 /// What has been seen of one roll-out.
 #[derive(Default)]
-pub struct Plumb {
+pub struct RolloutMonitor {
     new: HashMap<String, Tried>,
     old: HashMap<String, Tried>,
     pub sent_new: u64,
@@ -37,7 +37,7 @@
 }
 
 #[derive(Debug, PartialEq)]
-pub enum Advice {
+pub enum RolloutDecision {
     Wait,
     /// Give the new version this many thousandths.
     Share(u32),
@@ -54,12 +54,12 @@
 /// Fewer failures than this on a route may be chance.
 const LEAST_BAD: f64 = 5.0;
 
-impl Plumb {
+impl RolloutMonitor {
     /// Says which roll-out is judged: what was seen of an earlier one says nothing.
     /// Samples that come before the first call are of the one that is named then.
     pub fn judges(&mut self, began: u64) {
         if self.began != 0 && self.began != began {
-            *self = Plumb::default();
+            *self = RolloutMonitor::default();
         }
         self.began = began;
     }
@@ -72,8 +72,8 @@
             self.since_raise += (s.good + s.bad) as f64;
         }
         let side = if new { &mut self.new } else { &mut self.old };
-        for channel in [s.channel.as_str(), ""] {
-            let t = side.entry(channel.to_owned()).or_default();
+        for route in [s.route.as_str(), ""] {
+            let t = side.entry(route.to_owned()).or_default();
             t.good += s.good as f64;
             t.bad += s.bad as f64;
             t.ms += s.ms_sum;
@@ -88,8 +88,8 @@
     /// What is wrong, if anything. Differences of less than `least_ms` on the way
     /// are the network's, not a version's.
     fn fault(&self, least_ms: f64) -> Option<String> {
-        for (channel, n) in &self.new {
-            let o = self.old.get(channel).copied().unwrap_or_default();
+        for (route, n) in &self.new {
+            let o = self.old.get(route).copied().unwrap_or_default();
             if n.bad >= LEAST_BAD && n.bad_share() > (3.0 * o.bad_share()).max(o.bad_share() + 0.15) {
                 return Some(format!("{:.0}% failures against {:.0}%", n.bad_share() * 100.0, o.bad_share() * 100.0));
             }
@@ -101,17 +101,17 @@
         None
     }
 
-    pub fn advise(&mut self, r: &Rollout, now_ms: u64, linger_ms: u64, least_ms: f64) -> Advice {
+    pub fn advise(&mut self, r: &Rollout, now_ms: u64, linger_ms: u64, least_ms: f64) -> RolloutDecision {
         if let Some(why) = self.fault(least_ms) {
-            return Advice::Revert(why);
+            return RolloutDecision::Revert(why);
         }
         let part = now_ms.saturating_sub(r.began_ms) as f64 / r.within_ms.max(1) as f64;
         if r.share >= 1000 {
             let waited = now_ms.saturating_sub(self.raised_ms) >= linger_ms;
             return if part >= SETTLE_FROM && waited && self.since_raise >= 10.0 {
-                Advice::Settle
+                RolloutDecision::Settle
             } else {
-                Advice::Wait
+                RolloutDecision::Wait
             };
         }
         if let Some((share, from)) = STEPS.iter().find(|(s, _)| *s > r.share)
@@ -120,8 +120,8 @@
         {
             self.since_raise = 0.0;
             self.raised_ms = now_ms;
-            return Advice::Share(*share);
+            return RolloutDecision::Share(*share);
         }
-        Advice::Wait
+        RolloutDecision::Wait
     }
 }
--- a/crates/foreman/src/actuate.rs
+++ b/crates/control/src/scaler.rs
@@ -1,38 +1,39 @@
 //! The scaler's calls to the platform.
 
-use crate::bellows::Worker;
-use crate::shop::{Floor, Shop};
-use dovetail::msg::*;
-use gauge::Caliper;
-use spindle::{Call, Chuck};
+use crate::instance_launcher::InstanceHost;
+use crate::service::{ControlService, ControlShared};
+use config::Settings;
+use http1::{Call, ConnectionPool};
+use rpc::messages::*;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-impl Floor {
-    /// Which front is to know which processors, as of the last listing and roster.
-    fn share_units(&mut self) {
-        let of = (self.roster.version, self.listed_at());
+impl ControlShared {
+    /// Which front is to know which processors, as of the last listing and membership.
+    fn share_processors(&mut self) {
+        let of = (self.membership.version, self.listed_at());
         if (self.shares.0, self.shares.1) == of {
             return;
         }
-        let fronts = dovetail::fronts(&self.roster);
-        let mut all: HashMap<String, Units> = HashMap::new();
-        for u in self.units() {
-            let Some(k) = dovetail::keeper(&fronts, &u.plant) else { continue };
-            let share = all.entry(k.1.clone()).or_insert_with(|| Units { known: true, units: vec![], digest: 1 });
-            let h = (share.digest ^ dovetail::print(u.id.as_bytes())).wrapping_mul(0x9e3779b97f4a7c15);
+        let fronts = rpc::fronts(&self.membership);
+        let mut all: HashMap<String, Processors> = HashMap::new();
+        for u in self.processors() {
+            let Some(k) = rpc::slot_owner(&fronts, &u.service) else { continue };
+            let share =
+                all.entry(k.1.clone()).or_insert_with(|| Processors { known: true, processors: vec![], digest: 1 });
+            let h = (share.digest ^ rpc::fingerprint(u.id.as_bytes())).wrapping_mul(0x9e3779b97f4a7c15);
             share.digest = h ^ u64::from(u.draining);
-            share.units.push(u.clone());
+            share.processors.push(u.clone());
         }
         self.shares = (of.0, of.1, all);
     }
 }
 
-impl Shop {
-    /// Keeps the list of workers while this foreman leads.
-    pub(crate) async fn list_workers(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
+impl ControlService {
+    /// Keeps the list of workers while this control node leads.
+    pub(crate) async fn list_workers(self: Arc<Self>, settings_updates: watch::Receiver<Settings>) {
         #[derive(serde::Deserialize)]
         #[serde(rename_all = "camelCase", default)]
         #[derive(Default)]
@@ -46,40 +47,40 @@
         struct Page {
             carriers: Vec<Carrier>,
         }
-        let period = Duration::from_millis((self.caliper.constraints.converge_ms / 4.0) as u64);
-        let chuck = Chuck::new(period * 4);
+        let period = Duration::from_millis((self.settings.constraints.converge_ms / 4.0) as u64);
+        let pool = ConnectionPool::new(period * 4);
         loop {
-            let addr = settings.borrow().platform.address.clone();
+            let addr = settings_updates.borrow().platform.address.clone();
             if addr.is_empty() || !self.holds_leadership() {
                 tokio::time::sleep(period / 8).await;
                 continue;
             }
             let (headers, body, id) = (&[], &[], "");
             let call = Call { method: "GET", path: "/workers", host: &addr, headers, body, id, newest: None };
-            tally::count("platform_calls");
-            let page = match chuck.call(&addr, call, 2, period).await {
+            telemetry::count("platform_calls");
+            let page = match pool.call(&addr, call, 2, period).await {
                 Ok(a) if a.status == 200 => serde_json::from_slice::<Page>(&a.body).ok(),
                 _ => None,
             };
             match page {
                 Some(p) => {
                     let (carriers, all) = (p.carriers.len(), p.carriers.into_iter());
-                    let workers: Vec<Worker> = all
+                    let workers: Vec<InstanceHost> = all
                         .filter(|c| !c.name.is_empty() && c.headroom_mb.is_finite() && c.headroom_mb >= 0.0)
-                        .map(|c| Worker {
+                        .map(|c| InstanceHost {
                             ready: c.state == "ready",
                             name: c.name,
                             zone: c.zone,
                             headroom_mb: c.headroom_mb,
                         })
                         .collect();
-                    tally::add("platform_items_refused", (carriers - workers.len()) as u64);
+                    telemetry::add("platform_items_refused", (carriers - workers.len()) as u64);
                     let now = self.now();
-                    self.with(|f| f.bellows.listed(workers, now));
+                    self.with(|f| f.launcher.listed(workers, now));
                     tokio::time::sleep(period).await;
                 }
                 None => {
-                    tally::count("platform_misses");
+                    telemetry::count("platform_misses");
                     tokio::time::sleep(period / 4).await;
                 }
             }
@@ -87,32 +88,33 @@
     }
 
     /// The processors of the functions that a front keeps, as the platform lists them.
-    pub(crate) fn units_of(&self, a: &UnitsAsk) -> Units {
+    pub(crate) fn processors_of(&self, a: &ProcessorsRequest) -> Processors {
         let now = self.now();
         self.with(|f| {
-            if !f.tells_units(now) {
-                return Units::default();
+            if !f.tells_processors(now) {
+                return Processors::default();
             }
-            f.share_units();
+            f.share_processors();
             match f.shares.2.get(&a.front) {
-                Some(u) if u.digest == a.digest => Units { units: Vec::new(), ..u.clone() },
+                Some(u) if u.digest == a.digest => Processors { processors: Vec::new(), ..u.clone() },
                 Some(u) => u.clone(),
-                None => Units { known: true, units: Vec::new(), digest: 1 },
+                None => Processors { known: true, processors: Vec::new(), digest: 1 },
             }
         })
     }
 
     /// Starts one processor; asked again by the same nonce it comes to the same one.
-    pub(crate) async fn start_unit(&self, s: Start, platform: &str) -> StartAck {
+    pub(crate) async fn start_processor(&self, s: Start, platform: &str) -> StartAck {
         let leader = self.leader();
         let end = Instant::now() + Duration::from_millis(self.ratio(5.0));
         let mut ack = StartAck { leader, ..StartAck::default() };
         if !self.holds_leadership() || s.nonce.is_empty() || s.nonce.len() > 64 {
             return ack;
         }
-        let pattern = self.pattern();
-        let Some(memory) = pattern.plant(&s.plant).filter(|p| p.is_function()).map(|p| p.memory_mb) else {
-            tally::count("starts_unknown");
+        let configuration_index = self.configuration_index();
+        let Some(memory) = configuration_index.service(&s.service).filter(|p| p.is_function()).map(|p| p.memory_mb)
+        else {
+            telemetry::count("starts_unknown");
             ack.full = true;
             return ack;
         };
@@ -120,19 +122,19 @@
             let now = self.now();
             let (worker, fence, known) = self.with(|f| {
                 let fence = f.term();
-                (f.bellows.choose(memory, &s.zone, now), fence, f.bellows.known())
+                (f.launcher.choose(memory, &s.zone, now), fence, f.launcher.known())
             });
             let Some(worker) = worker else {
                 // Not asked yet is not full.
                 ack.full = known;
                 if known {
-                    tally::count("starts_without_room");
+                    telemetry::count("starts_without_room");
                     return ack;
                 }
                 tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
                 continue;
             };
-            let body = serde_json::json!({"plant": s.plant, "carrier": worker, "nonce": s.nonce}).to_string();
+            let body = serde_json::json!({"plant": s.service, "carrier": worker, "nonce": s.nonce}).to_string();
             match self.actuate(platform, "/start", &body, fence, end).await {
                 Some((200, answer)) => {
                     #[derive(serde::Deserialize)]
@@ -141,17 +143,17 @@
                         address: String,
                     }
                     let Ok(a) = serde_json::from_slice::<Started>(&answer) else {
-                        tally::count("platform_items_refused");
+                        telemetry::count("platform_items_refused");
                         continue;
                     };
-                    tally::count("starts");
-                    (ack.unit, ack.address) = (a.id, a.address);
+                    telemetry::count("starts");
+                    (ack.processor, ack.address) = (a.id, a.address);
                     return ack;
                 }
                 Some((409, _)) => {
-                    tally::count("starts_refused");
+                    telemetry::count("starts_refused");
                     let now = self.now();
-                    self.with(|f| f.bellows.refused(&worker, now));
+                    self.with(|f| f.launcher.refused(&worker, now));
                 }
                 Some((400, _)) => {
                     ack.full = true;
@@ -164,13 +166,13 @@
         ack
     }
 
-    pub(crate) async fn stop_unit(&self, unit: &str, platform: &str) -> bool {
+    pub(crate) async fn stop_processor(&self, processor: &str, platform: &str) -> bool {
         let end = Instant::now() + Duration::from_millis(self.ratio(5.0));
-        let body = serde_json::json!({ "id": unit }).to_string();
+        let body = serde_json::json!({ "id": processor }).to_string();
         while Instant::now() < end && self.holds_leadership() {
             let fence = self.with(|f| f.term());
             if let Some((200 | 404, _)) = self.actuate(platform, "/stop", &body, fence, end).await {
-                tally::count("stops");
+                telemetry::count("stops");
                 return true;
             }
             tokio::time::sleep(Duration::from_millis(self.ratio(100.0))).await;
@@ -188,7 +190,7 @@
     ) -> Option<(u16, bytes::Bytes)> {
         loop {
             let now = self.now();
-            match self.with(|f| f.bellows.token(now)) {
+            match self.with(|f| f.launcher.token(now)) {
                 Ok(()) => break,
                 Err(_) if Instant::now() > end => return None,
                 Err(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
@@ -196,7 +198,7 @@
         }
         let fence = fence.to_string();
         let headers =
-            [("X-Duty-Holder", self.caliper.node.as_str()), ("X-Fence", &fence), ("Content-Type", "application/json")];
+            [("X-Duty-Holder", self.settings.node.as_str()), ("X-Fence", &fence), ("Content-Type", "application/json")];
         let call = Call {
             method: "POST",
             path,
@@ -206,8 +208,8 @@
             id: "",
             newest: None,
         };
-        tally::count("platform_calls");
-        let a = self.hose.call(platform, call, 32, Duration::from_millis(self.ratio(5.0))).await.ok()?;
+        telemetry::count("platform_calls");
+        let a = self.platform_pool.call(platform, call, 32, Duration::from_millis(self.ratio(5.0))).await.ok()?;
         Some((a.status, a.body))
     }
 }
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,384 @@
+//! The shell of a control node: runs the log, keeps sessions and leases, and does
+//! the duties of the leader.
+
+use crate::cluster_clock::ClusterClock;
+use crate::instance_launcher::InstanceLauncher;
+use crate::leadership::turn;
+use crate::raft::*;
+use crate::rollout::RolloutMonitor;
+use crate::state::*;
+use crate::storage::{self, StoredState, save};
+use bytes::Bytes;
+use config::{Configuration, ConfigurationIndex, Role, Settings};
+use rpc::messages::*;
+use rpc::{Responder, RpcClients, new_incarnation};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify as Notifier, mpsc, oneshot, watch};
+
+pub type Answered = oneshot::Sender<Option<ApplyResult>>;
+
+pub(crate) enum Input {
+    RaftNode(RaftMessage),
+    Propose(Bytes, Answered),
+    /// This process is told to end.
+    Leave,
+    /// The control nodes whose sessions stand.
+    ControlNodes(Vec<Candidate>),
+}
+
+/// A control node whose session stands, as one that may be given a vote.
+pub(crate) struct Candidate {
+    pub(crate) addr: String,
+    pub(crate) zone: String,
+    pub(crate) leaving: bool,
+}
+
+pub(crate) struct Session {
+    pub(crate) node: Node,
+    pub(crate) seen: u64,
+}
+
+pub(crate) struct Leased {
+    pub(crate) incarnation: u64,
+    /// When it was last renewed.
+    pub(crate) at: u64,
+    /// The incarnation in which its disk was empty: what it was in sync with before that
+    /// does not count.
+    pub(crate) born: u64,
+    pub(crate) claims: Vec<Holding>,
+    pub(crate) connection: u64,
+    /// How its disk does: 0 well, 1 slow, 2 it does not answer.
+    pub(crate) lag: u32,
+}
+
+/// State shared by the tasks of a control node, behind a short lock.
+pub struct ControlShared {
+    pub control_state: ControlState,
+    pub membership: Membership,
+    pub(crate) sessions: BTreeMap<String, Session>,
+    pub(crate) leases: HashMap<String, Leased>,
+    /// Incarnations that were seen to end.
+    pub(crate) ended: HashMap<String, u64>,
+    pub leader: String,
+    pub is_leader: bool,
+    /// Until when this control node may act for the majority; 0 when it may not.
+    pub(crate) serves_until: u64,
+    pub(crate) leader_since: u64,
+    /// From when the membership of this leader is news: one that remembers none waits
+    /// until the nodes have told it their sessions.
+    pub(crate) publish_from: u64,
+    pub(crate) voters: Vec<String>,
+    /// Whether they are committed.
+    pub(crate) voters_settled: bool,
+    /// How far the other control nodes are behind, as the leader knows it.
+    pub(crate) behind: Vec<(String, u64)>,
+    pub(crate) term: u64,
+    pub(crate) membership_seq: u64,
+    pub(crate) processors: Vec<Processor>,
+    pub(crate) listed: bool,
+    pub(crate) plumbs: HashMap<String, RolloutMonitor>,
+    pub(crate) first_store_at: u64,
+    /// How many store nodes there are, and since when.
+    pub(crate) steady: (usize, u64),
+    /// Owners from which partitions are being taken: they get no lease meanwhile, by
+    /// which they would go on beside their successors.
+    pub(crate) seizing: HashSet<String>,
+    /// Since when nobody acts as a partition's owner.
+    pub(crate) unclaimed: HashMap<u32, u64>,
+    pub(crate) cluster_clock: ClusterClock,
+    /// A platform for functions.
+    pub(crate) functions: bool,
+    /// Since when the processors are as this leader itself listed them; 0: not yet.
+    pub(crate) listed_at: u64,
+    pub(crate) launcher: InstanceLauncher,
+    /// The configuration in force, read once for a version.
+    pub(crate) configuration_index: Arc<ConfigurationIndex>,
+    /// The same as a tree, for changes.
+    pub(crate) document: config::ConfigurationDocument,
+    /// The processors that each front is told, made once for a listing and a membership.
+    pub(crate) shares: (u64, u64, HashMap<String, Processors>),
+}
+
+impl ControlShared {
+    pub(crate) fn processors(&self) -> &[Processor] {
+        &self.processors
+    }
+
+    pub(crate) fn listed_at(&self) -> u64 {
+        self.listed_at
+    }
+
+    /// Whether this control node knows what the platform lists now.
+    pub(crate) fn tells_processors(&self, now: u64) -> bool {
+        self.holds(now) && self.listed_at > 0
+    }
+
+    /// The leader's term: fences what its holder has the platform do.
+    pub(crate) fn term(&self) -> u64 {
+        self.term
+    }
+}
+
+pub struct ControlService {
+    pub settings: Settings,
+    pub me: String,
+    pub(crate) shared: Mutex<ControlShared>,
+    pub(crate) news: Notifier,
+    /// What nodes told has changed what is to be published.
+    pub(crate) stale: Notifier,
+    pub(crate) inputs: mpsc::UnboundedSender<Input>,
+    pub(crate) rpc_clients: Arc<RpcClients>,
+    pub(crate) start: Instant,
+    pub(crate) incarnation: AtomicU64,
+    pub(crate) assigning: AtomicBool,
+    /// Told to end.
+    pub(crate) leaving: AtomicBool,
+    pub(crate) settings_updates: watch::Receiver<Settings>,
+    /// Connections for what the platform is to do.
+    pub(crate) platform_pool: Arc<http1::ConnectionPool>,
+}
+
+impl ControlService {
+    pub fn now(&self) -> u64 {
+        // Starts above 0, so that "never" lies in the past.
+        self.start.elapsed().as_millis() as u64 + 1_000_000
+    }
+
+    pub fn with<T>(&self, f: impl FnOnce(&mut ControlShared) -> T) -> T {
+        f(&mut self.shared.lock().unwrap())
+    }
+
+    pub(crate) fn ratio(&self, part: f64) -> u64 {
+        (self.settings.constraints.quiet_ms / part) as u64
+    }
+
+    /// The configuration in force, with its indexes.
+    pub fn configuration_index(&self) -> Arc<ConfigurationIndex> {
+        self.with(|f| {
+            if f.configuration_index.revision != f.control_state.revision
+                && let Ok(t) = Configuration::read(&f.control_state.configuration)
+            {
+                f.configuration_index = Arc::new(t.into());
+            }
+            f.configuration_index.clone()
+        })
+    }
+
+    /// The fleet's time; None while the leader does not know it.
+    pub fn time(&self) -> Option<u64> {
+        let now = self.now();
+        self.with(|f| f.cluster_clock.time(now))
+    }
+
+    pub(crate) fn have(f: &ControlShared) -> ViewVersions {
+        ViewVersions {
+            configuration: f.control_state.revision,
+            assignments: f.control_state.assignments.version,
+            membership: f.membership.version,
+        }
+    }
+
+    fn handle(self: &Arc<Self>, body: Body, responder: Responder) {
+        match body {
+            Body::RaftNode(m) => {
+                let _ = self.inputs.send(Input::RaftNode(m));
+            }
+            Body::Lease(l) => {
+                let ack = self.lease(l, responder.connection());
+                responder.send(Body::LeaseAck(ack));
+            }
+            Body::WatchRequest(w) => {
+                let control = self.clone();
+                tokio::spawn(async move {
+                    let news = control.watch(w).await;
+                    responder.send(Body::ViewUpdate(news));
+                });
+            }
+            Body::Order(o) => {
+                let control = self.clone();
+                tokio::spawn(async move {
+                    let ack = control.order(o).await;
+                    responder.send(Body::OrderAck(ack));
+                });
+            }
+            Body::ProcessorsRequest(a) => responder.send(Body::Processors(self.processors_of(&a))),
+            Body::Start(s) => {
+                let control = self.clone();
+                tokio::spawn(async move {
+                    let platform = control.settings_updates.borrow().platform.address.clone();
+                    let ack = control.start_processor(s, &platform).await;
+                    responder.send(Body::StartAck(ack));
+                });
+            }
+            Body::Stop(s) => {
+                let control = self.clone();
+                tokio::spawn(async move {
+                    let platform = control.settings_updates.borrow().platform.address.clone();
+                    if control.stop_processor(&s.processor, &platform).await {
+                        responder.send(Body::Ack(Ack {}));
+                    }
+                });
+            }
+            Body::Status(_) => responder.send(Body::StatusAck(StatusAck { json: self.status() })),
+            _ => {}
+        }
+    }
+
+    pub fn status(&self) -> String {
+        self.with(|f| {
+            let parts: Vec<serde_json::Value> = f
+                .control_state
+                .assignments
+                .partitions
+                .iter()
+                .map(|p| {
+                    serde_json::json!({"id": p.id, "term": p.term, "owner": p.owner, "insync": p.in_sync,
+                        "replicas": p.replicas, "candidate": p.grant.as_ref().map(|g| g.candidate.clone())})
+                })
+                .collect();
+            let nodes: Vec<serde_json::Value> = f
+                .membership
+                .nodes
+                .iter()
+                .map(|n| serde_json::json!({"name": n.name, "role": n.role, "zone": n.zone, "inner": n.inner, "leaving": n.leaving}))
+                .collect();
+            let behind: BTreeMap<&String, u64> = f.behind.iter().map(|(n, b)| (n, *b)).collect();
+            // Store machines whose disks do not keep up.
+            let disks: BTreeMap<&String, &str> = f
+                .leases
+                .iter()
+                .filter(|(_, l)| l.lag > 0)
+                .map(|(n, l)| (n, if l.lag == 1 { "slow" } else { "does not answer" }))
+                .collect();
+            serde_json::json!({"node": self.settings.node, "leader": f.leader, "isLeader": f.is_leader,
+                "duties": if f.is_leader { vec!["lister", "judge", "assigner"] } else { vec![] },
+                "voters": f.voters, "behind": behind, "disks": disks, "revision": f.control_state.revision, "assignments": f.control_state.assignments.version, "membership": f.membership.version,
+                "units": f.membership.processors.len(), "partitions": parts, "nodes": nodes, "counters": telemetry::render()})
+            .to_string()
+        })
+    }
+}
+
+/// Runs a control node until it is told to stop.
+pub async fn run(
+    settings: Settings,
+    mut stop: watch::Receiver<bool>,
+    settings_updates: watch::Receiver<Settings>,
+) -> Result<(), String> {
+    let me = settings.inner_addr(Role::Control);
+    let quiet = settings.constraints.quiet_ms;
+    let (wal, kept) = storage::load(&settings)?;
+    let StoredState { hard, state, log, control_state, fresh } = kept;
+    if fresh && !settings.initial_start {
+        telemetry::change!("the disk is empty: no vote until readmitted");
+    }
+    let timing = Timing { beat: (quiet / 26.0) as u64, election: (quiet / 9.0) as u64 };
+    let start = Instant::now();
+    let seed = fingerprint(me.as_bytes()) ^ telemetry::wall_ms();
+    let mut raft = RaftNode::new(&me, hard.clone(), state, log, timing, seed, 1_000_000);
+    raft.limit_snapshots(settings.limits.memory_mb << 20 >> 2);
+    let (inputs, rx) = mpsc::unbounded_channel();
+    let control = Arc::new(ControlService {
+        me: me.clone(),
+        shared: Mutex::new(ControlShared {
+            control_state,
+            membership: Membership::default(),
+            sessions: BTreeMap::new(),
+            leases: HashMap::new(),
+            ended: HashMap::new(),
+            leader: String::new(),
+            is_leader: false,
+            serves_until: 0,
+            leader_since: 0,
+            publish_from: 0,
+            voters: Vec::new(),
+            voters_settled: false,
+            behind: Vec::new(),
+            term: 0,
+            membership_seq: 0,
+            processors: Vec::new(),
+            listed: false,
+            plumbs: HashMap::new(),
+            first_store_at: 0,
+            steady: (0, 0),
+            seizing: HashSet::new(),
+            unclaimed: HashMap::new(),
+            cluster_clock: ClusterClock::new(
+                (settings.constraints.lead_ms / 2.0).max(quiet / 100.0) as u64,
+                (quiet / 4.0) as u64,
+            ),
+            functions: settings.runs_functions(),
+            listed_at: 0,
+            launcher: InstanceLauncher::new(
+                settings.platform.lag_ms as u64 + (settings.constraints.converge_ms / 4.0) as u64,
+                settings.platform.duty_per_s,
+            ),
+            configuration_index: Arc::default(),
+            document: config::ConfigurationDocument::default(),
+            shares: (0, 0, HashMap::new()),
+        }),
+        news: Notifier::new(),
+        stale: Notifier::new(),
+        inputs,
+        rpc_clients: RpcClients::new(Duration::from_millis((quiet / 4.0) as u64)),
+        start,
+        incarnation: AtomicU64::new(new_incarnation()),
+        assigning: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
+        settings_updates: settings_updates.clone(),
+        platform_pool: http1::ConnectionPool::new(Duration::from_millis(quiet as u64)),
+        settings: settings.clone(),
+    });
+    let own = control.node();
+    control.with(|f| f.sessions.insert(own.name.clone(), Session { node: own, seen: u64::MAX / 2 }));
+    if fresh {
+        save(&wal, Save { hard: Some(hard), ..Save::default() }).await;
+    }
+    let silence = Duration::from_millis((quiet / 4.0) as u64);
+    let listener = tokio::net::TcpListener::bind(&me).await.map_err(|e| format!("{me}: {e}"))?;
+    let s = control.clone();
+    let e = control.clone();
+    let ended = move |connection| {
+        let control = e.clone();
+        tokio::spawn(async move { control.connection_ended(connection).await });
+    };
+    tokio::spawn(rpc::serve_and_tell(listener, silence, move |b, p| s.handle(b, p), ended));
+    tokio::spawn(control.clone().publish());
+    tokio::spawn(control.clone().follow(settings_updates.clone()));
+    if settings.runs_functions() {
+        tokio::spawn(control.clone().list_workers(settings_updates.clone()));
+    }
+    let s = control.clone();
+    tokio::spawn(async move { s.list(settings_updates).await });
+    tokio::spawn(turn(control.clone(), raft, wal, rx));
+    let s = control.clone();
+    let (close, closing) = watch::channel(http1::Closing::Open);
+    tokio::spawn(crate::operator::serve(s, closing));
+    let s = control.clone();
+    tokio::spawn(async move {
+        let period = Duration::from_millis(s.ratio(60.0));
+        let mut rounds = 0u64;
+        loop {
+            tokio::time::sleep(period).await;
+            rounds += 1;
+            if s.holds_leadership() {
+                s.assign().await;
+                if rounds.is_multiple_of(3) {
+                    s.judge().await;
+                }
+            }
+            if rounds.is_multiple_of(300) {
+                telemetry::report(&s.settings.node, &rpc::sent());
+            }
+        }
+    });
+    let _ = stop.wait_for(|s| *s).await;
+    let _ = close.send(http1::Closing::Draining);
+    control.leave().await;
+    tokio::time::sleep(Duration::from_millis(control.ratio(16.0))).await;
+    telemetry::report(&settings.node, &rpc::sent());
+    Ok(())
+}
--- a/crates/foreman/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -1,34 +1,34 @@
-//! Sessions and leases: what nodes tell of themselves, the roster made of it, and
+//! Sessions and leases: what nodes tell of themselves, the membership made of it, and
 //! the news that is told back.
 
-use crate::shop::*;
-use dovetail::msg::*;
-use dovetail::{after, possible};
-use gauge::Caliper;
+use crate::service::*;
+use config::Settings;
+use rpc::messages::*;
+use rpc::{after, possible};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::watch;
 
-impl Floor {
-    /// The life of a node, if one is known that comes after this one.
-    pub(crate) fn later_life(&self, node: &Node) -> u64 {
-        let lease = self.leases.get(&node.name).map_or(0, |l| l.life);
-        let session = self.sessions.get(&node.name).map_or(0, |s| s.node.life);
-        let told = self.roster.nodes.binary_search_by(|n| n.name.as_str().cmp(&node.name));
-        let told = told.map_or(0, |at| self.roster.nodes[at].life);
+impl ControlShared {
+    /// The incarnation of a node, if one is known that comes after this one.
+    pub(crate) fn later_incarnation(&self, node: &Node) -> u64 {
+        let lease = self.leases.get(&node.name).map_or(0, |l| l.incarnation);
+        let session = self.sessions.get(&node.name).map_or(0, |s| s.node.incarnation);
+        let told = self.membership.nodes.binary_search_by(|n| n.name.as_str().cmp(&node.name));
+        let told = told.map_or(0, |at| self.membership.nodes[at].incarnation);
         let known = lease.max(session).max(told);
-        if known > node.life { known } else { 0 }
+        if known > node.incarnation { known } else { 0 }
     }
 
-    /// Takes what a node says of itself, from whoever brings it: a later life
-    /// replaces an earlier one, and leaving is not undone within a life. Tells
+    /// Takes what a node says of itself, from whoever brings it: a later incarnation
+    /// replaces an earlier one, and leaving is not undone within an incarnation. Tells
     /// whether it was news.
     pub(crate) fn tell(&mut self, node: &Node, now: u64) -> bool {
-        let order = |n: &Node| (n.life, n.leaving);
+        let order = |n: &Node| (n.incarnation, n.leaving);
         match self.sessions.get_mut(&node.name) {
             Some(s) if order(node) < order(&s.node) => {
-                tally::count("sessions_outdated");
+                telemetry::count("sessions_outdated");
                 false
             }
             Some(s) => {
@@ -45,27 +45,27 @@
     }
 }
 
-impl Shop {
-    /// A lathe's connection has ended. If its address refuses another one, the
+impl ControlService {
+    /// A store node's connection has ended. If its address refuses another one, the
     /// process that had it open has ended too, and its lease need not be waited for.
     pub(crate) async fn connection_ended(self: &Arc<Self>, connection: u64) {
         let found = self.with(|f| {
             let (name, l) = f.leases.iter().find(|(_, l)| l.connection == connection)?;
-            Some((name.clone(), l.life, f.sessions.get(name)?.node.inner.clone()))
+            Some((name.clone(), l.incarnation, f.sessions.get(name)?.node.inner.clone()))
         });
-        let Some((name, life, inner)) = found else { return };
-        let wait = Duration::from_millis(self.caliper.lease_ms());
-        if dovetail::refuses(&inner, wait).await {
+        let Some((name, incarnation, inner)) = found else { return };
+        let wait = Duration::from_millis(self.settings.lease_ms());
+        if rpc::refuses(&inner, wait).await {
             let now = self.now();
             let known = self.with(|f| {
-                let same = f.leases.get(&name).is_some_and(|l| l.life == life);
+                let same = f.leases.get(&name).is_some_and(|l| l.incarnation == incarnation);
                 if same {
-                    f.ended.insert(name.clone(), life);
+                    f.ended.insert(name.clone(), incarnation);
                 }
                 same && f.holds(now)
             });
             if known {
-                tally::change!("the process of lathe {name} has ended");
+                telemetry::change!("the process of store node {name} has ended");
                 self.assign().await;
             }
         }
@@ -75,39 +75,39 @@
         let now = self.now();
         let leader = self.leader();
         self.with(|f| {
-            if !f.holds(now) || !possible(l.node.life) {
+            if !f.holds(now) || !possible(l.node.incarnation) {
                 return LeaseAck { leader, ..LeaseAck::default() };
             }
-            f.governor.hear(&l.node.name, l.clock_ms, now);
-            if f.governor.time(now).is_none() {
+            f.cluster_clock.hear(&l.node.name, l.clock_ms, now);
+            if f.cluster_clock.time(now).is_none() {
                 self.settle_time(f, now);
             }
-            let lived = f.later_life(&l.node);
-            if lived > 0 {
-                // A former life of that node, on its way for long; or one that began by
+            let newer_incarnation = f.later_incarnation(&l.node);
+            if newer_incarnation > 0 {
+                // A former incarnation of that node, on its way for long; or one that began by
                 // a clock that is behind, and is to begin another.
-                tally::count("sessions_outdated");
-                return LeaseAck { leader, lived, ..LeaseAck::default() };
+                telemetry::count("sessions_outdated");
+                return LeaseAck { leader, newer_incarnation, ..LeaseAck::default() };
             }
             let name = l.node.name.clone();
-            if f.ended.get(&name) == Some(&l.node.life) {
-                // This life was given up; its partitions may be others' by now. It may
+            if f.ended.get(&name) == Some(&l.node.incarnation) {
+                // This incarnation was given up; its partitions may be others' by now. It may
                 // go on as a follower, so the lease is new, not renewed.
                 f.ended.remove(&name);
             }
             if let Some(old) = f.leases.get(&name)
-                && old.life != l.node.life
+                && old.incarnation != l.node.incarnation
             {
-                tally::change!("lathe {name} came back in a new life");
-                f.ended.insert(name.clone(), old.life);
+                telemetry::change!("store node {name} came back in a new incarnation");
+                f.ended.insert(name.clone(), old.incarnation);
             }
-            if f.first_lathe_at == 0 {
-                f.first_lathe_at = now;
+            if f.first_store_at == 0 {
+                f.first_store_at = now;
             }
             f.leases.insert(
                 name.clone(),
                 Leased {
-                    life: l.node.life,
+                    incarnation: l.node.incarnation,
                     at: now,
                     born: l.node.born,
                     claims: l.claims.clone(),
@@ -119,34 +119,38 @@
                 self.stale.notify_one();
             }
             for s in &l.samples {
-                if let Some(r) = f.rack.charter.rollouts.iter().find(|r| r.plant == s.plant && r.state == "running") {
+                if let Some(r) =
+                    f.control_state.assignments.rollouts.iter().find(|r| r.service == s.service && r.state == "running")
+                {
                     let target = r.target.clone();
-                    f.plumbs.entry(s.plant.clone()).or_default().add(&target, s);
+                    f.plumbs.entry(s.service.clone()).or_default().add(&target, s);
                 }
             }
-            let term = |c: &Holding| f.rack.charter.partitions.iter().find(|p| p.id == c.partition && p.term > c.term);
+            let term = |c: &Holding| {
+                f.control_state.assignments.partitions.iter().find(|p| p.id == c.partition && p.term > c.term)
+            };
             LeaseAck {
                 granted: l.lag < 2 && !f.seizing.contains(&name),
-                ttl_ms: self.caliper.lease_ms() as u32,
+                ttl_ms: self.settings.lease_ms() as u32,
                 leader,
                 outdated: l.claims.iter().filter_map(term).cloned().collect(),
                 lagging: f.leases.iter().filter(|(_, l)| l.lag > 0).map(|(n, _)| n.clone()).collect(),
-                lived: 0,
-                time_ms: f.governor.time(now).unwrap_or(0),
+                newer_incarnation: 0,
+                time_ms: f.cluster_clock.time(now).unwrap_or(0),
             }
         })
     }
 
-    pub(crate) fn refresh_roster(f: &mut Floor, now: u64) {
+    pub(crate) fn refresh_membership(f: &mut ControlShared, now: u64) {
         if !f.holds(now) || now < f.publish_from {
             return;
         }
         let nodes: Vec<&Node> = f.sessions.values().map(|s| &s.node).collect();
-        // Processors of functions are told to their keepers only.
-        let units: &[Unit] = if f.functions { &[] } else { &f.units };
-        if f.roster.differs(&nodes, units, f.listed) {
-            f.roster_seq += 1;
-            f.roster.publish((f.term << 24) + f.roster_seq, &nodes, units, f.listed);
+        // Processors of functions are told to their slot owners only.
+        let processors: &[Processor] = if f.functions { &[] } else { &f.processors };
+        if f.membership.differs(&nodes, processors, f.listed) {
+            f.membership_seq += 1;
+            f.membership.publish((f.term << 24) + f.membership_seq, &nodes, processors, f.listed);
         }
     }
 
@@ -158,85 +162,88 @@
             tokio::time::sleep(Duration::from_millis(self.ratio(400.0))).await;
             let now = self.now();
             let moved = self.with(|f| {
-                let told = f.roster.version;
-                Self::refresh_roster(f, now);
-                f.roster.version != told
+                let told = f.membership.version;
+                Self::refresh_membership(f, now);
+                f.membership.version != told
             });
             if moved {
-                tally::count("rosters_published");
+                telemetry::count("memberships_published");
                 self.news.notify_waiters();
             }
         }
     }
 
-    pub(crate) async fn watch(&self, w: Watch) -> News {
+    pub(crate) async fn watch(&self, w: WatchRequest) -> ViewUpdate {
         let now = self.now();
-        let mut lived = 0;
+        let mut newer_incarnation = 0;
         self.with(|f| {
             let mut changed = false;
             if let Some(n) = &w.node {
-                lived = f.later_life(n);
-                f.governor.hear(&n.name, w.clock_ms, now);
+                newer_incarnation = f.later_incarnation(n);
+                f.cluster_clock.hear(&n.name, w.clock_ms, now);
             }
             if f.is_leader
-                && f.roster.version == 0
-                && w.have.roster > 0
-                && w.node.as_ref().is_some_and(|n| n.role == "foreman")
+                && f.membership.version == 0
+                && w.have.membership > 0
+                && w.node.as_ref().is_some_and(|n| n.role == "control")
             {
                 // Others remember more than this leader: it must not forget them aloud.
                 f.publish_from = f.leader_since + self.ratio(4.0);
             }
-            for n in w.node.iter().chain(&w.sessions).filter(|n| possible(n.life)) {
+            for n in w.node.iter().chain(&w.sessions).filter(|n| possible(n.incarnation)) {
                 changed |= f.tell(n, now);
             }
             if changed {
                 self.stale.notify_one();
             }
-            if f.is_leader && w.node.as_ref().is_some_and(|n| n.role == "foreman" && n.leaving) {
-                self.tell_foremen(f);
+            if f.is_leader && w.node.as_ref().is_some_and(|n| n.role == "control" && n.leaving) {
+                self.tell_control_nodes(f);
             }
         });
         let wait = tokio::time::sleep(Duration::from_millis(w.wait_ms.min(self.ratio(4.0) as u32) as u64));
         tokio::pin!(wait);
         loop {
-            let bell = self.news.notified();
+            let wake = self.news.notified();
             let newer = self.with(|f| {
                 let h = Self::have(f);
-                h.template > w.have.template || h.charter > w.have.charter || h.roster > w.have.roster
+                h.configuration > w.have.configuration
+                    || h.assignments > w.have.assignments
+                    || h.membership > w.have.membership
             });
-            if newer || lived > 0 {
+            if newer || newer_incarnation > 0 {
                 break;
             }
-            tokio::select! { _ = bell => {}, _ = &mut wait => break }
+            tokio::select! { _ = wake => {}, _ = &mut wait => break }
         }
         self.with(|f| {
             let have = Self::have(f);
-            let (template, steps) = f.rack.since(w.have.template);
-            let mut news = News {
+            let (configuration, steps) = f.control_state.since(w.have.configuration);
+            let mut news = ViewUpdate {
                 have,
                 steps,
-                charter: (have.charter > w.have.charter).then(|| f.rack.charter.since(w.have.charter)),
-                roster: (have.roster > w.have.roster).then(|| f.roster.since(w.have.roster)),
+                assignments: (have.assignments > w.have.assignments)
+                    .then(|| f.control_state.assignments.since(w.have.assignments)),
+                membership: (have.membership > w.have.membership).then(|| f.membership.since(w.have.membership)),
                 leader: if f.leader == self.me && !f.holds(self.now()) { String::new() } else { f.leader.clone() },
-                foremen: f
+                control_nodes: f
                     .sessions
                     .values()
-                    .filter(|s| s.node.role == "foreman")
+                    .filter(|s| s.node.role == "control")
                     .map(|s| s.node.inner.clone())
                     .collect(),
-                lived,
-                ..News::default()
+                newer_incarnation,
+                ..ViewUpdate::default()
             };
-            if let Some(json) = template {
-                news.put_template(json);
+            if let Some(json) = configuration {
+                news.put_configuration(json);
             }
             news
         })
     }
 
-    /// A foreman that does not lead keeps a session with it, tells it its own
+    /// A control node that does not lead keeps a session with it, tells it its own
     /// sessions, and takes the soft state from it.
-    pub(crate) async fn follow(self: Arc<Self>, settings: watch::Receiver<Caliper>) {
+    pub(crate) async fn follow(self: Arc<Self>, settings_updates: watch::Receiver<Settings>) {
         let wait = self.ratio(8.0);
         // A newcomer is known to nobody: whoever runs is asked who leads.
         let (mut hint, mut turn) = (String::new(), 0usize);
@@ -252,7 +259,7 @@
                 let list: Vec<Node> = f
                     .sessions
                     .values()
-                    .filter(|s| s.node.inner != me && s.node.role != "foreman" && s.node.role != "lathe")
+                    .filter(|s| s.node.inner != me && s.node.role != "control" && s.node.role != "store")
                     .map(|s| s.node.clone())
                     .collect();
                 (f.leader.clone(), is_leader, Self::have(f), list)
@@ -266,45 +273,48 @@
             let leader = if leader.is_empty() || leader == self.me {
                 tokio::time::sleep(Duration::from_millis(wait / 8)).await;
                 let seeds: Vec<String> =
-                    settings.borrow().seed_foremen().into_iter().filter(|s| *s != self.me).collect();
+                    settings_updates.borrow().seed_control_nodes().into_iter().filter(|s| *s != self.me).collect();
                 turn += 1;
                 let Some(seed) = seeds.get(turn % seeds.len().max(1)) else { continue };
-                let w = Watch {
-                    have: Have { template: u64::MAX, charter: u64::MAX, roster: u64::MAX },
+                let w = WatchRequest {
+                    have: ViewVersions { configuration: u64::MAX, assignments: u64::MAX, membership: u64::MAX },
                     wait_ms: 1,
-                    ..Watch::default()
+                    ..WatchRequest::default()
                 };
-                if let Ok(Body::News(n)) = self.bench.to(seed).call(Body::Watch(w), Duration::from_millis(wait)).await {
+                if let Ok(Body::ViewUpdate(n)) =
+                    self.rpc_clients.to(seed).call(Body::WatchRequest(w), Duration::from_millis(wait)).await
+                {
                     hint = n.leader;
                 }
                 continue;
             } else {
                 leader
             };
-            let w = Watch {
+            let w = WatchRequest {
                 node: Some(self.node()),
-                have: Have { template: u64::MAX, charter: u64::MAX, ..have },
+                have: ViewVersions { configuration: u64::MAX, assignments: u64::MAX, ..have },
                 wait_ms: wait as u32,
                 sessions,
-                clock_ms: tally::wall_ms(),
+                clock_ms: telemetry::wall_ms(),
             };
-            match self.bench.to(&leader).call(Body::Watch(w), Duration::from_millis(wait * 2)).await {
-                Ok(Body::News(n)) => self.with(|f| {
+            match self.rpc_clients.to(&leader).call(Body::WatchRequest(w), Duration::from_millis(wait * 2)).await {
+                Ok(Body::ViewUpdate(n)) => self.with(|f| {
                     if f.is_leader {
                         return;
                     }
-                    if n.lived >= self.life.load(Ordering::Relaxed) && possible(n.lived) {
-                        self.life.store(after(n.lived), Ordering::Relaxed);
+                    if n.newer_incarnation >= self.incarnation.load(Ordering::Relaxed) && possible(n.newer_incarnation)
+                    {
+                        self.incarnation.store(after(n.newer_incarnation), Ordering::Relaxed);
                         let own = self.node();
                         f.sessions.insert(own.name.clone(), Session { node: own, seen: u64::MAX / 2 });
                     }
-                    if let Some(r) = n.roster
-                        && f.roster.take(&r)
+                    if let Some(r) = n.membership
+                        && f.membership.take(&r)
                     {
                         if !f.functions {
-                            f.units.clone_from(&f.roster.units);
+                            f.processors.clone_from(&f.membership.processors);
                         }
-                        f.listed = f.roster.listed;
+                        f.listed = f.membership.listed;
                         self.news.notify_waiters();
                     }
                 }),
@@ -318,12 +328,12 @@
 
     pub(crate) fn node(&self) -> Node {
         Node {
-            name: self.caliper.node.clone(),
-            role: "foreman".into(),
-            zone: self.caliper.zone.clone(),
-            region: self.caliper.region.clone(),
+            name: self.settings.node.clone(),
+            role: "control".into(),
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
             inner: self.me.clone(),
-            life: self.life.load(Ordering::Relaxed),
+            incarnation: self.incarnation.load(Ordering::Relaxed),
             leaving: self.leaving.load(Ordering::Relaxed),
             ..Node::default()
         }
--- a/crates/foreman/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,12 +1,12 @@
-//! Foremen, their disks, links, clocks and operators in a test's hands, and what must
-//! hold at each step. The real `Vise` and `Rack` are driven.
+//! Control nodes, their disks, links, clocks and operators in a test's hands, and what must
+//! hold at each step. The real `RaftNode` and `ControlState` are driven.
 
 #![allow(dead_code)] // Each test file takes its part.
 
 use bytes::Bytes;
-use dovetail::msg::{ViseEntry, ViseMsg};
-use foreman::*;
+use control::*;
 use prost::Message;
+use rpc::messages::{RaftEntry, RaftMessage};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -16,7 +16,7 @@
     use super::*;
 
     pub const QUIET: u64 = 3600;
-    pub const PACE: Pace = Pace { beat: QUIET / 26, election: QUIET / 9 };
+    pub const TIMING: Timing = Timing { beat: QUIET / 26, election: QUIET / 9 };
     pub const TICK: u64 = QUIET / 100;
     pub const DUTY: u64 = QUIET / 60;
     /// From being told to end to the end.
@@ -49,9 +49,10 @@
 
     pub fn start(me: &str, d: &Disk, seed: u64, born: u64) -> Proc {
         let log = d.log.values().cloned().collect();
-        let kept = Kept::check(d.hard.clone(), d.state.clone(), log, false).expect("a disk that agrees with itself");
-        let vise = Vise::new(me, kept.hard, kept.state, kept.log, PACE, seed, START);
-        Proc { through: d.hard.base, vise, rack: kept.rack, born, ..Proc::blank(me) }
+        let kept =
+            StoredState::check(d.hard.clone(), d.state.clone(), log, false).expect("a disk that agrees with itself");
+        let raft = RaftNode::new(me, kept.hard, kept.state, kept.log, TIMING, seed, START);
+        Proc { through: d.hard.base, raft, control_state: kept.control_state, born, ..Proc::blank(me) }
     }
 
     /// Whether a process may answer for the majority.
@@ -75,14 +76,14 @@
 pub struct Disk {
     pub hard: HardState,
     pub state: Bytes,
-    pub log: BTreeMap<u64, ViseEntry>,
+    pub log: BTreeMap<u64, RaftEntry>,
 }
 
 #[derive(Clone)]
 pub struct Proc {
-    pub vise: Vise,
-    pub rack: Rack,
-    /// The entry that the rack was applied through.
+    pub raft: RaftNode,
+    pub control_state: ControlState,
+    /// The entry that the control state was applied through.
     pub through: u64,
     pub is_leader: bool,
     pub serves_until: u64,
@@ -95,10 +96,10 @@
 
 impl Proc {
     fn blank(me: &str) -> Proc {
-        let vise = Vise::new(me, HardState::default(), Bytes::new(), Vec::new(), PACE, 1, START);
+        let raft = RaftNode::new(me, HardState::default(), Bytes::new(), Vec::new(), TIMING, 1, START);
         Proc {
-            vise,
-            rack: Rack::default(),
+            raft,
+            control_state: ControlState::default(),
             through: 0,
             is_leader: false,
             serves_until: 0,
@@ -116,13 +117,13 @@
     pub to: usize,
     pub from: usize,
     pub due: u64,
-    pub message: ViseMsg,
+    pub message: RaftMessage,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Answer {
     None,
-    Taken,
+    KnownOrder,
     Refused,
 }
 
@@ -146,7 +147,7 @@
     pub proc: Option<Proc>,
     pub frozen: bool,
     /// What came while it was frozen.
-    inbox: VecDeque<ViseMsg>,
+    inbox: VecDeque<RaftMessage>,
     /// Effects of the step under way, while the disk does not answer.
     held: VecDeque<Effect2>,
     held_at: u64,
@@ -159,7 +160,7 @@
     pub rate: u64,
     /// How late its timers are at most, in milliseconds.
     pub late: u64,
-    lives: u64,
+    incarnations: u64,
     /// Digest of all that it was given: what it is follows from that.
     history: u64,
 }
@@ -235,14 +236,14 @@
     pub trace: Option<Vec<String>>,
     leaders: BTreeMap<u64, usize>,
     /// What was committed, by index, as the first node to apply it had it.
-    committed: BTreeMap<u64, ViseEntry>,
+    committed: BTreeMap<u64, RaftEntry>,
     /// The state after each index.
-    folds: BTreeMap<u64, Rack>,
+    folds: BTreeMap<u64, ControlState>,
     dice: u64,
 }
 
 impl World {
-    /// `voters` foremen from the first start on, and `spare` that come later.
+    /// `voters` control nodes from the first start on, and `spare` that come later.
     pub fn new(voters: usize, spare: usize) -> World {
         let names: Vec<String> = (0..voters + spare).map(|i| ((b'a' + i as u8) as char).to_string()).collect();
         let node = |i: usize| Node {
@@ -258,7 +259,7 @@
             wiped_at: None,
             rate: 1000,
             late: 0,
-            lives: 0,
+            incarnations: 0,
             history: 0,
         };
         let mut w = World {
@@ -281,7 +282,7 @@
             trace: None,
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
-            folds: BTreeMap::from([(0, Rack::default())]),
+            folds: BTreeMap::from([(0, ControlState::default())]),
             dice: 88172645463325252,
         };
         for i in 0..w.nodes.len() {
@@ -332,8 +333,8 @@
         }
         let now = self.now;
         let node = &mut self.nodes[n];
-        node.lives += 1;
-        let seed = (n as u64 + 1) * 7919 + node.lives * 104_729;
+        node.incarnations += 1;
+        let seed = (n as u64 + 1) * 7919 + node.incarnations * 104_729;
         let mut p = shell::start(&node.name, &node.disk, seed, now);
         (p.tick_at, p.duty_at) = (now, now);
         node.proc = Some(p);
@@ -440,14 +441,14 @@
         let node = &self.nodes[n];
         let held = !node.frozen && !node.held.is_empty() && self.now >= self.nodes[n].held_at + PATIENCE;
         let Some(p) = &mut self.nodes[n].proc else { return };
-        if !held || p.vise.role != StateRole::Leader || p.vise.voters().len() == 1 {
+        if !held || p.raft.role != StateRole::Leader || p.raft.voters().len() == 1 {
             return;
         }
         self.remember(n, |h| (now, "impatient").hash(h));
         let Some(p) = &mut self.nodes[n].proc else { return };
         (p.is_leader, p.serves_until) = (false, 0);
         p.waiting.clear();
-        for e in p.vise.step(now, shell::step_down()) {
+        for e in p.raft.step(now, shell::step_down()) {
             if let Effect::Send(to, m) = e {
                 self.send(n, &to, m);
             }
@@ -464,18 +465,18 @@
             digest(&event, h);
         });
         let Some(p) = &mut self.nodes[n].proc else { return };
-        let mut effects: VecDeque<Effect> = p.vise.step(now, event).into();
+        let mut effects: VecDeque<Effect> = p.raft.step(now, event).into();
         if let Some(c) = call
             && let Some(Effect::Proposed(index, term)) = effects.iter().find(|e| matches!(e, Effect::Proposed(..)))
         {
             p.waiting.insert(*index, (*term, c));
         }
-        if SNAPSHOT_FIRST && p.vise.length() > self.long {
-            let (index, state) = (p.vise.applied(), p.rack.encode_to_vec());
-            effects.extend(p.vise.step(now, Event::Snapshot { index, state: state.into() }));
+        if SNAPSHOT_FIRST && p.raft.length() > self.long {
+            let (index, state) = (p.raft.applied(), p.control_state.encode_to_vec());
+            effects.extend(p.raft.step(now, Event::Snapshot { index, state: state.into() }));
         }
         self.carry(n, effects);
-        if !SNAPSHOT_FIRST && self.nodes[n].proc.as_ref().is_some_and(|p| p.vise.length() > self.long) {
+        if !SNAPSHOT_FIRST && self.nodes[n].proc.as_ref().is_some_and(|p| p.raft.length() > self.long) {
             self.snapshot(n);
         }
     }
@@ -501,7 +502,7 @@
         }
         let now = self.clock(n);
         if let Some(p) = &mut self.nodes[n].proc {
-            p.serves_until = p.vise.serves_until(now);
+            p.serves_until = p.raft.serves_until(now);
         }
     }
 
@@ -516,14 +517,14 @@
             Effect::Send(to, m) => self.send(n, &to, m),
             Effect::Apply(e) => self.apply(n, e),
             Effect::Restore(s) => {
-                let through = self.nodes[n].proc.as_ref().map_or(0, |p| p.vise.applied());
+                let through = self.nodes[n].proc.as_ref().map_or(0, |p| p.raft.applied());
                 // Later entries of the same step are told one by one.
-                let rack = Rack::decode(s).unwrap_or_default();
-                let at = self.folds.iter().rev().find(|(i, r)| **i <= through && **r == rack).map(|(i, _)| *i);
+                let control_state = ControlState::decode(s).unwrap_or_default();
+                let at = self.folds.iter().rev().find(|(i, r)| **i <= through && **r == control_state).map(|(i, _)| *i);
                 self.seen.restores += 1;
                 self.note(|w| format!("{} restores the state as of {at:?}", w.nodes[n].name));
                 if let Some(p) = &mut self.nodes[n].proc {
-                    p.rack = rack;
+                    p.control_state = control_state;
                     p.through = at.unwrap_or(0);
                 }
                 if at.is_none() {
@@ -535,7 +536,7 @@
                 if let Some(p) = &mut self.nodes[n].proc {
                     p.is_leader = true;
                     self.seen.elections += 1;
-                    let term = p.vise.hard.term;
+                    let term = p.raft.hard.term;
                     self.note(|w| format!("{} leads at term {term}", w.nodes[n].name));
                     let first = *self.leaders.entry(term).or_insert(n);
                     if first != n {
@@ -553,8 +554,8 @@
         }
     }
 
-    fn send(&mut self, n: usize, to: &str, m: ViseMsg) {
-        assert!(m.encoded_len() < dovetail::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
+    fn send(&mut self, n: usize, to: &str, m: RaftMessage) {
+        assert!(m.encoded_len() < rpc::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
         let Some(to) = self.nodes.iter().position(|x| x.name == to) else { return };
         let lost = self.cut.contains(&(n, to));
         let late = self.slow.remove(&(n, to)).unwrap_or(0);
@@ -577,9 +578,9 @@
         }
     }
 
-    fn apply(&mut self, n: usize, e: ViseEntry) {
+    fn apply(&mut self, n: usize, e: RaftEntry) {
         let Some(p) = &mut self.nodes[n].proc else { return };
-        let applied = p.rack.apply(e.index, &e.data);
+        let applied = p.control_state.apply(e.index, &e.data);
         let gap = e.index != p.through + 1;
         p.through = e.index;
         let call = p.waiting.remove(&e.index).filter(|(term, _)| *term == e.term).map(|(_, c)| c);
@@ -590,15 +591,15 @@
         if first != e {
             self.fail(format!("{} applies another entry {} than was committed", self.nodes[n].name, e.index));
         }
-        let rack = self.nodes[n].proc.as_ref().map(|p| p.rack.clone()).unwrap_or_default();
+        let control_state = self.nodes[n].proc.as_ref().map(|p| p.control_state.clone()).unwrap_or_default();
         if !self.folds.contains_key(&e.index) {
             if let Some(call) = self.named(&e)
-                && applied == Applied::Done
+                && applied == ApplyResult::Done
                 && self.calls[call].answer == Answer::Refused
             {
                 self.fail(format!("{:?} was refused and taken", self.calls[call]));
             }
-            self.folds.insert(e.index, rack);
+            self.folds.insert(e.index, control_state);
         }
         self.check_fold(n, e.index, "applied");
         if !e.voters.is_empty() {
@@ -611,15 +612,15 @@
             }
         }
         if let Some(c) = call {
-            let took = self.nodes[n].proc.as_ref().is_some_and(|p| took(&p.rack, &self.calls[c]));
-            self.answer(c, if applied == Applied::Done || took { Answer::Taken } else { Answer::Refused });
+            let took = self.nodes[n].proc.as_ref().is_some_and(|p| took(&p.control_state, &self.calls[c]));
+            self.answer(c, if applied == ApplyResult::Done || took { Answer::KnownOrder } else { Answer::Refused });
         }
     }
 
     /// The state that a node has must be what the committed entries come to.
     fn check_fold(&mut self, n: usize, index: u64, how: &str) {
         let Some(p) = &self.nodes[n].proc else { return };
-        if self.folds.get(&index) != Some(&p.rack) {
+        if self.folds.get(&index) != Some(&p.control_state) {
             self.fail(format!(
                 "the state of {} as of entry {index}, {how}, is not what was committed",
                 self.nodes[n].name
@@ -627,23 +628,23 @@
         }
     }
 
-    fn named(&self, e: &ViseEntry) -> Option<usize> {
-        let Some(Word::Template(t)) = Command::decode(e.data.clone()).ok()?.word else { return None };
+    fn named(&self, e: &RaftEntry) -> Option<usize> {
+        let Some(CommandPayload::Configuration(t)) = Command::decode(e.data.clone()).ok()?.word else { return None };
         self.calls.iter().position(|c| c.digest == t.digest)
     }
 
     fn answer(&mut self, call: usize, answer: Answer) {
         self.note(|w| format!("{:?} is answered {answer:?}", w.calls[call]));
-        self.seen.taken += u64::from(answer == Answer::Taken);
+        self.seen.taken += u64::from(answer == Answer::KnownOrder);
         self.seen.refused += u64::from(answer == Answer::Refused);
         let taken = self.folds.values().next_back().is_some_and(|r| took(r, &self.calls[call]));
         match answer {
-            Answer::Refused if self.calls[call].answer == Answer::Taken || taken => {
+            Answer::Refused if self.calls[call].answer == Answer::KnownOrder || taken => {
                 self.fail(format!("{:?} was taken and is refused", self.calls[call]));
             }
-            Answer::Taken => {
+            Answer::KnownOrder => {
                 let base = self.calls[call].base;
-                let twice = |(i, c): (usize, &Call)| i != call && c.base == base && c.answer == Answer::Taken;
+                let twice = |(i, c): (usize, &Call)| i != call && c.base == base && c.answer == Answer::KnownOrder;
                 if self.calls.iter().enumerate().any(twice) {
                     self.fail(format!("two orders were taken on base {base}"));
                 }
@@ -669,11 +670,11 @@
         }
         let open = self.calls.iter().position(|c| c.operator == operator && c.answer == Answer::None);
         let call = open.unwrap_or_else(|| {
-            let base = self.nodes[n].proc.as_ref().map_or(0, |p| p.rack.revision);
+            let base = self.nodes[n].proc.as_ref().map_or(0, |p| p.control_state.revision);
             let body = self.calls.len() as u64 + 1;
             // Two operators pick the same number for different bodies.
             let revision = base + 1;
-            let digest = foreman::digest("replace", "", base, revision, format!("{body}").as_bytes());
+            let digest = control::digest("replace", "", base, revision, format!("{body}").as_bytes());
             self.calls.push(Call { operator, base, revision, body, digest, answer: Answer::None });
             self.calls.len() - 1
         });
@@ -688,16 +689,21 @@
         let c = self.calls[call].clone();
         self.note(|w| format!("{c:?} reaches {}", w.nodes[n].name));
         let Some(p) = &self.nodes[n].proc else { return };
-        if took(&p.rack, &c) {
-            return self.answer(call, Answer::Taken);
+        if took(&p.control_state, &c) {
+            return self.answer(call, Answer::KnownOrder);
         }
-        if c.base != p.rack.revision {
+        if c.base != p.control_state.revision {
             return self.answer(call, Answer::Refused);
         }
         let json = Bytes::from(format!("{}", c.body));
-        let t =
-            PutTemplate { base: c.base, revision: c.revision, json, digest: c.digest.clone(), change: Bytes::new() };
-        let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
+        let t = PutConfiguration {
+            base: c.base,
+            revision: c.revision,
+            json,
+            digest: c.digest.clone(),
+            change: Bytes::new(),
+        };
+        let data = Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec();
         self.step(n, Event::Propose(data.into()), Some(call));
     }
 
@@ -710,8 +716,8 @@
         let now = self.clock(n);
         self.remember(n, |h| (now, "snapshot").hash(h));
         let Some(p) = &mut self.nodes[n].proc else { return };
-        let (index, state) = (p.through, p.rack.encode_to_vec());
-        let effects = p.vise.step(now, Event::Snapshot { index, state: state.into() });
+        let (index, state) = (p.through, p.control_state.encode_to_vec());
+        let effects = p.raft.step(now, Event::Snapshot { index, state: state.into() });
         if !effects.is_empty() {
             self.note(|w| format!("{} cuts its log at {index}", w.nodes[n].name));
             self.carry(n, effects.into());
@@ -738,14 +744,14 @@
         let seen = |i: &usize| self.runs(*i) && !self.cut.contains(&(*i, n)) && !self.cut.contains(&(n, *i));
         let all: Vec<String> = (0..self.nodes.len()).filter(seen).map(|i| self.nodes[i].name.clone()).collect();
         let zones: Vec<(String, String)> = all.iter().map(|n| (n.clone(), format!("zone-{n}"))).collect();
-        let next = self.nodes[n].proc.as_ref().and_then(|p| p.vise.next_voters(&zones, self.wanted, self.away, now));
+        let next = self.nodes[n].proc.as_ref().and_then(|p| p.raft.next_voters(&zones, self.wanted, self.away, now));
         match next {
             Some(v) => {
                 self.seen.voter_changes += 1;
                 self.note(|w| format!("{} sets the voters {v:?}", w.nodes[n].name));
                 self.step(n, Event::SetVoters(v), None);
             }
-            None => self.step(n, Event::Foremen(all), None),
+            None => self.step(n, Event::ControlNodes(all), None),
         }
     }
 
@@ -818,9 +824,11 @@
         }
         for n in holders {
             let Some(p) = &self.nodes[n].proc else { continue };
-            let lacks = self.calls.iter().find(|c| c.answer == Answer::Taken && !took(&p.rack, c)).cloned();
-            let newest = self.calls.iter().filter(|c| c.answer == Answer::Taken).map(|c| c.revision).max().unwrap_or(0);
-            let (read, voters) = (p.rack.revision, p.vise.voters().to_vec());
+            let lacks =
+                self.calls.iter().find(|c| c.answer == Answer::KnownOrder && !took(&p.control_state, c)).cloned();
+            let newest =
+                self.calls.iter().filter(|c| c.answer == Answer::KnownOrder).map(|c| c.revision).max().unwrap_or(0);
+            let (read, voters) = (p.control_state.revision, p.raft.voters().to_vec());
             if let Some(c) = lacks {
                 self.fail(format!("{} may answer and lacks {c:?}", self.nodes[n].name));
             }
@@ -872,15 +880,15 @@
     pub fn level(&self) -> Result<(), String> {
         let l = self.holder().ok_or("nobody leads")?;
         let Some(lead) = &self.nodes[l].proc else { return Err("nobody leads".into()) };
-        if lead.vise.voters().len() != self.wanted {
-            return Err(format!("there are {} voters", lead.vise.voters().len()));
+        if lead.raft.voters().len() != self.wanted {
+            return Err(format!("there are {} voters", lead.raft.voters().len()));
         }
         for n in &self.nodes {
             let Some(p) = &n.proc else { return Err(format!("{} is down", n.name)) };
-            if p.rack != lead.rack {
+            if p.control_state != lead.control_state {
                 return Err(format!("{} is not level", n.name));
             }
-            if lead.vise.voters().contains(&n.name) && !n.disk.hard.may_vote {
+            if lead.raft.voters().contains(&n.name) && !n.disk.hard.may_vote {
                 return Err(format!("{} has no vote", n.name));
             }
         }
@@ -893,14 +901,14 @@
         Event::Tick => "tick".hash(h),
         Event::Message(m) => m.encode_to_vec().hash(h),
         Event::Propose(d) => ("propose", d).hash(h),
-        Event::Foremen(f) => ("foremen", f).hash(h),
+        Event::ControlNodes(f) => ("control nodes", f).hash(h),
         Event::SetVoters(v) => ("voters", v).hash(h),
         Event::Snapshot { index, .. } => ("snapshot", index).hash(h),
         _ => "step down or leave".hash(h),
     }
 }
 
-pub fn took(r: &Rack, c: &Call) -> bool {
+pub fn took(r: &ControlState, c: &Call) -> bool {
     r.took(&c.digest)
 }
 
@@ -910,8 +918,8 @@
     (a.len() / 2 + 1) + (b.len() / 2 + 1) > all.len()
 }
 
-fn told(m: &ViseMsg) -> String {
-    let kind = dovetail::msg::ViseKind::try_from(m.kind).unwrap_or(dovetail::msg::ViseKind::None);
+fn told(m: &RaftMessage) -> String {
+    let kind = rpc::messages::RaftMessageKind::try_from(m.kind).unwrap_or(rpc::messages::RaftMessageKind::None);
     let entries: Vec<u64> = m.entries.iter().map(|e| e.index).collect();
     format!(
         "{kind:?} term {} index {} log_term {} entries {entries:?} commit {} ok {} pre {} readmit {} round {}",
--- a/crates/foreman/tests/disk.rs
+++ b/crates/control/tests/disk.rs
@@ -1,37 +1,37 @@
-//! Records of a foreman's disk that contradict each other: none is made the best of.
+//! Records of a control node's disk that contradict each other: none is made the best of.
 
 use bytes::Bytes;
-use dovetail::msg::ViseEntry;
-use foreman::*;
+use control::*;
 use prost::Message;
+use rpc::messages::RaftEntry;
 
 fn hard(term: u64, base: u64, base_term: u64) -> HardState {
     HardState { term, base, base_term, voters: vec!["a".into()], may_vote: true, ..HardState::default() }
 }
 
-fn entry(index: u64, term: u64) -> ViseEntry {
-    ViseEntry { index, term, ..ViseEntry::default() }
+fn entry(index: u64, term: u64) -> RaftEntry {
+    RaftEntry { index, term, ..RaftEntry::default() }
 }
 
 fn state(applied: u64) -> Bytes {
-    Rack { applied, revision: 3, ..Rack::default() }.encode_to_vec().into()
+    ControlState { applied, revision: 3, ..ControlState::default() }.encode_to_vec().into()
 }
 
 #[test]
 fn a_disk_that_agrees_with_itself_is_taken() {
     // Entries come in any order, and those that the snapshot holds may still be there.
     let log = vec![entry(7, 3), entry(5, 2), entry(6, 2)];
-    let k = Kept::check(hard(3, 5, 2), state(5), log, false).expect("they agree");
-    assert_eq!((k.log.len(), k.rack.revision, k.rack.applied), (2, 3, 5));
+    let k = StoredState::check(hard(3, 5, 2), state(5), log, false).expect("they agree");
+    assert_eq!((k.log.len(), k.control_state.revision, k.control_state.applied), (2, 3, 5));
     // A state of an earlier release does not say through which entry it is.
-    let k = Kept::check(hard(3, 5, 2), state(0), vec![], false).expect("taken by its record");
-    assert_eq!(k.rack.applied, 5);
-    assert!(Kept::check(HardState::default(), Bytes::new(), vec![], true).is_ok());
+    let k = StoredState::check(hard(3, 5, 2), state(0), vec![], false).expect("taken by its record");
+    assert_eq!(k.control_state.applied, 5);
+    assert!(StoredState::check(HardState::default(), Bytes::new(), vec![], true).is_ok());
 }
 
 #[test]
 fn a_disk_that_contradicts_itself_is_refused_with_a_reason() {
-    let refused = |h, s, l: Vec<ViseEntry>| match Kept::check(h, s, l, false) {
+    let refused = |h, s, l: Vec<RaftEntry>| match StoredState::check(h, s, l, false) {
         Err(e) => e,
         Ok(_) => panic!("taken"),
     };
--- a/crates/foreman/tests/duties.rs
+++ b/crates/control/tests/duties.rs
@@ -1,19 +1,19 @@
-//! What the leader decides: owners, homes, verdicts.
+//! What the leader decides: owners, replicas, verdicts.
 
-use dovetail::msg::*;
-use foreman::*;
+use control::*;
+use rpc::messages::*;
 
 fn names(n: &[&str]) -> Vec<String> {
     n.iter().map(|s| s.to_string()).collect()
 }
 
-fn partition(owner: &str, insync: &[&str]) -> Partition {
+fn partition(owner: &str, in_sync: &[&str]) -> Partition {
     Partition {
         id: 1,
         term: 4,
         owner: owner.into(),
-        insync: names(insync),
-        homes: names(&["a", "b"]),
+        in_sync: names(in_sync),
+        replicas: names(&["a", "b"]),
         ..Partition::default()
     }
 }
@@ -27,45 +27,45 @@
     let p = partition("a", &["a", "b"]);
     assert_eq!(seize(&p, |_| true, |_| Some(0)), None);
     let s = seize(&p, |n| n != "a", |_| Some(0)).expect("b takes over");
-    assert_eq!((s.owner.as_str(), s.term, s.seized, s.insync), ("b", 5, true, names(&["b"])));
+    assert_eq!((s.owner.as_str(), s.term, s.seized, s.in_sync), ("b", 5, true, names(&["b"])));
     assert_eq!(seize(&partition("a", &["a"]), |n| n != "a", |_| Some(0)), None, "nobody else holds everything");
     let s = seize(&p, |n| n != "b", |_| Some(0)).expect("b is dropped");
-    assert_eq!((s.owner.as_str(), s.term, s.insync), ("a", 4, names(&["a"])));
+    assert_eq!((s.owner.as_str(), s.term, s.in_sync), ("a", 4, names(&["a"])));
 }
 
 #[test]
-fn an_owner_in_another_life_needs_a_new_term() {
+fn an_owner_in_another_incarnation_needs_a_new_term() {
     let mut p = partition("a", &["a", "b"]);
     p.set_joined("a", 7);
     p.set_joined("b", 7);
     assert_eq!(seize(&p, |_| true, |_| Some(7)), None);
     // Restarted with its disk: the other one goes on, both hold everything.
     let s = seize(&p, |_| true, |n| Some(if n == "a" { 9 } else { 7 })).expect("a new term");
-    assert_eq!((s.owner.as_str(), s.term, s.insync.len(), s.joined_life("b")), ("b", 5, 2, 7));
-    // Alone, it goes on itself, in its new life.
+    assert_eq!((s.owner.as_str(), s.term, s.in_sync.len(), s.joined_incarnation("b")), ("b", 5, 2, 7));
+    // Alone, it goes on itself, in its new incarnation.
     let s = seize(&p, |n| n == "a", |_| Some(9)).expect("a new term");
-    assert_eq!((s.owner.as_str(), s.term, s.joined_life("a")), ("a", 5, 9));
-    // A leader that is new waits for a node to tell its life before it gives it anything.
+    assert_eq!((s.owner.as_str(), s.term, s.joined_incarnation("a")), ("a", 5, 9));
+    // A leader that is new waits for a node to tell its incarnation before it gives it anything.
     let told = |n: &str| (n != "b").then_some(9);
     assert_eq!(seize(&p, |_| true, told).map(|s| s.owner), Some("a".into()));
     assert_eq!(seize(&p, |n| n == "b", |_| None), None);
     // A follower that came back empty does not stand: it is out until it joins anew.
     let s = seize(&p, |n| n != "b", |n| Some(if n == "b" { 9 } else { 7 })).expect("b is dropped");
-    assert_eq!((s.owner.as_str(), s.term, s.insync), ("a", 4, names(&["a"])));
+    assert_eq!((s.owner.as_str(), s.term, s.in_sync), ("a", 4, names(&["a"])));
     let mut join = order(OrderKind::Join, 4, "b");
-    join.life = 9;
-    let Ruling::Put(j) = rule(&partition("a", &["a"]), &join) else { panic!("joined") };
-    assert_eq!(j.joined_life("b"), 9);
+    join.incarnation = 9;
+    let RolloutVerdict::Put(j) = rule(&partition("a", &["a"]), &join) else { panic!("joined") };
+    assert_eq!(j.joined_incarnation("b"), 9);
 }
 
 #[test]
 fn with_a_grant_out_only_those_of_both_terms_are_eligible() {
     let mut p = partition("a", &["a", "b"]);
-    p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["b"]) });
+    p.grant = Some(Grant { term: 5, candidate: "b".into(), in_sync: names(&["b"]) });
     let s = seize(&p, |n| n == "b", |_| Some(0)).expect("the candidate");
     assert_eq!((s.owner.as_str(), s.term), ("b", 6));
     assert_eq!(seize(&p, |n| n == "a", |_| Some(0)), None, "the candidate may have taken messages alone");
-    p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["a", "b"]) });
+    p.grant = Some(Grant { term: 5, candidate: "b".into(), in_sync: names(&["a", "b"]) });
     let s = seize(&p, |n| n == "a", |_| Some(0)).expect("the incumbent goes on");
     assert_eq!((s.owner.as_str(), s.term, s.grant), ("a", 6, None));
 }
@@ -73,34 +73,36 @@
 #[test]
 fn orders_are_ruled_by_term() {
     let p = partition("a", &["a", "b"]);
-    assert_eq!(rule(&p, &order(OrderKind::Grant, 3, "b")), Ruling::Refused);
-    assert_eq!(rule(&p, &order(OrderKind::Grant, 4, "c")), Ruling::Refused, "not in sync");
-    let Ruling::Put(g) = rule(&p, &order(OrderKind::Grant, 4, "b")) else { panic!("granted") };
-    assert_eq!(rule(&g, &order(OrderKind::Grant, 4, "b")), Ruling::Stands);
-    assert_eq!(rule(&g, &order(OrderKind::Join, 4, "c")), Ruling::Refused, "not while a grant is out");
-    let Ruling::Put(o) = rule(&g, &order(OrderKind::Own, 5, "b")) else { panic!("owned") };
+    assert_eq!(rule(&p, &order(OrderKind::Grant, 3, "b")), RolloutVerdict::Refused);
+    assert_eq!(rule(&p, &order(OrderKind::Grant, 4, "c")), RolloutVerdict::Refused, "not in sync");
+    let RolloutVerdict::Put(g) = rule(&p, &order(OrderKind::Grant, 4, "b")) else { panic!("granted") };
+    assert_eq!(rule(&g, &order(OrderKind::Grant, 4, "b")), RolloutVerdict::Stands);
+    assert_eq!(rule(&g, &order(OrderKind::Join, 4, "c")), RolloutVerdict::Refused, "not while a grant is out");
+    let RolloutVerdict::Put(o) = rule(&g, &order(OrderKind::Own, 5, "b")) else { panic!("owned") };
     assert_eq!((o.owner.as_str(), o.term, o.grant.is_none()), ("b", 5, true));
-    assert_eq!(rule(&p, &order(OrderKind::Own, 5, "b")), Ruling::Refused, "nothing was granted");
-    assert_eq!(rule(&p, &order(OrderKind::Drop, 0, "a")), Ruling::Refused, "an owner does not just leave");
-    let Ruling::Put(d) = rule(&p, &order(OrderKind::Drop, 0, "b")) else { panic!("dropped") };
-    assert_eq!(d.insync, names(&["a"]));
+    assert_eq!(rule(&p, &order(OrderKind::Own, 5, "b")), RolloutVerdict::Refused, "nothing was granted");
+    assert_eq!(rule(&p, &order(OrderKind::Drop, 0, "a")), RolloutVerdict::Refused, "an owner does not just leave");
+    let RolloutVerdict::Put(d) = rule(&p, &order(OrderKind::Drop, 0, "b")) else { panic!("dropped") };
+    assert_eq!(d.in_sync, names(&["a"]));
 }
 
-fn stands(zones: &[(&str, &str, usize)]) -> Vec<Stand> {
+fn stands(zones: &[(&str, &str, usize)]) -> Vec<StoreMachine> {
     let each = |(z, r, n): &(&str, &str, usize)| {
         let (z, r) = (z.to_string(), r.to_string());
-        (0..*n).map(|i| Stand { name: format!("{z}{i}"), zone: z.clone(), region: r.clone() }).collect::<Vec<_>>()
+        (0..*n)
+            .map(|i| StoreMachine { name: format!("{z}{i}"), zone: z.clone(), region: r.clone() })
+            .collect::<Vec<_>>()
     };
     zones.iter().flat_map(each).collect()
 }
 
 /// Over what the loads of nodes reach: owned, and held.
-fn loads(all: &[Partition], live: &[Stand]) -> ((usize, usize), (usize, usize)) {
+fn loads(all: &[Partition], live: &[StoreMachine]) -> ((usize, usize), (usize, usize)) {
     let range = |f: &dyn Fn(&Partition, &str) -> bool| {
         let n: Vec<usize> = live.iter().map(|s| all.iter().filter(|p| f(p, &s.name)).count()).collect();
         (*n.iter().min().expect("nodes"), *n.iter().max().expect("nodes"))
     };
-    (range(&|p, n| p.homes[0] == n), range(&|p, n| p.homes.iter().any(|h| h == n)))
+    (range(&|p, n| p.replicas[0] == n), range(&|p, n| p.replicas.iter().any(|h| h == n)))
 }
 
 #[test]
@@ -108,30 +110,30 @@
     let three = stands(&[("x", "r", 1), ("y", "s", 1), ("z", "t", 1)]);
     let sixteen = stands(&[("a", "r", 3), ("b", "r", 3), ("c", "s", 3), ("d", "s", 2), ("e", "t", 3), ("f", "t", 2)]);
     let sixty = stands(&[("a", "r", 20), ("b", "r", 10), ("c", "s", 20), ("d", "s", 10)]);
-    for (live, replicas) in [(three, 2), (sixteen, 3), (sixty, 3)] {
-        let all = layout(&live, replicas, Spread::default());
+    for (live, replica_count) in [(three, 2), (sixteen, 3), (sixty, 3)] {
+        let all = layout(&live, replica_count, Spread::default());
         assert_eq!(all.len(), 2 * live.len());
         let (owned, held) = loads(&all, &live);
         assert_eq!(owned, (2, 2), "every node owns work");
         assert!(held.1 - held.0 <= 3, "{held:?}");
         for p in &all {
-            let mut homes = p.homes.clone();
-            homes.sort();
-            homes.dedup();
-            assert_eq!(homes.len(), replicas, "so many losses leave one");
+            let mut replicas = p.replicas.clone();
+            replicas.sort();
+            replicas.dedup();
+            assert_eq!(replicas.len(), replica_count, "so many losses leave one");
             let place = |n: &String| live.iter().find(|s| s.name == *n).expect("a node");
-            let regions = p.homes.iter().filter(|h| place(h).region != place(&p.homes[0]).region).count();
+            let regions = p.replicas.iter().filter(|h| place(h).region != place(&p.replicas[0]).region).count();
             assert!(live.len() == 3 || regions == 0, "no body crosses regions for its copies");
-            let zones = p.homes.iter().filter(|h| place(h).zone != place(&p.homes[0]).zone).count();
+            let zones = p.replicas.iter().filter(|h| place(h).zone != place(&p.replicas[0]).zone).count();
             assert!(zones > 0, "not all in one zone");
         }
         // What one lost node owned is not taken over by one other alone.
         let heirs: std::collections::HashSet<&String> =
-            all.iter().filter(|p| p.homes[0] == live[0].name).map(|p| &p.homes[1]).collect();
+            all.iter().filter(|p| p.replicas[0] == live[0].name).map(|p| &p.replicas[1]).collect();
         assert!(heirs.len() > 1, "{heirs:?}");
     }
     let wide = layout(&stands(&[("a", "r", 2), ("b", "s", 2)]), 2, Spread { zones: 1, regions: 1 });
-    assert!(wide.iter().all(|p| p.homes[0].starts_with('a') != p.homes[1].starts_with('a')));
+    assert!(wide.iter().all(|p| p.replicas[0].starts_with('a') != p.replicas[1].starts_with('a')));
 }
 
 #[test]
@@ -147,30 +149,30 @@
         let at = all.iter().position(|p| p.id == now.id).expect("that partition");
         all[at] = now.clone();
         assert_eq!(rebalance(&all, &live), None, "not while that one is under way");
-        all[at].owner = now.homes[0].clone();
-        all[at].insync = now.homes;
+        all[at].owner = now.replicas[0].clone();
+        all[at].in_sync = now.replicas;
     }
     let ((least, most), held) = loads(&all, &live);
     assert!(least >= 1 && most <= 2 && held.1 - held.0 <= 1, "{least} {most} {held:?}");
     let gone = live.remove(0);
-    for p in all.clone().iter().filter(|p| p.homes.contains(&gone.name)) {
+    for p in all.clone().iter().filter(|p| p.replicas.contains(&gone.name)) {
         let now = rehome(p, &gone.name, &all, &live, 3, Spread::default()).expect("a new home");
-        assert!(!now.homes.contains(&gone.name) && now.homes.len() == 3);
-        assert!(p.insync.contains(&now.homes[0]), "the move goes to one that follows already");
+        assert!(!now.replicas.contains(&gone.name) && now.replicas.len() == 3);
+        assert!(p.in_sync.contains(&now.replicas[0]), "the move goes to one that follows already");
         all[p.id as usize] = now;
     }
     assert!(loads(&all, &live).1.1 <= 8);
 }
 
-fn sample(revision: &str, channel: &str, good: u32, bad: u32, ms: f64) -> Sample {
+fn sample(revision: &str, route: &str, good: u32, bad: u32, ms: f64) -> Sample {
     let sent = good + bad;
     let ms_sum = ms * f64::from(good);
-    Sample { plant: "p".into(), revision: revision.into(), channel: channel.into(), good, bad, ms_sum, sent }
+    Sample { service: "p".into(), revision: revision.into(), route: route.into(), good, bad, ms_sum, sent }
 }
 
 fn rollout(share: u32) -> Rollout {
     Rollout {
-        plant: "p".into(),
+        service: "p".into(),
         target: "v2".into(),
         state: "running".into(),
         share,
@@ -182,52 +184,52 @@
 
 #[test]
 fn failures_and_slowness_are_told_from_what_the_old_version_does() {
-    let mut p = Plumb::default();
+    let mut p = RolloutMonitor::default();
     p.add("v2", &sample("v1", "r", 200, 4, 50.0));
     p.add("v2", &sample("v2", "r", 20, 1, 70.0));
-    assert_eq!(p.advise(&rollout(60), 1000, 500, 25.0), Advice::Wait);
+    assert_eq!(p.advise(&rollout(60), 1000, 500, 25.0), RolloutDecision::Wait);
     p.add("v2", &sample("v2", "r", 3, 5, 70.0));
-    assert!(matches!(p.advise(&rollout(60), 1000, 500, 25.0), Advice::Revert(_)));
-    let mut quick = Plumb::default();
+    assert!(matches!(p.advise(&rollout(60), 1000, 500, 25.0), RolloutDecision::Revert(_)));
+    let mut quick = RolloutMonitor::default();
     quick.add("v2", &sample("v1", "r", 200, 0, 1.0));
     quick.add("v2", &sample("v2", "r", 20, 0, 3.0));
-    assert_eq!(quick.advise(&rollout(60), 1000, 500, 25.0), Advice::Wait, "the way there takes that long");
-    let mut slow = Plumb::default();
+    assert_eq!(quick.advise(&rollout(60), 1000, 500, 25.0), RolloutDecision::Wait, "the way there takes that long");
+    let mut slow = RolloutMonitor::default();
     slow.add("v2", &sample("v1", "r", 200, 0, 50.0));
     slow.add("v2", &sample("v2", "r", 12, 0, 300.0));
-    assert!(matches!(slow.advise(&rollout(60), 1000, 500, 25.0), Advice::Revert(_)));
+    assert!(matches!(slow.advise(&rollout(60), 1000, 500, 25.0), RolloutDecision::Revert(_)));
 }
 
 #[test]
 fn one_bad_route_among_good_ones_is_found() {
-    let mut p = Plumb::default();
+    let mut p = RolloutMonitor::default();
     for c in ["r1", "r2", "r3"] {
         p.add("v2", &sample("v1", c, 200, 2, 50.0));
         p.add("v2", &sample("v2", c, 40, 0, 50.0));
     }
-    assert_eq!(p.advise(&rollout(60), 1000, 500, 25.0), Advice::Wait);
+    assert_eq!(p.advise(&rollout(60), 1000, 500, 25.0), RolloutDecision::Wait);
     p.add("v2", &sample("v2", "r4", 3, 5, 50.0));
-    assert!(matches!(p.advise(&rollout(60), 1000, 500, 25.0), Advice::Revert(_)));
+    assert!(matches!(p.advise(&rollout(60), 1000, 500, 25.0), RolloutDecision::Revert(_)));
 }
 
 #[test]
 fn a_good_version_is_raised_in_steps_and_settles_in_time() {
-    let mut p = Plumb::default();
-    let (mut r, mut settled) = (rollout(Plumb::first_share(0.1)), 0);
+    let mut p = RolloutMonitor::default();
+    let (mut r, mut settled) = (rollout(RolloutMonitor::first_share(0.1)), 0);
     for t in (0..10_000).step_by(100) {
         p.add("v2", &sample("v1", "r", 10, 0, 50.0));
         p.add("v2", &sample("v2", "r", (r.share / 100 + 1).min(10), 0, 55.0));
         match p.advise(&r, t, 500, 25.0) {
-            Advice::Share(s) => {
+            RolloutDecision::Share(s) => {
                 assert!(s > r.share && t >= 4000, "exposure stays small at first");
                 r.share = s;
             }
-            Advice::Settle => {
+            RolloutDecision::Settle => {
                 settled = t;
                 break;
             }
-            Advice::Wait => {}
-            Advice::Revert(why) => panic!("{why}"),
+            RolloutDecision::Wait => {}
+            RolloutDecision::Revert(why) => panic!("{why}"),
         }
     }
     assert_eq!(r.share, 1000);
@@ -238,9 +240,9 @@
 fn when_nobody_acts_as_owner_one_that_holds_everything_begins_anew() {
     let mut p = partition("a", &["a", "b"]);
     let r = revive(&p, |_| true, |_| Some(0)).expect("the same owner");
-    assert_eq!((r.owner.as_str(), r.term, r.seized, r.insync), ("a", 5, true, names(&["a", "b"])));
+    assert_eq!((r.owner.as_str(), r.term, r.seized, r.in_sync), ("a", 5, true, names(&["a", "b"])));
     assert_eq!(revive(&p, |n| n == "b", |_| Some(0)).map(|r| r.owner), Some("b".into()));
-    p.grant = Some(Grant { term: 5, candidate: "b".into(), insync: names(&["b"]) });
+    p.grant = Some(Grant { term: 5, candidate: "b".into(), in_sync: names(&["b"]) });
     let r = revive(&p, |_| true, |_| Some(0)).expect("the candidate may have more");
     assert_eq!((r.owner.as_str(), r.term), ("b", 6));
     assert_eq!(revive(&p, |n| n == "a", |_| Some(0)), None);
