--- a/crates/foreman/tests/explore.rs
+++ b/crates/control/tests/explore.rs
@@ -73,7 +73,7 @@
                 w.crash(n);
                 if t == 0 {
                     w.start(n);
-                    w.step(n, foreman::Event::Tick, None);
+                    w.step(n, control::Event::Tick, None);
                 } else {
                     r.ends.push((until(t), d));
                 }
@@ -212,7 +212,7 @@
             self.world.now += ROUND;
             self.recover();
             for n in 0..self.world.nodes.len() {
-                self.world.step(n, foreman::Event::Tick, None);
+                self.world.step(n, control::Event::Tick, None);
                 if self.world.duties {
                     self.world.duty(n);
                 }
@@ -449,7 +449,7 @@
 fn one_does_not_hear_the_leader() {
     let (mut w, leader, other) = led(0);
     w.cut.insert((leader, other));
-    w.pass(shell::PACE.election + 40);
+    w.pass(shell::TIMING.election + 40);
     explore("one that does not hear the leader", w, &[(4, Departure::CutLink(leader, other, 4))], 4, 2);
 }
 
@@ -457,23 +457,23 @@
 /// one is made by hand.
 #[test]
 fn an_older_terms_entry_is_not_committed_by_count() {
-    use dovetail::msg::{ViseEntry, ViseKind, ViseMsg};
-    use foreman::*;
+    use control::*;
+    use rpc::messages::{RaftEntry, RaftMessage, RaftMessageKind};
     let voters: Vec<String> = ["a", "b", "c"].map(String::from).to_vec();
     let hard = HardState { term: 3, voters, may_vote: true, ..HardState::default() };
-    let entry = |index, term| ViseEntry { index, term, ..ViseEntry::default() };
+    let entry = |index, term| RaftEntry { index, term, ..RaftEntry::default() };
     let log = vec![entry(1, 1), entry(2, 2)];
-    let mut v = Vise::new("a", hard, Default::default(), log, shell::PACE, 1, shell::START);
+    let mut v = RaftNode::new("a", hard, Default::default(), log, shell::TIMING, 1, shell::START);
     let mut now = shell::START;
     let mut led = false;
     while !led {
-        now += 2 * shell::PACE.election;
+        now += 2 * shell::TIMING.election;
         let mut effects = v.step(now, Event::Tick);
         while let Some(e) = effects.pop() {
             if let Effect::Send(to, m) = e
-                && m.kind == ViseKind::RequestVote as i32
+                && m.kind == RaftMessageKind::RequestVote as i32
             {
-                let vote = ViseMsg { from: to, kind: ViseKind::Vote as i32, ok: true, ..m };
+                let vote = RaftMessage { from: to, kind: RaftMessageKind::Vote as i32, ok: true, ..m };
                 let more = v.step(now, Event::Message(vote));
                 led |= more.iter().any(|e| matches!(e, Effect::BecameLeader));
                 effects.extend(more);
@@ -481,14 +481,14 @@
         }
     }
     assert_eq!(v.role, StateRole::Leader);
-    let ack = |index| ViseMsg {
+    let ack = |index| RaftMessage {
         from: "b".into(),
         term: v.hard.term,
-        kind: ViseKind::AppendAck as i32,
+        kind: RaftMessageKind::AppendAck as i32,
         ok: true,
         index,
         round: 1,
-        ..ViseMsg::default()
+        ..RaftMessage::default()
     };
     let (older, own) = (ack(2), ack(3));
     v.step(now, Event::Message(older));
--- a/crates/foreman/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -2,101 +2,102 @@
 //! again, beaten or refused, whoever leads and after a snapshot.
 
 use bytes::Bytes;
-use dovetail::msg::{Grant, Partition, Rollout, Sample};
-use foreman::*;
+use control::*;
 use prost::Message;
+use rpc::messages::{Grant, Partition, Rollout, Sample};
 
 /// One log; two members fold its entries, one of which begins anew from a snapshot
 /// before each, and now and then once there are very many.
 #[derive(Default)]
 struct Log {
     index: u64,
-    rack: Rack,
+    control_state: ControlState,
 }
 
 impl Log {
-    fn put(&mut self, word: Word) -> Applied {
+    fn put(&mut self, word: CommandPayload) -> ApplyResult {
         self.raw(Command { word: Some(word) }.encode_to_vec().into())
     }
 
-    fn raw(&mut self, data: Bytes) -> Applied {
+    fn raw(&mut self, data: Bytes) -> ApplyResult {
         self.index += 1;
         if self.index > 1000 && !self.index.is_multiple_of(100) {
-            return self.rack.apply(self.index, &data);
+            return self.control_state.apply(self.index, &data);
         }
-        let mut other = Rack::decode(self.rack.encode_to_vec().as_slice()).expect("a snapshot");
-        let applied = self.rack.apply(self.index, &data);
+        let mut other = ControlState::decode(self.control_state.encode_to_vec().as_slice()).expect("a snapshot");
+        let applied = self.control_state.apply(self.index, &data);
         assert_eq!(other.apply(self.index, &data), applied);
-        assert!(other == self.rack, "the fold depends on more than its state and the log");
+        assert!(other == self.control_state, "the fold depends on more than its state and the log");
         applied
     }
 
-    fn config(&mut self, kind: &str, base: u64, revision: u64, body: &str) -> Applied {
+    fn config(&mut self, kind: &str, base: u64, revision: u64, body: &str) -> ApplyResult {
         let digest = digest(kind, "", base, revision, body.as_bytes());
         let (json, change) = if kind == "adjust" {
             (Bytes::new(), body.to_owned().into())
         } else {
             (body.to_owned().into(), Bytes::new())
         };
-        self.put(Word::Template(PutTemplate { base, revision, json, change, digest }))
+        self.put(CommandPayload::Configuration(PutConfiguration { base, revision, json, change, digest }))
     }
 
-    fn rollout(&mut self, target: &str, at_ms: u64) -> Applied {
-        let stamp = Stamp { digest: digest("rollout", "p", 0, 0, target.as_bytes()), at_ms, until_ms: at_ms + 1000 };
+    fn rollout(&mut self, target: &str, at_ms: u64) -> ApplyResult {
+        let order_id =
+            OrderId { digest: digest("rollout", "p", 0, 0, target.as_bytes()), at_ms, until_ms: at_ms + 1000 };
         let rollout =
-            Rollout { plant: "p".into(), target: target.into(), state: "running".into(), ..Rollout::default() };
-        self.put(Word::StartRollout(StartRollout { rollout, stamp }))
+            Rollout { service: "p".into(), target: target.into(), state: "running".into(), ..Rollout::default() };
+        self.put(CommandPayload::StartRollout(StartRollout { rollout, order_id }))
     }
 
     fn running(&self) -> Rollout {
-        self.rack.charter.rollouts[0].clone()
+        self.control_state.assignments.rollouts[0].clone()
     }
 
-    fn judge(&mut self, was: &Rollout, state: &str) -> Applied {
+    fn judge(&mut self, was: &Rollout, state: &str) -> ApplyResult {
         let (was, now) = (was.clone(), Rollout { state: state.into(), ..was.clone() });
-        self.put(Word::PutRollout(PutRollout { was, now }))
+        self.put(CommandPayload::PutRollout(PutRollout { was, now }))
     }
 
-    fn retire(&mut self, node: &str, stores: &[&str], at_ms: u64) -> Applied {
-        let stamp = Stamp { digest: digest("retire", node, 0, 0, b"{}"), at_ms, until_ms: at_ms + 1000 };
+    fn retire(&mut self, node: &str, stores: &[&str], at_ms: u64) -> ApplyResult {
+        let order_id = OrderId { digest: digest("retire", node, 0, 0, b"{}"), at_ms, until_ms: at_ms + 1000 };
         let stores = stores.iter().map(|s| s.to_string()).collect();
-        self.put(Word::StartRetire(StartRetire { node: node.into(), stores, least: 2, stamp }))
+        self.put(CommandPayload::StartRetire(StartRetire { node: node.into(), stores, least: 2, order_id }))
     }
 
-    fn finish(&mut self, node: &str, began: u64) -> Applied {
-        self.put(Word::FinishRetire(FinishRetire { node: node.into(), began, replicas: 2, born: 7 }))
+    fn finish(&mut self, node: &str, began: u64) -> ApplyResult {
+        self.put(CommandPayload::FinishRetire(FinishRetire { node: node.into(), began, replica_count: 2, born: 7 }))
     }
 
     fn partition(&mut self, change: impl Fn(&mut Partition)) {
-        let was = self.rack.charter.partitions[0].clone();
+        let was = self.control_state.assignments.partitions[0].clone();
         let mut now = was.clone();
         change(&mut now);
-        assert_eq!(self.put(Word::Partition(PutPartition { was, now })), Applied::Done);
+        assert_eq!(self.put(CommandPayload::Partition(PutPartition { was, now })), ApplyResult::Done);
     }
 }
 
 const WHOLE: &str = r#"{"revision":3,"channels":[],"plants":[{"name":"p"}],"limits":{}}"#;
 
 #[test]
-fn of_two_roll_outs_of_a_plant_one_is_taken_and_its_repeat_is_known() {
+fn of_two_roll_outs_of_a_service_one_is_taken_and_its_repeat_is_known() {
     let mut l = Log::default();
-    assert_eq!((l.rollout("v2", 10), l.rollout("v3", 10)), (Applied::Done, Applied::Beaten));
+    assert_eq!((l.rollout("v2", 10), l.rollout("v3", 10)), (ApplyResult::Done, ApplyResult::Beaten));
     // Under way with one leader and sent to the next; and long after, while it runs.
-    assert_eq!((l.rollout("v2", 500), l.rollout("v2", 90_000)), (Applied::Repeated, Applied::Repeated));
+    assert_eq!((l.rollout("v2", 500), l.rollout("v2", 90_000)), (ApplyResult::Repeated, ApplyResult::Repeated));
     let first = l.running();
     assert_eq!((first.target.as_str(), first.began), ("v2", 1));
-    assert_eq!(l.judge(&first, "reverted"), Applied::Done);
+    assert_eq!(l.judge(&first, "reverted"), ApplyResult::Done);
     // Within its time it is the order that was taken; behind that it is a new one.
-    assert_eq!(l.rollout("v2", 1010), Applied::Repeated);
+    assert_eq!(l.rollout("v2", 1010), ApplyResult::Repeated);
     assert_eq!(l.running().state, "reverted");
-    assert_eq!(l.rollout("v2", 1011), Applied::Done);
+    assert_eq!(l.rollout("v2", 1011), ApplyResult::Done);
     let second = l.running();
     assert_eq!((second.state.as_str(), second.began), ("running", 7));
-    assert_eq!(l.rollout("v2", 1900), Applied::Repeated);
+    assert_eq!(l.rollout("v2", 1900), ApplyResult::Repeated);
     // One that was beaten was never taken: it may come again once the way is free.
-    assert_eq!(l.rollout("v3", 1950), Applied::Beaten);
+    assert_eq!(l.rollout("v3", 1950), ApplyResult::Beaten);
     l.judge(&second, "settled");
-    assert_eq!(l.rollout("v3", 1960), Applied::Done);
+    assert_eq!(l.rollout("v3", 1960), ApplyResult::Done);
 }
 
 #[test]
@@ -104,19 +105,19 @@
     let mut l = Log::default();
     l.rollout("v2", 10);
     let first = l.running();
-    assert_eq!((l.judge(&first, "reverted"), l.judge(&first, "settled")), (Applied::Done, Applied::Beaten));
+    assert_eq!((l.judge(&first, "reverted"), l.judge(&first, "settled")), (ApplyResult::Done, ApplyResult::Beaten));
     let ended = l.running();
-    assert_eq!(l.judge(&ended, "running"), Applied::Beaten, "an end is an end");
+    assert_eq!(l.judge(&ended, "running"), ApplyResult::Beaten, "an end is an end");
     // The same once more, all fields but its beginning alike: what was seen of the
     // first decides nothing.
-    assert_eq!(l.rollout("v2", 5000), Applied::Done);
+    assert_eq!(l.rollout("v2", 5000), ApplyResult::Done);
     assert_eq!(Rollout { began: first.began, ..l.running() }, first);
-    assert_eq!(l.judge(&first, "settled"), Applied::Beaten);
+    assert_eq!(l.judge(&first, "settled"), ApplyResult::Beaten);
     assert_eq!(l.running().state, "running");
     let mut other = l.running();
     other.began = 99;
     let (was, now) = (l.running(), other);
-    assert_eq!(l.put(Word::PutRollout(PutRollout { was, now })), Applied::Done);
+    assert_eq!(l.put(CommandPayload::PutRollout(PutRollout { was, now })), ApplyResult::Done);
     assert_ne!(l.running().began, 99, "it stays what it is");
 }
 
@@ -124,7 +125,7 @@
 fn what_was_seen_of_one_roll_out_stays_until_another_one_begins() {
     let sample = |revision: &str, good, bad| Sample {
         revision: revision.into(),
-        channel: "r".into(),
+        route: "r".into(),
         good,
         bad,
         sent: good + bad,
@@ -132,14 +133,17 @@
         ..Sample::default()
     };
     let r = Rollout { within_ms: 10_000, share: 60, target: "v2".into(), ..Rollout::default() };
-    let mut p = Plumb::default();
+    let mut p = RolloutMonitor::default();
     p.add("v2", &sample("v1", 200, 0));
     p.add("v2", &sample("v2", 2, 8));
     p.judges(5);
     p.judges(5);
-    assert!(matches!(p.advise(&r, 1000, 500, 25.0), Advice::Revert(_)), "an order that was refused hides nothing");
+    assert!(
+        matches!(p.advise(&r, 1000, 500, 25.0), RolloutDecision::Revert(_)),
+        "an order that was refused hides nothing"
+    );
     p.judges(9);
-    assert_eq!(p.advise(&r, 1000, 500, 25.0), Advice::Wait);
+    assert_eq!(p.advise(&r, 1000, 500, 25.0), RolloutDecision::Wait);
 }
 
 #[test]
@@ -150,34 +154,34 @@
     let p = Partition {
         id: 0,
         owner: "a".into(),
-        homes: names(&["a", "b"]),
-        insync: names(&["a", "b"]),
+        replicas: names(&["a", "b"]),
+        in_sync: names(&["a", "b"]),
         ..Partition::default()
     };
-    l.put(Word::Layout(Layout { partitions: vec![p] }));
+    l.put(CommandPayload::Layout(Layout { partitions: vec![p] }));
     let got = all.map(|n| l.retire(n, &all, 10));
-    assert_eq!(got, [Applied::Done, Applied::Refused, Applied::Refused]);
-    assert_eq!((l.retire("a", &all, 20), l.retire("a", &[], 900)), (Applied::Repeated, Applied::Repeated));
-    let began = l.rack.charter.retires[0].began;
+    assert_eq!(got, [ApplyResult::Done, ApplyResult::Refused, ApplyResult::Refused]);
+    assert_eq!((l.retire("a", &all, 20), l.retire("a", &[], 900)), (ApplyResult::Repeated, ApplyResult::Repeated));
+    let began = l.control_state.assignments.retires[0].began;
     // Done when the log itself says that it holds nothing, and that all is elsewhere.
-    assert_eq!(l.finish("a", began), Applied::Beaten, "it owns one");
-    l.partition(|p| (p.owner, p.homes) = ("b".into(), vec!["b".into(), "c".into()]));
-    assert_eq!(l.finish("a", began), Applied::Beaten, "it follows one");
-    l.partition(|p| p.insync = vec!["b".into()]);
-    assert_eq!(l.finish("a", began), Applied::Beaten, "one copy is lacking");
-    l.partition(|p| p.insync = vec!["b".into(), "c".into()]);
-    l.partition(|p| p.grant = Some(Grant { term: 2, candidate: "c".into(), insync: vec![] }));
-    assert_eq!(l.finish("a", began), Applied::Beaten, "a move is under way");
+    assert_eq!(l.finish("a", began), ApplyResult::Beaten, "it owns one");
+    l.partition(|p| (p.owner, p.replicas) = ("b".into(), vec!["b".into(), "c".into()]));
+    assert_eq!(l.finish("a", began), ApplyResult::Beaten, "it follows one");
+    l.partition(|p| p.in_sync = vec!["b".into()]);
+    assert_eq!(l.finish("a", began), ApplyResult::Beaten, "one copy is lacking");
+    l.partition(|p| p.in_sync = vec!["b".into(), "c".into()]);
+    l.partition(|p| p.grant = Some(Grant { term: 2, candidate: "c".into(), in_sync: vec![] }));
+    assert_eq!(l.finish("a", began), ApplyResult::Beaten, "a move is under way");
     l.partition(|p| p.grant = None);
-    assert_eq!(l.finish("a", began + 1), Applied::Beaten, "another retire");
-    assert_eq!((l.finish("a", began), l.finish("a", began)), (Applied::Done, Applied::Beaten));
+    assert_eq!(l.finish("a", began + 1), ApplyResult::Beaten, "another retire");
+    assert_eq!((l.finish("a", began), l.finish("a", began)), (ApplyResult::Done, ApplyResult::Beaten));
     // Sent again though the node is gone; and one that still stands does not count.
-    assert_eq!(l.retire("a", &["b", "c"], 1000), Applied::Repeated);
-    assert_eq!(l.retire("b", &all, 1000), Applied::Refused);
+    assert_eq!(l.retire("a", &["b", "c"], 1000), ApplyResult::Repeated);
+    assert_eq!(l.retire("b", &all, 1000), ApplyResult::Refused);
     // A machine of that name that is in use again is one more, and may be emptied anew.
-    l.partition(|p| (p.homes, p.insync) = (vec!["b".into(), "a".into()], vec!["b".into(), "a".into()]));
-    assert_eq!(l.retire("a", &all, 2000), Applied::Done);
-    assert!(l.rack.charter.retires[0].began > began && !l.rack.charter.retires[0].done);
+    l.partition(|p| (p.replicas, p.in_sync) = (vec!["b".into(), "a".into()], vec!["b".into(), "a".into()]));
+    assert_eq!(l.retire("a", &all, 2000), ApplyResult::Done);
+    assert!(l.control_state.assignments.retires[0].began > began && !l.control_state.assignments.retires[0].done);
 }
 
 #[test]
@@ -203,38 +207,38 @@
     let other = WHOLE.replace("\"p\"", "\"q\"");
     let bodies: Vec<(&str, u64, String)> =
         (0..8u64).map(|n| ("replace", 3 + n / 4, if n % 2 == 0 { WHOLE.to_owned() } else { other.clone() })).collect();
-    let first: Vec<Applied> = bodies.iter().map(|(k, r, b)| l.config(k, 0, *r, b)).collect();
+    let first: Vec<ApplyResult> = bodies.iter().map(|(k, r, b)| l.config(k, 0, *r, b)).collect();
     let same = |n: usize| bodies[n].1 == 3 && bodies[n].2 == WHOLE;
     for (n, got) in first.iter().enumerate() {
         let wanted = if n == 0 {
-            Applied::Done
+            ApplyResult::Done
         } else if same(n) {
-            Applied::Repeated
+            ApplyResult::Repeated
         } else {
-            Applied::Beaten
+            ApplyResult::Beaten
         };
         assert_eq!(*got, wanted, "{n}");
     }
-    assert_eq!(l.rack.template, WHOLE);
+    assert_eq!(l.control_state.configuration, WHOLE);
     // Equal bytes as another kind of order, or on another base, are no repeat.
-    assert_eq!(l.config("adjust", 0, 3, WHOLE), Applied::Beaten);
-    assert_eq!(l.config("replace", 2, 3, WHOLE), Applied::Beaten);
-    assert_eq!(l.config("replace", 3, 3, WHOLE), Applied::Beaten, "a number is not used twice");
+    assert_eq!(l.config("adjust", 0, 3, WHOLE), ApplyResult::Beaten);
+    assert_eq!(l.config("replace", 2, 3, WHOLE), ApplyResult::Beaten);
+    assert_eq!(l.config("replace", 3, 3, WHOLE), ApplyResult::Beaten, "a number is not used twice");
     // Changes that do not apply: on the newest version, and on a stale one.
-    let before = l.rack.clone();
-    for (base, wanted) in [(3, Applied::Refused), (2, Applied::Beaten)] {
+    let before = l.control_state.clone();
+    for (base, wanted) in [(3, ApplyResult::Refused), (2, ApplyResult::Beaten)] {
         assert_eq!(l.config("adjust", base, 9, r#"{"revision":9,"remove":{"nowhere":["p"]}}"#), wanted);
         assert_eq!(l.config("adjust", base, 9, "no json"), wanted);
     }
-    assert!(l.rack == Rack { applied: l.index, ..before });
-    assert_eq!(l.config("adjust", 3, 9, r#"{"revision":9,"remove":{"plants":["p"]}}"#), Applied::Done);
+    assert!(l.control_state == ControlState { applied: l.index, ..before });
+    assert_eq!(l.config("adjust", 3, 9, r#"{"revision":9,"remove":{"plants":["p"]}}"#), ApplyResult::Done);
     // Taken stays taken, with other changes since.
-    assert_eq!(l.config("replace", 0, 3, WHOLE), Applied::Repeated);
-    assert_eq!(l.config("replace", 0, 3, &other), Applied::Beaten);
+    assert_eq!(l.config("replace", 0, 3, WHOLE), ApplyResult::Repeated);
+    assert_eq!(l.config("replace", 0, 3, &other), ApplyResult::Beaten);
     // What carries no digest is no repeat of anything.
-    let bare = PutTemplate { base: 9, revision: 11, json: "{}".into(), ..PutTemplate::default() };
-    assert_eq!(l.put(Word::Template(bare.clone())), Applied::Done);
-    assert_eq!(l.put(Word::Template(bare)), Applied::Beaten);
+    let bare = PutConfiguration { base: 9, revision: 11, json: "{}".into(), ..PutConfiguration::default() };
+    assert_eq!(l.put(CommandPayload::Configuration(bare.clone())), ApplyResult::Done);
+    assert_eq!(l.put(CommandPayload::Configuration(bare)), ApplyResult::Beaten);
 }
 
 #[test]
@@ -243,19 +247,19 @@
     let (mut largest, mut began) = (0, 0);
     for n in 0..5000u64 {
         l.config("replace", n, n + 1, "{}");
-        if l.rollout(&format!("v{n}"), n * 10) == Applied::Done {
+        if l.rollout(&format!("v{n}"), n * 10) == ApplyResult::Done {
             let r = l.running();
             l.judge(&r, "settled");
             began += 1;
         }
-        largest = largest.max(l.rack.encoded_len());
+        largest = largest.max(l.control_state.encoded_len());
     }
     assert_eq!(began, 5000);
     for n in [4999, 4990, 5000 - 256] {
-        assert!(l.rack.took(&digest("replace", "", n, n + 1, b"{}")), "{n}");
+        assert!(l.control_state.took(&digest("replace", "", n, n + 1, b"{}")), "{n}");
     }
     // All that may come again is there, and what may not is not.
-    assert!((100..=102).contains(&l.rack.orders.len()), "{}", l.rack.orders.len());
+    assert!((100..=102).contains(&l.control_state.orders.len()), "{}", l.control_state.orders.len());
     assert!(largest < 64 << 10, "{largest} bytes of state");
     // Also when the time does not go on.
     for n in 0..1000 {
@@ -263,21 +267,21 @@
         let r = l.running();
         l.judge(&r, "settled");
     }
-    assert_eq!(l.rack.orders.len(), 256);
+    assert_eq!(l.control_state.orders.len(), 256);
 }
 
 #[test]
 fn what_cannot_be_decoded_is_counted_and_changes_nothing() {
     let mut l = Log::default();
     l.config("replace", 0, 3, WHOLE);
-    let before = (l.rack.clone(), tally::get("commands_undecoded"));
+    let before = (l.control_state.clone(), telemetry::get("commands_undecoded"));
     // Noise, a command cut short, and one of a kind that this program does not know.
-    let mut whole = Command { word: Some(Word::Layout(Layout::default())) }.encode_to_vec();
+    let mut whole = Command { word: Some(CommandPayload::Layout(Layout::default())) }.encode_to_vec();
     whole.truncate(1);
     for bad in [&b"\xff\xff\xff"[..], &whole, &[0xfa, 0x01, 0x00]] {
-        assert_eq!(l.raw(Bytes::copy_from_slice(bad)), Applied::Undecoded, "{bad:?}");
+        assert_eq!(l.raw(Bytes::copy_from_slice(bad)), ApplyResult::Undecoded, "{bad:?}");
     }
-    assert!(l.rack == Rack { applied: l.index, ..before.0 });
-    assert_eq!(tally::get("commands_undecoded"), before.1 + 6, "once for each member");
-    assert_eq!(l.raw(Bytes::new()), Applied::Done, "the log's own entries carry nothing");
+    assert!(l.control_state == ControlState { applied: l.index, ..before.0 });
+    assert_eq!(telemetry::get("commands_undecoded"), before.1 + 6, "once for each member");
+    assert_eq!(l.raw(Bytes::new()), ApplyResult::Done, "the log's own entries carry nothing");
 }
--- a/crates/foreman/tests/vise.rs
+++ b/crates/control/tests/raft.rs
@@ -1,19 +1,19 @@
 //! The majority log, with links and disks in the test's hands.
 
 use bytes::Bytes;
-use dovetail::msg::{ViseEntry, ViseMsg};
-use foreman::*;
+use control::*;
 use prost::Message;
+use rpc::messages::{RaftEntry, RaftMessage};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-const PACE: Pace = Pace { beat: 100, election: 400 };
+const TIMING: Timing = Timing { beat: 100, election: 400 };
 const ALL: [&str; 3] = ["a", "b", "c"];
 
 #[derive(Clone, Default)]
 struct Disk {
     hard: HardState,
     state: Bytes,
-    log: BTreeMap<u64, ViseEntry>,
+    log: BTreeMap<u64, RaftEntry>,
 }
 
 /// The identity of an order on a base.
@@ -22,21 +22,21 @@
 }
 
 /// A larger message would end its connection, again and again.
-fn within_a_frame(m: &ViseMsg) -> bool {
-    assert!(m.encoded_len() < dovetail::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
+fn within_a_frame(m: &RaftMessage) -> bool {
+    assert!(m.encoded_len() < rpc::FRAME_LIMIT, "{} bytes in one message", m.encoded_len());
     true
 }
 
 struct World {
     now: u64,
-    nodes: BTreeMap<String, Vise>,
+    nodes: BTreeMap<String, RaftNode>,
     disks: BTreeMap<String, Disk>,
-    racks: BTreeMap<String, Rack>,
-    applied: BTreeMap<String, Vec<(u64, Applied)>>,
+    control_states: BTreeMap<String, ControlState>,
+    applied: BTreeMap<String, Vec<(u64, ApplyResult)>>,
     down: BTreeSet<String>,
     /// On the other side of a cut: they reach each other only.
     beyond: BTreeSet<String>,
-    net: VecDeque<(String, ViseMsg)>,
+    net: VecDeque<(String, RaftMessage)>,
 }
 
 impl World {
@@ -49,7 +49,7 @@
             now: 1_000_000,
             nodes: BTreeMap::new(),
             disks: BTreeMap::new(),
-            racks: BTreeMap::new(),
+            control_states: BTreeMap::new(),
             applied: BTreeMap::new(),
             down: BTreeSet::new(),
             beyond: BTreeSet::new(),
@@ -67,9 +67,9 @@
     fn start(&mut self, n: &str) {
         let d = self.disks[n].clone();
         let seed = n.as_bytes()[0] as u64 * 7919;
-        let v = Vise::new(n, d.hard, d.state.clone(), d.log.into_values().collect(), PACE, seed, self.now);
+        let v = RaftNode::new(n, d.hard, d.state.clone(), d.log.into_values().collect(), TIMING, seed, self.now);
         self.nodes.insert(n.into(), v);
-        self.racks.insert(n.into(), Rack::decode(d.state).expect("whole state"));
+        self.control_states.insert(n.into(), ControlState::decode(d.state).expect("whole state"));
         self.applied.insert(n.into(), vec![]);
         self.down.remove(n);
     }
@@ -89,11 +89,11 @@
                 }
                 Effect::Send(to, m) => self.net.push_back((to, m)),
                 Effect::Apply(e) => {
-                    let a = self.racks.get_mut(n).expect("a rack").apply(e.index, &e.data);
+                    let a = self.control_states.get_mut(n).expect("a control state").apply(e.index, &e.data);
                     self.applied.get_mut(n).expect("a list").push((e.index, a));
                 }
                 Effect::Restore(s) => {
-                    self.racks.insert(n.into(), Rack::decode(s).expect("whole state"));
+                    self.control_states.insert(n.into(), ControlState::decode(s).expect("whole state"));
                 }
                 _ => {}
             }
@@ -158,14 +158,14 @@
     }
 
     fn put(&mut self, n: &str, base: u64, revision: u64) {
-        let t = PutTemplate {
+        let t = PutConfiguration {
             base,
             revision,
             json: Bytes::from(format!("{revision}")),
             digest: word(base, revision),
             change: Bytes::new(),
         };
-        let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
+        let data = Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec();
         self.step(n, Event::Propose(data.into()));
     }
 
@@ -183,18 +183,18 @@
     let first = w.leader().expect("a leader");
     w.put(&first, 0, 3);
     w.pass(200);
-    assert!(w.racks.values().all(|r| r.revision == 3));
+    assert!(w.control_states.values().all(|r| r.revision == 3));
     w.down.insert(first.clone());
     w.pass(3000);
     let second = w.leader().expect("another leader");
     assert_ne!(first, second);
-    assert_eq!(w.racks[&second].revision, 3);
+    assert_eq!(w.control_states[&second].revision, 3);
     w.put(&second, 3, 5);
     w.pass(200);
     assert!(w.nodes[&second].serves_until(w.now) > w.now);
     w.start(&first);
     w.pass(1000);
-    assert_eq!(w.racks[&first].revision, 5, "it folds its disk and catches up");
+    assert_eq!(w.control_states[&first].revision, 5, "it folds its disk and catches up");
 }
 
 #[test]
@@ -206,10 +206,10 @@
     w.put(&leader, 0, 4);
     w.pass(300);
     for n in ALL {
-        let got: Vec<Applied> = w.applied[n].iter().map(|a| a.1).collect();
-        assert_eq!(got[got.len() - 2..], [Applied::Done, Applied::Beaten]);
-        assert_eq!(w.racks[n].revision, 3);
-        assert!(w.racks[n].took(&word(0, 3)) && !w.racks[n].took(&word(0, 4)));
+        let got: Vec<ApplyResult> = w.applied[n].iter().map(|a| a.1).collect();
+        assert_eq!(got[got.len() - 2..], [ApplyResult::Done, ApplyResult::Beaten]);
+        assert_eq!(w.control_states[n].revision, 3);
+        assert!(w.control_states[n].took(&word(0, 3)) && !w.control_states[n].took(&word(0, 4)));
     }
 }
 
@@ -223,7 +223,7 @@
     w.put(&leader, 0, 3);
     w.pass(3000);
     assert_eq!(w.leader(), None, "it knows that nobody follows");
-    assert_eq!(w.racks[&leader].revision, 0);
+    assert_eq!(w.control_states[&leader].revision, 0);
     for o in others {
         w.start(o);
     }
@@ -248,7 +248,7 @@
     w.start(other);
     w.pass(1000);
     assert!(w.nodes[lost].hard.may_vote, "readmitted once it holds all and the others follow");
-    assert_eq!(w.racks[lost].revision, 3);
+    assert_eq!(w.control_states[lost].revision, 3);
     w.down.insert(leader);
     w.pass(3000);
     assert!(w.leader().is_some(), "and its vote counts again");
@@ -276,12 +276,12 @@
         w.put(&leader, r - 1, r);
         w.pass(50);
     }
-    let state = w.racks[&leader].encode_to_vec();
+    let state = w.control_states[&leader].encode_to_vec();
     let index = w.nodes[&leader].applied();
     w.step(&leader, Event::Snapshot { index, state: state.into() });
     w.start(late);
     w.pass(1000);
-    assert_eq!(w.racks[late].revision, 19);
+    assert_eq!(w.control_states[late].revision, 19);
     // And it starts again from that.
     let d = &w.disks[late];
     assert!(d.log.len() < 5 && d.hard.base >= index - 1);
@@ -301,7 +301,10 @@
         w.pass(10);
         for n in ALL {
             let v = &w.nodes[n];
-            assert!(v.serves_until(w.now) <= w.now || w.racks[n].revision == 3, "{n} would answer from an empty state");
+            assert!(
+                v.serves_until(w.now) <= w.now || w.control_states[n].revision == 3,
+                "{n} would answer from an empty state"
+            );
         }
     }
     assert!(ALL.iter().any(|n| w.nodes[*n].serves_until(w.now) > w.now));
@@ -310,7 +313,7 @@
 const AWAY: u64 = 2000;
 
 impl World {
-    /// A foreman with an empty disk, at an address that nobody has heard of.
+    /// A control node with an empty disk, at an address that nobody has heard of.
     fn newcomer(&mut self, n: &str) {
         self.disks.insert(n.into(), Disk::default());
         self.start(n);
@@ -325,7 +328,7 @@
             let zones: Vec<(String, String)> = up.iter().map(|n| (n.clone(), format!("zone-{n}"))).collect();
             match self.nodes[&c].next_voters(&zones, 3, AWAY, self.now) {
                 Some(v) => self.step(&c, Event::SetVoters(v)),
-                None => self.step(&c, Event::Foremen(up)),
+                None => self.step(&c, Event::ControlNodes(up)),
             }
         }
     }
@@ -349,14 +352,14 @@
     let mut now = w.nodes[&c].voters().to_vec();
     now.sort();
     assert!(now.contains(&"n".to_string()) && !now.contains(&lost) && now.len() == 3, "{now:?}");
-    assert_eq!(w.racks["n"].revision, 3);
+    assert_eq!(w.control_states["n"].revision, 3);
     // The newcomer counts: with one more gone, it and the last one go on.
     w.down.insert(c.clone());
     w.pass(3000);
     let d = w.leader().expect("the newcomer is half of the majority");
     w.put(&d, 3, 5);
     w.pass(300);
-    assert_eq!(w.racks[&d].revision, 5);
+    assert_eq!(w.control_states[&d].revision, 5);
     // The one that was replaced comes back, and cannot make a majority of its own.
     w.start(&lost);
     w.down.insert(d.clone());
@@ -389,13 +392,17 @@
     let other = ALL.iter().find(|n| **n != c).expect("another").to_string();
     w.start(&other);
     let term = w.nodes[&c].hard.term + 1;
-    let mut ask =
-        ViseMsg { from: c.clone(), term, kind: dovetail::msg::ViseKind::RequestVote as i32, ..ViseMsg::default() };
+    let mut ask = RaftMessage {
+        from: c.clone(),
+        term,
+        kind: rpc::messages::RaftMessageKind::RequestVote as i32,
+        ..RaftMessage::default()
+    };
     (ask.index, ask.log_term) = (1000, term);
     w.net.clear();
     w.step(&other, Event::Message(ask.clone()));
     assert!(w.net.iter().all(|(_, m)| !m.ok), "the old leader may still count on it");
-    w.now += PACE.election;
+    w.now += TIMING.election;
     w.step(&other, Event::Message(ask));
     assert!(w.net.iter().any(|(_, m)| m.ok));
 }
@@ -406,7 +413,7 @@
     w.pass(2000);
     let c = w.leader().expect("a leader");
     let until = w.nodes[&c].serves_until(w.now);
-    assert!(until > w.now && until <= w.now + PACE.election * 7 / 8, "shorter than others wait, as clocks differ");
+    assert!(until > w.now && until <= w.now + TIMING.election * 7 / 8, "shorter than others wait, as clocks differ");
     // Frozen, or waiting for its disk, it steps nothing: what it computed last
     // still ends before anybody else can have been elected.
     w.down.insert(c.clone());
@@ -426,14 +433,14 @@
     w.pass(2000);
     let c = w.leader().expect("a leader");
     let before = w.nodes[&c].hard.term;
-    let ask = ViseMsg {
+    let ask = RaftMessage {
         from: "x".into(),
         term: before + 5,
         index: 99,
         log_term: 99,
         ok: true,
-        kind: dovetail::msg::ViseKind::RequestVote as i32,
-        ..ViseMsg::default()
+        kind: rpc::messages::RaftMessageKind::RequestVote as i32,
+        ..RaftMessage::default()
     };
     for n in ALL {
         w.step(n, Event::Message(ask.clone()));
@@ -452,16 +459,16 @@
     for n in ALL {
         w.start(n);
     }
-    w.pass(PACE.election * 3 / 4);
+    w.pass(TIMING.election * 3 / 4);
     let c = w.leader().expect("a leader already");
-    assert_eq!(w.racks[&c].revision, 3);
+    assert_eq!(w.control_states[&c].revision, 3);
     // One that stays alive is no such case: it still has its time.
     let alone: Vec<String> = ALL.iter().filter(|n| **n != c).map(|n| n.to_string()).collect();
     for n in &alone {
         w.start(n);
     }
     w.down.insert(c.clone());
-    w.pass(PACE.election - 20);
+    w.pass(TIMING.election - 20);
     assert!(alone.iter().all(|n| w.nodes[n].role != StateRole::Leader), "the old leader may still act");
     w.pass(3000);
     assert!(w.leader().is_some());
@@ -490,10 +497,10 @@
     assert!(w.now >= until && w.nodes[&old].serves_until(w.now) <= w.now, "never two at once");
     w.put(&new, 3, 7);
     w.pass(300);
-    assert_eq!((w.racks[&new].revision, w.racks[&old].revision), (7, 3));
+    assert_eq!((w.control_states[&new].revision, w.control_states[&old].revision), (7, 3));
     w.beyond.clear();
     w.pass(3000);
-    assert!(w.racks.values().all(|r| r.revision == 7 && !r.took(&word(3, 5))), "the other one never counts");
+    assert!(w.control_states.values().all(|r| r.revision == 7 && !r.took(&word(3, 5))), "the other one never counts");
 }
 
 #[test]
@@ -505,16 +512,16 @@
     w.down.insert(away.clone());
     for n in 0..30u64 {
         let json = Bytes::from(vec![b' '; 400 << 10]);
-        let t = PutTemplate { base: n, revision: n + 1, json, digest: word(n, n + 1), change: Bytes::new() };
-        let data = Command { word: Some(Word::Template(t)) }.encode_to_vec();
+        let t = PutConfiguration { base: n, revision: n + 1, json, digest: word(n, n + 1), change: Bytes::new() };
+        let data = Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec();
         w.step(&leader, Event::Propose(data.into()));
         w.pass(50);
     }
-    assert_eq!(w.racks[&leader].revision, 30);
-    assert!(w.nodes[&leader].weight() > 2 * dovetail::FRAME_LIMIT);
+    assert_eq!(w.control_states[&leader].revision, 30);
+    assert!(w.nodes[&leader].weight() > 2 * rpc::FRAME_LIMIT);
     w.start(&away);
     w.pass(3000);
-    assert_eq!(w.racks[&away].revision, 30);
+    assert_eq!(w.control_states[&away].revision, 30);
 }
 
 #[test]
@@ -526,21 +533,21 @@
         let away = ALL.iter().find(|n| **n != leader).expect("another").to_string();
         w.down.insert(away.clone());
         let put = |n: u64| {
-            let t = PutTemplate {
+            let t = PutConfiguration {
                 base: n,
                 revision: n + 1,
                 json: vec![b' '; 20_000].into(),
                 digest: word(n, n + 1),
                 change: Bytes::new(),
             };
-            Event::Propose(Command { word: Some(Word::Template(t)) }.encode_to_vec().into())
+            Event::Propose(Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec().into())
         };
         for n in 0..30 {
             w.step(&leader, put(n));
             w.pass(50);
         }
         if cut {
-            let (index, state) = (w.nodes[&leader].applied(), w.racks[&leader].encode_to_vec().into());
+            let (index, state) = (w.nodes[&leader].applied(), w.control_states[&leader].encode_to_vec().into());
             w.step(&leader, Event::Snapshot { index, state });
         }
         w.start(&away);
@@ -549,7 +556,7 @@
             w.step(&leader, put(n));
         }
         let (mut sent, mut last) = (0, w.now);
-        while w.racks[&away].revision < 230 {
+        while w.control_states[&away].revision < 230 {
             sent += w.net.iter().filter(|(to, _)| *to == away).map(|(_, m)| m.encoded_len()).sum::<usize>();
             w.pass(10);
             assert!(w.now < last + 2000, "not there after {sent} bytes");
@@ -567,7 +574,7 @@
     let c = w.leader().expect("a leader");
     w.put(&c, 0, 3);
     w.pass(300);
-    let (index, state) = (w.nodes[&c].applied(), w.racks[&c].encode_to_vec());
+    let (index, state) = (w.nodes[&c].applied(), w.control_states[&c].encode_to_vec());
     w.step(&c, Event::Snapshot { index, state: state.into() });
     assert_eq!((w.nodes[&c].length(), w.nodes[&c].hard.base), (0, index));
     assert!(w.nodes[&c].serves_until(w.now) > w.now, "it led, and nothing has changed");
@@ -583,7 +590,7 @@
 }
 
 #[test]
-fn leaving_is_a_matter_of_one_life() {
+fn leaving_is_a_matter_of_one_incarnation() {
     let names = ["a", "b", "c", "d", "e"];
     let mut w = World::of(&names);
     w.pass(2000);
@@ -602,7 +609,7 @@
     }
     w.pass(4000);
     let l = w.leader().expect("a majority of those that came back has its vote");
-    assert_eq!(w.racks[&l].revision, 3);
+    assert_eq!(w.control_states[&l].revision, 3);
 }
 
 #[test]
@@ -632,7 +639,7 @@
         w.pass(50);
         if let Some(c) = w.leader() {
             // It stays known as a learner, as its session stands.
-            w.step(&c, Event::Foremen(vec![others[0].into()]));
+            w.step(&c, Event::ControlNodes(vec![others[0].into()]));
         }
     }
     assert!(!w.nodes[others[1]].hard.may_vote, "counted with one that has no vote");
@@ -658,13 +665,13 @@
 }
 
 /// What was sent to one of the kind that it says, as it stands on the way.
-fn sent(w: &World, to: &str, kind: dovetail::msg::ViseKind) -> Vec<ViseMsg> {
+fn sent(w: &World, to: &str, kind: rpc::messages::RaftMessageKind) -> Vec<RaftMessage> {
     w.net.iter().filter(|(t, m)| t == to && m.kind == kind as i32).map(|(_, m)| m.clone()).collect()
 }
 
 #[test]
 fn answers_to_an_earlier_campaign_count_for_nothing() {
-    use dovetail::msg::ViseKind;
+    use rpc::messages::RaftMessageKind;
     let mut w = World::new();
     w.pass(2000);
     let c = w.leader().expect("a leader");
@@ -677,7 +684,7 @@
         w.now += 10;
         w.step(a, Event::Tick);
         w.deliver(b);
-        let real = sent(&w, a, ViseKind::Vote).into_iter().find(|m| m.ok && !m.pre_vote);
+        let real = sent(&w, a, RaftMessageKind::Vote).into_iter().find(|m| m.ok && !m.pre_vote);
         if let Some(m) = real {
             held.push(m);
             break;
@@ -687,10 +694,10 @@
     let vote = held.pop().expect("a vote");
     w.net.clear();
     // Counted in time; but not once a voter that forgot it may have voted again.
-    w.now += 2 * PACE.election;
+    w.now += 2 * TIMING.election;
     w.step(a, Event::Message(vote.clone()));
     assert_ne!(w.nodes[a].role, StateRole::Leader, "a vote that came too late");
-    // Nor by the next life of the candidate, which asked nobody.
+    // Nor by the next incarnation of the candidate, which asked nobody.
     w.start(a);
     w.step(a, Event::Message(vote));
     assert_ne!(w.nodes[a].role, StateRole::Leader);
@@ -706,9 +713,9 @@
     let began = w.now;
     while !w.nodes[lost].hard.may_vote {
         w.pass(10);
-        assert!(w.now < began + 10 * PACE.election, "never readmitted");
+        assert!(w.now < began + 10 * TIMING.election, "never readmitted");
     }
-    assert!(w.now >= began + 3 * PACE.election, "after {} ms", w.now - began);
+    assert!(w.now >= began + 3 * TIMING.election, "after {} ms", w.now - began);
 }
 
 #[test]
@@ -721,11 +728,11 @@
     w.down.extend(["a".to_string(), "d".to_string()]);
     for (n, term, entries) in [("b", 4, 1), ("c", 4, 1), ("e", 1, 2)] {
         let hard = HardState { term, voters: voters.clone(), may_vote: true, ..HardState::default() };
-        let log = (1..=entries).map(|i| (i, ViseEntry { index: i, term: 1, ..ViseEntry::default() })).collect();
+        let log = (1..=entries).map(|i| (i, RaftEntry { index: i, term: 1, ..RaftEntry::default() })).collect();
         w.disks.insert(n.into(), Disk { hard, log, ..Disk::default() });
         w.start(n);
     }
-    w.pass(8 * PACE.election);
+    w.pass(8 * TIMING.election);
     assert_eq!(w.leader().as_deref(), Some("e"));
 }
 
@@ -747,9 +754,9 @@
     w.deliver(&holder);
     w.deliver(&c);
     w.net.clear();
-    assert_eq!(w.racks[&c].revision, 5, "acknowledged");
+    assert_eq!(w.control_states[&c].revision, 5, "acknowledged");
     let held = w.disks[&holder].log.keys().max().copied();
-    let (index, state) = (w.nodes[&c].applied() - 2, w.racks[&c].encode_to_vec());
+    let (index, state) = (w.nodes[&c].applied() - 2, w.control_states[&c].encode_to_vec());
     w.step(&c, Event::Snapshot { index, state: state.into() });
     // One is lost on the way, the next finds a gap, and is answered by a snapshot.
     w.put(&c, 5, 6);
@@ -778,9 +785,9 @@
     w.pass(300);
     // Grown beyond any one entry, as by many changes.
     let json: Vec<u8> = (0..bytes).map(|i| (i * 31 % 251) as u8).collect();
-    w.racks.get_mut(&c).expect("a rack").template = json.into();
-    let (index, state) = (w.nodes[&c].applied(), w.racks[&c].encode_to_vec());
-    assert!(w.racks[&c].revision == 9 && state.len() > bytes);
+    w.control_states.get_mut(&c).expect("a control state").configuration = json.into();
+    let (index, state) = (w.nodes[&c].applied(), w.control_states[&c].encode_to_vec());
+    assert!(w.control_states[&c].revision == 9 && state.len() > bytes);
     w.step(&c, Event::Snapshot { index, state: state.into() });
     w.start(&away);
     (w, c, away)
@@ -788,11 +795,11 @@
 
 #[test]
 fn a_state_larger_than_a_frame_is_sent_in_pieces_and_gone_on_with() {
-    let bytes = 3 * dovetail::FRAME_LIMIT / 2;
+    let bytes = 3 * rpc::FRAME_LIMIT / 2;
     let (mut w, c, away) = one_that_lacks_a_large_state(bytes);
-    let kind = dovetail::msg::ViseKind::InstallSnapshot as i32;
-    let (mut moved, mut lost, mut largest, end) = (0, 0, 0, w.now + 20 * PACE.beat * 10);
-    while w.racks[&away].revision != 9 {
+    let kind = rpc::messages::RaftMessageKind::InstallSnapshot as i32;
+    let (mut moved, mut lost, mut largest, end) = (0, 0, 0, w.now + 20 * TIMING.beat * 10);
+    while w.control_states[&away].revision != 9 {
         // Every third piece is lost on its way, and once the leader as well.
         let mut n = 0;
         w.net.retain(|(to, m)| {
@@ -807,21 +814,21 @@
         w.pass(10);
         assert!(w.now < end, "not there after {moved} pieces");
     }
-    assert!(lost > 1 && largest <= dovetail::FRAME_LIMIT / 4, "{lost} lost, {largest} bytes in one");
+    assert!(lost > 1 && largest <= rpc::FRAME_LIMIT / 4, "{lost} lost, {largest} bytes in one");
     // Each piece goes once, and again when it was lost.
     assert!(moved <= 7 + lost + 1, "{moved} pieces, {lost} lost");
     w.pass(1000);
-    assert_eq!(w.racks[&away], w.racks[&c]);
+    assert_eq!(w.control_states[&away], w.control_states[&c]);
     let hard = &w.disks[&away].hard;
     assert!(hard.base > 0 && !hard.voters.is_empty());
     // From its disk alone it is as far.
     w.start(&away);
-    assert_eq!(w.racks[&away].revision, 9);
+    assert_eq!(w.control_states[&away].revision, 9);
 }
 
 #[test]
 fn one_that_is_killed_in_the_middle_of_a_snapshot_again_and_again_is_level_in_the_end() {
-    let (mut w, c, away) = one_that_lacks_a_large_state(dovetail::FRAME_LIMIT);
+    let (mut w, c, away) = one_that_lacks_a_large_state(rpc::FRAME_LIMIT);
     for n in 0..6 {
         let before = w.disks[&away].hard.base;
         w.pass(10 * (n % 3 + 1) * 6);
@@ -829,7 +836,7 @@
             break;
         }
         // Nothing of what has come in part counts, nor is it on the disk.
-        assert!(w.racks[&away].revision == 0 && w.disks[&away].state.is_empty());
+        assert!(w.control_states[&away].revision == 0 && w.disks[&away].state.is_empty());
         w.start(&away);
     }
     // Its leader ends, and the next one goes on sending.
@@ -837,13 +844,13 @@
     w.pass(3000);
     let d = w.leader().expect("the two others are a majority");
     w.pass(1000);
-    assert_eq!((w.racks[&away].revision, w.racks[&d].revision), (9, 9));
+    assert_eq!((w.control_states[&away].revision, w.control_states[&d].revision), (9, 9));
 }
 
 #[test]
 fn a_snapshot_that_is_torn_stale_or_too_large_changes_nothing() {
     let (mut w, c, away) = one_that_lacks_a_large_state(1000);
-    let kind = dovetail::msg::ViseKind::InstallSnapshot;
+    let kind = rpc::messages::RaftMessageKind::InstallSnapshot;
     while sent(&w, &away, kind).is_empty() {
         w.now += 10;
         w.step(&c, Event::Tick);
@@ -857,25 +864,25 @@
     let mut bytes = torn.state.to_vec();
     bytes[500] ^= 1;
     torn.state = bytes.into();
-    let short = ViseMsg { state: piece.state.slice(..500), total: 500, ..piece.clone() };
-    let huge = ViseMsg { total: 1 << 40, ..piece.clone() };
-    let past = ViseMsg { offset: u64::MAX - 3, ..piece.clone() };
-    let unnamed = ViseMsg { digest: Bytes::new(), ..piece.clone() };
+    let short = RaftMessage { state: piece.state.slice(..500), total: 500, ..piece.clone() };
+    let huge = RaftMessage { total: 1 << 40, ..piece.clone() };
+    let past = RaftMessage { offset: u64::MAX - 3, ..piece.clone() };
+    let unnamed = RaftMessage { digest: Bytes::new(), ..piece.clone() };
     for m in [torn, short, huge, past, unnamed] {
         w.step(&away, Event::Message(m));
         let after = &w.nodes[&away];
         assert_eq!((after.hard.base, after.commit), (before.0.base, before.1));
-        assert_eq!(w.racks[&away].revision, 0);
+        assert_eq!(w.control_states[&away].revision, 0);
         assert!(w.disks[&away].state.is_empty());
     }
     // An old one does not take back what came since.
     w.pass(1000);
-    assert_eq!(w.racks[&away].revision, 9);
+    assert_eq!(w.control_states[&away].revision, 9);
     w.put(&c, 9, 11);
     w.pass(500);
     let term = w.nodes[&away].hard.term;
-    w.step(&away, Event::Message(ViseMsg { term, ..piece }));
-    assert_eq!(w.racks[&away].revision, 11);
+    w.step(&away, Event::Message(RaftMessage { term, ..piece }));
+    assert_eq!(w.control_states[&away].revision, 11);
 }
 
 #[test]
@@ -894,17 +901,17 @@
     let last = ALL.into_iter().find(|n| *n != old && *n != new).expect("a third");
     w.put(&new, 3, 5);
     w.pass(50);
-    assert_eq!((w.racks[&new].revision, w.nodes[&old].role), (5, StateRole::Leader));
+    assert_eq!((w.control_states[&new].revision, w.nodes[&old].role), (5, StateRole::Leader));
     // The third loses its disk, and with it the newer term; it is on the old one's side
     // now, which was in time to lead once more.
     w.wipe(last);
     w.beyond.insert(last.into());
     w.put(&old, 3, 7);
-    for _ in 0..PACE.election / 20 {
+    for _ in 0..TIMING.election / 20 {
         w.pass(10);
         assert!(w.nodes[&old].serves_until(w.now) <= w.now, "two lead at one time");
     }
-    assert_eq!(w.racks[&old].revision, 3, "nothing is committed with one that may have forgotten");
+    assert_eq!(w.control_states[&old].revision, 3, "nothing is committed with one that may have forgotten");
 }
 
 #[test]
@@ -916,7 +923,7 @@
     let (back, deaf) = (others[0], others[1]);
     // The deaf one has not heard the leader for an election time; the other one has
     // just answered it when it is killed, and is there again at once.
-    for _ in 0..PACE.election / 10 + 1 {
+    for _ in 0..TIMING.election / 10 + 1 {
         w.net.retain(|(to, m)| !(to == deaf && m.from == old));
         w.now += 10;
         for n in [&old, back] {
@@ -942,7 +949,7 @@
 
 #[test]
 fn messages_that_cannot_be_change_nothing() {
-    use dovetail::msg::ViseKind;
+    use rpc::messages::RaftMessageKind;
     let mut w = World::new();
     w.pass(2000);
     let c = w.leader().expect("a leader");
@@ -954,26 +961,26 @@
     let (n, from) = (others[0].clone(), others[1].clone());
     let term = w.nodes[&n].hard.term;
     let commit = w.nodes[&n].commit;
-    let entry = |index: u64, term: u64| ViseEntry { index, term, ..ViseEntry::default() };
-    let append = |from: &str, term: u64, index: u64, entries: Vec<ViseEntry>| ViseMsg {
+    let entry = |index: u64, term: u64| RaftEntry { index, term, ..RaftEntry::default() };
+    let append = |from: &str, term: u64, index: u64, entries: Vec<RaftEntry>| RaftMessage {
         from: from.into(),
         term,
-        kind: ViseKind::Append as i32,
+        kind: RaftMessageKind::Append as i32,
         index,
         log_term: term,
         entries,
-        ..ViseMsg::default()
+        ..RaftMessage::default()
     };
-    let twice = ViseEntry { voters: vec!["a".into(), "a".into()], ..entry(commit + 1, term) };
-    let nobody = ViseEntry { voters: vec![String::new()], ..entry(commit + 1, term) };
+    let twice = RaftEntry { voters: vec!["a".into(), "a".into()], ..entry(commit + 1, term) };
+    let nobody = RaftEntry { voters: vec![String::new()], ..entry(commit + 1, term) };
     let mut ack = append(&from, term, 1 << 40, vec![]);
-    (ack.kind, ack.ok) = (ViseKind::AppendAck as i32, true);
+    (ack.kind, ack.ok) = (RaftMessageKind::AppendAck as i32, true);
     let mut ask = append(&from, u64::MAX, commit + 9, vec![]);
-    ask.kind = ViseKind::RequestVote as i32;
+    ask.kind = RaftMessageKind::RequestVote as i32;
     let all = [
         (&n, ask.clone()),
-        (&n, ViseMsg { term: 0, ..ask.clone() }),
-        (&n, ViseMsg { term: term + 1, log_term: term + 7, ..ask.clone() }),
+        (&n, RaftMessage { term: 0, ..ask.clone() }),
+        (&n, RaftMessage { term: term + 1, log_term: term + 7, ..ask.clone() }),
         (&n, append(&c, u64::MAX, commit, vec![])),
         (&n, append(&c, term, u64::MAX, vec![entry(0, term)])),
         // A gap, a term that goes back, one above the sender's.
@@ -987,7 +994,7 @@
         // A second leader of the term.
         (&n, append(&from, term, commit, vec![entry(commit + 1, term)])),
         (&c, append(&from, term, commit, vec![entry(commit + 1, term)])),
-        (&n, ViseMsg { kind: 77, ..append(&c, term, commit, vec![]) }),
+        (&n, RaftMessage { kind: 77, ..append(&c, term, commit, vec![]) }),
         (&c, ack),
     ];
     for (i, (to, m)) in all.into_iter().enumerate() {
@@ -1000,7 +1007,7 @@
     w.pass(1000);
     w.put(&c, 3, 9);
     w.pass(300);
-    assert!(w.racks.values().all(|r| r.revision == 9), "and all goes on as before");
+    assert!(w.control_states.values().all(|r| r.revision == 9), "and all goes on as before");
 }
 #[test]
 fn a_voter_that_came_in_while_others_were_away_is_elected_by_its_log() {
@@ -1013,12 +1020,12 @@
         let hard = HardState { term: 1, voters: before.clone(), may_vote: true, ..HardState::default() };
         let entry = |i: u64| {
             let voters = if i == 2 { after.clone() } else { vec![] };
-            (i, ViseEntry { index: i, term: 1, voters, ..ViseEntry::default() })
+            (i, RaftEntry { index: i, term: 1, voters, ..RaftEntry::default() })
         };
         w.disks.insert(n.into(), Disk { hard, log: (1..=entries).map(entry).collect(), ..Disk::default() });
         w.start(n);
     }
-    w.pass(8 * PACE.election);
+    w.pass(8 * TIMING.election);
     assert_eq!(w.leader().as_deref(), Some("f"));
 }
 
@@ -1035,16 +1042,16 @@
         w.pass(3000);
         let second = w.leader().expect("another leader");
         let from = w.applied[&second].len();
-        let known = w.racks[&second].took(&word(0, 3));
+        let known = w.control_states[&second].took(&word(0, 3));
         w.put(&second, 0, 3);
         w.start(&first);
         w.pass(2000);
         // Orders that came in between are none of its business.
-        let got: Vec<Applied> = w.applied[&second][from..].iter().map(|a| a.1).collect();
-        assert_eq!(got, [if known { Applied::Repeated } else { Applied::Done }], "after {ms} ms");
+        let got: Vec<ApplyResult> = w.applied[&second][from..].iter().map(|a| a.1).collect();
+        assert_eq!(got, [if known { ApplyResult::Repeated } else { ApplyResult::Done }], "after {ms} ms");
         repeated += u32::from(known);
         anew += u32::from(!known);
-        assert!(w.racks.values().all(|r| r.revision == 3 && r.taken.len() == 1));
+        assert!(w.control_states.values().all(|r| r.revision == 3 && r.taken.len() == 1));
     }
     assert!(repeated > 0 && anew > 0, "{repeated} {anew}");
 }
@@ -1075,7 +1082,7 @@
     w.down.extend([ending.clone(), last.clone()]);
     w.put(&c, 3, 5);
     w.pass(300);
-    assert_eq!(w.racks[&c].revision, 5, "{} ms after", w.now - begun);
+    assert_eq!(w.control_states[&c].revision, 5, "{} ms after", w.now - begun);
     // One that is about to end is given none.
     tell(&mut w, &["n", &ending]);
     w.start(&ending);
@@ -1084,8 +1091,8 @@
 }
 
 #[test]
-fn readmission_is_of_the_life_that_asked_and_is_told_once_a_round() {
-    use dovetail::msg::ViseKind;
+fn readmission_is_of_the_incarnation_that_asked_and_is_told_once_a_round() {
+    use rpc::messages::RaftMessageKind;
     let mut w = World::new();
     w.pass(2000);
     let c = w.leader().expect("a leader");
@@ -1094,19 +1101,19 @@
     let began = w.now;
     let (mut told, mut kept) = (0, None);
     while !w.nodes[lost].hard.may_vote {
-        let grants = sent(&w, lost, ViseKind::Append).into_iter().filter(|m| m.readmit);
+        let grants = sent(&w, lost, RaftMessageKind::Append).into_iter().filter(|m| m.readmit);
         for m in grants {
             told += 1;
             kept = Some(m);
         }
         w.pass(10);
     }
-    let rounds = (w.now - began) / PACE.beat + 2;
+    let rounds = (w.now - began) / TIMING.beat + 2;
     assert!(told <= rounds, "told {told} times in {rounds} rounds");
-    // It loses its disk once more; what was said to the life before comes late.
+    // It loses its disk once more; what was said to the incarnation before comes late.
     w.wipe(lost);
     w.net.clear();
-    w.now += 4 * PACE.election;
+    w.now += 4 * TIMING.election;
     w.step(lost, Event::Message(kept.expect("one")));
     assert!(!w.nodes[lost].hard.may_vote, "it holds nothing of what it was readmitted for");
 }
--- a/crates/foreman/tests/scaler.rs
+++ b/crates/control/tests/scaler.rs
@@ -1,10 +1,10 @@
 //! The scaler against a stand-in platform on loopback: answers that are lost, workers
 //! without room, and a leader that ends in between.
 
-use dovetail::msg::*;
-use dovetail::{Body, Tenon};
-use gauge::Caliper;
-use spindle::{Bounds, Call, Chuck, Closing, Reply};
+use config::Settings;
+use http1::{Bounds, Call, Closing, ConnectionPool, Reply};
+use rpc::messages::*;
+use rpc::{Body, RpcClient};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -26,7 +26,7 @@
     lose: usize,
 }
 
-fn answer(p: &Arc<Mutex<Platform>>, r: &spindle::Request) -> Reply {
+fn answer(p: &Arc<Mutex<Platform>>, r: &http1::Request) -> Reply {
     let mut p = p.lock().unwrap();
     let said: serde_json::Value = serde_json::from_slice(&r.body).unwrap_or_default();
     let text = |f: &str| said[f].as_str().unwrap_or("").to_owned();
@@ -62,16 +62,16 @@
             let all = p.started.values().map(|(id, _)| {
                 serde_json::json!({"id": id, "plant": "f", "address": "127.0.0.1:9", "zone": "y", "revision": "v1", "capacity": 2, "state": "ready", "coldLeftMs": 0})
             });
-            let units: Vec<serde_json::Value> = all.collect();
-            Reply::json(200, serde_json::json!({"units": units, "nextToken": null}).to_string())
+            let processors: Vec<serde_json::Value> = all.collect();
+            Reply::json(200, serde_json::json!({"units": processors, "nextToken": null}).to_string())
         }
     }
 }
 
 struct World {
     platform: Arc<Mutex<Platform>>,
-    caliper: Caliper,
-    foreman: Arc<Tenon>,
+    settings: Settings,
+    control: Arc<RpcClient>,
 }
 
 impl World {
@@ -82,14 +82,14 @@
         let p = platform.clone();
         let (open, closing) = watch::channel(Closing::Open);
         std::mem::forget(open);
-        tokio::spawn(spindle::listen(listener, Bounds::default, closing, move |r| {
+        tokio::spawn(http1::listen(listener, Bounds::default, closing, move |r| {
             let p = p.clone();
             async move { answer(&p, &r) }
         }));
         let from = 50_000 + (std::process::id() % 400) as u16 * 20;
         let free = |b: &u16| (*b..*b + 6).all(|p| std::net::TcpListener::bind(("127.0.0.1", p)).is_ok());
         let base = (from..60_000).step_by(20).find(free).expect("free ports") as u32;
-        let mut c = Caliper {
+        let mut c = Settings {
             node: "core-1".into(),
             ip: "127.0.0.1".into(),
             zone: "z".into(),
@@ -98,44 +98,44 @@
             initial_start: true,
             rollout: "functions".into(),
             data_dir: std::env::temp_dir().join(format!("willowslip-scaler-{base}")).display().to_string(),
-            ..Caliper::default()
+            ..Settings::default()
         };
         c.listen.control = format!("127.0.0.1:{}", base + 4);
         (c.limits.memory_mb, c.limits.disk_mb) = (128, 128);
         (c.constraints.quiet_ms, c.constraints.ack_ms, c.constraints.settle_s) = (2000.0, 5000.0, 4.0);
         c.constraints.converge_ms = 1000.0;
         (c.platform.address, c.platform.duty_per_s, c.platform.lag_ms) = (address, 200.0, 300.0);
-        let foreman = Tenon::new(&format!("127.0.0.1:{base}"), WAIT);
-        World { platform, caliper: c, foreman }
+        let control = RpcClient::new(&format!("127.0.0.1:{base}"), WAIT);
+        World { platform, settings: c, control }
     }
 
-    /// One life of the foreman: nothing of it goes on when it has ended.
+    /// One incarnation of the control node: nothing of it goes on when it has ended.
     fn run(&self) -> (watch::Sender<bool>, tokio::task::JoinHandle<Result<(), String>>) {
         let (stop, stopped) = watch::channel(false);
-        let caliper = self.caliper.clone();
-        let life = move || {
+        let settings = self.settings.clone();
+        let incarnation = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-            let settings = watch::channel(caliper.clone()).1;
-            runtime.block_on(foreman::run(caliper, stopped, settings))
+            let settings_updates = watch::channel(settings.clone()).1;
+            runtime.block_on(control::run(settings, stopped, settings_updates))
         };
-        (stop, tokio::task::spawn_blocking(life))
+        (stop, tokio::task::spawn_blocking(incarnation))
     }
 
-    async fn start(&self, plant: &str, nonce: &str) -> StartAck {
-        let s = Start { plant: plant.into(), nonce: nonce.into(), zone: "z".into() };
-        match self.foreman.call(Body::Start(s), WAIT).await {
+    async fn start(&self, service: &str, nonce: &str) -> StartAck {
+        let s = Start { service: service.into(), nonce: nonce.into(), zone: "z".into() };
+        match self.control.call(Body::Start(s), WAIT).await {
             Ok(Body::StartAck(a)) => a,
             _ => StartAck::default(),
         }
     }
 
-    /// Asks until there is a processor, as a keeper does.
+    /// Asks until there is a processor, as a slot owner does.
     async fn started(&self, nonce: &str) -> String {
         let begun = Instant::now();
         loop {
             let a = self.start("f", nonce).await;
-            if !a.unit.is_empty() {
-                return a.unit;
+            if !a.processor.is_empty() {
+                return a.processor;
             }
             assert!(begun.elapsed() < 3 * WAIT, "nothing started by {nonce}: {a:?}");
             tokio::time::sleep(Duration::from_millis(50)).await;
@@ -147,9 +147,9 @@
 async fn a_start_is_carried_out_once_whatever_is_lost() {
     let w = World::new().await;
     let (stop, running) = w.run();
-    let chuck = Chuck::new(WAIT);
+    let pool = ConnectionPool::new(WAIT);
     let headers = [("X-Base-Revision", "0")];
-    let control = w.caliper.listen.control.clone();
+    let control = w.settings.listen.control.clone();
     let begun = Instant::now();
     loop {
         let body = CONFIG.as_bytes();
@@ -162,7 +162,7 @@
             id: "",
             newest: None,
         };
-        if chuck.call(&control, call, 2, WAIT).await.is_ok_and(|a| a.status == 200) {
+        if pool.call(&control, call, 2, WAIT).await.is_ok_and(|a| a.status == 200) {
             break;
         }
         assert!(begun.elapsed() < 3 * WAIT, "no configuration");
@@ -177,10 +177,10 @@
     // No worker is large enough: told at once, and nothing was called for it.
     let calls = w.platform.lock().unwrap().calls;
     let none = w.start("big", "n-3").await;
-    assert!(none.full && none.unit.is_empty());
+    assert!(none.full && none.processor.is_empty());
     assert!(w.start("unknown", "n-4").await.full);
     assert_eq!(w.platform.lock().unwrap().calls, calls);
-    // The leader ends and another life of it goes on: the list is the truth, the nonce
+    // The leader ends and another incarnation of it goes on: the list is the truth, the nonce
     // still comes to the same processor, and the fence is a higher one.
     let before = w.platform.lock().unwrap().fences.iter().copied().max().expect("some");
     let _ = stop.send(true);
@@ -195,16 +195,16 @@
     }
     // Stopped, and stopped again by one that did not hear of it.
     for _ in 0..2 {
-        let stop = Body::Stop(StopUnit { unit: "i-1".into() });
-        assert!(matches!(w.foreman.call(stop, WAIT).await, Ok(Body::Ack(_))));
+        let stop = Body::Stop(StopProcessor { processor: "i-1".into() });
+        assert!(matches!(w.control.call(stop, WAIT).await, Ok(Body::Ack(_))));
     }
-    // A keeper that is not known to the roster is told nothing that is another's.
-    let ask = UnitsAsk { front: "front-9".into(), digest: 0 };
-    match w.foreman.call(Body::UnitsAsk(ask), WAIT).await {
-        Ok(Body::Units(u)) => assert!(u.units.is_empty()),
+    // A slot owner that is not known to the membership is told nothing that is another's.
+    let ask = ProcessorsRequest { front: "front-9".into(), digest: 0 };
+    match w.control.call(Body::ProcessorsRequest(ask), WAIT).await {
+        Ok(Body::Processors(u)) => assert!(u.processors.is_empty()),
         other => panic!("{other:?}"),
     }
     let _ = stop.send(true);
     running.await.expect("no panic").expect("it ends well");
-    let _ = std::fs::remove_dir_all(&w.caliper.data_dir);
+    let _ = std::fs::remove_dir_all(&w.settings.data_dir);
 }
--- a/crates/foreman/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -12,7 +12,7 @@
     Pass(u64),
     Order(usize, usize),
     /// An acknowledged one, sent again.
-    Again(usize),
+    RetryOwner(usize),
     Crash(usize),
     CrashAmid(usize, u32),
     CrashAll,
@@ -51,7 +51,7 @@
         10 => (1..12u64).prop_map(|t| Op::Pass(t * 48)),
         2 => (4..12u64).prop_map(|t| Op::Pass(t * 400)),
         6 => (0..2usize, f.clone()).prop_map(|(o, n)| Op::Order(o, n)),
-        1 => (0..8usize).prop_map(Op::Again),
+        1 => (0..8usize).prop_map(Op::RetryOwner),
         1 => f.clone().prop_map(Op::Crash),
         2 => (f.clone(), 0..6u32).prop_map(|(n, k)| Op::CrashAmid(n, k)),
         1 => Just(Op::CrashAll),
@@ -139,8 +139,8 @@
             let n = w.holder().unwrap_or(*n);
             w.order(*o, n);
         }
-        Op::Again(k) => {
-            let taken: Vec<usize> = (0..w.calls.len()).filter(|c| w.calls[*c].answer == Answer::Taken).collect();
+        Op::RetryOwner(k) => {
+            let taken: Vec<usize> = (0..w.calls.len()).filter(|c| w.calls[*c].answer == Answer::KnownOrder).collect();
             if let (false, Some(n)) = (taken.is_empty(), w.holder()) {
                 w.put(taken[k % taken.len()], n);
             }
--- a/crates/foreman/tests/sessions.rs
+++ b/crates/control/tests/sessions.rs
@@ -1,8 +1,8 @@
-//! A foreman on loopback with stand-in lathes: leases, and owners that end.
+//! A control node on loopback with stand-in store nodes: leases, and owners that end.
 
-use dovetail::msg::*;
-use dovetail::{Body, Tenon};
-use gauge::Caliper;
+use config::Settings;
+use rpc::messages::*;
+use rpc::{Body, RpcClient};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -18,32 +18,38 @@
         .expect("free ports")
 }
 
-/// A lathe that only keeps its lease and claims what it owns.
+/// A store node that only keeps its lease and claims what it owns.
 struct StandIn {
     node: Node,
-    end: Arc<Tenon>,
+    end: Arc<RpcClient>,
     listening: JoinHandle<()>,
 }
 
 impl StandIn {
-    async fn new(name: &str, foreman: &str) -> StandIn {
+    async fn new(name: &str, control: &str) -> StandIn {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let inner = listener.local_addr().expect("an address").to_string();
-        let listening = tokio::spawn(dovetail::serve(listener, WAIT, |_, _| ()));
-        let node =
-            Node { name: name.into(), role: "lathe".into(), zone: name.into(), inner, life: 1, ..Node::default() };
-        StandIn { node, end: Tenon::new(foreman, WAIT), listening }
+        let listening = tokio::spawn(rpc::serve(listener, WAIT, |_, _| ()));
+        let node = Node {
+            name: name.into(),
+            role: "store".into(),
+            zone: name.into(),
+            inner,
+            incarnation: 1,
+            ..Node::default()
+        };
+        StandIn { node, end: RpcClient::new(control, WAIT), listening }
     }
 
-    async fn beat(&self, charter: &Charter) -> bool {
-        self.tell(charter, 0).await.granted
+    async fn beat(&self, assignments: &Assignments) -> bool {
+        self.tell(assignments, 0).await.granted
     }
 
     /// Asks for the lease and says how the disk does.
-    async fn tell(&self, charter: &Charter, lag: u32) -> LeaseAck {
-        let mine = charter.partitions.iter().filter(|p| p.owner == self.node.name);
+    async fn tell(&self, assignments: &Assignments, lag: u32) -> LeaseAck {
+        let mine = assignments.partitions.iter().filter(|p| p.owner == self.node.name);
         let claims = mine.map(|p| Holding { partition: p.id, term: p.term }).collect();
-        let l = Lease { node: self.node.clone(), claims, lag, clock_ms: tally::wall_ms(), ..Lease::default() };
+        let l = Lease { node: self.node.clone(), claims, lag, clock_ms: telemetry::wall_ms(), ..Lease::default() };
         match self.end.call(Body::Lease(l), WAIT).await {
             Ok(Body::LeaseAck(a)) => a,
             _ => LeaseAck::default(),
@@ -51,9 +57,9 @@
     }
 
     async fn join(&self, partition: &Partition, node: &StandIn) -> OrderAck {
-        let (name, life, kind) = (node.node.name.clone(), node.node.life, OrderKind::Join as i32);
+        let (name, incarnation, kind) = (node.node.name.clone(), node.node.incarnation, OrderKind::Join as i32);
         let (id, term, seen) = (partition.id, partition.term, partition.changed);
-        let o = Order { partition: id, term, node: name, kind, life, seen, ..Order::default() };
+        let o = Order { partition: id, term, node: name, kind, incarnation, seen, ..Order::default() };
         match self.end.call(Body::Order(o), WAIT).await {
             Ok(Body::OrderAck(a)) => a,
             _ => OrderAck::default(),
@@ -61,11 +67,11 @@
     }
 }
 
-async fn charter(foreman: &Arc<Tenon>) -> Charter {
-    let w = Watch { wait_ms: 1, ..Watch::default() };
-    match foreman.call(Body::Watch(w), WAIT).await {
-        Ok(Body::News(n)) => n.charter.unwrap_or_default(),
-        _ => Charter::default(),
+async fn assignments(control: &Arc<RpcClient>) -> Assignments {
+    let w = WatchRequest { wait_ms: 1, ..WatchRequest::default() };
+    match control.call(Body::WatchRequest(w), WAIT).await {
+        Ok(Body::ViewUpdate(n)) => n.assignments.unwrap_or_default(),
+        _ => Assignments::default(),
     }
 }
 
@@ -74,7 +80,7 @@
     lease: Duration,
     stop: tokio::sync::watch::Sender<bool>,
     running: JoinHandle<Result<(), String>>,
-    watcher: Arc<Tenon>,
+    watcher: Arc<RpcClient>,
 }
 
 impl World {
@@ -85,11 +91,11 @@
     }
 }
 
-/// One foreman, two lathes, and the partitions laid out.
-async fn laid_out(from: u16) -> (World, StandIn, StandIn, Charter) {
+/// One control node, two store nodes, and the partitions laid out.
+async fn laid_out(from: u16) -> (World, StandIn, StandIn, Assignments) {
     let base = free_base(from);
     let dir = std::env::temp_dir().join(format!("willowslip-sessions-{from}-{}", std::process::id()));
-    let mut c = Caliper {
+    let mut c = Settings {
         node: "core-1".into(),
         ip: "127.0.0.1".into(),
         zone: "z".into(),
@@ -97,25 +103,25 @@
         seeds: vec![format!("127.0.0.1:{}", base + 4)],
         initial_start: true,
         data_dir: dir.display().to_string(),
-        ..Caliper::default()
+        ..Settings::default()
     };
     (c.limits.memory_mb, c.limits.disk_mb, c.tolerance.machines) = (128, 128, 1);
     // A lease of more than two seconds.
     (c.constraints.quiet_ms, c.constraints.ack_ms, c.constraints.settle_s) = (32_000.0, 5000.0, 60.0);
     let lease = Duration::from_millis(c.lease_ms());
-    let foreman = format!("127.0.0.1:{base}");
+    let control = format!("127.0.0.1:{base}");
     let (stop, stopped) = tokio::sync::watch::channel(false);
-    let running = tokio::spawn(foreman::run(c.clone(), stopped, tokio::sync::watch::channel(c).1));
-    let watcher = Tenon::new(&foreman, WAIT);
-    let (a, b) = (StandIn::new("a", &foreman).await, StandIn::new("b", &foreman).await);
+    let running = tokio::spawn(control::run(c.clone(), stopped, tokio::sync::watch::channel(c).1));
+    let watcher = RpcClient::new(&control, WAIT);
+    let (a, b) = (StandIn::new("a", &control).await, StandIn::new("b", &control).await);
     let begun = Instant::now();
-    let mut now = Charter::default();
+    let mut now = Assignments::default();
     while now.partitions.is_empty() {
         assert!(begun.elapsed() < Duration::from_secs(60), "no layout");
         a.beat(&now).await;
         b.beat(&now).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
-        now = charter(&watcher).await;
+        now = assignments(&watcher).await;
     }
     (World { dir, lease, stop, running, watcher }, a, b, now)
 }
@@ -123,16 +129,16 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_slow_disk_leaves_the_in_sync_sets_and_a_silent_one_is_succeeded() {
     let (w, a, b, first) = laid_out(45_000).await;
-    let owned = |c: &Charter, n: &str| c.partitions.iter().filter(|p| p.owner == n).cloned().collect::<Vec<_>>();
+    let owned = |c: &Assignments, n: &str| c.partitions.iter().filter(|p| p.owner == n).cloned().collect::<Vec<_>>();
     let mut now = first;
     // Slow at b: it holds up nothing of a's, and keeps what it owns until it hands over.
-    while owned(&now, "a").iter().any(|p| p.insync.len() > 1) {
+    while owned(&now, "a").iter().any(|p| p.in_sync.len() > 1) {
         assert!(a.beat(&now).await && b.tell(&now, 1).await.granted);
         tokio::time::sleep(Duration::from_millis(50)).await;
-        now = charter(&w.watcher).await;
+        now = assignments(&w.watcher).await;
     }
     assert_eq!(a.tell(&now, 0).await.lagging, ["b"]);
-    assert!(owned(&now, "b").iter().all(|p| p.insync.len() == 2 && p.term == 1));
+    assert!(owned(&now, "b").iter().all(|p| p.in_sync.len() == 2 && p.term == 1));
     let p = owned(&now, "a")[0].clone();
     let ack = a.join(&p, &b).await;
     assert!(ack.refused, "not while it is slow");
@@ -147,7 +153,7 @@
         assert!(begun.elapsed() < w.lease, "the lease had to be waited for");
         a.beat(&now).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
-        now = charter(&w.watcher).await;
+        now = assignments(&w.watcher).await;
     }
     assert!(now.partitions.iter().filter(|p| p.seized).all(|p| p.owner == "a" && p.term == 2));
     // It claims what it had: it is told before its lease counts again.
@@ -161,29 +167,29 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_process_that_began_by_a_clock_behind_is_told_and_gets_its_lease() {
     let (w, a, mut b, now) = laid_out(40_000).await;
-    b.node.life = 50;
+    b.node.incarnation = 50;
     assert!(a.beat(&now).await && b.beat(&now).await);
-    // It comes back while its clock is behind: its life seems an older one.
-    b.node.life = 20;
+    // It comes back while its clock is behind: its incarnation seems an older one.
+    b.node.incarnation = 20;
     let ack = b.tell(&now, 0).await;
-    assert!(!ack.granted && ack.lived == 50, "not shut out, but told what is known");
-    b.node.life = dovetail::after(ack.lived);
+    assert!(!ack.granted && ack.newer_incarnation == 50, "not shut out, but told what is known");
+    b.node.incarnation = rpc::after(ack.newer_incarnation);
     assert!(b.beat(&now).await);
     // The copy that is still on its way does not win any more, nor does nonsense.
-    b.node.life = 20;
+    b.node.incarnation = 20;
     assert!(!b.beat(&now).await);
-    b.node.life = u64::MAX;
+    b.node.incarnation = u64::MAX;
     let ack = b.tell(&now, 0).await;
-    assert!(!ack.granted && ack.lived == 0);
-    b.node.life = 51;
+    assert!(!ack.granted && ack.newer_incarnation == 0);
+    b.node.incarnation = 51;
     let ack = b.tell(&now, 0).await;
     assert!(ack.granted && ack.time_ms > 0, "with the fleet's time");
     // The same holds for sessions.
-    let behind = Node { life: 7, leaving: true, ..b.node.clone() };
-    let watch = Watch { node: Some(behind), wait_ms: 1000, ..Watch::default() };
-    let Ok(Body::News(n)) = w.watcher.call(Body::Watch(watch), WAIT).await else { panic!("answered") };
-    assert_eq!(n.lived, 51);
-    assert!(!n.roster.expect("whole").nodes.iter().any(|n| n.name == "b" && n.leaving));
+    let behind = Node { incarnation: 7, leaving: true, ..b.node.clone() };
+    let watch = WatchRequest { node: Some(behind), wait_ms: 1000, ..WatchRequest::default() };
+    let Ok(Body::ViewUpdate(n)) = w.watcher.call(Body::WatchRequest(watch), WAIT).await else { panic!("answered") };
+    assert_eq!(n.newer_incarnation, 51);
+    assert!(!n.membership.expect("whole").nodes.iter().any(|n| n.name == "b" && n.leaving));
     w.end().await;
 }
 
@@ -191,16 +197,16 @@
 async fn an_owner_whose_process_ended_is_succeeded_before_its_lease_is_over() {
     let (w, a, b, now) = laid_out(30_000).await;
     let (watcher, lease) = (w.watcher.clone(), w.lease);
-    let foreman = watcher.addr().to_owned();
-    let of = |c: &Charter, n: &str| c.partitions.iter().filter(|p| p.owner == n).count();
+    let control = watcher.addr().to_owned();
+    let of = |c: &Assignments, n: &str| c.partitions.iter().filter(|p| p.owner == n).count();
     assert_eq!((of(&now, "a"), of(&now, "b")), (2, 2));
     assert!(a.beat(&now).await && b.beat(&now).await);
 
     // b's connection breaks, but its process stands: nothing happens to it.
     drop(b.end);
     tokio::time::sleep(lease / 8).await;
-    assert_eq!(of(&charter(&watcher).await, "b"), 2);
-    let b = StandIn { end: Tenon::new(&foreman, WAIT), ..b };
+    assert_eq!(of(&assignments(&watcher).await, "b"), 2);
+    let b = StandIn { end: RpcClient::new(&control, WAIT), ..b };
     assert!(b.beat(&now).await);
 
     // a's process ends: its address refuses.
@@ -209,9 +215,9 @@
     let ended = Instant::now();
     drop(a.end);
     loop {
-        let c = charter(&watcher).await;
+        let c = assignments(&watcher).await;
         if of(&c, "b") == 4 {
-            assert!(c.partitions.iter().filter(|p| p.seized).all(|p| p.term == 2 && p.insync == ["b"]));
+            assert!(c.partitions.iter().filter(|p| p.seized).all(|p| p.term == 2 && p.in_sync == ["b"]));
             assert_eq!(c.partitions.iter().filter(|p| p.seized).count(), 2);
             break;
         }
@@ -225,21 +231,21 @@
 async fn an_emptied_disk_holds_nothing_however_often_its_process_began_since() {
     let (w, a, mut b, now) = laid_out(34_000).await;
     assert!(a.beat(&now).await && b.beat(&now).await);
-    // b lost its disk, began in life 5, ended before the leader heard of it, and began
-    // in life 6 with what little was written in between.
-    (b.node.life, b.node.born) = (6, 5);
+    // b lost its disk, began in incarnation 5, ended before the leader heard of it, and began
+    // in incarnation 6 with what little was written in between.
+    (b.node.incarnation, b.node.born) = (6, 5);
     assert!(b.beat(&now).await);
     tokio::time::sleep(w.lease / 4).await;
-    let c = charter(&w.watcher).await;
-    assert!(c.partitions.iter().all(|p| p.owner == "a" && p.insync == ["a"]), "{:?}", c.partitions);
+    let c = assignments(&w.watcher).await;
+    assert!(c.partitions.iter().all(|p| p.owner == "a" && p.in_sync == ["a"]), "{:?}", c.partitions);
     // Filled again, it joins; after that a restart costs it nothing.
     let p = &c.partitions[0];
     assert!(a.join(p, &b).await.ok);
-    b.node.life = 7;
+    b.node.incarnation = 7;
     assert!(a.beat(&c).await && b.beat(&c).await);
     tokio::time::sleep(w.lease / 4).await;
-    let c = charter(&w.watcher).await;
-    assert!(c.partitions.iter().any(|q| q.id == p.id && q.insync.contains(&"b".to_owned())));
+    let c = assignments(&w.watcher).await;
+    assert!(c.partitions.iter().any(|q| q.id == p.id && q.in_sync.contains(&"b".to_owned())));
     w.end().await;
 }
 
@@ -250,10 +256,10 @@
     let p = now.partitions.iter().find(|p| p.owner == "a").expect("one");
     // b's disk is slow: it is taken out, and an ask for it is refused.
     let mut out = p.clone();
-    while out.insync.len() > 1 {
+    while out.in_sync.len() > 1 {
         assert!(a.beat(&now).await && b.tell(&now, 1).await.granted);
         tokio::time::sleep(Duration::from_millis(50)).await;
-        out = charter(&w.watcher).await.partitions.iter().find(|q| q.id == p.id).cloned().expect("it");
+        out = assignments(&w.watcher).await.partitions.iter().find(|q| q.id == p.id).cloned().expect("it");
     }
     let ack = a.join(&out, &b).await;
     assert!(ack.refused && !ack.ok);
--- a/crates/hatch/src/deliver.rs
+++ b/crates/front/src/delivery.rs
@@ -1,35 +1,35 @@
 //! Deliveries and call-backs: carried out here, reported to whoever owns the
 //! partition by then, and held until that owner has it on its disks.
 
-use crate::front::Hatch;
-use crate::spool::*;
-use dovetail::msg::*;
-use dovetail::{Body, Peg};
-use spindle::{Answer, Call, Chuck, Closing, Miss};
+use crate::ingest::FrontService;
+use crate::outbox::*;
+use http1::{Answer, Call, Closing, ConnectionPool, SendError};
+use rpc::messages::*;
+use rpc::{Body, Responder};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-pub struct Bobbin {
-    hatch: Arc<Hatch>,
-    chuck: Arc<Chuck>,
-    held: Mutex<Spool>,
+pub struct DeliveryWorker {
+    front: Arc<FrontService>,
+    pool: Arc<ConnectionPool>,
+    held: Mutex<Outbox>,
     start: Instant,
 }
 
 /// What an answer means for the message.
-pub fn read_answer(asked: &Result<Answer, Miss>) -> (Outcome, String) {
+pub fn read_answer(asked: &Result<Answer, SendError>) -> (Outcome, String) {
     match asked {
         Ok(a) => {
             let not_run = a.status == 421 || a.header("x-not-run").is_some();
             match (a.status, a.header("x-seal")) {
-                (200..=299, Some(seal)) if !seal.is_empty() => (Outcome::Done, seal.to_owned()),
+                (200..=299, Some(result_tag)) if !result_tag.is_empty() => (Outcome::Done, result_tag.to_owned()),
                 (s, _) if s >= 400 && not_run => (Outcome::NotRun, String::new()),
                 (500, _) => (Outcome::Failed, String::new()),
                 (422, _) => (Outcome::Never, String::new()),
                 _ => (Outcome::Unknown, String::new()),
             }
         }
-        Err(Miss::NotSent) => (Outcome::NotRun, String::new()),
+        Err(SendError::NotSent) => (Outcome::NotRun, String::new()),
         Err(_) => (Outcome::Unknown, String::new()),
     }
 }
@@ -39,12 +39,12 @@
     Some((parts.next()??, parts.next()??))
 }
 
-impl Bobbin {
-    pub fn new(hatch: Arc<Hatch>) -> Arc<Bobbin> {
-        let idle = Duration::from_millis(hatch.caliper.constraints.quiet_ms as u64);
-        let c = &hatch.caliper.constraints;
-        let held = Mutex::new(Spool::new(c.quiet_ms as u64, (c.status_s * 1000.0) as u64));
-        Arc::new(Bobbin { hatch, chuck: Chuck::new(idle), held, start: Instant::now() })
+impl DeliveryWorker {
+    pub fn new(front: Arc<FrontService>) -> Arc<DeliveryWorker> {
+        let idle = Duration::from_millis(front.settings.constraints.quiet_ms as u64);
+        let c = &front.settings.constraints;
+        let held = Mutex::new(Outbox::new(c.quiet_ms as u64, (c.status_s * 1000.0) as u64));
+        Arc::new(DeliveryWorker { front, pool: ConnectionPool::new(idle), held, start: Instant::now() })
     }
 
     pub fn idle(&self) -> bool {
@@ -61,50 +61,50 @@
     }
 
     pub fn sweep(&self) {
-        self.chuck.sweep(|_| true);
+        self.pool.sweep(|_| true);
     }
 
-    pub fn handle(self: &Arc<Self>, body: Body, peg: Peg) {
+    pub fn handle(self: &Arc<Self>, body: Body, responder: Responder) {
         match body {
             Body::Run(run) => {
-                let leaving = *self.hatch.closing.borrow() != Closing::Open;
+                let leaving = *self.front.closing.borrow() != Closing::Open;
                 let term = {
-                    let k = self.hatch.known.borrow();
-                    let all = &k.charter.partitions;
+                    let k = self.front.known.borrow();
+                    let all = &k.assignments.partitions;
                     // Mostly they stand by their numbers.
                     let at = all.get(run.partition as usize).filter(|p| p.id == run.partition);
                     at.or_else(|| all.iter().find(|p| p.id == run.partition)).map(|p| p.term)
                 };
                 let word = self.held.lock().unwrap().run(&run, term, leaving, self.now());
-                if word == Word::Go {
+                if word == OutboxEntry::Go {
                     tokio::spawn(self.clone().deliver(run));
                 }
-                peg.send(Body::RunAck(RunAck { taken: word != Word::Refused }));
+                responder.send(Body::RunAck(RunAck { taken: word != OutboxEntry::Refused }));
             }
             Body::Holding(q) => {
                 let held = self.held.lock().unwrap().holding(&q);
-                peg.send(Body::Held(held));
+                responder.send(Body::Held(held));
             }
             Body::Notify(n) => {
                 let b = self.clone();
                 tokio::spawn(async move {
                     let status = b.notify(n).await;
-                    peg.send(Body::NotifyAck(NotifyAck { status }));
+                    responder.send(Body::NotifyAck(NotifyAck { status }));
                 });
             }
             Body::Status(_) => {
-                let k = self.hatch.known.borrow().have();
+                let k = self.front.known.borrow().have();
                 let json = format!(
-                    "{{\"node\":\"{}\",\"ready\":{},\"template\":{},\"charter\":{},\"roster\":{},\"underWay\":{},\"counters\":\"{}\"}}",
-                    self.hatch.caliper.node,
-                    self.hatch.is_ready(),
-                    k.template,
-                    k.charter,
-                    k.roster,
+                    "{{\"node\":\"{}\",\"ready\":{},\"template\":{},\"assignments\":{},\"membership\":{},\"underWay\":{},\"counters\":\"{}\"}}",
+                    self.front.settings.node,
+                    self.front.is_ready(),
+                    k.configuration,
+                    k.assignments,
+                    k.membership,
                     self.held.lock().unwrap().under_way(),
-                    tally::render()
+                    telemetry::render()
                 );
-                peg.send(Body::StatusAck(StatusAck { json }));
+                responder.send(Body::StatusAck(StatusAck { json }));
             }
             _ => {}
         }
@@ -112,10 +112,10 @@
 
     async fn deliver(self: Arc<Self>, run: Run) {
         let begun = Instant::now();
-        let deadline = run.cutoff_ms.to_string();
+        let deadline = run.timeout_ms.to_string();
         let mut headers = vec![("X-Attempt-Id", run.item.id.as_str()), ("X-Deadline-Ms", deadline.as_str())];
         for (name, value) in [
-            ("X-Target-Instance", &run.unit),
+            ("X-Target-Instance", &run.processor),
             ("X-Order-Key", &run.item.order_key),
             ("Content-Type", &run.item.content_type),
         ] {
@@ -133,15 +133,15 @@
             newest: None,
         };
         // The processor ends its work at the cutoff and says so; a little longer for that to arrive.
-        let within = Duration::from_millis(run.cutoff_ms as u64) * 21 / 20;
-        let asked = self.chuck.call(&run.address, call, run.conn_limit.max(1) as usize, within).await;
-        let (outcome, seal) = read_answer(&asked);
+        let within = Duration::from_millis(run.timeout_ms as u64) * 21 / 20;
+        let asked = self.pool.call(&run.address, call, run.conn_limit.max(1) as usize, within).await;
+        let (outcome, result_tag) = read_answer(&asked);
         let told = asked.as_ref().ok().and_then(load);
         let report = Report {
             partition: run.partition,
             position: run.position,
             outcome: outcome as i32,
-            seal,
+            result_tag,
             status: asked.as_ref().map_or(0, |a| a.status as u32),
             running: told.map_or(0, |t| t.0),
             waiting: told.map_or(0, |t| t.1),
@@ -150,12 +150,12 @@
             term: run.term,
             took_ms: begun.elapsed().as_millis() as u32,
         };
-        tally::count("deliveries");
+        telemetry::count("deliveries");
         if let Err(m) = &asked {
-            tally::count(match m {
-                Miss::NotSent => "deliveries_not_sent",
-                Miss::Lost => "deliveries_lost",
-                Miss::Silent => "deliveries_silent",
+            telemetry::count(match m {
+                SendError::NotSent => "deliveries_not_sent",
+                SendError::Lost => "deliveries_lost",
+                SendError::Silent => "deliveries_silent",
             });
         }
         self.report(report).await;
@@ -164,22 +164,22 @@
 
     /// Tells the owner, whoever that is by now, until it has it.
     async fn report(&self, report: Report) {
-        let c = &self.hatch.caliper.constraints;
+        let c = &self.front.settings.constraints;
         let wait = Duration::from_millis((c.quiet_ms / 4.0) as u64);
         let pause = Duration::from_millis((c.quiet_ms / 250.0) as u64);
         let end = Instant::now() + Duration::from_secs_f64(c.status_s);
         while Instant::now() < end {
-            if let Some(addr) = self.hatch.owner(report.partition) {
-                let mut rx = self.hatch.known.subscribe();
+            if let Some(addr) = self.front.owner(report.partition) {
+                let mut rx = self.front.known.subscribe();
                 rx.mark_unchanged();
                 let owner = Some(addr.clone());
                 let moved = rx.wait_for(|k| {
-                    let p = k.charter.partitions.iter().find(|p| p.id == report.partition);
-                    p.and_then(|p| k.node(&p.owner, "lathe")).map(|n| n.inner.clone()) != owner
+                    let p = k.assignments.partitions.iter().find(|p| p.id == report.partition);
+                    p.and_then(|p| k.node(&p.owner, "store")).map(|n| n.inner.clone()) != owner
                 });
-                let tenon = self.hatch.bench.to(&addr);
+                let rpc_client = self.front.rpc_clients.to(&addr);
                 let asked = tokio::select! {
-                    a = tenon.call(Body::Report(report.clone()), wait) => a.ok(),
+                    a = rpc_client.call(Body::Report(report.clone()), wait) => a.ok(),
                     _ = moved => None,
                 };
                 if let Some(Body::ReportAck(a)) = asked
@@ -188,29 +188,29 @@
                     return;
                 }
             }
-            tally::count("reports_again");
+            telemetry::count("reports_again");
             tokio::time::sleep(pause).await;
         }
-        tally::count("reports_dropped");
+        telemetry::count("reports_dropped");
     }
 
     async fn notify(&self, n: Notify) -> u32 {
         let Some(rest) = n.url.strip_prefix("http://") else { return 400 };
         let (host, path) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
         let addr = if host.contains(':') { host.to_owned() } else { format!("{host}:80") };
-        let body = if n.seal.is_empty() {
+        let body = if n.result_tag.is_empty() {
             serde_json::json!({"id": n.id, "state": n.state})
         } else {
-            serde_json::json!({"id": n.id, "state": n.state, "seal": n.seal})
+            serde_json::json!({"id": n.id, "state": n.state, "seal": n.result_tag})
         }
         .to_string();
         let headers = [("Content-Type", "application/json")];
         let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes(), id: "", newest: None };
-        let within = Duration::from_millis((self.hatch.caliper.constraints.notify_s * 300.0) as u64);
+        let within = Duration::from_millis((self.front.settings.constraints.notify_s * 300.0) as u64);
         // Receivers take few connections, and there is a delivery node for them in
         // each zone.
-        let limit = (48 / self.hatch.caliper.zones.len().max(1)).max(2);
-        match self.chuck.call(&addr, call, limit, within).await {
+        let limit = (48 / self.front.settings.zones.len().max(1)).max(2);
+        match self.pool.call(&addr, call, limit, within).await {
             Ok(a) => a.status as u32,
             Err(_) => 0,
         }
--- a/crates/hatch/src/front.rs
+++ b/crates/front/src/ingest.rs
@@ -1,17 +1,17 @@
-use crate::deliver::Bobbin;
-use apprentice::{Known, loopback};
-use dovetail::msg::*;
-use dovetail::{Bench, Body, Verdict};
-use gauge::{Caliper, Channel, Pattern, Role};
-use spindle::{Bounds, Closing, Reply, Request};
+use crate::delivery::DeliveryWorker;
+use agent::{ClusterView, loopback};
+use config::{ConfigurationIndex, Role, Route, Settings};
+use http1::{Bounds, Closing, Reply, Request};
+use rpc::messages::*;
+use rpc::{Body, ExecutionOutcome, RpcClients};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-pub struct Hatch {
-    pub caliper: Caliper,
-    pub bench: Arc<Bench>,
-    pub known: watch::Sender<Known>,
+pub struct FrontService {
+    pub settings: Settings,
+    pub rpc_clients: Arc<RpcClients>,
+    pub known: watch::Sender<ClusterView>,
     pub closing: watch::Sender<Closing>,
 }
 
@@ -27,8 +27,15 @@
 /// The partition that a message belongs to. All with one order key share one,
 /// whatever their service; all for one endpoint share one, so that one owner
 /// meters it; others go to an owner near the client.
-pub fn partition_of(known: &Known, t: &Pattern, c: &Channel, order_key: &str, id: &str, zone: &str) -> Option<u32> {
-    let all = &known.charter.partitions;
+pub fn partition_of(
+    known: &ClusterView,
+    t: &ConfigurationIndex,
+    c: &Route,
+    order_key: &str,
+    id: &str,
+    zone: &str,
+) -> Option<u32> {
+    let all = &known.assignments.partitions;
     if all.is_empty() {
         return None;
     }
@@ -36,36 +43,36 @@
     if c.sequenced && !order_key.is_empty() {
         return Some(pick(hash(order_key)));
     }
-    if t.plant(&c.plant).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0) {
-        return Some(pick(hash(&c.plant)));
+    if t.service(&c.service).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0) {
+        return Some(pick(hash(&c.service)));
     }
     let here: Vec<u32> = all
         .iter()
-        .filter(|p| known.node(&p.owner, "lathe").is_some_and(|n| n.zone == zone && !n.leaving))
+        .filter(|p| known.node(&p.owner, "store").is_some_and(|n| n.zone == zone && !n.leaving))
         .map(|p| p.id)
         .collect();
     if here.is_empty() { Some(pick(hash(id))) } else { Some(here[(hash(id) % here.len() as u64) as usize]) }
 }
 
-fn owner_addr(k: &Known, partition: u32) -> Option<(u64, String, String)> {
-    let p = k.charter.partitions.iter().find(|p| p.id == partition)?;
-    let n = k.node(&p.owner, "lathe")?;
+fn owner_addr(k: &ClusterView, partition: u32) -> Option<(u64, String, String)> {
+    let p = k.assignments.partitions.iter().find(|p| p.id == partition)?;
+    let n = k.node(&p.owner, "store")?;
     Some((p.term, n.name.clone(), n.inner.clone()))
 }
 
-impl Hatch {
-    pub fn new(caliper: Caliper) -> Arc<Hatch> {
-        let silence = Duration::from_millis((caliper.constraints.quiet_ms / 4.0) as u64);
-        Arc::new(Hatch {
-            bench: Bench::new(silence),
-            known: watch::channel(Known::default()).0,
+impl FrontService {
+    pub fn new(settings: Settings) -> Arc<FrontService> {
+        let silence = Duration::from_millis((settings.constraints.quiet_ms / 4.0) as u64);
+        Arc::new(FrontService {
+            rpc_clients: RpcClients::new(silence),
+            known: watch::channel(ClusterView::default()).0,
             closing: watch::channel(Closing::Open).0,
-            caliper,
+            settings,
         })
     }
 
     fn ratio(&self, part: f64) -> Duration {
-        Duration::from_micros((self.caliper.constraints.quiet_ms * 1000.0 / part) as u64)
+        Duration::from_micros((self.settings.constraints.quiet_ms * 1000.0 / part) as u64)
     }
 
     pub fn owner(&self, partition: u32) -> Option<String> {
@@ -73,16 +80,16 @@
     }
 
     fn bounds(&self) -> Bounds {
-        let l = &self.known.borrow().template.limits;
+        let l = &self.known.borrow().configuration.limits;
         Bounds::told(l.header_bytes, l.body_bytes, l.header_ms, l.idle_ms)
     }
 
     pub fn is_ready(&self) -> bool {
         let k = self.known.borrow();
         *self.closing.borrow() == Closing::Open
-            && k.template.revision > 0
-            && !k.charter.partitions.is_empty()
-            && k.roster.nodes.iter().any(|n| n.role == "lathe")
+            && k.configuration.revision > 0
+            && !k.assignments.partitions.is_empty()
+            && k.membership.nodes.iter().any(|n| n.role == "store")
     }
 
     async fn answer(self: Arc<Self>, r: Request) -> Reply {
@@ -102,12 +109,12 @@
     pub async fn take(&self, r: Request) -> Reply {
         let begun = Instant::now();
         let known = self.known.borrow().clone();
-        if known.template.revision == 0 {
+        if known.configuration.revision == 0 {
             return fault(503, "no configuration yet").with("Retry-After", "1");
         }
         let host = r.header("host").unwrap_or("");
         let path = r.path.split('?').next().unwrap_or("");
-        let Some(c) = known.template.route(host, path).filter(|c| c.mode == "deferred") else {
+        let Some(c) = known.configuration.route(host, path).filter(|c| c.mode == "deferred") else {
             return fault(404, "no such route");
         };
         let Some(id) = r.header("x-attempt-id").filter(|v| !v.is_empty() && v.len() <= 128) else {
@@ -119,7 +126,8 @@
             Some(Some(d)) => d as u64,
             None => 0,
         };
-        let setpoint = if c.setpoint_ms > 0.0 { c.setpoint_ms } else { self.caliper.constraints.quiet_ms / 20.0 };
+        let setpoint =
+            if c.target_latency_ms > 0.0 { c.target_latency_ms } else { self.settings.constraints.quiet_ms / 20.0 };
         // What is given up on is told at once: after five times the aim, or when
         // four fifths of the client's own time are over.
         let given = number("x-deadline-ms").flatten().unwrap_or(f64::MAX) * 0.8;
@@ -130,7 +138,7 @@
         let order_key = r.header("x-order-key").unwrap_or("");
         let item = Item {
             id: id.to_owned(),
-            channel: c.name.clone(),
+            route: c.name.clone(),
             method: r.method.clone(),
             host: host.to_owned(),
             path: r.path.clone(),
@@ -139,12 +147,12 @@
             content_type: r.header("content-type").unwrap_or("").to_owned(),
             body: r.body.clone(),
         };
-        let zone = &self.caliper.zone;
-        let Some(mut partition) = partition_of(&known, &known.template, c, order_key, id, zone) else {
+        let zone = &self.settings.zone;
+        let Some(mut partition) = partition_of(&known, &known.configuration, c, order_key, id, zone) else {
             return fault(503, "no owners yet").with("Retry-After", "1");
         };
         let fixed = c.sequenced && !order_key.is_empty()
-            || known.template.plant(&c.plant).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0);
+            || known.configuration.service(&c.service).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0);
         let (mut unclear, mut hint) = (false, None::<String>);
         let mut rx = self.known.subscribe();
         loop {
@@ -155,12 +163,12 @@
             let now = rx.borrow_and_update().clone();
             if !unclear && !fixed && hint.is_none() {
                 // Nothing was written: another owner near by may do as well.
-                partition = partition_of(&now, &known.template, c, order_key, id, zone).unwrap_or(partition);
+                partition = partition_of(&now, &known.configuration, c, order_key, id, zone).unwrap_or(partition);
             }
             let place = owner_addr(&now, partition);
             let addr = hint
                 .take()
-                .and_then(|h| now.node(&h, "lathe").map(|n| n.inner.clone()))
+                .and_then(|h| now.node(&h, "store").map(|n| n.inner.clone()))
                 .or_else(|| place.as_ref().map(|p| p.2.clone()));
             let mut outcome = AcceptOutcome::Elsewhere;
             if let Some(addr) = addr {
@@ -168,18 +176,18 @@
                 let accept = Accept {
                     partition,
                     item: item.clone(),
-                    revision: known.template.revision,
+                    revision: known.configuration.revision,
                     delay_ms: delay.saturating_sub(spent),
                 };
-                let end = self.bench.to(&addr);
+                let end = self.rpc_clients.to(&addr);
                 let moved = rx.wait_for(|k| owner_addr(k, partition) != place);
                 // Nothing is sent to where nothing is answered: it would be unclear
                 // whether it was taken.
                 let dark = end.stuck(self.ratio(16.0));
                 let asked = tokio::select! {
                     a = end.call(Body::Accept(accept), left), if !dark => a,
-                    _ = moved, if !dark => Err(Verdict::MayHaveRun),
-                    _ = tokio::time::sleep(self.ratio(100.0)), if dark => Err(Verdict::NotRun),
+                    _ = moved, if !dark => Err(ExecutionOutcome::MayHaveRun),
+                    _ = tokio::time::sleep(self.ratio(100.0)), if dark => Err(ExecutionOutcome::NotRun),
                 };
                 match asked {
                     Ok(Body::Accepted(a)) => {
@@ -189,7 +197,7 @@
                                 return Reply::new(202).with("X-Message-Name", format!("{partition}-{}", a.position));
                             }
                             AcceptOutcome::Full if !unclear => {
-                                tally::count("refused_full");
+                                telemetry::count("refused_full");
                                 return fault(503, "no room").with("Retry-After", "1");
                             }
                             AcceptOutcome::NoRoute if !unclear => return fault(404, "no such route"),
@@ -197,22 +205,22 @@
                             _ => {}
                         }
                     }
-                    Err(Verdict::NotRun) => {}
+                    Err(ExecutionOutcome::NotRun) => {}
                     _ => outcome = AcceptOutcome::Unclear,
                 }
             }
             if outcome == AcceptOutcome::Unclear {
                 unclear = true;
             }
-            tally::count("accepts_again");
+            telemetry::count("accepts_again");
             let pause = self.ratio(400.0).min(left);
             tokio::time::sleep(pause).await;
         }
         if unclear {
-            tally::count("answers_504");
+            telemetry::count("answers_504");
             fault(504, "it may have been taken")
         } else {
-            tally::count("answers_503");
+            telemetry::count("answers_503");
             fault(503, "no owner can take it now").with("Retry-After", "1")
         }
     }
@@ -221,10 +229,10 @@
         let begun = Instant::now();
         let parsed = name.split_once('-').and_then(|(p, n)| Some((p.parse::<u32>().ok()?, n.parse::<u64>().ok()?)));
         // Askers wait about as long as half the call-back bound; answer inside that.
-        let limit = Duration::from_millis((self.caliper.constraints.notify_s * 350.0) as u64);
+        let limit = Duration::from_millis((self.settings.constraints.notify_s * 350.0) as u64);
         let mut wanted: Vec<u32> = match parsed {
             Some((p, _)) => vec![p],
-            None => self.known.borrow().charter.partitions.iter().map(|p| p.id).collect(),
+            None => self.known.borrow().assignments.partitions.iter().map(|p| p.id).collect(),
         };
         while begun.elapsed() < limit {
             let mut open = Vec::new();
@@ -237,8 +245,8 @@
                 };
                 let addr = self.owner(p);
                 let found = match addr {
-                    Some(a) => self.bench.to(&a).call(Body::Lookup(lookup), limit / 4).await,
-                    None => Err(Verdict::NotRun),
+                    Some(a) => self.rpc_clients.to(&a).call(Body::Lookup(lookup), limit / 4).await,
+                    None => Err(ExecutionOutcome::NotRun),
                 };
                 match found {
                     Ok(Body::Found(f)) if f.owner && f.known => {
@@ -253,10 +261,10 @@
                                 Reply { body: f.body, content_type: "application/octet-stream", ..Reply::new(200) }
                             };
                         }
-                        let text = if f.seal.is_empty() {
+                        let text = if f.result_tag.is_empty() {
                             serde_json::json!({ "state": f.state })
                         } else {
-                            serde_json::json!({ "state": f.state, "seal": f.seal })
+                            serde_json::json!({ "state": f.state, "seal": f.result_tag })
                         };
                         return Reply::json(200, text.to_string());
                     }
@@ -273,34 +281,34 @@
         fault(503, "its owner is not known now").with("Retry-After", "1")
     }
 
-    /// Takes the news from the apprentice beside it.
+    /// Takes the news from the agent beside it.
     async fn follow(self: Arc<Self>) {
         let wait = self.ratio(8.0);
-        let addr = loopback(&self.caliper);
-        let life = dovetail::new_life();
+        let addr = loopback(&self.settings);
+        let incarnation = rpc::new_incarnation();
         let mut told = false;
         loop {
             let leaving = *self.closing.borrow() != Closing::Open;
             let node = Node {
-                name: self.caliper.node.clone(),
-                role: "hatch".into(),
-                inner: self.caliper.inner_addr(Role::Hatch),
-                life,
+                name: self.settings.node.clone(),
+                role: "front".into(),
+                inner: self.settings.inner_addr(Role::Front),
+                incarnation,
                 leaving,
                 ..Node::default()
             };
             let have = self.known.borrow().have();
             let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
             told = leaving;
-            let w = Watch { node: Some(node), have, wait_ms, ..Watch::default() };
+            let w = WatchRequest { node: Some(node), have, wait_ms, ..WatchRequest::default() };
             let mut closing = self.closing.subscribe();
-            let end = self.bench.to(&addr);
+            let end = self.rpc_clients.to(&addr);
             let asked = tokio::select! {
-                a = end.call(Body::Watch(w), wait * 2) => a,
+                a = end.call(Body::WatchRequest(w), wait * 2) => a,
                 _ = async { let _ = closing.wait_for(|c| *c != Closing::Open).await; }, if !leaving => continue,
             };
             match asked {
-                Ok(Body::News(n)) => {
+                Ok(Body::ViewUpdate(n)) => {
                     self.known.send_if_modified(|k| k.take(&n));
                 }
                 _ => tokio::time::sleep(wait / 16).await,
@@ -309,35 +317,35 @@
     }
 }
 
-/// Runs a hatch until it is told to stop.
-pub async fn run(caliper: Caliper, mut stop: watch::Receiver<bool>) -> Result<(), String> {
-    let silence = Duration::from_millis((caliper.constraints.quiet_ms / 4.0) as u64);
-    let hatch = Hatch::new(caliper.clone());
-    let bobbin = Bobbin::new(hatch.clone());
+/// Runs a front until it is told to stop.
+pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), String> {
+    let silence = Duration::from_millis((settings.constraints.quiet_ms / 4.0) as u64);
+    let front = FrontService::new(settings.clone());
+    let worker = DeliveryWorker::new(front.clone());
     let bind = async |addr: String| tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"));
-    let inner = bind(caliper.inner_addr(Role::Hatch)).await?;
-    let b = bobbin.clone();
-    tokio::spawn(dovetail::serve(inner, silence, move |body, peg| b.handle(body, peg)));
-    tokio::spawn(hatch.clone().follow());
-    let h = hatch.clone();
-    let ready = bind(caliper.listen.ready.clone()).await?;
+    let inner = bind(settings.inner_addr(Role::Front)).await?;
+    let b = worker.clone();
+    tokio::spawn(rpc::serve(inner, silence, move |body, responder| b.handle(body, responder)));
+    tokio::spawn(front.clone().follow());
+    let h = front.clone();
+    let ready = bind(settings.listen.ready.clone()).await?;
     let open = watch::channel(Closing::Open);
-    tokio::spawn(spindle::listen(ready, Bounds::default, open.1, move |_| {
+    tokio::spawn(http1::listen(ready, Bounds::default, open.1, move |_| {
         let ok = h.is_ready();
         async move { if ok { Reply::new(200) } else { Reply::new(503) } }
     }));
-    let front = bind(caliper.listen.front.clone()).await?;
-    let (h, hb) = (hatch.clone(), hatch.clone());
-    tokio::spawn(spindle::listen(front, move || hb.bounds(), hatch.closing.subscribe(), move |r| h.clone().answer(r)));
-    let (b, beat) = (bobbin.clone(), silence / 10);
+    let clients = bind(settings.listen.front.clone()).await?;
+    let (h, hb) = (front.clone(), front.clone());
+    tokio::spawn(http1::listen(clients, move || hb.bounds(), front.closing.subscribe(), move |r| h.clone().answer(r)));
+    let (b, beat) = (worker.clone(), silence / 10);
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(beat).await;
             b.beat();
         }
     });
-    let b = bobbin.clone();
-    let name = caliper.node.clone();
+    let b = worker.clone();
+    let name = settings.node.clone();
     tokio::spawn(async move {
         let mut rounds = 0u64;
         loop {
@@ -345,24 +353,24 @@
             rounds += 1;
             b.sweep();
             if rounds.is_multiple_of(30) {
-                tally::report(&name, &dovetail::sent());
+                telemetry::report(&name, &rpc::sent());
             }
         }
     });
     let _ = stop.wait_for(|s| *s).await;
     let begun = Instant::now();
-    tally::change!("draining");
-    let grace = Duration::from_millis((caliper.constraints.grace_s * 1000.0) as u64);
-    let _ = hatch.closing.send(Closing::Draining);
+    telemetry::change!("draining");
+    let grace = Duration::from_millis((settings.constraints.grace_s * 1000.0) as u64);
+    let _ = front.closing.send(Closing::Draining);
     // The platform needs two misses and a little to send nobody here any more.
     tokio::time::sleep(grace * 2 / 5).await;
-    let _ = hatch.closing.send(Closing::Shut);
+    let _ = front.closing.send(Closing::Shut);
     while begun.elapsed() < grace * 4 / 5 {
         tokio::time::sleep(silence / 10).await;
-        if bobbin.idle() && spindle::unanswered() == 0 && begun.elapsed() > grace / 2 {
+        if worker.idle() && http1::unanswered() == 0 && begun.elapsed() > grace / 2 {
             break;
         }
     }
-    tally::report(&caliper.node, &dovetail::sent());
+    telemetry::report(&settings.node, &rpc::sent());
     Ok(())
 }
--- a/crates/hatch/src/spool.rs
+++ b/crates/front/src/outbox.rs
@@ -1,12 +1,12 @@
 //! What a delivery node holds, and which runs it takes: a state machine without I/O.
 //! Its clock is in milliseconds.
 
-use dovetail::msg::{Held, Holding, Run};
+use rpc::messages::{Held, Holding, Run};
 use std::collections::HashMap;
 
 /// What becomes of a run that was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum OutboxEntry {
     /// It is to be sent.
     Go,
     /// It is under way, or its report is.
@@ -15,7 +15,7 @@
     Refused,
 }
 
-pub struct Spool {
+pub struct Outbox {
     /// The highest term that spoke for a partition; older ones are refused.
     terms: HashMap<u32, u64>,
     /// Deliveries under way, and those whose report nobody has taken yet: term and
@@ -31,11 +31,11 @@
     wary: u64,
 }
 
-impl Spool {
+impl Outbox {
     /// `quiet` is `quietMs`; what was given up is remembered for `remember`.
-    pub fn new(quiet: u64, remember: u64) -> Spool {
+    pub fn new(quiet: u64, remember: u64) -> Outbox {
         let (terms, held, revoked) = Default::default();
-        Spool { terms, held, revoked, quiet, remember, beat: 0, wary: 0 }
+        Outbox { terms, held, revoked, quiet, remember, beat: 0, wary: 0 }
     }
 
     pub fn under_way(&self) -> usize {
@@ -46,7 +46,7 @@
     /// process stood still. Whoever asked for a run gives it up after an eighth of it.
     pub fn beat(&mut self, now: u64) {
         if now > self.beat + self.quiet / 40 + self.quiet / 12 {
-            tally::count("stood_still");
+            telemetry::count("stood_still");
             self.wary = now + self.quiet / 100;
         }
         self.beat = now;
@@ -55,38 +55,38 @@
         }
     }
 
-    /// A run is asked for, or given up. `charter` is the partition's term as far as
+    /// A run is asked for, or given up. `assignments` is the partition's term as far as
     /// this node knows; a process that has just begun was told none by an owner.
-    pub fn run(&mut self, r: &Run, charter: Option<u64>, leaving: bool, now: u64) -> Word {
+    pub fn run(&mut self, r: &Run, assignments: Option<u64>, leaving: bool, now: u64) -> OutboxEntry {
         if now > self.beat + self.quiet / 40 + self.quiet / 12 {
             self.beat(now);
         }
-        let known = self.terms.get(&r.partition).copied().max(charter);
+        let known = self.terms.get(&r.partition).copied().max(assignments);
         if known.is_none_or(|t| r.term < t) {
-            tally::count("runs_fenced");
-            return Word::Refused;
+            telemetry::count("runs_fenced");
+            return OutboxEntry::Refused;
         }
         self.terms.insert(r.partition, r.term);
         match self.held.get(&(r.partition, r.position)) {
-            Some(held) if *held == (r.term, r.attempt) => return Word::Held,
+            Some(held) if *held == (r.term, r.attempt) => return OutboxEntry::Held,
             // One message is never sent twice at once from here.
             Some(_) if !r.revoked => {
-                tally::count("runs_refused");
-                return Word::Refused;
+                telemetry::count("runs_refused");
+                return OutboxEntry::Refused;
             }
             _ => {}
         }
         let name = (r.partition, r.term, r.attempt);
         if r.revoked {
             self.revoked.insert(name, now + self.remember);
-            return Word::Refused;
+            return OutboxEntry::Refused;
         }
         if leaving || now < self.wary || self.revoked.contains_key(&name) {
-            tally::count("runs_refused");
-            return Word::Refused;
+            telemetry::count("runs_refused");
+            return OutboxEntry::Refused;
         }
         self.held.insert((r.partition, r.position), (r.term, r.attempt));
-        Word::Go
+        OutboxEntry::Go
     }
 
     /// A new owner asks what is held here.
--- a/crates/hatch/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -1,12 +1,12 @@
 //! What clients are told when it is unclear whether a message was taken, played
 //! against a stand-in owner on loopback.
 
-use apprentice::Known;
-use dovetail::Body;
-use dovetail::msg::*;
-use gauge::{Caliper, Pattern, Template};
-use hatch::{Hatch, partition_of};
-use spindle::Request;
+use agent::ClusterView;
+use config::{Configuration, ConfigurationIndex, Settings};
+use front::{FrontService, partition_of};
+use http1::Request;
+use rpc::Body;
+use rpc::messages::*;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -18,10 +18,10 @@
   {"name": "r4", "host": "h", "prefix": "/e/", "mode": "deferred", "cutoffMs": 100, "setpointMs": 300, "plant": "e", "tries": 3, "retainS": 9}],
   "plants": [{"name": "p"}, {"name": "q"}, {"name": "e", "flowPerS": 9, "endpoint": "10.0.0.1:80"}], "limits": {}}"#;
 
-fn known(addr: &str) -> Known {
+fn known(addr: &str) -> ClusterView {
     let node = |name: &str, zone: &str| Node {
         name: name.into(),
-        role: "lathe".into(),
+        role: "store".into(),
         zone: zone.into(),
         inner: addr.into(),
         ..Node::default()
@@ -32,36 +32,40 @@
         owner: if id % 2 == 0 { "s1" } else { "s2" }.into(),
         ..Partition::default()
     });
-    let mut k = Known::default();
-    k.take(&News {
-        template: Some(CONFIG.into()),
-        charter: Some(Charter { version: 1, partitions: partitions.collect(), ..Charter::default() }),
-        roster: Some(Roster { version: 1, nodes: vec![node("s1", "x"), node("s2", "y")], ..Roster::default() }),
-        ..News::default()
+    let mut k = ClusterView::default();
+    k.take(&ViewUpdate {
+        configuration: Some(CONFIG.into()),
+        assignments: Some(Assignments { version: 1, partitions: partitions.collect(), ..Assignments::default() }),
+        membership: Some(Membership {
+            version: 1,
+            nodes: vec![node("s1", "x"), node("s2", "y")],
+            ..Membership::default()
+        }),
+        ..ViewUpdate::default()
     });
     k
 }
 
-/// A hatch beside an owner that answers as `answer` says; None is silence.
+/// A front beside an owner that answers as `answer` says; None is silence.
 async fn played(answer: Option<AcceptOutcome>) -> (u16, bool, usize, Duration) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address").to_string();
     let seen = Arc::new(AtomicUsize::new(0));
     let count = seen.clone();
-    tokio::spawn(dovetail::serve(listener, Duration::from_secs(1), move |body, peg| {
+    tokio::spawn(rpc::serve(listener, Duration::from_secs(1), move |body, responder| {
         if let Body::Accept(_) = body {
             count.fetch_add(1, Ordering::Relaxed);
             if let Some(a) = answer {
-                peg.send(Body::Accepted(Accepted { outcome: a as i32, position: 7, ..Accepted::default() }));
+                responder.send(Body::Accepted(Accepted { outcome: a as i32, position: 7, ..Accepted::default() }));
             } else {
-                std::mem::forget(peg);
+                std::mem::forget(responder);
             }
         }
     }));
-    let mut caliper = Caliper { zone: "x".into(), ..Caliper::default() };
-    caliper.constraints.quiet_ms = 4000.0;
-    let hatch = Hatch::new(caliper);
-    hatch.known.send_replace(known(&addr));
+    let mut settings = Settings { zone: "x".into(), ..Settings::default() };
+    settings.constraints.quiet_ms = 4000.0;
+    let front = FrontService::new(settings);
+    front.known.send_replace(known(&addr));
     let header = |n: &str, v: &str| (n.to_owned(), v.to_owned());
     let request = Request {
         method: "POST".into(),
@@ -70,7 +74,7 @@
         ..Request::default()
     };
     let begun = Instant::now();
-    let reply = hatch.take(request).await;
+    let reply = front.take(request).await;
     let retry = reply.headers.iter().any(|h| h.0 == "Retry-After");
     (reply.status, retry, seen.load(Ordering::Relaxed), begun.elapsed())
 }
@@ -99,9 +103,9 @@
 #[test]
 fn a_key_has_one_partition_whatever_its_service_and_zone() {
     let k = known("10.0.0.1:1");
-    let t = Pattern::from(Template::read(CONFIG.as_bytes()).expect("good"));
-    let of = |channel: &str, key: &str, id: &str, zone: &str| {
-        partition_of(&k, &t, t.channel(channel).expect("there"), key, id, zone).expect("one")
+    let t = ConfigurationIndex::from(Configuration::read(CONFIG.as_bytes()).expect("good"));
+    let of = |route: &str, key: &str, id: &str, zone: &str| {
+        partition_of(&k, &t, t.route_named(route).expect("there"), key, id, zone).expect("one")
     };
     for key in ["a", "b", "c"] {
         let p = of("r2", key, "1", "x");
@@ -129,9 +133,9 @@
                     let Some(at) = text.find("X-Attempt-Id: ") else { return };
                     let id = text[at + 14..].split('\r').next().unwrap_or("").to_owned();
                     // Another one's first, then its own.
-                    for (id, seal) in [("other", "wrong"), (id.as_str(), "right")] {
+                    for (id, result_tag) in [("other", "wrong"), (id.as_str(), "right")] {
                         let a = format!(
-                            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Seal: {seal}\r\nContent-Length: 2\r\n\r\nok"
+                            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Seal: {result_tag}\r\nContent-Length: 2\r\n\r\nok"
                         );
                         let _ = s.write_all(a.as_bytes()).await;
                     }
@@ -139,12 +143,12 @@
             });
         }
     });
-    let chuck = spindle::Chuck::new(Duration::from_secs(9));
+    let pool = http1::ConnectionPool::new(Duration::from_secs(9));
     for id in ["m1", "m2"] {
         let headers = [("X-Attempt-Id", id)];
         let call =
-            spindle::Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id, newest: None };
-        let a = chuck.call(&addr, call, 4, Duration::from_secs(2)).await.expect("an answer");
+            http1::Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id, newest: None };
+        let a = pool.call(&addr, call, 4, Duration::from_secs(2)).await.expect("an answer");
         assert_eq!((a.header("x-seal"), a.header("x-attempt-id")), (Some("right"), Some(id)));
     }
     assert_eq!(accepted.load(Ordering::Relaxed), 2, "a connection that is out of step is not used again");
@@ -152,8 +156,8 @@
 
 #[test]
 fn only_a_processors_word_or_a_send_that_never_left_says_not_run() {
-    use hatch::read_answer;
-    use spindle::{Answer, Miss};
+    use front::read_answer;
+    use http1::{Answer, SendError};
     let of = |status: u16, headers: &[(&str, &str)]| {
         let headers = headers.iter().map(|(n, v)| (n.to_string(), v.to_string())).collect();
         read_answer(&Ok(Answer { status, headers, whole: true, ..Answer::default() })).0
@@ -168,6 +172,6 @@
     });
     assert_eq!(of(200, &[("X-Not-Run", "1"), ("X-Seal", "s")]), Outcome::Done, "it is sealed");
     assert_eq!((of(504, &[]), of(502, &[])), (Outcome::Unknown, Outcome::Unknown));
-    let missed = [Miss::NotSent, Miss::Lost, Miss::Silent].map(|m| read_answer(&Err(m)).0);
+    let missed = [SendError::NotSent, SendError::Lost, SendError::Silent].map(|m| read_answer(&Err(m)).0);
     assert_eq!(missed, [Outcome::NotRun, Outcome::Unknown, Outcome::Unknown]);
 }
--- a/crates/hatch/tests/deliveries.rs
+++ b/crates/front/tests/deliveries.rs
@@ -1,9 +1,9 @@
 //! A delivery node on loopback, between a stand-in owner and a processor in trouble:
 //! the count of runs is the processor's.
 
-use dovetail::msg::*;
-use dovetail::{Body, Tenon};
-use gauge::Caliper;
+use config::Settings;
+use rpc::messages::*;
+use rpc::{Body, RpcClient};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -76,54 +76,54 @@
 struct World {
     seen: Shared,
     processor: String,
-    hatch: Arc<Tenon>,
+    front: Arc<RpcClient>,
     _stop: tokio::sync::watch::Sender<bool>,
 }
 
 impl World {
-    /// A node whose charter says that partition 0 is at term 3.
+    /// A node whose assignments says that partition 0 is at term 3.
     async fn new() -> World {
         let seen = Shared::default();
         let processor = processor(seen.clone()).await;
         let from = 52_000 + (std::process::id() % 300) as u16 * 20;
         let free = |b: &u16| (*b..*b + 7).all(|p| std::net::TcpListener::bind(("127.0.0.1", p)).is_ok());
         let base = (from..60_000).step_by(20).find(free).expect("free ports") as u32;
-        let mut c = Caliper {
-            node: "hatch-1".into(),
+        let mut c = Settings {
+            node: "front-1".into(),
             ip: "127.0.0.1".into(),
             zone: "z".into(),
             port_range: vec![base, base + 3],
-            ..Caliper::default()
+            ..Settings::default()
         };
         (c.listen.front, c.listen.ready) = (format!("127.0.0.1:{}", base + 5), format!("127.0.0.1:{}", base + 6));
         (c.constraints.quiet_ms, c.constraints.status_s, c.constraints.notify_s) = (20_000.0, 60.0, 5.0);
         // The owner takes every report.
         let (l, owner) = bound().await;
         let all = seen.clone();
-        tokio::spawn(dovetail::serve(l, WAIT, move |body, peg| {
+        tokio::spawn(rpc::serve(l, WAIT, move |body, responder| {
             if let Body::Report(r) = body {
                 all.lock().unwrap().reports.push(r);
-                peg.send(Body::ReportAck(ReportAck { kept: true }));
+                responder.send(Body::ReportAck(ReportAck { kept: true }));
             }
         }));
-        // The apprentice beside it tells the news once.
-        let l = TcpListener::bind(apprentice::loopback(&c)).await.expect("its port");
-        let node = Node { name: "s1".into(), role: "lathe".into(), inner: owner, ..Node::default() };
+        // The agent beside it tells the news once.
+        let l = TcpListener::bind(agent::loopback(&c)).await.expect("its port");
+        let node = Node { name: "s1".into(), role: "store".into(), inner: owner, ..Node::default() };
         let partition = Partition { term: 3, owner: "s1".into(), ..Partition::default() };
-        let news = News {
-            charter: Some(Charter { version: 1, partitions: vec![partition], ..Charter::default() }),
-            roster: Some(Roster { version: 1, nodes: vec![node], ..Roster::default() }),
-            ..News::default()
+        let news = ViewUpdate {
+            assignments: Some(Assignments { version: 1, partitions: vec![partition], ..Assignments::default() }),
+            membership: Some(Membership { version: 1, nodes: vec![node], ..Membership::default() }),
+            ..ViewUpdate::default()
         };
-        tokio::spawn(dovetail::serve(l, WAIT, move |body, peg| match body {
-            Body::Watch(w) if w.have.charter == 0 => peg.send(Body::News(news.clone())),
-            _ => std::mem::forget(peg),
+        tokio::spawn(rpc::serve(l, WAIT, move |body, responder| match body {
+            Body::WatchRequest(w) if w.have.assignments == 0 => responder.send(Body::ViewUpdate(news.clone())),
+            _ => std::mem::forget(responder),
         }));
         let (stop, stopped) = tokio::sync::watch::channel(false);
-        let hatch = Tenon::new(&c.inner_addr(gauge::Role::Hatch), WAIT);
-        tokio::spawn(hatch::run(c, stopped));
-        let w = World { seen, processor, hatch, _stop: stop };
-        // Up, with its charter known.
+        let front = RpcClient::new(&c.inner_addr(config::Role::Front), WAIT);
+        tokio::spawn(front::run(c, stopped));
+        let w = World { seen, processor, front, _stop: stop };
+        // Up, with its assignments known.
         for _ in 0..200 {
             if w.run(&Run { revoked: true, ..w.of(3, 1, "none") }).await.is_some() {
                 tokio::time::sleep(Duration::from_millis(100)).await;
@@ -137,11 +137,11 @@
     fn of(&self, term: u64, attempt: u64, id: &str) -> Run {
         let item = Item { id: id.into(), method: "POST".into(), path: "/".into(), host: "h".into(), ..Item::default() };
         let address = self.processor.clone();
-        Run { term, position: attempt, attempt, address, cutoff_ms: 5000, conn_limit: 4, item, ..Run::default() }
+        Run { term, position: attempt, attempt, address, timeout_ms: 5000, conn_limit: 4, item, ..Run::default() }
     }
 
     async fn run(&self, run: &Run) -> Option<bool> {
-        match self.hatch.call(Body::Run(run.clone()), WAIT).await {
+        match self.front.call(Body::Run(run.clone()), WAIT).await {
             Ok(Body::RunAck(a)) => Some(a.taken),
             _ => None,
         }
@@ -151,7 +151,7 @@
         for _ in 0..300 {
             let all = self.seen.lock().unwrap().reports.clone();
             if all.len() >= n {
-                return all.into_iter().map(|r| (r.attempt, r.outcome, r.seal)).collect();
+                return all.into_iter().map(|r| (r.attempt, r.outcome, r.result_tag)).collect();
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -173,7 +173,7 @@
         assert_eq!(got, (10 + n as u64, Outcome::Done as i32, format!("s-{id}")));
         assert_eq!(w.ran(id), 1);
     }
-    // Of a former owner, in a node that heard of no owner but by the charter.
+    // Of a former owner, in a node that heard of no owner but by the assignments.
     assert_eq!(w.run(&w.of(2, 30, "old")).await, Some(false));
     // Given up before it came; asked for twice; another attempt beside it.
     assert_eq!(w.run(&Run { revoked: true, ..w.of(3, 31, "late") }).await, Some(false));
@@ -187,7 +187,7 @@
     let before = w.seen.lock().unwrap().connections;
     for (id, status) in [("one", 200), ("refused", 500), ("three", 200)] {
         let n = Notify { url: format!("http://{}/done", w.processor), id: id.into(), ..Notify::default() };
-        let got = w.hatch.call(Body::Notify(n), WAIT).await;
+        let got = w.front.call(Body::Notify(n), WAIT).await;
         assert_eq!(got, Ok(Body::NotifyAck(NotifyAck { status })), "{id}");
     }
     assert_eq!(w.seen.lock().unwrap().connections, before + 3);
--- a/crates/hatch/tests/spool.rs
+++ b/crates/front/tests/outbox.rs
@@ -1,9 +1,9 @@
 //! Which runs a delivery node takes: never one that is fenced, given up, or beside
 //! another of the same message.
 
-use dovetail::msg::{Holding, Run};
-use hatch::{Spool, Word};
+use front::{Outbox, OutboxEntry};
 use proptest::prelude::*;
+use rpc::messages::{Holding, Run};
 use std::collections::{HashMap, HashSet};
 
 const QUIET: u64 = 4000;
@@ -16,65 +16,65 @@
     Run { revoked: true, ..run(term, position, attempt) }
 }
 
-fn spool() -> Spool {
-    Spool::new(QUIET, 60_000)
+fn outbox() -> Outbox {
+    Outbox::new(QUIET, 60_000)
 }
 
 #[test]
 fn a_run_of_an_older_term_is_fenced_where_its_partition_was_never_heard_of() {
-    let mut s = spool();
-    assert_eq!(s.run(&run(1, 5, 9), None, false, 0), Word::Refused, "nothing is known here yet");
-    assert_eq!(s.run(&run(1, 5, 9), Some(2), false, 0), Word::Refused, "the majority is further");
-    assert_eq!(s.run(&run(2, 5, 10), Some(2), false, 0), Word::Go);
-    // An owner that is ahead of this node's charter.
-    assert_eq!(s.run(&run(3, 6, 11), Some(2), false, 0), Word::Go);
-    assert_eq!(s.run(&run(2, 7, 12), Some(2), false, 0), Word::Refused);
+    let mut s = outbox();
+    assert_eq!(s.run(&run(1, 5, 9), None, false, 0), OutboxEntry::Refused, "nothing is known here yet");
+    assert_eq!(s.run(&run(1, 5, 9), Some(2), false, 0), OutboxEntry::Refused, "the majority is further");
+    assert_eq!(s.run(&run(2, 5, 10), Some(2), false, 0), OutboxEntry::Go);
+    // An owner that is ahead of this node's assignments.
+    assert_eq!(s.run(&run(3, 6, 11), Some(2), false, 0), OutboxEntry::Go);
+    assert_eq!(s.run(&run(2, 7, 12), Some(2), false, 0), OutboxEntry::Refused);
     s.holding(&Holding { partition: 3, term: 4 });
-    assert_eq!(s.run(&run(3, 8, 13), Some(2), false, 0), Word::Refused);
+    assert_eq!(s.run(&run(3, 8, 13), Some(2), false, 0), OutboxEntry::Refused);
 }
 
 #[test]
 fn a_run_that_was_given_up_before_it_came_is_never_sent() {
-    let mut s = spool();
-    assert_eq!(s.run(&revoked(1, 5, 9), Some(1), false, 0), Word::Refused);
-    assert_eq!(s.run(&run(1, 5, 9), Some(1), false, 0), Word::Refused);
-    assert_eq!(s.run(&run(1, 5, 10), Some(1), false, 0), Word::Go, "the next attempt is");
+    let mut s = outbox();
+    assert_eq!(s.run(&revoked(1, 5, 9), Some(1), false, 0), OutboxEntry::Refused);
+    assert_eq!(s.run(&run(1, 5, 9), Some(1), false, 0), OutboxEntry::Refused);
+    assert_eq!(s.run(&run(1, 5, 10), Some(1), false, 0), OutboxEntry::Go, "the next attempt is");
     // One that was taken says so, and stays.
-    assert_eq!(s.run(&revoked(1, 5, 10), Some(1), false, 0), Word::Held);
-    assert_eq!(s.run(&run(1, 5, 10), Some(1), false, 0), Word::Held);
+    assert_eq!(s.run(&revoked(1, 5, 10), Some(1), false, 0), OutboxEntry::Held);
+    assert_eq!(s.run(&run(1, 5, 10), Some(1), false, 0), OutboxEntry::Held);
     // Also when another attempt at the message is held.
-    assert_eq!(s.run(&revoked(1, 5, 12), Some(1), false, 0), Word::Refused);
+    assert_eq!(s.run(&revoked(1, 5, 12), Some(1), false, 0), OutboxEntry::Refused);
     s.over(3, 5);
-    assert_eq!(s.run(&run(1, 5, 12), Some(1), false, 0), Word::Refused);
+    assert_eq!(s.run(&run(1, 5, 12), Some(1), false, 0), OutboxEntry::Refused);
 }
 
 #[test]
 fn one_message_is_sent_once_at_a_time_also_when_a_number_is_used_again() {
-    let mut s = spool();
-    assert_eq!(s.run(&run(1, 5, 9), Some(1), false, 0), Word::Go);
+    let mut s = outbox();
+    assert_eq!(s.run(&run(1, 5, 9), Some(1), false, 0), OutboxEntry::Go);
     // After a crash the log ends earlier, and the number comes again at the next term.
-    assert_eq!(s.run(&run(2, 5, 9), Some(2), false, 0), Word::Refused);
+    assert_eq!(s.run(&run(2, 5, 9), Some(2), false, 0), OutboxEntry::Refused);
     let held = s.holding(&Holding { partition: 3, term: 2 });
     assert_eq!((held.positions, held.attempts, held.terms), (vec![5], vec![9], vec![1]));
     s.over(3, 5);
-    assert_eq!(s.run(&run(2, 5, 9), Some(2), false, 0), Word::Go);
+    assert_eq!(s.run(&run(2, 5, 9), Some(2), false, 0), OutboxEntry::Go);
 }
 
 #[test]
 fn a_node_that_stood_still_takes_nothing_that_lay_here_meanwhile() {
-    let mut s = spool();
+    let mut s = outbox();
     let step = QUIET / 40;
     for n in 0..10 {
         s.beat(n * step);
-        assert_eq!(s.run(&run(1, n, n), Some(1), false, n * step + 1), Word::Go);
+        assert_eq!(s.run(&run(1, n, n), Some(1), false, n * step + 1), OutboxEntry::Go);
     }
     // Frozen for as long as an owner waits, and a frame is read before the beat.
     let woken = 9 * step + QUIET / 8;
-    assert_eq!(s.run(&run(1, 20, 20), Some(1), false, woken), Word::Refused);
+    assert_eq!(s.run(&run(1, 20, 20), Some(1), false, woken), OutboxEntry::Refused);
     s.beat(woken + 1);
-    assert_eq!(s.run(&run(1, 21, 21), Some(1), false, woken + 2), Word::Refused);
+    assert_eq!(s.run(&run(1, 21, 21), Some(1), false, woken + 2), OutboxEntry::Refused);
     s.beat(woken + step);
-    assert_eq!(s.run(&run(1, 22, 22), Some(1), false, woken + step), Word::Go);
+    assert_eq!(s.run(&run(1, 22, 22), Some(1), false, woken + step), OutboxEntry::Go);
     assert_eq!(s.under_way(), 11);
 }
 
@@ -108,8 +108,8 @@
 }
 
 fn play(steps: &[Step]) {
-    let mut s = spool();
-    let (mut term, mut next, mut charter) = (1, 0, 1);
+    let mut s = outbox();
+    let (mut term, mut next, mut assignments) = (1, 0, 1);
     let mut frames: Vec<Run> = Vec::new();
     let mut last: HashMap<u64, Run> = HashMap::new();
     // At the stand-in processor: what runs now, how often each attempt was sent, and
@@ -127,7 +127,7 @@
             }
             Step::Arrive(n, again) if *n < frames.len() => {
                 let r = if *again { frames[*n].clone() } else { frames.remove(*n) };
-                if s.run(&r, Some(charter), false, 0) == Word::Go {
+                if s.run(&r, Some(assignments), false, 0) == OutboxEntry::Go {
                     let name = (r.term, r.attempt);
                     assert!(!dead.contains(&name), "sent after it was given up or fenced: {r:?}");
                     assert!(running.insert(r.position), "two at once: {r:?}");
@@ -136,7 +136,7 @@
             }
             Step::GiveUp(position) => {
                 if let Some(r) = last.remove(position)
-                    && s.run(&Run { revoked: true, ..r.clone() }, Some(charter), false, 0) == Word::Refused
+                    && s.run(&Run { revoked: true, ..r.clone() }, Some(assignments), false, 0) == OutboxEntry::Refused
                 {
                     dead.insert((r.term, r.attempt));
                 }
@@ -149,7 +149,7 @@
                 if *asks {
                     s.holding(&Holding { partition: 3, term });
                 } else {
-                    charter = term;
+                    assignments = term;
                 }
             }
             Step::Over(position) => {
@@ -157,9 +157,9 @@
                 running.remove(position);
             }
             Step::Begin => {
-                // All that it held ended with it; its charter is read anew.
-                s = spool();
-                charter = term;
+                // All that it held ended with it; its assignments is read anew.
+                s = outbox();
+                assignments = term;
                 running.clear();
                 dead.extend(sent.keys());
                 frames.clear();
--- a/crates/shuttle/src/ration.rs
+++ b/crates/functions/src/retry_budget.rs
@@ -2,7 +2,7 @@
 
 /// How often requests may be sent again: a share of those sent for the first time
 /// within a window, and this front's part of what is allowed on top of that.
-pub struct Ration {
+pub struct RetryBudget {
     ratio: f64,
     window: Duration,
     began: Instant,
@@ -11,9 +11,9 @@
     again: [f64; 2],
 }
 
-impl Ration {
-    pub fn new(ratio: f64, window: Duration, now: Instant) -> Ration {
-        Ration { ratio, window, began: now, first: [0.0; 2], again: [0.0; 2] }
+impl RetryBudget {
+    pub fn new(ratio: f64, window: Duration, now: Instant) -> RetryBudget {
+        RetryBudget { ratio, window, began: now, first: [0.0; 2], again: [0.0; 2] }
     }
 
     fn turn(&mut self, now: Instant) {
@@ -40,7 +40,7 @@
         self.turn(now);
         let allowed = self.ratio * self.first[0].min(self.first[1].max(self.first[0] / 2.0)) + slack;
         if self.again[0] + self.again[1] + 1.0 > allowed {
-            tally::count("repeats_over_ration");
+            telemetry::count("repeats_over_retry_budget");
             return false;
         }
         self.again[0] += 1.0;
--- a/crates/shuttle/tests/keeper.rs
+++ b/crates/functions/tests/slot_owner.rs
@@ -1,7 +1,7 @@
-//! The keeper of functions: slots granted, given back, lost; starts and stops.
+//! The slot owner of functions: slots granted, given back, lost; starts and stops.
 
-use dovetail::msg::*;
-use shuttle::*;
+use functions::*;
+use rpc::messages::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const FACTS: Facts = Facts { most: 2, boot_ms: 500 };
@@ -11,18 +11,19 @@
     ids.iter().map(|i| Listed { id: i.to_string(), address: format!("10.0.0.1:{i}"), draining: false }).collect()
 }
 
-/// A keeper with its clock, and what came of its steps.
+/// A slot owner with its clock, and what came of its steps.
 struct World {
-    creel: Creel,
+    slot_table: SlotTable,
     now: u64,
     out: Vec<Effect>,
-    tickets: u64,
+    slot_ids: u64,
 }
 
 impl World {
-    /// A keeper of `f`, settled, with the processors that the platform lists.
+    /// A slot owner of `f`, settled, with the processors that the platform lists.
     fn new(ids: &[&str]) -> World {
-        let mut w = World { creel: Creel::new("front-1", 7, SETTLE, 1000), now: 10_000, out: vec![], tickets: 0 };
+        let mut w =
+            World { slot_table: SlotTable::new("front-1", 7, SETTLE, 1000), now: 10_000, out: vec![], slot_ids: 0 };
         w.list(ids);
         w.pass(SETTLE);
         w
@@ -30,36 +31,44 @@
 
     fn list(&mut self, ids: &[&str]) {
         let kept = HashMap::from([("f".to_owned(), (FACTS, listed(ids)))]);
-        self.creel.keep(&kept, self.now, &mut self.out);
+        self.slot_table.keep(&kept, self.now, &mut self.out);
     }
 
     fn pass(&mut self, ms: u64) {
         self.now += ms;
-        self.creel.tick(self.now, &mut self.out);
+        self.slot_table.tick(self.now, &mut self.out);
     }
 
     fn ask(&mut self, patience_ms: u32) -> u64 {
-        self.tickets += 1;
-        let (plant, front) = ("f".to_owned(), "a".to_owned());
-        let a = SlotAsk { plant, front, ticket: self.tickets, patience_ms, hold_ms: 3000, aim_ms: 400, dark: vec![] };
-        self.creel.ask(&a, self.now, &mut self.out);
-        self.tickets
+        self.slot_ids += 1;
+        let (service, front) = ("f".to_owned(), "a".to_owned());
+        let a = SlotRequest {
+            service,
+            front,
+            slot_id: self.slot_ids,
+            patience_ms,
+            hold_ms: 3000,
+            target_start_ms: 400,
+            dark: vec![],
+        };
+        self.slot_table.ask(&a, self.now, &mut self.out);
+        self.slot_ids
     }
 
-    fn back(&mut self, ticket: u64, unit: &str, end: SlotEnd) {
-        let (plant, front, unit) = ("f".to_owned(), "a".to_owned(), unit.to_owned());
-        let b = SlotBack { plant, front, ticket, unit, end: end as i32, took_ms: 50 };
-        self.creel.back(&b, self.now, &mut self.out);
+    fn back(&mut self, slot_id: u64, processor: &str, end: SlotEnd) {
+        let (service, front, processor) = ("f".to_owned(), "a".to_owned(), processor.to_owned());
+        let b = SlotRelease { service, front, slot_id, processor, end: end as i32, took_ms: 50 };
+        self.slot_table.back(&b, self.now, &mut self.out);
     }
 
-    /// What was granted since the last look: ticket, unit, whether it is starting.
+    /// What was granted since the last look: slot id, unit, whether it is starting.
     fn granted(&mut self) -> Vec<(u64, String, bool)> {
         let all = std::mem::take(&mut self.out);
         let (grants, rest): (Vec<Effect>, Vec<Effect>) =
             all.into_iter().partition(|e| matches!(e, Effect::Grant { .. }));
         self.out = rest;
         let one = |e| match e {
-            Effect::Grant { hand, unit, starting, .. } => (hand.1, unit, starting),
+            Effect::Grant { holder, processor, starting, .. } => (holder.1, processor, starting),
             _ => unreachable!(),
         };
         grants.into_iter().map(one).collect()
@@ -78,10 +87,10 @@
     assert!(w.granted().is_empty());
     let starts = w.starts();
     assert_eq!(starts.len(), 1, "two slots come with one start");
-    w.creel.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
+    w.slot_table.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
     assert_eq!(w.granted(), [(a, "u1".into(), true)], "the first one connects until it is up");
     // The answer of a start that was asked again by the same nonce changes nothing.
-    w.creel.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
+    w.slot_table.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
     w.pass(300);
     assert!(w.granted().is_empty());
     w.back(a, "u1", SlotEnd::Up);
@@ -106,13 +115,17 @@
     let a = w.ask(2000);
     let starts = w.starts();
     // No answer came of it; the platform had done it all the same.
-    w.creel.not_started("f", &starts[0], false, w.now, &mut w.out);
+    w.slot_table.not_started("f", &starts[0], false, w.now, &mut w.out);
     w.list(&["u1"]);
     assert_eq!(w.granted(), [(a, "u1".into(), false)]);
     w.out.clear();
     w.back(a, "u1", SlotEnd::Done);
     w.pass(5 * FACTS.boot_ms);
-    assert!(w.out.contains(&Effect::Stop { plant: "f".into(), unit: "u1".into() }), "idle, so stopped: {:?}", w.out);
+    assert!(
+        w.out.contains(&Effect::Stop { service: "f".into(), processor: "u1".into() }),
+        "idle, so stopped: {:?}",
+        w.out
+    );
     // The list shows it for a while still: it is not used again.
     w.list(&["u1"]);
     w.ask(2000);
@@ -120,15 +133,15 @@
 }
 
 #[test]
-fn a_new_keeper_waits_for_what_the_fronts_hold() {
-    let mut w = World { creel: Creel::new("front-1", 7, SETTLE, 1000), now: 10_000, out: vec![], tickets: 0 };
+fn a_new_slot_owner_waits_for_what_the_fronts_hold() {
+    let mut w = World { slot_table: SlotTable::new("front-1", 7, SETTLE, 1000), now: 10_000, out: vec![], slot_ids: 0 };
     w.list(&["u1"]);
     let a = w.ask(2000);
     assert!(w.granted().is_empty(), "not before the others could tell");
-    // Another front holds both slots by the former keeper's word.
-    for ticket in [71, 72] {
-        let (plant, unit, address) = ("f".to_owned(), "u1".to_owned(), "10.0.0.1:u1".to_owned());
-        w.creel.held("b", &SlotHeld { plant, ticket, unit, address, hold_ms: 400 }, w.now);
+    // Another front holds both slots by the former slot owner's word.
+    for slot_id in [71, 72] {
+        let (service, processor, address) = ("f".to_owned(), "u1".to_owned(), "10.0.0.1:u1".to_owned());
+        w.slot_table.held("b", &SlotHeld { service, slot_id, processor, address, hold_ms: 400 }, w.now);
     }
     w.pass(SETTLE);
     assert!(w.granted().is_empty(), "both are held");
@@ -147,7 +160,7 @@
     w.list(&["u1", "u2"]);
     let d = w.ask(2000);
     assert_eq!(w.granted(), [(d, "u1".into(), false)], "listed still, and not used");
-    w.creel.fronts(&HashSet::from(["b".to_owned()]), w.now, &mut w.out);
+    w.slot_table.fronts(&HashSet::from(["b".to_owned()]), w.now, &mut w.out);
     let e = w.ask(2000);
     assert_eq!(w.granted(), [(e, "u1".into(), false)], "a's slots are free");
 }
@@ -163,10 +176,10 @@
             x % n
         };
         let mut w = World::new(&[]);
-        // What the fronts hold, and until when: a ticket runs out for them as well.
+        // What the fronts hold, and until when: a slot id runs out for them as well.
         let mut held: BTreeMap<u64, String> = BTreeMap::new();
         let mut until: HashMap<u64, u64> = HashMap::new();
-        let (mut nonces, mut units, mut served) = (Vec::new(), 0, 0);
+        let (mut nonces, mut processors, mut served) = (Vec::new(), 0, 0);
         for _ in 0..400 {
             match chance(10) {
                 0..=3 => {
@@ -189,26 +202,26 @@
                 7 if !nonces.is_empty() => {
                     let n: String = nonces.swap_remove(chance(nonces.len() as u64) as usize);
                     if chance(4) == 0 {
-                        w.creel.not_started("f", &n, false, w.now, &mut w.out);
+                        w.slot_table.not_started("f", &n, false, w.now, &mut w.out);
                     } else {
-                        units += 1;
-                        w.creel.started("f", &n, &format!("u{units}"), "10.0.0.1:9", w.now, &mut w.out);
+                        processors += 1;
+                        w.slot_table.started("f", &n, &format!("u{processors}"), "10.0.0.1:9", w.now, &mut w.out);
                     }
                 }
                 _ => w.pass(chance(120)),
             }
             for e in std::mem::take(&mut w.out) {
                 match e {
-                    Effect::Grant { hand, unit, starting, .. } => {
+                    Effect::Grant { holder, processor, starting, .. } => {
                         served += 1;
-                        held.insert(hand.1, unit.clone());
-                        until.insert(hand.1, w.now + 3000);
+                        held.insert(holder.1, processor.clone());
+                        until.insert(holder.1, w.now + 3000);
                         if starting && chance(2) == 0 {
-                            w.back(hand.1, &unit, SlotEnd::Up);
+                            w.back(holder.1, &processor, SlotEnd::Up);
                         }
                     }
                     Effect::Start { nonce, .. } => nonces.push(nonce),
-                    Effect::Stop { unit, .. } => held.retain(|_, u| *u != unit),
+                    Effect::Stop { processor, .. } => held.retain(|_, u| *u != processor),
                     Effect::Refuse { .. } => {}
                 }
             }
@@ -224,11 +237,11 @@
 }
 
 #[test]
-fn repeats_of_all_fronts_together_stay_within_the_ration() {
+fn repeats_of_all_fronts_together_stay_within_the_retry_budget() {
     use std::time::{Duration, Instant};
     let (ratio, window, slack, fronts) = (0.2, Duration::from_secs(10), 194.0, 77);
     let start = Instant::now();
-    let mut all: Vec<Ration> = (0..fronts).map(|_| Ration::new(ratio, window, start)).collect();
+    let mut all: Vec<RetryBudget> = (0..fronts).map(|_| RetryBudget::new(ratio, window, start)).collect();
     let (mut first, mut again) = (Vec::new(), Vec::new());
     for tick in 0..300u64 {
         let now = start + Duration::from_millis(tick * 100);
@@ -262,7 +275,7 @@
     let mut w = World::new(&["u1"]);
     let a = w.ask(2000);
     w.granted();
-    // Another keeper's request is there: one slot less until that is over.
+    // Another slot owner's request is there: one slot less until that is over.
     w.back(a, "u1", SlotEnd::Full);
     let (b, c) = (w.ask(3000), w.ask(3000));
     assert_eq!(w.granted(), [(b, "u1".into(), false)]);
@@ -286,45 +299,45 @@
 }
 
 #[test]
-fn while_a_keeper_is_dark_the_next_one_keeps_its_functions_and_no_other_moves() {
-    let node = |n: usize| Node { name: format!("front-{n}"), role: "shuttle".into(), ..Node::default() };
-    let roster = Roster { nodes: (0..77).map(node).collect(), ..Roster::default() };
-    let fronts = dovetail::fronts(&roster);
-    let plants: Vec<String> = (0..1000).map(|n| format!("p{n}")).collect();
+fn while_a_slot_owner_is_dark_the_next_one_keeps_its_functions_and_no_other_moves() {
+    let node = |n: usize| Node { name: format!("front-{n}"), role: "functions".into(), ..Node::default() };
+    let membership = Membership { nodes: (0..77).map(node).collect(), ..Membership::default() };
+    let fronts = rpc::fronts(&membership);
+    let services: Vec<String> = (0..1000).map(|n| format!("p{n}")).collect();
     let mut kept: HashMap<&str, usize> = HashMap::new();
-    for p in &plants {
-        *kept.entry(&dovetail::keeper(&fronts, p).expect("one").1).or_default() += 1;
+    for p in &services {
+        *kept.entry(&rpc::slot_owner(&fronts, p).expect("one").1).or_default() += 1;
     }
     assert!(kept.len() == 77 && kept.values().all(|n| *n < 40), "{kept:?}");
-    for p in &plants {
-        let first = &dovetail::keeper(&fronts, p).expect("one").1;
-        let next = &dovetail::keeper_but(&fronts, p, |n| n == "front-5").expect("one").1;
+    for p in &services {
+        let first = &rpc::slot_owner(&fronts, p).expect("one").1;
+        let next = &rpc::slot_owner_but(&fronts, p, |n| n == "front-5").expect("one").1;
         assert_eq!(first != next, first == "front-5");
     }
 }
 
-/// An ask by a ticket of one's own choice.
-fn ask_by(w: &mut World, ticket: u64, patience_ms: u32) {
-    let (plant, front) = ("f".to_owned(), "a".to_owned());
-    let a = SlotAsk { plant, front, ticket, patience_ms, hold_ms: 3000, aim_ms: 400, dark: vec![] };
-    w.creel.ask(&a, w.now, &mut w.out);
+/// An ask by a slot id of one's own choice.
+fn ask_by(w: &mut World, slot_id: u64, patience_ms: u32) {
+    let (service, front) = ("f".to_owned(), "a".to_owned());
+    let a = SlotRequest { service, front, slot_id, patience_ms, hold_ms: 3000, target_start_ms: 400, dark: vec![] };
+    w.slot_table.ask(&a, w.now, &mut w.out);
 }
 
 #[test]
-fn a_slot_that_is_asked_for_twice_by_one_ticket_is_one() {
+fn a_slot_that_is_asked_for_twice_by_one_slot_id_is_one() {
     let mut w = World::new(&["u1"]);
     ask_by(&mut w, 71, 2000);
     // The answer was lost, and it is asked again: the same slot.
     ask_by(&mut w, 71, 2000);
     assert_eq!(w.granted(), [(71, "u1".into(), false), (71, "u1".into(), false)]);
-    assert_eq!(w.creel.tallies(), [("f", 1, 1, 0)]);
+    assert_eq!(w.slot_table.tallies(), [("f", 1, 1, 0)]);
     w.back(71, "u1", SlotEnd::Done);
-    assert_eq!(w.creel.tallies(), [("f", 1, 0, 0)]);
+    assert_eq!(w.slot_table.tallies(), [("f", 1, 0, 0)]);
     // Twice while it waits: one wait.
     for t in [72, 73, 74, 74] {
         ask_by(&mut w, t, 2000);
     }
-    assert_eq!(w.creel.tallies(), [("f", 1, 2, 1)]);
+    assert_eq!(w.slot_table.tallies(), [("f", 1, 2, 1)]);
 }
 
 #[test]
@@ -334,7 +347,7 @@
     w.back(71, "", SlotEnd::Done);
     ask_by(&mut w, 71, 2000);
     assert!(w.granted().is_empty());
-    assert_eq!(w.creel.tallies(), [("f", 1, 0, 0)]);
+    assert_eq!(w.slot_table.tallies(), [("f", 1, 0, 0)]);
     ask_by(&mut w, 72, 2000);
     assert_eq!(w.granted(), [(72, "u1".into(), false)]);
 }
@@ -342,10 +355,10 @@
 #[test]
 fn a_processor_that_has_work_is_never_stopped() {
     let mut w = World::new(&[]);
-    // A front holds a slot of one that this keeper's list does not show yet.
-    let (plant, unit, address) = ("f".to_owned(), "u9".to_owned(), "10.0.0.1:9".to_owned());
-    w.creel.held("b", &SlotHeld { plant, ticket: 71, unit, address, hold_ms: 9000 }, w.now);
-    let stop = Effect::Stop { plant: "f".into(), unit: "u9".into() };
+    // A front holds a slot of one that this slot owner's list does not show yet.
+    let (service, processor, address) = ("f".to_owned(), "u9".to_owned(), "10.0.0.1:9".to_owned());
+    w.slot_table.held("b", &SlotHeld { service, slot_id: 71, processor, address, hold_ms: 9000 }, w.now);
+    let stop = Effect::Stop { service: "f".into(), processor: "u9".into() };
     for _ in 0..8 {
         w.pass(FACTS.boot_ms);
         assert!(!w.out.contains(&stop), "it is at work");
@@ -359,17 +372,17 @@
     let mut w = World::new(&["u1"]);
     let (a, b) = (w.ask(2000), w.ask(2000));
     assert_eq!(w.granted().len(), 2);
-    w.creel.fronts(&HashSet::from(["c".to_owned()]), w.now, &mut w.out);
-    let of = |front: &str, ticket| SlotAsk {
-        plant: "f".into(),
+    w.slot_table.fronts(&HashSet::from(["c".to_owned()]), w.now, &mut w.out);
+    let of = |front: &str, slot_id| SlotRequest {
+        service: "f".into(),
         front: front.into(),
-        ticket,
+        slot_id,
         patience_ms: 2000,
         hold_ms: 3000,
-        ..SlotAsk::default()
+        ..SlotRequest::default()
     };
-    for ticket in [1, 2, 3] {
-        w.creel.ask(&of("c", ticket), w.now, &mut w.out);
+    for slot_id in [1, 2, 3] {
+        w.slot_table.ask(&of("c", slot_id), w.now, &mut w.out);
     }
     assert_eq!(w.granted().len(), 2, "its slots are others' now");
     // It says so of all it had, twice; the numbers are those of the others.
@@ -378,19 +391,19 @@
         w.back(b, "u1", end);
     }
     w.pass(1000);
-    assert_eq!((w.granted().len(), w.creel.tallies()), (0, vec![("f", 1, 2, 1)]));
+    assert_eq!((w.granted().len(), w.slot_table.tallies()), (0, vec![("f", 1, 2, 1)]));
 }
 
 #[test]
 fn one_that_is_taken_for_gone_and_stands_there_still_is_stopped_in_the_end() {
     let mut w = World::new(&["u1", "u2"]);
     let t = w.ask(1000);
-    let (_, unit, _) = w.granted().remove(0);
-    w.back(t, &unit, SlotEnd::Gone);
+    let (_, processor, _) = w.granted().remove(0);
+    w.back(t, &processor, SlotEnd::Gone);
     w.out.clear();
     let stops = |w: &mut World| {
         let all = std::mem::take(&mut w.out);
-        all.into_iter().filter(|e| matches!(e, Effect::Stop { unit: u, .. } if *u == unit)).count()
+        all.into_iter().filter(|e| matches!(e, Effect::Stop { processor: u, .. } if *u == processor)).count()
     };
     // The list lags: at first it says nothing.
     w.list(&["u1", "u2"]);
@@ -404,5 +417,5 @@
     }
     // Nothing is granted of it meanwhile.
     w.ask(1000);
-    assert!(w.granted().iter().all(|g| g.1 != unit));
+    assert!(w.granted().iter().all(|g| g.1 != processor));
 }
--- a/crates/spindle/src/call.rs
+++ b/crates/http1/src/client.rs
@@ -8,7 +8,7 @@
 
 /// Why a call to a server brought no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Miss {
+pub enum SendError {
     /// No connection, or no room for one: nothing was sent.
     NotSent,
     /// Sent, and then closed, reset, broken or silent.
@@ -30,7 +30,7 @@
 }
 
 /// Kept connections to servers, newest used first.
-pub struct Chuck {
+pub struct ConnectionPool {
     places: Mutex<HashMap<String, Place>>,
     idle: Duration,
 }
@@ -49,13 +49,13 @@
 }
 
 struct OpenCount<'a> {
-    chuck: &'a Chuck,
+    pool: &'a ConnectionPool,
     addr: &'a str,
 }
 
 impl Drop for OpenCount<'_> {
     fn drop(&mut self) {
-        let mut places = self.chuck.places.lock().unwrap();
+        let mut places = self.pool.places.lock().unwrap();
         if let Some(p) = places.get_mut(self.addr) {
             p.open -= 1;
             if p.open == 0 && p.idle.is_empty() {
@@ -65,9 +65,9 @@
     }
 }
 
-impl Chuck {
-    pub fn new(idle: Duration) -> Arc<Chuck> {
-        Arc::new(Chuck { places: Mutex::default(), idle })
+impl ConnectionPool {
+    pub fn new(idle: Duration) -> Arc<ConnectionPool> {
+        Arc::new(ConnectionPool { places: Mutex::default(), idle })
     }
 
     fn take_idle(&self, addr: &str, newest: Option<Duration>) -> Option<TcpStream> {
@@ -101,7 +101,7 @@
 
     /// Opens a connection and keeps it for the next call; tells whether the other
     /// side refused, or was silent.
-    pub async fn open(&self, addr: &str, within: Duration) -> Result<(), Miss> {
+    pub async fn open(&self, addr: &str, within: Duration) -> Result<(), SendError> {
         match tokio::time::timeout(within, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
@@ -111,23 +111,23 @@
                 places.entry(addr.to_owned()).or_default().idle.push(Idle { stream, since: now, until });
                 Ok(())
             }
-            Ok(Err(_)) => Err(Miss::NotSent),
-            Err(_) => Err(Miss::Silent),
+            Ok(Err(_)) => Err(SendError::NotSent),
+            Err(_) => Err(SendError::Silent),
         }
     }
 
     /// Sends one request and reads the whole answer; `limit` connections at the
     /// most are open to that address.
-    pub async fn call(&self, addr: &str, call: Call<'_>, limit: usize, within: Duration) -> Result<Answer, Miss> {
+    pub async fn call(&self, addr: &str, call: Call<'_>, limit: usize, within: Duration) -> Result<Answer, SendError> {
         {
             let mut places = self.places.lock().unwrap();
             let place = places.entry(addr.to_owned()).or_default();
             if place.open >= limit {
-                return Err(Miss::NotSent);
+                return Err(SendError::NotSent);
             }
             place.open += 1;
         }
-        let _open = OpenCount { chuck: self, addr };
+        let _open = OpenCount { pool: self, addr };
         let end = tokio::time::Instant::now() + within;
         // An answer that names nobody belongs to the one request of its connection, or
         // to nobody knows which.
@@ -138,10 +138,10 @@
             None => match tokio::time::timeout(within / 4, TcpStream::connect(addr)).await {
                 Ok(Ok(s)) => {
                     let _ = s.set_nodelay(true);
-                    tally::count("connections_opened");
+                    telemetry::count("connections_opened");
                     s
                 }
-                _ => return Err(Miss::NotSent),
+                _ => return Err(SendError::NotSent),
             },
         };
         let mut out = BytesMut::with_capacity(256 + call.body.len());
@@ -159,12 +159,12 @@
         out.put_slice(b"\r\n");
         out.put_slice(call.body);
         let exchange = async {
-            stream.write_all(&out).await.map_err(|_| Miss::Lost)?;
+            stream.write_all(&out).await.map_err(|_| SendError::Lost)?;
             read_own_answer(&mut stream, &call).await
         };
         let (answer, left) = match tokio::time::timeout_at(end, exchange).await {
             Ok(r) => r?,
-            Err(_) => return Err(Miss::Silent),
+            Err(_) => return Err(SendError::Silent),
         };
         if answer.keep && !left && named {
             let said = answer.header("keep-alive").and_then(|v| {
@@ -188,32 +188,32 @@
 /// Reads on until the answer to this very call: a surplus one may come in its
 /// place, or one that names nobody, and says nothing of it. Tells whether the
 /// connection is out of step.
-async fn read_own_answer(stream: &mut TcpStream, call: &Call<'_>) -> Result<(Answer, bool), Miss> {
+async fn read_own_answer(stream: &mut TcpStream, call: &Call<'_>) -> Result<(Answer, bool), SendError> {
     let mut buf = BytesMut::with_capacity(2 << 10);
     let mut surplus = false;
     loop {
         let answer = read_answer(stream, call.method == "HEAD", &mut buf).await?;
         match answer.header("x-attempt-id") {
-            Some(id) if !call.id.is_empty() && id != call.id => tally::count("answers_of_others"),
-            None if !call.id.is_empty() => tally::count("answers_without_id"),
+            Some(id) if !call.id.is_empty() && id != call.id => telemetry::count("answers_of_others"),
+            None if !call.id.is_empty() => telemetry::count("answers_without_id"),
             _ => return Ok((answer, surplus || !buf.is_empty())),
         }
         surplus = true;
     }
 }
 
-async fn read_answer(stream: &mut TcpStream, to_head: bool, buf: &mut BytesMut) -> Result<Answer, Miss> {
+async fn read_answer(stream: &mut TcpStream, to_head: bool, buf: &mut BytesMut) -> Result<Answer, SendError> {
     let (mut answer, framing) = loop {
         match take_answer_head(buf, to_head) {
             Ok(Some((a, _))) if a.status < 200 => continue,
             Ok(Some(h)) => break h,
             Ok(None) => {}
-            Err(_) => return Err(Miss::Lost),
+            Err(_) => return Err(SendError::Lost),
         }
         buf.reserve(1 << 10);
         match stream.read_buf(buf).await {
             Ok(n) if n > 0 => {}
-            _ => return Err(Miss::Lost),
+            _ => return Err(SendError::Lost),
         }
     };
     let limit = 64 << 20;
@@ -221,13 +221,13 @@
         Framing::None => {}
         Framing::Length(n) => {
             if n > limit {
-                return Err(Miss::Lost);
+                return Err(SendError::Lost);
             }
             while buf.len() < n {
                 buf.reserve((n - buf.len()).min(64 << 10));
                 match stream.read_buf(buf).await {
                     Ok(k) if k > 0 => {}
-                    _ => return Err(Miss::Lost),
+                    _ => return Err(SendError::Lost),
                 }
             }
             answer.body = buf.split_to(n).freeze();
@@ -238,12 +238,12 @@
                 match chunks.take(buf, limit) {
                     Ok(Some(b)) => break b,
                     Ok(None) => {}
-                    Err(_) => return Err(Miss::Lost),
+                    Err(_) => return Err(SendError::Lost),
                 }
                 buf.reserve(2 << 10);
                 match stream.read_buf(buf).await {
                     Ok(k) if k > 0 => {}
-                    _ => return Err(Miss::Lost),
+                    _ => return Err(SendError::Lost),
                 }
             };
         }
@@ -253,7 +253,7 @@
                 match stream.read_buf(buf).await {
                     Ok(0) => break,
                     Ok(_) => {}
-                    Err(_) => return Err(Miss::Lost),
+                    Err(_) => return Err(SendError::Lost),
                 }
             }
             answer.body = std::mem::take(buf).freeze();
--- a/crates/spindle/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1: reading requests strictly, and calling processors over kept connections.
 
-mod call;
+mod client;
 mod parse;
-mod serve;
-pub use call::*;
+mod server;
+pub use client::*;
 pub use parse::*;
-pub use serve::*;
+pub use server::*;
--- a/crates/spindle/tests/calls.rs
+++ b/crates/http1/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Calls against stand-in servers on loopback that answer out of turn, cut and keep
 //! silent: which answer is taken for which call.
 
-use spindle::*;
+use http1::*;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -81,14 +81,14 @@
     }
 }
 
-async fn call(chuck: &Chuck, addr: &str, id: &str, path: &str) -> Result<Answer, Miss> {
+async fn call(pool: &ConnectionPool, addr: &str, id: &str, path: &str) -> Result<Answer, SendError> {
     let headers = [("X-Attempt-Id", id)];
     let headers: &[(&str, &str)] = if id.is_empty() { &[] } else { &headers };
     let call = Call { method: "POST", path, host: "h", headers, body: b"x", id, newest: None };
-    chuck.call(addr, call, 4, WAIT).await
+    pool.call(addr, call, 4, WAIT).await
 }
 
-fn body(a: &Result<Answer, Miss>) -> String {
+fn body(a: &Result<Answer, SendError>) -> String {
     a.as_ref().map_or_else(|m| format!("{m:?}"), |a| String::from_utf8_lossy(&a.body).into_owned())
 }
 
@@ -104,13 +104,13 @@
         _ => vec![Do::Send(answer(id, "own"))],
     };
     let (addr, seen) = server(plan).await;
-    let chuck = Chuck::new(Duration::from_secs(9));
-    assert_eq!(body(&call(&chuck, &addr, "mixed", "/").await), "own");
-    assert_eq!(body(&call(&chuck, &addr, "unnamed", "/").await), "Lost");
-    assert_eq!(body(&call(&chuck, &addr, "not run", "/").await), "Lost");
-    assert_eq!(body(&call(&chuck, &addr, "a", "/").await), "own");
+    let pool = ConnectionPool::new(Duration::from_secs(9));
+    assert_eq!(body(&call(&pool, &addr, "mixed", "/").await), "own");
+    assert_eq!(body(&call(&pool, &addr, "unnamed", "/").await), "Lost");
+    assert_eq!(body(&call(&pool, &addr, "not run", "/").await), "Lost");
+    assert_eq!(body(&call(&pool, &addr, "a", "/").await), "own");
     assert_eq!(seen.lock().unwrap().connections, 4, "none of them is used again");
-    assert_eq!(body(&call(&chuck, &addr, "b", "/").await), "own");
+    assert_eq!(body(&call(&pool, &addr, "b", "/").await), "own");
     assert_eq!(seen.lock().unwrap().connections, 4, "one that is in step is");
 }
 
@@ -122,9 +122,9 @@
         vec![Do::Send(late), Do::Send(answer("", path))]
     };
     let (addr, seen) = server(plan).await;
-    let chuck = Chuck::new(Duration::from_secs(9));
+    let pool = ConnectionPool::new(Duration::from_secs(9));
     for path in ["/first", "/second", "/third"] {
-        assert_eq!(body(&call(&chuck, &addr, "", path).await), path);
+        assert_eq!(body(&call(&pool, &addr, "", path).await), path);
     }
     assert!(seen.lock().unwrap().runs.values().all(|n| *n == 1));
 }
@@ -140,7 +140,7 @@
     ] {
         let text = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n{bad}\r\n3\r\nabc\r\n0\r\n\r\n");
         let (addr, _) = server(move |_, _| vec![Do::Send(text.clone().into_bytes())]).await;
-        let got = call(&Chuck::new(WAIT), &addr, "a", "/").await;
+        let got = call(&ConnectionPool::new(WAIT), &addr, "a", "/").await;
         assert!(got.is_err(), "{bad:?}: {got:?}");
     }
 }
@@ -156,9 +156,9 @@
                 _ => vec![Do::Send(answer(id, "own")[..cut].to_vec()), end.clone()],
             };
             let (addr, seen) = server(plan).await;
-            let chuck = Chuck::new(Duration::from_secs(9));
-            assert_eq!(body(&call(&chuck, &addr, "a", "/").await), "own");
-            assert_eq!(body(&call(&chuck, &addr, id, "/").await), "Lost", "{id} after {cut}");
+            let pool = ConnectionPool::new(Duration::from_secs(9));
+            assert_eq!(body(&call(&pool, &addr, "a", "/").await), "own");
+            assert_eq!(body(&call(&pool, &addr, id, "/").await), "Lost", "{id} after {cut}");
             assert_eq!(seen.lock().unwrap().runs[id], 1, "the pool itself sends nothing twice");
         }
     }
@@ -171,7 +171,7 @@
     /// Another's answer first: its id, or none.
     Before(bool),
     /// Its own answer a second time, at once or in the place of the next one.
-    Again(bool),
+    RetryOwner(bool),
     Unnamed,
     Garbage(Vec<u8>),
     Cut(usize, bool),
@@ -186,7 +186,7 @@
     all.extend(match trouble {
         Trouble::None => vec![Do::Send(own)],
         Trouble::Before(named) => vec![Do::Send(answer(if named { "other" } else { "" }, "wrong")), Do::Send(own)],
-        Trouble::Again(at_once) => {
+        Trouble::RetryOwner(at_once) => {
             if !at_once {
                 *late = own.clone();
             }
@@ -213,16 +213,16 @@
         if turn == 0 { steps(id, trouble, &mut Vec::new()) } else { steps(id, trouble, held) }
     })
     .await;
-    let chuck = Chuck::new(Duration::from_secs(9));
+    let pool = ConnectionPool::new(Duration::from_secs(9));
     let ids: Vec<String> = (0..troubles.len() + 2).map(|n| format!("m{n}")).collect();
     for some in ids.chunks(together) {
         let calls = some.iter().map(|id| {
-            let (chuck, addr, id) = (chuck.clone(), addr.clone(), id.clone());
+            let (pool, addr, id) = (pool.clone(), addr.clone(), id.clone());
             tokio::spawn(async move {
                 let headers = [("X-Attempt-Id", id.as_str())];
                 let c =
                     Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id: &id, newest: None };
-                (id.clone(), chuck.call(&addr, c, 4, WAIT / 10).await)
+                (id.clone(), pool.call(&addr, c, 4, WAIT / 10).await)
             })
         });
         let calls: Vec<_> = calls.collect();
@@ -237,7 +237,7 @@
                     );
                     assert_eq!((&a.body[..], a.whole, ran), (id.as_bytes(), true, 1), "{troubles:?}");
                 }
-                Err(Miss::NotSent) => assert_eq!(ran, 0),
+                Err(SendError::NotSent) => assert_eq!(ran, 0),
                 Err(_) => assert!(ran <= 1),
             }
         }
@@ -252,7 +252,7 @@
     let one = prop_oneof![
         4 => Just(Trouble::None),
         2 => any::<bool>().prop_map(Trouble::Before),
-        2 => any::<bool>().prop_map(Trouble::Again),
+        2 => any::<bool>().prop_map(Trouble::RetryOwner),
         1 => Just(Trouble::Unnamed),
         1 => prop::collection::vec(any::<u8>(), 1..40).prop_map(Trouble::Garbage),
         2 => (any::<usize>(), any::<bool>()).prop_map(|(n, reset)| Trouble::Cut(n, reset)),
--- a/crates/spindle/tests/clients.rs
+++ b/crates/http1/tests/clients.rs
@@ -2,9 +2,9 @@
 //! order, each whole or visibly not.
 
 use bytes::{Bytes, BytesMut};
+use http1::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
-use spindle::*;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/spindle/tests/parse.rs
+++ b/crates/http1/tests/parse.rs
@@ -1,7 +1,7 @@
 //! What is turned away before anything is passed on.
 
 use bytes::BytesMut;
-use spindle::*;
+use http1::*;
 
 fn head(text: &str) -> Result<Option<(Request, Framing, bool)>, Turned> {
     take_head(&mut BytesMut::from(text), &Bounds { header_bytes: 512, body_bytes: 100, ..Bounds::default() })
--- a/crates/dovetail/src/link.rs
+++ b/crates/rpc/src/connection.rs
@@ -1,5 +1,5 @@
-use crate::Verdict;
-use crate::msg::{Body, Envelope};
+use crate::ExecutionOutcome;
+use crate::messages::{Body, Envelope};
 use bytes::{Buf, Bytes, BytesMut};
 use prost::Message;
 use std::collections::HashMap;
@@ -32,13 +32,13 @@
 
 fn kind(b: &Body) -> usize {
     match b {
-        Body::Watch(_) => 0,
-        Body::News(_) => 1,
+        Body::WatchRequest(_) => 0,
+        Body::ViewUpdate(_) => 1,
         Body::Lease(_) => 2,
         Body::LeaseAck(_) => 3,
         Body::Order(_) => 4,
         Body::OrderAck(_) => 5,
-        Body::Vise(_) => 6,
+        Body::RaftNode(_) => 6,
         Body::Accept(_) => 7,
         Body::Accepted(_) => 8,
         Body::Lookup(_) => 9,
@@ -58,15 +58,15 @@
         Body::StatusAck(_) => 23,
         Body::Gossip(_) => 24,
         Body::Ack(_) => 25,
-        Body::SlotAsk(_) => 26,
+        Body::SlotRequest(_) => 26,
         Body::SlotGrant(_) => 27,
-        Body::SlotBack(_) => 28,
+        Body::SlotRelease(_) => 28,
         Body::SlotsHeld(_) => 29,
         Body::Start(_) => 30,
         Body::StartAck(_) => 31,
         Body::Stop(_) => 32,
-        Body::UnitsAsk(_) => 33,
-        Body::Units(_) => 34,
+        Body::ProcessorsRequest(_) => 33,
+        Body::Processors(_) => 34,
     }
 }
 
@@ -79,7 +79,7 @@
         "lease_ack",
         "order",
         "order_ack",
-        "vise",
+        "raft",
         "accept",
         "accepted",
         "lookup",
@@ -143,16 +143,16 @@
 
 /// Where replies to one connection are put; written in batches.
 #[derive(Clone)]
-pub struct Mouth(mpsc::UnboundedSender<Envelope>);
+pub struct FrameWriter(mpsc::UnboundedSender<Envelope>);
 
 /// The right to answer one call. Dropped unused, the caller waits in vain.
-pub struct Peg {
-    mouth: Mouth,
+pub struct Responder {
+    mouth: FrameWriter,
     call: u64,
     connection: u64,
 }
 
-impl Peg {
+impl Responder {
     /// Tells connections apart, for whoever wants to know when one has ended.
     pub fn connection(&self) -> u64 {
         self.connection
@@ -168,7 +168,7 @@
 /// Takes inner connections and hands every frame to `handle`.
 pub async fn serve<F>(listener: TcpListener, silence: Duration, handle: F)
 where
-    F: Fn(Body, Peg) + Send + Sync + 'static,
+    F: Fn(Body, Responder) + Send + Sync + 'static,
 {
     serve_and_tell(listener, silence, handle, |_| ()).await;
 }
@@ -176,7 +176,7 @@
 /// As `serve`; `ended` is told when a connection has ended.
 pub async fn serve_and_tell<F, E>(listener: TcpListener, silence: Duration, handle: F, ended: E)
 where
-    F: Fn(Body, Peg) + Send + Sync + 'static,
+    F: Fn(Body, Responder) + Send + Sync + 'static,
     E: Fn(u64) + Send + Sync + 'static,
 {
     let (handle, ended) = (Arc::new(handle), Arc::new(ended));
@@ -196,10 +196,10 @@
     }
 }
 
-async fn read_all(stream: TcpStream, connection: u64, handle: &(impl Fn(Body, Peg) + Send + Sync)) {
+async fn read_all(stream: TcpStream, connection: u64, handle: &(impl Fn(Body, Responder) + Send + Sync)) {
     let (mut read, write) = stream.into_split();
     let (tx, rx) = mpsc::unbounded_channel();
-    let mouth = Mouth(tx);
+    let mouth = FrameWriter(tx);
     tokio::spawn(write_all(write, rx));
     let mut buf = BytesMut::with_capacity(8 << 10);
     loop {
@@ -207,12 +207,12 @@
             match take_frame(&mut buf) {
                 Ok(Some(e)) => {
                     if let Some(body) = e.body.filter(|_| !e.reply) {
-                        handle(body, Peg { mouth: mouth.clone(), call: e.call, connection });
+                        handle(body, Responder { mouth: mouth.clone(), call: e.call, connection });
                     }
                 }
                 Ok(None) => break,
                 Err(_) => {
-                    tally::count("inner_bad_frames");
+                    telemetry::count("inner_bad_frames");
                     return;
                 }
             }
@@ -248,15 +248,15 @@
 
 /// A call that is waited for.
 struct Wait {
-    tx: oneshot::Sender<Result<Body, Verdict>>,
+    tx: oneshot::Sender<Result<Body, ExecutionOutcome>>,
     /// When its frame went to the network; until then it cannot have run.
     written: Option<Instant>,
 }
 
 impl Wait {
     fn fail(self) {
-        let verdict = if self.written.is_some() { Verdict::MayHaveRun } else { Verdict::NotRun };
-        let _ = self.tx.send(Err(verdict));
+        let execution = if self.written.is_some() { ExecutionOutcome::MayHaveRun } else { ExecutionOutcome::NotRun };
+        let _ = self.tx.send(Err(execution));
     }
 }
 
@@ -271,16 +271,16 @@
 
 /// The calling end of a connection to one address; connects when first used,
 /// and again after a failure.
-pub struct Tenon {
+pub struct RpcClient {
     addr: String,
     silence: Duration,
     live: Mutex<Option<Live>>,
     next: AtomicU64,
 }
 
-impl Tenon {
-    pub fn new(addr: &str, silence: Duration) -> Arc<Tenon> {
-        Arc::new(Tenon { addr: addr.into(), silence, live: Mutex::new(None), next: AtomicU64::new(1) })
+impl RpcClient {
+    pub fn new(addr: &str, silence: Duration) -> Arc<RpcClient> {
+        Arc::new(RpcClient { addr: addr.into(), silence, live: Mutex::new(None), next: AtomicU64::new(1) })
     }
 
     pub fn addr(&self) -> &str {
@@ -296,7 +296,7 @@
         old(*l.heard.lock().unwrap()) && l.waiting.lock().unwrap().values().any(|w| w.written.is_some_and(old))
     }
 
-    fn push(self: &Arc<Self>, envelope: Envelope, wait: Option<oneshot::Sender<Result<Body, Verdict>>>) {
+    fn push(self: &Arc<Self>, envelope: Envelope, wait: Option<oneshot::Sender<Result<Body, ExecutionOutcome>>>) {
         let mut live = self.live.lock().unwrap();
         if live.as_ref().is_none_or(|l| l.tx.is_closed()) {
             let (tx, rx) = mpsc::unbounded_channel();
@@ -323,20 +323,20 @@
     }
 
     /// Sends and waits for the reply; the error says whether it may have run.
-    pub async fn call(self: &Arc<Self>, body: Body, timeout: Duration) -> Result<Body, Verdict> {
+    pub async fn call(self: &Arc<Self>, body: Body, timeout: Duration) -> Result<Body, ExecutionOutcome> {
         let (tx, rx) = oneshot::channel();
         let call = self.next.fetch_add(1, Ordering::Relaxed);
         self.push(Envelope { call, reply: false, body: Some(body) }, Some(tx));
         match tokio::time::timeout(timeout, rx).await {
             Ok(Ok(r)) => r,
-            Ok(Err(_)) => Err(Verdict::MayHaveRun),
+            Ok(Err(_)) => Err(ExecutionOutcome::MayHaveRun),
             Err(_) => {
                 // What nobody waits for any more is not written later.
                 let live = self.live.lock().unwrap();
                 let w = live.as_ref().and_then(|l| l.waiting.lock().unwrap().remove(&call));
                 match w {
-                    Some(Wait { written: None, .. }) => Err(Verdict::NotRun),
-                    _ => Err(Verdict::MayHaveRun),
+                    Some(Wait { written: None, .. }) => Err(ExecutionOutcome::NotRun),
+                    _ => Err(ExecutionOutcome::MayHaveRun),
                 }
             }
         }
@@ -381,7 +381,7 @@
     while tokio::time::Instant::now() < end {
         match tokio::time::timeout(silence / 8, TcpStream::connect(addr)).await {
             Ok(s) => return s.ok(),
-            Err(_) => tally::count("connects_again"),
+            Err(_) => telemetry::count("connects_again"),
         }
     }
     None
@@ -407,7 +407,7 @@
         loop {
             while let Some(e) = take_frame(&mut buf).map_err(io::Error::other)? {
                 if !e.reply {
-                    tally::count("inner_answers_unwanted");
+                    telemetry::count("inner_answers_unwanted");
                     continue;
                 }
                 let w = incoming.lock().unwrap().remove(&e.call);
@@ -415,7 +415,7 @@
                     (Some(w), Some(b)) => drop(w.tx.send(Ok(b))),
                     (Some(w), None) => w.fail(),
                     // The call was given up.
-                    (None, _) => tally::count("inner_answers_unwanted"),
+                    (None, _) => telemetry::count("inner_answers_unwanted"),
                 }
             }
             buf.reserve(4 << 10);
@@ -452,22 +452,22 @@
 }
 
 /// The calling ends to all addresses in use.
-pub struct Bench {
+pub struct RpcClients {
     silence: Duration,
-    ends: Mutex<HashMap<String, Arc<Tenon>>>,
+    ends: Mutex<HashMap<String, Arc<RpcClient>>>,
 }
 
-impl Bench {
-    pub fn new(silence: Duration) -> Arc<Bench> {
-        Arc::new(Bench { silence, ends: Mutex::default() })
+impl RpcClients {
+    pub fn new(silence: Duration) -> Arc<RpcClients> {
+        Arc::new(RpcClients { silence, ends: Mutex::default() })
     }
 
-    pub fn to(&self, addr: &str) -> Arc<Tenon> {
+    pub fn to(&self, addr: &str) -> Arc<RpcClient> {
         let mut ends = self.ends.lock().unwrap();
         if let Some(t) = ends.get(addr) {
             return t.clone();
         }
-        let t = Tenon::new(addr, self.silence);
+        let t = RpcClient::new(addr, self.silence);
         ends.insert(addr.to_owned(), t.clone());
         t
     }
--- a/crates/dovetail/src/delta.rs
+++ b/crates/rpc/src/delta.rs
@@ -1,7 +1,7 @@
-//! Charter and roster as they are passed on: whole, or only what has changed
+//! Assignments and membership as they are passed on: whole, or only what has changed
 //! since the version that the other has.
 
-use crate::msg::{Charter, Gone, News, Node, Roster, Unit};
+use crate::messages::{Assignments, Gone, Membership, Node, Processor, ViewUpdate};
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 
@@ -11,39 +11,39 @@
 /// What is packed is never longer than this when it is whole again.
 const UNPACKED: usize = 4 << 20;
 
-impl News {
+impl ViewUpdate {
     /// Puts in a whole configuration, packed if that is worth it.
-    pub fn put_template(&mut self, json: Bytes) {
+    pub fn put_configuration(&mut self, json: Bytes) {
         if json.len() < 4096 {
-            self.template = Some(json);
+            self.configuration = Some(json);
         } else {
             self.packed = lz4_flex::compress_prepend_size(&json).into();
         }
     }
 
     /// The whole configuration, if there is one.
-    pub fn whole_template(&self) -> Option<Bytes> {
+    pub fn whole_configuration(&self) -> Option<Bytes> {
         if self.packed.is_empty() {
-            return self.template.clone();
+            return self.configuration.clone();
         }
         let size =
             self.packed.get(..4).and_then(|s| s.try_into().ok()).map_or(usize::MAX, |s| u32::from_le_bytes(s) as usize);
         let whole = (size <= UNPACKED).then(|| lz4_flex::decompress_size_prepended(&self.packed).ok()).flatten();
         if whole.is_none() {
-            tally::count("news_not_unpacked");
+            telemetry::count("news_not_unpacked");
         }
         whole.map(Bytes::from)
     }
 }
 
-impl Charter {
+impl Assignments {
     /// What one that has version `have` lacks.
-    pub fn since(&self, have: u64) -> Charter {
+    pub fn since(&self, have: u64) -> Assignments {
         if have == 0 || have > self.version {
             return self.clone();
         }
         let partitions = self.partitions.iter().filter(|p| p.changed > have).cloned().collect();
-        Charter {
+        Assignments {
             version: self.version,
             partitions,
             rollouts: self.rollouts.clone(),
@@ -54,7 +54,7 @@
 
     /// Takes what is newer; tells whether anything was. Changes since a version
     /// that this one has not reached leave a gap, and are not taken.
-    pub fn take(&mut self, c: &Charter) -> bool {
+    pub fn take(&mut self, c: &Assignments) -> bool {
         if c.version <= self.version || c.since > self.version {
             return false;
         }
@@ -75,7 +75,7 @@
     }
 }
 
-/// A leader's term stands in the upper bits of a roster's version: changes are
+/// A leader's term stands in the upper bits of a membership's version: changes are
 /// counted within one leader's time only, as another one starts from what it
 /// happened to know.
 fn leader(version: u64) -> u64 {
@@ -83,28 +83,29 @@
 }
 
 fn same_node(a: &Node, b: &Node) -> bool {
-    (a.life, a.leaving, a.born) == (b.life, b.leaving, b.born)
+    (a.incarnation, a.leaving, a.born) == (b.incarnation, b.leaving, b.born)
         && [&a.name, &a.role, &a.zone, &a.region, &a.inner] == [&b.name, &b.role, &b.zone, &b.region, &b.inner]
 }
 
-fn same_unit(a: &Unit, b: &Unit) -> bool {
+fn same_processor(a: &Processor, b: &Processor) -> bool {
     (a.capacity, a.draining, a.cold) == (b.capacity, b.draining, b.cold)
-        && [&a.id, &a.plant, &a.address, &a.zone, &a.revision] == [&b.id, &b.plant, &b.address, &b.zone, &b.revision]
+        && [&a.id, &a.service, &a.address, &a.zone, &a.revision]
+            == [&b.id, &b.service, &b.address, &b.zone, &b.revision]
 }
 
-impl Roster {
+impl Membership {
     /// Whether these are not the nodes and processors that it holds.
-    pub fn differs(&self, nodes: &[&Node], units: &[Unit], listed: bool) -> bool {
+    pub fn differs(&self, nodes: &[&Node], processors: &[Processor], listed: bool) -> bool {
         self.listed != listed
             || self.nodes.len() != nodes.len()
-            || self.units.len() != units.len()
+            || self.processors.len() != processors.len()
             || !self.nodes.iter().zip(nodes).all(|(a, b)| same_node(a, b))
-            || !self.units.iter().zip(units).all(|(a, b)| same_unit(a, b))
+            || !self.processors.iter().zip(processors).all(|(a, b)| same_processor(a, b))
     }
 
     /// The leader's next version. Nodes come in order of their names, processors in
     /// that of their ids.
-    pub fn publish(&mut self, version: u64, nodes: &[&Node], units: &[Unit], listed: bool) {
+    pub fn publish(&mut self, version: u64, nodes: &[&Node], processors: &[Processor], listed: bool) {
         if leader(self.version) != leader(version) {
             self.gone.clear();
             self.from = version;
@@ -117,17 +118,17 @@
         }
         let now: HashSet<&str> = nodes.iter().map(|n| n.name.as_str()).collect();
         for o in old.iter().filter(|o| !now.contains(o.name.as_str())) {
-            self.gone.push(Gone { name: o.name.clone(), unit: false, version });
+            self.gone.push(Gone { name: o.name.clone(), processor: false, version });
         }
-        let old = std::mem::take(&mut self.units);
-        let by_id: HashMap<&str, &Unit> = old.iter().map(|u| (u.id.as_str(), u)).collect();
-        for u in units {
-            let known = by_id.get(u.id.as_str()).filter(|o| same_unit(o, u)).map_or(version, |o| o.changed);
-            self.units.push(Unit { changed: known, ..u.clone() });
+        let old = std::mem::take(&mut self.processors);
+        let by_id: HashMap<&str, &Processor> = old.iter().map(|u| (u.id.as_str(), u)).collect();
+        for u in processors {
+            let known = by_id.get(u.id.as_str()).filter(|o| same_processor(o, u)).map_or(version, |o| o.changed);
+            self.processors.push(Processor { changed: known, ..u.clone() });
         }
-        let now: HashSet<&str> = units.iter().map(|u| u.id.as_str()).collect();
+        let now: HashSet<&str> = processors.iter().map(|u| u.id.as_str()).collect();
         for o in old.iter().filter(|o| !now.contains(o.id.as_str())) {
-            self.gone.push(Gone { name: o.id.clone(), unit: true, version });
+            self.gone.push(Gone { name: o.id.clone(), processor: true, version });
         }
         self.version = version;
         self.listed = listed;
@@ -143,14 +144,14 @@
     }
 
     /// What one that has version `have` lacks.
-    pub fn since(&self, have: u64) -> Roster {
+    pub fn since(&self, have: u64) -> Membership {
         if have < self.from || have > self.version || leader(have) != leader(self.version) {
-            return Roster { gone: Vec::new(), from: 0, ..self.clone() };
+            return Membership { gone: Vec::new(), from: 0, ..self.clone() };
         }
-        Roster {
+        Membership {
             version: self.version,
             nodes: self.nodes.iter().filter(|n| n.changed > have).cloned().collect(),
-            units: self.units.iter().filter(|u| u.changed > have).cloned().collect(),
+            processors: self.processors.iter().filter(|u| u.changed > have).cloned().collect(),
             listed: self.listed,
             since: have,
             gone: self.gone.iter().filter(|g| g.version > have).cloned().collect(),
@@ -159,18 +160,18 @@
     }
 
     /// Takes what is newer; tells whether anything was.
-    pub fn take(&mut self, r: &Roster) -> bool {
+    pub fn take(&mut self, r: &Membership) -> bool {
         if r.version <= self.version {
             return false;
         }
         if r.since == 0 {
-            let units = std::mem::take(&mut self.units);
+            let processors = std::mem::take(&mut self.processors);
             let listed = self.listed;
-            *self = Roster { gone: Vec::new(), from: r.version, ..r.clone() };
+            *self = Membership { gone: Vec::new(), from: r.version, ..r.clone() };
             if !r.listed && listed {
                 // From a leader that could not ask the platform yet: that is no
                 // news of processors.
-                self.units = units;
+                self.processors = processors;
                 self.listed = true;
             }
             return true;
@@ -179,8 +180,8 @@
             return false;
         }
         for g in &r.gone {
-            if g.unit {
-                self.units.retain(|u| u.id != g.name || u.changed > g.version);
+            if g.processor {
+                self.processors.retain(|u| u.id != g.name || u.changed > g.version);
             } else {
                 self.nodes.retain(|n| n.name != g.name || n.changed > g.version);
             }
@@ -191,10 +192,10 @@
                 Err(at) => self.nodes.insert(at, n.clone()),
             }
         }
-        for u in &r.units {
-            match self.units.binary_search_by(|x| x.id.cmp(&u.id)) {
-                Ok(at) => self.units[at] = u.clone(),
-                Err(at) => self.units.insert(at, u.clone()),
+        for u in &r.processors {
+            match self.processors.binary_search_by(|x| x.id.cmp(&u.id)) {
+                Ok(at) => self.processors[at] = u.clone(),
+                Err(at) => self.processors.insert(at, u.clone()),
             }
         }
         self.gone.extend(r.gone.iter().filter(|g| g.version > self.version).cloned());
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,16 @@
+//! The inner protocol: what the processes of the system say to one another,
+//! and the framed connections it travels on.
+
+mod connection;
+mod delta;
+mod incarnation;
+pub mod messages;
+mod outcome;
+mod preferred;
+mod slot_owner;
+pub use connection::*;
+pub use incarnation::*;
+pub use messages::Body;
+pub use outcome::*;
+pub use preferred::*;
+pub use slot_owner::*;
