--- a/crates/dovetail/src/msg.rs
+++ b/crates/rpc/src/messages.rs
@@ -19,9 +19,9 @@
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Body {
     #[prost(message, tag = "10")]
-    Watch(Watch),
+    WatchRequest(WatchRequest),
     #[prost(message, tag = "11")]
-    News(News),
+    ViewUpdate(ViewUpdate),
     #[prost(message, tag = "12")]
     Lease(Lease),
     #[prost(message, tag = "13")]
@@ -31,7 +31,7 @@
     #[prost(message, tag = "15")]
     OrderAck(OrderAck),
     #[prost(message, tag = "16")]
-    Vise(ViseMsg),
+    RaftNode(RaftMessage),
     #[prost(message, tag = "17")]
     Accept(Accept),
     #[prost(message, tag = "18")]
@@ -71,11 +71,11 @@
     #[prost(message, tag = "35")]
     Ack(Ack),
     #[prost(message, tag = "36")]
-    SlotAsk(SlotAsk),
+    SlotRequest(SlotRequest),
     #[prost(message, tag = "37")]
     SlotGrant(SlotGrant),
     #[prost(message, tag = "38")]
-    SlotBack(SlotBack),
+    SlotRelease(SlotRelease),
     #[prost(message, tag = "39")]
     SlotsHeld(SlotsHeld),
     #[prost(message, tag = "40")]
@@ -83,11 +83,11 @@
     #[prost(message, tag = "41")]
     StartAck(StartAck),
     #[prost(message, tag = "42")]
-    Stop(StopUnit),
+    Stop(StopProcessor),
     #[prost(message, tag = "43")]
-    UnitsAsk(UnitsAsk),
+    ProcessorsRequest(ProcessorsRequest),
     #[prost(message, tag = "44")]
-    Units(Units),
+    Processors(Processors),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -100,7 +100,7 @@
 pub struct Node {
     #[prost(string, tag = "1")]
     pub name: String,
-    /// `hatch`, `lathe` or `foreman`.
+    /// `front`, `store` or `control`.
     #[prost(string, tag = "2")]
     pub role: String,
     #[prost(string, tag = "3")]
@@ -112,13 +112,13 @@
     pub inner: String,
     /// Changes with every start of the process.
     #[prost(uint64, tag = "6")]
-    pub life: u64,
+    pub incarnation: u64,
     #[prost(bool, tag = "7")]
     pub leaving: bool,
-    /// In a roster: the version in which this was news.
+    /// In a membership: the version in which this was news.
     #[prost(uint64, tag = "9")]
     pub changed: u64,
-    /// The life in which its disk was empty; 0: at the system's first start. What it
+    /// The incarnation in which its disk was empty; 0: at the system's first start. What it
     /// joined before that it does not hold.
     #[prost(uint64, tag = "10")]
     pub born: u64,
@@ -126,63 +126,63 @@
 
 /// The versions of the three things that are passed on.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Have {
+pub struct ViewVersions {
     #[prost(uint64, tag = "1")]
-    pub template: u64,
+    pub configuration: u64,
     #[prost(uint64, tag = "2")]
-    pub charter: u64,
+    pub assignments: u64,
     #[prost(uint64, tag = "3")]
-    pub roster: u64,
+    pub membership: u64,
 }
 
 /// Keeps a session and asks for news; answered when there is some, or after `wait_ms`.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Watch {
+pub struct WatchRequest {
     #[prost(message, optional, tag = "1")]
     pub node: Option<Node>,
     #[prost(message, required, tag = "2")]
-    pub have: Have,
+    pub have: ViewVersions,
     #[prost(uint32, tag = "3")]
     pub wait_ms: u32,
-    /// Sessions that a foreman holds, told to the leader.
+    /// Sessions that a control node holds, told to the leader.
     #[prost(message, repeated, tag = "4")]
     pub sessions: Vec<Node>,
-    /// From a foreman: its time of day.
+    /// From a control node: its time of day.
     #[prost(uint64, tag = "5")]
     pub clock_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct News {
+pub struct ViewUpdate {
     #[prost(message, required, tag = "1")]
-    pub have: Have,
+    pub have: ViewVersions,
     #[prost(bytes = "bytes", optional, tag = "2")]
-    pub template: Option<Bytes>,
+    pub configuration: Option<Bytes>,
     #[prost(message, optional, tag = "3")]
-    pub charter: Option<Charter>,
+    pub assignments: Option<Assignments>,
     #[prost(message, optional, tag = "4")]
-    pub roster: Option<Roster>,
+    pub membership: Option<Membership>,
     /// Inner address of the leader, if known.
     #[prost(string, tag = "5")]
     pub leader: String,
-    /// Inner addresses of foremen.
+    /// Inner addresses of control nodes.
     #[prost(string, repeated, tag = "6")]
-    pub foremen: Vec<String>,
-    /// A life of the asker's that is known and comes after the one it told: it is
+    pub control_nodes: Vec<String>,
+    /// An incarnation of the asker's that is known and comes after the one it told: it is
     /// to begin another after that.
     #[prost(uint64, tag = "7")]
-    pub lived: u64,
+    pub newer_incarnation: u64,
     /// The whole configuration, packed; a large one takes a slow link for seconds else.
     #[prost(bytes = "bytes", tag = "9")]
     pub packed: Bytes,
     /// Instead of the whole configuration: the changes since the asker's, in order.
     #[prost(message, repeated, tag = "8")]
-    pub steps: Vec<TemplateStep>,
+    pub steps: Vec<ConfigurationStep>,
 }
 
 /// What changed from one configuration to the next.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct TemplateStep {
+pub struct ConfigurationStep {
     #[prost(uint64, tag = "1")]
     pub since: u64,
     #[prost(uint64, tag = "2")]
@@ -192,13 +192,13 @@
     pub change: Bytes,
     /// Of the whole that comes of it: one that differs is fetched whole.
     #[prost(fixed64, tag = "4")]
-    pub print: u64,
+    pub fingerprint: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Gossip {
     #[prost(message, required, tag = "1")]
-    pub have: Have,
+    pub have: ViewVersions,
     #[prost(bool, tag = "2")]
     pub pull: bool,
 }
@@ -207,11 +207,11 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Sample {
     #[prost(string, tag = "1")]
-    pub plant: String,
+    pub service: String,
     #[prost(string, tag = "2")]
     pub revision: String,
     #[prost(string, tag = "3")]
-    pub channel: String,
+    pub route: String,
     #[prost(uint32, tag = "4")]
     pub good: u32,
     #[prost(uint32, tag = "5")]
@@ -223,9 +223,9 @@
     pub sent: u32,
 }
 
-/// What a majority of the foremen has agreed on and the data plane needs.
+/// What a majority of the control nodes has agreed on and the data plane needs.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Charter {
+pub struct Assignments {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(message, repeated, tag = "2")]
@@ -248,19 +248,19 @@
     #[prost(string, tag = "3")]
     pub owner: String,
     #[prost(string, repeated, tag = "4")]
-    pub insync: Vec<String>,
+    pub in_sync: Vec<String>,
     /// The nodes that are to hold it, the preferred owner first.
     #[prost(string, repeated, tag = "5")]
-    pub homes: Vec<String>,
+    pub replicas: Vec<String>,
     #[prost(message, optional, tag = "6")]
     pub grant: Option<Grant>,
     /// The term began without a stop marker: ask the delivery nodes first.
     #[prost(bool, tag = "7")]
     pub seized: bool,
-    /// The lives in which nodes took part last: as owner, or when they joined.
+    /// The incarnations in which nodes took part last: as owner, or when they joined.
     #[prost(message, repeated, tag = "8")]
     pub joined: Vec<Joined>,
-    /// The charter's version in which this was news.
+    /// The assignments's version in which this was news.
     #[prost(uint64, tag = "9")]
     pub changed: u64,
 }
@@ -270,18 +270,18 @@
     #[prost(string, tag = "1")]
     pub node: String,
     #[prost(uint64, tag = "2")]
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 impl Partition {
-    /// The life in which a node took part last; 0 if that is not known.
-    pub fn joined_life(&self, node: &str) -> u64 {
-        self.joined.iter().find(|j| j.node == node).map_or(0, |j| j.life)
+    /// The incarnation in which a node took part last; 0 if that is not known.
+    pub fn joined_incarnation(&self, node: &str) -> u64 {
+        self.joined.iter().find(|j| j.node == node).map_or(0, |j| j.incarnation)
     }
 
-    pub fn set_joined(&mut self, node: &str, life: u64) {
-        self.joined.retain(|j| j.node != node && (self.homes.contains(&j.node) || self.insync.contains(&j.node)));
-        self.joined.push(Joined { node: node.into(), life });
+    pub fn set_joined(&mut self, node: &str, incarnation: u64) {
+        self.joined.retain(|j| j.node != node && (self.replicas.contains(&j.node) || self.in_sync.contains(&j.node)));
+        self.joined.push(Joined { node: node.into(), incarnation });
     }
 }
 
@@ -293,13 +293,13 @@
     #[prost(string, tag = "2")]
     pub candidate: String,
     #[prost(string, repeated, tag = "3")]
-    pub insync: Vec<String>,
+    pub in_sync: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Rollout {
     #[prost(string, tag = "1")]
-    pub plant: String,
+    pub service: String,
     #[prost(string, tag = "2")]
     pub target: String,
     /// `running`, `settled` or `reverted`.
@@ -340,13 +340,13 @@
 
 /// Soft state: who is a member, and which processors there are.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Roster {
+pub struct Membership {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(message, repeated, tag = "2")]
     pub nodes: Vec<Node>,
     #[prost(message, repeated, tag = "3")]
-    pub units: Vec<Unit>,
+    pub processors: Vec<Processor>,
     #[prost(bool, tag = "4")]
     pub listed: bool,
     /// Not 0: only what has changed since that version.
@@ -366,18 +366,18 @@
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(bool, tag = "2")]
-    pub unit: bool,
+    pub processor: bool,
     #[prost(uint64, tag = "3")]
     pub version: u64,
 }
 
 /// A processor as the platform lists it.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Unit {
+pub struct Processor {
     #[prost(string, tag = "1")]
     pub id: String,
     #[prost(string, tag = "2")]
-    pub plant: String,
+    pub service: String,
     #[prost(string, tag = "3")]
     pub address: String,
     #[prost(string, tag = "4")]
@@ -390,12 +390,12 @@
     pub draining: bool,
     #[prost(bool, tag = "8")]
     pub cold: bool,
-    /// In a roster: the version in which this was news.
+    /// In a membership: the version in which this was news.
     #[prost(uint64, tag = "9")]
     pub changed: u64,
 }
 
-/// An owner's lease on its life: renewed with the leader.
+/// An owner's lease on its incarnation: renewed with the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Lease {
     #[prost(message, required, tag = "1")]
@@ -430,9 +430,9 @@
     /// Store machines whose disks are slow or do not answer.
     #[prost(string, repeated, tag = "5")]
     pub lagging: Vec<String>,
-    /// As in `News`.
+    /// As in `ViewUpdate`.
     #[prost(uint64, tag = "6")]
-    pub lived: u64,
+    pub newer_incarnation: u64,
     /// The fleet's time as the leader has it; 0 when it does not know enough clocks.
     #[prost(uint64, tag = "7")]
     pub time_ms: u64,
@@ -452,9 +452,9 @@
     /// With `Grant`: the node that is leaving, if the move is for that.
     #[prost(string, tag = "5")]
     pub leaving: String,
-    /// With `Own` and `Join`: the node's life.
+    /// With `Own` and `Join`: the node's incarnation.
     #[prost(uint64, tag = "6")]
-    pub life: u64,
+    pub incarnation: u64,
     /// With `Join`: the entry of the majority's log that the asker goes by. What was
     /// asked before another entry concerned the partition is not granted behind it.
     #[prost(uint64, tag = "7")]
@@ -488,10 +488,10 @@
     pub partition: Option<Partition>,
 }
 
-// ---- the foremen's majority log ----
+// ---- the control nodes' majority log ----
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct ViseEntry {
+pub struct RaftEntry {
     #[prost(uint64, tag = "1")]
     pub index: u64,
     #[prost(uint64, tag = "2")]
@@ -504,12 +504,12 @@
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct ViseMsg {
+pub struct RaftMessage {
     #[prost(string, tag = "1")]
     pub from: String,
     #[prost(uint64, tag = "2")]
     pub term: u64,
-    #[prost(enumeration = "ViseKind", tag = "3")]
+    #[prost(enumeration = "RaftMessageKind", tag = "3")]
     pub kind: i32,
     /// Ask: last entry of the asker. Append: entry before the first one sent.
     #[prost(uint64, tag = "4")]
@@ -518,7 +518,7 @@
     #[prost(uint64, tag = "5")]
     pub log_term: u64,
     #[prost(message, repeated, tag = "6")]
-    pub entries: Vec<ViseEntry>,
+    pub entries: Vec<RaftEntry>,
     #[prost(uint64, tag = "7")]
     pub commit: u64,
     #[prost(bool, tag = "8")]
@@ -542,7 +542,7 @@
     #[prost(bool, tag = "14")]
     pub blank: bool,
     /// With `InstallSnapshot`: bytes before this piece; with its answer: bytes held.
-    /// With `readmit`: names the life that asks.
+    /// With `readmit`: names the incarnation that asks.
     #[prost(uint64, tag = "15")]
     pub offset: u64,
     /// Bytes of the whole snapshot.
@@ -555,7 +555,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
-pub enum ViseKind {
+pub enum RaftMessageKind {
     None = 0,
     RequestVote = 1,
     Vote = 2,
@@ -589,7 +589,7 @@
     #[prost(string, tag = "1")]
     pub id: String,
     #[prost(string, tag = "2")]
-    pub channel: String,
+    pub route: String,
     #[prost(string, tag = "3")]
     pub method: String,
     #[prost(string, tag = "4")]
@@ -657,7 +657,7 @@
     #[prost(string, tag = "3")]
     pub state: String,
     #[prost(string, tag = "4")]
-    pub seal: String,
+    pub result_tag: String,
     #[prost(bytes = "bytes", tag = "5")]
     pub body: Bytes,
     #[prost(string, tag = "6")]
@@ -677,9 +677,9 @@
     pub address: String,
     /// Empty for single endpoints.
     #[prost(string, tag = "5")]
-    pub unit: String,
+    pub processor: String,
     #[prost(uint32, tag = "6")]
-    pub cutoff_ms: u32,
+    pub timeout_ms: u32,
     #[prost(message, required, tag = "7")]
     pub item: Item,
     #[prost(uint32, tag = "8")]
@@ -725,7 +725,7 @@
     #[prost(enumeration = "Outcome", tag = "3")]
     pub outcome: i32,
     #[prost(string, tag = "4")]
-    pub seal: String,
+    pub result_tag: String,
     #[prost(uint32, tag = "5")]
     pub status: u32,
     /// Running and waiting at the processor, as it said; `loaded` says that it did.
@@ -780,7 +780,7 @@
     #[prost(string, tag = "3")]
     pub state: String,
     #[prost(string, tag = "4")]
-    pub seal: String,
+    pub result_tag: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -841,9 +841,9 @@
     /// Position of the first epoch record of the unbroken run of matches.
     #[prost(uint64, tag = "8")]
     pub verified_from: u64,
-    /// The node's life: in another one it may have lost its disk.
+    /// The node's incarnation: in another one it may have lost its disk.
     #[prost(uint64, tag = "9")]
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 /// A piece of a snapshot of a partition's state.
@@ -870,16 +870,16 @@
 
 // ---- slots of functions ----
 
-/// A front asks a function's keeper for a slot.
+/// A front asks a function's slot owner for a slot.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct SlotAsk {
+pub struct SlotRequest {
     #[prost(string, tag = "1")]
-    pub plant: String,
+    pub service: String,
     #[prost(string, tag = "2")]
     pub front: String,
     /// Names the slot from now on, among those of this front.
     #[prost(uint64, tag = "3")]
-    pub ticket: u64,
+    pub slot_id: u64,
     /// How long it is worth waiting for one.
     #[prost(uint32, tag = "4")]
     pub patience_ms: u32,
@@ -888,7 +888,7 @@
     pub hold_ms: u32,
     /// The aim of the request.
     #[prost(uint32, tag = "6")]
-    pub aim_ms: u32,
+    pub target_start_ms: u32,
     /// Fronts that come before the asked one and do not answer the asker.
     #[prost(string, repeated, tag = "7")]
     pub dark: Vec<String>,
@@ -899,7 +899,7 @@
     #[prost(enumeration = "SlotOutcome", tag = "1")]
     pub outcome: i32,
     #[prost(string, tag = "2")]
-    pub unit: String,
+    pub processor: String,
     #[prost(string, tag = "3")]
     pub address: String,
     /// It has not answered anybody yet: connect until it does, and say so.
@@ -935,15 +935,15 @@
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct SlotBack {
+pub struct SlotRelease {
     #[prost(string, tag = "1")]
-    pub plant: String,
+    pub service: String,
     #[prost(string, tag = "2")]
     pub front: String,
     #[prost(uint64, tag = "3")]
-    pub ticket: u64,
+    pub slot_id: u64,
     #[prost(string, tag = "4")]
-    pub unit: String,
+    pub processor: String,
     #[prost(enumeration = "SlotEnd", tag = "5")]
     pub end: i32,
     /// How long the request took at the processor; 0 if it did not run.
@@ -951,7 +951,7 @@
     pub took_ms: u32,
 }
 
-/// A front tells a new keeper what it holds of its functions.
+/// A front tells a new slot owner what it holds of its functions.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SlotsHeld {
     #[prost(string, tag = "1")]
@@ -963,11 +963,11 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SlotHeld {
     #[prost(string, tag = "1")]
-    pub plant: String,
+    pub service: String,
     #[prost(uint64, tag = "2")]
-    pub ticket: u64,
+    pub slot_id: u64,
     #[prost(string, tag = "3")]
-    pub unit: String,
+    pub processor: String,
     #[prost(string, tag = "4")]
     pub address: String,
     /// For how much longer, at the most.
@@ -975,11 +975,11 @@
     pub hold_ms: u32,
 }
 
-/// A keeper wants a processor of a function: asked of the leader.
+/// A slot owner wants a processor of a function: asked of the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Start {
     #[prost(string, tag = "1")]
-    pub plant: String,
+    pub service: String,
     /// The same for every ask of one start, so that it is carried out once.
     #[prost(string, tag = "2")]
     pub nonce: String,
@@ -991,7 +991,7 @@
 pub struct StartAck {
     /// Empty: not now.
     #[prost(string, tag = "1")]
-    pub unit: String,
+    pub processor: String,
     #[prost(string, tag = "2")]
     pub address: String,
     /// Where to ask instead.
@@ -1004,7 +1004,7 @@
 
 /// A front asks for the processors of the functions that it keeps.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct UnitsAsk {
+pub struct ProcessorsRequest {
     #[prost(string, tag = "1")]
     pub front: String,
     /// Of what it was told last.
@@ -1013,21 +1013,21 @@
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Units {
+pub struct Processors {
     /// False: not known here, or not yet; what was told before stands.
     #[prost(bool, tag = "1")]
     pub known: bool,
     /// Empty if the digest is that of the ask.
     #[prost(message, repeated, tag = "2")]
-    pub units: Vec<Unit>,
+    pub processors: Vec<Processor>,
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct StopUnit {
+pub struct StopProcessor {
     #[prost(string, tag = "1")]
-    pub unit: String,
+    pub processor: String,
 }
 
 // ---- operators ----
--- a/crates/dovetail/src/verdict.rs
+++ b/crates/rpc/src/outcome.rs
@@ -2,7 +2,7 @@
 
 /// Whether a request that came to no clear end may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum ExecutionOutcome {
     /// It never left, or the other side said that it did nothing.
     NotRun,
     /// It left, and nobody said what came of it.
@@ -15,7 +15,7 @@
 /// one that names another is `Lost`, on a kept connection and on a new one: only the
 /// processor's own word says that it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Gap {
+pub enum DeliveryFailure {
     /// No byte of it was written: no connection, or none left.
     NotSent,
     /// Its processor says that it did not run.
@@ -30,7 +30,7 @@
 
 /// What a request is, as far as sending it again goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Class {
+pub enum RetrySafety {
     /// An accepted message: delivered until it ended.
     Message,
     /// With an order key: the next of its key waits until it ended.
@@ -45,12 +45,12 @@
 
 /// Who sends it again, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Again {
+pub enum RetryOwner {
     /// Its owner, at once, to any processor.
     Owner,
     /// Its owner, after a pause that grows.
     OwnerLater,
-    /// The front that has it, within its ration of repeats.
+    /// The front that has it, within its retry budget of repeats.
     Front,
     /// As `Front`, and within the route's tries.
     FrontTries,
@@ -58,23 +58,30 @@
     Nobody,
 }
 
-impl Gap {
-    pub fn verdict(self) -> Verdict {
+impl DeliveryFailure {
+    pub fn execution(self) -> ExecutionOutcome {
         match self {
-            Gap::NotSent | Gap::Refused | Gap::Busy => Verdict::NotRun,
-            Gap::Lost | Gap::Silent => Verdict::MayHaveRun,
+            DeliveryFailure::NotSent | DeliveryFailure::Refused | DeliveryFailure::Busy => ExecutionOutcome::NotRun,
+            DeliveryFailure::Lost | DeliveryFailure::Silent => ExecutionOutcome::MayHaveRun,
         }
     }
 
     /// The table of docs/design.md, "Notes on answers".
-    pub fn again(self, class: Class) -> Again {
+    pub fn again(self, class: RetrySafety) -> RetryOwner {
         match (class, self) {
             // Where it may have run, most processors have dropped it by the end of the pause.
-            (Class::Message | Class::Sequenced | Class::Dedupes, Gap::NotSent | Gap::Refused) => Again::Owner,
-            (Class::Message | Class::Sequenced | Class::Dedupes, _) => Again::OwnerLater,
-            (Class::Safe | Class::Unsafe, Gap::NotSent | Gap::Refused | Gap::Busy) => Again::Front,
-            (Class::Safe, Gap::Lost) => Again::FrontTries,
-            (Class::Unsafe, Gap::Lost) | (Class::Safe | Class::Unsafe, Gap::Silent) => Again::Nobody,
+            (
+                RetrySafety::Message | RetrySafety::Sequenced | RetrySafety::Dedupes,
+                DeliveryFailure::NotSent | DeliveryFailure::Refused,
+            ) => RetryOwner::Owner,
+            (RetrySafety::Message | RetrySafety::Sequenced | RetrySafety::Dedupes, _) => RetryOwner::OwnerLater,
+            (
+                RetrySafety::Safe | RetrySafety::Unsafe,
+                DeliveryFailure::NotSent | DeliveryFailure::Refused | DeliveryFailure::Busy,
+            ) => RetryOwner::Front,
+            (RetrySafety::Safe, DeliveryFailure::Lost) => RetryOwner::FrontTries,
+            (RetrySafety::Unsafe, DeliveryFailure::Lost)
+            | (RetrySafety::Safe | RetrySafety::Unsafe, DeliveryFailure::Silent) => RetryOwner::Nobody,
         }
     }
 }
--- a/crates/dovetail/tests/frames.rs
+++ b/crates/rpc/tests/frames.rs
@@ -1,10 +1,10 @@
 //! Calls over links whose other end answers out of order, twice, for nobody, in
 //! pieces, late, or not at all: each caller gets its own answer or none.
 
-use dovetail::msg::*;
-use dovetail::{Body, Tenon, Verdict, put_frame, take_frame};
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
+use rpc::messages::*;
+use rpc::{Body, ExecutionOutcome, RpcClient, put_frame, take_frame};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -34,7 +34,7 @@
 }
 
 fn answer(call: u64, position: u64) -> Envelope {
-    let found = Found { seal: position.to_string(), ..Found::default() };
+    let found = Found { result_tag: position.to_string(), ..Found::default() };
     Envelope { call, reply: true, body: Some(Body::Found(found)) }
 }
 
@@ -95,7 +95,7 @@
 
 async fn play(plan: Vec<Do>, pieces: usize, drops: Vec<bool>) {
     let (addr, runs) = other_end(plan, pieces).await;
-    let t = Tenon::new(&addr, SILENCE);
+    let t = RpcClient::new(&addr, SILENCE);
     let calls = drops.into_iter().enumerate().map(|(n, dropped)| {
         let (t, position) = (t.clone(), n as u64);
         tokio::spawn(async move {
@@ -109,9 +109,9 @@
         let (position, dropped, got) = c.await.expect("no panic");
         let ran = runs.lock().unwrap().get(&position).copied().unwrap_or(0);
         match got {
-            Ok(Body::Found(f)) => assert_eq!((f.seal, ran), (position.to_string(), 1)),
-            Err(Verdict::NotRun) => assert_eq!(ran, 0, "call {position}, dropped {dropped}: told as not run"),
-            other => assert!(ran <= 1 && other == Err(Verdict::MayHaveRun), "call {position}: {other:?}"),
+            Ok(Body::Found(f)) => assert_eq!((f.result_tag, ran), (position.to_string(), 1)),
+            Err(ExecutionOutcome::NotRun) => assert_eq!(ran, 0, "call {position}, dropped {dropped}: told as not run"),
+            other => assert!(ran <= 1 && other == Err(ExecutionOutcome::MayHaveRun), "call {position}: {other:?}"),
         }
     }
     // What was told as not run does not run later either.
--- a/crates/dovetail/tests/news.rs
+++ b/crates/rpc/tests/view_updates.rs
@@ -1,44 +1,44 @@
 //! Changes instead of the whole: with gaps, out of order, and from a source that
 //! began anew.
 
-use dovetail::msg::*;
+use rpc::messages::*;
 
-fn node(name: &str, life: u64) -> Node {
-    Node { name: name.into(), role: "hatch".into(), life, ..Node::default() }
+fn node(name: &str, incarnation: u64) -> Node {
+    Node { name: name.into(), role: "front".into(), incarnation, ..Node::default() }
 }
 
-fn unit(id: &str, draining: bool) -> Unit {
-    Unit { id: id.into(), draining, ..Unit::default() }
+fn processor(id: &str, draining: bool) -> Processor {
+    Processor { id: id.into(), draining, ..Processor::default() }
 }
 
-fn publish(r: &mut Roster, version: u64, nodes: &[Node], units: &[Unit]) {
-    assert!(r.differs(&nodes.iter().collect::<Vec<_>>(), units, true));
-    r.publish(version, &nodes.iter().collect::<Vec<_>>(), units, true);
-    assert!(!r.differs(&nodes.iter().collect::<Vec<_>>(), units, true));
+fn publish(r: &mut Membership, version: u64, nodes: &[Node], processors: &[Processor]) {
+    assert!(r.differs(&nodes.iter().collect::<Vec<_>>(), processors, true));
+    r.publish(version, &nodes.iter().collect::<Vec<_>>(), processors, true);
+    assert!(!r.differs(&nodes.iter().collect::<Vec<_>>(), processors, true));
 }
 
-/// Names, lives, ids and what drains: all that counts.
+/// Names, incarnations, ids and what drains: all that counts.
 type View = (Vec<(String, u64)>, Vec<(String, bool)>);
 
-fn view(r: &Roster) -> View {
-    let n = r.nodes.iter().map(|n| (n.name.clone(), n.life)).collect();
-    (n, r.units.iter().map(|u| (u.id.clone(), u.draining)).collect())
+fn view(r: &Membership) -> View {
+    let n = r.nodes.iter().map(|n| (n.name.clone(), n.incarnation)).collect();
+    (n, r.processors.iter().map(|u| (u.id.clone(), u.draining)).collect())
 }
 
 const T1: u64 = 1 << 24;
 const T2: u64 = 2 << 24;
 
 #[test]
-fn a_roster_by_changes_is_the_whole_roster() {
-    let mut leader = Roster::default();
-    publish(&mut leader, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false), unit("u2", false)]);
-    let mut far = Roster::default();
+fn a_membership_by_changes_is_the_whole_membership() {
+    let mut leader = Membership::default();
+    publish(&mut leader, T1 + 1, &[node("a", 1), node("b", 1)], &[processor("u1", false), processor("u2", false)]);
+    let mut far = Membership::default();
     assert!(far.take(&leader.since(0)));
     let mut late = far.clone();
-    publish(&mut leader, T1 + 2, &[node("a", 1), node("b", 2)], &[unit("u1", true), unit("u2", false)]);
+    publish(&mut leader, T1 + 2, &[node("a", 1), node("b", 2)], &[processor("u1", true), processor("u2", false)]);
     let first = leader.since(far.version);
-    assert_eq!((first.nodes.len(), first.units.len(), first.since), (1, 1, T1 + 1), "only what changed");
-    publish(&mut leader, T1 + 3, &[node("b", 2), node("c", 1)], &[unit("u2", false), unit("u3", false)]);
+    assert_eq!((first.nodes.len(), first.processors.len(), first.since), (1, 1, T1 + 1), "only what changed");
+    publish(&mut leader, T1 + 3, &[node("b", 2), node("c", 1)], &[processor("u2", false), processor("u3", false)]);
     let second = leader.since(first.version);
     // Out of order: the second leaves a gap, and is not taken.
     assert!(!late.take(&second));
@@ -51,15 +51,15 @@
 
 #[test]
 fn a_leader_that_began_anew_sends_the_whole() {
-    let mut old = Roster::default();
-    publish(&mut old, T1 + 1, &[node("a", 1), node("b", 1)], &[unit("u1", false)]);
+    let mut old = Membership::default();
+    publish(&mut old, T1 + 1, &[node("a", 1), node("b", 1)], &[processor("u1", false)]);
     // The next leader has this copy; the old one still tells some of another change.
-    let mut next = Roster::default();
+    let mut next = Membership::default();
     next.take(&old.since(0));
-    publish(&mut old, T1 + 2, &[node("a", 1)], &[unit("u1", true)]);
-    let mut far = Roster::default();
+    publish(&mut old, T1 + 2, &[node("a", 1)], &[processor("u1", true)]);
+    let mut far = Membership::default();
     far.take(&old.since(0));
-    publish(&mut next, T2 + 1, &[node("a", 1), node("b", 1), node("c", 1)], &[unit("u1", false)]);
+    publish(&mut next, T2 + 1, &[node("a", 1), node("b", 1), node("c", 1)], &[processor("u1", false)]);
     let news = next.since(far.version);
     assert_eq!(news.since, 0, "what it did not know of cannot be told by changes");
     assert!(far.take(&news));
@@ -69,26 +69,26 @@
 
 #[test]
 fn a_leader_that_has_not_listed_leaves_the_processors_alone() {
-    let mut far = Roster::default();
-    publish(&mut far, T1 + 1, &[node("a", 1)], &[unit("u1", true)]);
-    let mut blank = Roster::default();
+    let mut far = Membership::default();
+    publish(&mut far, T1 + 1, &[node("a", 1)], &[processor("u1", true)]);
+    let mut blank = Membership::default();
     let b = node("b", 1);
     blank.publish(T2 + 1, &[&b], &[], false);
     assert!(far.take(&blank.since(far.version)));
     assert_eq!(view(&far), (vec![("b".into(), 1)], vec![("u1".into(), true)]));
     assert!(far.listed);
     // Once it has, its list counts.
-    blank.publish(T2 + 2, &[&b], &[unit("u2", false)], true);
+    blank.publish(T2 + 2, &[&b], &[processor("u2", false)], true);
     assert!(far.take(&blank.since(0)));
     assert_eq!(view(&far).1, vec![("u2".into(), false)]);
 }
 
 #[test]
 fn removals_too_old_to_remember_are_told_by_the_whole() {
-    let mut leader = Roster::default();
-    let ids: Vec<Unit> = (0..600).map(|n| unit(&format!("u{n:04}"), false)).collect();
+    let mut leader = Membership::default();
+    let ids: Vec<Processor> = (0..600).map(|n| processor(&format!("u{n:04}"), false)).collect();
     publish(&mut leader, T1 + 1, &[], &ids);
-    let mut far = Roster::default();
+    let mut far = Membership::default();
     far.take(&leader.since(0));
     for n in 1..=500u64 {
         publish(&mut leader, T1 + 1 + n, &[], &ids[n as usize..]);
@@ -97,14 +97,15 @@
     assert_eq!(news.since, 0);
     assert!(far.take(&news));
     assert_eq!(view(&far), view(&leader));
-    assert!(leader.since(T1 + 499).units.is_empty() && leader.since(T1 + 499).gone.len() == 2);
+    assert!(leader.since(T1 + 499).processors.is_empty() && leader.since(T1 + 499).gone.len() == 2);
 }
 
 #[test]
-fn a_charter_by_changes_is_the_whole_charter() {
+fn a_assignments_by_changes_is_the_whole_assignments() {
     let part = |id: u32, term: u64, changed: u64| Partition { id, term, changed, ..Partition::default() };
-    let mut leader = Charter { version: 5, partitions: (0..8).map(|i| part(i, 1, 5)).collect(), ..Charter::default() };
-    let mut far = Charter::default();
+    let mut leader =
+        Assignments { version: 5, partitions: (0..8).map(|i| part(i, 1, 5)).collect(), ..Assignments::default() };
+    let mut far = Assignments::default();
     assert!(far.take(&leader.since(0)));
     leader.partitions[3] = part(3, 2, 7);
     leader.version = 7;
--- a/crates/lathe/src/flywheel.rs
+++ b/crates/store/src/clock.rs
@@ -3,15 +3,15 @@
 //! clock is only told to the leader; it may be off, and it may step.
 
 /// All in milliseconds; `now` is of the steady clock.
-pub struct Flywheel {
+pub struct PartitionClock {
     ahead: Option<i64>,
     /// Differences up to this are not followed, so that the time goes on evenly.
     slack: i64,
 }
 
-impl Flywheel {
-    pub fn new(slack: u64) -> Flywheel {
-        Flywheel { ahead: None, slack: slack as i64 }
+impl PartitionClock {
+    pub fn new(slack: u64) -> PartitionClock {
+        PartitionClock { ahead: None, slack: slack as i64 }
     }
 
     /// The leader's time, in an answer to what was asked at `asked`; 0 if it has none.
@@ -24,8 +24,8 @@
         match self.ahead {
             Some(a) if (a - ahead).abs() <= self.slack + way / 2 => {}
             Some(a) => {
-                tally::count("times_set_anew");
-                tally::change!("the fleet's time is {} ms off here: set anew", ahead - a);
+                telemetry::count("times_set_anew");
+                telemetry::change!("the fleet's time is {} ms off here: set anew", ahead - a);
                 self.ahead = Some(ahead);
             }
             None => self.ahead = Some(ahead),
--- a/crates/lathe/src/record.rs
+++ b/crates/store/src/record.rs
@@ -1,6 +1,6 @@
 //! What a partition's log holds.
 
-use dovetail::msg::Item;
+use rpc::messages::Item;
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
@@ -36,27 +36,27 @@
 
 /// What a store machine's disk knows of itself.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Birth {
-    /// The life in which it was empty; 0 at the system's first start.
+pub struct DiskIdentity {
+    /// The incarnation in which it was empty; 0 at the system's first start.
     #[prost(uint64, tag = "1")]
     pub born: u64,
-    /// The last life that was lived on it.
+    /// The last incarnation that was lived on it.
     #[prost(uint64, tag = "2")]
     pub top: u64,
-    /// Found empty, and no life lived on it yet.
+    /// Found empty, and no incarnation lived on it yet.
     #[prost(bool, tag = "3")]
     pub empty: bool,
 }
 
-impl Birth {
-    /// A process begins on this disk: its life, after all that were lived here.
-    pub fn live(&mut self, life: u64) -> u64 {
-        let life = if life > self.top { life } else { dovetail::after(self.top) };
+impl DiskIdentity {
+    /// A process begins on this disk: its incarnation, after all that were lived here.
+    pub fn live(&mut self, incarnation: u64) -> u64 {
+        let incarnation = if incarnation > self.top { incarnation } else { rpc::after(self.top) };
         if self.empty {
-            self.born = life;
+            self.born = incarnation;
         }
-        (self.top, self.empty) = (life, false);
-        life
+        (self.top, self.empty) = (incarnation, false);
+        incarnation
     }
 }
 
@@ -73,7 +73,7 @@
     #[prost(uint64, tag = "1")]
     pub position: u64,
     #[prost(string, tag = "2")]
-    pub unit: String,
+    pub processor: String,
     #[prost(string, tag = "3")]
     pub node: String,
 }
@@ -86,7 +86,7 @@
     #[prost(int32, tag = "2")]
     pub outcome: i32,
     #[prost(string, tag = "3")]
-    pub seal: String,
+    pub result_tag: String,
     /// Position of the dispatch record that this answers. An attempt counts once,
     /// however often it is reported.
     #[prost(uint64, tag = "4")]
@@ -116,7 +116,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RouteFacts {
     #[prost(string, tag = "1")]
-    pub channel: String,
+    pub route: String,
     #[prost(uint32, tag = "2")]
     pub tries: u32,
     #[prost(uint64, tag = "3")]
@@ -150,5 +150,5 @@
     #[prost(string, tag = "3")]
     pub candidate: String,
     #[prost(string, repeated, tag = "4")]
-    pub insync: Vec<String>,
+    pub in_sync: Vec<String>,
 }
--- a/crates/lathe/src/mandrel.rs
+++ b/crates/store/src/replica.rs
@@ -1,16 +1,16 @@
 //! One partition on one node: its log, its fold, and how ownership passes.
 //! A state machine without I/O; the shell carries out its effects in order.
 
-use crate::jig::*;
 use crate::record::*;
+use crate::state::*;
 use bytes::Bytes;
-use dovetail::Body;
-use dovetail::msg::{Chunk, Entries, EntriesAck, LogEntry, Order, OrderAck, OrderKind, Partition};
 use prost::Message;
+use rpc::Body;
+use rpc::messages::{Chunk, Entries, EntriesAck, LogEntry, Order, OrderAck, OrderKind, Partition};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Seat {
+pub enum ReplicaRole {
     Owner,
     Follower,
 }
@@ -65,7 +65,7 @@
     mismatch: bool,
     /// A snapshot is under way up to this position.
     snapshot: u64,
-    life: u64,
+    incarnation: u64,
     /// When the majority last refused to count it in.
     refused: u64,
 }
@@ -74,7 +74,7 @@
 enum Phase {
     Verify,
     Granting { asked: u64 },
-    Stopping { term: u64, insync: Vec<String> },
+    Stopping { term: u64, in_sync: Vec<String> },
     Marked { at: u64 },
 }
 
@@ -88,7 +88,7 @@
 
 /// Bounds of the state machine's clock, in milliseconds.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
+pub struct Timing {
     /// Between epoch records.
     pub epoch: u64,
     /// Over which a match must have held before a cutover.
@@ -100,13 +100,13 @@
     pub keep_bytes: usize,
 }
 
-pub struct Mandrel {
+pub struct PartitionReplica {
     pub id: u32,
     me: String,
-    /// This process's life.
-    pub life: u64,
+    /// This process's incarnation.
+    pub incarnation: u64,
     pub term: u64,
-    pub seat: Seat,
+    pub role: ReplicaRole,
     first: u64,
     base_term: u64,
     disk_base: u64,
@@ -115,10 +115,10 @@
     log_bytes: usize,
     pub durable: u64,
     pub commit: u64,
-    pub jig: Jig,
+    pub state: PartitionState,
     pub owner: String,
-    pub homes: Vec<String>,
-    insync: Vec<String>,
+    pub replicas: Vec<String>,
+    in_sync: Vec<String>,
     joining: HashMap<String, u64>,
     peers: HashMap<String, Peer>,
     moving: Option<Move>,
@@ -140,18 +140,18 @@
     told: u64,
     /// Where the log ended when this node became owner.
     took_at: u64,
-    pace: Pace,
+    timing: Timing,
     since_snapshot: usize,
 }
 
-impl Mandrel {
-    pub fn new(id: u32, me: &str, pace: Pace) -> Mandrel {
-        Mandrel {
+impl PartitionReplica {
+    pub fn new(id: u32, me: &str, timing: Timing) -> PartitionReplica {
+        PartitionReplica {
             id,
             me: me.into(),
-            life: 0,
+            incarnation: 0,
             term: 0,
-            seat: Seat::Follower,
+            role: ReplicaRole::Follower,
             first: 1,
             base_term: 0,
             disk_base: 0,
@@ -160,10 +160,10 @@
             log_bytes: 0,
             durable: 0,
             commit: 0,
-            jig: Jig::new(pace.status),
+            state: PartitionState::new(timing.status),
             owner: String::new(),
-            homes: Vec::new(),
-            insync: Vec::new(),
+            replicas: Vec::new(),
+            in_sync: Vec::new(),
             joining: HashMap::new(),
             peers: HashMap::new(),
             moving: None,
@@ -181,7 +181,7 @@
             own_known: false,
             told: 0,
             took_at: 0,
-            pace,
+            timing,
             since_snapshot: 0,
         }
     }
@@ -190,19 +190,19 @@
     pub fn reload(
         id: u32,
         me: &str,
-        pace: Pace,
+        timing: Timing,
         meta: &Meta,
         snapshot: Option<Bytes>,
         entries: Vec<(u64, LogEntry)>,
-    ) -> Result<Mandrel, String> {
-        let mut m = Mandrel::new(id, me, pace);
+    ) -> Result<PartitionReplica, String> {
+        let mut m = PartitionReplica::new(id, me, timing);
         m.term = meta.term;
         if let Some(s) = snapshot {
             let s = Snapshot::decode(s).map_err(|e| format!("partition {id}: snapshot: {e}"))?;
             if s.position != meta.base {
                 return Err(format!("partition {id}: snapshot is of {}, not of {}", s.position, meta.base));
             }
-            m.jig = Jig::restore(&s, pace.status).map_err(|e| format!("partition {id}: {e}"))?;
+            m.state = PartitionState::restore(&s, timing.status).map_err(|e| format!("partition {id}: {e}"))?;
         } else if meta.base != 0 {
             return Err(format!("partition {id}: the snapshot of {} is missing", meta.base));
         }
@@ -245,14 +245,14 @@
 
     /// Whether the owner takes new records now.
     pub fn open(&self) -> bool {
-        self.seat == Seat::Owner
+        self.role == ReplicaRole::Owner
             && !matches!(&self.moving, Some(m) if matches!(m.phase, Phase::Stopping { .. } | Phase::Marked { .. }))
     }
 
     /// Whether the fold holds all that may have been committed before this node
     /// became owner: until then it cannot say that a message is not known.
     pub fn caught_up(&self) -> bool {
-        self.jig.position >= self.took_at
+        self.state.position >= self.took_at
     }
 
     /// Whether the owner can say what becomes of a run: what the log may hold of it is
@@ -268,17 +268,17 @@
     /// The followers that a planned move could go to, best first.
     pub fn candidates(&self) -> Vec<String> {
         let mut all: Vec<String> = self
-            .insync
+            .in_sync
             .iter()
             .filter(|n| **n != self.me && self.peers.get(*n).is_some_and(|p| !p.mismatch))
             .cloned()
             .collect();
-        all.sort_by_key(|n| self.homes.iter().position(|h| h == n).unwrap_or(usize::MAX));
+        all.sort_by_key(|n| self.replicas.iter().position(|h| h == n).unwrap_or(usize::MAX));
         all
     }
 
     pub fn in_sync(&self) -> &[String] {
-        &self.insync
+        &self.in_sync
     }
 
     // ---- the owner's side ----
@@ -311,10 +311,10 @@
 
     /// Sends followers what they lack. Called once after a batch of appends.
     pub fn flush(&mut self, now: u64, out: &mut Vec<Effect>) {
-        if self.seat != Seat::Owner {
+        if self.role != ReplicaRole::Owner {
             return;
         }
-        let names: Vec<String> = self.homes.iter().chain(&self.insync).cloned().collect();
+        let names: Vec<String> = self.replicas.iter().chain(&self.in_sync).cloned().collect();
         let mut seen = HashSet::new();
         for n in names {
             if n != self.me && seen.insert(n.clone()) {
@@ -334,11 +334,11 @@
         }
         // One that lacks much is sent the state instead of all that led to it, when
         // that is less: bodies of what has ended are not in it.
-        let lacks = self.jig.position.saturating_sub(p.sent) as usize;
+        let lacks = self.state.position.saturating_sub(p.sent) as usize;
         let behind = lacks > 256 && {
             let from = (p.sent + 1).saturating_sub(self.first) as usize;
             let bytes: usize = self.log.iter().skip(from).take(lacks).map(|e| e.record.len()).sum();
-            bytes > 2 * self.jig.snapshot_bytes()
+            bytes > 2 * self.state.snapshot_bytes()
         };
         if p.sent + 1 < self.first || behind {
             self.send_snapshot(node, now, out);
@@ -373,8 +373,8 @@
     }
 
     fn send_snapshot(&mut self, node: &str, now: u64, out: &mut Vec<Effect>) {
-        let position = self.jig.position;
-        let data: Bytes = self.jig.snapshot().encode_to_vec().into();
+        let position = self.state.position;
+        let data: Bytes = self.state.snapshot().encode_to_vec().into();
         let position_term = self.term_at(position).unwrap_or(self.base_term);
         let size = 256 << 10;
         let parts = data.len().div_ceil(size).max(1);
@@ -391,7 +391,7 @@
             };
             out.push(Effect::Send(node.to_owned(), Body::Chunk(c)));
         }
-        tally::count("snapshots_sent");
+        telemetry::count("snapshots_sent");
         if let Some(p) = self.peers.get_mut(node) {
             p.snapshot = position;
             p.sent = position;
@@ -400,12 +400,12 @@
     }
 
     fn advance(&mut self, now: u64, out: &mut Vec<Effect>) {
-        if self.seat != Seat::Owner {
+        if self.role != ReplicaRole::Owner {
             return;
         }
         let acked = |n: &String| self.peers.get(n).map_or(0, |p| p.acked);
         let held = self
-            .insync
+            .in_sync
             .iter()
             .chain(self.joining.keys())
             .filter(|n| **n != self.me)
@@ -414,7 +414,7 @@
         if held > self.commit {
             self.commit = held;
             if let Err(e) = self.fold_on(now, true, out) {
-                tally::error!("{e}");
+                telemetry::error!("{e}");
             }
             self.step_move(now, out);
         }
@@ -422,24 +422,26 @@
 
     fn fold_on(&mut self, now: u64, live: bool, out: &mut Vec<Effect>) -> Result<(), String> {
         let mut changes = Vec::new();
-        while self.jig.position < self.commit {
-            let pos = self.jig.position + 1;
+        while self.state.position < self.commit {
+            let pos = self.state.position + 1;
             let Some(e) = self.entry(pos) else {
                 return Err(format!("partition {}: entry {pos} is committed and not there", self.id));
             };
             let record =
                 Record::decode(e.record.clone()).map_err(|e| format!("partition {}: entry {pos}: {e}", self.id))?;
-            let found = self.jig.fold(pos, &record);
-            self.digests.push_back((pos, self.jig.digest()));
+            let found = self.state.fold(pos, &record);
+            self.digests.push_back((pos, self.state.digest()));
             if self.digests.len() > 8192 {
                 self.digests.pop_front();
             }
             for c in found {
                 match &c {
-                    Change::Epoch { at, digest } if self.seat == Seat::Follower => self.compare(pos, *at, *digest, out),
+                    Change::Epoch { at, digest } if self.role == ReplicaRole::Follower => {
+                        self.compare(pos, *at, *digest, out)
+                    }
                     Change::Stopped(s)
                         if live
-                            && self.seat == Seat::Follower
+                            && self.role == ReplicaRole::Follower
                             && s.candidate == self.me
                             && s.term > self.term
                             && s.splice == pos =>
@@ -449,7 +451,7 @@
                     }
                     _ => {}
                 }
-                if self.seat == Seat::Owner {
+                if self.role == ReplicaRole::Owner {
                     changes.push(c);
                 }
             }
@@ -463,17 +465,17 @@
 
     /// Drops from memory what every follower has and the fold is past.
     fn trim(&mut self) {
-        if self.log_bytes <= self.pace.keep_bytes {
+        if self.log_bytes <= self.timing.keep_bytes {
             return;
         }
-        let mut upto = self.jig.position;
-        if self.seat == Seat::Owner {
-            for n in self.insync.iter().filter(|n| **n != self.me) {
+        let mut upto = self.state.position;
+        if self.role == ReplicaRole::Owner {
+            for n in self.in_sync.iter().filter(|n| **n != self.me) {
                 upto = upto.min(self.peers.get(n).map_or(0, |p| p.acked));
             }
         }
         upto = upto.min(self.durable);
-        while self.first <= upto && self.log_bytes > self.pace.keep_bytes / 2 {
+        while self.first <= upto && self.log_bytes > self.timing.keep_bytes / 2 {
             if let Some(e) = self.log.pop_front() {
                 self.log_bytes -= e.record.len();
                 self.base_term = e.term;
@@ -484,17 +486,17 @@
 
     /// Cuts the log on disk behind a snapshot once it has grown by so much.
     pub fn compact(&mut self, limit: usize, out: &mut Vec<Effect>) {
-        let position = self.jig.position;
+        let position = self.state.position;
         if self.since_snapshot <= limit || position <= self.disk_base || position > self.durable {
             return;
         }
         let Some(term) = self.term_at(position) else { return };
-        let data: Bytes = self.jig.snapshot().encode_to_vec().into();
+        let data: Bytes = self.state.snapshot().encode_to_vec().into();
         let from = self.disk_base + 1;
         self.disk_base = position;
         self.disk_base_term = term;
         self.since_snapshot = 0;
-        tally::count("compactions");
+        telemetry::count("compactions");
         out.push(Effect::Persist {
             del: Some((from, position)),
             put: Vec::new(),
@@ -512,12 +514,12 @@
                 self.verified_from = pos;
             }
             self.verified = pos;
-            tally::count("epochs_matched");
+            telemetry::count("epochs_matched");
         } else {
             self.verified = 0;
             self.verified_from = 0;
             self.mismatch = true;
-            tally::count("epochs_mismatched");
+            telemetry::count("epochs_mismatched");
             out.push(Effect::Mismatch(at));
         }
     }
@@ -525,38 +527,38 @@
     // ---- ownership ----
 
     /// The majority's word on this partition.
-    pub fn charter(&mut self, p: &Partition, now: u64, out: &mut Vec<Effect>) {
+    pub fn assignments(&mut self, p: &Partition, now: u64, out: &mut Vec<Effect>) {
         if p.changed < self.told {
             // It came by another way than a newer one: an in-sync set that went back
             // would have commits that a member does not hold.
-            tally::count("charters_outdated");
+            telemetry::count("assignments_outdated");
             return;
         }
         self.told = p.changed;
-        self.homes.clone_from(&p.homes);
+        self.replicas.clone_from(&p.replicas);
         if p.term > self.term {
             if p.owner == self.me {
-                if !p.insync.contains(&self.me) || p.joined_life(&self.me) != self.life {
-                    // Said of a former life, whose disk this one may not have.
+                if !p.in_sync.contains(&self.me) || p.joined_incarnation(&self.me) != self.incarnation {
+                    // Said of a former incarnation, whose disk this one may not have.
                     self.follow(p.term, "", out);
                     return;
                 }
-                self.own(p.term, p.insync.clone(), p.seized, now, out);
+                self.own(p.term, p.in_sync.clone(), p.seized, now, out);
                 self.own_known = true;
             } else {
                 self.follow(p.term, &p.owner, out);
             }
         } else if p.term == self.term {
-            if self.seat == Seat::Owner && p.owner == self.me {
+            if self.role == ReplicaRole::Owner && p.owner == self.me {
                 self.own_known = true;
-                if self.insync != p.insync {
-                    self.insync.clone_from(&p.insync);
-                    self.joining.retain(|n, _| !p.insync.contains(n));
+                if self.in_sync != p.in_sync {
+                    self.in_sync.clone_from(&p.in_sync);
+                    self.joining.retain(|n, _| !p.in_sync.contains(n));
                     self.advance(now, out);
                 }
                 match &p.grant {
                     Some(g) => {
-                        let stopping = Phase::Stopping { term: g.term, insync: g.insync.clone() };
+                        let stopping = Phase::Stopping { term: g.term, in_sync: g.in_sync.clone() };
                         match &mut self.moving {
                             Some(m) if m.candidate == g.candidate => {
                                 if !matches!(m.phase, Phase::Marked { .. }) {
@@ -576,17 +578,17 @@
                         }
                     }
                 }
-            } else if self.seat == Seat::Follower && p.owner != self.me {
+            } else if self.role == ReplicaRole::Follower && p.owner != self.me {
                 self.owner.clone_from(&p.owner);
             }
         }
     }
 
-    fn own(&mut self, term: u64, insync: Vec<String>, seized: bool, now: u64, out: &mut Vec<Effect>) {
+    fn own(&mut self, term: u64, in_sync: Vec<String>, seized: bool, now: u64, out: &mut Vec<Effect>) {
         self.term = term;
-        self.seat = Seat::Owner;
+        self.role = ReplicaRole::Owner;
         self.owner = self.me.clone();
-        self.insync = insync;
+        self.in_sync = in_sync;
         self.joining.clear();
         self.peers.clear();
         self.moving = None;
@@ -595,7 +597,7 @@
         // Followers say themselves where they are.
         let end = self.end();
         self.took_at = end;
-        for n in self.homes.iter().chain(&self.insync).filter(|n| **n != self.me) {
+        for n in self.replicas.iter().chain(&self.in_sync).filter(|n| **n != self.me) {
             self.peers.insert(n.clone(), Peer { sent: end, heard: now, ..Peer::default() });
         }
         out.push(Effect::Persist { del: None, put: Vec::new(), meta: self.meta(), snapshot: None, term, end });
@@ -608,10 +610,10 @@
     }
 
     fn follow(&mut self, term: u64, owner: &str, out: &mut Vec<Effect>) {
-        if self.seat == Seat::Owner {
+        if self.role == ReplicaRole::Owner {
             out.push(Effect::StoodDown(owner.to_owned()));
         }
-        self.seat = Seat::Follower;
+        self.role = ReplicaRole::Follower;
         self.term = term;
         self.matched = self.commit;
         self.owner = owner.to_owned();
@@ -621,19 +623,19 @@
         self.verified_from = 0;
     }
 
-    /// This process goes on in another life: what it owned was another's word.
-    pub fn relive(&mut self, life: u64, out: &mut Vec<Effect>) {
-        self.life = life;
-        if self.seat == Seat::Owner {
+    /// This process goes on in another incarnation: what it owned was another's word.
+    pub fn relive(&mut self, incarnation: u64, out: &mut Vec<Effect>) {
+        self.incarnation = incarnation;
+        if self.role == ReplicaRole::Owner {
             self.follow(self.term, "", out);
         }
     }
 
     /// The candidate saw the committed stop marker that names it.
     fn resume(&mut self, now: u64, s: Stop, out: &mut Vec<Effect>) {
-        tally::count("splices_resumed");
-        tally::change!("partition {} spliced at {}: owner at term {}", self.id, s.splice, s.term);
-        self.own(s.term, s.insync, false, now, out);
+        telemetry::count("splices_resumed");
+        telemetry::change!("partition {} spliced at {}: owner at term {}", self.id, s.splice, s.term);
+        self.own(s.term, s.in_sync, false, now, out);
         self.own_known = false;
         self.ask_own(now, out);
     }
@@ -645,14 +647,14 @@
             term: self.term,
             node: self.me.clone(),
             kind: OrderKind::Own as i32,
-            life: self.life,
+            incarnation: self.incarnation,
             ..Order::default()
         }));
     }
 
     /// Begins a planned move.
     pub fn start_move(&mut self, candidate: &str, leaving: bool, at_ms: u64, now: u64, out: &mut Vec<Effect>) {
-        if self.seat != Seat::Owner || self.moving.is_some() || !self.insync.iter().any(|n| n == candidate) {
+        if self.role != ReplicaRole::Owner || self.moving.is_some() || !self.in_sync.iter().any(|n| n == candidate) {
             return;
         }
         self.moving = Some(Move { candidate: candidate.into(), leaving, began: now, phase: Phase::Verify });
@@ -664,7 +666,7 @@
     }
 
     fn write_epoch(&mut self, at_ms: u64, now: u64, out: &mut Vec<Effect>) {
-        let epoch = Entry::Epoch(Epoch { position: self.jig.position, digest: self.jig.digest() });
+        let epoch = Entry::Epoch(Epoch { position: self.state.position, digest: self.state.digest() });
         if let Some(pos) = self.append(&Record { at_ms, entry: Some(epoch) }, now, out) {
             self.epochs.insert(pos, now);
             while self.epochs.len() > 64 {
@@ -686,18 +688,18 @@
         let (Some(last), Some(first)) = (self.epochs.get(&p.verified), first) else {
             return false;
         };
-        now.saturating_sub(*last) <= 2 * self.pace.window.max(self.pace.epoch)
-            && last.saturating_sub(*first) >= self.pace.window
+        now.saturating_sub(*last) <= 2 * self.timing.window.max(self.timing.epoch)
+            && last.saturating_sub(*first) >= self.timing.window
     }
 
     fn step_move(&mut self, now: u64, out: &mut Vec<Effect>) {
         let Some(m) = self.moving.clone() else { return };
-        if self.seat != Seat::Owner {
+        if self.role != ReplicaRole::Owner {
             return;
         }
         match m.phase {
             Phase::Verify => {
-                if !self.insync.contains(&m.candidate) {
+                if !self.in_sync.contains(&m.candidate) {
                     self.moving = None;
                 } else if self.proven(&m.candidate, now) {
                     self.set_phase(Phase::Granting { asked: now });
@@ -705,16 +707,16 @@
                 }
             }
             Phase::Granting { asked } => {
-                if now > asked + self.pace.again {
+                if now > asked + self.timing.again {
                     self.set_phase(Phase::Granting { asked: now });
                     self.ask_grant(&m, out);
                 }
             }
-            Phase::Stopping { term, insync } => {
+            Phase::Stopping { term, in_sync } => {
                 // All that was taken is committed; nothing is taken any more.
                 if self.commit == self.end() {
                     let splice = self.end() + 1;
-                    let stop = Entry::Stop(Stop { splice, term, candidate: m.candidate, insync });
+                    let stop = Entry::Stop(Stop { splice, term, candidate: m.candidate, in_sync });
                     // The seam itself has no time: what is folded has it from records before.
                     self.put(&Record { at_ms: 0, entry: Some(stop) }, now, out);
                     self.set_phase(Phase::Marked { at: splice });
@@ -724,13 +726,13 @@
             }
             Phase::Marked { at } => {
                 if self.commit >= at {
-                    tally::count("splices_marked");
-                    tally::change!("partition {} stopped at {at} for {}", self.id, m.candidate);
+                    telemetry::count("splices_marked");
+                    telemetry::change!("partition {} stopped at {at} for {}", self.id, m.candidate);
                     let names: Vec<String> = self.peers.keys().cloned().collect();
                     for n in names {
                         self.send_to(&n, now, true, out);
                     }
-                    self.seat = Seat::Follower;
+                    self.role = ReplicaRole::Follower;
                     self.owner = m.candidate.clone();
                     self.moving = None;
                     self.joining.clear();
@@ -760,7 +762,7 @@
     /// The majority's answer to something asked.
     pub fn ordered(&mut self, order: &Order, ack: &OrderAck, now: u64, out: &mut Vec<Effect>) {
         if let Some(p) = &ack.partition {
-            self.charter(p, now, out);
+            self.assignments(p, now, out);
         }
         let join = order.kind == OrderKind::Join as i32;
         if join && !ack.ok && !ack.refused && order.seen != self.told && self.joining.contains_key(&order.node) {
@@ -786,7 +788,7 @@
     // ---- the follower's side ----
 
     pub fn entries(&mut self, m: Entries, now: u64, out: &mut Vec<Effect>) {
-        if m.term < self.term || (m.term == self.term && self.seat == Seat::Owner) {
+        if m.term < self.term || (m.term == self.term && self.role == ReplicaRole::Owner) {
             out.push(Effect::Send(m.owner.clone(), Body::EntriesAck(self.ack(false))));
             return;
         }
@@ -803,7 +805,7 @@
             }
             // Told once: whatever else is under way joins on no better.
             let (term, end, at) = self.gap_told;
-            if (term, end) != (self.term, self.end()) || now > at + self.pace.again / 2 {
+            if (term, end) != (self.term, self.end()) || now > at + self.timing.again / 2 {
                 self.gap_told = (self.term, self.end(), now);
                 out.push(Effect::Send(m.owner.clone(), Body::EntriesAck(self.ack(true))));
             }
@@ -834,9 +836,9 @@
             out.push(Effect::Persist { del: None, put, meta: self.meta(), snapshot: None, term: self.term, end });
         }
         if let Err(e) = self.fold_on(now, true, out) {
-            tally::error!("{e}");
+            telemetry::error!("{e}");
         }
-        if !fresh && self.seat == Seat::Follower {
+        if !fresh && self.role == ReplicaRole::Follower {
             out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(self.ack(false))));
         }
     }
@@ -872,12 +874,12 @@
             verified: self.verified,
             verified_from: self.verified_from,
             mismatch: self.mismatch,
-            life: self.life,
+            incarnation: self.incarnation,
         }
     }
 
     pub fn chunk(&mut self, c: Chunk, now: u64, out: &mut Vec<Effect>) {
-        if c.term < self.term || (c.term == self.term && self.seat == Seat::Owner) {
+        if c.term < self.term || (c.term == self.term && self.role == ReplicaRole::Owner) {
             return;
         }
         if c.term > self.term {
@@ -890,7 +892,7 @@
                 self.matched = self.matched.max(c.position);
                 self.commit = self.commit.max(c.position);
                 if let Err(e) = self.fold_on(now, true, out) {
-                    tally::error!("{e}");
+                    telemetry::error!("{e}");
                 }
                 let ack = self.ack(false);
                 out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(ack)));
@@ -913,17 +915,18 @@
         }
         let data: Bytes = self.chunks.concat().into();
         self.chunks.clear();
-        let restored =
-            Snapshot::decode(data.clone()).map_err(|e| e.to_string()).and_then(|s| Jig::restore(&s, self.pace.status));
-        let jig = match restored {
+        let restored = Snapshot::decode(data.clone())
+            .map_err(|e| e.to_string())
+            .and_then(|s| PartitionState::restore(&s, self.timing.status));
+        let state = match restored {
             Ok(j) => j,
             Err(e) => {
-                tally::error!("partition {}: {e}", self.id);
+                telemetry::error!("partition {}: {e}", self.id);
                 return;
             }
         };
         let (from, end) = (self.disk_base + 1, self.end());
-        self.jig = jig;
+        self.state = state;
         self.log.clear();
         self.log_bytes = 0;
         self.since_snapshot = 0;
@@ -953,16 +956,16 @@
 
     /// The disk holds all up to `end` as it was at `term`.
     pub fn synced(&mut self, term: u64, end: u64, now: u64, out: &mut Vec<Effect>) {
-        if term != self.term && self.seat == Seat::Follower && end > self.commit {
+        if term != self.term && self.role == ReplicaRole::Follower && end > self.commit {
             // Written before the term changed: it may have been cut away since.
             if self.term_at(end) != Some(term) {
                 return;
             }
         }
         self.durable = self.durable.max(end.min(self.end()));
-        match self.seat {
-            Seat::Owner => self.advance(now, out),
-            Seat::Follower => {
+        match self.role {
+            ReplicaRole::Owner => self.advance(now, out),
+            ReplicaRole::Follower => {
                 if !self.owner.is_empty() && self.owner != self.me {
                     let ack = self.ack(false);
                     out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(ack)));
@@ -972,31 +975,31 @@
     }
 
     pub fn acked(&mut self, a: EntriesAck, now: u64, out: &mut Vec<Effect>) {
-        if a.term > self.term && self.seat == Seat::Owner {
-            // Somebody knows a higher term: the charter will say who.
-            tally::count("owners_fenced");
+        if a.term > self.term && self.role == ReplicaRole::Owner {
+            // Somebody knows a higher term: the assignments will say who.
+            telemetry::count("owners_fenced");
             let term = a.term;
             self.follow(term - 1, "", out);
             return;
         }
-        if self.seat != Seat::Owner || a.term != self.term {
+        if self.role != ReplicaRole::Owner || a.term != self.term {
             return;
         }
         let (commit, first, end, took_at) = (self.commit, self.first, self.end(), self.took_at);
         let Some(p) = self.peers.get_mut(&a.node) else { return };
         p.heard = now;
-        if p.life != a.life {
+        if p.incarnation != a.incarnation {
             // Another process: what the former one had on disk may be gone.
-            p.life = a.life;
+            p.incarnation = a.incarnation;
             p.acked = 0;
             p.snapshot = 0;
             p.refused = 0;
         }
-        let refused = now < p.refused + 4 * self.pace.again;
+        let refused = now < p.refused + 4 * self.timing.again;
         p.verified = a.verified;
         p.verified_from = a.verified_from;
         if a.mismatch && !p.mismatch {
-            tally::error!("partition {}: the shadow state of {} differs; no cutover to it", self.id, a.node);
+            telemetry::error!("partition {}: the shadow state of {} differs; no cutover to it", self.id, a.node);
         }
         p.mismatch = a.mismatch;
         if a.gap {
@@ -1006,7 +1009,7 @@
             // It may have lost its disk: what it once held does not count.
             p.acked = p.acked.min(a.durable);
             let behind = p.sent + 1 < first;
-            if behind && now < p.resent + self.pace.again {
+            if behind && now < p.resent + self.timing.again {
                 return;
             }
             self.send_to(&a.node, now, true, out);
@@ -1019,9 +1022,9 @@
             p.acked = a.durable.min(p.sent);
         }
         let acked = p.acked;
-        let wanted = self.homes.contains(&a.node);
+        let wanted = self.replicas.contains(&a.node);
         if wanted
-            && !self.insync.contains(&a.node)
+            && !self.in_sync.contains(&a.node)
             && !self.joining.contains_key(&a.node)
             // Also what its owner found when it took over, and may have been committed.
             && acked >= commit.max(took_at)
@@ -1043,33 +1046,33 @@
             term: self.term,
             node: node.to_owned(),
             kind: OrderKind::Join as i32,
-            life: self.peers.get(node).map_or(0, |p| p.life),
+            incarnation: self.peers.get(node).map_or(0, |p| p.incarnation),
             seen: self.told,
             ..Order::default()
         }));
     }
 
     pub fn tick(&mut self, now: u64, at_ms: u64, out: &mut Vec<Effect>) {
-        if self.seat != Seat::Owner {
+        if self.role != ReplicaRole::Owner {
             return;
         }
         let moving_verify = matches!(&self.moving, Some(m) if m.phase == Phase::Verify);
         let last = self.epochs.last_key_value().map_or(0, |(_, t)| *t);
-        let due = if moving_verify { self.pace.window } else { self.pace.epoch };
+        let due = if moving_verify { self.timing.window } else { self.timing.epoch };
         if now >= last + due && (self.end() > self.last_epoch || moving_verify) {
             self.write_epoch(at_ms, now, out);
         }
         if let Some(m) = &self.moving
             && m.phase == Phase::Verify
-            && now > m.began + 40 * self.pace.window
+            && now > m.began + 40 * self.timing.window
         {
-            tally::error!("partition {}: no match with {} in time, move given up", self.id, m.candidate);
+            telemetry::error!("partition {}: no match with {} in time, move given up", self.id, m.candidate);
             self.moving = None;
         }
         let again: Vec<String> = self
             .joining
             .iter_mut()
-            .filter(|(_, asked)| now > **asked + self.pace.again)
+            .filter(|(_, asked)| now > **asked + self.timing.again)
             .map(|(n, asked)| {
                 *asked = now;
                 n.clone()
@@ -1078,17 +1081,18 @@
         for n in again {
             self.ask_join(&n, out);
         }
-        if !self.own_known && now > self.own_asked + self.pace.again {
+        if !self.own_known && now > self.own_asked + self.timing.again {
             self.ask_own(now, out);
         }
         let end = self.end();
-        let names: Vec<String> = self.homes.iter().chain(&self.insync).filter(|n| **n != self.me).cloned().collect();
+        let names: Vec<String> =
+            self.replicas.iter().chain(&self.in_sync).filter(|n| **n != self.me).cloned().collect();
         for n in names {
             let commit = self.commit;
-            let again = self.pace.again;
+            let again = self.timing.again;
             // One that is to be in sync and is not is asked where it is, even
             // when there is nothing to send.
-            let out_of_sync = !self.insync.contains(&n) && !self.joining.contains_key(&n);
+            let out_of_sync = !self.in_sync.contains(&n) && !self.joining.contains_key(&n);
             let p = self.peers.entry(n.clone()).or_insert_with(|| Peer { heard: now, ..Peer::default() });
             if (p.acked < end || out_of_sync) && now > p.heard.max(p.resent) + again {
                 // Lost on the way, or the node is new here: say where we are.
@@ -1101,9 +1105,9 @@
             }
         }
         // Nodes that are to hold nothing any more.
-        if self.moving.is_none() && self.homes.iter().all(|h| self.insync.contains(h)) {
-            for n in self.insync.clone() {
-                if !self.homes.contains(&n) && n != self.me {
+        if self.moving.is_none() && self.replicas.iter().all(|h| self.in_sync.contains(h)) {
+            for n in self.in_sync.clone() {
+                if !self.replicas.contains(&n) && n != self.me {
                     out.push(Effect::Ask(Order {
                         partition: self.id,
                         term: self.term,
--- a/crates/lathe/src/turret.rs
+++ b/crates/store/src/scheduler.rs
@@ -2,8 +2,8 @@
 //! gets the next one. Nothing here is durable; it is made anew from the fold
 //! whenever a partition is taken over.
 
-use dovetail::msg::{Charter, Node, Outcome, Report, Roster, Sample, Unit};
-use gauge::{Channel, Plant};
+use config::{Route, Service};
+use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -12,21 +12,21 @@
 pub type Key = (u32, u64);
 
 #[derive(Clone, Debug)]
-pub struct Flight {
-    pub plant: String,
-    pub channel: String,
-    /// The processor's id, or the plant's name for an endpoint.
-    pub unit: String,
+pub struct InFlight {
+    pub service: String,
+    pub route: String,
+    /// The processor's id, or the service's name for an endpoint.
+    pub processor: String,
     pub revision: String,
-    pub hatch: String,
+    pub front: String,
     pub until: u64,
     /// Which attempt it is: its term and number; 0 if not known.
     pub attempt: (u64, u64),
 }
 
 #[derive(Clone, Debug, Default)]
-struct UnitState {
-    flights: u32,
+struct ProcessorState {
+    in_flight: u32,
     /// What others had there when it last told its load.
     foreign: u32,
     told_at: u64,
@@ -40,24 +40,24 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    pub unit: String,
+pub struct Target {
+    pub processor: String,
     /// Empty for an endpoint.
     pub target: String,
     pub address: String,
     pub revision: String,
-    pub hatch: String,
-    pub hatch_inner: String,
+    pub front: String,
+    pub front_inner: String,
 }
 
 /// What messages may fill of a machine, in bytes.
 #[derive(Clone, Copy)]
-pub struct Room {
+pub struct Capacity {
     pub memory: usize,
     pub disk: usize,
 }
 
-impl Room {
+impl Capacity {
     /// Whether a message of that rank is taken. The highest rank may use all of
     /// the room; each lower one a tenth less of the memory, down to a half, and a
     /// fiftieth less of the disk, most of which is the store's own journals.
@@ -68,7 +68,7 @@
 }
 
 #[derive(Clone, Copy)]
-pub struct TurretPace {
+pub struct SchedulerTiming {
     /// How long told loads hold.
     pub load_ms: u64,
     /// The first pause after a failure; doubled up to the longest.
@@ -76,32 +76,32 @@
     pub longest_ms: u64,
 }
 
-pub struct Turret {
+pub struct DeliveryScheduler {
     /// The owner's name: owners begin their search at different processors.
     me: String,
     zone: String,
     region: String,
-    pace: TurretPace,
+    timing: SchedulerTiming,
     ready: HashMap<String, BTreeSet<(u64, Key)>>,
     queued: HashMap<Key, (String, u64)>,
     delayed: BinaryHeap<Reverse<(u64, Key)>>,
-    pub flights: HashMap<Key, Flight>,
-    units: HashMap<String, UnitState>,
+    pub in_flight: HashMap<Key, InFlight>,
+    processors: HashMap<String, ProcessorState>,
     buckets: HashMap<String, Bucket>,
     coins: HashMap<String, f64>,
     pauses: HashMap<Key, u32>,
     turns: HashMap<String, u32>,
     samples: HashMap<(String, String, String), Sample>,
-    pub roster: Arc<Roster>,
-    by_plant: HashMap<String, Vec<Unit>>,
-    /// By plant, in the order in which this owner looks at them.
+    pub membership: Arc<Membership>,
+    by_service: HashMap<String, Vec<Processor>>,
+    /// By service, in the order in which this owner looks at them.
     turns_at: HashMap<String, Vec<usize>>,
-    /// Of the roster in use: delivery nodes by zone, and the zones of this region.
-    hatches: HashMap<String, Vec<usize>>,
+    /// Of the membership in use: delivery nodes by zone, and the zones of this region.
+    fronts: HashMap<String, Vec<usize>>,
     near: HashSet<String>,
-    pub charter: Arc<Charter>,
+    pub assignments: Arc<Assignments>,
     pub notices: VecDeque<(u64, Key)>,
-    pub notice_flights: HashMap<String, u32>,
+    pub notices_in_flight: HashMap<String, u32>,
 }
 
 /// What a new owner knows of the delivery nodes that did not say what they hold.
@@ -137,65 +137,65 @@
     (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15)
 }
 
-impl Turret {
-    pub fn new(me: &str, zone: &str, region: &str, pace: TurretPace) -> Turret {
-        Turret {
+impl DeliveryScheduler {
+    pub fn new(me: &str, zone: &str, region: &str, timing: SchedulerTiming) -> DeliveryScheduler {
+        DeliveryScheduler {
             me: me.into(),
             zone: zone.into(),
             region: region.into(),
-            pace,
+            timing,
             ready: HashMap::new(),
             queued: HashMap::new(),
             delayed: BinaryHeap::new(),
-            flights: HashMap::new(),
-            units: HashMap::new(),
+            in_flight: HashMap::new(),
+            processors: HashMap::new(),
             buckets: HashMap::new(),
             coins: HashMap::new(),
             pauses: HashMap::new(),
             turns: HashMap::new(),
             samples: HashMap::new(),
-            roster: Arc::default(),
-            by_plant: HashMap::new(),
+            membership: Arc::default(),
+            by_service: HashMap::new(),
             turns_at: HashMap::new(),
-            hatches: HashMap::new(),
+            fronts: HashMap::new(),
             near: HashSet::new(),
-            charter: Arc::default(),
+            assignments: Arc::default(),
             notices: VecDeque::new(),
-            notice_flights: HashMap::new(),
+            notices_in_flight: HashMap::new(),
         }
     }
 
-    pub fn news(&mut self, roster: &Arc<Roster>, charter: &Arc<Charter>) {
-        self.charter = charter.clone();
-        if Arc::ptr_eq(roster, &self.roster) {
+    pub fn news(&mut self, membership: &Arc<Membership>, assignments: &Arc<Assignments>) {
+        self.assignments = assignments.clone();
+        if Arc::ptr_eq(membership, &self.membership) {
             return;
         }
-        self.roster = roster.clone();
-        self.by_plant.clear();
-        for u in &roster.units {
-            self.by_plant.entry(u.plant.clone()).or_default().push(u.clone());
+        self.membership = membership.clone();
+        self.by_service.clear();
+        for u in &membership.processors {
+            self.by_service.entry(u.service.clone()).or_default().push(u.clone());
         }
         self.turns_at = self
-            .by_plant
+            .by_service
             .iter()
-            .map(|(plant, units)| {
-                let mut order: Vec<usize> = (0..units.len()).collect();
-                order.sort_by_cached_key(|n| hash(&self.me, &units[*n].id));
-                (plant.clone(), order)
+            .map(|(service, processors)| {
+                let mut order: Vec<usize> = (0..processors.len()).collect();
+                order.sort_by_cached_key(|n| hash(&self.me, &processors[*n].id));
+                (service.clone(), order)
             })
             .collect();
-        self.hatches.clear();
+        self.fronts.clear();
         self.near.clear();
-        for (at, n) in roster.nodes.iter().enumerate() {
-            if n.role == "hatch" && !n.leaving {
-                self.hatches.entry(n.zone.clone()).or_default().push(at);
+        for (at, n) in membership.nodes.iter().enumerate() {
+            if n.role == "front" && !n.leaving {
+                self.fronts.entry(n.zone.clone()).or_default().push(at);
             }
             if n.region == self.region {
                 self.near.insert(n.zone.clone());
             }
         }
-        let there: HashSet<&str> = roster.units.iter().map(|u| u.id.as_str()).collect();
-        self.units.retain(|id, s| s.flights > 0 || s.failures > 0 || there.contains(id.as_str()));
+        let there: HashSet<&str> = membership.processors.iter().map(|u| u.id.as_str()).collect();
+        self.processors.retain(|id, s| s.in_flight > 0 || s.failures > 0 || there.contains(id.as_str()));
     }
 
     /// Forgets a partition that is owned elsewhere now.
@@ -207,19 +207,19 @@
         self.delayed.retain(|Reverse((_, k))| k.0 != partition);
         self.pauses.retain(|k, _| k.0 != partition);
         self.notices.retain(|(_, k)| k.0 != partition);
-        let gone: Vec<Key> = self.flights.keys().filter(|k| k.0 == partition).copied().collect();
+        let gone: Vec<Key> = self.in_flight.keys().filter(|k| k.0 == partition).copied().collect();
         for k in gone {
             self.land(k);
         }
     }
 
     /// Queues a message by its age; once.
-    pub fn ready(&mut self, key: Key, plant: &str, age: u64) {
-        if self.flights.contains_key(&key) || self.queued.contains_key(&key) {
+    pub fn ready(&mut self, key: Key, service: &str, age: u64) {
+        if self.in_flight.contains_key(&key) || self.queued.contains_key(&key) {
             return;
         }
-        self.queued.insert(key, (plant.to_owned(), age));
-        self.ready.entry(plant.to_owned()).or_default().insert((age, key));
+        self.queued.insert(key, (service.to_owned(), age));
+        self.ready.entry(service.to_owned()).or_default().insert((age, key));
     }
 
     pub fn later(&mut self, key: Key, wall: u64) {
@@ -240,28 +240,28 @@
         self.delayed.peek().map(|Reverse((at, _))| *at)
     }
 
-    pub fn plants_ready(&self) -> Vec<String> {
+    pub fn services_ready(&self) -> Vec<String> {
         self.ready.iter().filter(|(_, q)| !q.is_empty()).map(|(p, _)| p.clone()).collect()
     }
 
-    /// The message of a plant that is to go next: the oldest of those that can
+    /// The message of a service that is to go next: the oldest of those that can
     /// still begin inside their aim. What is late already is late however long
     /// it waits; it gets every fourth turn, and all that the others leave.
-    pub fn first_ready(&self, plant: &str, wall: u64, aim_ms: u64) -> Option<Key> {
-        let queue = self.ready.get(plant)?;
+    pub fn first_ready(&self, service: &str, wall: u64, target_start_ms: u64) -> Option<Key> {
+        let queue = self.ready.get(service)?;
         let oldest = queue.first()?;
         // A quarter of the aim is left for the way: one that is only just in time
         // here begins too late there, and under load all would be such.
-        let line = wall.saturating_sub(aim_ms * 3 / 4);
-        if oldest.0 >= line || self.turns.get(plant).copied().unwrap_or(0) % 4 == 3 {
+        let line = wall.saturating_sub(target_start_ms * 3 / 4);
+        if oldest.0 >= line || self.turns.get(service).copied().unwrap_or(0) % 4 == 3 {
             return Some(oldest.1);
         }
         Some(queue.range((line, (0, 0))..).next().unwrap_or(oldest).1)
     }
 
     pub fn unqueue(&mut self, key: Key) {
-        if let Some((plant, age)) = self.queued.remove(&key)
-            && let Some(q) = self.ready.get_mut(&plant)
+        if let Some((service, age)) = self.queued.remove(&key)
+            && let Some(q) = self.ready.get_mut(&service)
         {
             q.remove(&(age, key));
         }
@@ -282,19 +282,19 @@
     pub fn pause(&mut self, key: Key) -> u64 {
         let n = self.pauses.entry(key).or_insert(0);
         *n += 1;
-        (self.pace.pause_ms << (*n - 1).min(6)).min(self.pace.longest_ms)
+        (self.timing.pause_ms << (*n - 1).min(6)).min(self.timing.longest_ms)
     }
 
     /// One token of a service's ceiling, if there is one now; else when.
-    pub fn token(&mut self, plant: &Plant, now: u64) -> Result<(), u64> {
-        if plant.flow_per_s <= 0.0 {
+    pub fn token(&mut self, service: &Service, now: u64) -> Result<(), u64> {
+        if service.flow_per_s <= 0.0 {
             return Ok(());
         }
         // Begins empty: another owner may just have spent what there was.
-        let b = self.buckets.entry(plant.name.clone()).or_insert(Bucket { tokens: 0.0, at: now });
-        let rate = plant.flow_per_s / 1000.0;
+        let b = self.buckets.entry(service.name.clone()).or_insert(Bucket { tokens: 0.0, at: now });
+        let rate = service.flow_per_s / 1000.0;
         // A tenth of a second's worth may be saved up.
-        b.tokens = (b.tokens + (now - b.at) as f64 * rate).min((plant.flow_per_s / 10.0).max(1.0));
+        b.tokens = (b.tokens + (now - b.at) as f64 * rate).min((service.flow_per_s / 10.0).max(1.0));
         b.at = now;
         if b.tokens >= 1.0 {
             b.tokens -= 1.0;
@@ -304,47 +304,48 @@
         }
     }
 
-    fn load(&self, id: &str, now: u64) -> (u32, &UnitState) {
-        static NONE: UnitState = UnitState { flights: 0, foreign: 0, told_at: 0, failures: 0, shut_until: 0 };
-        let s = self.units.get(id).unwrap_or(&NONE);
-        let foreign = if now < s.told_at + self.pace.load_ms { s.foreign } else { 0 };
-        (s.flights + foreign, s)
+    fn load(&self, id: &str, now: u64) -> (u32, &ProcessorState) {
+        static NONE: ProcessorState =
+            ProcessorState { in_flight: 0, foreign: 0, told_at: 0, failures: 0, shut_until: 0 };
+        let s = self.processors.get(id).unwrap_or(&NONE);
+        let foreign = if now < s.told_at + self.timing.load_ms { s.foreign } else { 0 };
+        (s.in_flight + foreign, s)
     }
 
-    fn hatch(&self, key: &str, zone: &str) -> Option<(&str, &str)> {
-        let of = |zone: &str| self.hatches.get(zone).into_iter().flatten().map(|at| &self.roster.nodes[*at]);
+    fn front(&self, key: &str, zone: &str) -> Option<(&str, &str)> {
+        let of = |zone: &str| self.fronts.get(zone).into_iter().flatten().map(|at| &self.membership.nodes[*at]);
         let found = rendezvous(key, of(zone))
             .or_else(|| rendezvous(key, of(&self.zone)))
-            .or_else(|| rendezvous(key, self.hatches.keys().flat_map(|z| of(z))))?;
+            .or_else(|| rendezvous(key, self.fronts.keys().flat_map(|z| of(z))))?;
         Some((&found.name, &found.inner))
     }
 
     /// A delivery node for calls that no processor's zone decides.
-    pub fn any_hatch(&self, key: &str) -> Option<(String, String)> {
-        self.hatch(key, &self.zone).map(|(n, i)| (n.to_owned(), i.to_owned()))
+    pub fn any_front(&self, key: &str) -> Option<(String, String)> {
+        self.front(key, &self.zone).map(|(n, i)| (n.to_owned(), i.to_owned()))
     }
 
-    /// The processor for the next message of a plant, if one has room.
-    pub fn choose(&mut self, plant: &Plant, now: u64) -> Option<Choice> {
-        if let Some(address) = &plant.endpoint {
-            let (load, s) = self.load(&plant.name, now);
+    /// The processor for the next message of a service, if one has room.
+    pub fn choose(&mut self, service: &Service, now: u64) -> Option<Target> {
+        if let Some(address) = &service.endpoint {
+            let (load, s) = self.load(&service.name, now);
             // Half: after a take-over the connections of another delivery node may
             // still stand there.
-            let room = if s.failures > 0 { 1 } else { (plant.conn_limit / 2).max(1) };
-            if now < s.shut_until || s.flights >= room || load >= plant.conn_limit {
+            let room = if s.failures > 0 { 1 } else { (service.conn_limit / 2).max(1) };
+            if now < s.shut_until || s.in_flight >= room || load >= service.conn_limit {
                 return None;
             }
-            let (hatch, inner) = self.hatch(&plant.name, &self.zone)?;
-            return Some(Choice {
-                unit: plant.name.clone(),
+            let (front, inner) = self.front(&service.name, &self.zone)?;
+            return Some(Target {
+                processor: service.name.clone(),
                 target: String::new(),
                 address: address.clone(),
                 revision: String::new(),
-                hatch: hatch.to_owned(),
-                hatch_inner: inner.to_owned(),
+                front: front.to_owned(),
+                front_inner: inner.to_owned(),
             });
         }
-        let rollout = self.charter.rollouts.iter().find(|r| r.plant == plant.name);
+        let rollout = self.assignments.rollouts.iter().find(|r| r.service == service.name);
         let (mut wants_new, mut target) = (None, "");
         if let Some(r) = rollout {
             target = &r.target;
@@ -353,36 +354,36 @@
                 "reverted" => Some(false),
                 _ if r.share >= 1000 => Some(true),
                 _ => {
-                    let coin = self.coins.get(&plant.name).copied().unwrap_or(0.5) + f64::from(r.share) / 1000.0;
+                    let coin = self.coins.get(&service.name).copied().unwrap_or(0.5) + f64::from(r.share) / 1000.0;
                     Some(coin >= 1.0)
                 }
             };
         }
-        let units = self.by_plant.get(&plant.name)?;
+        let processors = self.by_service.get(&service.name)?;
         let trying = rollout.is_some_and(|r| r.state == "running" && r.share < 1000);
         let mut fit = if trying && wants_new == Some(true) {
             // On trial, its few runs are put on as few processors as have room:
             // what only goes wrong under load shows before the share is raised.
-            self.packed(units, now, target)
+            self.packed(processors, now, target)
         } else {
-            self.best(&plant.name, units, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w))
+            self.best(&service.name, processors, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w))
         };
         if fit.is_none() && wants_new == Some(true) && trying {
-            fit = self.best(&plant.name, units, now, |u| u.revision != target);
+            fit = self.best(&service.name, processors, now, |u| u.revision != target);
         }
         let u = fit?.clone();
         if let Some(r) = rollout.filter(|r| r.state == "running") {
-            let coin = self.coins.entry(plant.name.clone()).or_insert(0.5);
+            let coin = self.coins.entry(service.name.clone()).or_insert(0.5);
             *coin = (*coin + f64::from(r.share) / 1000.0).min(2.0);
             if u.revision == r.target {
                 *coin -= 1.0;
             }
         }
-        let (hatch, inner) = self.hatch(&u.id, &u.zone)?;
-        Some(Choice {
-            hatch: hatch.to_owned(),
-            hatch_inner: inner.to_owned(),
-            unit: u.id.clone(),
+        let (front, inner) = self.front(&u.id, &u.zone)?;
+        Some(Target {
+            front: front.to_owned(),
+            front_inner: inner.to_owned(),
+            processor: u.id.clone(),
             target: u.id,
             address: u.address,
             revision: u.revision,
@@ -391,9 +392,9 @@
 
     /// The first of a version's processors, by id, that has room: every owner
     /// comes to the same one.
-    fn packed<'a>(&self, units: &'a [Unit], now: u64, revision: &str) -> Option<&'a Unit> {
+    fn packed<'a>(&self, processors: &'a [Processor], now: u64, revision: &str) -> Option<&'a Processor> {
         // Cold ones are slow for a while: they would be judged for that.
-        units.iter().filter(|u| !u.draining && !u.cold && u.revision == revision).find(|u| {
+        processors.iter().filter(|u| !u.draining && !u.cold && u.revision == revision).find(|u| {
             let (load, s) = self.load(&u.id, now);
             now >= s.shut_until && load < if s.failures > 0 { 1 } else { u.capacity.max(1) }
         })
@@ -401,9 +402,15 @@
 
     /// The least loaded, near ones before far ones. Of equals each owner takes
     /// another first: they know little of each other's runs, and would else meet.
-    fn best<'a>(&self, plant: &str, units: &'a [Unit], now: u64, fits: impl Fn(&Unit) -> bool) -> Option<&'a Unit> {
-        let mut best: Option<(f64, &Unit)> = None;
-        let order = self.turns_at.get(plant)?.iter().map(|n| &units[*n]);
+    fn best<'a>(
+        &self,
+        service: &str,
+        processors: &'a [Processor],
+        now: u64,
+        fits: impl Fn(&Processor) -> bool,
+    ) -> Option<&'a Processor> {
+        let mut best: Option<(f64, &Processor)> = None;
+        let order = self.turns_at.get(service)?.iter().map(|n| &processors[*n]);
         for u in order.filter(|u| !u.draining && fits(u)) {
             let (load, s) = self.load(&u.id, now);
             let capacity = u.capacity.max(1);
@@ -426,48 +433,48 @@
         best.map(|(_, u)| u)
     }
 
-    pub fn launch(&mut self, key: Key, choice: &Choice, channel: &Channel, until: u64) {
+    pub fn launch(&mut self, key: Key, choice: &Target, route: &Route, until: u64) {
         self.unqueue(key);
-        let turn = self.turns.entry(channel.plant.clone()).or_insert(0);
+        let turn = self.turns.entry(route.service.clone()).or_insert(0);
         *turn = turn.wrapping_add(1);
-        self.units.entry(choice.unit.clone()).or_default().flights += 1;
-        let flight = Flight {
-            plant: channel.plant.clone(),
-            channel: channel.name.clone(),
-            unit: choice.unit.clone(),
+        self.processors.entry(choice.processor.clone()).or_default().in_flight += 1;
+        let in_flight = InFlight {
+            service: route.service.clone(),
+            route: route.name.clone(),
+            processor: choice.processor.clone(),
             revision: choice.revision.clone(),
-            hatch: choice.hatch.clone(),
+            front: choice.front.clone(),
             until,
             attempt: (0, 0),
         };
-        if let Some(s) = self.sample(&flight) {
+        if let Some(s) = self.sample(&in_flight) {
             s.sent += 1;
         }
-        self.flights.insert(key, flight);
+        self.in_flight.insert(key, in_flight);
     }
 
     /// Taken over while under way.
-    pub fn adopt(&mut self, key: Key, channel: &Channel, unit: &str, hatch: &str, until: u64) {
+    pub fn adopt(&mut self, key: Key, route: &Route, processor: &str, front: &str, until: u64) {
         self.unqueue(key);
-        if self.flights.contains_key(&key) {
+        if self.in_flight.contains_key(&key) {
             return;
         }
-        self.units.entry(unit.to_owned()).or_default().flights += 1;
-        let flight = Flight {
-            plant: channel.plant.clone(),
-            channel: channel.name.clone(),
-            unit: unit.to_owned(),
+        self.processors.entry(processor.to_owned()).or_default().in_flight += 1;
+        let in_flight = InFlight {
+            service: route.service.clone(),
+            route: route.name.clone(),
+            processor: processor.to_owned(),
             revision: String::new(),
-            hatch: hatch.to_owned(),
+            front: front.to_owned(),
             until,
             attempt: (0, 0),
         };
-        self.flights.insert(key, flight);
+        self.in_flight.insert(key, in_flight);
     }
 
     /// Says which attempt is under way.
     pub fn name(&mut self, key: Key, term: u64, attempt: u64) {
-        if let Some(f) = self.flights.get_mut(&key) {
+        if let Some(f) = self.in_flight.get_mut(&key) {
             f.attempt = (term, attempt);
         }
     }
@@ -475,31 +482,31 @@
     /// Whether another attempt at that message is under way than the one told of.
     pub fn outdated(&self, key: Key, term: u64, attempt: u64) -> bool {
         let differs = |a: u64, b: u64| a != 0 && b != 0 && a != b;
-        self.flights.get(&key).is_some_and(|f| differs(f.attempt.0, term) || differs(f.attempt.1, attempt))
+        self.in_flight.get(&key).is_some_and(|f| differs(f.attempt.0, term) || differs(f.attempt.1, attempt))
     }
 
-    pub fn land(&mut self, key: Key) -> Option<Flight> {
-        let f = self.flights.remove(&key)?;
-        if let Some(s) = self.units.get_mut(&f.unit) {
-            s.flights = s.flights.saturating_sub(1);
+    pub fn land(&mut self, key: Key) -> Option<InFlight> {
+        let f = self.in_flight.remove(&key)?;
+        if let Some(s) = self.processors.get_mut(&f.processor) {
+            s.in_flight = s.in_flight.saturating_sub(1);
         }
         Some(f)
     }
 
     pub fn overdue(&self, now: u64) -> Vec<Key> {
-        self.flights.iter().filter(|(_, f)| now >= f.until).map(|(k, _)| *k).collect()
+        self.in_flight.iter().filter(|(_, f)| now >= f.until).map(|(k, _)| *k).collect()
     }
 
-    fn sample(&mut self, f: &Flight) -> Option<&mut Sample> {
-        let running = self.charter.rollouts.iter().any(|r| r.plant == f.plant && r.state == "running");
+    fn sample(&mut self, f: &InFlight) -> Option<&mut Sample> {
+        let running = self.assignments.rollouts.iter().any(|r| r.service == f.service && r.state == "running");
         if !running || f.revision.is_empty() {
             return None;
         }
-        let key = (f.plant.clone(), f.revision.clone(), f.channel.clone());
+        let key = (f.service.clone(), f.revision.clone(), f.route.clone());
         Some(self.samples.entry(key).or_insert_with(|| Sample {
-            plant: f.plant.clone(),
+            service: f.service.clone(),
             revision: f.revision.clone(),
-            channel: f.channel.clone(),
+            route: f.route.clone(),
             ..Sample::default()
         }))
     }
@@ -509,9 +516,9 @@
     }
 
     /// What a delivery says of the processor that had it.
-    pub fn learn(&mut self, f: &Flight, r: &Report, now: u64) {
+    pub fn learn(&mut self, f: &InFlight, r: &Report, now: u64) {
         let outcome = Outcome::try_from(r.outcome).unwrap_or(Outcome::Unknown);
-        let pace = self.pace;
+        let timing = self.timing;
         if let Some(s) = self.sample(f) {
             match outcome {
                 Outcome::Done => {
@@ -522,10 +529,10 @@
                 _ => {}
             }
         }
-        let s = self.units.entry(f.unit.clone()).or_default();
+        let s = self.processors.entry(f.processor.clone()).or_default();
         if r.loaded {
             // The one just answered still counts itself as running.
-            s.foreign = (r.running + r.waiting).saturating_sub(s.flights + 1);
+            s.foreign = (r.running + r.waiting).saturating_sub(s.in_flight + 1);
             s.told_at = now;
         }
         match outcome {
@@ -533,12 +540,12 @@
             Outcome::NotRun if r.status == 409 => {}
             Outcome::NotRun if r.status == 503 || r.status == 429 => {
                 // Full: others' work fills it.
-                s.shut_until = now + pace.pause_ms;
+                s.shut_until = now + timing.pause_ms;
             }
-            Outcome::NotRun if r.status == 421 => s.shut_until = now + pace.longest_ms * 4,
+            Outcome::NotRun if r.status == 421 => s.shut_until = now + timing.longest_ms * 4,
             _ => {
                 s.failures += 1;
-                s.shut_until = now + (pace.pause_ms << s.failures.min(6)).min(pace.longest_ms);
+                s.shut_until = now + (timing.pause_ms << s.failures.min(6)).min(timing.longest_ms);
             }
         }
     }
--- a/crates/lathe/src/jig.rs
+++ b/crates/store/src/state.rs
@@ -1,49 +1,49 @@
 //! The fold: a partition's state as a function of its log alone.
 
 use crate::record::*;
-use dovetail::msg::{Item, Outcome};
+use rpc::messages::{Item, Outcome};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Stand {
+pub enum MessageState {
     Pending,
     Settled,
     Dead,
 }
 
-impl Stand {
+impl MessageState {
     pub fn word(self) -> &'static str {
         match self {
-            Stand::Pending => "pending",
-            Stand::Settled => "settled",
-            Stand::Dead => "dead_letter",
+            MessageState::Pending => "pending",
+            MessageState::Settled => "settled",
+            MessageState::Dead => "dead_letter",
         }
     }
 }
 
 /// One message.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Workpiece {
+pub struct Message {
     pub item: Item,
     pub at_ms: u64,
     pub due_ms: u64,
-    pub stand: Stand,
+    pub state: MessageState,
     /// The attempts that failed.
     pub failed: Vec<u64>,
-    pub seal: String,
+    pub result_tag: String,
     pub ended_ms: u64,
     pub notified: bool,
     /// The last dispatch: when, to which unit, through which node.
     pub sent_ms: u64,
-    pub unit: String,
+    pub processor: String,
     pub node: String,
     /// Of the unchanging part, for the digest.
-    print: u64,
+    fingerprint: u64,
 }
 
-impl Workpiece {
+impl Message {
     pub fn owes_notice(&self) -> bool {
-        self.stand != Stand::Pending && !self.notified && !self.item.notify_url.is_empty()
+        self.state != MessageState::Pending && !self.notified && !self.item.notify_url.is_empty()
     }
 }
 
@@ -71,10 +71,10 @@
 }
 
 #[derive(Clone, Default)]
-pub struct Jig {
+pub struct PartitionState {
     /// All up to here is folded.
     pub position: u64,
-    pub pieces: BTreeMap<u64, Workpiece>,
+    pub pieces: BTreeMap<u64, Message>,
     /// By request id.
     ids: HashMap<String, u64>,
     /// Messages that have not ended, by order key, in order.
@@ -98,7 +98,7 @@
     h ^ (h >> 29)
 }
 
-fn print(mut h: u64, bytes: &[u8]) -> u64 {
+fn fingerprint(mut h: u64, bytes: &[u8]) -> u64 {
     h = mix(h, bytes.len() as u64);
     for c in bytes.chunks(8) {
         let mut w = [0u8; 8];
@@ -110,20 +110,20 @@
 
 /// One message's part of the digest. The parts are added up, so that a change
 /// costs no more than the message it concerns.
-fn part(pos: u64, w: &Workpiece) -> u64 {
-    let mut h = mix(w.print, pos);
-    h = mix(h, w.stand as u64);
+fn part(pos: u64, w: &Message) -> u64 {
+    let mut h = mix(w.fingerprint, pos);
+    h = mix(h, w.state as u64);
     h = w.failed.iter().fold(h, |h, a| mix(h, *a));
     h = mix(h, w.ended_ms);
     h = mix(h, w.notified as u64);
     h = mix(h, w.sent_ms);
-    h = print(h, w.seal.as_bytes());
-    print(h, w.unit.as_bytes())
+    h = fingerprint(h, w.result_tag.as_bytes());
+    fingerprint(h, w.processor.as_bytes())
 }
 
-impl Jig {
-    pub fn new(status_ms: u64) -> Jig {
-        Jig { status_ms, ..Jig::default() }
+impl PartitionState {
+    pub fn new(status_ms: u64) -> PartitionState {
+        PartitionState { status_ms, ..PartitionState::default() }
     }
 
     pub fn digest(&self) -> u64 {
@@ -150,8 +150,8 @@
         self.ids.get(id).copied()
     }
 
-    pub fn has_route(&self, channel: &str) -> bool {
-        self.routes.contains_key(channel)
+    pub fn has_route(&self, route: &str) -> bool {
+        self.routes.contains_key(route)
     }
 
     /// What has changed against the routes that are known here: with many routes
@@ -160,24 +160,24 @@
         if self.revision == 0 {
             return whole;
         }
-        let names: HashSet<&str> = whole.routes.iter().map(|r| r.channel.as_str()).collect();
+        let names: HashSet<&str> = whole.routes.iter().map(|r| r.route.as_str()).collect();
         let mut gone: Vec<String> = self.routes.keys().filter(|n| !names.contains(n.as_str())).cloned().collect();
         gone.sort();
-        let routes = whole.routes.iter().filter(|r| self.routes.get(&r.channel) != Some(r)).cloned().collect();
+        let routes = whole.routes.iter().filter(|r| self.routes.get(&r.route) != Some(r)).cloned().collect();
         Routes { revision: whole.revision, routes, since: self.revision, gone }
     }
 
-    pub fn retain_ms(&self, channel: &str) -> u64 {
-        self.routes.get(channel).map_or(0, |r| r.retain_ms)
+    pub fn retain_ms(&self, route: &str) -> u64 {
+        self.routes.get(route).map_or(0, |r| r.retain_ms)
     }
 
     /// Whether nothing of its order key is before it.
-    pub fn is_head(&self, pos: u64, w: &Workpiece) -> bool {
+    pub fn is_head(&self, pos: u64, w: &Message) -> bool {
         w.item.order_key.is_empty()
             || self.orders.get(&w.item.order_key).and_then(|q| q.front()).is_none_or(|h| *h == pos)
     }
 
-    fn change<T>(&mut self, pos: u64, f: impl FnOnce(&mut Workpiece) -> T) -> Option<T> {
+    fn change<T>(&mut self, pos: u64, f: impl FnOnce(&mut Message) -> T) -> Option<T> {
         let w = self.pieces.get_mut(&pos)?;
         self.digest = self.digest.wrapping_sub(part(pos, w));
         let t = f(w);
@@ -185,26 +185,26 @@
         Some(t)
     }
 
-    fn end(&mut self, pos: u64, stand: Stand, seal: &str, at: u64, out: &mut Vec<Change>) {
+    fn end(&mut self, pos: u64, state: MessageState, result_tag: &str, at: u64, out: &mut Vec<Change>) {
         let Some(w) = self.pieces.get(&pos) else { return };
-        if w.stand != Stand::Pending {
+        if w.state != MessageState::Pending {
             return;
         }
         let key = w.item.order_key.clone();
         self.change(pos, |w| {
-            w.stand = stand;
-            w.seal = seal.to_owned();
+            w.state = state;
+            w.result_tag = result_tag.to_owned();
             w.ended_ms = at;
         });
         self.pending.remove(&pos);
-        if stand == Stand::Settled {
+        if state == MessageState::Settled {
             // A body is owed back only for what has not ended well.
             if let Some(w) = self.pieces.get_mut(&pos) {
                 self.body_bytes -= w.item.body.len();
                 // What is still asked for: id, host, and where to call back.
                 let item = std::mem::take(&mut w.item);
-                let (id, channel, host, notify_url) = (item.id, item.channel, item.host, item.notify_url);
-                w.item = Item { id, channel, host, notify_url, ..Item::default() };
+                let (id, route, host, notify_url) = (item.id, item.route, item.host, item.notify_url);
+                w.item = Item { id, route, host, notify_url, ..Item::default() };
             }
         }
         self.ended.insert((at, pos));
@@ -236,24 +236,24 @@
                     out.push(Change::Repeated { at: pos, old: *old });
                     return out;
                 }
-                let mut h = print(pos, a.item.id.as_bytes());
-                h = print(h, &a.item.body);
-                for s in [&a.item.channel, &a.item.path, &a.item.order_key, &a.item.notify_url] {
-                    h = print(h, s.as_bytes());
+                let mut h = fingerprint(pos, a.item.id.as_bytes());
+                h = fingerprint(h, &a.item.body);
+                for s in [&a.item.route, &a.item.path, &a.item.order_key, &a.item.notify_url] {
+                    h = fingerprint(h, s.as_bytes());
                 }
-                let w = Workpiece {
+                let w = Message {
                     item: a.item.clone(),
                     at_ms: at,
                     due_ms: at + a.delay_ms,
-                    stand: Stand::Pending,
+                    state: MessageState::Pending,
                     failed: Vec::new(),
-                    seal: String::new(),
+                    result_tag: String::new(),
                     ended_ms: 0,
                     notified: false,
                     sent_ms: 0,
-                    unit: String::new(),
+                    processor: String::new(),
                     node: String::new(),
-                    print: mix(h, at + a.delay_ms),
+                    fingerprint: mix(h, at + a.delay_ms),
                 };
                 self.insert(pos, w);
                 out.push(Change::Accepted(pos));
@@ -261,24 +261,24 @@
             Some(Entry::Dispatch(d)) => {
                 self.change(d.position, |w| {
                     w.sent_ms = at;
-                    w.unit.clone_from(&d.unit);
+                    w.processor.clone_from(&d.processor);
                     w.node.clone_from(&d.node);
                 });
             }
             Some(Entry::Answer(a)) => match Outcome::try_from(a.outcome) {
-                Ok(Outcome::Done) => self.end(a.position, Stand::Settled, &a.seal, at, &mut out),
-                Ok(Outcome::Never) => self.end(a.position, Stand::Dead, "", at, &mut out),
+                Ok(Outcome::Done) => self.end(a.position, MessageState::Settled, &a.result_tag, at, &mut out),
+                Ok(Outcome::Never) => self.end(a.position, MessageState::Dead, "", at, &mut out),
                 Ok(Outcome::Failed) => {
-                    let counts = |w: &Workpiece| w.stand == Stand::Pending && !w.failed.contains(&a.attempt);
+                    let counts = |w: &Message| w.state == MessageState::Pending && !w.failed.contains(&a.attempt);
                     if self.pieces.get(&a.position).is_some_and(counts) {
                         let n = self.change(a.position, |w| {
                             w.failed.push(a.attempt);
                             w.failed.len()
                         });
-                        let channel = &self.pieces[&a.position].item.channel;
-                        let tries = self.routes.get(channel).map_or(1, |r| r.tries.max(1));
+                        let route = &self.pieces[&a.position].item.route;
+                        let tries = self.routes.get(route).map_or(1, |r| r.tries.max(1));
                         if n.unwrap_or(0) >= tries as usize {
-                            self.end(a.position, Stand::Dead, "", at, &mut out);
+                            self.end(a.position, MessageState::Dead, "", at, &mut out);
                         } else {
                             out.push(Change::Failed(a.position));
                         }
@@ -295,7 +295,7 @@
             }
             Some(Entry::Expire(e)) => {
                 for p in &e.positions {
-                    self.end(*p, Stand::Dead, "", at, &mut out);
+                    self.end(*p, MessageState::Dead, "", at, &mut out);
                 }
             }
             // Changes since another revision are of no use; their writer sees that
@@ -308,15 +308,15 @@
                 for name in &r.gone {
                     self.routes.remove(name);
                 }
-                self.routes.extend(r.routes.iter().map(|f| (f.channel.clone(), f.clone())));
+                self.routes.extend(r.routes.iter().map(|f| (f.route.clone(), f.clone())));
                 let dropped: Vec<u64> = self
                     .pieces
                     .iter()
-                    .filter(|(_, w)| w.stand == Stand::Pending && !self.routes.contains_key(&w.item.channel))
+                    .filter(|(_, w)| w.state == MessageState::Pending && !self.routes.contains_key(&w.item.route))
                     .map(|(p, _)| *p)
                     .collect();
                 for p in dropped {
-                    self.end(p, Stand::Dead, "", at, &mut out);
+                    self.end(p, MessageState::Dead, "", at, &mut out);
                 }
             }
             Some(Entry::Epoch(e)) => out.push(Change::Epoch { at: e.position, digest: e.digest }),
@@ -339,9 +339,9 @@
         out
     }
 
-    fn insert(&mut self, pos: u64, w: Workpiece) {
+    fn insert(&mut self, pos: u64, w: Message) {
         self.ids.insert(w.item.id.clone(), pos);
-        if w.stand == Stand::Pending {
+        if w.state == MessageState::Pending {
             self.pending.insert(pos);
             if !w.item.order_key.is_empty() {
                 self.orders.entry(w.item.order_key.clone()).or_default().push_back(pos);
@@ -354,7 +354,7 @@
 
     pub fn snapshot(&self) -> Snapshot {
         let mut routes: Vec<RouteFacts> = self.routes.values().cloned().collect();
-        routes.sort_by(|a, b| a.channel.cmp(&b.channel));
+        routes.sort_by(|a, b| a.route.cmp(&b.route));
         Snapshot {
             position: self.position,
             revision: self.revision,
@@ -362,20 +362,20 @@
             pieces: self
                 .pieces
                 .iter()
-                .map(|(p, w)| SnapPiece {
+                .map(|(p, w)| SnapshotPiece {
                     position: *p,
                     item: w.item.clone(),
                     at_ms: w.at_ms,
                     due_ms: w.due_ms,
-                    stand: w.stand as u32,
+                    state: w.state as u32,
                     failed: w.failed.clone(),
-                    seal: w.seal.clone(),
+                    result_tag: w.result_tag.clone(),
                     ended_ms: w.ended_ms,
                     notified: w.notified,
                     sent_ms: w.sent_ms,
-                    unit: w.unit.clone(),
+                    processor: w.processor.clone(),
                     node: w.node.clone(),
-                    print: w.print,
+                    fingerprint: w.fingerprint,
                 })
                 .collect(),
             digest: self.digest(),
@@ -383,34 +383,34 @@
     }
 
     /// The state that a snapshot holds; an error if it is not what was taken.
-    pub fn restore(s: &Snapshot, status_ms: u64) -> Result<Jig, String> {
-        let mut j = Jig::new(status_ms);
+    pub fn restore(s: &Snapshot, status_ms: u64) -> Result<PartitionState, String> {
+        let mut j = PartitionState::new(status_ms);
         j.position = s.position;
         j.revision = s.revision;
-        j.routes = s.routes.iter().map(|f| (f.channel.clone(), f.clone())).collect();
+        j.routes = s.routes.iter().map(|f| (f.route.clone(), f.clone())).collect();
         let mut ended = BTreeSet::new();
         for p in &s.pieces {
-            let stand = match p.stand {
-                0 => Stand::Pending,
-                1 => Stand::Settled,
-                _ => Stand::Dead,
+            let state = match p.state {
+                0 => MessageState::Pending,
+                1 => MessageState::Settled,
+                _ => MessageState::Dead,
             };
-            if stand != Stand::Pending {
+            if state != MessageState::Pending {
                 ended.insert((p.ended_ms, p.position));
             }
-            let w = Workpiece {
+            let w = Message {
                 item: p.item.clone(),
                 at_ms: p.at_ms,
                 due_ms: p.due_ms,
-                stand,
+                state,
                 failed: p.failed.clone(),
-                seal: p.seal.clone(),
+                result_tag: p.result_tag.clone(),
                 ended_ms: p.ended_ms,
                 notified: p.notified,
                 sent_ms: p.sent_ms,
-                unit: p.unit.clone(),
+                processor: p.processor.clone(),
                 node: p.node.clone(),
-                print: p.print,
+                fingerprint: p.fingerprint,
             };
             j.insert(p.position, w);
         }
@@ -431,13 +431,13 @@
     #[prost(message, repeated, tag = "3")]
     pub routes: Vec<RouteFacts>,
     #[prost(message, repeated, tag = "4")]
-    pub pieces: Vec<SnapPiece>,
+    pub pieces: Vec<SnapshotPiece>,
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct SnapPiece {
+pub struct SnapshotPiece {
     #[prost(uint64, tag = "1")]
     pub position: u64,
     #[prost(message, required, tag = "2")]
@@ -447,11 +447,11 @@
     #[prost(uint64, tag = "4")]
     pub due_ms: u64,
     #[prost(uint32, tag = "5")]
-    pub stand: u32,
+    pub state: u32,
     #[prost(uint64, repeated, tag = "6")]
     pub failed: Vec<u64>,
     #[prost(string, tag = "7")]
-    pub seal: String,
+    pub result_tag: String,
     #[prost(uint64, tag = "8")]
     pub ended_ms: u64,
     #[prost(bool, tag = "9")]
@@ -459,9 +459,9 @@
     #[prost(uint64, tag = "10")]
     pub sent_ms: u64,
     #[prost(string, tag = "11")]
-    pub unit: String,
+    pub processor: String,
     #[prost(string, tag = "12")]
     pub node: String,
     #[prost(fixed64, tag = "13")]
-    pub print: u64,
+    pub fingerprint: u64,
 }
--- a/crates/lathe/tests/fold.rs
+++ b/crates/store/tests/fold.rs
@@ -1,7 +1,7 @@
 //! The fold, played from recorded traces.
 
-use dovetail::msg::{Item, Outcome};
-use lathe::*;
+use rpc::messages::{Item, Outcome};
+use store::*;
 
 fn record(at_ms: u64, entry: Entry) -> Record {
     Record { at_ms, entry: Some(entry) }
@@ -10,7 +10,7 @@
 fn accept(id: &str, key: &str) -> Entry {
     let item = Item {
         id: id.into(),
-        channel: "r-a".into(),
+        route: "r-a".into(),
         method: "POST".into(),
         path: "/a/1".into(),
         order_key: key.into(),
@@ -22,13 +22,13 @@
 }
 
 fn answer(position: u64, outcome: Outcome, attempt: u64) -> Entry {
-    let seal = if outcome == Outcome::Done { "seal" } else { "" };
-    Entry::Answer(AnswerRecord { position, outcome: outcome as i32, seal: seal.into(), attempt })
+    let result_tag = if outcome == Outcome::Done { "seal" } else { "" };
+    Entry::Answer(AnswerRecord { position, outcome: outcome as i32, result_tag: result_tag.into(), attempt })
 }
 
 fn routes(revision: u64, names: &[&str], tries: u32) -> Entry {
     let routes =
-        names.iter().map(|n| RouteFacts { channel: n.to_string(), tries, retain_ms: 60_000 }).collect::<Vec<_>>();
+        names.iter().map(|n| RouteFacts { route: n.to_string(), tries, retain_ms: 60_000 }).collect::<Vec<_>>();
     Entry::Routes(Routes { revision, routes, ..Routes::default() })
 }
 
@@ -39,7 +39,7 @@
         record(2, accept("m1", "k")),
         record(3, accept("m2", "k")),
         record(4, accept("m3", "")),
-        record(5, Entry::Dispatch(DispatchRecord { position: 2, unit: "u1".into(), node: "h1".into() })),
+        record(5, Entry::Dispatch(DispatchRecord { position: 2, processor: "u1".into(), node: "h1".into() })),
         record(6, answer(2, Outcome::Failed, 101)),
         record(7, answer(2, Outcome::Done, 102)),
         record(8, answer(4, Outcome::Never, 103)),
@@ -50,23 +50,23 @@
     ]
 }
 
-fn play(jig: &mut Jig, trace: &[Record], from: usize) {
+fn play(state: &mut PartitionState, trace: &[Record], from: usize) {
     for (i, r) in trace.iter().enumerate().skip(from) {
-        jig.fold(i as u64 + 1, r);
-        assert_eq!(jig.digest(), jig.digest_anew(), "after record {}", i + 1);
+        state.fold(i as u64 + 1, r);
+        assert_eq!(state.digest(), state.digest_anew(), "after record {}", i + 1);
     }
 }
 
 #[test]
 fn replay_gives_the_same_state_and_repeats_change_nothing() {
     let trace = trace();
-    let (mut a, mut b) = (Jig::new(1000), Jig::new(1000));
+    let (mut a, mut b) = (PartitionState::new(1000), PartitionState::new(1000));
     play(&mut a, &trace, 0);
     for cut in 0..trace.len() {
         // Stops anywhere, goes on from a snapshot, and sees some records again.
-        let mut c = Jig::new(1000);
+        let mut c = PartitionState::new(1000);
         play(&mut c, &trace[..cut], 0);
-        let mut c = Jig::restore(&c.snapshot(), 1000).expect("a good snapshot");
+        let mut c = PartitionState::restore(&c.snapshot(), 1000).expect("a good snapshot");
         play(&mut c, &trace, cut.saturating_sub(3));
         assert_eq!(c.digest(), a.digest(), "cut at {cut}");
     }
@@ -75,22 +75,22 @@
         assert!(b.fold(i as u64 + 1, r).is_empty());
     }
     assert_eq!(a.digest(), b.digest());
-    assert_eq!(a.pieces[&2].stand, Stand::Settled);
-    assert_eq!(a.pieces[&2].seal, "seal");
-    assert_eq!(a.pieces[&3].stand, Stand::Dead, "two failures are all its tries");
-    assert_eq!(a.pieces[&4].stand, Stand::Dead, "422 ends it at once");
+    assert_eq!(a.pieces[&2].state, MessageState::Settled);
+    assert_eq!(a.pieces[&2].result_tag, "seal");
+    assert_eq!(a.pieces[&3].state, MessageState::Dead, "two failures are all its tries");
+    assert_eq!(a.pieces[&4].state, MessageState::Dead, "422 ends it at once");
     assert_eq!(&a.pieces[&4].item.body[..], b"body", "a dead message's body is kept");
     assert!(a.pieces[&2].notified && !a.pieces[&3].notified);
 }
 
 #[test]
 fn one_at_a_time_for_an_order_key() {
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     j.fold(1, &record(1, routes(1, &["r-a"], 6)));
     j.fold(2, &record(1, accept("m1", "k")));
     j.fold(3, &record(1, accept("m2", "k")));
     j.fold(4, &record(1, accept("m3", "other")));
-    let head = |j: &Jig, p: u64| j.is_head(p, &j.pieces[&p]);
+    let head = |j: &PartitionState, p: u64| j.is_head(p, &j.pieces[&p]);
     assert!(head(&j, 2) && !head(&j, 3) && head(&j, 4));
     assert_eq!(j.fold(5, &record(2, answer(2, Outcome::Failed, 106))), vec![Change::Failed(2)]);
     assert!(!head(&j, 3), "a failed attempt does not end it");
@@ -101,22 +101,22 @@
 
 #[test]
 fn an_attempt_counts_once_however_often_it_is_reported() {
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     j.fold(1, &record(1, routes(1, &["r-a"], 3)));
     j.fold(2, &record(1, accept("m1", "")));
     for at in 3..9 {
         let again = j.fold(at, &record(at, answer(2, Outcome::Failed, 7)));
         assert_eq!(again.is_empty(), at > 3);
     }
-    assert_eq!((j.pieces[&2].stand, j.pieces[&2].failed.len()), (Stand::Pending, 1));
+    assert_eq!((j.pieces[&2].state, j.pieces[&2].failed.len()), (MessageState::Pending, 1));
     j.fold(9, &record(9, answer(2, Outcome::Failed, 8)));
     j.fold(10, &record(10, answer(2, Outcome::Failed, 9)));
-    assert_eq!(j.pieces[&2].stand, Stand::Dead);
+    assert_eq!(j.pieces[&2].state, MessageState::Dead);
 }
 
 #[test]
 fn an_id_is_accepted_once() {
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     j.fold(1, &record(1, routes(1, &["r-a"], 1)));
     j.fold(2, &record(1, accept("m1", "")));
     assert_eq!(j.fold(3, &record(2, accept("m1", ""))), vec![Change::Repeated { at: 3, old: 2 }]);
@@ -125,14 +125,14 @@
 
 #[test]
 fn a_dropped_route_and_the_retention_end_messages() {
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     j.fold(1, &record(1, routes(1, &["r-a"], 1)));
     j.fold(2, &record(1, accept("m1", "")));
     j.fold(3, &record(1, accept("m2", "")));
     j.fold(4, &record(2, Entry::Expire(Positions { positions: vec![2] })));
-    assert_eq!(j.pieces[&2].stand, Stand::Dead);
+    assert_eq!(j.pieces[&2].state, MessageState::Dead);
     j.fold(5, &record(3, routes(2, &["r-b"], 1)));
-    assert_eq!(j.pieces[&3].stand, Stand::Dead);
+    assert_eq!(j.pieces[&3].state, MessageState::Dead);
     assert!(!j.has_route("r-a") && j.pending.is_empty());
     j.fold(6, &record(4, routes(1, &["r-a"], 1)));
     assert!(!j.has_route("r-a"), "a configuration is never gone back on");
@@ -140,7 +140,7 @@
 
 #[test]
 fn what_ended_is_forgotten_once_it_may_not_be_asked_for() {
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     j.fold(1, &record(1, routes(1, &["r-a"], 1)));
     j.fold(2, &record(10, accept("m1", "")));
     j.fold(3, &record(20, answer(2, Outcome::Done, 109)));
@@ -153,11 +153,11 @@
 
 #[test]
 fn a_damaged_snapshot_is_not_taken() {
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     play(&mut j, &trace(), 0);
     let mut s = j.snapshot();
     s.pieces[0].failed.push(9);
-    assert!(Jig::restore(&s, 1000).is_err());
+    assert!(PartitionState::restore(&s, 1000).is_err());
 }
 
 #[test]
@@ -167,7 +167,7 @@
         _ => unreachable!(),
     };
     let whole = |revision, routes| Routes { revision, routes, ..Routes::default() };
-    let mut j = Jig::new(1000);
+    let mut j = PartitionState::new(1000);
     j.fold(1, &record(1, routes(3, &["r-a", "r-b"], 2)));
     j.fold(2, &record(2, accept("m1", "k")));
     // A time-out changes nothing that the fold knows: the record is all but empty.
--- a/crates/lathe/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -1,41 +1,50 @@
 //! Which processor gets the next message, and how fast.
 
-use dovetail::msg::*;
-use gauge::{Channel, Plant};
-use lathe::*;
+use config::{Route, Service};
+use rpc::messages::*;
 use std::sync::Arc;
+use store::*;
 
-fn unit(id: &str, zone: &str, revision: &str) -> Unit {
+fn processor(id: &str, zone: &str, revision: &str) -> Processor {
     let (id, zone, revision) = (id.into(), zone.into(), revision.into());
-    Unit { id, plant: "p".into(), address: "10.0.0.1:80".into(), zone, revision, capacity: 2, ..Unit::default() }
+    Processor {
+        id,
+        service: "p".into(),
+        address: "10.0.0.1:80".into(),
+        zone,
+        revision,
+        capacity: 2,
+        ..Processor::default()
+    }
 }
 
-fn turret(units: Vec<Unit>, rollouts: Vec<Rollout>) -> Turret {
-    let hatch = |n: &str, z: &str| Node {
+fn scheduler(processors: Vec<Processor>, rollouts: Vec<Rollout>) -> DeliveryScheduler {
+    let front = |n: &str, z: &str| Node {
         name: n.into(),
-        role: "hatch".into(),
+        role: "front".into(),
         zone: z.into(),
         inner: n.into(),
         ..Node::default()
     };
-    let nodes = vec![hatch("h1", "x"), hatch("h2", "x"), hatch("h3", "y")];
-    let mut t = Turret::new("me", "x", "r", TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 });
-    let roster = Roster { version: 1, nodes, units, listed: true, ..Roster::default() };
-    t.news(&Arc::new(roster), &Arc::new(Charter { rollouts, ..Charter::default() }));
+    let nodes = vec![front("h1", "x"), front("h2", "x"), front("h3", "y")];
+    let mut t =
+        DeliveryScheduler::new("me", "x", "r", SchedulerTiming { load_ms: 250, pause_ms: 60, longest_ms: 1000 });
+    let membership = Membership { version: 1, nodes, processors, listed: true, ..Membership::default() };
+    t.news(&Arc::new(membership), &Arc::new(Assignments { rollouts, ..Assignments::default() }));
     t
 }
 
-fn plant() -> Plant {
-    Plant { name: "p".into(), conn_limit: 10, ..Plant::default() }
+fn service() -> Service {
+    Service { name: "p".into(), conn_limit: 10, ..Service::default() }
 }
 
-fn channel() -> Channel {
-    Channel { name: "r".into(), plant: "p".into(), ..Channel::default() }
+fn route() -> Route {
+    Route { name: "r".into(), service: "p".into(), ..Route::default() }
 }
 
-fn launch(t: &mut Turret, pos: u64) -> Option<Choice> {
-    let c = t.choose(&plant(), 1000)?;
-    t.launch((0, pos), &c, &channel(), 9999);
+fn launch(t: &mut DeliveryScheduler, pos: u64) -> Option<Target> {
+    let c = t.choose(&service(), 1000)?;
+    t.launch((0, pos), &c, &route(), 9999);
     Some(c)
 }
 
@@ -45,55 +54,55 @@
 
 #[test]
 fn near_ones_first_and_no_more_than_they_have_slots() {
-    let mut draining = unit("u3", "x", "v1");
+    let mut draining = processor("u3", "x", "v1");
     draining.draining = true;
-    let mut t = turret(vec![unit("u1", "x", "v1"), unit("u2", "y", "v1"), draining], vec![]);
-    let got: Vec<String> = (0..5).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).collect();
+    let mut t = scheduler(vec![processor("u1", "x", "v1"), processor("u2", "y", "v1"), draining], vec![]);
+    let got: Vec<String> = (0..5).filter_map(|i| launch(&mut t, i)).map(|c| c.processor).collect();
     assert_eq!(got, ["u1", "u1", "u2", "u2"]);
-    assert_eq!(t.choose(&plant(), 1000), None);
+    assert_eq!(t.choose(&service(), 1000), None);
     t.land((0, 0));
-    assert_eq!(launch(&mut t, 9).map(|c| (c.unit, c.target)), Some(("u1".into(), "u1".into())));
+    assert_eq!(launch(&mut t, 9).map(|c| (c.processor, c.target)), Some(("u1".into(), "u1".into())));
 }
 
 #[test]
 fn the_answered_run_is_not_taken_for_anothers() {
-    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
     launch(&mut t, 1);
     let f = t.land((0, 1)).expect("under way");
     t.learn(&f, &report(Outcome::Done, 200, 1), 1000);
     assert!(launch(&mut t, 2).is_some() && launch(&mut t, 3).is_some(), "both slots are free");
     let f = t.land((0, 2)).expect("under way");
     t.learn(&f, &report(Outcome::Done, 200, 3), 1000);
-    assert!(t.choose(&plant(), 1100).is_none(), "somebody else holds a slot");
-    assert!(t.choose(&plant(), 1300).is_some(), "what was told is old");
+    assert!(t.choose(&service(), 1100).is_none(), "somebody else holds a slot");
+    assert!(t.choose(&service(), 1300).is_some(), "what was told is old");
 }
 
 #[test]
 fn one_that_fails_is_left_alone_and_tried_with_one() {
-    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
     launch(&mut t, 1);
     let f = t.land((0, 1)).expect("under way");
     t.learn(&f, &report(Outcome::NotRun, 0, 0), 1000);
-    assert!(t.choose(&plant(), 1050).is_none());
-    let c = t.choose(&plant(), 1500).expect("tried again");
-    t.launch((0, 2), &c, &channel(), 9999);
-    assert!(t.choose(&plant(), 1500).is_none(), "one at a time until it does well");
+    assert!(t.choose(&service(), 1050).is_none());
+    let c = t.choose(&service(), 1500).expect("tried again");
+    t.launch((0, 2), &c, &route(), 9999);
+    assert!(t.choose(&service(), 1500).is_none(), "one at a time until it does well");
     let f = t.land((0, 2)).expect("under way");
     t.learn(&f, &report(Outcome::Done, 200, 1), 1500);
-    assert!(t.choose(&plant(), 1500).is_some());
+    assert!(t.choose(&service(), 1500).is_some());
 }
 
 #[test]
 fn a_new_version_gets_its_share_and_no_more() {
     let rollout = |state: &str, share| Rollout {
-        plant: "p".into(),
+        service: "p".into(),
         target: "v2".into(),
         state: state.into(),
         share,
         ..Rollout::default()
     };
-    let units = || vec![unit("old", "x", "v1"), unit("new", "x", "v2")];
-    let mut t = turret(units(), vec![rollout("running", 100)]);
+    let processors = || vec![processor("old", "x", "v1"), processor("new", "x", "v2")];
+    let mut t = scheduler(processors(), vec![rollout("running", 100)]);
     let mut new = 0;
     for i in 0..200 {
         if launch(&mut t, i).is_some_and(|c| c.revision == "v2") {
@@ -103,7 +112,7 @@
     }
     assert!((19..=21).contains(&new), "{new} of 200");
     for (state, only) in [("settled", "v2"), ("reverted", "v1")] {
-        let mut t = turret(units(), vec![rollout(state, 0)]);
+        let mut t = scheduler(processors(), vec![rollout(state, 0)]);
         let got: Vec<String> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| c.revision).collect();
         assert_eq!(got, [only, only], "{state}");
     }
@@ -111,8 +120,8 @@
 
 #[test]
 fn a_ceiling_holds_over_any_window_and_after_a_take_over() {
-    let p = Plant { flow_per_s: 40.0, endpoint: Some("10.0.0.1:80".into()), ..plant() };
-    let mut t = turret(vec![], vec![]);
+    let p = Service { flow_per_s: 40.0, endpoint: Some("10.0.0.1:80".into()), ..service() };
+    let mut t = scheduler(vec![], vec![]);
     assert!(t.token(&p, 1000).is_err(), "a new owner begins with nothing saved up");
     let mut sent = vec![];
     for now in 1000..21_000 {
@@ -130,8 +139,8 @@
 
 #[test]
 fn all_deliveries_to_a_processor_go_through_one_node_of_its_zone() {
-    let mut t = turret(vec![unit("u1", "x", "v1"), unit("u2", "y", "v1")], vec![]);
-    let got: Vec<(String, String)> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| (c.unit, c.hatch)).collect();
+    let mut t = scheduler(vec![processor("u1", "x", "v1"), processor("u2", "y", "v1")], vec![]);
+    let got: Vec<(String, String)> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| (c.processor, c.front)).collect();
     assert_eq!(got[0], got[1]);
     assert_eq!(got[2].1, "h3");
 }
@@ -139,23 +148,28 @@
 #[test]
 fn a_version_on_trial_is_put_under_load() {
     let r =
-        Rollout { plant: "p".into(), target: "v2".into(), state: "running".into(), share: 500, ..Rollout::default() };
-    let units = vec![unit("n1", "y", "v2"), unit("n2", "x", "v2"), unit("o1", "x", "v1"), unit("o2", "y", "v1")];
-    let mut t = turret(units, vec![r]);
+        Rollout { service: "p".into(), target: "v2".into(), state: "running".into(), share: 500, ..Rollout::default() };
+    let processors = vec![
+        processor("n1", "y", "v2"),
+        processor("n2", "x", "v2"),
+        processor("o1", "x", "v1"),
+        processor("o2", "y", "v1"),
+    ];
+    let mut t = scheduler(processors, vec![r]);
     let got: Vec<String> =
-        (0..6).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).filter(|u| u.starts_with('n')).collect();
+        (0..6).filter_map(|i| launch(&mut t, i)).map(|c| c.processor).filter(|u| u.starts_with('n')).collect();
     assert_eq!(got[..2], ["n1", "n1"], "full before the next one gets any");
     let r =
-        Rollout { plant: "p".into(), target: "v2".into(), state: "running".into(), share: 900, ..Rollout::default() };
-    let cold = Unit { cold: true, ..unit("n1", "x", "v2") };
-    let mut t = turret(vec![cold, unit("o1", "x", "v1")], vec![r]);
-    let got: Vec<String> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| c.unit).collect();
+        Rollout { service: "p".into(), target: "v2".into(), state: "running".into(), share: 900, ..Rollout::default() };
+    let cold = Processor { cold: true, ..processor("n1", "x", "v2") };
+    let mut t = scheduler(vec![cold, processor("o1", "x", "v1")], vec![r]);
+    let got: Vec<String> = (0..4).filter_map(|i| launch(&mut t, i)).map(|c| c.processor).collect();
     assert_eq!(got, ["o1", "o1"], "nothing is tried on what is still cold");
 }
 
 #[test]
 fn low_ranks_are_turned_away_first() {
-    let room = Room { memory: 1000, disk: 2000 };
+    let room = Capacity { memory: 1000, disk: 2000 };
     assert!(room.admits(0, 1000, 2000) && !room.admits(0, 1001, 0) && !room.admits(0, 0, 2001));
     assert!(room.admits(2, 800, 1920) && !room.admits(2, 850, 0) && !room.admits(2, 0, 1930));
     assert!(room.admits(9, 500, 0) && !room.admits(9, 501, 0), "half is for all");
@@ -163,14 +177,14 @@
 
 #[test]
 fn what_can_still_begin_in_time_goes_before_what_is_late() {
-    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
     for (pos, age) in [(1, 1000), (2, 1100), (3, 5000), (4, 5100)] {
         t.ready((0, pos), "p", age);
     }
     let mut order = vec![];
     while let Some(k) = t.first_ready("p", 5500, 1000) {
-        let c = t.choose(&plant(), 1000).expect("room");
-        t.launch(k, &c, &channel(), 9999);
+        let c = t.choose(&service(), 1000).expect("room");
+        t.launch(k, &c, &route(), 9999);
         t.land(k);
         order.push(k.1);
     }
@@ -185,8 +199,8 @@
             break;
         }
         turns += 1;
-        let c = t.choose(&plant(), 1000).expect("room");
-        t.launch(k, &c, &channel(), 9999);
+        let c = t.choose(&service(), 1000).expect("room");
+        t.launch(k, &c, &route(), 9999);
         t.land(k);
     }
     assert!(turns < 4);
@@ -194,7 +208,7 @@
 
 #[test]
 fn one_that_is_only_just_in_time_is_late() {
-    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
     t.ready((0, 1), "p", 4550);
     t.ready((0, 2), "p", 4800);
     assert_eq!(t.first_ready("p", 5500, 1000), Some((0, 2)), "950 ms of 1,000 are over for the first");
@@ -204,17 +218,18 @@
 fn owners_that_know_nothing_of_each_other_do_not_meet_at_one_processor() {
     // Ten owners of a zone, each of which gives out five at the same moment to the
     // zone's twenty-six processors of two slots.
-    let units: Vec<Unit> = (0..26).map(|n| unit(&format!("u{n:02}"), "x", "v1")).collect();
+    let processors: Vec<Processor> = (0..26).map(|n| processor(&format!("u{n:02}"), "x", "v1")).collect();
     let mut given = std::collections::HashMap::new();
     for owner in 0..10 {
-        let nodes = vec![Node { name: "h".into(), role: "hatch".into(), zone: "x".into(), ..Node::default() }];
-        let pace = TurretPace { load_ms: 250, pause_ms: 60, longest_ms: 1000 };
-        let mut t = Turret::new(&format!("store-x-{owner}"), "x", "r", pace);
-        let roster = Roster { version: 1, nodes, units: units.clone(), listed: true, ..Roster::default() };
-        t.news(&Arc::new(roster), &Arc::default());
+        let nodes = vec![Node { name: "h".into(), role: "front".into(), zone: "x".into(), ..Node::default() }];
+        let timing = SchedulerTiming { load_ms: 250, pause_ms: 60, longest_ms: 1000 };
+        let mut t = DeliveryScheduler::new(&format!("store-x-{owner}"), "x", "r", timing);
+        let membership =
+            Membership { version: 1, nodes, processors: processors.clone(), listed: true, ..Membership::default() };
+        t.news(&Arc::new(membership), &Arc::default());
         for pos in 0..5 {
             let c = launch(&mut t, pos).expect("room");
-            *given.entry(c.unit).or_insert(0) += 1;
+            *given.entry(c.processor).or_insert(0) += 1;
         }
     }
     let over = given.values().filter(|n| **n > 4).count();
@@ -226,20 +241,23 @@
     // Each tosses its own coin and knows nothing of the others; the new version's
     // processors may come long after the order, when all of them want one.
     for late in [0u64, 9, 25, 60] {
-        let old: Vec<Unit> = (0..8).map(|n| Unit { capacity: 99, ..unit(&format!("o{n}"), "x", "v1") }).collect();
-        let new: Vec<Unit> = (0..8).map(|n| Unit { capacity: 99, ..unit(&format!("n{n}"), "x", "v2") }).collect();
+        let old: Vec<Processor> =
+            (0..8).map(|n| Processor { capacity: 99, ..processor(&format!("o{n}"), "x", "v1") }).collect();
+        let new: Vec<Processor> =
+            (0..8).map(|n| Processor { capacity: 99, ..processor(&format!("n{n}"), "x", "v2") }).collect();
         let running = Rollout {
-            plant: "p".into(),
+            service: "p".into(),
             target: "v2".into(),
             state: "running".into(),
-            share: foreman_first_share(),
+            share: control_first_share(),
             ..Rollout::default()
         };
-        let mut owners: Vec<Turret> = (0..60).map(|_| turret(old.clone(), vec![running.clone()])).collect();
+        let mut owners: Vec<DeliveryScheduler> =
+            (0..60).map(|_| scheduler(old.clone(), vec![running.clone()])).collect();
         let (mut all, mut fresh) = (0.0, 0.0);
         for round in 0..200u64 {
             if round == late {
-                owners = owners.into_iter().map(|t| with_units(t, &old, &new, &running)).collect();
+                owners = owners.into_iter().map(|t| with_processors(t, &old, &new, &running)).collect();
             }
             for t in &mut owners {
                 let c = launch(t, round).expect("room");
@@ -254,22 +272,27 @@
 }
 
 /// Half of what a bad version may receive, and a little: as the leader begins.
-fn foreman_first_share() -> u32 {
+fn control_first_share() -> u32 {
     60
 }
 
-fn with_units(mut t: Turret, old: &[Unit], new: &[Unit], rollout: &Rollout) -> Turret {
-    let hatch = Node { name: "h1".into(), role: "hatch".into(), zone: "x".into(), ..Node::default() };
-    let mut units = [new, old].concat();
-    units.sort_by(|a, b| a.id.cmp(&b.id));
-    let roster = Roster { version: 2, nodes: vec![hatch], units, listed: true, ..Roster::default() };
-    t.news(&Arc::new(roster), &Arc::new(Charter { rollouts: vec![rollout.clone()], ..Charter::default() }));
+fn with_processors(
+    mut t: DeliveryScheduler,
+    old: &[Processor],
+    new: &[Processor],
+    rollout: &Rollout,
+) -> DeliveryScheduler {
+    let front = Node { name: "h1".into(), role: "front".into(), zone: "x".into(), ..Node::default() };
+    let mut processors = [new, old].concat();
+    processors.sort_by(|a, b| a.id.cmp(&b.id));
+    let membership = Membership { version: 2, nodes: vec![front], processors, listed: true, ..Membership::default() };
+    t.news(&Arc::new(membership), &Arc::new(Assignments { rollouts: vec![rollout.clone()], ..Assignments::default() }));
     t
 }
 
 #[test]
 fn a_late_report_of_an_attempt_that_was_given_up_says_nothing_of_the_next() {
-    let mut t = turret(vec![unit("u1", "x", "v1")], vec![]);
+    let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
     launch(&mut t, 1);
     t.name((0, 1), 4, 70);
     assert!(!t.outdated((0, 1), 4, 70) && !t.outdated((0, 1), 0, 70) && !t.outdated((0, 2), 4, 9));
@@ -278,7 +301,7 @@
     assert!(t.outdated((0, 1), 4, 80));
     // Taken over without a name: any report ends it.
     t.land((0, 1));
-    t.adopt((0, 1), &channel(), "u1", "h1", 9999);
+    t.adopt((0, 1), &route(), "u1", "h1", 9999);
     assert!(!t.outdated((0, 1), 3, 60));
 }
 
--- a/crates/lathe/tests/splice.rs
+++ b/crates/store/tests/splice.rs
@@ -1,13 +1,13 @@
 //! Ownership passing between nodes, with their disks and links in the test's hands.
 
 use bytes::Bytes;
-use dovetail::Body;
-use dovetail::msg::*;
-use lathe::*;
 use prost::Message;
+use rpc::Body;
+use rpc::messages::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use store::*;
 
-const PACE: Pace = Pace { epoch: 500, window: 300, again: 250, status: 100_000, keep_bytes: 1 << 20 };
+const TIMING: Timing = Timing { epoch: 500, window: 300, again: 250, status: 100_000, keep_bytes: 1 << 20 };
 
 #[derive(Default, Clone)]
 struct Disk {
@@ -16,10 +16,10 @@
     snapshot: Option<Bytes>,
 }
 
-/// Three nodes with one partition, and a foreman of few words.
+/// Three nodes with one partition, and a control node of few words.
 struct World {
     now: u64,
-    nodes: BTreeMap<String, Mandrel>,
+    nodes: BTreeMap<String, PartitionReplica>,
     disks: BTreeMap<String, Disk>,
     /// Writes that are not synced yet.
     unsynced: BTreeMap<String, VecDeque<(Disk, u64, u64)>>,
@@ -35,19 +35,19 @@
 }
 
 impl World {
-    fn new(insync: &[&str]) -> World {
-        let names: Vec<String> = insync.iter().map(|s| s.to_string()).collect();
+    fn new(in_sync: &[&str]) -> World {
+        let names: Vec<String> = in_sync.iter().map(|s| s.to_string()).collect();
         let chart = Partition {
             id: 0,
             term: 1,
             owner: names[0].clone(),
-            insync: names.clone(),
-            homes: names.clone(),
+            in_sync: names.clone(),
+            replicas: names.clone(),
             ..Partition::default()
         };
         let mut w = World {
             now: 1000,
-            nodes: ["a", "b", "c"].iter().map(|n| (n.to_string(), Mandrel::new(0, n, PACE))).collect(),
+            nodes: ["a", "b", "c"].iter().map(|n| (n.to_string(), PartitionReplica::new(0, n, TIMING))).collect(),
             disks: BTreeMap::new(),
             unsynced: BTreeMap::new(),
             hold_sync: BTreeSet::new(),
@@ -61,12 +61,12 @@
         };
         w.tell();
         w.settle();
-        let routes = RouteFacts { channel: "r".into(), tries: 3, retain_ms: 0 };
+        let routes = RouteFacts { route: "r".into(), tries: 3, retain_ms: 0 };
         w.append(Entry::Routes(Routes { revision: 1, routes: vec![routes], ..Routes::default() }));
         w
     }
 
-    fn step(&mut self, node: &str, f: impl FnOnce(&mut Mandrel, u64, &mut Vec<Effect>)) {
+    fn step(&mut self, node: &str, f: impl FnOnce(&mut PartitionReplica, u64, &mut Vec<Effect>)) {
         let mut out = Vec::new();
         if let Some(m) = self.nodes.get_mut(node) {
             f(m, self.now, &mut out);
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Rules as the foremen do, as far as these tests need it.
+    /// Rules as the control nodes do, as far as these tests need it.
     fn order(&mut self, node: &str, o: Order) {
         if self.mute {
             return;
@@ -106,16 +106,16 @@
         let c = &mut self.chart;
         match OrderKind::try_from(o.kind).expect("a kind") {
             OrderKind::Grant if o.term == c.term => {
-                let insync = c.insync.iter().filter(|n| **n != o.leaving).cloned().collect();
-                c.grant = Some(Grant { term: c.term + 1, candidate: o.node.clone(), insync });
+                let in_sync = c.in_sync.iter().filter(|n| **n != o.leaving).cloned().collect();
+                c.grant = Some(Grant { term: c.term + 1, candidate: o.node.clone(), in_sync });
             }
             OrderKind::Own => {
                 if let Some(g) = c.grant.take() {
-                    (c.term, c.owner, c.insync, c.seized) = (g.term, g.candidate, g.insync, false);
+                    (c.term, c.owner, c.in_sync, c.seized) = (g.term, g.candidate, g.in_sync, false);
                 }
             }
-            OrderKind::Join if o.term == c.term && !c.insync.contains(&o.node) => c.insync.push(o.node.clone()),
-            OrderKind::Drop => c.insync.retain(|n| *n != o.node),
+            OrderKind::Join if o.term == c.term && !c.in_sync.contains(&o.node) => c.in_sync.push(o.node.clone()),
+            OrderKind::Drop => c.in_sync.retain(|n| *n != o.node),
             _ => ack.refused = true,
         }
         ack.partition = Some(c.clone());
@@ -126,7 +126,7 @@
     fn tell(&mut self) {
         let c = self.chart.clone();
         for n in ["a", "b", "c"] {
-            self.step(n, |m, now, out| m.charter(&c, now, out));
+            self.step(n, |m, now, out| m.assignments(&c, now, out));
         }
     }
 
@@ -189,7 +189,7 @@
     }
 
     fn message(&mut self, id: &str) -> Option<u64> {
-        let item = Item { id: id.into(), channel: "r".into(), body: vec![1; 100].into(), ..Item::default() };
+        let item = Item { id: id.into(), route: "r".into(), body: vec![1; 100].into(), ..Item::default() };
         self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0 }))
     }
 
@@ -198,25 +198,26 @@
         self.unsynced.remove(n);
         self.hold_sync.remove(n);
         let d = self.disks.get(n).cloned().unwrap_or_default();
-        let m = Mandrel::reload(0, n, PACE, &d.meta, d.snapshot, d.log.into_iter().collect()).expect("a whole disk");
+        let m = PartitionReplica::reload(0, n, TIMING, &d.meta, d.snapshot, d.log.into_iter().collect())
+            .expect("a whole disk");
         self.nodes.insert(n.into(), m);
     }
 
-    /// The foremen give a dead owner's partition to `n`.
+    /// The control nodes give a dead owner's partition to `n`.
     fn seize(&mut self, n: &str) {
         let term = self.chart.grant.take().map_or(self.chart.term, |g| g.term) + 1;
-        self.chart = Partition { term, owner: n.into(), insync: vec![n.into()], seized: true, ..self.chart.clone() };
+        self.chart = Partition { term, owner: n.into(), in_sync: vec![n.into()], seized: true, ..self.chart.clone() };
         self.tell();
         self.settle();
     }
 
     fn known(&self, n: &str, id: &str) -> bool {
-        self.nodes[n].jig.find(id).is_some()
+        self.nodes[n].state.find(id).is_some()
     }
 }
 
-fn with_traffic(insync: &[&str]) -> World {
-    let mut w = World::new(insync);
+fn with_traffic(in_sync: &[&str]) -> World {
+    let mut w = World::new(in_sync);
     for i in 0..20 {
         w.message(&format!("m{i}"));
         w.pass(100);
@@ -248,7 +249,7 @@
     w.step("b", |m, t, out| m.start_move("a", false, now, t, out));
     w.pass(700);
     assert_eq!(w.owner(), "a");
-    assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
+    assert_eq!(w.nodes["a"].state.digest(), w.nodes["b"].state.digest());
     assert_eq!(w.mismatches, 0);
 }
 
@@ -333,7 +334,7 @@
     w.cut.insert("b".into());
     w.crash("b");
     w.mute = false;
-    w.chart.insync = vec!["a".into()];
+    w.chart.in_sync = vec!["a".into()];
     w.tell();
     w.settle();
     assert_eq!(w.owner(), "a");
@@ -341,7 +342,7 @@
     w.cut.clear();
     w.pass(1000);
     assert!(w.known("b", "on"), "it catches up");
-    assert_eq!(w.chart.insync, vec!["a", "b"], "and is in sync again");
+    assert_eq!(w.chart.in_sync, vec!["a", "b"], "and is in sync again");
 }
 
 #[test]
@@ -373,8 +374,8 @@
         w.pass(1500);
         assert_eq!(w.known("a", "x"), state == 2, "state {state}");
         assert!(w.known("a", "y"));
-        assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
-        assert_eq!(w.chart.insync, vec!["b", "a"]);
+        assert_eq!(w.nodes["a"].state.digest(), w.nodes["b"].state.digest());
+        assert_eq!(w.chart.in_sync, vec!["b", "a"]);
     }
 }
 
@@ -382,9 +383,9 @@
 fn a_paused_owner_that_wakes_is_refused() {
     let mut w = with_traffic(&["a", "b"]);
     w.cut.insert("a".into());
-    w.chart = Partition { term: 5, owner: "b".into(), insync: vec!["b".into()], seized: true, ..w.chart.clone() };
+    w.chart = Partition { term: 5, owner: "b".into(), in_sync: vec!["b".into()], seized: true, ..w.chart.clone() };
     let c = w.chart.clone();
-    w.step("b", |m, now, out| m.charter(&c, now, out));
+    w.step("b", |m, now, out| m.assignments(&c, now, out));
     w.settle();
     w.message_at("a", "stale");
     let before = w.nodes["a"].commit;
@@ -399,7 +400,7 @@
 
 impl World {
     fn message_at(&mut self, node: &str, id: &str) {
-        let item = Item { id: id.into(), channel: "r".into(), ..Item::default() };
+        let item = Item { id: id.into(), route: "r".into(), ..Item::default() };
         let e = Entry::Accept(AcceptRecord { item, delay_ms: 0 });
         let at_ms = self.now;
         self.step(node, |m, now, out| {
@@ -424,9 +425,9 @@
     w.cut.insert("a".into());
     w.net.clear();
     w.settle();
-    w.chart = Partition { term: 2, owner: "b".into(), insync: vec!["b".into(), "a".into()], ..w.chart.clone() };
+    w.chart = Partition { term: 2, owner: "b".into(), in_sync: vec!["b".into(), "a".into()], ..w.chart.clone() };
     let c = w.chart.clone();
-    w.step("b", |m, now, out| m.charter(&c, now, out));
+    w.step("b", |m, now, out| m.assignments(&c, now, out));
     w.settle();
     let commit = w.nodes["b"].commit;
     w.message_at("b", "new");
@@ -445,13 +446,13 @@
     assert!(d.snapshot.is_some() && d.log.len() < 5, "the log is cut behind the snapshot");
     w.crash("a");
     w.seize("a");
-    w.chart.homes = vec!["a".into(), "c".into()];
+    w.chart.replicas = vec!["a".into(), "c".into()];
     w.tell();
     w.pass(1000);
     w.message("m");
     w.pass(1000);
-    assert!(w.chart.insync.contains(&"c".to_string()));
-    assert_eq!(w.nodes["c"].jig.digest(), w.nodes["a"].jig.digest());
+    assert!(w.chart.in_sync.contains(&"c".to_string()));
+    assert_eq!(w.nodes["c"].state.digest(), w.nodes["a"].state.digest());
     w.crash("c");
     assert!(w.known("c", "m") && w.known("c", "m3"), "it has all of that on its own disk");
 }
@@ -462,7 +463,7 @@
     let mut d = w.disks["a"].clone();
     d.log.remove(&5);
     let entries = d.log.into_iter().collect();
-    assert!(Mandrel::reload(0, "a", PACE, &d.meta, None, entries).is_err_and(|e| e.contains("entry 5")));
+    assert!(PartitionReplica::reload(0, "a", TIMING, &d.meta, None, entries).is_err_and(|e| e.contains("entry 5")));
 }
 
 #[test]
@@ -470,15 +471,15 @@
     let mut w = with_traffic(&["a", "b"]);
     w.disks.remove("b");
     w.crash("b");
-    w.chart.insync = vec!["a".into()];
+    w.chart.in_sync = vec!["a".into()];
     w.tell();
     // Only commit notices go out: no new entries that would show the gap by themselves.
     w.hold_sync.insert("b".into());
     w.pass(1000);
-    assert_eq!(w.chart.insync, vec!["a"], "it holds nothing yet");
+    assert_eq!(w.chart.in_sync, vec!["a"], "it holds nothing yet");
     w.hold_sync.clear();
     w.pass(1000);
-    assert_eq!(w.chart.insync, vec!["a", "b"]);
+    assert_eq!(w.chart.in_sync, vec!["a", "b"]);
     assert!(w.known("b", "m3") && w.disks["b"].log.len() + 1 >= w.nodes["a"].end() as usize);
 }
 
@@ -496,7 +497,7 @@
     // Many entries are under way when the gap shows.
     let mut sent = 0;
     for i in 0..50 {
-        let item = Item { id: format!("y{i}"), channel: "r".into(), ..Item::default() };
+        let item = Item { id: format!("y{i}"), route: "r".into(), ..Item::default() };
         let e = Entry::Accept(AcceptRecord { item, delay_ms: 0 });
         w.step("a", |m, now, out| {
             m.append(&Record { at_ms: 0, entry: Some(e) }, now, out);
@@ -527,11 +528,11 @@
     let mut w = with_traffic(&["a", "b"]);
     w.pass(1000);
     // It leaves in order, holding everything, and starts again. Nothing is written meanwhile.
-    w.chart.insync = vec!["a".into()];
+    w.chart.in_sync = vec!["a".into()];
     w.tell();
     w.crash("b");
     w.pass(1000);
-    assert_eq!(w.chart.insync, vec!["a", "b"]);
+    assert_eq!(w.chart.in_sync, vec!["a", "b"]);
     let now = w.now;
     w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
     w.pass(1500);
@@ -539,16 +540,16 @@
 }
 
 #[test]
-fn an_emptied_owner_does_not_own_by_what_is_said_of_its_former_life() {
+fn an_emptied_owner_does_not_own_by_what_is_said_of_its_former_incarnation() {
     let mut w = with_traffic(&["a", "b"]);
     w.disks.remove("a");
     w.crash("a");
-    w.nodes.get_mut("a").expect("a").life = 9;
+    w.nodes.get_mut("a").expect("a").incarnation = 9;
     w.took.clear();
     w.tell();
     w.pass(1000);
     assert!(w.took.is_empty(), "it held nothing, and would have answered from that");
-    assert_eq!(w.nodes["a"].seat, Seat::Follower);
+    assert_eq!(w.nodes["a"].role, ReplicaRole::Follower);
     w.seize("b");
     assert!(w.known("b", "m3"));
     w.pass(3000);
@@ -564,26 +565,26 @@
     assert!(w.nodes["b"].end() > w.disks["a"].log.keys().max().copied().unwrap_or(0));
     w.crash("a");
     w.seize("a");
-    w.chart.homes = vec!["a".into(), "b".into()];
+    w.chart.replicas = vec!["a".into(), "b".into()];
     w.tell();
     w.pass(2000);
     w.message("kept");
     w.pass(1000);
     assert!(!w.known("b", "lost") && w.known("b", "kept") && w.known("a", "kept"));
-    assert_eq!(w.nodes["a"].jig.digest(), w.nodes["b"].jig.digest());
+    assert_eq!(w.nodes["a"].state.digest(), w.nodes["b"].state.digest());
 }
 
 #[test]
 fn an_older_word_of_the_majority_takes_nobody_out_of_sync() {
     let mut w = with_traffic(&["a", "b"]);
-    // c joins: the owner hears it from the leader, ahead of a foreman that is behind.
+    // c joins: the owner hears it from the leader, ahead of a control node that is behind.
     let older = Partition { changed: 7, ..w.chart.clone() };
-    w.chart.homes.push("c".into());
-    w.chart.insync.push("c".into());
+    w.chart.replicas.push("c".into());
+    w.chart.in_sync.push("c".into());
     w.chart.changed = 9;
     w.tell();
     w.pass(600);
-    w.step("a", |m, now, out| m.charter(&older, now, out));
+    w.step("a", |m, now, out| m.assignments(&older, now, out));
     assert_eq!(w.nodes["a"].in_sync(), ["a", "b", "c"]);
     // What c does not have is not committed.
     w.hold_sync.insert("c".into());
@@ -608,14 +609,14 @@
 }
 
 #[test]
-fn a_disk_knows_since_which_life_it_holds_anything() {
+fn a_disk_knows_since_which_incarnation_it_holds_anything() {
     // At the very first start nothing can have been lost.
-    let mut first = Birth::default();
+    let mut first = DiskIdentity::default();
     assert_eq!((first.live(100), first.born), (100, 0));
-    assert_eq!((first.live(90), first.born), (101, 0), "a clock that is behind: still a later life");
+    assert_eq!((first.live(90), first.born), (101, 0), "a clock that is behind: still a later incarnation");
     // Emptied, and its process ended twice before anybody heard of it: what it
-    // joined in life 101 it does not hold, though the disk is not empty any more.
-    let mut emptied = Birth { empty: true, ..Birth::default() };
+    // joined in incarnation 101 it does not hold, though the disk is not empty any more.
+    let mut emptied = DiskIdentity { empty: true, ..DiskIdentity::default() };
     assert_eq!((emptied.live(200), emptied.born), (200, 200));
     assert_eq!((emptied.live(300), emptied.born), (300, 200));
 }
@@ -627,12 +628,12 @@
     // b has it, and does not know yet that it is committed; c is dark.
     w.cut.extend(["a".to_owned(), "c".to_owned()]);
     let term = w.chart.term + 1;
-    let insync = vec!["b".to_owned(), "c".to_owned()];
-    w.chart = Partition { term, owner: "b".into(), insync, seized: true, ..w.chart.clone() };
+    let in_sync = vec!["b".to_owned(), "c".to_owned()];
+    w.chart = Partition { term, owner: "b".into(), in_sync, seized: true, ..w.chart.clone() };
     w.tell();
     w.settle();
     assert!(w.nodes["b"].open());
-    assert!(w.nodes["b"].jig.position < pos && !w.nodes["b"].caught_up());
+    assert!(w.nodes["b"].state.position < pos && !w.nodes["b"].caught_up());
     w.cut.clear();
     w.pass(600);
     assert!(w.nodes["b"].caught_up() && w.known("b", "last"));
@@ -643,15 +644,15 @@
     let mut w = World::new(&["a", "b"]);
     // Nothing has ever been written: as if the first layout had been a moment ago.
     for n in ["a", "b", "c"] {
-        w.nodes.insert(n.into(), Mandrel::new(0, n, PACE));
+        w.nodes.insert(n.into(), PartitionReplica::new(0, n, TIMING));
         w.disks.remove(n);
         w.unsynced.remove(n);
     }
     w.net.clear();
-    w.chart.insync = vec!["a".into()];
+    w.chart.in_sync = vec!["a".into()];
     w.tell();
     w.pass(1000);
-    assert_eq!(w.chart.insync, vec!["a", "b"], "its owner would be the only one that holds it for ever");
+    assert_eq!(w.chart.in_sync, vec!["a", "b"], "its owner would be the only one that holds it for ever");
 }
 
 /// a owned and ended; b and c were in sync with it, and b takes over without knowing
@@ -663,8 +664,8 @@
     w.chart = Partition {
         term,
         owner: "b".into(),
-        insync: vec!["b".into(), "x".into()],
-        homes: vec!["b".into(), "c".into()],
+        in_sync: vec!["b".into(), "x".into()],
+        replicas: vec!["b".into(), "c".into()],
         seized: true,
         ..w.chart.clone()
     };
@@ -712,7 +713,7 @@
     w.disks.insert("b".into(), d.clone());
     w.crash("b");
     let position = end - 5;
-    let data: Bytes = w.nodes["a"].jig.snapshot().encode_to_vec().into();
+    let data: Bytes = w.nodes["a"].state.snapshot().encode_to_vec().into();
     let term = w.nodes["b"].term;
     let position_term = d.log[&position].term;
     let c = Chunk { term, owner: "a".into(), position, position_term, last: true, data, ..Chunk::default() };
@@ -736,7 +737,7 @@
     w.tell();
     let b = &w.nodes["b"];
     assert!(b.open() && !b.takes_reports(), "what it does not find may be in its log");
-    w.chart.insync = vec!["b".into()];
+    w.chart.in_sync = vec!["b".into()];
     w.chart.changed += 1;
     w.tell();
     w.settle();
--- a/crates/lathe/tests/time.rs
+++ b/crates/store/tests/time.rs
@@ -1,12 +1,12 @@
 //! A store machine's time goes on evenly, whatever its own clock does.
 
-use lathe::Flywheel;
+use store::PartitionClock;
 
 const TRUE: u64 = 1_790_000_000_000;
 
 #[test]
 fn the_time_is_the_leaders_and_goes_on_by_the_steady_clock() {
-    let mut f = Flywheel::new(50);
+    let mut f = PartitionClock::new(50);
     assert!(!f.known() && f.time(5).is_none());
     f.told(0, 0, 10);
     assert!(!f.known(), "a leader without the time tells none");
--- a/crates/drawer/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -14,13 +14,13 @@
 //!   next, so that a removal which is lost brings nothing back that a later
 //!   segment does not overrule.
 
-mod store;
+mod segments;
 use bytes::Bytes;
+pub use segments::SegmentLog;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
-pub use store::Store;
 
 /// All keys are this long.
 pub const KEY: usize = 13;
@@ -61,30 +61,30 @@
 
 /// A handle to the disk thread.
 #[derive(Clone)]
-pub struct Drawer {
+pub struct Wal {
     tx: mpsc::Sender<Job>,
     shared: Arc<Shared>,
 }
 
-impl Drawer {
+impl Wal {
     /// Opens the folder, hands every stored pair to `read` (in no order), and
     /// starts the thread. Sized by the machine's disk and memory.
-    pub fn open(dir: &str, disk_mb: u64, memory_mb: u64, mut read: impl FnMut(&[u8], &[u8])) -> Result<Drawer, String> {
-        let store = Store::open(dir, (disk_mb << 20) / 24, (memory_mb << 20) as usize / 8, &mut read)
+    pub fn open(dir: &str, disk_mb: u64, memory_mb: u64, mut read: impl FnMut(&[u8], &[u8])) -> Result<Wal, String> {
+        let segments = SegmentLog::open(dir, (disk_mb << 20) / 24, (memory_mb << 20) as usize / 8, &mut read)
             .map_err(|e| format!("{dir}: {e}"))?;
         let (tx, rx) = mpsc::channel();
         let shared = Arc::new(Shared {
-            used: AtomicU64::new(store.used_bytes()),
+            used: AtomicU64::new(segments.used_bytes()),
             start: Instant::now(),
             since: AtomicU64::new(0),
             took: AtomicU64::new(0),
         });
         let s = shared.clone();
         std::thread::Builder::new()
-            .name("drawer".into())
-            .spawn(move || write_all(store, rx, s))
+            .name("wal".into())
+            .spawn(move || write_all(segments, rx, s))
             .map_err(|e| e.to_string())?;
-        Ok(Drawer { tx, shared })
+        Ok(Wal { tx, shared })
     }
 
     /// Writes all of it or nothing; `done` runs on the disk thread once it is durable.
@@ -113,7 +113,7 @@
     }
 }
 
-fn write_all(mut store: Store, rx: mpsc::Receiver<Job>, shared: Arc<Shared>) {
+fn write_all(mut segments: SegmentLog, rx: mpsc::Receiver<Job>, shared: Arc<Shared>) {
     while let Ok(first) = rx.recv() {
         shared.since.store(shared.start.elapsed().as_millis() as u64 + 1, Ordering::Relaxed);
         let (mut ops, mut dones, mut size) = (Vec::new(), Vec::new(), 0);
@@ -127,19 +127,19 @@
         let (mut failed, mut pause) = (false, Duration::from_millis(5));
         // What is not durable is not acknowledged. A disk that refuses is tried
         // again until it takes it: what is on it stays in service meanwhile.
-        while let Err(e) = store.commit(&ops) {
+        while let Err(e) = segments.commit(&ops) {
             if !failed {
-                tally::error!("disk write refused, trying again: {e}");
-                tally::count("disk_refusals");
+                telemetry::error!("disk write refused, trying again: {e}");
+                telemetry::count("disk_refusals");
                 failed = true;
             }
             std::thread::sleep(pause);
             pause = (pause * 2).min(Duration::from_millis(80));
         }
         if failed {
-            tally::change!("the disk takes writes again");
+            telemetry::change!("the disk takes writes again");
         }
-        tally::count("disk_syncs");
+        telemetry::count("disk_syncs");
         let began = shared.since.load(Ordering::Relaxed);
         let took = (shared.start.elapsed().as_millis() as u64 + 1).saturating_sub(began).min(0xffff);
         shared.took.store(shared.took.load(Ordering::Relaxed) << 16 | took, Ordering::Relaxed);
@@ -147,11 +147,11 @@
         for d in dones {
             d();
         }
-        if let Err(e) = store.clean() {
-            tally::debug!("cannot clean up yet: {e}");
+        if let Err(e) = segments.clean() {
+            telemetry::debug!("cannot clean up yet: {e}");
         }
-        let used = store.used_bytes();
+        let used = segments.used_bytes();
         shared.used.store(used, Ordering::Relaxed);
-        tally::set("disk_used_mb", used >> 20);
+        telemetry::set("disk_used_mb", used >> 20);
     }
 }
--- a/crates/drawer/src/store.rs
+++ b/crates/wal/src/segments.rs
@@ -27,7 +27,7 @@
     len: u32,
 }
 
-pub struct Store {
+pub struct SegmentLog {
     dir: PathBuf,
     segments: VecDeque<Segment>,
     index: BTreeMap<Key, Place>,
@@ -95,10 +95,10 @@
     }
 }
 
-impl Store {
+impl SegmentLog {
     /// Reads what is there. Up to `keep` bytes of it are held while reading, so
     /// that they need not be read twice.
-    pub fn open(dir: &str, limit: u64, keep: usize, read: &mut dyn FnMut(&[u8], &[u8])) -> Result<Store> {
+    pub fn open(dir: &str, limit: u64, keep: usize, read: &mut dyn FnMut(&[u8], &[u8])) -> Result<SegmentLog> {
         let dir = PathBuf::from(dir);
         std::fs::create_dir_all(&dir)?;
         let mut ids: Vec<u64> = Vec::new();
@@ -113,7 +113,7 @@
         ids.sort_unstable();
         let newest = ids.last().copied().unwrap_or(0);
         let first = newest + 1;
-        let mut s = Store {
+        let mut s = SegmentLog {
             segments: VecDeque::new(),
             index: BTreeMap::new(),
             file: OpenOptions::new().create(true).truncate(true).write(true).open(path(&dir, first))?,
@@ -145,7 +145,7 @@
                 at += len;
             }
             if at < data.len() {
-                tally::change!("segment {id}: {} bytes of unfinished writes dropped", data.len() - at);
+                telemetry::change!("segment {id}: {} bytes of unfinished writes dropped", data.len() - at);
             }
             // What was read has to be there the next time too.
             let file = OpenOptions::new().write(true).open(path(&s.dir, *id))?;
--- a/crates/drawer/tests/power.rs
+++ b/crates/wal/tests/power.rs
@@ -1,25 +1,25 @@
 //! Power is lost at every moment of a write: nothing acknowledged goes, and
 //! nothing is read that the next loss could take back.
 
-use drawer::{Key, Op, Store, key};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
+use wal::{Key, Op, SegmentLog, key};
 
 type Pairs = BTreeMap<Key, Vec<u8>>;
 
 fn folder(name: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("drawer-{name}-{}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("wal-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&dir);
     std::fs::create_dir_all(&dir).expect("a folder");
     dir
 }
 
-fn open(dir: &Path) -> Result<(Store, Pairs), String> {
+fn open(dir: &Path) -> Result<(SegmentLog, Pairs), String> {
     let mut all = Pairs::new();
     let mut read = |k: &[u8], v: &[u8]| {
         all.insert(k.try_into().expect("a key"), v.to_vec());
     };
-    let s = Store::open(dir.to_str().expect("a path"), 0, 1 << 20, &mut read).map_err(|e| e.to_string())?;
+    let s = SegmentLog::open(dir.to_str().expect("a path"), 0, 1 << 20, &mut read).map_err(|e| e.to_string())?;
     Ok((s, all))
 }
 
@@ -201,7 +201,7 @@
     let (mut s, _) = open(&dir).expect("a store");
     let kept = key(b'k', 1, 1);
     let mut model = Pairs::new();
-    let mut put = |s: &mut Store, k: Key, v: Vec<u8>| {
+    let mut put = |s: &mut SegmentLog, k: Key, v: Vec<u8>| {
         s.commit(&[Op::Put(k, v.clone().into())]).expect("written");
         model.insert(k, v);
     };
--- a/crates/willowslip/src/ctl.rs
+++ b/crates/willowslip/src/ctl.rs
@@ -1,7 +1,7 @@
 //! The operators' client.
 
 use clap::{Args, Subcommand};
-use spindle::{Answer, Call, Chuck, Miss};
+use http1::{Answer, Call, ConnectionPool, SendError};
 use std::io::Read;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -35,7 +35,7 @@
     /// State and bytes of a message.
     #[command(subcommand)]
     Message(MessageCall),
-    /// Nodes, partitions, duties and counters as one foreman knows them: a summary,
+    /// Nodes, partitions, duties and counters as one control node knows them: a summary,
     /// or all of it with `--json`.
     Status {
         /// Also each node and partition with this word in a name, zone or role.
@@ -72,13 +72,13 @@
 #[derive(Subcommand)]
 enum RolloutCall {
     Start {
-        plant: String,
+        service: String,
         target: String,
         #[arg(long, default_value_t = 60.0)]
         within_s: f64,
     },
     Read {
-        plant: String,
+        service: String,
     },
 }
 
@@ -138,7 +138,7 @@
 }
 
 async fn ask(ctl: &Ctl, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Result<Answer, Failure> {
-    let chuck = Chuck::new(Duration::from_secs(1));
+    let pool = ConnectionPool::new(Duration::from_secs(1));
     let addrs: Vec<String> = ctl.at.split(',').map(|a| a.trim().to_owned()).filter(|a| !a.is_empty()).collect();
     let end = Instant::now() + Duration::from_secs_f64(ctl.within.clamp(0.1, 3600.0));
     let (mut turn, mut may, mut why) = (0, false, "no address given".to_owned());
@@ -150,7 +150,7 @@
             let host = headers.iter().find(|h| h.0 == "Host").map_or(addr.as_str(), |h| h.1).to_owned();
             let rest: Vec<(&str, &str)> = headers.iter().filter(|h| h.0 != "Host").copied().collect();
             let call = Call { method, path: &path, host: &host, headers: &rest, body, id: "", newest: None };
-            match chuck.call(&addr, call, 4, Duration::from_secs(2)).await {
+            match pool.call(&addr, call, 4, Duration::from_secs(2)).await {
                 Ok(a) if a.status == 307 => {
                     let to = a.header("location").unwrap_or("").trim_start_matches("http://").to_owned();
                     let Some(at) = to.find('/') else { break };
@@ -164,7 +164,7 @@
                 }
                 Ok(a) => return Ok(a),
                 Err(m) => {
-                    may |= m != Miss::NotSent;
+                    may |= m != SendError::NotSent;
                     why = format!("{addr}: {m:?}");
                     break;
                 }
@@ -207,7 +207,7 @@
         What::Config(Config::Read) => ask(ctl, "GET", "/config/read", &[], &[]).await,
         What::Config(Config::Replace { file, base, dry_run }) => {
             let bytes = read_input(file).map_err(bad)?;
-            gauge::Template::read(&bytes).map_err(bad)?;
+            config::Configuration::read(&bytes).map_err(bad)?;
             if *dry_run {
                 return Ok(Answer { status: 200, body: "{\"checked\":true}".into(), ..Answer::default() });
             }
@@ -217,12 +217,12 @@
             let bytes = read_input(file).map_err(bad)?;
             put(ctl, "/config/adjust", *base, &bytes).await
         }
-        What::Rollout(RolloutCall::Start { plant, target, within_s }) => {
-            let body = serde_json::json!({"plant": plant, "target": target, "withinS": within_s}).to_string();
+        What::Rollout(RolloutCall::Start { service, target, within_s }) => {
+            let body = serde_json::json!({"plant": service, "target": target, "withinS": within_s}).to_string();
             ask(ctl, "POST", "/rollouts/start", &[], body.as_bytes()).await
         }
-        What::Rollout(RolloutCall::Read { plant }) => {
-            ask(ctl, "GET", &format!("/rollouts/{plant}/read"), &[], &[]).await
+        What::Rollout(RolloutCall::Read { service }) => {
+            ask(ctl, "GET", &format!("/rollouts/{service}/read"), &[], &[]).await
         }
         What::Retire(RetireCall::Start { node, within_s }) => {
             let body = serde_json::json!({ "withinS": within_s }).to_string();
@@ -237,12 +237,10 @@
         }
         What::Status { .. } => ask(ctl, "GET", "/status", &[], &[]).await,
         What::Node { inner } => {
-            let bench = dovetail::Bench::new(Duration::from_secs(1));
-            let status = dovetail::Body::Status(dovetail::msg::Status {});
-            match bench.to(inner).call(status, Duration::from_secs_f64(ctl.within)).await {
-                Ok(dovetail::Body::StatusAck(s)) => {
-                    Ok(Answer { status: 200, body: s.json.into(), ..Answer::default() })
-                }
+            let rpc_clients = rpc::RpcClients::new(Duration::from_secs(1));
+            let status = rpc::Body::Status(rpc::messages::Status {});
+            match rpc_clients.to(inner).call(status, Duration::from_secs_f64(ctl.within)).await {
+                Ok(rpc::Body::StatusAck(s)) => Ok(Answer { status: 200, body: s.json.into(), ..Answer::default() }),
                 _ => Err(bad(format!("{inner} does not answer"))),
             }
         }
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -4,7 +4,7 @@
 mod summary;
 
 use clap::{Parser, Subcommand};
-use gauge::Caliper;
+use config::Settings;
 use std::process::ExitCode;
 use tokio::sync::watch;
 
@@ -21,15 +21,15 @@
 #[derive(Subcommand)]
 enum Command {
     /// Front machines: takes messages from clients, carries out deliveries.
-    Hatch,
+    Front,
     /// Front machines of a platform for functions: passes requests on, keeps slots.
-    Shuttle,
-    /// Front machines: keeps the session with the control plane, feeds the hatch.
-    Apprentice,
+    Functions,
+    /// Front machines: keeps the session with the control plane, feeds the front.
+    Agent,
     /// Store machines: owns and replicates partitions of messages.
-    Lathe,
+    Store,
     /// Core machines: the majority log, sessions, duties, the operator's interface.
-    Foreman,
+    Control,
     /// The operators' client.
     Ctl(ctl::Ctl),
     /// Checks a settings file or a configuration without using it.
@@ -51,15 +51,15 @@
         _ => {}
     }
     let path = std::env::var("WILLOWSLIP_SETTINGS").unwrap_or_else(|_| "/etc/willowslip/local.toml".into());
-    let caliper = match Caliper::load(&path) {
+    let settings = match Settings::load(&path) {
         Ok(c) => c,
         Err(e) => {
             eprintln!("{e}");
             return ExitCode::from(2);
         }
     };
-    let level = cli.log.clone().unwrap_or_else(|| caliper.log_level.clone());
-    if !level.is_empty() && !tally::set_level(&level) {
+    let level = cli.log.clone().unwrap_or_else(|| settings.log_level.clone());
+    if !level.is_empty() && !telemetry::set_level(&level) {
         eprintln!("--log: wants error, change or debug, not {level:?}");
         return ExitCode::from(2);
     }
@@ -72,20 +72,20 @@
     };
     let ended = runtime.block_on(async {
         let (stop, stopped) = watch::channel(false);
-        let (changed, settings) = watch::channel(caliper.clone());
+        let (changed, updates) = watch::channel(settings.clone());
         tokio::spawn(signals(stop, changed, path, cli.log));
         match cli.command {
-            Command::Hatch => hatch::run(caliper, stopped).await,
-            Command::Shuttle => shuttle::run(caliper, stopped).await,
-            Command::Apprentice => apprentice::run(caliper, stopped, settings).await,
-            Command::Lathe => lathe::run(caliper, stopped, settings).await,
-            _ => foreman::run(caliper, stopped, settings).await,
+            Command::Front => front::run(settings, stopped).await,
+            Command::Functions => functions::run(settings, stopped).await,
+            Command::Agent => agent::run(settings, stopped, updates).await,
+            Command::Store => store::run(settings, stopped, updates).await,
+            _ => control::run(settings, stopped, updates).await,
         }
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            tally::error!("{e}");
+            telemetry::error!("{e}");
             ExitCode::from(2)
         }
     }
@@ -93,7 +93,7 @@
 
 /// SIGTERM and SIGINT stop the program in order; SIGHUP, and a file that changed
 /// without one, have the settings read again.
-async fn signals(stop: watch::Sender<bool>, changed: watch::Sender<Caliper>, path: String, log: Option<String>) {
+async fn signals(stop: watch::Sender<bool>, changed: watch::Sender<Settings>, path: String, log: Option<String>) {
     use tokio::signal::unix::{SignalKind, signal};
     let (Ok(mut term), Ok(mut int), Ok(mut hup)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()))
@@ -105,7 +105,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => tally::count("hangups"),
+            _ = hup.recv() => telemetry::count("hangups"),
             _ = tokio::time::sleep(std::time::Duration::from_secs(5)) => {}
         }
         let Ok(text) = std::fs::read_to_string(&path) else { continue };
@@ -113,15 +113,15 @@
             continue;
         }
         seen = text;
-        match Caliper::parse(&seen) {
+        match Settings::parse(&seen) {
             Ok(c) => {
-                tally::change!("settings changed");
+                telemetry::change!("settings changed");
                 if log.is_none() && !c.log_level.is_empty() {
-                    tally::set_level(&c.log_level);
+                    telemetry::set_level(&c.log_level);
                 }
                 let _ = changed.send(c);
             }
-            Err(e) => tally::error!("{e}; the old values stay in force"),
+            Err(e) => telemetry::error!("{e}; the old values stay in force"),
         }
     }
     let _ = stop.send(true);
@@ -135,7 +135,7 @@
         return ExitCode::from(2);
     }
     if let Some(path) = settings {
-        match Caliper::load(&path) {
+        match Settings::load(&path) {
             Ok(c) => println!("settings of {}: good", c.node),
             Err(e) => {
                 eprintln!("{e}");
@@ -144,9 +144,9 @@
         }
     }
     if let Some(path) = config {
-        match ctl::read_input(&path).and_then(|b| gauge::Template::read(&b)) {
+        match ctl::read_input(&path).and_then(|b| config::Configuration::read(&b)) {
             Ok(t) => {
-                println!("configuration {}: good, {} routes, {} services", t.revision, t.channels.len(), t.plants.len())
+                println!("configuration {}: good, {} routes, {} services", t.revision, t.routes.len(), t.services.len())
             }
             Err(e) => {
                 eprintln!("configuration: {e}");
--- a/crates/willowslip/src/summary.rs
+++ b/crates/willowslip/src/summary.rs
@@ -19,12 +19,12 @@
 
 /// Why a partition is not where it is to be; empty if it is.
 fn matter(p: &Value) -> String {
-    let (homes, insync) = (list(p, "homes"), list(p, "insync"));
+    let (replicas, in_sync) = (list(p, "replicas"), list(p, "insync"));
     let mut why = Vec::new();
-    if insync.len() < homes.len() {
-        why.push(format!("{} of {} in sync", insync.len(), homes.len()));
+    if in_sync.len() < replicas.len() {
+        why.push(format!("{} of {} in sync", in_sync.len(), replicas.len()));
     }
-    if homes.first().and_then(Value::as_str) != Some(text(p, "owner")) {
+    if replicas.first().and_then(Value::as_str) != Some(text(p, "owner")) {
         why.push("not at its first home".into());
     }
     if let Some(c) = p["candidate"].as_str() {
@@ -50,8 +50,8 @@
     }
     let _ = writeln!(
         s,
-        "revision {}  charter {}  roster {}  processors {}",
-        v["revision"], v["charter"], v["roster"], v["units"]
+        "revision {}  assignments {}  membership {}  processors {}",
+        v["revision"], v["assignments"], v["membership"], v["units"]
     );
     let nodes = list(v, "nodes");
     let mut by_zone: BTreeMap<(&str, &str), (usize, usize)> = BTreeMap::new();
@@ -88,11 +88,15 @@
                 text(n, "inner")
             );
         }
-        let has = |p: &Value| names(p, "homes").contains(word) || names(p, "insync").contains(word);
+        let has = |p: &Value| names(p, "replicas").contains(word) || names(p, "insync").contains(word);
         for p in partitions.iter().filter(|p| has(p)) {
-            let (insync, homes) = (names(p, "insync"), names(p, "homes"));
+            let (in_sync, replicas) = (names(p, "insync"), names(p, "replicas"));
             let owner = text(p, "owner");
-            let _ = writeln!(s, "partition {} term {} owner {owner} insync {insync} homes {homes}", p["id"], p["term"]);
+            let _ = writeln!(
+                s,
+                "partition {} term {} owner {owner} insync {in_sync} replicas {replicas}",
+                p["id"], p["term"]
+            );
         }
     }
     let _ = writeln!(s, "counters: {}", text(v, "counters"));
@@ -107,22 +111,22 @@
     #[test]
     fn three_hundred_nodes_are_a_page_and_what_is_amiss_is_on_it() {
         let zones = ["a", "b", "c", "d", "e", "f"];
-        let node = |n: usize, role: &str| json!({"name": format!("{role}-{n}"), "role": role, "zone": zones[n % 6], "inner": "10.0.0.1:7000", "leaving": role == "hatch" && n == 7});
-        let nodes: Vec<Value> = (0..234).map(|n| node(n, "hatch")).chain((0..60).map(|n| node(n, "lathe"))).collect();
+        let node = |n: usize, role: &str| json!({"name": format!("{role}-{n}"), "role": role, "zone": zones[n % 6], "inner": "10.0.0.1:7000", "leaving": role == "front" && n == 7});
+        let nodes: Vec<Value> = (0..234).map(|n| node(n, "front")).chain((0..60).map(|n| node(n, "store"))).collect();
         let partition = |n: usize| {
-            let homes = [n % 60, (n + 1) % 60].map(|m| format!("lathe-{m}"));
-            let insync = if n == 17 { &homes[..1] } else { &homes[..] };
-            json!({"id": n, "term": 3, "owner": homes[0], "homes": homes, "insync": insync, "candidate": null})
+            let replicas = [n % 60, (n + 1) % 60].map(|m| format!("store-{m}"));
+            let in_sync = if n == 17 { &replicas[..1] } else { &replicas[..] };
+            json!({"id": n, "term": 3, "owner": replicas[0], "replicas": replicas, "insync": in_sync, "candidate": null})
         };
         let partitions: Vec<Value> = (0..120).map(partition).collect();
         let v = json!({"node": "core-1", "isLeader": true, "leader": "x", "voters": ["x"], "duties": ["lister"],
-            "behind": {"y": 0, "z": 4}, "disks": {}, "revision": 4, "charter": 5, "roster": 6, "units": 9,
+            "behind": {"y": 0, "z": 4}, "disks": {}, "revision": 4, "assignments": 5, "membership": 6, "units": 9,
             "nodes": nodes, "partitions": partitions, "counters": "a=1"});
         let s = summary(&v, None);
         assert!(s.lines().count() < 30, "{s}");
-        assert!(s.contains("partitions: 120, 119 where") && s.contains("17 term 3 owner lathe-17: 1 of 2 in sync"));
-        assert!(s.contains("b hatch 39, 1 leaving") && s.contains("behind by entries: z=4"));
-        let s = summary(&v, Some("lathe-59"));
-        assert!(s.contains("node lathe-59 lathe f") && s.lines().filter(|l| l.starts_with("partition ")).count() == 4);
+        assert!(s.contains("partitions: 120, 119 where") && s.contains("17 term 3 owner store-17: 1 of 2 in sync"));
+        assert!(s.contains("b front 39, 1 leaving") && s.contains("behind by entries: z=4"));
+        let s = summary(&v, Some("store-59"));
+        assert!(s.contains("node store-59 store f") && s.lines().filter(|l| l.starts_with("partition ")).count() == 4);
     }
 }
--- a/crates/willowslip/tests/common/mod.rs
+++ b/crates/willowslip/tests/common/mod.rs
@@ -93,10 +93,10 @@
         let (b, ip) = (self.base, format!("127.0.0.{machine}"));
         let name = format!("{role}-{machine}");
         let data = self.programs.data(&name);
-        let node = if role == "apprentice" { format!("hatch-{machine}") } else { name.clone() };
+        let node = if role == "agent" { format!("front-{machine}") } else { name.clone() };
         let listen = match role {
-            "foreman" => format!("control = \"{ip}:{}\"", b + 4),
-            "hatch" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", b + 5, b + 6),
+            "control" => format!("control = \"{ip}:{}\"", b + 4),
+            "front" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", b + 5, b + 6),
             _ => String::new(),
         };
         let seeds: Vec<String> = (2..5).map(|m| format!("\"127.0.0.{m}:{}\"", b + 4)).collect();
@@ -127,8 +127,8 @@
         o.is_ok_and(|o| String::from_utf8_lossy(&o.stdout).contains("\"isLeader\":true"))
     }
 
-    pub fn any_foreman(&self, line: &str) -> bool {
-        (2..5).any(|m| self.log(&format!("foreman-{m}")).contains(line))
+    pub fn any_control(&self, line: &str) -> bool {
+        (2..5).any(|m| self.log(&format!("control-{m}")).contains(line))
     }
 
     pub fn log(&self, name: &str) -> String {
@@ -145,15 +145,15 @@
         o.status.success().then(|| serde_json::from_slice(&o.stdout).ok()).flatten()
     }
 
-    /// All partitions are held by the lathes that are to hold them.
+    /// All partitions are held by the store nodes that are to hold them.
     pub fn whole(&self) -> bool {
         let Some(s) = self.ctl(&["status"]) else { return false };
         s["partitions"].as_array().is_some_and(|ps| {
             !ps.is_empty()
                 && ps.iter().all(|p| {
-                    p["homes"].as_array().is_some_and(|h| {
+                    p["replicas"].as_array().is_some_and(|h| {
                         h.len() == 2 && h.iter().all(|n| p["insync"].as_array().is_some_and(|i| i.contains(n)))
-                    }) && p["owner"] == p["homes"][0]
+                    }) && p["owner"] == p["replicas"][0]
                 })
         })
     }
--- a/crates/willowslip/tests/foremen.rs
+++ b/crates/willowslip/tests/control_nodes.rs
@@ -1,4 +1,4 @@
-//! Foremen alone on loopback: one is replaced as planned, and another is lost right after.
+//! Control nodes alone on loopback: one is replaced as planned, and another is lost right after.
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -9,21 +9,21 @@
 mod common;
 use common::*;
 
-struct Foremen {
+struct ControlNodes {
     programs: Programs,
     base: u16,
 }
 
-impl Foremen {
+impl ControlNodes {
     /// Those of 127.0.0.12, .13 and .14 are the first voters.
-    fn new(name: &str) -> Foremen {
+    fn new(name: &str) -> ControlNodes {
         // Tests run side by side: each looks for ports of its own.
         static TESTS: AtomicU16 = AtomicU16::new(0);
         let from = 33_000 + TESTS.fetch_add(1, Ordering::Relaxed) * 9000 + (std::process::id() % 500) as u16 * 16;
         let free =
             |b: &u16| (12..17).all(|m| (*b..*b + 6).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
         let base = (from..60_000).step_by(16).find(free).expect("free ports");
-        let mut f = Foremen { programs: Programs::new(name), base };
+        let mut f = ControlNodes { programs: Programs::new(name), base };
         (12..15).for_each(|m| f.start(m, true));
         f
     }
@@ -43,14 +43,14 @@
             dir.display(),
             b + 4
         );
-        self.programs.start("foreman", &m.to_string(), settings);
+        self.programs.start("control", &m.to_string(), settings);
     }
 
     fn end(&mut self, m: u8, signal: &str) {
         self.programs.end(&m.to_string(), signal);
     }
 
-    /// The machines whose foremen run.
+    /// The machines whose control nodes run.
     fn up(&self) -> Vec<u8> {
         self.programs.running.keys().filter_map(|m| m.parse().ok()).collect()
     }
@@ -138,7 +138,7 @@
 
 #[test]
 fn a_second_loss_right_after_a_planned_replacement_is_borne() {
-    let mut f = Foremen::new("foremen");
+    let mut f = ControlNodes::new("control-nodes");
     soon("a leader", || f.leader().is_some());
     assert!(f.put(1));
     // The new one comes first; then one that votes is told to end - the leader itself.
@@ -160,9 +160,9 @@
     soon("all are level", || f.up().into_iter().all(|m| f.status(m).is_some_and(|s| s["revision"] == 2)));
 }
 
-fn route(i: u64, cutoff: u64) -> serde_json::Value {
+fn route(i: u64, timeout: u64) -> serde_json::Value {
     serde_json::json!({"name": format!("r{i}"), "host": "h", "prefix": format!("/p{i}/"), "mode": "deferred",
-        "cutoffMs": cutoff, "setpointMs": 200, "rank": 1, "plant": "s", "tries": 3, "sequenced": false,
+        "cutoffMs": timeout, "setpointMs": 200, "rank": 1, "plant": "s", "tries": 3, "sequenced": false,
         "retainS": 60.0, "notify": false, "startSetpointMs": 1000})
 }
 
@@ -173,18 +173,19 @@
 
 #[test]
 fn one_that_was_down_for_many_changes_is_level_soon_and_never_leads_before() {
-    let (changes, routes) = (size("WILLOWSLIP_CHANGES", 600), size("WILLOWSLIP_ROUTES", 60));
-    let mut f = Foremen::new("behind");
+    let (changes, count) = (size("WILLOWSLIP_CHANGES", 600), size("WILLOWSLIP_ROUTES", 60));
+    let mut f = ControlNodes::new("behind");
     soon("a leader", || f.leader().is_some());
-    let channels: Vec<serde_json::Value> = (0..routes).map(|i| route(i, 900)).collect();
-    let plant = serde_json::json!({"name": "s", "probe": "/probe", "connLimit": 10, "protocol": "h1", "tls": false,
+    let documents: Vec<serde_json::Value> = (0..count).map(|i| route(i, 900)).collect();
+    let service = serde_json::json!({"name": "s", "probe": "/probe", "connLimit": 10, "protocol": "h1", "tls": false,
         "flowPerS": 0.0, "dedupes": false, "pull": false, "endpoint": null});
-    let whole = serde_json::json!({"revision": 1, "channels": channels, "plants": [plant], "limits": {}}).to_string();
+    let whole =
+        serde_json::json!({"revision": 1, "channels": documents, "plants": [service], "limits": {}}).to_string();
     f.change("/config/replace", 0, &whole);
     let away = (12..15).find(|m| Some(*m) != f.leader()).expect("a follower");
     f.end(away, "-KILL");
     for n in 1..=changes {
-        let change = serde_json::json!({"revision": n + 1, "upsert": {"channels": [route(n % routes, 900 + n)]}});
+        let change = serde_json::json!({"revision": n + 1, "upsert": {"channels": [route(n % count, 900 + n)]}});
         f.change("/config/adjust", n, &change.to_string());
     }
     let newest = changes + 1;
@@ -196,7 +197,7 @@
         assert!(s.as_ref().is_none_or(|s| s["isLeader"] == false || s["revision"] == newest), "it leads with less");
         s.is_some_and(|s| s["revision"] == newest)
     });
-    println!("level {:?} after its start, {changes} changes of {routes} routes behind", begun.elapsed());
+    println!("level {:?} after its start, {changes} changes of {count} routes behind", begun.elapsed());
     assert!(begun.elapsed() < Duration::from_secs(4), "settleS is 4: {:?}", begun.elapsed());
     // The others go, and it leads with all of it.
     for m in (12..15).filter(|m| *m != away) {
--- a/crates/willowslip/tests/ctl.rs
+++ b/crates/willowslip/tests/ctl.rs
@@ -1,4 +1,4 @@
-//! The operators' client against a real foreman on loopback.
+//! The operators' client against a real control node on loopback.
 
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
@@ -7,14 +7,14 @@
 
 const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
 
-struct Foreman {
+struct Control {
     child: Child,
     dir: PathBuf,
     control: String,
     inner: u16,
 }
 
-impl Drop for Foreman {
+impl Drop for Control {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -35,7 +35,7 @@
     }
 }
 
-fn start(name: &str) -> Foreman {
+fn start(name: &str) -> Control {
     let inner = free_ports();
     let control = format!("127.0.0.1:{}", inner + 4);
     let dir = std::env::temp_dir().join(format!("willowslip-{name}-{}", std::process::id()));
@@ -53,12 +53,12 @@
     let good = Command::new(BIN).args(["check", "--settings"]).arg(&path).output().expect("it runs");
     assert!(good.status.success(), "{}", String::from_utf8_lossy(&good.stderr));
     let child = Command::new(BIN)
-        .arg("foreman")
+        .arg("control")
         .env("WILLOWSLIP_SETTINGS", &path)
         .stderr(Stdio::null())
         .spawn()
         .expect("it starts");
-    let f = Foreman { child, dir, control, inner };
+    let f = Control { child, dir, control, inner };
     let end = Instant::now() + Duration::from_secs(20);
     while Instant::now() < end {
         let s = ctl(&f, &["--json", "status"]);
@@ -70,7 +70,7 @@
     panic!("no leader in time");
 }
 
-fn ctl(f: &Foreman, args: &[&str]) -> Output {
+fn ctl(f: &Control, args: &[&str]) -> Output {
     Command::new(BIN).args(["ctl", "--within", "3", "--at", &f.control]).args(args).output().expect("it runs")
 }
 
@@ -78,7 +78,7 @@
     String::from_utf8_lossy(&o.stdout).into_owned() + &String::from_utf8_lossy(&o.stderr)
 }
 
-fn file(f: &Foreman, name: &str, text: &str) -> String {
+fn file(f: &Control, name: &str, text: &str) -> String {
     let p = f.dir.join(name);
     std::fs::write(&p, text).expect("written");
     p.display().to_string()
@@ -121,7 +121,7 @@
 #[test]
 fn orders_to_nothing_known_are_refused_and_a_silent_address_fails_plainly() {
     let f = start("orders");
-    assert!(out(&ctl(&f, &["rollout", "start", "nothing", "v2"])).contains("unknown plant"));
+    assert!(out(&ctl(&f, &["rollout", "start", "nothing", "v2"])).contains("unknown service"));
     assert!(out(&ctl(&f, &["rollout", "read", "nothing"])).contains("404"));
     assert!(out(&ctl(&f, &["retire", "start", "store-9"])).contains("no such node"));
     let inner = format!("127.0.0.1:{}", f.inner);
@@ -142,7 +142,7 @@
         .expect("it runs");
     assert_eq!(o.status.code(), Some(3));
     assert!(out(&o).contains("has not taken effect"));
-    let o = Command::new(BIN).arg("foreman").env("WILLOWSLIP_SETTINGS", "/nowhere").output().expect("it runs");
+    let o = Command::new(BIN).arg("control").env("WILLOWSLIP_SETTINGS", "/nowhere").output().expect("it runs");
     assert_eq!(o.status.code(), Some(2));
     assert!(out(&o).starts_with("settings: file: "), "{}", out(&o));
 }
--- a/crates/willowslip/tests/functions.rs
+++ b/crates/willowslip/tests/functions.rs
@@ -1,4 +1,4 @@
-//! A platform for functions on loopback: three foremen, a front, a stand-in platform
+//! A platform for functions on loopback: three control nodes, a front, a stand-in platform
 //! whose processors count how many requests they hold at once.
 
 use std::collections::HashMap;
@@ -15,7 +15,7 @@
 /// What processors did, and the processors that there are: id, address.
 #[derive(Default)]
 struct Seen {
-    units: HashMap<String, (String, String)>,
+    processors: HashMap<String, (String, String)>,
     /// Requests held now, by processor; and whether there were ever too many.
     held: HashMap<String, usize>,
     over: usize,
@@ -104,7 +104,7 @@
     let text = |f: &str| said[f].as_str().unwrap_or("").to_owned();
     let mut s = seen.lock().unwrap();
     let json = if head.starts_with("POST /start") {
-        let known = s.units.get(&text("nonce")).cloned();
+        let known = s.processors.get(&text("nonce")).cloned();
         let (id, addr) = known.unwrap_or_else(|| {
             s.starts += 1;
             let id = format!("i-{}", s.starts);
@@ -112,18 +112,18 @@
             let addr = listener.local_addr().expect("an address").to_string();
             let (seen, own) = (seen.clone(), id.clone());
             serve(listener, move |head, _| processor(&seen, &own, head));
-            s.units.insert(text("nonce"), (id.clone(), addr.clone()));
+            s.processors.insert(text("nonce"), (id.clone(), addr.clone()));
             (id, addr)
         });
         serde_json::json!({"id": id, "address": addr})
     } else if head.starts_with("POST /stop") {
-        s.units.retain(|_, (id, _)| *id != text("id"));
+        s.processors.retain(|_, (id, _)| *id != text("id"));
         serde_json::json!({})
     } else if head.starts_with("GET /workers") {
         serde_json::json!({"carriers": [{"name": "w", "zone": "z0", "memoryMb": 9000, "headroomMb": 9000, "state": "ready"}]})
     } else {
         let one = |(id, addr): &(String, String)| serde_json::json!({"id": id, "plant": "f", "address": addr, "zone": "z0", "revision": "v1", "capacity": MOST, "state": "ready", "coldLeftMs": 0, "carrier": "w"});
-        serde_json::json!({"units": s.units.values().map(one).collect::<Vec<_>>(), "nextToken": null})
+        serde_json::json!({"units": s.processors.values().map(one).collect::<Vec<_>>(), "nextToken": null})
     };
     let json = json.to_string();
     Some(format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{json}", json.len()))
@@ -141,8 +141,8 @@
         let (name, front) = (format!("{role}-{machine}"), machine >= 5);
         let node = if front { format!("front-{machine}") } else { name.clone() };
         let listen = match role {
-            "foreman" => format!("control = \"{ip}:{}\"", b + 4),
-            "shuttle" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", b + 5, b + 6),
+            "control" => format!("control = \"{ip}:{}\"", b + 4),
+            "functions" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", b + 5, b + 6),
             _ => String::new(),
         };
         let seeds: Vec<String> = (2..5).map(|m| format!("\"127.0.0.{m}:{}\"", b + 4)).collect();
@@ -209,11 +209,11 @@
     let base = (from..40_000).step_by(20).find(free).expect("free ports");
     let mut sys = System { programs: Programs::new("functions"), base, platform: address };
     for m in 2..5 {
-        sys.start("foreman", m);
+        sys.start("control", m);
     }
     // One front only: the agent beside it listens on the loopback that all share here.
-    sys.start("apprentice", 5);
-    sys.start("shuttle", 5);
+    sys.start("agent", 5);
+    sys.start("functions", 5);
     let config = sys.programs.dir.join("config.json");
     let route = |name: &str, prefix: &str, mode: &str| {
         format!(
@@ -268,10 +268,10 @@
     assert_eq!(seen.lock().unwrap().starts, starts, "what is served inside a quarter of its aim starts nothing");
     // The front ends and comes back: it finds in the list what runs, and uses that.
     let starts = seen.lock().unwrap().starts;
-    sys.kill("shuttle-5");
-    sys.start("shuttle", 5);
+    sys.kill("functions-5");
+    sys.start("functions", 5);
     until("an answer again", || sys.call(5, "GET", "/f/x", "again").is_some_and(|a| a.0 == 200));
     assert!(seen.lock().unwrap().starts <= starts + 1);
     // Called no more, all are stopped.
-    until("idle processors stopped", || seen.lock().unwrap().units.is_empty());
+    until("idle processors stopped", || seen.lock().unwrap().processors.is_empty());
 }
