--- a/crates/willowslip/tests/orders.rs
+++ b/crates/willowslip/tests/orders.rs
@@ -1,4 +1,4 @@
-//! Orders over HTTP against three foremen and three store machines on loopback:
+//! Orders over HTTP against three control nodes and three store machines on loopback:
 //! sent at the same moment, sent again, to the next leader, and too large.
 
 use std::io::{Read, Write};
@@ -56,12 +56,12 @@
         format!("127.0.1.{machine}:{}", self.base + 4)
     }
 
-    fn start(&mut self, role: &str, machine: u8, first: bool, foremen: std::ops::Range<u8>) {
+    fn start(&mut self, role: &str, machine: u8, first: bool, control_nodes: std::ops::Range<u8>) {
         let (b, ip) = (self.base, format!("127.0.1.{machine}"));
         let name = format!("{role}-{machine}");
         let data = self.programs.data(&name);
-        let control = if role == "foreman" { self.control(machine) } else { String::new() };
-        let seeds: Vec<String> = foremen.map(|m| format!("\"{}\"", self.control(m))).collect();
+        let control = if role == "control" { self.control(machine) } else { String::new() };
+        let seeds: Vec<String> = control_nodes.map(|m| format!("\"{}\"", self.control(m))).collect();
         let settings = format!(
             "node = \"{name}\"\nip = \"{ip}\"\nzone = \"z{}\"\nportRange = [{b}, {}]\nseeds = [{}]\ninitialStart = {first}\n\
              dataDir = \"{}\"\n[listen]\ncontrol = \"{control}\"\n[limits]\nmemoryMb = 256\ndiskMb = 200\n\
@@ -85,7 +85,7 @@
 
     fn leader(&self) -> u8 {
         until("a leader", || {
-            (2..5).filter(|m| self.programs.running.contains_key(&format!("foreman-{m}"))).find(|m| self.leads(*m))
+            (2..5).filter(|m| self.programs.running.contains_key(&format!("control-{m}"))).find(|m| self.leads(*m))
         })
     }
 
@@ -112,10 +112,10 @@
 fn orders_sent_at_once_sent_again_and_to_the_next_leader() {
     let mut f = Fleet::new("once", 2..8);
     for m in 2..5 {
-        f.start("foreman", m, true, 2..5);
+        f.start("control", m, true, 2..5);
     }
     for m in 5..8 {
-        f.start("lathe", m, true, 2..5);
+        f.start("store", m, true, 2..5);
     }
     assert_eq!(f.send("POST", "/config/replace", Some(0), CONFIG).0, 200);
     let status = |f: &Fleet| -> serde_json::Value {
@@ -142,7 +142,7 @@
     assert_eq!(f.send("POST", &path, None, &body).0, 200, "a repeat is acknowledged");
 
     // Three retires at the same moment: two machines must stay.
-    let retire = |m: u8| (format!("/retire/lathe-{m}/start"), r#"{"withinS": 60}"#.to_owned());
+    let retire = |m: u8| (format!("/retire/store-{m}/start"), r#"{"withinS": 60}"#.to_owned());
     let all = [retire(5), retire(6), retire(7)];
     let got = f.at_once(&all);
     assert_eq!(got.iter().filter(|s| **s == 200).count(), 1, "{got:?}");
@@ -152,12 +152,12 @@
     let read = retire_path.replace("start", "read");
     until("settled", || f.send("GET", &read, None, "").1.contains("settled").then_some(()));
     // Settled, it may be taken away at any moment: it is given nothing any more.
-    let given = || status(&f)["partitions"].to_string().contains(&format!("\"lathe-{}\"", gone + 5));
+    let given = || status(&f)["partitions"].to_string().contains(&format!("\"store-{}\"", gone + 5));
     for _ in 0..20 {
         assert!(!given(), "{}", status(&f)["partitions"]);
         std::thread::sleep(Duration::from_millis(100));
     }
-    f.kill(&format!("lathe-{}", gone + 5));
+    f.kill(&format!("store-{}", gone + 5));
 
     // The next leader knows all of it, and so do all after an end of every one.
     let again = |f: &Fleet| {
@@ -165,20 +165,20 @@
         assert_eq!(f.send("POST", &path, None, &body).0, 200);
         assert_eq!(f.send("POST", &start("v9").0, None, &start("v9").1).0, 409);
         assert_eq!(f.send("POST", &retire_path, None, &retire_body).0, 200, "though the node is gone");
-        assert_eq!(f.send("POST", "/retire/lathe-99/start", None, &retire_body).0, 404);
+        assert_eq!(f.send("POST", "/retire/store-99/start", None, &retire_body).0, 404);
         assert_eq!(f.send("POST", "/config/replace", Some(0), &CONFIG.replace('q', "r")).0, 412, "another body");
         assert_eq!(f.send("POST", "/config/adjust", Some(0), CONFIG).0, 412, "another kind of order");
     };
     again(&f);
     let old = f.leader();
-    f.kill(&format!("foreman-{old}"));
+    f.kill(&format!("control-{old}"));
     again(&f);
-    f.start("foreman", old, false, 2..5);
+    f.start("control", old, false, 2..5);
     for m in 2..5 {
-        f.kill(&format!("foreman-{m}"));
+        f.kill(&format!("control-{m}"));
     }
     for m in 2..5 {
-        f.start("foreman", m, false, 2..5);
+        f.start("control", m, false, 2..5);
     }
     again(&f);
 
@@ -186,7 +186,7 @@
     // another machine, and keep path and query.
     let old = f.leader();
     let signal = |s: &str| {
-        let id = f.programs.id(&format!("foreman-{old}")).to_string();
+        let id = f.programs.id(&format!("control-{old}")).to_string();
         assert!(Command::new("kill").args([s, &id]).status().is_ok_and(|s| s.success()));
     };
     let at = f.control(old);
@@ -199,7 +199,7 @@
                     0 => call(at, "GET", "/config/read?n=1", None, b""),
                     1 => call(at, "GET", "/rollouts/q/read?n=1", None, b""),
                     2 => call(at, "POST", "/config/replace?n=1", Some(2), CONFIG.as_bytes()),
-                    _ => call(at, "POST", "/retire/lathe-99/start?n=1", None, b"{}"),
+                    _ => call(at, "POST", "/retire/store-99/start?n=1", None, b"{}"),
                 })
             })
             .collect();
@@ -244,7 +244,7 @@
 #[test]
 fn a_configuration_has_a_stated_limit_and_a_member_bears_it() {
     let mut f = Fleet::new("large", 2..3);
-    f.start("foreman", 2, true, 2..3);
+    f.start("control", 2, true, 2..3);
     let at = f.control(2);
     until("a leader", || f.leads(2).then_some(()));
     // As the operator sends: again while there is no clear answer.
@@ -254,7 +254,7 @@
     };
     let few = routes(1, 1700);
     assert_eq!(post("/config/replace", 0, &few).0, 200);
-    let id = f.programs.id("foreman-2");
+    let id = f.programs.id("control-2");
     println!("with 1700 routes, {} bytes: {:?} kB", few.len(), memory(id));
     // Far beyond, a little beyond, and grown beyond by changes: each is told the limit.
     let limit = |a: (u16, String, String)| {
--- a/crates/willowslip/tests/restart.rs
+++ b/crates/willowslip/tests/restart.rs
@@ -1,4 +1,4 @@
-//! One foreman on loopback whose log is cut again and again: what it acknowledged is
+//! One control node on loopback whose log is cut again and again: what it acknowledged is
 //! there whenever it is killed and begins anew.
 
 use std::io::{Read, Write};
@@ -9,7 +9,7 @@
 
 const BIN: &str = env!("CARGO_BIN_EXE_willowslip");
 
-struct Foreman {
+struct Control {
     dir: PathBuf,
     port: u16,
     child: Child,
@@ -18,16 +18,16 @@
 fn begin(dir: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(dir.join("log")).expect("a log file");
     Command::new(BIN)
-        .arg("foreman")
+        .arg("control")
         .env("WILLOWSLIP_SETTINGS", dir.join("settings.toml"))
         .stderr(Stdio::from(log))
         .spawn()
         .expect("it starts")
 }
 
-impl Foreman {
+impl Control {
     /// With so little memory that a few configurations fill its log.
-    fn new(name: &str, memory_mb: u32) -> Foreman {
+    fn new(name: &str, memory_mb: u32) -> Control {
         let from = 30_000 + (std::process::id() % 500) as u16 * 16;
         let free = |b: &u16| (*b..*b + 6).all(|p| TcpListener::bind(("127.0.0.1", p)).is_ok());
         let b = (from..60_000).step_by(16).find(free).expect("free ports");
@@ -44,7 +44,7 @@
         );
         std::fs::write(dir.join("settings.toml"), settings).expect("settings written");
         let child = begin(&dir);
-        Foreman { dir, port: b + 4, child }
+        Control { dir, port: b + 4, child }
     }
 
     fn kill_and_begin(&mut self) {
@@ -81,7 +81,7 @@
     }
 }
 
-impl Drop for Foreman {
+impl Drop for Control {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -92,14 +92,14 @@
 }
 
 fn config(revision: u64, routes: usize) -> String {
-    let channels: Vec<serde_json::Value> = (0..routes)
+    let routes: Vec<serde_json::Value> = (0..routes)
         .map(|i| {
             serde_json::json!({"name": format!("r{i}"), "host": "h", "prefix": format!("/p{i}/"), "mode": "deferred",
                 "cutoffMs": 900 + revision, "setpointMs": 200, "rank": 1, "plant": "s", "tries": 3, "sequenced": false,
                 "retainS": 60.0, "notify": false, "startSetpointMs": 1000})
         })
         .collect();
-    serde_json::json!({"revision": revision, "channels": channels, "limits": {},
+    serde_json::json!({"revision": revision, "channels": routes, "limits": {},
         "plants": [{"name": "s", "probe": "/probe", "connLimit": 10, "protocol": "h1", "tls": false, "flowPerS": 0.0,
             "dedupes": false, "pull": false, "endpoint": null}]})
     .to_string()
@@ -107,7 +107,7 @@
 
 #[test]
 fn whenever_it_is_killed_what_it_acknowledged_is_there() {
-    let mut f = Foreman::new("restart", 8);
+    let mut f = Control::new("restart", 8);
     let mut cut = 0;
     for n in 1..=16u64 {
         let (status, said) = f.ask("POST", "/config/replace", n - 1, &config(n, 100));
@@ -118,5 +118,5 @@
         let read: serde_json::Value = serde_json::from_str(&said).expect("a configuration");
         assert_eq!((status, read["revision"].as_u64()), (200, Some(n)), "read back after the end of the process");
     }
-    assert!(cut >= 2, "the log was cut in {cut} lives only");
+    assert!(cut >= 2, "the log was cut in {cut} incarnations only");
 }
--- a/crates/willowslip/tests/whole.rs
+++ b/crates/willowslip/tests/whole.rs
@@ -1,4 +1,4 @@
-//! The whole system on loopback: three foremen, three lathes, a front machine and
+//! The whole system on loopback: three control nodes, three store nodes, a front machine and
 //! a stand-in endpoint; store machines are stopped, killed, frozen and retired.
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -69,13 +69,13 @@
     let server = endpoint(ran.clone(), told.clone());
     let mut s = System::new();
     for m in 2..5 {
-        s.start("foreman", m, true);
+        s.start("control", m, true);
     }
     for m in 5..8 {
-        s.start("lathe", m, true);
+        s.start("store", m, true);
     }
-    s.start("hatch", 8, true);
-    s.start("apprentice", 8, true);
+    s.start("front", 8, true);
+    s.start("agent", 8, true);
     let config = format!(
         r#"{{"revision": 1, "channels": [{{"name": "r", "host": "h", "prefix": "/m/", "mode": "deferred", "cutoffMs": 1000,
         "setpointMs": 1000, "plant": "e", "tries": 3, "sequenced": true, "retainS": 60, "notify": true, "startSetpointMs": 1000}}],
@@ -110,48 +110,48 @@
         assert_eq!(send(n), 202, "message {n}");
     }
     // Stopped in order: everything passes by splice, and nobody notices.
-    s.end("lathe-5", "-TERM");
+    s.end("store-5", "-TERM");
     for n in 100..200 {
         assert_eq!(send(n), 202, "message {n}");
     }
-    let log = s.log("lathe-5");
+    let log = s.log("store-5");
     assert!(log.contains("stopped at") && log.contains("left after"), "{log}");
-    assert!(["lathe-6", "lathe-7"].iter().any(|l| s.log(l).contains("spliced at")));
-    s.start("lathe", 5, false);
+    assert!(["store-6", "store-7"].iter().any(|l| s.log(l).contains("spliced at")));
+    s.start("store", 5, false);
     until("whole again", || s.whole());
     // Killed: seized by those in sync.
-    s.end("lathe-6", "-KILL");
+    s.end("store-6", "-KILL");
     let taken = (200..300).filter(|n| send(*n) == 202).count();
     assert!(taken > 50, "{taken} of 100 taken around the loss");
-    until("seized", || ["lathe-5", "lathe-7"].iter().any(|l| s.log(l).contains("seized")));
-    s.start("lathe", 6, false);
+    until("seized", || ["store-5", "store-7"].iter().any(|l| s.log(l).contains("seized")));
+    s.start("store", 6, false);
     until("whole after the loss", || s.whole());
 
     // Frozen until another one owns what it had; when it wakes, nothing of its own counts.
-    s.signal("lathe-7", "-STOP");
+    s.signal("store-7", "-STOP");
     let taken = (300..400).filter(|n| send(*n) == 202).count();
     assert!(taken > 50, "{taken} of 100 taken around the freeze");
-    until("seized", || s.any_foreman("seized from lathe-7"));
-    s.signal("lathe-7", "-CONT");
+    until("seized", || s.any_control("seized from store-7"));
+    s.signal("store-7", "-CONT");
     until("whole after the freeze", || s.whole());
     // The leader is lost, and then a machine is emptied.
     let leader = (2..5).find(|m| s.is_leader(*m)).expect("a leader");
-    s.end(&format!("foreman-{leader}"), "-KILL");
+    s.end(&format!("control-{leader}"), "-KILL");
     until("another leader", || (2..5).any(|m| m != leader && s.is_leader(m)));
     assert_eq!(send(400), 202);
-    s.start("foreman", leader, false);
+    s.start("control", leader, false);
     assert!(s.ctl(&["retire", "start", "nowhere"]).is_none());
-    until("retire", || s.ctl(&["retire", "start", "lathe-5"]).is_some());
-    until("retired", || s.ctl(&["retire", "read", "lathe-5"]).is_some_and(|r| r["state"] == "settled"));
-    s.end("lathe-5", "-KILL");
-    assert!(s.ctl(&["retire", "start", "lathe-6"]).is_none(), "too few would be left");
+    until("retire", || s.ctl(&["retire", "start", "store-5"]).is_some());
+    until("retired", || s.ctl(&["retire", "read", "store-5"]).is_some_and(|r| r["state"] == "settled"));
+    s.end("store-5", "-KILL");
+    assert!(s.ctl(&["retire", "start", "store-6"]).is_none(), "too few would be left");
     for n in 401..500 {
         assert_eq!(send(n), 202, "message {n}");
     }
 
     // A core machine is replaced by an empty one at another address.
-    s.end("foreman-4", "-KILL");
-    s.start("foreman", 8, false);
+    s.end("control-4", "-KILL");
+    s.start("control", 8, false);
     let (new, old) = (format!("127.0.0.8:{}", s.base), format!("127.0.0.4:{}", s.base));
     until("the newcomer votes", || {
         let Some(status) = s.ctl(&["status"]) else { return false };
@@ -159,7 +159,7 @@
         votes(&new) && !votes(&old)
     });
     // Everything that keeps something ends at once, and comes back with its disks.
-    let kept = ["foreman-2", "foreman-3", "foreman-8", "lathe-6", "lathe-7"];
+    let kept = ["control-2", "control-3", "control-8", "store-6", "store-7"];
     for k in kept {
         s.end(k, "-KILL");
     }
@@ -198,7 +198,7 @@
         let told = told.lock().expect("no panic");
         names.iter().all(|(id, _)| told.iter().any(|t| t.contains(id) && t.contains("settled")))
     });
-    for l in ["lathe-5", "lathe-6", "lathe-7"] {
+    for l in ["store-5", "store-6", "store-7"] {
         assert!(!s.log(l).contains("ALARM"), "{l}");
     }
 }
--- a/examples/loopback.sh
+++ b/examples/loopback.sh
@@ -11,7 +11,7 @@
 start() { # role machine listen-lines
     local ip=127.0.0.$2 name=$1-$2 node=$1-$2
     # A front machine's two processes bear the machine's name.
-    if [ "$1" = apprentice ]; then node=hatch-$2; fi
+    if [ "$1" = agent ]; then node=front-$2; fi
     mkdir -p "$dir/$name"
     cat > "$dir/$name.toml" <<SETTINGS
 node = "$node"
@@ -47,11 +47,11 @@
     pids+=($!)
 }
 
-for m in 2 3 4; do start foreman $m "control = \"127.0.0.$m:8064\""; done
-for m in 5 6 7; do start lathe $m ""; done
-start hatch 8 'front = "127.0.0.8:8069"
+for m in 2 3 4; do start control $m "control = \"127.0.0.$m:8064\""; done
+for m in 5 6 7; do start store $m ""; done
+start front 8 'front = "127.0.0.8:8069"
 ready = "127.0.0.8:8063"'
-start apprentice 8 ""
+start agent 8 ""
 
 echo "control: 127.0.0.2:8064,127.0.0.3:8064,127.0.0.4:8064"
 echo "front:   127.0.0.8:8069"
