--- a/crates/control/src/leadership.rs
+++ b/crates/control/src/leadership.rs
@@ -1,11 +1,11 @@
 //! Authority: who leads, until when this control node may act for the majority, and the
 //! task that steps the log and carries out its effects.
 
-use crate::raft::*;
 use crate::service::*;
 use crate::state::*;
 use crate::storage::save;
 use prost::Message;
+use raft::*;
 use rpc::messages::*;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,7 +8,6 @@
 mod leadership;
 mod operator;
 mod orders;
-mod raft;
 mod rollout;
 mod scaler;
 mod service;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -4,12 +4,12 @@
 use crate::cluster_clock::ClusterClock;
 use crate::instance_launcher::InstanceLauncher;
 use crate::leadership::turn;
-use crate::raft::*;
 use crate::rollout::RolloutMonitor;
 use crate::state::*;
 use crate::storage::{self, StoredState, save};
 use bytes::Bytes;
 use config::{Configuration, ConfigurationIndex, Role, Settings};
+use raft::*;
 use rpc::messages::*;
 use rpc::{Responder, RpcClients, new_incarnation};
 use std::collections::{BTreeMap, HashMap, HashSet};
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -1,10 +1,10 @@
 //! What a control node keeps on its disk: the vote record, the snapshot, the log.
 
-use crate::raft::*;
 use crate::state::ControlState;
 use bytes::Bytes;
 use config::Settings;
 use prost::Message;
+use raft::*;
 use rpc::messages::RaftEntry;
 use tokio::sync::oneshot;
 use wal::{Op, Wal};
--- /dev/null
+++ b/crates/functions/src/gateway/slot_service.rs
@@ -0,0 +1,232 @@
+//! The side that grants: the slots of the functions that this front owns.
+
+use super::*;
+
+impl FunctionGateway {
+    pub(super) fn carry_out(self: &Arc<Self>, i: &mut GatewayState, effects: Vec<Effect>) {
+        for e in effects {
+            match e {
+                Effect::Grant { holder, processor, address, starting } => {
+                    telemetry::count("slots_granted");
+                    if let Some(w) = i.waiters.remove(&holder) {
+                        let outcome = SlotOutcome::Granted as i32;
+                        w.send(SlotGrant { outcome, processor, address, starting, retry_ms: 0 });
+                    }
+                }
+                Effect::Refuse { holder, retry_ms } => {
+                    telemetry::count("slots_refused");
+                    if let Some(w) = i.waiters.remove(&holder) {
+                        // Nothing to wait for: kept elsewhere by now.
+                        let outcome = if retry_ms == 0 { SlotOutcome::Elsewhere } else { SlotOutcome::None } as i32;
+                        w.send(SlotGrant { outcome, retry_ms: retry_ms as u32, ..SlotGrant::default() });
+                    }
+                }
+                Effect::Start { service, nonce } => {
+                    telemetry::count("starts_asked");
+                    tokio::spawn(self.clone().start_processor(service, nonce));
+                }
+                Effect::Stop { processor, .. } => {
+                    telemetry::count("stops_asked");
+                    tokio::spawn(self.clone().stop_processor(processor));
+                }
+            }
+        }
+    }
+
+    pub(super) fn step(self: &Arc<Self>, f: impl FnOnce(&mut SlotTable, u64, &mut Vec<Effect>)) {
+        let mut guard = self.shared.lock().unwrap();
+        let i = &mut *guard;
+        let mut out = Vec::new();
+        f(&mut i.slot_table, self.now(), &mut out);
+        self.carry_out(i, out);
+    }
+
+    /// Asks the leader for a processor, by one nonce until it is clear what came of it.
+    pub(super) async fn start_processor(self: Arc<Self>, service: String, nonce: String) {
+        let wait = self.ratio(4.0);
+        let end = Instant::now() + 4 * wait;
+        let (mut full, mut pause) = (false, self.ratio(100.0));
+        while Instant::now() < end {
+            let leader = self.known.borrow().leader.clone();
+            let ask = Start { service: service.clone(), nonce: nonce.clone(), zone: self.settings.zone.clone() };
+            let asked = if leader.is_empty() {
+                None
+            } else {
+                self.rpc_clients.to(&leader).call(Body::Start(ask), wait).await.ok()
+            };
+            if let Some(Body::StartAck(a)) = asked {
+                if !a.processor.is_empty() {
+                    self.step(|c, now, out| c.started(&service, &nonce, &a.processor, &a.address, now, out));
+                    return;
+                }
+                if a.full {
+                    full = true;
+                    break;
+                }
+                if !a.leader.is_empty() && a.leader != leader {
+                    self.known.send_if_modified(|k| k.take(&ViewUpdate { leader: a.leader, ..ViewUpdate::default() }));
+                }
+            }
+            // Longer each time: hundreds of functions may be asked for while nobody is
+            // leading.
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(wait / 2);
+        }
+        telemetry::count("starts_given_up");
+        self.step(|c, now, out| c.not_started(&service, &nonce, full, now, out));
+    }
+
+    pub(super) async fn stop_processor(self: Arc<Self>, processor: String) {
+        for _ in 0..4 {
+            let leader = self.known.borrow().leader.clone();
+            if !leader.is_empty()
+                && let Ok(Body::Ack(_)) = self
+                    .rpc_clients
+                    .to(&leader)
+                    .call(Body::Stop(StopProcessor { processor: processor.clone() }), self.ratio(4.0))
+                    .await
+            {
+                return;
+            }
+            tokio::time::sleep(self.ratio(20.0)).await;
+        }
+        // It is listed still, and found idle again by whoever keeps the function.
+        telemetry::count("stops_given_up");
+    }
+
+    pub(super) fn handle(self: &Arc<Self>, body: Body, responder: Responder) {
+        match body {
+            Body::SlotRequest(a) => self.asked(a, Waiter::Far(responder)),
+            Body::Ack(a) => responder.send(Body::Ack(a)),
+            Body::SlotRelease(b) => self.step(|c, now, out| c.back(&b, now, out)),
+            Body::SlotsHeld(h) => self.step(|c, now, _| {
+                for one in &h.held {
+                    c.held(&h.front, one, now);
+                }
+            }),
+            Body::Status(_) => {
+                let k = self.known.borrow().have();
+                let i = self.shared.lock().unwrap();
+                let functions: Vec<serde_json::Value> = i
+                    .slot_table
+                    .tallies()
+                    .into_iter()
+                    .filter(|t| t.1 + t.2 + t.3 > 0)
+                    .map(|t| serde_json::json!({"service": t.0, "processors": t.1, "held": t.2, "waiting": t.3}))
+                    .collect();
+                let json = serde_json::json!({"node": self.settings.node, "ready": self.is_ready(),
+                    "configuration": k.configuration, "membership": k.membership, "holds": i.holds.len(), "keeps": functions,
+                    "counters": telemetry::render()});
+                drop(i);
+                responder.send(Body::StatusAck(StatusAck { json: json.to_string() }));
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn asked(self: &Arc<Self>, a: SlotRequest, w: Waiter) {
+        let mine = |dark: &[String]| self.slot_owner_but(&a.service, dark).is_some_and(|k| k.0 == self.settings.node);
+        if mine(&self.dark()) {
+            self.taken(a, w);
+        } else if mine(&a.dark) {
+            tokio::spawn(self.clone().look_for(a, w));
+        } else {
+            let outcome = SlotOutcome::Elsewhere as i32;
+            w.send(SlotGrant { outcome, ..SlotGrant::default() });
+        }
+    }
+
+    pub(super) fn taken(self: &Arc<Self>, a: SlotRequest, w: Waiter) {
+        let mut guard = self.shared.lock().unwrap();
+        let i = &mut *guard;
+        i.waiters.insert((a.front.clone(), a.slot_id), w);
+        let mut out = Vec::new();
+        i.slot_table.ask(&a, self.now(), &mut out);
+        self.carry_out(i, out);
+    }
+
+    pub(super) fn keeps(&self, service: &str) -> bool {
+        self.shared.lock().unwrap().slot_table.keeps(service)
+    }
+
+    /// Asks the leader what the platform lists of what is kept here.
+    pub(super) async fn ask_processors(self: Arc<Self>) {
+        let period = Duration::from_millis((self.settings.constraints.converge_ms / 5.0) as u64);
+        let mut digest = 0;
+        loop {
+            // At the start nothing is known of what runs already.
+            tokio::time::sleep(if digest == 0 { period / 8 } else { period }).await;
+            let leader = self.known.borrow().leader.clone();
+            if leader.is_empty() {
+                continue;
+            }
+            let ask = ProcessorsRequest { front: self.settings.node.clone(), digest };
+            if let Ok(Body::Processors(u)) =
+                self.rpc_clients.to(&leader).call(Body::ProcessorsRequest(ask), period).await
+                && u.known
+                && u.digest != digest
+            {
+                digest = u.digest;
+                *self.processors.lock().unwrap() = u.processors;
+                self.arrange();
+            }
+        }
+    }
+
+    /// The membership or the configuration has changed: who keeps what, and what is
+    /// there of what is kept here.
+    pub(super) fn arrange(self: &Arc<Self>) {
+        let known = self.known.borrow().clone();
+        let fronts = rpc::fronts(&known.membership);
+        let before = self.fronts.lock().unwrap().clone();
+        // One that begins again may be asked at once.
+        self.shared
+            .lock()
+            .unwrap()
+            .dark
+            .retain(|n, d| known.node(n, "functions").is_some_and(|x| x.incarnation == d.incarnation));
+        let dark = self.dark();
+        let passed_over = std::mem::replace(&mut self.shared.lock().unwrap().passed_over, dark.clone());
+        let moved = *before != fronts || dark != passed_over;
+        let there: HashSet<String> =
+            known.membership.nodes.iter().filter(|n| n.role == "functions").map(|n| n.name.clone()).collect();
+        *self.fronts.lock().unwrap() = Arc::new(fronts);
+        let mut kept: HashMap<String, (Facts, Vec<Listed>)> = HashMap::new();
+        for p in known.configuration.services.iter().filter(|p| p.is_function()) {
+            let mine = |dark: &[String]| self.slot_owner_but(&p.name, dark).is_some_and(|k| k.0 == self.settings.node);
+            if mine(&dark) || mine(&[]) || self.keeps(&p.name) {
+                let facts = Facts { most: p.max_inflight as usize, boot_ms: p.boot_ms as u64 };
+                kept.insert(p.name.clone(), (facts, Vec::new()));
+            }
+        }
+        for u in self.processors.lock().unwrap().iter() {
+            if let Some(k) = kept.get_mut(&u.service) {
+                k.1.push(Listed { id: u.id.clone(), address: u.address.clone(), draining: u.draining });
+            }
+        }
+        self.step(|c, now, out| {
+            c.keep(&kept, now, out);
+            if moved {
+                c.fronts(&there, now, out);
+            }
+        });
+        // Those that keep what is held here now are told of it.
+        let mut news: HashMap<String, Vec<SlotHeld>> = HashMap::new();
+        {
+            let i = self.shared.lock().unwrap();
+            for (held, until) in i.holds.values() {
+                let now = self.slot_owner_but(&held.service, &dark);
+                if let Some((name, inner)) = &now
+                    && moved
+                    && *name != self.settings.node
+                {
+                    let hold_ms = until.saturating_duration_since(Instant::now()).as_millis() as u32;
+                    news.entry(inner.clone()).or_default().push(SlotHeld { hold_ms, ..held.clone() });
+                }
+            }
+        }
+        for (inner, held) in news {
+            self.rpc_clients.to(&inner).send(Body::SlotsHeld(SlotsHeld { front: self.settings.node.clone(), held }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/partition/src/replica.rs
@@ -0,0 +1,394 @@
+//! One partition on one node: its log, its fold, and how ownership passes.
+//! A state machine without I/O; the shell carries out its effects in order.
+
+mod follower;
+mod log;
+mod ownership;
+mod replication;
+mod transfer;
+
+use crate::record::*;
+use crate::state::*;
+use bytes::Bytes;
+use prost::Message;
+use rpc::Body;
+use rpc::messages::{Chunk, Entries, EntriesAck, LogEntry, Order, OrderAck, OrderKind, Partition};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReplicaRole {
+    Owner,
+    Follower,
+}
+
+#[derive(Debug)]
+#[allow(clippy::large_enum_variant)] // They live for one step.
+pub enum Effect {
+    /// Write; then report `Synced` with the term and the end given here.
+    Persist {
+        del: Option<(u64, u64)>,
+        put: Vec<(u64, LogEntry)>,
+        meta: Meta,
+        snapshot: Option<Bytes>,
+        term: u64,
+        end: u64,
+    },
+    Send(String, Body),
+    /// The owner's fold has moved.
+    Folded(Vec<Change>),
+    TookOver {
+        seized: bool,
+    },
+    /// Not the owner any more; who is, if known.
+    StoodDown(String),
+    Ask(Order),
+    /// The shadow state differs from what the owner's epoch record says.
+    Mismatch(u64),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Meta {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub commit: u64,
+    /// The snapshot on disk is the fold of all up to here.
+    #[prost(uint64, tag = "3")]
+    pub base: u64,
+    #[prost(uint64, tag = "4")]
+    pub base_term: u64,
+}
+
+#[derive(Default, Debug)]
+struct Peer {
+    sent: u64,
+    acked: u64,
+    told_commit: u64,
+    heard: u64,
+    resent: u64,
+    verified: u64,
+    verified_from: u64,
+    mismatch: bool,
+    /// A snapshot is under way up to this position.
+    snapshot: u64,
+    incarnation: u64,
+    /// When the majority last refused to count it in.
+    refused: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    Verify,
+    Granting { asked: u64 },
+    Stopping { term: u64, in_sync: Vec<String> },
+    Marked { at: u64 },
+}
+
+#[derive(Clone, Debug)]
+struct Move {
+    candidate: String,
+    leaving: bool,
+    began: u64,
+    phase: Phase,
+}
+
+/// Bounds of the state machine's clock, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between epoch records.
+    pub epoch: u64,
+    /// Over which a match must have held before a cutover.
+    pub window: u64,
+    /// Silence after which a follower is sent the rest again.
+    pub again: u64,
+    pub status: u64,
+    /// Bytes of records kept in memory for followers that are behind.
+    pub keep_bytes: usize,
+}
+
+pub struct PartitionReplica {
+    pub id: u32,
+    me: String,
+    /// This process's incarnation.
+    pub incarnation: u64,
+    pub term: u64,
+    pub role: ReplicaRole,
+    first: u64,
+    base_term: u64,
+    disk_base: u64,
+    disk_base_term: u64,
+    log: VecDeque<LogEntry>,
+    log_bytes: usize,
+    pub durable: u64,
+    pub commit: u64,
+    pub state: PartitionState,
+    pub owner: String,
+    pub replicas: Vec<String>,
+    in_sync: Vec<String>,
+    joining: HashMap<String, u64>,
+    peers: HashMap<String, Peer>,
+    moving: Option<Move>,
+    epochs: BTreeMap<u64, u64>,
+    last_epoch: u64,
+    digests: VecDeque<(u64, u64)>,
+    pub verified: u64,
+    verified_from: u64,
+    pub mismatch: bool,
+    /// Up to here the log is known to be the owner's, at this term.
+    matched: u64,
+    /// The gap that was told last: term, end, and when.
+    gap_told: (u64, u64, u64),
+    chunks: Vec<Bytes>,
+    chunk_from: (u64, u64),
+    own_asked: u64,
+    own_known: bool,
+    /// The majority's entry that its last word came from: older ones say nothing.
+    told: u64,
+    /// Where the log ended when this node became owner.
+    took_at: u64,
+    timing: Timing,
+    since_snapshot: usize,
+}
+
+impl PartitionReplica {
+    pub fn new(id: u32, me: &str, timing: Timing) -> PartitionReplica {
+        PartitionReplica {
+            id,
+            me: me.into(),
+            incarnation: 0,
+            term: 0,
+            role: ReplicaRole::Follower,
+            first: 1,
+            base_term: 0,
+            disk_base: 0,
+            disk_base_term: 0,
+            log: VecDeque::new(),
+            log_bytes: 0,
+            durable: 0,
+            commit: 0,
+            state: PartitionState::new(timing.status),
+            owner: String::new(),
+            replicas: Vec::new(),
+            in_sync: Vec::new(),
+            joining: HashMap::new(),
+            peers: HashMap::new(),
+            moving: None,
+            epochs: BTreeMap::new(),
+            last_epoch: 0,
+            digests: VecDeque::new(),
+            verified: 0,
+            verified_from: 0,
+            mismatch: false,
+            matched: 0,
+            gap_told: (0, 0, 0),
+            chunks: Vec::new(),
+            chunk_from: (0, 0),
+            own_asked: 0,
+            own_known: false,
+            told: 0,
+            took_at: 0,
+            timing,
+            since_snapshot: 0,
+        }
+    }
+
+    /// What the disk held: a snapshot, the entries behind it, and the meta record.
+    pub fn reload(
+        id: u32,
+        me: &str,
+        timing: Timing,
+        meta: &Meta,
+        snapshot: Option<Bytes>,
+        entries: Vec<(u64, LogEntry)>,
+    ) -> Result<PartitionReplica, String> {
+        let mut m = PartitionReplica::new(id, me, timing);
+        m.term = meta.term;
+        if let Some(s) = snapshot {
+            let s = Snapshot::decode(s).map_err(|e| format!("partition {id}: snapshot: {e}"))?;
+            if s.position != meta.base {
+                return Err(format!("partition {id}: snapshot is of {}, not of {}", s.position, meta.base));
+            }
+            m.state = PartitionState::restore(&s, timing.status).map_err(|e| format!("partition {id}: {e}"))?;
+        } else if meta.base != 0 {
+            return Err(format!("partition {id}: the snapshot of {} is missing", meta.base));
+        }
+        m.first = meta.base + 1;
+        m.base_term = meta.base_term;
+        m.disk_base = meta.base;
+        m.disk_base_term = meta.base_term;
+        for (pos, e) in entries {
+            if pos < m.first {
+                continue;
+            }
+            if pos != m.end() + 1 {
+                return Err(format!("partition {id}: entry {} is missing, {pos} is there", m.end() + 1));
+            }
+            m.log_bytes += e.record.len();
+            m.log.push_back(e);
+        }
+        m.since_snapshot = m.log_bytes;
+        m.durable = m.end();
+        m.commit = meta.commit.clamp(meta.base, m.end());
+        m.fold_on(0, false, &mut Vec::new())?;
+        Ok(m)
+    }
+
+    /// Whether the owner takes new records now.
+    pub fn open(&self) -> bool {
+        self.role == ReplicaRole::Owner
+            && !matches!(&self.moving, Some(m) if matches!(m.phase, Phase::Stopping { .. } | Phase::Marked { .. }))
+    }
+
+    /// Whether the fold holds all that may have been committed before this node
+    /// became owner: until then it cannot say that a message is not known.
+    pub fn caught_up(&self) -> bool {
+        self.state.position >= self.took_at
+    }
+
+    /// Whether the owner can say what becomes of a run: what the log may hold of it is
+    /// folded. Before that a message that is not there need not be one that has ended.
+    pub fn takes_reports(&self) -> bool {
+        self.open() && self.caught_up()
+    }
+
+    pub fn is_moving(&self) -> bool {
+        self.moving.is_some()
+    }
+
+    /// The followers that a planned move could go to, best first.
+    pub fn candidates(&self) -> Vec<String> {
+        let mut all: Vec<String> = self
+            .in_sync
+            .iter()
+            .filter(|n| **n != self.me && self.peers.get(*n).is_some_and(|p| !p.mismatch))
+            .cloned()
+            .collect();
+        all.sort_by_key(|n| self.replicas.iter().position(|h| h == n).unwrap_or(usize::MAX));
+        all
+    }
+
+    pub fn in_sync(&self) -> &[String] {
+        &self.in_sync
+    }
+
+    // ---- the owner's side ----
+
+    fn fold_on(&mut self, now: u64, live: bool, out: &mut Vec<Effect>) -> Result<(), String> {
+        let mut changes = Vec::new();
+        while self.state.position < self.commit {
+            let pos = self.state.position + 1;
+            let Some(e) = self.entry(pos) else {
+                return Err(format!("partition {}: entry {pos} is committed and not there", self.id));
+            };
+            let record =
+                Record::decode(e.record.clone()).map_err(|e| format!("partition {}: entry {pos}: {e}", self.id))?;
+            let found = self.state.fold(pos, &record);
+            self.digests.push_back((pos, self.state.digest()));
+            if self.digests.len() > 8192 {
+                self.digests.pop_front();
+            }
+            for c in found {
+                match &c {
+                    Change::Epoch { at, digest } if self.role == ReplicaRole::Follower => {
+                        self.compare(pos, *at, *digest, out)
+                    }
+                    Change::Stopped(s)
+                        if live
+                            && self.role == ReplicaRole::Follower
+                            && s.candidate == self.me
+                            && s.term > self.term
+                            && s.splice == pos =>
+                    {
+                        changes.clear();
+                        self.resume(now, s.clone(), out);
+                    }
+                    _ => {}
+                }
+                if self.role == ReplicaRole::Owner {
+                    changes.push(c);
+                }
+            }
+        }
+        if live && !changes.is_empty() {
+            out.push(Effect::Folded(changes));
+        }
+        self.trim();
+        Ok(())
+    }
+
+    // ---- ownership ----
+
+    // ---- the follower's side ----
+
+    // ---- both ----
+
+    pub fn tick(&mut self, now: u64, at_ms: u64, out: &mut Vec<Effect>) {
+        if self.role != ReplicaRole::Owner {
+            return;
+        }
+        let moving_verify = matches!(&self.moving, Some(m) if m.phase == Phase::Verify);
+        let last = self.epochs.last_key_value().map_or(0, |(_, t)| *t);
+        let due = if moving_verify { self.timing.window } else { self.timing.epoch };
+        if now >= last + due && (self.end() > self.last_epoch || moving_verify) {
+            self.write_epoch(at_ms, now, out);
+        }
+        if let Some(m) = &self.moving
+            && m.phase == Phase::Verify
+            && now > m.began + 40 * self.timing.window
+        {
+            telemetry::error!("partition {}: no match with {} in time, move given up", self.id, m.candidate);
+            self.moving = None;
+        }
+        let again: Vec<String> = self
+            .joining
+            .iter_mut()
+            .filter(|(_, asked)| now > **asked + self.timing.again)
+            .map(|(n, asked)| {
+                *asked = now;
+                n.clone()
+            })
+            .collect();
+        for n in again {
+            self.ask_join(&n, out);
+        }
+        if !self.own_known && now > self.own_asked + self.timing.again {
+            self.ask_own(now, out);
+        }
+        let end = self.end();
+        let names: Vec<String> =
+            self.replicas.iter().chain(&self.in_sync).filter(|n| **n != self.me).cloned().collect();
+        for n in names {
+            let commit = self.commit;
+            let again = self.timing.again;
+            // One that is to be in sync and is not is asked where it is, even
+            // when there is nothing to send.
+            let out_of_sync = !self.in_sync.contains(&n) && !self.joining.contains_key(&n);
+            let p = self.peers.entry(n.clone()).or_insert_with(|| Peer { heard: now, ..Peer::default() });
+            if (p.acked < end || out_of_sync) && now > p.heard.max(p.resent) + again {
+                // Lost on the way, or the node is new here: say where we are.
+                p.resent = now;
+                p.snapshot = 0;
+                p.sent = p.acked.max(self.first - 1).min(end);
+                self.send_to(&n, now, true, out);
+            } else if p.told_commit < commit && p.sent >= end {
+                self.send_to(&n, now, true, out);
+            }
+        }
+        // Nodes that are to hold nothing any more.
+        if self.moving.is_none() && self.replicas.iter().all(|h| self.in_sync.contains(h)) {
+            for n in self.in_sync.clone() {
+                if !self.replicas.contains(&n) && n != self.me {
+                    out.push(Effect::Ask(Order {
+                        partition: self.id,
+                        term: self.term,
+                        node: n,
+                        kind: OrderKind::Drop as i32,
+                        ..Order::default()
+                    }));
+                }
+            }
+        }
+        self.step_move(now, out);
+        self.flush(now, out);
+    }
+}
--- /dev/null
+++ b/crates/partition/src/replica/log.rs
@@ -0,0 +1,112 @@
+//! The log of a partition: appending, compacting, cutting off what was not committed.
+
+use super::*;
+
+impl PartitionReplica {
+    pub fn end(&self) -> u64 {
+        self.first + self.log.len() as u64 - 1
+    }
+
+    pub(super) fn entry(&self, pos: u64) -> Option<&LogEntry> {
+        pos.checked_sub(self.first).and_then(|i| self.log.get(i as usize))
+    }
+
+    pub(super) fn term_at(&self, pos: u64) -> Option<u64> {
+        if pos + 1 == self.first { Some(self.base_term) } else { self.entry(pos).map(|e| e.term) }
+    }
+
+    pub(super) fn meta(&self) -> Meta {
+        Meta { term: self.term, commit: self.commit, base: self.disk_base, base_term: self.disk_base_term }
+    }
+
+    /// Adds a record; it counts once it is committed. None when closed.
+    pub fn append(&mut self, record: &Record, now: u64, out: &mut Vec<Effect>) -> Option<u64> {
+        if !self.open() {
+            return None;
+        }
+        Some(self.put(record, now, out))
+    }
+
+    pub(super) fn put(&mut self, record: &Record, now: u64, out: &mut Vec<Effect>) -> u64 {
+        let e = LogEntry { term: self.term, record: record.encode_to_vec().into() };
+        let pos = self.end() + 1;
+        self.log_bytes += e.record.len();
+        self.since_snapshot += e.record.len();
+        self.log.push_back(e.clone());
+        out.push(Effect::Persist {
+            del: None,
+            put: vec![(pos, e)],
+            meta: self.meta(),
+            snapshot: None,
+            term: self.term,
+            end: pos,
+        });
+        let _ = now;
+        pos
+    }
+
+    /// Drops from memory what every follower has and the fold is past.
+    pub(super) fn trim(&mut self) {
+        if self.log_bytes <= self.timing.keep_bytes {
+            return;
+        }
+        let mut upto = self.state.position;
+        if self.role == ReplicaRole::Owner {
+            for n in self.in_sync.iter().filter(|n| **n != self.me) {
+                upto = upto.min(self.peers.get(n).map_or(0, |p| p.acked));
+            }
+        }
+        upto = upto.min(self.durable);
+        while self.first <= upto && self.log_bytes > self.timing.keep_bytes / 2 {
+            if let Some(e) = self.log.pop_front() {
+                self.log_bytes -= e.record.len();
+                self.base_term = e.term;
+                self.first += 1;
+            }
+        }
+    }
+
+    /// Cuts the log on disk behind a snapshot once it has grown by so much.
+    pub fn compact(&mut self, limit: usize, out: &mut Vec<Effect>) {
+        let position = self.state.position;
+        if self.since_snapshot <= limit || position <= self.disk_base || position > self.durable {
+            return;
+        }
+        let Some(term) = self.term_at(position) else { return };
+        let data: Bytes = self.state.snapshot().encode_to_vec().into();
+        let from = self.disk_base + 1;
+        self.disk_base = position;
+        self.disk_base_term = term;
+        self.since_snapshot = 0;
+        telemetry::count("compactions");
+        out.push(Effect::Persist {
+            del: Some((from, position)),
+            put: Vec::new(),
+            meta: self.meta(),
+            snapshot: Some(data),
+            term: self.term,
+            end: 0,
+        });
+    }
+
+    pub(super) fn cut_to(&mut self, pos: u64, out: &mut Vec<Effect>) {
+        let end = self.end();
+        if pos >= end || pos < self.commit {
+            return;
+        }
+        while self.end() > pos {
+            if let Some(e) = self.log.pop_back() {
+                self.log_bytes -= e.record.len();
+            }
+        }
+        self.durable = self.durable.min(pos);
+        out.push(Effect::Persist {
+            del: Some((pos + 1, end)),
+            put: Vec::new(),
+            meta: self.meta(),
+            snapshot: None,
+            term: self.term,
+            end: 0,
+        });
+    }
+}
--- /dev/null
+++ b/crates/partition/src/replica/ownership.rs
@@ -0,0 +1,157 @@
+//! Ownership: what the majority assigns, and how a term begins and ends here.
+
+use super::*;
+
+impl PartitionReplica {
+    /// The majority's word on this partition.
+    pub fn assignments(&mut self, p: &Partition, now: u64, out: &mut Vec<Effect>) {
+        if p.changed < self.told {
+            // It came by another way than a newer one: an in-sync set that went back
+            // would have commits that a member does not hold.
+            telemetry::count("assignments_outdated");
+            return;
+        }
+        self.told = p.changed;
+        self.replicas.clone_from(&p.replicas);
+        if p.term > self.term {
+            if p.owner == self.me {
+                if !p.in_sync.contains(&self.me) || p.joined_incarnation(&self.me) != self.incarnation {
+                    // Said of a former incarnation, whose disk this one may not have.
+                    self.follow(p.term, "", out);
+                    return;
+                }
+                self.own(p.term, p.in_sync.clone(), p.seized, now, out);
+                self.own_known = true;
+            } else {
+                self.follow(p.term, &p.owner, out);
+            }
+        } else if p.term == self.term {
+            if self.role == ReplicaRole::Owner && p.owner == self.me {
+                self.own_known = true;
+                if self.in_sync != p.in_sync {
+                    self.in_sync.clone_from(&p.in_sync);
+                    self.joining.retain(|n, _| !p.in_sync.contains(n));
+                    self.advance(now, out);
+                }
+                match &p.grant {
+                    Some(g) => {
+                        let stopping = Phase::Stopping { term: g.term, in_sync: g.in_sync.clone() };
+                        match &mut self.moving {
+                            Some(m) if m.candidate == g.candidate => {
+                                if !matches!(m.phase, Phase::Marked { .. }) {
+                                    m.phase = stopping;
+                                }
+                            }
+                            _ => {
+                                let candidate = g.candidate.clone();
+                                self.moving = Some(Move { candidate, leaving: false, began: now, phase: stopping });
+                            }
+                        }
+                        self.step_move(now, out);
+                    }
+                    None => {
+                        if matches!(&self.moving, Some(m) if matches!(m.phase, Phase::Stopping { .. })) {
+                            // Granted by an answer that was ahead of this news.
+                        }
+                    }
+                }
+            } else if self.role == ReplicaRole::Follower && p.owner != self.me {
+                self.owner.clone_from(&p.owner);
+            }
+        }
+    }
+
+    pub(super) fn own(&mut self, term: u64, in_sync: Vec<String>, seized: bool, now: u64, out: &mut Vec<Effect>) {
+        self.term = term;
+        self.role = ReplicaRole::Owner;
+        self.owner = self.me.clone();
+        self.in_sync = in_sync;
+        self.joining.clear();
+        self.peers.clear();
+        self.moving = None;
+        self.epochs.clear();
+        self.chunks.clear();
+        // Followers say themselves where they are.
+        let end = self.end();
+        self.took_at = end;
+        for n in self.replicas.iter().chain(&self.in_sync).filter(|n| **n != self.me) {
+            self.peers.insert(n.clone(), Peer { sent: end, heard: now, ..Peer::default() });
+        }
+        out.push(Effect::Persist { del: None, put: Vec::new(), meta: self.meta(), snapshot: None, term, end });
+        out.push(Effect::TookOver { seized });
+        let names: Vec<String> = self.peers.keys().cloned().collect();
+        for n in names {
+            self.send_to(&n, now, true, out);
+        }
+        self.advance(now, out);
+    }
+
+    pub(super) fn follow(&mut self, term: u64, owner: &str, out: &mut Vec<Effect>) {
+        if self.role == ReplicaRole::Owner {
+            out.push(Effect::StoodDown(owner.to_owned()));
+        }
+        self.role = ReplicaRole::Follower;
+        self.term = term;
+        self.matched = self.commit;
+        self.owner = owner.to_owned();
+        self.moving = None;
+        self.joining.clear();
+        self.verified = 0;
+        self.verified_from = 0;
+    }
+
+    /// This process goes on in another incarnation: what it owned was another's word.
+    pub fn relive(&mut self, incarnation: u64, out: &mut Vec<Effect>) {
+        self.incarnation = incarnation;
+        if self.role == ReplicaRole::Owner {
+            self.follow(self.term, "", out);
+        }
+    }
+
+    /// The candidate saw the committed stop marker that names it.
+    pub(super) fn resume(&mut self, now: u64, s: Stop, out: &mut Vec<Effect>) {
+        telemetry::count("splices_resumed");
+        telemetry::change!("partition {} spliced at {}: owner at term {}", self.id, s.splice, s.term);
+        self.own(s.term, s.in_sync, false, now, out);
+        self.own_known = false;
+        self.ask_own(now, out);
+    }
+
+    pub(super) fn ask_own(&mut self, now: u64, out: &mut Vec<Effect>) {
+        self.own_asked = now;
+        out.push(Effect::Ask(Order {
+            partition: self.id,
+            term: self.term,
+            node: self.me.clone(),
+            kind: OrderKind::Own as i32,
+            incarnation: self.incarnation,
+            ..Order::default()
+        }));
+    }
+
+    /// The majority's answer to something asked.
+    pub fn ordered(&mut self, order: &Order, ack: &OrderAck, now: u64, out: &mut Vec<Effect>) {
+        if let Some(p) = &ack.partition {
+            self.assignments(p, now, out);
+        }
+        let join = order.kind == OrderKind::Join as i32;
+        if join && !ack.ok && !ack.refused && order.seen != self.told && self.joining.contains_key(&order.node) {
+            // Asked by an older word on this partition: at once by the newer one.
+            self.joining.insert(order.node.clone(), now);
+            self.ask_join(&order.node, out);
+        }
+        if ack.refused && order.term == self.term {
+            match OrderKind::try_from(order.kind) {
+                Ok(OrderKind::Grant) => self.moving = None,
+                Ok(OrderKind::Join) => {
+                    self.joining.remove(&order.node);
+                    if let Some(p) = self.peers.get_mut(&order.node) {
+                        p.refused = now;
+                    }
+                    self.advance(now, out);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/store/tests/fold.rs
+++ b/crates/partition/tests/fold.rs
@@ -1,7 +1,7 @@
 //! The fold, played from recorded traces.
 
+use partition::*;
 use rpc::messages::{Item, Outcome};
-use store::*;
 
 fn record(at_ms: u64, entry: Entry) -> Record {
     Record { at_ms, entry: Some(entry) }
--- a/crates/store/tests/splice.rs
+++ b/crates/partition/tests/splice.rs
@@ -1,11 +1,11 @@
 //! Ownership passing between nodes, with their disks and links in the test's hands.
 
 use bytes::Bytes;
+use partition::*;
 use prost::Message;
 use rpc::Body;
 use rpc::messages::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use store::*;
 
 const TIMING: Timing = Timing { epoch: 500, window: 300, again: 250, status: 100_000, keep_bytes: 1 << 20 };
 
--- a/crates/store/tests/time.rs
+++ b/crates/partition/tests/time.rs
@@ -1,6 +1,6 @@
 //! A store machine's time goes on evenly, whatever its own clock does.
 
-use store::PartitionClock;
+use partition::PartitionClock;
 
 const TRUE: u64 = 1_790_000_000_000;
 
--- /dev/null
+++ b/crates/raft/src/node/election.rs
@@ -0,0 +1,142 @@
+//! Elections: pre-votes, votes, election times, and how a leader steps down.
+
+use super::*;
+
+impl RaftNode {
+    pub(super) fn wait_again(&mut self, now: u64) {
+        self.dice ^= self.dice << 13;
+        self.dice ^= self.dice >> 7;
+        self.dice ^= self.dice << 17;
+        self.election_at = now + self.timing.election + self.dice % self.timing.election;
+    }
+
+    pub(super) fn campaign(&mut self, now: u64, pre_vote: bool, named: bool, out: &mut Vec<Effect>) {
+        self.votes.clear();
+        self.votes.insert(self.me.clone());
+        self.ballot = self.ballot.wrapping_add(1).max(1);
+        let mut m = self.message(RaftMessageKind::RequestVote);
+        m.round = self.ballot;
+        if pre_vote {
+            self.blanks.clear();
+            self.role = StateRole::PreCandidate;
+            m.term = self.hard.term + 1;
+        } else {
+            self.role = StateRole::Candidate;
+            // Votes count until then and no longer: a voter that loses its disk may
+            // forget its vote, and does not vote again before that.
+            self.wait_again(now);
+            self.hard.term += 1;
+            self.hard.voted_for = self.me.clone();
+            self.leader.clear();
+            out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+            m.term = self.hard.term;
+        }
+        (m.index, m.log_term) = self.last();
+        m.pre_vote = pre_vote;
+        m.ok = named;
+        for v in self.voters.iter().filter(|v| **v != self.me) {
+            out.push(Effect::Send(v.clone(), m.clone()));
+        }
+        self.count_votes(now, out);
+    }
+
+    pub(super) fn count_votes(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.votes.len() < self.majority() {
+            return;
+        }
+        match self.role {
+            // One that just came back may have answered a leader right before it ended:
+            // for as long as that counts, its own vote is no more to be had than for
+            // others.
+            StateRole::PreCandidate if now < self.heard + self.timing.election => {}
+            StateRole::PreCandidate => self.campaign(now, false, false, out),
+            StateRole::Candidate => {
+                self.role = StateRole::Leader;
+                self.blank = false;
+                self.leader = self.me.clone();
+                let next = self.last().0 + 1;
+                self.gone_back.clear();
+                self.next = self.voters.iter().chain(&self.learners).map(|v| (v.clone(), next)).collect();
+                self.matched.clear();
+                self.outgoing.clear();
+                self.sent.clear();
+                self.waiting.clear();
+                self.granted.clear();
+                self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
+                out.push(Effect::BecameLeader);
+                // An entry of its own term, so that older ones can count as held.
+                // It names the voters anew, for those who hold no earlier entry.
+                let voters = self.voters.clone();
+                self.append_with(now, Bytes::new(), voters, out);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn become_follower(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.role == StateRole::Leader {
+            out.push(Effect::SteppedDown);
+        }
+        self.role = StateRole::Follower;
+        self.leader.clear();
+        self.outgoing.clear();
+        self.wait_again(now);
+    }
+
+    pub(super) fn step_down(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.role != StateRole::Leader {
+            return;
+        }
+        let best = self.voters.iter().filter(|v| **v != self.me && !self.waiting.contains_key(*v)).max_by_key(|v| {
+            let held = (self.matched.get(*v).copied().unwrap_or(0), self.answered.get(*v).copied().unwrap_or(0));
+            (!self.departing.contains(*v), held)
+        });
+        if let Some(to) = best.cloned() {
+            let m = self.message(RaftMessageKind::TimeoutNow);
+            out.push(Effect::Send(to, m));
+        }
+        self.become_follower(now, out);
+        self.election_at = now + 8 * self.timing.election;
+    }
+
+    pub(super) fn asked(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
+        let followed = self.role == StateRole::Leader || now < self.heard + self.timing.election;
+        let mut r = self.message(RaftMessageKind::Vote);
+        r.pre_vote = m.pre_vote;
+        r.round = m.round;
+        let newer = (m.log_term, m.index) >= (self.last().1, self.last().0);
+        let known = self.voters.contains(&m.from);
+        if !known && (m.log_term, m.index) <= (self.last().1, self.last().0) {
+            telemetry::count("raft_strangers");
+            return;
+        }
+        // One with a newer log may be a voter by an entry that is not here yet. It is
+        // given a vote like any other, but nobody named it a successor.
+        if m.pre_vote {
+            r.term = m.term;
+            r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
+            r.blank = self.blank && self.role != StateRole::Leader;
+            r.index = u64::from(newer && self.hard.may_vote);
+            r.log_term = self.hard.term;
+            out.push(Effect::Send(m.from, r));
+            return;
+        }
+        if followed && !(m.ok && known) {
+            return;
+        }
+        if m.term > self.hard.term {
+            self.hard.term = m.term;
+            self.hard.voted_for.clear();
+            self.become_follower(now, out);
+        }
+        r.term = self.hard.term;
+        let free = self.hard.voted_for.is_empty() || self.hard.voted_for == m.from;
+        r.ok = m.term == self.hard.term && free && newer && self.hard.may_vote;
+        if r.ok {
+            self.hard.voted_for = m.from.clone();
+            self.wait_again(now);
+        }
+        out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
+        out.push(Effect::Send(m.from, r));
+    }
+}
--- /dev/null
+++ b/crates/raft/src/node/lease.rs
@@ -0,0 +1,50 @@
+//! The leader lease: until when this node may answer for the majority.
+
+use super::*;
+
+impl RaftNode {
+    /// How long a round that a majority has answered keeps others from being elected:
+    /// they wait an election time from when they heard it, by their own clocks, which
+    /// may run an eighth faster than this one.
+    pub(super) fn authority(&self) -> u64 {
+        self.timing.election * 7 / 8
+    }
+
+    /// Leads, and a majority has answered rounds sent within the time that its
+    /// authority lasts: nobody else can have been elected yet.
+    pub fn holds_leadership(&self, now: u64) -> bool {
+        self.role == StateRole::Leader && self.contact(now) + self.authority() > now
+    }
+
+    /// Until when it may act for the majority: it leads until then, and
+    /// has applied all that was acknowledged before its term, so that it knows what
+    /// to answer. To be compared with the clock whenever authority is used.
+    pub fn serves_until(&self, now: u64) -> u64 {
+        // Also right behind a cut: the snapshot's term is then its own.
+        let applied = self.term_at(self.applied) == Some(self.hard.term);
+        if self.role == StateRole::Leader && applied { self.contact(now) + self.authority() } else { 0 }
+    }
+
+    /// Who leads, while it is heard of.
+    pub fn leader_at(&self, now: u64) -> &str {
+        let heard = self.role == StateRole::Leader || now < self.heard + 3 * self.timing.election;
+        if heard { &self.leader } else { "" }
+    }
+
+    /// The latest moment at which a majority is known to have followed.
+    pub(super) fn contact(&self, now: u64) -> u64 {
+        let mut times: Vec<u64> = self
+            .voters
+            .iter()
+            .filter(|v| self.counts(v))
+            .map(|v| if *v == self.me { now } else { self.answered.get(v).copied().unwrap_or(0) })
+            .collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(self.majority() - 1).copied().unwrap_or(0)
+    }
+
+    /// When the round was sent that a control node has answered last.
+    pub fn last_answer(&self, control: &str) -> u64 {
+        self.answered.get(control).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/raft/src/node/log.rs
@@ -0,0 +1,88 @@
+//! The log: its entries, what of it is committed and applied, new entries.
+
+use super::*;
+
+impl RaftNode {
+    pub(super) fn last(&self) -> (u64, u64) {
+        self.log.last().map_or((self.hard.base, self.hard.base_term), |e| (e.index, e.term))
+    }
+
+    pub(super) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.hard.base {
+            return Some(self.hard.base_term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    pub(super) fn entry(&self, index: u64) -> Option<&RaftEntry> {
+        index.checked_sub(self.hard.base + 1).and_then(|i| self.log.get(i as usize))
+    }
+
+    /// Entries that could be cut away.
+    pub fn length(&self) -> usize {
+        self.log.len()
+    }
+
+    /// Bytes of the entries that could be cut away.
+    pub fn weight(&self) -> usize {
+        self.log.iter().take_while(|e| e.index <= self.applied).map(|e| e.data.len()).sum()
+    }
+
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// How many committed entries each other control node is not known to hold.
+    pub fn behind(&self) -> Vec<(String, u64)> {
+        if self.role != StateRole::Leader {
+            return Vec::new();
+        }
+        let others = self.voters.iter().chain(&self.learners).filter(|f| **f != self.me);
+        let held = |f: &String| self.matched.get(f).copied().unwrap_or(0);
+        others.map(|f| (f.clone(), self.commit.saturating_sub(held(f)))).collect()
+    }
+
+    pub(super) fn append(&mut self, now: u64, data: Bytes, out: &mut Vec<Effect>) {
+        self.append_with(now, data, Vec::new(), out);
+    }
+
+    pub(super) fn append_with(&mut self, now: u64, data: Bytes, voters: Vec<String>, out: &mut Vec<Effect>) {
+        let e = RaftEntry { index: self.last().0 + 1, term: self.hard.term, data, voters };
+        out.push(Effect::Proposed(e.index, e.term));
+        if !e.voters.is_empty() {
+            // In force from here on, committed or not.
+            self.learners.retain(|l| !e.voters.contains(l));
+            (self.voters, self.voters_at) = (e.voters.clone(), e.index);
+        }
+        self.log.push(e.clone());
+        // Others are told first: their disks work while this one does.
+        self.broadcast(now, out);
+        out.push(Effect::Save(Save { put: vec![e], ..Save::default() }));
+        self.advance(out);
+    }
+
+    pub(super) fn advance(&mut self, out: &mut Vec<Effect>) {
+        if self.role == StateRole::Leader {
+            let last = self.last().0;
+            let mut held: Vec<u64> = self
+                .voters
+                .iter()
+                .filter(|v| self.counts(v))
+                .map(|v| if *v == self.me { last } else { self.matched.get(v).copied().unwrap_or(0) })
+                .collect();
+            held.sort_unstable_by(|a, b| b.cmp(a));
+            let n = held.get(self.majority() - 1).copied().unwrap_or(0);
+            if n > self.commit && self.term_at(n) == Some(self.hard.term) {
+                self.commit = n;
+                // The others are told with the next tick and not the next beat: what
+                // is committed may be a new owner, and its own control node tells it.
+                self.beat_at = 0;
+            }
+        }
+        while self.applied < self.commit {
+            let Some(e) = self.entry(self.applied + 1).cloned() else { break };
+            self.applied += 1;
+            out.push(Effect::Apply(e));
+        }
+    }
+}
--- /dev/null
+++ b/crates/raft/src/node/replication.rs
@@ -0,0 +1,201 @@
+//! Replication of the log: appends, their answers, and how one that is behind catches up.
+
+use super::*;
+
+impl RaftNode {
+    pub(super) fn broadcast(&mut self, now: u64, out: &mut Vec<Effect>) {
+        self.beat_at = now + self.timing.beat;
+        self.round += 1;
+        self.sent.insert(self.round, now);
+        self.sent.remove(&self.round.saturating_sub(256));
+        for v in self.voters.iter().chain(&self.learners).cloned().collect::<Vec<_>>() {
+            if v != self.me {
+                self.send_log(&v, out);
+            }
+        }
+    }
+
+    pub(super) fn send_log(&mut self, to: &str, out: &mut Vec<Effect>) {
+        let next = self.next.get(to).copied().unwrap_or(1);
+        let mut m = self.message(RaftMessageKind::Append);
+        m.round = self.round;
+        m.commit = self.commit;
+        if next <= self.hard.base || self.outgoing.contains_key(to) {
+            self.send_piece(to, m, out);
+            return;
+        }
+        m.index = next - 1;
+        m.log_term = self.term_at(next - 1).unwrap_or(0);
+        let from = (next - self.hard.base - 1) as usize;
+        // Bounded by bytes too: an entry may hold a whole configuration.
+        let mut bytes = 0;
+        let lacks = &self.log[from.min(self.log.len())..];
+        let fits = lacks.iter().take(64).take_while(|e| {
+            let first = bytes == 0;
+            bytes += e.data.len() + 64;
+            first || bytes <= APPEND_BYTES
+        });
+        m.entries = fits.cloned().collect();
+        // Sent once; a refusal or a lost answer brings it back.
+        self.next.insert(to.into(), next + m.entries.len() as u64);
+        out.push(Effect::Send(to.into(), m));
+    }
+
+    /// When the round was sent that this answers.
+    pub(super) fn hear_answer(&mut self, m: &RaftMessage) {
+        if let Some(at) = self.sent.get(&m.round) {
+            let a = self.answered.entry(m.from.clone()).or_insert(0);
+            *a = (*a).max(*at);
+        }
+    }
+
+    pub(super) fn appended(&mut self, now: u64, m: RaftMessage, kind: RaftMessageKind, out: &mut Vec<Effect>) {
+        let mut r = self.message(RaftMessageKind::AppendAck);
+        r.round = m.round;
+        if m.term < self.hard.term {
+            telemetry::count("raft_stale");
+            out.push(Effect::Send(m.from, r));
+            return;
+        }
+        if self.role != StateRole::Follower {
+            self.become_follower(now, out);
+        }
+        self.leader = m.from.clone();
+        self.blank = false;
+        self.heard = now;
+        self.wait_again(now);
+        let mut save = Save::default();
+        if self.incoming.as_ref().is_some_and(|i| i.index <= self.commit) {
+            self.incoming = None;
+        }
+        if kind == RaftMessageKind::InstallSnapshot && m.index > self.commit {
+            let Some(state) = self.take_piece(&m) else {
+                r.kind = RaftMessageKind::SnapshotAck as i32;
+                r.index = m.index;
+                r.offset = self.incoming.as_ref().map_or(0, |i| i.state.len() as u64);
+                r.readmit = !self.hard.may_vote;
+                out.push(Effect::Send(m.from, r));
+                return;
+            };
+            let last = self.last().0;
+            // What it holds behind the snapshot's last entry stands, if that entry is its
+            // own: others may count on it.
+            let keeps = self.term_at(m.index) == Some(m.log_term);
+            save.del = Some((self.hard.base + 1, if keeps { m.index } else { last }));
+            if keeps {
+                self.log.drain(..(m.index - self.hard.base) as usize);
+            } else {
+                self.log.clear();
+            }
+            self.hard.base = m.index;
+            self.hard.base_term = m.log_term;
+            self.hard.voters = m.voters.clone();
+            self.state = state.clone();
+            self.digest = Some(m.digest.clone());
+            self.commit = m.index;
+            self.applied = m.index;
+            save.hard = Some(self.hard.clone());
+            save.state = Some(state.clone());
+            telemetry::count("raft_snapshots_taken");
+            out.push(Effect::Restore(state));
+        }
+        let joins = m.index < self.hard.base || self.term_at(m.index) == Some(m.log_term);
+        r.ok = joins;
+        // Whoever was given a vote that this disk lost counts votes for two election
+        // times at the most; a third is for what clocks differ.
+        let over = now >= self.born + 3 * self.timing.election;
+        if m.readmit && joins && m.offset == self.asks_as && over && !self.hard.may_vote {
+            self.hard.may_vote = true;
+            save.hard = Some(self.hard.clone());
+        }
+        if joins {
+            let mut held = m.index.max(self.hard.base);
+            for e in m.entries {
+                if e.index <= self.hard.base {
+                    continue;
+                }
+                match self.term_at(e.index) {
+                    Some(t) if t == e.term => {}
+                    Some(_) => {
+                        let last = self.last().0;
+                        save.del = Some((e.index, last));
+                        self.log.truncate((e.index - self.hard.base - 1) as usize);
+                        self.log.push(e.clone());
+                        save.put.push(e.clone());
+                    }
+                    None => {
+                        self.log.push(e.clone());
+                        save.put.push(e.clone());
+                    }
+                }
+                held = held.max(e.index);
+            }
+            if save.del.is_some() || save.put.iter().any(|e| !e.voters.is_empty()) {
+                self.count_voters();
+            }
+            r.index = held;
+            self.commit = self.commit.max(m.commit.min(held));
+        } else {
+            r.index = self.commit;
+        }
+        r.readmit = !self.hard.may_vote;
+        r.offset = if r.readmit { self.asks_as } else { 0 };
+        if save.hard.is_some() || !save.put.is_empty() || save.del.is_some() {
+            out.push(Effect::Save(save));
+        }
+        out.push(Effect::Send(m.from, r));
+        self.advance(out);
+    }
+
+    pub(super) fn acked(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
+        if self.role != StateRole::Leader || m.term != self.hard.term {
+            return;
+        }
+        if !self.voters.contains(&m.from) && !self.learners.contains(&m.from) {
+            telemetry::count("raft_strangers");
+            return;
+        }
+        if m.readmit {
+            self.waiting.entry(m.from.clone()).or_insert(now);
+        }
+        self.hear_answer(&m);
+        if self.outgoing.get(&m.from).is_some_and(|o| m.index >= o.index) {
+            // It holds the snapshot, or more than that.
+            self.outgoing.remove(&m.from);
+            self.next.insert(m.from.clone(), m.index + 1);
+        }
+        if !m.ok && m.readmit {
+            // An empty disk: what it held before does not count.
+            self.matched.insert(m.from.clone(), m.index);
+        }
+        if !m.ok {
+            // Many may be under way when the first is refused. Each would else bring
+            // back the whole of what is lacking, and the next refusal with it.
+            if self.gone_back.get(&m.from).is_some_and(|r| m.round <= *r) {
+                telemetry::count("raft_refusals_known");
+                return;
+            }
+            self.gone_back.insert(m.from.clone(), self.round);
+            if !self.outgoing.contains_key(&m.from) {
+                self.next.insert(m.from.clone(), m.index + 1);
+                self.send_log(&m.from, out);
+            }
+            return;
+        }
+        let old = self.matched.insert(m.from.clone(), m.index).unwrap_or(0);
+        let last = self.last().0;
+        if m.index < last && m.index >= old && self.next.get(&m.from).is_none_or(|n| *n <= m.index || *n > last + 1) {
+            self.next.insert(m.from.clone(), m.index + 1);
+        }
+        if m.index < last && self.next.get(&m.from) == Some(&(m.index + 1)) {
+            // It holds all that it was sent: the next piece without waiting for a beat.
+            self.send_log(&m.from, out);
+        }
+        if m.readmit {
+            self.readmit(now, &m, out);
+        } else {
+            self.waiting.remove(&m.from);
+        }
+        self.advance(out);
+    }
+}
--- /dev/null
+++ b/crates/raft/src/node/snapshot.rs
@@ -0,0 +1,113 @@
+//! Snapshots: cutting the log, and sending the state in pieces to one that is behind.
+
+use super::*;
+
+impl RaftNode {
+    /// Takes no snapshot of more bytes than that.
+    pub fn limit_snapshots(&mut self, bytes: u64) {
+        self.snapshot_limit = bytes;
+    }
+
+    /// Whether a snapshot is on its way to somebody: a newer one would be the next to
+    /// send before that one is used.
+    pub fn sends_snapshot(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
+    /// One piece of a snapshot; once that is sent, an empty one as a beat, which the
+    /// other side answers with what it holds.
+    pub(super) fn send_piece(&mut self, to: &str, mut m: RaftMessage, out: &mut Vec<Effect>) {
+        if !self.outgoing.contains_key(to) {
+            let digest = self.digest.get_or_insert_with(|| digest_of(&self.state)).clone();
+            let (index, term) = (self.hard.base, self.hard.base_term);
+            let (voters, state) = (self.hard.voters.clone(), self.state.clone());
+            telemetry::count("raft_snapshots_sent");
+            self.outgoing.insert(to.into(), Outgoing { index, term, voters, state, digest, held: 0, sent: 0 });
+        }
+        let round = self.round;
+        let Some(o) = self.outgoing.get_mut(to) else { return };
+        m.kind = RaftMessageKind::InstallSnapshot as i32;
+        (m.index, m.log_term) = (o.index, o.term);
+        m.voters.clone_from(&o.voters);
+        m.digest = o.digest.clone();
+        (m.offset, m.total) = (o.held, o.state.len() as u64);
+        if o.sent == 0 {
+            let from = o.held as usize;
+            m.state = o.state.slice(from..(from + APPEND_BYTES).min(o.state.len()));
+            o.sent = round;
+        }
+        out.push(Effect::Send(to.into(), m));
+    }
+
+    /// What the other side holds of the snapshot on its way to it.
+    pub(super) fn snapshot_acked(&mut self, now: u64, m: RaftMessage, out: &mut Vec<Effect>) {
+        if self.role != StateRole::Leader || m.term != self.hard.term {
+            return;
+        }
+        if m.readmit {
+            self.waiting.entry(m.from.clone()).or_insert(now);
+        }
+        self.hear_answer(&m);
+        let Some(o) = self.outgoing.get_mut(&m.from).filter(|o| o.index == m.index) else { return };
+        if m.offset > o.state.len() as u64 {
+            telemetry::count("raft_refused");
+            return;
+        }
+        // Frames of one connection come in order: what was asked later than the piece
+        // was sent, and is answered without it, was answered by one that lost it.
+        if m.offset > o.held || (o.sent > 0 && m.round > o.sent) {
+            o.held = m.offset;
+            o.sent = 0;
+            let mut next = self.message(RaftMessageKind::InstallSnapshot);
+            next.round = self.round;
+            next.commit = self.commit;
+            self.send_piece(&m.from, next, out);
+        }
+    }
+
+    /// Takes one piece of a snapshot; the whole, if this was the last one.
+    pub(super) fn take_piece(&mut self, m: &RaftMessage) -> Option<Bytes> {
+        let end = m.offset.checked_add(m.state.len() as u64);
+        if m.total > self.snapshot_limit || m.digest.len() != 32 || end.is_none_or(|e| e > m.total) {
+            telemetry::count("raft_refused");
+            return None;
+        }
+        let same =
+            |i: &Incoming| i.index == m.index && i.term == m.log_term && i.total == m.total && i.digest == m.digest;
+        if !self.incoming.as_ref().is_some_and(same) {
+            let (index, term, digest, total) = (m.index, m.log_term, m.digest.clone(), m.total);
+            self.incoming = Some(Incoming { index, term, digest, total, state: Vec::new() });
+        }
+        let i = self.incoming.as_mut()?;
+        if m.offset == i.state.len() as u64 {
+            i.state.extend_from_slice(&m.state);
+        }
+        if (i.state.len() as u64) < i.total {
+            return None;
+        }
+        let whole = self.incoming.take()?;
+        if digest_of(&whole.state) != whole.digest {
+            telemetry::count("raft_snapshots_refused");
+            return None;
+        }
+        Some(whole.state.into())
+    }
+
+    pub(super) fn cut(&mut self, index: u64, state: Bytes, out: &mut Vec<Effect>) {
+        if index <= self.hard.base || index > self.applied {
+            return;
+        }
+        let Some(term) = self.term_at(index) else { return };
+        let from = self.hard.base + 1;
+        let cut = self.log.drain(..(index - self.hard.base) as usize);
+        if let Some(e) = cut.rev().find(|e| !e.voters.is_empty()) {
+            self.hard.voters = e.voters;
+        }
+        self.hard.base = index;
+        self.hard.base_term = term;
+        self.state = state.clone();
+        self.digest = None;
+        let (hard, state) = (Some(self.hard.clone()), Some(state));
+        out.push(Effect::Save(Save { hard, state, put: Vec::new(), del: Some((from, index)) }));
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/messages/delivery.rs
@@ -0,0 +1,222 @@
+//! Messages on their way: taken in, looked up, run, reported, called back.
+
+use super::*;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accept {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(message, required, tag = "2")]
+    pub item: Item,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Left until it is due.
+    #[prost(uint64, tag = "4")]
+    pub delay_ms: u64,
+}
+
+/// A message as it arrived.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Item {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(string, tag = "2")]
+    pub route: String,
+    #[prost(string, tag = "3")]
+    pub method: String,
+    #[prost(string, tag = "4")]
+    pub host: String,
+    #[prost(string, tag = "5")]
+    pub path: String,
+    #[prost(string, tag = "6")]
+    pub order_key: String,
+    #[prost(string, tag = "7")]
+    pub notify_url: String,
+    #[prost(string, tag = "8")]
+    pub content_type: String,
+    #[prost(bytes = "bytes", tag = "9")]
+    pub body: Bytes,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum AcceptOutcome {
+    None = 0,
+    /// On the disks of every in-sync replica.
+    Taken = 1,
+    /// Not here; `owner` may say where. Nothing was written.
+    Elsewhere = 2,
+    /// Not now; nothing was written.
+    Full = 3,
+    /// No such route here any more; nothing was written.
+    NoRoute = 4,
+    /// It may be written.
+    Unclear = 5,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accepted {
+    #[prost(enumeration = "AcceptOutcome", tag = "1")]
+    pub outcome: i32,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    #[prost(uint32, tag = "4")]
+    pub retry_ms: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Lookup {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    #[prost(bool, tag = "3")]
+    pub body: bool,
+    /// Instead of the position: the request's id.
+    #[prost(string, tag = "4")]
+    pub id: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Found {
+    /// False: this node does not own the partition; ask again.
+    #[prost(bool, tag = "1")]
+    pub owner: bool,
+    #[prost(bool, tag = "2")]
+    pub known: bool,
+    #[prost(string, tag = "3")]
+    pub state: String,
+    #[prost(string, tag = "4")]
+    pub result_tag: String,
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: Bytes,
+    #[prost(string, tag = "6")]
+    pub host: String,
+}
+
+/// One delivery, given to a delivery node.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Run {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint64, tag = "3")]
+    pub position: u64,
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Empty for single endpoints.
+    #[prost(string, tag = "5")]
+    pub processor: String,
+    #[prost(uint32, tag = "6")]
+    pub timeout_ms: u32,
+    #[prost(message, required, tag = "7")]
+    pub item: Item,
+    #[prost(uint32, tag = "8")]
+    pub conn_limit: u32,
+    /// Position of the dispatch record: with the term it names this attempt.
+    #[prost(uint64, tag = "9")]
+    pub attempt: u64,
+    /// Not to be run: this attempt is given up, and refused from then on, unless it
+    /// was taken already.
+    #[prost(bool, tag = "10")]
+    pub revoked: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RunAck {
+    /// False: it will not run here.
+    #[prost(bool, tag = "1")]
+    pub taken: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Outcome {
+    None = 0,
+    /// 2xx with a seal, whole.
+    Done = 1,
+    /// 500: this attempt failed.
+    Failed = 2,
+    /// 422: it can never be done.
+    Never = 3,
+    /// The processor, or this side, says that it did not run.
+    NotRun = 4,
+    /// Silence, reset, broken answer: it may have run.
+    Unknown = 5,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    #[prost(enumeration = "Outcome", tag = "3")]
+    pub outcome: i32,
+    #[prost(string, tag = "4")]
+    pub result_tag: String,
+    #[prost(uint32, tag = "5")]
+    pub status: u32,
+    /// Running and waiting at the processor, as it said; `loaded` says that it did.
+    #[prost(uint32, tag = "6")]
+    pub running: u32,
+    #[prost(uint32, tag = "7")]
+    pub waiting: u32,
+    #[prost(bool, tag = "8")]
+    pub loaded: bool,
+    #[prost(uint32, tag = "9")]
+    pub took_ms: u32,
+    #[prost(uint64, tag = "10")]
+    pub attempt: u64,
+    /// At which the attempt was given out; 0 if not told.
+    #[prost(uint64, tag = "11")]
+    pub term: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReportAck {
+    /// False: this node does not own the partition; find who does.
+    #[prost(bool, tag = "1")]
+    pub kept: bool,
+}
+
+/// A new owner asks a delivery node what it holds; older terms are refused from then on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Holding {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Held {
+    #[prost(uint64, repeated, tag = "1")]
+    pub positions: Vec<u64>,
+    /// The attempt and the term of each, in the same order.
+    #[prost(uint64, repeated, tag = "2")]
+    pub attempts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub terms: Vec<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Notify {
+    #[prost(string, tag = "1")]
+    pub url: String,
+    #[prost(string, tag = "2")]
+    pub id: String,
+    #[prost(string, tag = "3")]
+    pub state: String,
+    #[prost(string, tag = "4")]
+    pub result_tag: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NotifyAck {
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+}
--- /dev/null
+++ b/crates/store/src/service/dispatch.rs
@@ -0,0 +1,222 @@
+//! Dispatch: which message goes to which processor, and the call-backs that are due.
+
+use super::*;
+
+impl StoreService {
+    /// Queues a message if it may run: now, when it is due, or when its turn comes.
+    pub(super) fn schedule(&self, i: &mut StoreState, k: Key, wall: u64) {
+        let Some(m) = i.replicas.get(&k.0) else { return };
+        let Some(w) = m.state.pieces.get(&k.1) else { return };
+        if m.role != ReplicaRole::Owner
+            || w.state != MessageState::Pending
+            || !m.state.is_head(k.1, w)
+            || i.answering.contains_key(&k)
+        {
+            return;
+        }
+        if w.due_ms > wall {
+            let due = w.due_ms;
+            i.scheduler.later(k, due);
+            return;
+        }
+        let age = w.due_ms;
+        let service =
+            self.session.with_known(|s| s.configuration.route_named(&w.item.route).map(|c| c.service.clone()));
+        if let Some(service) = service {
+            i.scheduler.ready(k, &service, age);
+        }
+    }
+
+    /// Gives out what can be given out.
+    pub(super) fn pump(self: &Arc<Self>) -> u64 {
+        let now = self.now();
+        let wall = self.wall();
+        let known = self.session.known();
+        let mut guard = self.shared.lock().unwrap();
+        let i = &mut *guard;
+        let mut wake = now + self.ratio(20.0);
+        if !self.leased(i) {
+            return wake;
+        }
+        i.scheduler.news(&known.membership, &known.assignments);
+        while let Some(k) = i.scheduler.take_due(wall) {
+            self.schedule(i, k, wall);
+        }
+        for k in i.scheduler.overdue(now) {
+            // The delivery node was to report by now: silence, no attempt.
+            telemetry::count("runs_overdue");
+            i.scheduler.land(k);
+            let pause = i.scheduler.pause(k);
+            i.scheduler.later(k, wall + pause);
+        }
+        let mut touched = HashSet::new();
+        for name in i.scheduler.services_ready() {
+            let Some(service) = known.configuration.service(&name) else { continue };
+            let target_start = known.configuration.target_start_ms(&name) as u64;
+            while let Some(k) = i.scheduler.first_ready(&name, wall, target_start) {
+                let asked = i.asking.get(&k.0).is_some_and(|end| k.1 <= *end);
+                if asked || i.replicas.get(&k.0).is_none_or(|m| !m.open()) {
+                    // Taken over or moving: another look comes with the next step.
+                    i.scheduler.unqueue(k);
+                    i.scheduler.later(k, wall + self.ratio(100.0));
+                    continue;
+                }
+                let Some(choice) = i.scheduler.choose(service, now) else { break };
+                if let Err(at) = i.scheduler.token(service, now) {
+                    wake = wake.min(at);
+                    break;
+                }
+                if !self.dispatch(i, &known, k, service, choice, now, wall) {
+                    i.scheduler.unqueue(k);
+                }
+                touched.insert(k.0);
+            }
+        }
+        for p in touched {
+            self.step(i, p, |m, now, out| m.flush(now, out));
+        }
+        self.notices(i, wall);
+        if let Some(due) = i.scheduler.next_due() {
+            wake = wake.min(now + due.saturating_sub(wall).max(1));
+        }
+        wake
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn dispatch(
+        self: &Arc<Self>,
+        i: &mut StoreState,
+        known: &agent::ClusterView,
+        k: Key,
+        service: &config::Service,
+        choice: Target,
+        now: u64,
+        wall: u64,
+    ) -> bool {
+        let Some(m) = i.replicas.get_mut(&k.0) else { return false };
+        let Some(w) = m.state.pieces.get(&k.1).filter(|w| w.state == MessageState::Pending) else { return false };
+        let Some(route) = known.configuration.route_named(&w.item.route) else { return false };
+        let timeout = route.timeout_ms as u64;
+        let mut item = w.item.clone();
+        item.notify_url.clear();
+        let dispatch =
+            DispatchRecord { position: k.1, processor: choice.processor.clone(), node: choice.front.clone() };
+        let record = Record { at_ms: wall, entry: Some(Entry::Dispatch(dispatch)) };
+        let mut out = Vec::new();
+        let Some(attempt) = m.append(&record, now, &mut out) else { return false };
+        let run = Run {
+            partition: k.0,
+            attempt,
+            term: m.term,
+            position: k.1,
+            address: choice.address.clone(),
+            processor: choice.target.clone(),
+            timeout_ms: timeout as u32,
+            item,
+            conn_limit: service.conn_limit,
+            revoked: false,
+        };
+        // A delivery node waits a twentieth longer than the processor may take.
+        i.scheduler.launch(k, &choice, route, now + timeout * 21 / 20 + self.ratio(8.0));
+        i.scheduler.name(k, run.term, attempt);
+        self.carry_out(i, k.0, out);
+        telemetry::count("dispatched");
+        let post = self.clone();
+        tokio::spawn(async move { post.run(run, choice).await });
+        true
+    }
+
+    /// Sees one delivery into the delivery node's hands.
+    pub(super) async fn run(self: Arc<Self>, run: Run, choice: Target) {
+        let k = (run.partition, run.position);
+        let (term, attempt) = (run.term, run.attempt);
+        let wait = Duration::from_millis(self.ratio(8.0));
+        let end = self.rpc_clients.to(&choice.front_inner);
+        let (item, address, processor) = (Item::default(), String::new(), String::new());
+        let revoke = Run { revoked: true, item, address, processor, ..run };
+        match end.call(Body::Run(run), wait).await {
+            Ok(Body::RunAck(a)) if a.taken => return,
+            Ok(_) | Err(ExecutionOutcome::NotRun) => {}
+            Err(_) => {
+                // It may have it, or get it yet, by a connection that was replaced: it
+                // is told that this attempt is given up, and says whether it was taken.
+                let mut clear = false;
+                for _ in 0..3 {
+                    match end.call(Body::Run(revoke.clone()), wait).await {
+                        Ok(Body::RunAck(a)) if a.taken => return,
+                        Ok(_) => {
+                            clear = true;
+                            break;
+                        }
+                        Err(ExecutionOutcome::NotRun) => tokio::time::sleep(wait / 8).await,
+                        Err(_) => {}
+                    }
+                }
+                if !clear && !rpc::refuses(&choice.front_inner, wait).await {
+                    // Silent still: given up once such a run must be over.
+                    return;
+                }
+            }
+        }
+        telemetry::count("runs_not_given");
+        let mut i = self.shared.lock().unwrap();
+        let i = &mut *i;
+        if i.scheduler.in_flight.get(&k).is_some_and(|f| f.attempt == (term, attempt)) {
+            i.scheduler.land(k);
+            i.scheduler.later(k, self.wall() + self.ratio(200.0));
+            self.wake.notify_one();
+        }
+    }
+
+    /// Call-backs that are owed.
+    pub(super) fn notices(self: &Arc<Self>, i: &mut StoreState, wall: u64) {
+        let mut left = std::collections::VecDeque::new();
+        while let Some((at, k)) = i.scheduler.notices.pop_front() {
+            let piece =
+                i.replicas.get(&k.0).filter(|m| m.role == ReplicaRole::Owner).and_then(|m| m.state.pieces.get(&k.1));
+            let Some(w) = piece.filter(|w| w.owes_notice()) else { continue };
+            let host = w.item.notify_url.trim_start_matches("http://").split('/').next().unwrap_or("").to_owned();
+            let busy = i.scheduler.notices_in_flight.get(&host).copied().unwrap_or(0);
+            let front = i.scheduler.any_front(&host);
+            let (Some((_, inner)), true, true) = (front, at <= wall, busy < 8) else {
+                left.push_back((at, k));
+                continue;
+            };
+            let notice = Notify {
+                url: w.item.notify_url.clone(),
+                id: w.item.id.clone(),
+                state: w.state.word().into(),
+                result_tag: w.result_tag.clone(),
+            };
+            *i.scheduler.notices_in_flight.entry(host.clone()).or_insert(0) += 1;
+            let post = self.clone();
+            tokio::spawn(async move {
+                let wait = Duration::from_millis((post.settings.constraints.notify_s * 400.0) as u64);
+                let status = match post.rpc_clients.to(&inner).call(Body::Notify(notice), wait).await {
+                    Ok(Body::NotifyAck(a)) => a.status,
+                    _ => 0,
+                };
+                let mut i = post.shared.lock().unwrap();
+                let i = &mut *i;
+                if let Some(n) = i.scheduler.notices_in_flight.get_mut(&host) {
+                    *n = n.saturating_sub(1);
+                }
+                if status == 200 {
+                    telemetry::count("call_backs_taken");
+                    i.notified.entry(k.0).or_default().push(k.1);
+                    if let Some(m) = i.replicas.get_mut(&k.0)
+                        && m.role != ReplicaRole::Owner
+                    {
+                        i.notified.remove(&k.0);
+                    }
+                } else {
+                    telemetry::count("call_backs_missed");
+                    let pause = i.scheduler.pause(k);
+                    i.scheduler.notices.push_back((post.wall() + pause, k));
+                }
+                post.wake.notify_one();
+            });
+        }
+        i.scheduler.notices = left;
+    }
+}
--- /dev/null
+++ b/crates/store/src/service/duties.rs
@@ -0,0 +1,161 @@
+//! Regular work of the node: the partitions' ticks, planned moves, and the end of the process.
+
+use super::*;
+
+impl StoreService {
+    pub(super) fn tick(self: &Arc<Self>, rounds: u64) {
+        let wall = self.wall();
+        let known = self.session.known();
+        let mut guard = self.shared.lock().unwrap();
+        let i = &mut *guard;
+        let compact = (self.settings.limits.disk_mb as usize) << 20;
+        let parts = i.replicas.len().max(1);
+        let lag = self.lag();
+        for p in i.replicas.keys().copied().collect::<Vec<_>>() {
+            let m = &i.replicas[&p];
+            if m.open() {
+                let mut records = Vec::new();
+                if known.configuration.revision > m.state.revision {
+                    records.push(Entry::Routes(m.state.since_known(routes(&known.configuration))));
+                }
+                if let Some(n) = i.notified.remove(&p).filter(|n| !n.is_empty()) {
+                    records.push(Entry::Notified(Positions { positions: n }));
+                }
+                if rounds.is_multiple_of(10) {
+                    let over: Vec<u64> = m
+                        .state
+                        .pending
+                        .iter()
+                        .filter(|pos| {
+                            let w = &m.state.pieces[pos];
+                            let keep = m.state.retain_ms(&w.item.route);
+                            keep > 0 && wall > w.at_ms + keep
+                        })
+                        .copied()
+                        .collect();
+                    if !over.is_empty() {
+                        records.push(Entry::Expire(Positions { positions: over }));
+                    }
+                }
+                let now = self.now();
+                let mut out = Vec::new();
+                if let Some(m) = i.replicas.get_mut(&p) {
+                    for e in records {
+                        m.append(&Record { at_ms: wall, entry: Some(e) }, now, &mut out);
+                    }
+                }
+                self.carry_out(i, p, out);
+            }
+            self.step(i, p, |m, now, out| {
+                m.tick(now, wall, out);
+                m.compact(compact / 6 / parts, out);
+            });
+            // Back to the preferred owner, by a planned move like any other.
+            let m = &i.replicas[&p];
+            if m.role == ReplicaRole::Owner && !m.is_moving() && !i.leaving && rounds.is_multiple_of(10) {
+                let replica = m.replicas.first().cloned().unwrap_or_default();
+                if lag == 1 {
+                    // Slow here: over to one that keeps up, until this one does again.
+                    let well =
+                        |c: &String| !i.lagging.contains(c) && known.node(c, "store").is_some_and(|n| !n.leaving);
+                    if let Some(to) = m.candidates().into_iter().find(well) {
+                        self.step(i, p, |m, now, out| m.start_move(&to, true, wall, now, out));
+                    }
+                } else if !replica.is_empty() && replica != self.settings.node && m.in_sync().contains(&replica) {
+                    let ready = known.node(&replica, "store").is_some_and(|n| !n.leaving);
+                    if ready {
+                        self.step(i, p, |m, now, out| m.start_move(&replica, false, wall, now, out));
+                    }
+                }
+            }
+        }
+        if rounds.is_multiple_of(300) {
+            telemetry::report(&self.settings.node, &rpc::sent());
+        }
+    }
+
+    /// Whether this node's copy of a partition is still to be taken by another one: it has
+    /// a new home that is not in sync yet, or there is a store machine to take its place,
+    /// which the leader is about to give it to.
+    pub(super) fn copy_due(&self, known: &agent::ClusterView, partition: u32) -> bool {
+        let me = &self.settings.node;
+        let all = &known.assignments.partitions;
+        let Some(p) = all.iter().find(|p| p.id == partition) else { return false };
+        if !p.replicas.contains(me) {
+            let replica_count = self.settings.tolerance.machines as usize + 1;
+            return p.in_sync.iter().filter(|n| *n != me).count() < replica_count;
+        }
+        let others = known.membership.nodes.iter().filter(|n| n.role == "store" && !n.leaving);
+        rpc::has_replacement(all, me, others.map(|n| n.name.as_str()))
+    }
+
+    /// On SIGTERM: hand everything over by planned moves, then leave the in-sync sets.
+    pub(super) async fn leave(self: Arc<Self>) {
+        let limit = Duration::from_millis((self.settings.constraints.grace_s * 800.0) as u64);
+        let begun = Instant::now();
+        self.session.set_leaving();
+        self.shared.lock().unwrap().leaving = true;
+        let wall = self.wall();
+        while begun.elapsed() < limit {
+            let mut owned = 0;
+            {
+                let mut guard = self.shared.lock().unwrap();
+                let i = &mut *guard;
+                let known = self.session.known();
+                for p in i.replicas.keys().copied().collect::<Vec<_>>() {
+                    let m = &i.replicas[&p];
+                    if m.role != ReplicaRole::Owner {
+                        continue;
+                    }
+                    let to = m.candidates().into_iter().find(|c| known.node(c, "store").is_some_and(|n| !n.leaving));
+                    if to.is_some() || m.is_moving() || self.copy_due(&known, p) {
+                        owned += 1;
+                    }
+                    if let (Some(to), false) = (to, m.is_moving()) {
+                        self.step(i, p, |m, now, out| m.start_move(&to, true, wall, now, out));
+                    }
+                }
+            }
+            if owned == 0 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
+        }
+        // What it follows stays with it until it stands elsewhere, where somebody is there
+        // to take it.
+        let due = || {
+            let known = self.session.known();
+            let i = self.shared.lock().unwrap();
+            i.replicas.keys().filter(|p| self.copy_due(&known, **p)).count()
+        };
+        while due() > 0 && begun.elapsed() < limit {
+            tokio::time::sleep(Duration::from_millis(self.ratio(200.0))).await;
+        }
+        let left = due();
+        if left > 0 {
+            telemetry::add("copies_left", left as u64);
+            telemetry::change!("ends with {left} copies that stand nowhere else yet");
+        }
+        let followed: Vec<u32> = {
+            let i = self.shared.lock().unwrap();
+            i.replicas.values().filter(|m| m.role == ReplicaRole::Follower).map(|m| m.id).collect()
+        };
+        let mut asks = Vec::new();
+        for p in followed {
+            let o = Order {
+                partition: p,
+                term: 0,
+                node: self.settings.node.clone(),
+                kind: OrderKind::Drop as i32,
+                ..Order::default()
+            };
+            asks.push(tokio::spawn(self.clone().order(p, o)));
+        }
+        for a in asks {
+            let _ = a.await;
+        }
+        // What the others are still to be told travels now.
+        tokio::time::sleep(Duration::from_millis(self.ratio(40.0))).await;
+        telemetry::change!("left after {} ms", begun.elapsed().as_millis());
+    }
+}
--- /dev/null
+++ b/crates/store/src/service/effects.rs
@@ -0,0 +1,171 @@
+//! Effects of the partitions: what goes to disk, to other nodes and to those who wait.
+
+use super::*;
+
+impl StoreService {
+    /// Steps one partition and carries out what comes of it.
+    pub(super) fn step(
+        self: &Arc<Self>,
+        i: &mut StoreState,
+        partition: u32,
+        f: impl FnOnce(&mut PartitionReplica, u64, &mut Vec<Effect>),
+    ) {
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(m) = i.replicas.get_mut(&partition) {
+            f(m, now, &mut out);
+        }
+        self.carry_out(i, partition, out);
+    }
+
+    pub(super) fn carry_out(self: &Arc<Self>, i: &mut StoreState, partition: u32, effects: Vec<Effect>) {
+        for e in effects {
+            match e {
+                Effect::Persist { del, put, meta, snapshot, term, end } => {
+                    let mut ops = Vec::with_capacity(put.len() + 1);
+                    if let Some((a, b)) = del {
+                        ops.push(Op::DelRange(key(b'l', partition, a), key(b'l', partition, b)));
+                    }
+                    ops.extend(
+                        put.into_iter().map(|(n, e)| Op::Put(key(b'l', partition, n), e.encode_to_vec().into())),
+                    );
+                    if let Some(s) = snapshot {
+                        ops.push(Op::Put(key(b's', partition, 0), s));
+                    }
+                    ops.push(Op::Put(key(b'm', partition, 0), meta.encode_to_vec().into()));
+                    let synced = self.synced.clone();
+                    self.wal.write(ops, move || {
+                        let _ = synced.send((partition, term, end));
+                    });
+                }
+                Effect::Send(node, body) => {
+                    let addr = self.session.with_known(|k| k.node(&node, "store").map(|n| n.inner.clone()));
+                    if let Some(a) = addr {
+                        self.rpc_clients.to(&a).send(body);
+                    }
+                }
+                Effect::Folded(changes) => self.folded(i, partition, changes),
+                Effect::TookOver { seized } => {
+                    telemetry::count(if seized { "partitions_seized" } else { "partitions_taken" });
+                    i.scheduler.drop_partition(partition);
+                    let m = &i.replicas[&partition];
+                    let term = m.term;
+                    i.asking.insert(partition, m.end());
+                    telemetry::change!(
+                        "owner of partition {partition} at term {term}{}",
+                        if seized { ", seized" } else { "" }
+                    );
+                    tokio::spawn(self.clone().ask_fronts(partition, term, seized));
+                }
+                Effect::StoodDown(owner) => {
+                    telemetry::change!("partition {partition} is owned by {owner:?} now");
+                    i.scheduler.drop_partition(partition);
+                    i.asking.remove(&partition);
+                    i.answering.retain(|k, _| k.0 != partition);
+                    i.fresh_ids.retain(|_, k| k.0 != partition);
+                    i.notified.remove(&partition);
+                    let gone: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition).copied().collect();
+                    for k in gone {
+                        for w in i.waiters.remove(&k).into_iter().flatten() {
+                            match w {
+                                Waiter::Accept(p) => {
+                                    p.send(accepted(AcceptOutcome::Unclear, 0, &owner));
+                                }
+                                Waiter::Report(p) => p.send(Body::ReportAck(ReportAck { kept: false })),
+                            }
+                        }
+                    }
+                }
+                Effect::Ask(order) => {
+                    let post = self.clone();
+                    tokio::spawn(async move { post.order(partition, order).await });
+                }
+                Effect::Mismatch(at) => {
+                    telemetry::error!("ALARM partition {partition}: the shadow state differs from the owner's at {at}");
+                }
+            }
+        }
+    }
+
+    pub(super) async fn order(self: Arc<Self>, partition: u32, order: Order) {
+        let leader = self.session.with_known(|k| k.leader.clone());
+        if leader.is_empty() {
+            return;
+        }
+        let wait = Duration::from_millis(self.ratio(4.0));
+        if let Ok(Body::OrderAck(ack)) = self.rpc_clients.to(&leader).call(Body::Order(order.clone()), wait).await {
+            if !ack.leader.is_empty() {
+                self.session.take(&ViewUpdate { leader: ack.leader.clone(), ..ViewUpdate::default() });
+            }
+            let mut i = self.shared.lock().unwrap();
+            self.step(&mut i, partition, |m, now, out| m.ordered(&order, &ack, now, out));
+            self.wake.notify_one();
+        }
+    }
+
+    /// The fold moved: answer who waited, and schedule.
+    pub(super) fn folded(self: &Arc<Self>, i: &mut StoreState, partition: u32, changes: Vec<Change>) {
+        let wall = self.wall();
+        for c in changes {
+            match c {
+                Change::Accepted(pos) => {
+                    telemetry::count("accepted");
+                    if let Some(w) = i.replicas[&partition].state.pieces.get(&pos) {
+                        i.fresh_ids.remove(&w.item.id);
+                    }
+                    self.answer_waiters(i, (partition, pos), pos);
+                    self.schedule(i, (partition, pos), wall);
+                }
+                Change::Repeated { at, old } => self.answer_waiters(i, (partition, at), old),
+                Change::Failed(pos) => {
+                    i.answering.remove(&(partition, pos));
+                    let pause = i.scheduler.pause((partition, pos));
+                    i.scheduler.later((partition, pos), wall + pause);
+                }
+                Change::Ended(pos) => {
+                    let k = (partition, pos);
+                    i.answering.remove(&k);
+                    i.scheduler.forget(k);
+                    if let Some(w) = i.replicas[&partition].state.pieces.get(&pos) {
+                        telemetry::count(if w.state == MessageState::Settled { "settled" } else { "dead" });
+                        if w.owes_notice() {
+                            i.scheduler.notices.push_back((wall, k));
+                        }
+                    }
+                }
+                Change::Freed(pos) => self.schedule(i, (partition, pos), wall),
+                _ => {}
+            }
+        }
+        // Reports wait for the position of their own record.
+        let commit = i.replicas[&partition].commit;
+        let done: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition && k.1 <= commit).copied().collect();
+        for k in done {
+            for w in i.waiters.remove(&k).into_iter().flatten() {
+                match w {
+                    Waiter::Report(p) => p.send(Body::ReportAck(ReportAck { kept: true })),
+                    Waiter::Accept(p) => p.send(accepted(AcceptOutcome::Taken, k.1, "")),
+                }
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    pub(super) fn answer_waiters(&self, i: &mut StoreState, k: Key, pos: u64) {
+        for w in i.waiters.remove(&k).into_iter().flatten() {
+            if let Waiter::Accept(p) = w {
+                p.send(accepted(AcceptOutcome::Taken, pos, ""));
+            }
+        }
+    }
+
+    pub(super) fn known_partition(&self, i: &mut StoreState, id: u32) {
+        let timing = self.timing();
+        let incarnation = self.session.me().incarnation;
+        i.replicas.entry(id).or_insert_with(|| {
+            let mut m = PartitionReplica::new(id, &self.settings.node, timing);
+            m.incarnation = incarnation;
+            m
+        });
+    }
+}
--- /dev/null
+++ b/crates/store/src/service/recovery.rs
@@ -0,0 +1,102 @@
+//! Recovery of a new owner: the delivery nodes are asked what they hold.
+
+use super::*;
+
+impl StoreService {
+    /// After a take-over: what do the delivery nodes hold? From then on they
+    /// refuse older terms.
+    pub(super) async fn ask_fronts(self: Arc<Self>, partition: u32, term: u64, seized: bool) {
+        let fronts: Vec<Node> =
+            self.session.with_known(|k| k.membership.nodes.iter().filter(|n| n.role == "front").cloned().collect());
+        let wait = Duration::from_millis(self.ratio(16.0));
+        let taken = self.wall();
+        let mut asked = Vec::new();
+        for h in fronts {
+            let end = self.rpc_clients.to(&h.inner);
+            asked.push((
+                h.name,
+                tokio::spawn(async move {
+                    for _ in 0..2 {
+                        match end.call(Body::Holding(Holding { partition, term }), wait).await {
+                            Ok(Body::Held(h)) => {
+                                let named = |n: usize, of: &[u64]| of.get(n).copied().unwrap_or(0);
+                                let held = h.positions.iter().enumerate();
+                                return Some(
+                                    held.map(|(n, p)| (*p, named(n, &h.terms), named(n, &h.attempts))).collect(),
+                                );
+                            }
+                            Err(ExecutionOutcome::MayHaveRun) => return None,
+                            _ => tokio::time::sleep(wait / 8).await,
+                        }
+                    }
+                    // What it held ended with its process only where its machine says
+                    // that nobody listens; one that is cut off says nothing.
+                    rpc::refuses(&h.inner, wait).await.then(Vec::new)
+                }),
+            ));
+        }
+        let (mut held, mut silent) = (Vec::new(), HashSet::new());
+        for (name, a) in asked {
+            match a.await.ok().flatten() {
+                Some(all) => held.extend(all.into_iter().map(|p: (u64, u64, u64)| (p, name.clone()))),
+                None => {
+                    silent.insert(name);
+                }
+            }
+        }
+        // What is held is known by its position in the fold: it waits for that.
+        loop {
+            {
+                let i = self.shared.lock().unwrap();
+                match i.replicas.get(&partition).filter(|m| m.term == term && m.role == ReplicaRole::Owner) {
+                    Some(m) if m.caught_up() => break,
+                    Some(_) => {}
+                    None => return,
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(self.ratio(250.0))).await;
+        }
+        let mut i = self.shared.lock().unwrap();
+        let i = &mut *i;
+        if i.replicas.get(&partition).is_none_or(|m| m.term != term || m.role != ReplicaRole::Owner) {
+            return;
+        }
+        i.asking.remove(&partition);
+        let now = self.now();
+        let known = self.session.known();
+        let m = &i.replicas[&partition];
+        for ((pos, of_term, attempt), front) in held {
+            if let Some(w) = m.state.pieces.get(&pos)
+                && w.state == MessageState::Pending
+                && let Some(c) = known.configuration.route_named(&w.item.route)
+            {
+                let until = now + c.timeout_ms as u64 * 21 / 20 + self.ratio(8.0);
+                i.scheduler.adopt((partition, pos), c, &w.processor, &front, until);
+                i.scheduler.name((partition, pos), of_term, attempt);
+            }
+        }
+        let wall = self.wall();
+        let pending: Vec<u64> = m.state.pending.iter().copied().collect();
+        let owed: Vec<u64> = m.state.pieces.iter().filter(|(_, w)| w.owes_notice()).map(|(p, _)| *p).collect();
+        for pos in pending {
+            // Silence is not "nothing": what was last given to a node that did not
+            // answer waits until that attempt cannot be running any more.
+            let w = &i.replicas[&partition].state.pieces[&pos];
+            let timeout = known.configuration.route_named(&w.item.route).map_or(0, |c| c.timeout_ms as u64);
+            let silence = Silence { any: seized && !silent.is_empty(), last: silent.contains(&w.node) };
+            let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, timeout + self.ratio(16.0));
+            if over > wall {
+                telemetry::count("runs_maybe_held");
+                i.scheduler.later((partition, pos), over);
+                continue;
+            }
+            self.schedule(i, (partition, pos), wall);
+        }
+        for pos in owed {
+            if !i.scheduler.notices.iter().any(|(_, k)| *k == (partition, pos)) {
+                i.scheduler.notices.push_back((wall, (partition, pos)));
+            }
+        }
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/store/src/service/requests.rs
@@ -0,0 +1,230 @@
+//! Requests of other processes: messages to take in, reports of runs, look-ups, status.
+
+use super::*;
+
+impl StoreService {
+    pub(super) fn handle(self: &Arc<Self>, body: Body, responder: Responder) {
+        let mut guard = self.shared.lock().unwrap();
+        let i = &mut *guard;
+        match body {
+            Body::Accept(a) => self.accept(i, a, responder),
+            Body::Report(r) => self.report(i, r, responder),
+            Body::Lookup(l) => {
+                let found = self.lookup(i, &l);
+                responder.send(Body::Found(found));
+            }
+            Body::Entries(e) => {
+                self.known_partition(i, e.partition);
+                self.step(i, e.partition, |m, now, out| m.entries(e, now, out));
+            }
+            Body::EntriesAck(a) => self.step(i, a.partition, |m, now, out| m.acked(a, now, out)),
+            Body::Chunk(c) => {
+                self.known_partition(i, c.partition);
+                self.step(i, c.partition, |m, now, out| m.chunk(c, now, out));
+            }
+            Body::Status(_) => responder.send(Body::StatusAck(StatusAck { json: self.status(i) })),
+            _ => {}
+        }
+    }
+
+    pub(super) fn accept(self: &Arc<Self>, i: &mut StoreState, a: Accept, responder: Responder) {
+        let p = a.partition;
+        let owner = match i.replicas.get(&p) {
+            Some(m) if m.open() && self.leased(i) => None,
+            Some(m) => Some(if m.owner == self.settings.node { String::new() } else { m.owner.clone() }),
+            None => Some(String::new()),
+        };
+        if let Some(owner) = owner {
+            responder.send(accepted(AcceptOutcome::Elsewhere, 0, &owner));
+            return;
+        }
+        if let Some(k) = i.fresh_ids.get(&a.item.id).copied()
+            && k.0 == p
+        {
+            i.waiters.entry(k).or_default().push(Waiter::Accept(responder));
+            return;
+        }
+        let m = &i.replicas[&p];
+        if let Some(pos) = m.state.find(&a.item.id) {
+            responder.send(accepted(AcceptOutcome::Taken, pos, ""));
+            return;
+        }
+        if !m.state.has_route(&a.item.route) {
+            // Older news than the front has, or newer.
+            let outcome =
+                if m.state.revision >= a.revision { AcceptOutcome::NoRoute } else { AcceptOutcome::Elsewhere };
+            responder.send(accepted(outcome, 0, ""));
+            return;
+        }
+        let held: usize = i.replicas.values().map(|m| m.state.weight()).sum();
+        let rank = self.session.with_known(|k| k.configuration.route_named(&a.item.route).map_or(0, |c| c.rank));
+        let disk = (self.settings.limits.disk_mb << 20) as usize;
+        let room = Capacity { memory: i.memory_limit, disk: disk * 9 / 10 };
+        if !room.admits(rank, held + a.item.body.len(), self.wal.used_bytes() as usize) {
+            telemetry::count("refused_full");
+            responder.send(accepted(AcceptOutcome::Full, 0, ""));
+            return;
+        }
+        let id = a.item.id.clone();
+        let record = Record {
+            at_ms: self.wall(),
+            entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })),
+        };
+        let mut position = None;
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(m) = i.replicas.get_mut(&p) {
+            position = m.append(&record, now, &mut out);
+            m.flush(now, &mut out);
+        }
+        match position {
+            Some(pos) => {
+                i.fresh_ids.insert(id, (p, pos));
+                i.waiters.entry((p, pos)).or_default().push(Waiter::Accept(responder));
+            }
+            None => responder.send(accepted(AcceptOutcome::Elsewhere, 0, "")),
+        }
+        self.carry_out(i, p, out);
+    }
+
+    pub(super) fn report(self: &Arc<Self>, i: &mut StoreState, r: Report, responder: Responder) {
+        let k = (r.partition, r.position);
+        let now = self.now();
+        let wall = self.wall();
+        if i.replicas.get(&k.0).is_none_or(|m| !m.takes_reports()) {
+            responder.send(Body::ReportAck(ReportAck { kept: false }));
+            return;
+        }
+        // Of an attempt that was given up: it says what became of that one, and another
+        // is out still.
+        let outdated = i.scheduler.outdated(k, r.term, r.attempt);
+        if outdated {
+            telemetry::count("reports_outdated");
+        } else if let Some(f) = i.scheduler.land(k) {
+            i.scheduler.learn(&f, &r, now);
+        }
+        let m = &i.replicas[&k.0];
+        let piece = m.state.pieces.get(&k.1);
+        let pending = piece.is_some_and(|w| w.state == MessageState::Pending);
+        if r.outcome == Outcome::Done as i32
+            && piece.is_some_and(|w| w.state == MessageState::Settled && w.result_tag != r.result_tag)
+        {
+            telemetry::count("repeats_after_success");
+        }
+        let outcome = Outcome::try_from(r.outcome).unwrap_or(Outcome::Unknown);
+        telemetry::count(match outcome {
+            Outcome::Done => "runs_done",
+            Outcome::Failed => "runs_failed",
+            Outcome::Never => "runs_never",
+            Outcome::NotRun => "runs_not_run",
+            _ => "runs_unknown",
+        });
+        if !pending {
+            responder.send(Body::ReportAck(ReportAck { kept: true }));
+            self.wake.notify_one();
+            return;
+        }
+        match outcome {
+            Outcome::Done | Outcome::Failed | Outcome::Never => {
+                if let Some((attempt, at)) = i.answering.get(&k).copied()
+                    && attempt == r.attempt
+                {
+                    // Reported again while it is on its way to the disks.
+                    i.waiters.entry((k.0, at)).or_default().push(Waiter::Report(responder));
+                    return;
+                }
+                let answer =
+                    AnswerRecord { position: k.1, outcome: r.outcome, result_tag: r.result_tag, attempt: r.attempt };
+                let record = Record { at_ms: wall, entry: Some(Entry::Answer(answer)) };
+                let mut out = Vec::new();
+                if let Some(m) = i.replicas.get_mut(&k.0)
+                    && let Some(pos) = m.append(&record, now, &mut out)
+                {
+                    m.flush(now, &mut out);
+                    i.answering.insert(k, (r.attempt, pos));
+                    i.waiters.entry((k.0, pos)).or_default().push(Waiter::Report(responder));
+                }
+                self.carry_out(i, k.0, out);
+            }
+            _ if outdated => responder.send(Body::ReportAck(ReportAck { kept: true })),
+            _ => {
+                responder.send(Body::ReportAck(ReportAck { kept: true }));
+                match gap(outcome, r.status).again(self.class(i, k)) {
+                    RetryOwner::Owner => self.schedule(i, k, wall),
+                    _ => {
+                        let pause = i.scheduler.pause(k);
+                        i.scheduler.later(k, wall + pause);
+                    }
+                }
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    /// What a message is, as far as sending it again goes.
+    pub(super) fn class(&self, i: &StoreState, k: Key) -> RetrySafety {
+        let Some(w) = i.replicas.get(&k.0).and_then(|m| m.state.pieces.get(&k.1)) else { return RetrySafety::Message };
+        let dedupes = self.session.with_known(|s| {
+            let service = s.configuration.route_named(&w.item.route).and_then(|c| s.configuration.service(&c.service));
+            service.is_some_and(|p| p.dedupes)
+        });
+        match (dedupes, w.item.order_key.is_empty()) {
+            (true, _) => RetrySafety::Dedupes,
+            (false, false) => RetrySafety::Sequenced,
+            (false, true) => RetrySafety::Message,
+        }
+    }
+
+    pub(super) fn lookup(&self, i: &StoreState, l: &Lookup) -> Found {
+        let Some(m) = i.replicas.get(&l.partition).filter(|m| m.role == ReplicaRole::Owner && self.leased(i)) else {
+            return Found::default();
+        };
+        let pos = if l.id.is_empty() { Some(l.position) } else { m.state.find(&l.id) };
+        match pos.and_then(|p| m.state.pieces.get(&p)) {
+            None if !m.caught_up() => Found::default(),
+            Some(w) => Found {
+                owner: true,
+                known: true,
+                state: w.state.word().into(),
+                result_tag: w.result_tag.clone(),
+                body: if l.body { w.item.body.clone() } else { Bytes::new() },
+                host: w.item.host.clone(),
+            },
+            None => Found { owner: true, ..Found::default() },
+        }
+    }
+
+    pub(super) fn status(&self, i: &StoreState) -> String {
+        use std::fmt::Write;
+        let mut s = String::from("{\"partitions\":[");
+        for (n, m) in i.replicas.values().enumerate() {
+            let _ = write!(
+                s,
+                "{}{{\"id\":{},\"seat\":\"{}\",\"term\":{},\"end\":{},\"commit\":{},\"durable\":{},\"verified\":{},\"mismatch\":{},\"digest\":\"{:016x}\",\"pending\":{},\"kept\":{},\"moving\":{}}}",
+                if n > 0 { "," } else { "" },
+                m.id,
+                if m.role == ReplicaRole::Owner { "owner" } else { "follower" },
+                m.term,
+                m.end(),
+                m.commit,
+                m.durable,
+                m.verified,
+                m.mismatch,
+                m.state.digest(),
+                m.state.pending.len(),
+                m.state.pieces.len(),
+                m.is_moving()
+            );
+        }
+        let _ = write!(
+            s,
+            "],\"node\":\"{}\",\"leased\":{},\"queued\":{},\"underWay\":{},\"counters\":\"{}\"}}",
+            self.settings.node,
+            self.leased(i),
+            i.scheduler.queued(),
+            i.scheduler.in_flight.len(),
+            telemetry::render()
+        );
+        s
+    }
+}
