--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -35,11 +35,17 @@
     idle: Duration,
 }
 
+/// One request to a server.
 pub struct Call<'a> {
+    /// The method, as on the request line.
     pub method: &'a str,
+    /// Path and query, as on the request line.
     pub path: &'a str,
+    /// The value of `Host`.
     pub host: &'a str,
+    /// Further headers, in their order; lengths and `Host` are added.
     pub headers: &'a [(&'a str, &'a str)],
+    /// The whole body.
     pub body: &'a [u8],
     /// The id that the answer is to carry back. Empty: none is sent, and the call has
     /// a connection of its own.
@@ -66,6 +72,7 @@
 }
 
 impl ConnectionPool {
+    /// A pool that keeps unused connections for that long.
     pub fn new(idle: Duration) -> Arc<ConnectionPool> {
         Arc::new(ConnectionPool { places: Mutex::default(), idle })
     }
--- a/crates/http1/src/parse.rs
+++ b/crates/http1/src/parse.rs
@@ -3,9 +3,13 @@
 /// How large and how slow a request may be.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
+    /// Bytes of the request line and headers together.
     pub header_bytes: usize,
+    /// Bytes of the body.
     pub body_bytes: usize,
+    /// How long the headers may take, in milliseconds.
     pub header_ms: u64,
+    /// How long a connection may rest between requests, in milliseconds.
     pub idle_ms: u64,
 }
 
@@ -35,25 +39,36 @@
     }
 }
 
+/// A request, read in full.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
+    /// The method, as sent.
     pub method: String,
+    /// Path and query, as sent.
     pub path: String,
+    /// Names and values in their order, names as sent.
     pub headers: Vec<(String, String)>,
+    /// The whole body.
     pub body: Bytes,
+    /// Whether the connection may take another request behind this one.
     pub keep: bool,
 }
 
 impl Request {
+    /// The first header of that name, whatever its case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 }
 
+/// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
+    /// There is no body.
     None,
+    /// So many bytes.
     Length(usize),
+    /// Chunked transfer encoding.
     Chunked,
     /// Of answers only: until the connection closes.
     ToClose,
@@ -62,7 +77,9 @@
 /// A request that is turned away; the connection closes behind it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Turned {
+    /// The status of the answer.
     pub status: u16,
+    /// What is wrong, for the answer and the log.
     pub why: &'static str,
 }
 
@@ -226,17 +243,23 @@
     }
 }
 
+/// A server's answer.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
+    /// The status, as sent.
     pub status: u16,
+    /// Names and values in their order, names as sent.
     pub headers: Vec<(String, String)>,
+    /// The body as far as it came.
     pub body: Bytes,
+    /// Whether the connection may be used again.
     pub keep: bool,
     /// Its length was told, and all of it came.
     pub whole: bool,
 }
 
 impl Answer {
+    /// The first header of that name, whatever its case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -10,9 +10,13 @@
 /// An answer to a client.
 #[derive(Clone, Debug)]
 pub struct Reply {
+    /// The status.
     pub status: u16,
+    /// Headers of our own; the length is added.
     pub headers: Vec<(&'static str, String)>,
+    /// The whole body.
     pub body: Bytes,
+    /// The value of `Content-Type`; empty: none is sent.
     pub content_type: &'static str,
     /// Headers as another server gave them.
     pub passed: Vec<(String, String)>,
@@ -21,20 +25,24 @@
 }
 
 impl Reply {
+    /// An answer without a body.
     pub fn new(status: u16) -> Reply {
         Reply { status, headers: Vec::new(), body: Bytes::new(), content_type: "", passed: Vec::new(), cut: false }
     }
 
+    /// An answer with a JSON body.
     pub fn json(status: u16, body: impl Into<Bytes>) -> Reply {
         Reply { body: body.into(), content_type: "application/json", ..Reply::new(status) }
     }
 
+    /// Adds a header.
     pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Reply {
         self.headers.push((name, value.into()));
         self
     }
 }
 
+/// The reason phrase of a status.
 pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
@@ -61,6 +69,8 @@
     }
 }
 
+/// Writes an answer; without its body for `head_only`, and with `Connection: close`
+/// unless the connection is kept.
 pub fn put_reply(out: &mut BytesMut, reply: &Reply, keep: bool, head_only: bool) {
     use std::fmt::Write;
     let mut text = String::with_capacity(160);
@@ -88,6 +98,7 @@
 /// How far a server is on its way out.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Closing {
+    /// Connections and requests are taken.
     Open,
     /// Serves on; every answer ends its connection.
     Draining,
@@ -227,6 +238,7 @@
 /// Requests that are read and not answered yet, of every server of this process.
 static OPEN: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
 
+/// Requests that were read in full and are not answered yet, in this process.
 pub fn unanswered() -> usize {
     OPEN.load(std::sync::atomic::Ordering::Relaxed)
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,15 +1,21 @@
 //! Counters and log lines. Counters come first: a line is written only when a
 //! state changes, and the counters are printed from time to time as one line.
 
+#![warn(missing_docs)]
+
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// How important a log line is.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Level {
+    /// Something is wrong that an operator should see.
     Error = 0,
+    /// A state has changed.
     Change = 1,
+    /// Detail for the search of faults.
     Debug = 2,
 }
 
@@ -27,6 +33,7 @@
     true
 }
 
+/// Whether lines of a level are written.
 pub fn enabled(level: Level) -> bool {
     level as u8 <= LEVEL.load(Ordering::Relaxed)
 }
@@ -36,6 +43,7 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map(|d| d.as_millis() as u64).unwrap_or(0)
 }
 
+/// Writes a line to standard error if its level is enabled.
 pub fn line(level: Level, what: std::fmt::Arguments<'_>) {
     if enabled(level) {
         let ms = wall_ms();
@@ -43,10 +51,13 @@
     }
 }
 
+/// Logs a change of state.
 #[macro_export]
 macro_rules! change { ($($a:tt)*) => { $crate::line($crate::Level::Change, format_args!($($a)*)) } }
+/// Logs an error.
 #[macro_export]
 macro_rules! error { ($($a:tt)*) => { $crate::line($crate::Level::Error, format_args!($($a)*)) } }
+/// Logs a detail.
 #[macro_export]
 macro_rules! debug { ($($a:tt)*) => { $crate::line($crate::Level::Debug, format_args!($($a)*)) } }
 
@@ -63,10 +74,12 @@
     COUNTERS.lock().unwrap().insert(name, n);
 }
 
+/// Adds one to the counter of that name.
 pub fn count(name: &'static str) {
     add(name, 1);
 }
 
+/// The value of a counter; 0 if it was never set.
 pub fn get(name: &str) -> u64 {
     COUNTERS.lock().unwrap().get(name).copied().unwrap_or(0)
 }
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -14,6 +14,8 @@
 //!   next, so that a removal which is lost brings nothing back that a later
 //!   segment does not overrule.
 
+#![warn(missing_docs)]
+
 mod segments;
 use bytes::Bytes;
 pub use segments::SegmentLog;
@@ -24,6 +26,7 @@
 
 /// All keys are this long.
 pub const KEY: usize = 13;
+/// A key on disk, as [`key`] makes it.
 pub type Key = [u8; KEY];
 
 /// A kind, a partition (or 0), and a number.
@@ -35,9 +38,12 @@
     k
 }
 
+/// One change of what is stored.
 #[derive(Clone, Debug)]
 pub enum Op {
+    /// Stores a value, in place of one of the same key.
     Put(Key, Bytes),
+    /// Removes one key.
     Del(Key),
     /// All keys from the first to the last.
     DelRange(Key, Key),
--- a/crates/wal/src/segments.rs
+++ b/crates/wal/src/segments.rs
@@ -27,6 +27,7 @@
     len: u32,
 }
 
+/// The segments of one folder, and where in them the newest value of each key lies.
 pub struct SegmentLog {
     dir: PathBuf,
     segments: VecDeque<Segment>,
@@ -339,6 +340,7 @@
         Ok(())
     }
 
+    /// Bytes that all segments take on disk.
     pub fn used_bytes(&self) -> u64 {
         self.segments.iter().map(|s| s.bytes).sum()
     }
