--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -235,7 +235,7 @@
                 .partitions
                 .iter()
                 .map(|p| {
-                    serde_json::json!({"id": p.id, "term": p.term, "owner": p.owner, "insync": p.in_sync,
+                    serde_json::json!({"id": p.id, "term": p.term, "owner": p.owner, "inSync": p.in_sync,
                         "replicas": p.replicas, "candidate": p.grant.as_ref().map(|g| g.candidate.clone())})
                 })
                 .collect();
--- a/crates/willowslip/src/summary.rs
+++ b/crates/willowslip/src/summary.rs
@@ -19,7 +19,7 @@
 
 /// Why a partition is not where it is to be; empty if it is.
 fn matter(p: &Value) -> String {
-    let (replicas, in_sync) = (list(p, "replicas"), list(p, "insync"));
+    let (replicas, in_sync) = (list(p, "replicas"), list(p, "inSync"));
     let mut why = Vec::new();
     if in_sync.len() < replicas.len() {
         why.push(format!("{} of {} in sync", in_sync.len(), replicas.len()));
@@ -88,13 +88,13 @@
                 text(n, "inner")
             );
         }
-        let has = |p: &Value| names(p, "replicas").contains(word) || names(p, "insync").contains(word);
+        let has = |p: &Value| names(p, "replicas").contains(word) || names(p, "inSync").contains(word);
         for p in partitions.iter().filter(|p| has(p)) {
-            let (in_sync, replicas) = (names(p, "insync"), names(p, "replicas"));
+            let (in_sync, replicas) = (names(p, "inSync"), names(p, "replicas"));
             let owner = text(p, "owner");
             let _ = writeln!(
                 s,
-                "partition {} term {} owner {owner} insync {in_sync} replicas {replicas}",
+                "partition {} term {} owner {owner} inSync {in_sync} replicas {replicas}",
                 p["id"], p["term"]
             );
         }
@@ -116,7 +116,7 @@
         let partition = |n: usize| {
             let replicas = [n % 60, (n + 1) % 60].map(|m| format!("store-{m}"));
             let in_sync = if n == 17 { &replicas[..1] } else { &replicas[..] };
-            json!({"id": n, "term": 3, "owner": replicas[0], "replicas": replicas, "insync": in_sync, "candidate": null})
+            json!({"id": n, "term": 3, "owner": replicas[0], "replicas": replicas, "inSync": in_sync, "candidate": null})
         };
         let partitions: Vec<Value> = (0..120).map(partition).collect();
         let v = json!({"node": "core-1", "isLeader": true, "leader": "x", "voters": ["x"], "duties": ["lister"],
--- a/crates/willowslip/tests/common/mod.rs
+++ b/crates/willowslip/tests/common/mod.rs
@@ -152,7 +152,7 @@
             !ps.is_empty()
                 && ps.iter().all(|p| {
                     p["replicas"].as_array().is_some_and(|h| {
-                        h.len() == 2 && h.iter().all(|n| p["insync"].as_array().is_some_and(|i| i.contains(n)))
+                        h.len() == 2 && h.iter().all(|n| p["inSync"].as_array().is_some_and(|i| i.contains(n)))
                     }) && p["owner"] == p["replicas"][0]
                 })
         })
--- a/crates/willowslip/tests/orders.rs
+++ b/crates/willowslip/tests/orders.rs
@@ -124,7 +124,7 @@
     };
     until("partitions", || {
         let s = status(&f);
-        let whole = |p: &serde_json::Value| p["insync"].as_array().is_some_and(|i| i.len() == 2);
+        let whole = |p: &serde_json::Value| p["inSync"].as_array().is_some_and(|i| i.len() == 2);
         s["partitions"].as_array().filter(|p| !p.is_empty() && p.iter().all(whole)).map(|_| ())
     });
 
--- a/crates/willowslip/tests/replace.rs
+++ b/crates/willowslip/tests/replace.rs
@@ -23,7 +23,7 @@
     assert!(log.contains("left after") && !log.contains("ends with"), "{log}");
     let st = s.ctl(&["status"]).expect("a status");
     for p in st["partitions"].as_array().expect("partitions") {
-        let in_sync: Vec<&str> = p["insync"].as_array().expect("a set").iter().filter_map(|n| n.as_str()).collect();
+        let in_sync: Vec<&str> = p["inSync"].as_array().expect("a set").iter().filter_map(|n| n.as_str()).collect();
         assert!(in_sync.len() == 2 && !in_sync.contains(&"store-5"), "{p}");
     }
     // So a second one may go: everything has an owner that holds it.
