--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,9 +1,9 @@
 use bytes::Bytes;
 use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Role, Settings};
 use rpc::messages::*;
-use rpc::{Body, RpcClients, after, possible};
+use rpc::{Body, CarriedTime, RpcClients, after, possible};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// What a process knows of the world. Newer versions replace older ones; it
@@ -139,12 +139,18 @@
     known: watch::Sender<ClusterView>,
     node: Mutex<Node>,
     control_nodes: Mutex<Vec<String>>,
+    /// The cluster's time: carried on here, so that it outlasts the loss of all store and
+    /// control machines.
+    time: Mutex<CarriedTime>,
+    start: Instant,
 }
 
 impl Session {
     pub fn new(settings: Settings, node: Node, rpc_clients: Arc<RpcClients>) -> Arc<Session> {
         let control_nodes = settings.seed_control_nodes();
         Arc::new(Session {
+            time: Mutex::new(CarriedTime::default()),
+            start: Instant::now(),
             known: watch::channel(ClusterView::default()).0,
             node: Mutex::new(node),
             control_nodes: Mutex::new(control_nodes),
@@ -169,6 +175,15 @@
         self.known.send_if_modified(|k| k.take(news))
     }
 
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// The cluster's time as it is carried on here; 0 if it was told none.
+    fn carried_ms(&self) -> u64 {
+        self.time.lock().unwrap().time(self.now()).unwrap_or(0)
+    }
+
     pub fn me(&self) -> Node {
         self.node.lock().unwrap().clone()
     }
@@ -252,8 +267,10 @@
                 node: (!node.name.is_empty()).then_some(node),
                 have: self.with_known(|k| k.have()),
                 wait_ms: wait,
+                time_ms: self.carried_ms(),
                 ..WatchRequest::default()
             };
+            let asked_at = self.now();
             // The first answer brings the whole, over what may be a slow link.
             let times = if w.have.configuration == 0 { 4 } else { 2 };
             let asked = self
@@ -264,6 +281,7 @@
             match asked {
                 Ok(Body::ViewUpdate(n)) => {
                     failures = 0;
+                    self.time.lock().unwrap().told(n.time_ms, asked_at, self.now());
                     if !n.control_nodes.is_empty() {
                         let mut f = self.control_nodes.lock().unwrap();
                         for a in &n.control_nodes {
--- a/crates/control/src/cluster_clock.rs
+++ b/crates/control/src/cluster_clock.rs
@@ -1,71 +1,153 @@
-//! The fleet's time: the middle of what many clocks say, carried on by the steady
-//! clock of the leader. Clocks step; a middle of many does not.
+//! The cluster's time, as the leader tells it with every lease.
+//!
+//! It goes on by steady clocks alone. Followers, store machines and fronts carry it on, so
+//! a new leader takes it over from itself or from them. Where all of them lost power it
+//! starts again at the latest time that a log says was reached: time without power does not
+//! count, as nobody can tell it from a step of every clock. Clocks of the machines are heard
+//! only to correct it, by slewing, towards the middle of what a quorum of them says. Pure;
+//! keeps invariant 13 of docs/design.md.
 
+use rpc::{CLUSTER_SLEW_PPM, SlewedClock, is_plausible_time};
 use std::collections::HashMap;
 
-/// A clock as it was heard: how far ahead of this process's steady clock, and when.
-#[derive(Clone, Copy)]
-struct Heard {
-    ahead: i64,
-    at: u64,
+/// A machine's clock as it was heard: how far ahead of this process's steady clock, in
+/// milliseconds, and when.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    ahead_ms: i64,
+    heard_at: u64,
 }
 
+/// A machine whose clock differs from the cluster's time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClockOff {
+    /// The machine's name.
+    pub node: String,
+    /// How far its clock is ahead, in milliseconds.
+    pub ahead_ms: i64,
+}
+
+/// All times in milliseconds; `now` is of the steady clock.
 pub struct ClusterClock {
-    heard: HashMap<String, Heard>,
-    /// How far the fleet's time is ahead of the steady clock, once that is known.
-    ahead: Option<i64>,
+    clock: Option<SlewedClock>,
+    readings: HashMap<String, Reading>,
+    /// The latest time that a partition's log was said to have reached.
+    reached_ms: u64,
     /// Differences up to this are what clocks and links always have.
-    slack: i64,
-    /// What was not heard for so long does not count.
+    tolerance: u64,
+    /// A reading older than this does not count.
     keep: u64,
 }
 
 impl ClusterClock {
-    pub fn new(slack: u64, keep: u64) -> ClusterClock {
-        ClusterClock { heard: HashMap::new(), ahead: None, slack: slack as i64, keep }
+    /// A clock that knows nothing yet.
+    pub fn new(tolerance: u64, keep: u64) -> ClusterClock {
+        ClusterClock { clock: None, readings: HashMap::new(), reached_ms: 0, tolerance, keep }
     }
 
-    /// Begins anew: what was heard is from before.
-    pub fn forget(&mut self) {
-        self.heard.clear();
-        self.ahead = None;
+    /// This process leads from now on: clocks that were heard before do not count. The
+    /// time that it carries goes on.
+    pub fn begin_term(&mut self) {
+        self.readings.clear();
     }
 
-    pub fn hear(&mut self, name: &str, clock_ms: u64, now: u64) {
-        if clock_ms > 0 && clock_ms < i64::MAX as u64 {
-            let heard = Heard { ahead: clock_ms as i64 - now as i64, at: now };
-            match self.heard.get_mut(name) {
-                Some(h) => *h = heard,
-                None => {
-                    self.heard.insert(name.to_owned(), heard);
-                }
-            }
+    /// The time that another process carries; taken while none is known here.
+    pub fn hear_carried(&mut self, time_ms: u64, now: u64) {
+        if self.clock.is_none() && is_plausible_time(time_ms) {
+            self.start(time_ms, now);
         }
     }
 
-    /// Looks at what was heard. The time is set when `wanted` clocks are known, and
-    /// set anew only when the middle has gone further from it than clocks differ.
-    pub fn settle(&mut self, wanted: usize, now: u64) {
-        let keep = self.keep;
-        self.heard.retain(|_, h| now <= h.at + keep);
-        if self.heard.len() < wanted.max(1) {
+    /// The time that the leader tells a follower: taken as it stands if it differs by more
+    /// than the answer's way from `asked` to `now`.
+    pub fn follow(&mut self, time_ms: u64, asked: u64, now: u64) {
+        if !is_plausible_time(time_ms) || now < asked {
+            return;
+        }
+        let fits = self.time(now).is_some_and(|t| time_ms <= t && t <= time_ms + (now - asked));
+        if !fits {
+            self.start(time_ms, now);
+        }
+    }
+
+    /// A machine's own time of day.
+    pub fn hear(&mut self, node: &str, clock_ms: u64, now: u64) {
+        if is_plausible_time(clock_ms) {
+            let reading = Reading { ahead_ms: clock_ms as i64 - now as i64, heard_at: now };
+            self.readings.insert(node.to_owned(), reading);
+        }
+    }
+
+    /// The latest time that a store machine's logs say has passed.
+    pub fn hear_reached(&mut self, reached_ms: u64) {
+        if is_plausible_time(reached_ms) {
+            self.reached_ms = self.reached_ms.max(reached_ms);
+        }
+    }
+
+    /// Nobody who was heard carries the time: starts it where the logs end. `logged_ms` is
+    /// what the control log says. Where no log says any, as at the first start, it is the
+    /// middle of the clocks, once `quorum` of them are known.
+    pub fn start_from_logs(&mut self, logged_ms: u64, quorum: usize, now: u64) {
+        if self.clock.is_some() {
             return;
         }
-        let mut all: Vec<i64> = self.heard.values().map(|h| h.ahead).collect();
-        let at = (all.len() - 1) / 2;
-        let middle = *all.select_nth_unstable(at).1;
-        match self.ahead {
-            Some(a) if (a - middle).abs() <= self.slack => {}
-            Some(_) => {
-                telemetry::change!("the fleet's time set anew by {} clocks", self.heard.len());
-                self.ahead = Some(middle);
-            }
-            None => self.ahead = Some(middle),
+        let reached = logged_ms.max(self.reached_ms);
+        if reached > 0 {
+            self.start(reached, now);
+        } else if let Some(ahead) = self.agreed(quorum, now) {
+            self.start((now as i64 + ahead).max(1) as u64, now);
         }
     }
 
-    /// The fleet's time; None while it is not known.
+    /// Corrects the time by slewing towards what `quorum` clocks agree on.
+    pub fn correct(&mut self, quorum: usize, now: u64) {
+        let agreed = self.agreed(quorum, now);
+        let tolerance = self.tolerance;
+        let Some(clock) = &mut self.clock else { return };
+        let Some(ahead) = agreed else { return };
+        let middle = (now as i64 + ahead).max(1) as u64;
+        clock.correct(middle.saturating_sub(tolerance), middle + tolerance, now);
+    }
+
+    /// The cluster's time; None while it is not known.
     pub fn time(&self, now: u64) -> Option<u64> {
-        self.ahead.map(|a| (now as i64 + a).max(1) as u64)
+        self.clock.as_ref().map(|c| c.time(now))
+    }
+
+    /// How far the time still is from what the clocks agree on.
+    pub fn correction_ms(&self, now: u64) -> i64 {
+        self.clock.as_ref().map_or(0, |c| c.correction_ms(now))
+    }
+
+    /// The machines whose clocks differ by more than clocks always do, by name.
+    pub fn clocks_off(&self, now: u64) -> Vec<ClockOff> {
+        let Some(time) = self.time(now) else { return Vec::new() };
+        let cluster_ahead = time as i64 - now as i64;
+        let mut off: Vec<ClockOff> = self
+            .readings
+            .iter()
+            .filter(|(_, r)| now <= r.heard_at + self.keep)
+            .map(|(node, r)| ClockOff { node: node.clone(), ahead_ms: r.ahead_ms - cluster_ahead })
+            .filter(|o| o.ahead_ms.unsigned_abs() > self.tolerance)
+            .collect();
+        off.sort_by(|a, b| a.node.cmp(&b.node));
+        off
+    }
+
+    fn start(&mut self, time_ms: u64, now: u64) {
+        self.clock = Some(SlewedClock::start(time_ms, now, CLUSTER_SLEW_PPM));
+    }
+
+    /// The middle of the clocks heard lately, if at least `quorum` of them are known.
+    fn agreed(&mut self, quorum: usize, now: u64) -> Option<i64> {
+        let keep = self.keep;
+        self.readings.retain(|_, r| now <= r.heard_at + keep);
+        if self.readings.len() < quorum.max(1) {
+            return None;
+        }
+        let mut all: Vec<i64> = self.readings.values().map(|r| r.ahead_ms).collect();
+        let middle = (all.len() - 1) / 2;
+        Some(*all.select_nth_unstable(middle).1)
     }
 }
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -41,7 +41,7 @@
         let lease = self.settings.lease_ms();
         let mut words: Vec<(String, CommandPayload)> = Vec::new();
         self.with(|f| {
-            self.settle_time(f, now);
+            self.tend_clock(f, now);
             // Sessions that ended.
             let limit = self.ratio(3.0);
             let before = f.sessions.len();
@@ -339,15 +339,26 @@
         }
     }
 
-    /// The time wants its own clock and more than half of the store machines', or
-    /// all that come soon.
-    pub(crate) fn settle_time(&self, f: &mut ControlShared, now: u64) {
-        let mut replicas: Vec<&String> =
-            f.control_state.assignments.partitions.iter().flat_map(|p| &p.replicas).collect();
-        replicas.sort_unstable();
-        replicas.dedup();
-        let wanted = if now > f.leader_since + self.ratio(16.0) { 1 } else { replicas.len() / 2 + 2 };
+    /// Keeps the cluster's time. A leader that nobody told what time is carried on starts
+    /// it from the logs, once those who may carry it had the time to say so.
+    pub(crate) fn tend_clock(&self, f: &mut ControlShared, now: u64) {
         f.cluster_clock.hear(&self.settings.node, telemetry::wall_ms(), now);
-        f.cluster_clock.settle(wanted, now);
+        let quorum = Self::clock_quorum(f);
+        if now > f.leader_since + self.ratio(16.0) {
+            f.cluster_clock.start_from_logs(f.control_state.reached_ms, quorum, now);
+        }
+        f.cluster_clock.correct(quorum, now);
+        let off = f.cluster_clock.clocks_off(now);
+        let farthest = off.iter().map(|c| c.ahead_ms.unsigned_abs()).max().unwrap_or(0);
+        telemetry::set("clocks_off", off.len() as u64);
+        telemetry::set("clock_off_ms", farthest);
+        telemetry::set("time_correction_ms", f.cluster_clock.correction_ms(now).unsigned_abs());
+    }
+
+    /// More than half of the store and control machines.
+    fn clock_quorum(f: &ControlShared) -> usize {
+        let stores: HashSet<&String> =
+            f.control_state.assignments.partitions.iter().flat_map(|p| &p.replicas).collect();
+        (stores.len() + f.voters.len()) / 2 + 1
     }
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -245,6 +245,9 @@
                 .iter()
                 .map(|n| serde_json::json!({"name": n.name, "role": n.role, "zone": n.zone, "inner": n.inner, "leaving": n.leaving}))
                 .collect();
+            let now = self.now();
+            let clocks: BTreeMap<String, i64> =
+                f.cluster_clock.clocks_off(now).into_iter().map(|c| (c.node, c.ahead_ms)).collect();
             let behind: BTreeMap<&String, u64> = f.behind.iter().map(|(n, b)| (n, *b)).collect();
             // Store machines whose disks do not keep up.
             let disks: BTreeMap<&String, &str> = f
@@ -255,7 +258,8 @@
                 .collect();
             serde_json::json!({"node": self.settings.node, "leader": f.leader, "isLeader": f.is_leader,
                 "duties": if f.is_leader { vec!["lister", "judge", "assigner"] } else { vec![] },
-                "voters": f.voters, "behind": behind, "disks": disks, "revision": f.control_state.revision, "assignments": f.control_state.assignments.version, "membership": f.membership.version,
+                "voters": f.voters, "clocks": clocks,
+                "clockCorrectionMs": f.cluster_clock.correction_ms(now), "behind": behind, "disks": disks, "revision": f.control_state.revision, "assignments": f.control_state.assignments.version, "membership": f.membership.version,
                 "units": f.membership.processors.len(), "partitions": parts, "nodes": nodes, "counters": telemetry::render()})
             .to_string()
         })
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -79,8 +79,10 @@
                 return LeaseAck { leader, ..LeaseAck::default() };
             }
             f.cluster_clock.hear(&l.node.name, l.clock_ms, now);
+            f.cluster_clock.hear_carried(l.time_ms, now);
+            f.cluster_clock.hear_reached(l.reached_ms);
             if f.cluster_clock.time(now).is_none() {
-                self.settle_time(f, now);
+                self.tend_clock(f, now);
             }
             let newer_incarnation = f.later_incarnation(&l.node);
             if newer_incarnation > 0 {
@@ -182,6 +184,7 @@
                 newer_incarnation = f.later_incarnation(n);
                 f.cluster_clock.hear(&n.name, w.clock_ms, now);
             }
+            f.cluster_clock.hear_carried(w.time_ms, now);
             if f.is_leader
                 && f.membership.version == 0
                 && w.have.membership > 0
@@ -232,6 +235,7 @@
                     .map(|s| s.node.inner.clone())
                     .collect(),
                 newer_incarnation,
+                time_ms: f.cluster_clock.time(self.now()).unwrap_or(0),
                 ..ViewUpdate::default()
             };
             if let Some(json) = configuration {
@@ -296,12 +300,15 @@
                 wait_ms: wait as u32,
                 sessions,
                 clock_ms: telemetry::wall_ms(),
+                time_ms: self.time().unwrap_or(0),
             };
+            let asked_at = self.now();
             match self.rpc_clients.to(&leader).call(Body::WatchRequest(w), Duration::from_millis(wait * 2)).await {
                 Ok(Body::ViewUpdate(n)) => self.with(|f| {
                     if f.is_leader {
                         return;
                     }
+                    f.cluster_clock.follow(n.time_ms, asked_at, self.now());
                     if n.newer_incarnation >= self.incarnation.load(Ordering::Relaxed) && possible(n.newer_incarnation)
                     {
                         self.incarnation.store(after(n.newer_incarnation), Ordering::Relaxed);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -34,6 +34,9 @@
     /// Roll-outs and retires that were taken, while they may be sent again.
     #[prost(message, repeated, tag = "7")]
     pub orders: Vec<OrderId>,
+    /// The latest cluster time of a command, ms: a new leader's time does not begin below.
+    #[prost(uint64, tag = "15")]
+    pub reached_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -76,6 +79,9 @@
 pub struct Command {
     #[prost(oneof = "CommandPayload", tags = "1, 2, 5, 6, 7, 8, 9")]
     pub word: Option<CommandPayload>,
+    /// The cluster's time when it was proposed, ms; 0 if it was not known.
+    #[prost(uint64, tag = "15")]
+    pub at_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
@@ -214,10 +220,11 @@
         if data.is_empty() {
             return ApplyResult::Done; // The log's own.
         }
-        let Ok(Command { word: Some(word) }) = Command::decode(data.clone()) else {
+        let Ok(Command { word: Some(word), at_ms }) = Command::decode(data.clone()) else {
             telemetry::count("commands_undecoded");
             return ApplyResult::Undecoded;
         };
+        self.reached_ms = self.reached_ms.max(at_ms);
         match word {
             CommandPayload::Configuration(t) => {
                 if self.took(&t.digest) {
--- a/crates/control/tests/clocks.rs
+++ b/crates/control/tests/clocks.rs
@@ -1,59 +1,119 @@
-//! Clocks that step: the fleet's time, and incarnations that began by a wrong clock.
+//! Clocks that step: the cluster's time, and incarnations that began by a wrong clock.
 
-use control::ClusterClock;
-use rpc::{after, new_incarnation, possible};
+use control::{ClockOff, ClusterClock};
+use rpc::{CLUSTER_SLEW_PPM, after, new_incarnation, possible};
 
 const TRUE: u64 = 1_790_000_000_000;
+const TOLERANCE_MS: u64 = 50;
 
-/// A fleet whose steady clock starts at 0 when the time is `TRUE`.
-fn told(g: &mut ClusterClock, now: u64, clocks: usize, off: usize, by: i64) {
+fn new_clock() -> ClusterClock {
+    ClusterClock::new(TOLERANCE_MS, 2_000)
+}
+
+/// A cluster whose steady clock starts at 0 when the time is `TRUE`.
+fn hear(c: &mut ClusterClock, now: u64, clocks: usize, off: usize, by: i64) {
     for n in 0..clocks {
         let step = if n < off { by } else { 0 };
         // Clocks differ a little in any case.
         let skew = n as i64 % 7 - 3;
-        g.hear(&format!("store-{n}"), (TRUE as i64 + now as i64 + step + skew) as u64, now);
+        c.hear(&format!("store-{n:02}"), (TRUE as i64 + now as i64 + step + skew) as u64, now);
     }
 }
 
-fn off(g: &ClusterClock, now: u64) -> i64 {
-    g.time(now).expect("a time") as i64 - (TRUE + now) as i64
+fn off(c: &ClusterClock, now: u64) -> i64 {
+    c.time(now).expect("a time") as i64 - (TRUE + now) as i64
 }
 
 #[test]
-fn a_third_of_the_clocks_stepping_does_not_move_the_time() {
-    for by in [-2400, 2400, -86_400_000, 86_400_000] {
-        let mut g = ClusterClock::new(50, 2000);
-        // All come back at once in the middle of the step: its leader has no memory.
-        told(&mut g, 1000, 60, 20, by);
-        g.settle(31, 1000);
-        assert!(off(&g, 1000).abs() <= 10, "step of {by}: {}", off(&g, 1000));
-        // The step ends; nothing moves.
-        let before = off(&g, 1500);
-        told(&mut g, 1500, 60, 0, 0);
-        g.settle(31, 1500);
-        assert_eq!(before, off(&g, 1500));
+fn no_step_of_any_share_of_the_clocks_moves_the_time_by_more_than_the_slew() {
+    for by in [-86_400_000, -2_400, 2_400, 90_000, 86_400_000] {
+        for share in [20, 31, 60] {
+            let mut c = new_clock();
+            hear(&mut c, 1_000, 60, 0, 0);
+            c.start_from_logs(0, 31, 1_000);
+            assert!(off(&c, 1_000).abs() <= 10);
+            let before = off(&c, 1_000);
+            for now in (1_100..11_000).step_by(100) {
+                hear(&mut c, now, 60, share, by);
+                c.correct(31, now);
+            }
+            let bound = (10_000 * CLUSTER_SLEW_PPM / 1_000_000) as i64;
+            assert!((off(&c, 11_000) - before).abs() <= bound, "{share} by {by}: {}", off(&c, 11_000));
+        }
     }
 }
 
 #[test]
-fn too_few_clocks_make_no_time() {
-    let mut g = ClusterClock::new(50, 2000);
-    told(&mut g, 100, 3, 3, 5000);
-    g.settle(31, 100);
-    assert_eq!(g.time(100), None, "three that came first do not decide for sixty");
-    told(&mut g, 200, 40, 3, 5000);
-    g.settle(31, 200);
-    assert!(off(&g, 200).abs() <= 10);
-    // A wrong one is mended once the others are heard; old words do not count.
-    let mut g = ClusterClock::new(50, 2000);
-    told(&mut g, 100, 2, 2, 5000);
-    g.settle(1, 100);
-    assert!(off(&g, 100) > 4000);
-    told(&mut g, 300, 9, 2, 5000);
-    g.settle(1, 300);
-    assert!(off(&g, 300).abs() <= 10);
-    g.settle(1, 9000);
-    assert!(off(&g, 9000).abs() <= 10, "goes on by the steady clock when nobody tells any more");
+fn a_minority_of_the_clocks_does_not_move_the_time_at_all() {
+    for by in [-86_400_000, -2_400, 2_400, 86_400_000] {
+        let mut c = new_clock();
+        hear(&mut c, 1_000, 60, 20, by);
+        c.start_from_logs(0, 31, 1_000);
+        assert!(off(&c, 1_000).abs() <= 10, "step of {by}: {}", off(&c, 1_000));
+        let before = off(&c, 1_000);
+        hear(&mut c, 1_500, 60, 20, by);
+        c.correct(31, 1_500);
+        assert_eq!((before, 0), (off(&c, 1_500), c.correction_ms(1_500)));
+    }
+}
+
+#[test]
+fn too_few_clocks_make_no_time_however_long_they_are_waited_for() {
+    let mut c = new_clock();
+    for now in (100..100_000).step_by(500) {
+        hear(&mut c, now, 3, 3, 5_000);
+        c.start_from_logs(0, 31, now);
+        c.correct(31, now);
+        assert_eq!(c.time(now), None, "three that came first do not decide for sixty");
+    }
+    hear(&mut c, 100_000, 40, 3, 5_000);
+    c.start_from_logs(0, 31, 100_000);
+    assert!(off(&c, 100_000).abs() <= 10);
+    assert!(off(&c, 900_000).abs() <= 10, "goes on by the steady clock when nobody tells any more");
+}
+
+#[test]
+fn after_all_power_was_lost_the_time_starts_where_the_logs_end_whatever_the_clocks_say() {
+    for by in [-90_000, 0, 90_000] {
+        let mut c = new_clock();
+        hear(&mut c, 1_000, 6, 6, by);
+        c.hear_reached(TRUE - 3_000);
+        c.start_from_logs(TRUE - 4_000, 4, 1_000);
+        assert_eq!(c.time(1_000), Some(TRUE - 3_000));
+        let mut c = new_clock();
+        c.hear_reached(TRUE - 5_000);
+        c.start_from_logs(TRUE - 4_000, 4, 1_000);
+        assert_eq!(c.time(1_000), Some(TRUE - 4_000), "nor below what the control log says");
+    }
+}
+
+#[test]
+fn a_new_leader_goes_on_with_the_time_that_is_carried() {
+    let mut c = new_clock();
+    c.hear_carried(0, 900);
+    c.hear_carried(u64::MAX, 900);
+    assert_eq!(c.time(900), None);
+    c.hear_carried(TRUE, 1_000);
+    // What others carry, and what logs say, moves it no more.
+    c.hear_carried(TRUE + 90_000, 1_000);
+    c.start_from_logs(TRUE + 90_000, 1, 1_000);
+    c.begin_term();
+    assert_eq!(c.time(4_000), Some(TRUE + 3_000));
+    // While it follows, it takes the time of whoever leads.
+    c.follow(TRUE + 10_000, 5_000, 5_010);
+    assert_eq!(c.time(5_010), Some(TRUE + 10_000));
+    c.follow(TRUE + 10_995, 6_000, 6_010);
+    assert_eq!(c.time(6_010), Some(TRUE + 11_000), "what fits the way of the answer changes nothing");
+}
+
+#[test]
+fn the_machines_whose_clocks_are_off_are_named() {
+    let mut c = new_clock();
+    hear(&mut c, 1_000, 5, 1, 2_403);
+    c.start_from_logs(0, 3, 1_000);
+    let time_off = off(&c, 1_000);
+    assert_eq!(c.clocks_off(1_000), [ClockOff { node: "store-00".into(), ahead_ms: 2_400 - time_off }]);
+    assert_eq!(c.clocks_off(9_000), [], "what was not heard for long says nothing");
 }
 
 #[test]
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -703,7 +703,7 @@
             digest: c.digest.clone(),
             change: Bytes::new(),
         };
-        let data = Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec();
+        let data = Command { word: Some(CommandPayload::Configuration(t)), at_ms: 0 }.encode_to_vec();
         self.step(n, Event::Propose(data.into()), Some(call));
     }
 
--- a/crates/control/tests/raft.rs
+++ b/crates/control/tests/raft.rs
@@ -165,7 +165,7 @@
             digest: word(base, revision),
             change: Bytes::new(),
         };
-        let data = Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec();
+        let data = Command { word: Some(CommandPayload::Configuration(t)), at_ms: 0 }.encode_to_vec();
         self.step(n, Event::Propose(data.into()));
     }
 
@@ -513,7 +513,7 @@
     for n in 0..30u64 {
         let json = Bytes::from(vec![b' '; 400 << 10]);
         let t = PutConfiguration { base: n, revision: n + 1, json, digest: word(n, n + 1), change: Bytes::new() };
-        let data = Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec();
+        let data = Command { word: Some(CommandPayload::Configuration(t)), at_ms: 0 }.encode_to_vec();
         w.step(&leader, Event::Propose(data.into()));
         w.pass(50);
     }
@@ -540,7 +540,7 @@
                 digest: word(n, n + 1),
                 change: Bytes::new(),
             };
-            Event::Propose(Command { word: Some(CommandPayload::Configuration(t)) }.encode_to_vec().into())
+            Event::Propose(Command { word: Some(CommandPayload::Configuration(t)), at_ms: 0 }.encode_to_vec().into())
         };
         for n in 0..30 {
             w.step(&leader, put(n));
--- a/crates/partition/src/clock.rs
+++ b/crates/partition/src/clock.rs
@@ -1,43 +1,96 @@
-//! The time of day as a store machine uses it: the fleet's, as the leader tells it
-//! with every lease, carried on by the steady clock in between. The machine's own
-//! clock is only told to the leader; it may be off, and it may step.
-
-/// All in milliseconds; `now` is of the steady clock.
-pub struct PartitionClock {
-    ahead: Option<i64>,
-    /// Differences up to this are not followed, so that the time goes on evenly.
-    slack: i64,
+//! A partition's time: what its log says has passed, carried on by the steady clock of the
+//! replica that owns it.
+//!
+//! It is never behind the partition's last record, and corrected towards the cluster's time
+//! by slewing only. A follower keeps it too, from what the owner says with its entries, so a
+//! successor goes on where the owner was. Only a replica whose process began since takes the
+//! cluster's time over as it stands, once, before it writes anything. Pure; keeps invariant
+//! 13 of docs/design.md.
+
+use rpc::{PARTITION_SLEW_PPM, SlewedClock, is_plausible_time};
+
+/// All times in milliseconds; `now` is of the steady clock.
+#[derive(Clone, Debug)]
+pub enum PartitionClock {
+    /// Read from the log of an earlier process: how long ago that was is not known here.
+    Stopped {
+        /// The time of the last record.
+        reached_ms: u64,
+    },
+    /// Goes on by the steady clock.
+    Running(SlewedClock),
+}
+
+impl Default for PartitionClock {
+    fn default() -> PartitionClock {
+        PartitionClock::Stopped { reached_ms: 0 }
+    }
 }
 
 impl PartitionClock {
-    pub fn new(slack: u64) -> PartitionClock {
-        PartitionClock { ahead: None, slack: slack as i64 }
+    /// A record of this partition's log: its time has passed.
+    pub fn record(&mut self, at_ms: u64, now: u64) {
+        match self {
+            PartitionClock::Stopped { reached_ms } => *reached_ms = at_ms.max(*reached_ms),
+            PartitionClock::Running(clock) => clock.raise_to(at_ms, now),
+        }
     }
 
-    /// The leader's time, in an answer to what was asked at `asked`; 0 if it has none.
-    pub fn told(&mut self, time_ms: u64, asked: u64, now: u64) {
-        if time_ms == 0 || time_ms > i64::MAX as u64 || now < asked {
+    /// The owner says its time; 0 if it is of a release that says none.
+    pub fn owner_said(&mut self, time_ms: u64, now: u64) {
+        if !is_plausible_time(time_ms) {
             return;
         }
-        let way = (now - asked) as i64;
-        let ahead = time_ms as i64 + way / 2 - now as i64;
-        match self.ahead {
-            Some(a) if (a - ahead).abs() <= self.slack + way / 2 => {}
-            Some(a) => {
-                telemetry::count("times_set_anew");
-                telemetry::change!("the fleet's time is {} ms off here: set anew", ahead - a);
-                self.ahead = Some(ahead);
+        self.record(time_ms, now);
+        if let PartitionClock::Stopped { reached_ms } = *self {
+            *self = PartitionClock::Running(SlewedClock::start(reached_ms, now, PARTITION_SLEW_PPM));
+        }
+    }
+
+    /// The time, for what the owner writes now; `cluster_ms` is the cluster's, if known.
+    pub fn owner_time(&mut self, cluster_ms: Option<u64>, now: u64) -> u64 {
+        match self {
+            PartitionClock::Stopped { reached_ms } => {
+                let start = cluster_ms.map_or(*reached_ms, |c| c.max(*reached_ms));
+                *self = PartitionClock::Running(SlewedClock::start(start, now, PARTITION_SLEW_PPM));
+                start
             }
-            None => self.ahead = Some(ahead),
+            PartitionClock::Running(clock) => {
+                if let Some(cluster) = cluster_ms {
+                    clock.correct(cluster, cluster, now);
+                }
+                clock.time(now)
+            }
+        }
+    }
+
+    /// The time that runs here; None while it is stopped.
+    pub fn running(&self, now: u64) -> Option<u64> {
+        match self {
+            PartitionClock::Stopped { .. } => None,
+            PartitionClock::Running(clock) => Some(clock.time(now)),
         }
     }
 
-    pub fn known(&self) -> bool {
-        self.ahead.is_some()
+    /// The latest time that the log, or the running clock, says has passed.
+    pub fn reached(&self, now: u64) -> u64 {
+        match self {
+            PartitionClock::Stopped { reached_ms } => *reached_ms,
+            PartitionClock::Running(clock) => clock.time(now),
+        }
     }
 
-    /// None before the leader has told it.
-    pub fn time(&self, now: u64) -> Option<u64> {
-        self.ahead.map(|a| (now as i64 + a).max(1) as u64)
+    /// How far the time is from the cluster's, which it slews to.
+    pub fn correction_ms(&self, now: u64) -> i64 {
+        match self {
+            PartitionClock::Stopped { .. } => 0,
+            PartitionClock::Running(clock) => clock.correction_ms(now),
+        }
     }
 }
+
+/// How much later than `span_ms` by a partition's time something is certain to be that long
+/// ago by any steady clock: twice what slewing makes of it, as the cluster's time slews too.
+pub fn surely_over(span_ms: u64) -> u64 {
+    span_ms + span_ms * 2 * PARTITION_SLEW_PPM / 1_000_000 + 1
+}
--- a/crates/partition/src/lib.rs
+++ b/crates/partition/src/lib.rs
@@ -8,7 +8,7 @@
 mod record;
 mod replica;
 mod state;
-pub use clock::PartitionClock;
+pub use clock::{PartitionClock, surely_over};
 pub use record::*;
 pub use replica::{Effect, Meta, PartitionReplica, ReplicaRole, Timing};
 pub use state::*;
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -7,6 +7,7 @@
 mod replication;
 mod transfer;
 
+use crate::clock::PartitionClock;
 use crate::record::*;
 use crate::state::*;
 use bytes::Bytes;
@@ -92,6 +93,10 @@
     phase: Phase,
 }
 
+/// An owner with messages that have not ended writes an epoch record at least once in so
+/// many times `epoch`, so that its log says how much time has passed.
+const TIME_RECORD_EPOCHS: u64 = 8;
+
 /// Bounds of the state machine's clock, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -148,6 +153,7 @@
     took_at: u64,
     timing: Timing,
     since_snapshot: usize,
+    clock: PartitionClock,
 }
 
 impl PartitionReplica {
@@ -189,6 +195,7 @@
             took_at: 0,
             timing,
             since_snapshot: 0,
+            clock: PartitionClock::default(),
         }
     }
 
@@ -209,6 +216,7 @@
                 return Err(format!("partition {id}: snapshot is of {}, not of {}", s.position, meta.base));
             }
             m.state = PartitionState::restore(&s, timing.status).map_err(|e| format!("partition {id}: {e}"))?;
+            m.clock.record(m.state.reached_ms(), 0);
         } else if meta.base != 0 {
             return Err(format!("partition {id}: the snapshot of {} is missing", meta.base));
         }
@@ -283,6 +291,7 @@
             let record =
                 Record::decode(e.record.clone()).map_err(|e| format!("partition {}: entry {pos}: {e}", self.id))?;
             let found = self.state.fold(pos, &record);
+            self.clock.record(record.at_ms, now);
             self.digests.push_back((pos, self.state.digest()));
             if self.digests.len() > 8192 {
                 self.digests.pop_front();
@@ -322,6 +331,28 @@
 
     // ---- both ----
 
+    /// The partition's time, for what its owner writes now. `cluster_ms` is the cluster's
+    /// time, if it is known here: the first call after a start of the process may take it
+    /// over as it stands, so it comes with the lease.
+    pub fn owner_time(&mut self, cluster_ms: Option<u64>, now: u64) -> u64 {
+        self.clock.owner_time(cluster_ms, now)
+    }
+
+    /// The partition's time; None where none runs since the start of this process.
+    pub fn time(&self, now: u64) -> Option<u64> {
+        self.clock.running(now)
+    }
+
+    /// The latest time that is known to have passed here.
+    pub fn reached_ms(&self, now: u64) -> u64 {
+        self.clock.reached(now)
+    }
+
+    /// How far the partition's time is from the cluster's, which it slews to.
+    pub fn correction_ms(&self, now: u64) -> i64 {
+        self.clock.correction_ms(now)
+    }
+
     pub fn tick(&mut self, now: u64, at_ms: u64, out: &mut Vec<Effect>) {
         if self.role != ReplicaRole::Owner {
             return;
@@ -329,7 +360,9 @@
         let moving_verify = matches!(&self.moving, Some(m) if m.phase == Phase::Verify);
         let last = self.epochs.last_key_value().map_or(0, |(_, t)| *t);
         let due = if moving_verify { self.timing.window } else { self.timing.epoch };
-        if now >= last + due && (self.end() > self.last_epoch || moving_verify) {
+        // What has not ended measures time: the log says now and then how much has passed.
+        let timed = !self.state.pending.is_empty() && now >= last + TIME_RECORD_EPOCHS * self.timing.epoch;
+        if now >= last + due && (self.end() > self.last_epoch || moving_verify || timed) {
             self.write_epoch(at_ms, now, out);
         }
         if let Some(m) = &self.moving
--- a/crates/partition/src/replica/ownership.rs
+++ b/crates/partition/src/replica/ownership.rs
@@ -71,6 +71,7 @@
         self.moving = None;
         self.epochs.clear();
         self.chunks.clear();
+        self.read_uncommitted_times(now);
         // Followers say themselves where they are.
         let end = self.end();
         self.took_at = end;
@@ -86,6 +87,16 @@
         self.advance(now, out);
     }
 
+    /// What the log holds behind the committed part may have been written in its time too.
+    fn read_uncommitted_times(&mut self, now: u64) {
+        for pos in self.state.position + 1..=self.end() {
+            let record = self.entry(pos).and_then(|e| Record::decode(e.record.clone()).ok());
+            if let Some(record) = record {
+                self.clock.record(record.at_ms, now);
+            }
+        }
+    }
+
     pub(super) fn follow(&mut self, term: u64, owner: &str, out: &mut Vec<Effect>) {
         if self.role == ReplicaRole::Owner {
             out.push(Effect::StoodDown(owner.to_owned()));
--- a/crates/partition/src/state.rs
+++ b/crates/partition/src/state.rs
@@ -87,6 +87,8 @@
     pub pending: BTreeSet<u64>,
     status_ms: u64,
     ended: BTreeSet<(u64, u64)>,
+    /// The latest time that a folded record has.
+    reached_ms: u64,
 }
 
 /// What a message takes besides its body, about.
@@ -126,6 +128,11 @@
         PartitionState { status_ms, ..PartitionState::default() }
     }
 
+    /// The latest time that a folded record has.
+    pub fn reached_ms(&self) -> u64 {
+        self.reached_ms
+    }
+
     pub fn digest(&self) -> u64 {
         mix(mix(self.digest, self.revision), self.pieces.len() as u64)
     }
@@ -230,6 +237,7 @@
         }
         self.position = pos;
         let at = record.at_ms;
+        self.reached_ms = self.reached_ms.max(at);
         match &record.entry {
             Some(Entry::Accept(a)) => {
                 if let Some(old) = self.ids.get(&a.item.id) {
@@ -379,6 +387,7 @@
                 })
                 .collect(),
             digest: self.digest(),
+            reached_ms: self.reached_ms,
         }
     }
 
@@ -415,6 +424,9 @@
             j.insert(p.position, w);
         }
         j.ended = ended;
+        // A snapshot of an earlier release says it by its messages alone.
+        let latest = j.pieces.values().map(|w| w.at_ms.max(w.sent_ms).max(w.ended_ms)).max();
+        j.reached_ms = s.reached_ms.max(latest.unwrap_or(0));
         if j.digest() != s.digest {
             return Err("snapshot does not match its digest".into());
         }
@@ -434,6 +446,9 @@
     pub pieces: Vec<SnapshotPiece>,
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
+    /// The latest time that a record has.
+    #[prost(uint64, tag = "15")]
+    pub reached_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/partition/tests/splice.rs
+++ b/crates/partition/tests/splice.rs
@@ -743,3 +743,57 @@
     w.settle();
     assert!(w.nodes["b"].takes_reports());
 }
+
+/// The owner's time as its service reads it.
+fn owner_time(w: &mut World, node: &str, cluster_ms: u64) -> u64 {
+    let now = w.now;
+    w.nodes.get_mut(node).expect("a node").owner_time(Some(cluster_ms), now)
+}
+
+#[test]
+fn a_successor_goes_on_with_the_owners_time_whatever_the_clusters_is() {
+    let mut w = World::new(&["a", "b"]);
+    let began = owner_time(&mut w, "a", 1_790_000_000_000);
+    w.message("m");
+    let (at, owner) = (w.now, owner_time(&mut w, "a", began));
+    assert_eq!(w.nodes["b"].time(at), Some(owner), "the owner says it with its entries");
+    w.now += 3_000;
+    w.seize("b");
+    let successor = owner_time(&mut w, "b", began + 90_000);
+    assert_eq!(successor, owner + 3_000);
+}
+
+#[test]
+fn a_replica_that_restarted_takes_the_clusters_time_but_never_goes_behind_its_log() {
+    let mut w = World::new(&["a", "b"]);
+    w.message("m");
+    let written = w.now;
+    w.crash("b");
+    assert_eq!(w.nodes["b"].time(w.now), None);
+    assert_eq!(w.nodes["b"].reached_ms(w.now), written);
+    w.seize("b");
+    assert_eq!(owner_time(&mut w, "b", 1), written, "also of what was not known to be committed");
+    let mut w = World::new(&["a", "b"]);
+    w.message("m");
+    w.crash("b");
+    w.seize("b");
+    assert_eq!(owner_time(&mut w, "b", 1_790_000_000_000), 1_790_000_000_000);
+}
+
+#[test]
+fn an_owner_with_messages_that_have_not_ended_writes_how_much_time_has_passed() {
+    let mut w = World::new(&["a", "b"]);
+    w.message("m");
+    w.pass(10 * TIMING.epoch);
+    let at = w.now;
+    w.pass(9 * TIMING.epoch);
+    assert!(w.nodes["b"].reached_ms(w.now) >= at, "also while nothing else is written");
+    // Once all has ended the log rests.
+    let position = w.nodes["a"].state.find("m").expect("it is there");
+    let done = AnswerRecord { position, outcome: Outcome::Done as i32, result_tag: "t".into(), attempt: position };
+    w.append(Entry::Answer(done));
+    w.pass(10 * TIMING.epoch);
+    let end = w.nodes["a"].end();
+    w.pass(20 * TIMING.epoch);
+    assert_eq!(w.nodes["a"].end(), end);
+}
--- a/crates/partition/tests/time.rs
+++ b/crates/partition/tests/time.rs
@@ -1,26 +1,64 @@
-//! A store machine's time goes on evenly, whatever its own clock does.
+//! A partition's time goes on evenly, whatever any clock does.
 
-use partition::PartitionClock;
+use partition::{PartitionClock, surely_over};
+use rpc::PARTITION_SLEW_PPM;
 
 const TRUE: u64 = 1_790_000_000_000;
 
+fn stopped(reached_ms: u64) -> PartitionClock {
+    PartitionClock::Stopped { reached_ms }
+}
+
+#[test]
+fn a_replica_that_began_anew_takes_the_clusters_time_over_once() {
+    let mut c = stopped(TRUE);
+    assert_eq!(c.running(1_000), None, "how long ago the last record was is not known here");
+    assert_eq!(c.owner_time(Some(TRUE + 5_000), 1_000), TRUE + 5_000);
+    // From then on it is followed by slewing only.
+    assert_eq!(c.owner_time(Some(TRUE + 95_000), 1_000), TRUE + 5_000);
+    let bound = 10_000 * PARTITION_SLEW_PPM / 1_000_000;
+    assert_eq!(c.owner_time(Some(TRUE + 105_000), 11_000), TRUE + 15_000 + bound);
+}
+
+#[test]
+fn the_time_is_never_behind_the_last_record() {
+    let mut c = stopped(TRUE);
+    assert_eq!(c.owner_time(Some(TRUE - 90_000), 1_000), TRUE);
+    assert_eq!(c.owner_time(Some(TRUE - 90_000), 1_000), TRUE);
+    // It slows down until the cluster's time has come up, and never goes back.
+    let bound = 10_000 * PARTITION_SLEW_PPM / 1_000_000;
+    assert_eq!(c.owner_time(Some(TRUE - 80_000), 11_000), TRUE + 10_000 - bound);
+    c.record(TRUE + 60_000, 11_000);
+    assert_eq!(c.owner_time(Some(TRUE - 80_000), 11_000), TRUE + 60_000);
+    c.record(TRUE, 11_000);
+    assert_eq!(c.owner_time(None, 12_000), TRUE + 61_000);
+}
+
+#[test]
+fn without_the_clusters_time_a_partition_goes_on_where_its_log_ends() {
+    let mut c = stopped(TRUE);
+    assert_eq!(c.owner_time(None, 1_000), TRUE);
+    // What comes later does not make it step: messages were taken by the time that ran.
+    assert_eq!(c.owner_time(Some(TRUE + 90_000), 1_000), TRUE);
+}
+
+#[test]
+fn a_follower_goes_on_where_the_owner_was() {
+    let mut c = stopped(TRUE);
+    c.owner_said(0, 1_000);
+    assert_eq!(c.running(1_000), None, "an owner of an earlier release says none");
+    c.owner_said(TRUE + 2_000, 1_000);
+    // Taken over 3 s later, while the cluster's time is another one.
+    assert_eq!(c.owner_time(Some(TRUE + 90_000), 4_000), TRUE + 5_000);
+    // A word that comes late moves nothing.
+    c.owner_said(TRUE, 4_000);
+    assert_eq!(c.running(4_000), Some(TRUE + 5_000));
+}
+
 #[test]
-fn the_time_is_the_leaders_and_goes_on_by_the_steady_clock() {
-    let mut f = PartitionClock::new(50);
-    assert!(!f.known() && f.time(5).is_none());
-    f.told(0, 0, 10);
-    assert!(!f.known(), "a leader without the time tells none");
-    f.told(TRUE + 1005, 1000, 1010);
-    assert_eq!(f.time(1010), Some(TRUE + 1010));
-    assert_eq!(f.time(4010), Some(TRUE + 4010));
-    // Another leader, a little off; an answer that took long: nothing moves.
-    f.told(TRUE + 5040, 5000, 5010);
-    f.told(TRUE + 6000, 6000, 6400);
-    assert_eq!(f.time(7000), Some(TRUE + 7000));
-    // Far off: it was wrong here.
-    f.told(TRUE + 9000, 8000, 8010);
-    assert_eq!(f.time(8010), Some(TRUE + 9005));
-    // An answer from before it was asked changes nothing.
-    f.told(TRUE, 9000, 8900);
-    assert_eq!(f.time(8010), Some(TRUE + 9005));
+fn what_is_surely_over_is_longer_than_any_slewing_makes_of_it() {
+    for span in [0, 1, 1_500, 90_000, 86_400_000] {
+        assert!(surely_over(span) > span + span * PARTITION_SLEW_PPM / 1_000_000);
+        assert!(surely_over(span) <= span + span / 500 + 1);
+    }
 }
--- a/crates/rpc/src/messages/control.rs
+++ b/crates/rpc/src/messages/control.rs
@@ -154,6 +154,12 @@
     /// The node's time of day.
     #[prost(uint64, tag = "5")]
     pub clock_ms: u64,
+    /// The cluster's time as this node carries it on; 0 if it was told none.
+    #[prost(uint64, tag = "15")]
+    pub time_ms: u64,
+    /// The latest time that the logs of its partitions say has passed.
+    #[prost(uint64, tag = "14")]
+    pub reached_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/rpc/src/messages/membership.rs
+++ b/crates/rpc/src/messages/membership.rs
@@ -57,6 +57,9 @@
     /// From a control node: its time of day.
     #[prost(uint64, tag = "5")]
     pub clock_ms: u64,
+    /// The cluster's time as the asker carries it on; 0 if it was told none.
+    #[prost(uint64, tag = "15")]
+    pub time_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -85,6 +88,9 @@
     /// Instead of the whole configuration: the changes since the asker's, in order.
     #[prost(message, repeated, tag = "8")]
     pub steps: Vec<ConfigurationStep>,
+    /// The cluster's time; 0 if it is not known.
+    #[prost(uint64, tag = "15")]
+    pub time_ms: u64,
 }
 
 /// What changed from one configuration to the next.
--- a/crates/rpc/src/messages/partition.rs
+++ b/crates/rpc/src/messages/partition.rs
@@ -27,6 +27,9 @@
     pub entries: Vec<LogEntry>,
     #[prost(uint64, tag = "7")]
     pub commit: u64,
+    /// The partition's time as the owner sent this; 0 if it does not run there yet.
+    #[prost(uint64, tag = "15")]
+    pub time_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -114,7 +114,7 @@
 }
 
 impl Silence {
-    /// Until when a pending message may be at work at a silent node, in wall time; 0:
+    /// Until when a pending message may be at work at a silent node, by the partition's time; 0:
     /// it is not. `sent`: when the log says that it was given out last; `taken`: when
     /// this owner took over. What the former owner gave out at the end may stand in no
     /// log that is left; that holds up only those whose order counts.
@@ -222,13 +222,13 @@
         self.ready.entry(service.to_owned()).or_default().insert((age, key));
     }
 
-    pub fn later(&mut self, key: Key, wall: u64) {
-        self.delayed.push(Reverse((wall, key)));
+    pub fn later(&mut self, key: Key, at: u64) {
+        self.delayed.push(Reverse((at, key)));
     }
 
-    pub fn take_due(&mut self, wall: u64) -> Option<Key> {
+    pub fn take_due(&mut self, now: u64) -> Option<Key> {
         let Reverse((at, key)) = self.delayed.peek()?;
-        if *at > wall {
+        if *at > now {
             return None;
         }
         let key = *key;
@@ -247,12 +247,12 @@
     /// The message of a service that is to go next: the oldest of those that can
     /// still begin inside their aim. What is late already is late however long
     /// it waits; it gets every fourth turn, and all that the others leave.
-    pub fn first_ready(&self, service: &str, wall: u64, target_start_ms: u64) -> Option<Key> {
+    pub fn first_ready(&self, service: &str, now: u64, target_start_ms: u64) -> Option<Key> {
         let queue = self.ready.get(service)?;
         let oldest = queue.first()?;
         // A quarter of the aim is left for the way: one that is only just in time
         // here begins too late there, and under load all would be such.
-        let line = wall.saturating_sub(target_start_ms * 3 / 4);
+        let line = now.saturating_sub(target_start_ms * 3 / 4);
         if oldest.0 >= line || self.turns.get(service).copied().unwrap_or(0) % 4 == 3 {
             return Some(oldest.1);
         }
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -15,7 +15,7 @@
 use partition::*;
 use prost::Message;
 use rpc::messages::*;
-use rpc::{Body, DeliveryFailure, ExecutionOutcome, Responder, RetryOwner, RetrySafety, RpcClients};
+use rpc::{Body, CarriedTime, DeliveryFailure, ExecutionOutcome, Responder, RetryOwner, RetrySafety, RpcClients};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -56,8 +56,8 @@
     wake: Notifier,
     synced: mpsc::UnboundedSender<(u32, u64, u64)>,
     start: Instant,
-    /// A lock of its own: it is looked at while the other one is held.
-    partition_clock: Mutex<PartitionClock>,
+    /// The cluster's time. A lock of its own: it is looked at while the other one is held.
+    cluster_time: Mutex<CarriedTime>,
 }
 
 impl StoreService {
@@ -65,11 +65,22 @@
         self.start.elapsed().as_millis() as u64 + 1_000_000
     }
 
-    /// The fleet's time. Before the leader has told it nothing is owned here, and
-    /// the machine's own clock serves for what is only written down.
-    fn wall(&self) -> u64 {
-        let told = self.partition_clock.lock().unwrap().time(self.now());
-        told.unwrap_or_else(telemetry::wall_ms)
+    /// The cluster's time; None before the leader has told it.
+    fn cluster_time(&self) -> Option<u64> {
+        self.cluster_time.lock().unwrap().time(self.now())
+    }
+
+    /// A partition's time, for what its owner writes now.
+    fn owner_time(&self, i: &mut StoreState, partition: u32) -> u64 {
+        let (cluster, now) = (self.cluster_time(), self.now());
+        i.replicas.get_mut(&partition).map_or(0, |m| m.owner_time(cluster, now))
+    }
+
+    /// Whether an owner may write by its time: not in a process that has had no lease yet,
+    /// with which the cluster's time comes.
+    fn is_timed(&self, i: &StoreState, partition: u32) -> bool {
+        let runs = i.replicas.get(&partition).is_some_and(|m| m.time(self.now()).is_some());
+        runs || i.lease_until > 0 || self.cluster_time().is_some()
     }
 
     fn ratio(&self, part: f64) -> u64 {
@@ -203,7 +214,7 @@
         wake: Notifier::new(),
         synced,
         start: Instant::now(),
-        partition_clock: Mutex::new(PartitionClock::new((settings.constraints.lead_ms / 2.0) as u64)),
+        cluster_time: Mutex::new(CarriedTime::default()),
         session: session.clone(),
         rpc_clients,
         wal,
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -4,7 +4,7 @@
 
 impl StoreService {
     /// Queues a message if it may run: now, when it is due, or when its turn comes.
-    pub(super) fn schedule(&self, i: &mut StoreState, k: Key, wall: u64) {
+    pub(super) fn schedule(&self, i: &mut StoreState, k: Key, now: u64) {
         let Some(m) = i.replicas.get(&k.0) else { return };
         let Some(w) = m.state.pieces.get(&k.1) else { return };
         if m.role != ReplicaRole::Owner
@@ -14,23 +14,28 @@
         {
             return;
         }
-        if w.due_ms > wall {
-            let due = w.due_ms;
-            i.scheduler.later(k, due);
+        let Some(time) = m.time(now) else {
+            // Known with the lease, without which nothing is given out.
+            i.scheduler.later(k, now + self.ratio(100.0));
+            return;
+        };
+        let due = w.at_ms + surely_over(w.due_ms.saturating_sub(w.at_ms));
+        if due > time {
+            i.scheduler.later(k, now + (due - time));
             return;
         }
-        let age = w.due_ms;
+        // Since when it is due, by this process's steady clock.
+        let due_since = now.saturating_sub(time.saturating_sub(w.due_ms));
         let service =
             self.session.with_known(|s| s.configuration.route_named(&w.item.route).map(|c| c.service.clone()));
         if let Some(service) = service {
-            i.scheduler.ready(k, &service, age);
+            i.scheduler.ready(k, &service, due_since);
         }
     }
 
     /// Gives out what can be given out.
     pub(super) fn pump(self: &Arc<Self>) -> u64 {
         let now = self.now();
-        let wall = self.wall();
         let known = self.session.known();
         let mut guard = self.shared.lock().unwrap();
         let i = &mut *guard;
@@ -39,26 +44,30 @@
             return wake;
         }
         i.scheduler.news(&known.membership, &known.assignments);
-        while let Some(k) = i.scheduler.take_due(wall) {
-            self.schedule(i, k, wall);
+        let owned: Vec<u32> = i.replicas.values().filter(|m| m.role == ReplicaRole::Owner).map(|m| m.id).collect();
+        for p in owned {
+            self.owner_time(i, p);
+        }
+        while let Some(k) = i.scheduler.take_due(now) {
+            self.schedule(i, k, now);
         }
         for k in i.scheduler.overdue(now) {
             // The delivery node was to report by now: silence, no attempt.
             telemetry::count("runs_overdue");
             i.scheduler.land(k);
             let pause = i.scheduler.pause(k);
-            i.scheduler.later(k, wall + pause);
+            i.scheduler.later(k, now + pause);
         }
         let mut touched = HashSet::new();
         for name in i.scheduler.services_ready() {
             let Some(service) = known.configuration.service(&name) else { continue };
             let target_start = known.configuration.target_start_ms(&name) as u64;
-            while let Some(k) = i.scheduler.first_ready(&name, wall, target_start) {
+            while let Some(k) = i.scheduler.first_ready(&name, now, target_start) {
                 let asked = i.asking.get(&k.0).is_some_and(|end| k.1 <= *end);
                 if asked || i.replicas.get(&k.0).is_none_or(|m| !m.open()) {
                     // Taken over or moving: another look comes with the next step.
                     i.scheduler.unqueue(k);
-                    i.scheduler.later(k, wall + self.ratio(100.0));
+                    i.scheduler.later(k, now + self.ratio(100.0));
                     continue;
                 }
                 let Some(choice) = i.scheduler.choose(service, now) else { break };
@@ -66,7 +75,7 @@
                     wake = wake.min(at);
                     break;
                 }
-                if !self.dispatch(i, &known, k, service, choice, now, wall) {
+                if !self.dispatch(i, &known, k, service, choice, now) {
                     i.scheduler.unqueue(k);
                 }
                 touched.insert(k.0);
@@ -75,9 +84,9 @@
         for p in touched {
             self.step(i, p, |m, now, out| m.flush(now, out));
         }
-        self.notices(i, wall);
+        self.notices(i, now);
         if let Some(due) = i.scheduler.next_due() {
-            wake = wake.min(now + due.saturating_sub(wall).max(1));
+            wake = wake.min(due.max(now + 1));
         }
         wake
     }
@@ -91,8 +100,8 @@
         service: &config::Service,
         choice: Target,
         now: u64,
-        wall: u64,
     ) -> bool {
+        let at_ms = self.owner_time(i, k.0);
         let Some(m) = i.replicas.get_mut(&k.0) else { return false };
         let Some(w) = m.state.pieces.get(&k.1).filter(|w| w.state == MessageState::Pending) else { return false };
         let Some(route) = known.configuration.route_named(&w.item.route) else { return false };
@@ -101,7 +110,7 @@
         item.notify_url.clear();
         let dispatch =
             DispatchRecord { position: k.1, processor: choice.processor.clone(), node: choice.front.clone() };
-        let record = Record { at_ms: wall, entry: Some(Entry::Dispatch(dispatch)) };
+        let record = Record { at_ms, entry: Some(Entry::Dispatch(dispatch)) };
         let mut out = Vec::new();
         let Some(attempt) = m.append(&record, now, &mut out) else { return false };
         let run = Run {
@@ -163,13 +172,13 @@
         let i = &mut *i;
         if i.scheduler.in_flight.get(&k).is_some_and(|f| f.attempt == (term, attempt)) {
             i.scheduler.land(k);
-            i.scheduler.later(k, self.wall() + self.ratio(200.0));
+            i.scheduler.later(k, self.now() + self.ratio(200.0));
             self.wake.notify_one();
         }
     }
 
     /// Call-backs that are owed.
-    pub(super) fn notices(self: &Arc<Self>, i: &mut StoreState, wall: u64) {
+    pub(super) fn notices(self: &Arc<Self>, i: &mut StoreState, now: u64) {
         let mut left = std::collections::VecDeque::new();
         while let Some((at, k)) = i.scheduler.notices.pop_front() {
             let piece =
@@ -178,7 +187,7 @@
             let host = w.item.notify_url.trim_start_matches("http://").split('/').next().unwrap_or("").to_owned();
             let busy = i.scheduler.notices_in_flight.get(&host).copied().unwrap_or(0);
             let front = i.scheduler.any_front(&host);
-            let (Some((_, inner)), true, true) = (front, at <= wall, busy < 8) else {
+            let (Some((_, inner)), true, true) = (front, at <= now, busy < 8) else {
                 left.push_back((at, k));
                 continue;
             };
@@ -212,7 +221,7 @@
                 } else {
                     telemetry::count("call_backs_missed");
                     let pause = i.scheduler.pause(k);
-                    i.scheduler.notices.push_back((post.wall() + pause, k));
+                    i.scheduler.notices.push_back((post.now() + pause, k));
                 }
                 post.wake.notify_one();
             });
--- a/crates/store/src/service/duties.rs
+++ b/crates/store/src/service/duties.rs
@@ -4,7 +4,6 @@
 
 impl StoreService {
     pub(super) fn tick(self: &Arc<Self>, rounds: u64) {
-        let wall = self.wall();
         let known = self.session.known();
         let mut guard = self.shared.lock().unwrap();
         let i = &mut *guard;
@@ -12,6 +11,11 @@
         let parts = i.replicas.len().max(1);
         let lag = self.lag();
         for p in i.replicas.keys().copied().collect::<Vec<_>>() {
+            let owns = i.replicas[&p].role == ReplicaRole::Owner;
+            if owns && !self.is_timed(i, p) {
+                continue;
+            }
+            let time = if owns { self.owner_time(i, p) } else { 0 };
             let m = &i.replicas[&p];
             if m.open() {
                 let mut records = Vec::new();
@@ -29,7 +33,7 @@
                         .filter(|pos| {
                             let w = &m.state.pieces[pos];
                             let keep = m.state.retain_ms(&w.item.route);
-                            keep > 0 && wall > w.at_ms + keep
+                            keep > 0 && time > w.at_ms + surely_over(keep)
                         })
                         .copied()
                         .collect();
@@ -41,13 +45,13 @@
                 let mut out = Vec::new();
                 if let Some(m) = i.replicas.get_mut(&p) {
                     for e in records {
-                        m.append(&Record { at_ms: wall, entry: Some(e) }, now, &mut out);
+                        m.append(&Record { at_ms: time, entry: Some(e) }, now, &mut out);
                     }
                 }
                 self.carry_out(i, p, out);
             }
             self.step(i, p, |m, now, out| {
-                m.tick(now, wall, out);
+                m.tick(now, time, out);
                 m.compact(compact / 6 / parts, out);
             });
             // Back to the preferred owner, by a planned move like any other.
@@ -59,16 +63,19 @@
                     let well =
                         |c: &String| !i.lagging.contains(c) && known.node(c, "store").is_some_and(|n| !n.leaving);
                     if let Some(to) = m.candidates().into_iter().find(well) {
-                        self.step(i, p, |m, now, out| m.start_move(&to, true, wall, now, out));
+                        self.step(i, p, |m, now, out| m.start_move(&to, true, time, now, out));
                     }
                 } else if !replica.is_empty() && replica != self.settings.node && m.in_sync().contains(&replica) {
                     let ready = known.node(&replica, "store").is_some_and(|n| !n.leaving);
                     if ready {
-                        self.step(i, p, |m, now, out| m.start_move(&replica, false, wall, now, out));
+                        self.step(i, p, |m, now, out| m.start_move(&replica, false, time, now, out));
                     }
                 }
             }
         }
+        let now = self.now();
+        let corrections = i.replicas.values().map(|m| m.correction_ms(now).unsigned_abs());
+        telemetry::set("partition_time_correction_ms", corrections.max().unwrap_or(0));
         if rounds.is_multiple_of(300) {
             telemetry::report(&self.settings.node, &rpc::sent());
         }
@@ -95,7 +102,6 @@
         let begun = Instant::now();
         self.session.set_leaving();
         self.shared.lock().unwrap().leaving = true;
-        let wall = self.wall();
         while begun.elapsed() < limit {
             let mut owned = 0;
             {
@@ -111,8 +117,11 @@
                     if to.is_some() || m.is_moving() || self.copy_due(&known, p) {
                         owned += 1;
                     }
-                    if let (Some(to), false) = (to, m.is_moving()) {
-                        self.step(i, p, |m, now, out| m.start_move(&to, true, wall, now, out));
+                    if let (Some(to), false) = (to, m.is_moving())
+                        && self.is_timed(i, p)
+                    {
+                        let time = self.owner_time(i, p);
+                        self.step(i, p, |m, now, out| m.start_move(&to, true, time, now, out));
                     }
                 }
             }
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -105,7 +105,7 @@
 
     /// The fold moved: answer who waited, and schedule.
     pub(super) fn folded(self: &Arc<Self>, i: &mut StoreState, partition: u32, changes: Vec<Change>) {
-        let wall = self.wall();
+        let now = self.now();
         for c in changes {
             match c {
                 Change::Accepted(pos) => {
@@ -114,13 +114,13 @@
                         i.fresh_ids.remove(&w.item.id);
                     }
                     self.answer_waiters(i, (partition, pos), pos);
-                    self.schedule(i, (partition, pos), wall);
+                    self.schedule(i, (partition, pos), now);
                 }
                 Change::Repeated { at, old } => self.answer_waiters(i, (partition, at), old),
                 Change::Failed(pos) => {
                     i.answering.remove(&(partition, pos));
                     let pause = i.scheduler.pause((partition, pos));
-                    i.scheduler.later((partition, pos), wall + pause);
+                    i.scheduler.later((partition, pos), now + pause);
                 }
                 Change::Ended(pos) => {
                     let k = (partition, pos);
@@ -129,11 +129,11 @@
                     if let Some(w) = i.replicas[&partition].state.pieces.get(&pos) {
                         telemetry::count(if w.state == MessageState::Settled { "settled" } else { "dead" });
                         if w.owes_notice() {
-                            i.scheduler.notices.push_back((wall, k));
+                            i.scheduler.notices.push_back((now, k));
                         }
                     }
                 }
-                Change::Freed(pos) => self.schedule(i, (partition, pos), wall),
+                Change::Freed(pos) => self.schedule(i, (partition, pos), now),
                 _ => {}
             }
         }
--- a/crates/store/src/service/lease.rs
+++ b/crates/store/src/service/lease.rs
@@ -7,6 +7,12 @@
         self.now() < i.lease_until
     }
 
+    /// The latest time that the partitions here say has passed.
+    fn reached_ms(&self) -> u64 {
+        let now = self.now();
+        self.shared.lock().unwrap().replicas.values().map(|m| m.reached_ms(now)).max().unwrap_or(0)
+    }
+
     pub(super) fn extend_lease(&self, until: u64) {
         let mut i = self.shared.lock().unwrap();
         i.lease_until = i.lease_until.max(until);
@@ -16,6 +22,7 @@
     pub(super) async fn keep_lease(self: Arc<Self>) {
         let period = Duration::from_millis(self.settings.lease_ms() / 3);
         let mut turn = 0usize;
+        let mut granted_first = None;
         loop {
             let asked = self.now();
             let lag = self.lag();
@@ -36,8 +43,15 @@
             let seeds = self.session.order_control_nodes();
             let addr = if leader.is_empty() { seeds[turn % seeds.len()].clone() } else { leader.clone() };
             turn += 1;
-            let clock_ms = telemetry::wall_ms();
-            let l = Lease { node: self.session.me(), samples, claims: claims.clone(), lag, clock_ms };
+            let l = Lease {
+                node: self.session.me(),
+                samples,
+                claims: claims.clone(),
+                lag,
+                clock_ms: telemetry::wall_ms(),
+                time_ms: self.cluster_time().unwrap_or(0),
+                reached_ms: self.reached_ms(),
+            };
             match self.rpc_clients.to(&addr).call(Body::Lease(l), period * 2).await {
                 Ok(Body::LeaseAck(a)) if a.granted => {
                     self.session.take(&ViewUpdate { leader: addr, ..ViewUpdate::default() });
@@ -51,13 +65,14 @@
                         guard.lagging = a.lagging;
                     }
                     let timed = {
-                        let mut f = self.partition_clock.lock().unwrap();
-                        f.told(a.time_ms, asked, self.now());
-                        f.known()
+                        let mut carried = self.cluster_time.lock().unwrap();
+                        carried.told(a.time_ms, asked, self.now());
+                        carried.time(asked).is_some()
                     };
-                    if !timed {
-                        // Soon known: an owner without the time would have everything
-                        // due at the wrong moment.
+                    let granted_first = *granted_first.get_or_insert(asked);
+                    if !timed && asked < granted_first + self.ratio(8.0) {
+                        // Soon known; without it the time since the last record is not
+                        // counted here.
                         tokio::time::sleep(period / 6).await;
                         continue;
                     }
--- a/crates/store/src/service/recovery.rs
+++ b/crates/store/src/service/recovery.rs
@@ -9,7 +9,7 @@
         let fronts: Vec<Node> =
             self.session.with_known(|k| k.membership.nodes.iter().filter(|n| n.role == "front").cloned().collect());
         let wait = Duration::from_millis(self.ratio(16.0));
-        let taken = self.wall();
+        let taken_at = self.now();
         let mut asked = Vec::new();
         for h in fronts {
             let end = self.rpc_clients.to(&h.inner);
@@ -49,7 +49,7 @@
             {
                 let i = self.shared.lock().unwrap();
                 match i.replicas.get(&partition).filter(|m| m.term == term && m.role == ReplicaRole::Owner) {
-                    Some(m) if m.caught_up() => break,
+                    Some(m) if m.caught_up() && self.is_timed(&i, partition) => break,
                     Some(_) => {}
                     None => return,
                 }
@@ -63,6 +63,8 @@
         }
         i.asking.remove(&partition);
         let now = self.now();
+        let time = self.owner_time(i, partition);
+        let taken = time.saturating_sub(now - taken_at);
         let known = self.session.known();
         let m = &i.replicas[&partition];
         for ((pos, of_term, attempt), front) in held {
@@ -75,7 +77,6 @@
                 i.scheduler.name((partition, pos), of_term, attempt);
             }
         }
-        let wall = self.wall();
         let pending: Vec<u64> = m.state.pending.iter().copied().collect();
         let owed: Vec<u64> = m.state.pieces.iter().filter(|(_, w)| w.owes_notice()).map(|(p, _)| *p).collect();
         for pos in pending {
@@ -85,16 +86,16 @@
             let timeout = known.configuration.route_named(&w.item.route).map_or(0, |c| c.timeout_ms as u64);
             let silence = Silence { any: seized && !silent.is_empty(), last: silent.contains(&w.node) };
             let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, timeout + self.ratio(16.0));
-            if over > wall {
+            if over > time {
                 telemetry::count("runs_maybe_held");
-                i.scheduler.later((partition, pos), over);
+                i.scheduler.later((partition, pos), now + surely_over(over - time));
                 continue;
             }
-            self.schedule(i, (partition, pos), wall);
+            self.schedule(i, (partition, pos), now);
         }
         for pos in owed {
             if !i.scheduler.notices.iter().any(|(_, k)| *k == (partition, pos)) {
-                i.scheduler.notices.push_back((wall, (partition, pos)));
+                i.scheduler.notices.push_back((now, (partition, pos)));
             }
         }
         self.wake.notify_one();
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -67,7 +67,7 @@
         }
         let id = a.item.id.clone();
         let record = Record {
-            at_ms: self.wall(),
+            at_ms: self.owner_time(i, p),
             entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })),
         };
         let mut position = None;
@@ -90,8 +90,7 @@
     pub(super) fn report(self: &Arc<Self>, i: &mut StoreState, r: Report, responder: Responder) {
         let k = (r.partition, r.position);
         let now = self.now();
-        let wall = self.wall();
-        if i.replicas.get(&k.0).is_none_or(|m| !m.takes_reports()) {
+        if i.replicas.get(&k.0).is_none_or(|m| !m.takes_reports()) || !self.is_timed(i, k.0) {
             responder.send(Body::ReportAck(ReportAck { kept: false }));
             return;
         }
@@ -135,7 +134,7 @@
                 }
                 let answer =
                     AnswerRecord { position: k.1, outcome: r.outcome, result_tag: r.result_tag, attempt: r.attempt };
-                let record = Record { at_ms: wall, entry: Some(Entry::Answer(answer)) };
+                let record = Record { at_ms: self.owner_time(i, k.0), entry: Some(Entry::Answer(answer)) };
                 let mut out = Vec::new();
                 if let Some(m) = i.replicas.get_mut(&k.0)
                     && let Some(pos) = m.append(&record, now, &mut out)
@@ -150,10 +149,10 @@
             _ => {
                 responder.send(Body::ReportAck(ReportAck { kept: true }));
                 match gap(outcome, r.status).again(self.class(i, k)) {
-                    RetryOwner::Owner => self.schedule(i, k, wall),
+                    RetryOwner::Owner => self.schedule(i, k, now),
                     _ => {
                         let pause = i.scheduler.pause(k);
-                        i.scheduler.later(k, wall + pause);
+                        i.scheduler.later(k, now + pause);
                     }
                 }
             }
--- a/crates/willowslip/src/summary.rs
+++ b/crates/willowslip/src/summary.rs
@@ -41,7 +41,8 @@
     let _ = writeln!(s, "{} {}", text(v, "node"), if v["isLeader"] == true { "leads" } else { "follows" });
     let _ = writeln!(s, "leader {}  duties {}", text(v, "leader"), if duties.is_empty() { "-" } else { &duties });
     let _ = writeln!(s, "voters {}", names(v, "voters"));
-    for (what, field) in [("behind by entries", "behind"), ("disks in trouble", "disks")] {
+    let troubles = [("behind by entries", "behind"), ("disks in trouble", "disks"), ("clocks off, ms ahead", "clocks")];
+    for (what, field) in troubles {
         let all = v[field].as_object().into_iter().flatten();
         let all: Vec<String> = all.filter(|(_, n)| **n != 0).map(|(k, n)| format!("{k}={n}")).collect();
         if !all.is_empty() {
@@ -120,12 +121,13 @@
         };
         let partitions: Vec<Value> = (0..120).map(partition).collect();
         let v = json!({"node": "core-1", "isLeader": true, "leader": "x", "voters": ["x"], "duties": ["lister"],
-            "behind": {"y": 0, "z": 4}, "disks": {}, "revision": 4, "assignments": 5, "membership": 6, "units": 9,
+            "behind": {"y": 0, "z": 4}, "disks": {}, "clocks": {"store-3": -2400}, "revision": 4, "assignments": 5, "membership": 6, "units": 9,
             "nodes": nodes, "partitions": partitions, "counters": "a=1"});
         let s = summary(&v, None);
         assert!(s.lines().count() < 30, "{s}");
         assert!(s.contains("partitions: 120, 119 where") && s.contains("17 term 3 owner store-17: 1 of 2 in sync"));
         assert!(s.contains("b front 39, 1 leaving") && s.contains("behind by entries: z=4"));
+        assert!(s.contains("clocks off, ms ahead: store-3=-2400"));
         let s = summary(&v, Some("store-59"));
         assert!(s.contains("node store-59 store f") && s.lines().filter(|l| l.starts_with("partition ")).count() == 4);
     }
