--- a/crates/control/tests/raft.rs
+++ b/crates/control/tests/raft.rs
@@ -1119,12 +1119,23 @@
 }
 
 impl World {
-    /// As `pass`, with every message to `deaf` lost.
-    fn pass_with_deaf(&mut self, deaf: &str, ms: u64) {
+    /// Lets time pass while every message to `deaf` is lost. Whether it sent a round that
+    /// keeps others from electing.
+    fn pass_with_deaf(&mut self, deaf: &str, ms: u64) -> bool {
+        let append = rpc::messages::RaftMessageKind::Append as i32;
+        let mut keeps_followers = false;
         for _ in 0..ms / 10 {
+            self.now += 10;
+            for n in ALL {
+                self.step(n, Event::Tick);
+            }
+            keeps_followers |= self.net.iter().any(|(_, m)| m.from == deaf && m.kind == append && !m.probe);
+            for n in ALL.into_iter().filter(|n| *n != deaf) {
+                self.deliver(n);
+            }
             self.net.retain(|(to, _)| to != deaf);
-            self.pass(10);
         }
+        keeps_followers
     }
 }
 
@@ -1136,10 +1147,7 @@
     let cut_at = w.now;
     let mut last_heartbeat = cut_at;
     loop {
-        w.pass_with_deaf(&old, 10);
-        let extends =
-            |m: &RaftMessage| m.from == old && m.kind == rpc::messages::RaftMessageKind::Append as i32 && !m.probe;
-        if w.net.iter().any(|(_, m)| extends(m)) {
+        if w.pass_with_deaf(&old, 10) {
             last_heartbeat = w.now;
         }
         if w.leader().is_some_and(|l| l != old) {
