--- a/examples/endpoint.py
+++ b/examples/endpoint.py
@@ -1,18 +1,25 @@
-"""A stand-in endpoint: runs every message, and prints messages and call-backs."""
+"""A stand-in endpoint: runs every message, and prints messages and call-backs.
+
+Each answer repeats the X-Attempt-Id of its request. An answer without it might be
+the answer to another request, and is not taken for the message's end.
+"""
 
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+ADDRESS = ("127.0.0.1", 9000)
+
 
 class Endpoint(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
-        name = self.headers.get("X-Attempt-Id")
-        print("ran" if name else "call-back", name or "", body.decode(errors="replace"), flush=True)
+        attempt = self.headers.get("X-Attempt-Id")
+        print("ran" if attempt else "call-back", attempt or "", body.decode(errors="replace"), flush=True)
         self.send_response(200)
-        if name:
-            self.send_header("X-Seal", f"seal-{name}")
+        if attempt:
+            self.send_header("X-Attempt-Id", attempt)
+            self.send_header("X-Seal", f"seal-{attempt}")
         self.send_header("Content-Length", "0")
         self.end_headers()
 
@@ -20,4 +27,6 @@
         pass
 
 
-ThreadingHTTPServer(("127.0.0.1", 9000), Endpoint).serve_forever()
+server = ThreadingHTTPServer(ADDRESS, Endpoint)
+print("listening on %s:%d" % ADDRESS, flush=True)
+server.serve_forever()
