Functions: processors of a service that left the configuration are stopped

Cause: a slot owner dropped a function with the configuration that no longer names it, and looked only at listed processors of functions that are named: nobody stopped the rest, which held their memory on the workers for good.

What is under way ends as before; slots go on being granted to fronts that do not know the change yet. A service that is configured but is no function is left alone, and nothing is stopped before a configuration is known.

Tests: on loopback, two functions of which one leaves while a request is under way on it (the stand-in platform now knows which service a processor is of, and its set-up is shared by both tests); three of the slot table alone.

Ruled out: stopping them by the leader, which does not know who holds slots; four times `bootMs`, which keeps what nobody will ask for again.

--- a/crates/functions/src/gateway/slot_service.rs
+++ b/crates/functions/src/gateway/slot_service.rs
@@ -173,6 +173,18 @@
         }
     }
 
+    /// Services that the configuration in force does not name, and of which processors are
+    /// listed or slots are held here.
+    fn removed_services(&self, known: &ClusterView) -> HashSet<String> {
+        if known.configuration.revision == 0 {
+            return HashSet::new();
+        }
+        let mut services: HashSet<String> = self.processors.lock().unwrap().iter().map(|p| p.service.clone()).collect();
+        services.extend(self.shared.lock().unwrap().slot_table.services_in_use());
+        services.retain(|service| known.configuration.service(service).is_none());
+        services
+    }
+
     /// The membership or the configuration has changed: who keeps what, and what is
     /// there of what is kept here.
     pub(super) fn arrange(self: &Arc<Self>) {
@@ -191,12 +203,18 @@
         let there: HashSet<String> =
             known.membership.nodes.iter().filter(|n| n.role == "functions").map(|n| n.name.clone()).collect();
         *self.fronts.lock().unwrap() = Arc::new(fronts);
-        let mut kept: HashMap<String, (Facts, Vec<Listed>)> = HashMap::new();
+        let mut kept: HashMap<String, (Option<Facts>, Vec<Listed>)> = HashMap::new();
         for p in known.configuration.services.iter().filter(|p| p.is_function()) {
             let mine = |dark: &[String]| self.slot_owner_but(&p.name, dark).is_some_and(|k| k.0 == self.settings.node);
             if mine(&dark) || mine(&[]) || self.keeps(&p.name) {
                 let facts = Facts { most: p.max_inflight as usize, boot_ms: p.boot_ms as u64 };
-                kept.insert(p.name.clone(), (facts, Vec::new()));
+                kept.insert(p.name.clone(), (Some(facts), Vec::new()));
+            }
+        }
+        for service in self.removed_services(&known) {
+            let mine = |dark: &[String]| self.slot_owner_but(&service, dark).is_some_and(|k| k.0 == self.settings.node);
+            if mine(&dark) || mine(&[]) || self.keeps(&service) {
+                kept.insert(service, (None, Vec::new()));
             }
         }
         for u in self.processors.lock().unwrap().iter() {
--- a/crates/functions/src/slots.rs
+++ b/crates/functions/src/slots.rs
@@ -56,7 +56,10 @@
 
 #[derive(Default)]
 struct FunctionSlots {
+    /// What the configuration says, or said last.
     facts: Option<Facts>,
+    /// Whether the configuration in force names it.
+    is_configured: bool,
     processors: BTreeMap<String, Slots>,
     /// Starts that were asked for and not answered, by nonce: since when.
     starts: BTreeMap<String, u64>,
@@ -93,6 +96,10 @@
 }
 
 impl FunctionSlots {
+    fn is_in_use(&self) -> bool {
+        !self.waits.is_empty() || self.processors.values().any(|processor| !processor.held.is_empty())
+    }
+
     fn most(&self) -> usize {
         self.facts.map_or(1, |f| f.most.max(1))
     }
@@ -164,9 +171,12 @@
 
     /// Whether anything is held or waited for here, though another may keep it.
     pub fn keeps(&self, service: &str) -> bool {
-        self.functions
-            .get(service)
-            .is_some_and(|c| !c.waits.is_empty() || c.processors.values().any(|u| !u.held.is_empty()))
+        self.functions.get(service).is_some_and(FunctionSlots::is_in_use)
+    }
+
+    /// The services of which anything is held or waited for here.
+    pub fn services_in_use(&self) -> impl Iterator<Item = String> {
+        self.functions.iter().filter(|(_, function)| function.is_in_use()).map(|(service, _)| service.clone())
     }
 
     fn function(&mut self, service: &str, now: u64) -> &mut FunctionSlots {
@@ -176,7 +186,9 @@
 
     /// The functions that this front keeps from now on, with what the platform lists
     /// of each. What others keep is dropped, and who waits for it is sent there.
-    pub fn keep(&mut self, kept: &HashMap<String, (Facts, Vec<Listed>)>, now: u64, out: &mut Vec<Effect>) {
+    /// A service without facts has left the configuration: its processors serve what is
+    /// under way, and are stopped.
+    pub fn keep(&mut self, kept: &HashMap<String, (Option<Facts>, Vec<Listed>)>, now: u64, out: &mut Vec<Effect>) {
         let gone: Vec<String> = self.functions.keys().filter(|p| !kept.contains_key(*p)).cloned().collect();
         for p in gone {
             for w in self.functions.remove(&p).into_iter().flat_map(|c| c.waits) {
@@ -199,15 +211,17 @@
             if !self.functions.contains_key(service) && listed.is_empty() {
                 // Nothing runs and nobody asked: nothing to remember. But others may
                 // hold slots of what is not listed yet.
-                self.functions
-                    .insert(service.clone(), FunctionSlots { open, facts: Some(*facts), ..FunctionSlots::default() });
+                let function =
+                    FunctionSlots { open, facts: *facts, is_configured: facts.is_some(), ..FunctionSlots::default() };
+                self.functions.insert(service.clone(), function);
                 continue;
             }
             let c = self
                 .functions
                 .entry(service.clone())
                 .or_insert_with(|| FunctionSlots { open, ..FunctionSlots::default() });
-            c.facts = Some(*facts);
+            c.facts = facts.or(c.facts);
+            c.is_configured = facts.is_some();
             let ids: HashSet<&str> = listed.iter().map(|l| l.id.as_str()).collect();
             // Was listed and is not any more: it has ended. One that was never listed
             // may be starting still.
@@ -370,7 +384,10 @@
             let late = |u: &Slots| !u.up && u.held.is_empty() && now > u.began + 5 * boot;
             let late: Vec<String> = c.processors.iter().filter(|(_, u)| late(u)).map(|(id, _)| id.clone()).collect();
             let mut stop = late;
-            let idle = |u: &Slots| u.up && !u.draining && u.held.is_empty() && now > u.idle + 4 * boot;
+            // What left the configuration is not asked for again, but by fronts that do not
+            // know of that yet.
+            let stop_after = if c.is_configured { 4 * boot } else { 4 * self.shy };
+            let idle = |u: &Slots| u.up && !u.draining && u.held.is_empty() && now > u.idle + stop_after;
             if c.waits.is_empty() {
                 stop.extend(c.processors.iter().filter(|(_, u)| idle(u)).map(|(id, _)| id.clone()));
             }
--- a/crates/functions/tests/slot_owner.rs
+++ b/crates/functions/tests/slot_owner.rs
@@ -30,7 +30,13 @@
     }
 
     fn list(&mut self, ids: &[&str]) {
-        let kept = HashMap::from([("f".to_owned(), (FACTS, listed(ids)))]);
+        let kept = HashMap::from([("f".to_owned(), (Some(FACTS), listed(ids)))]);
+        self.slot_table.keep(&kept, self.now, &mut self.out);
+    }
+
+    /// The platform's list after the function has left the configuration.
+    fn list_removed(&mut self, ids: &[&str]) {
+        let kept = HashMap::from([("f".to_owned(), (None, listed(ids)))]);
         self.slot_table.keep(&kept, self.now, &mut self.out);
     }
 
@@ -419,3 +425,51 @@
     w.ask(1000);
     assert!(w.granted().iter().all(|g| g.1 != processor));
 }
+
+#[test]
+fn a_processor_of_a_removed_service_is_stopped_once_nobody_holds_it() {
+    // The table's "silent for" is 1000 ms: four of them are the time of a removed one.
+    const STOP_AFTER: u64 = 4 * 1000;
+    let stop = |id: &str| Effect::Stop { service: "f".into(), processor: id.into() };
+    let mut w = World::new(&["u1", "u2"]);
+    let a = w.ask(2000);
+    assert_eq!(w.granted(), [(a, "u2".into(), false)]);
+    w.list_removed(&["u1", "u2"]);
+    w.pass(2900);
+    assert!(w.out.is_empty(), "used by fronts that do not know yet: {:?}", w.out);
+    w.back(a, "u2", SlotEnd::Done);
+    w.pass(STOP_AFTER - 2900 + 1);
+    assert_eq!(w.out, [stop("u1")], "only what was idle for long enough");
+    w.pass(2900);
+    assert_eq!(w.out, [stop("u1"), stop("u2")]);
+    // Listed still after a while: the stop was lost.
+    w.out.clear();
+    w.pass(STOP_AFTER);
+    w.list_removed(&["u1"]);
+    assert_eq!(w.out, [stop("u1")]);
+}
+
+#[test]
+fn a_processor_of_a_service_that_was_never_known_here_is_stopped_too() {
+    let mut w = World::new(&[]);
+    w.list_removed(&["u1"]);
+    w.pass(4000);
+    assert!(w.out.is_empty(), "{:?}", w.out);
+    w.pass(1);
+    assert_eq!(w.out, [Effect::Stop { service: "f".into(), processor: "u1".into() }]);
+}
+
+#[test]
+fn a_service_that_is_configured_again_is_served_as_before() {
+    let mut w = World::new(&["u1"]);
+    w.list_removed(&["u1"]);
+    w.pass(1000);
+    w.list(&["u1"]);
+    let a = w.ask(2000);
+    assert_eq!(w.granted(), [(a, "u1".into(), false)]);
+    w.back(a, "u1", SlotEnd::Done);
+    w.pass(4 * FACTS.boot_ms);
+    assert!(w.out.is_empty(), "{:?}", w.out);
+    w.pass(1);
+    assert_eq!(w.out, [Effect::Stop { service: "f".into(), processor: "u1".into() }], "idle, as any other");
+}
--- a/crates/willowslip/tests/functions.rs
+++ b/crates/willowslip/tests/functions.rs
@@ -12,10 +12,18 @@
 use common::*;
 const MOST: usize = 2;
 
-/// What processors did, and the processors that there are: id, address.
+/// A processor of the stand-in platform.
+#[derive(Clone)]
+struct Instance {
+    id: String,
+    address: String,
+    service: String,
+}
+
+/// What processors did, and the processors that there are, by the nonce of their start.
 #[derive(Default)]
 struct Seen {
-    processors: HashMap<String, (String, String)>,
+    processors: HashMap<String, Instance>,
     /// Requests held now, by processor; and whether there were ever too many.
     held: HashMap<String, usize>,
     over: usize,
@@ -79,7 +87,9 @@
         *s.runs.entry(request.clone()).or_default() += 1;
         s.heads.push(head.to_owned());
     }
-    std::thread::sleep(Duration::from_millis(if head.contains("/slow") { 60 } else { 5 }));
+    let takes = [("/slow", 60), ("/long", 1500)];
+    let took = takes.iter().find(|(path, _)| head.contains(path)).map_or(5, |(_, ms)| *ms);
+    std::thread::sleep(Duration::from_millis(took));
     *seen.lock().unwrap().held.get_mut(id).expect("counted") -= 1;
     if head.contains("/reset") {
         return None;
@@ -105,24 +115,25 @@
     let mut s = seen.lock().unwrap();
     let json = if head.starts_with("POST /start") {
         let known = s.processors.get(&text("nonce")).cloned();
-        let (id, addr) = known.unwrap_or_else(|| {
+        let Instance { id, address, .. } = known.unwrap_or_else(|| {
             s.starts += 1;
             let id = format!("i-{}", s.starts);
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-            let addr = listener.local_addr().expect("an address").to_string();
+            let address = listener.local_addr().expect("an address").to_string();
             let (seen, own) = (seen.clone(), id.clone());
             serve(listener, move |head, _| processor(&seen, &own, head));
-            s.processors.insert(text("nonce"), (id.clone(), addr.clone()));
-            (id, addr)
+            let instance = Instance { id, address, service: text("plant") };
+            s.processors.insert(text("nonce"), instance.clone());
+            instance
         });
-        serde_json::json!({"id": id, "address": addr})
+        serde_json::json!({"id": id, "address": address})
     } else if head.starts_with("POST /stop") {
-        s.processors.retain(|_, (id, _)| *id != text("id"));
+        s.processors.retain(|_, instance| instance.id != text("id"));
         serde_json::json!({})
     } else if head.starts_with("GET /workers") {
         serde_json::json!({"carriers": [{"name": "w", "zone": "z0", "memoryMb": 9000, "headroomMb": 9000, "state": "ready"}]})
     } else {
-        let one = |(id, addr): &(String, String)| serde_json::json!({"id": id, "plant": "f", "address": addr, "zone": "z0", "revision": "v1", "capacity": MOST, "state": "ready", "coldLeftMs": 0, "carrier": "w"});
+        let one = |i: &Instance| serde_json::json!({"id": i.id, "plant": i.service, "address": i.address, "zone": "z0", "revision": "v1", "capacity": MOST, "state": "ready", "coldLeftMs": 0, "carrier": "w"});
         serde_json::json!({"units": s.processors.values().map(one).collect::<Vec<_>>(), "nextToken": null})
     };
     let json = json.to_string();
@@ -136,6 +147,37 @@
 }
 
 impl System {
+    /// Three control nodes and a front, on ports from `first_port` on.
+    fn begin(seen: &Shared, name: &str, first_port: u16) -> System {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let s = seen.clone();
+        serve(listener, move |head, body| platform(&s, head, body));
+        let from = first_port + (std::process::id() % 400) as u16 * 20;
+        let free =
+            |b: &u16| (2..8).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
+        let base = (from..40_000).step_by(20).find(free).expect("free ports");
+        let mut sys = System { programs: Programs::new(name), base, platform: address };
+        for m in 2..5 {
+            sys.start("control", m);
+        }
+        // One front only: the agent beside it listens on the loopback that all share here.
+        sys.start("agent", 5);
+        sys.start("functions", 5);
+        sys
+    }
+
+    /// Brings a configuration.
+    fn configure(&self, json: &str) {
+        let config = self.programs.dir.join("config.json");
+        std::fs::write(&config, json).expect("written");
+        until("a configuration", || {
+            let at = (2..5).map(|m| format!("127.0.0.{m}:{}", self.base + 4)).collect::<Vec<_>>().join(",");
+            let done = Command::new(BIN).args(["ctl", "--at", &at, "config", "replace"]).arg(&config).output();
+            done.is_ok_and(|o| o.status.success())
+        });
+    }
+
     fn start(&mut self, role: &str, machine: u8) {
         let (b, ip) = (self.base, format!("127.0.0.{machine}"));
         let (name, front) = (format!("{role}-{machine}"), machine >= 5);
@@ -200,21 +242,7 @@
 #[test]
 fn functions_are_started_when_called_and_given_no_more_than_their_slots() {
     let seen: Shared = Arc::default();
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address").to_string();
-    let s = seen.clone();
-    serve(listener, move |head, body| platform(&s, head, body));
-    let from = 20_000 + (std::process::id() % 400) as u16 * 20;
-    let free = |b: &u16| (2..8).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.0.{m}"), p)).is_ok()));
-    let base = (from..40_000).step_by(20).find(free).expect("free ports");
-    let mut sys = System { programs: Programs::new("functions"), base, platform: address };
-    for m in 2..5 {
-        sys.start("control", m);
-    }
-    // One front only: the agent beside it listens on the loopback that all share here.
-    sys.start("agent", 5);
-    sys.start("functions", 5);
-    let config = sys.programs.dir.join("config.json");
+    let mut sys = System::begin(&seen, "functions", 20_000);
     let route = |name: &str, prefix: &str, mode: &str| {
         format!(
             r#"{{"name":"{name}","host":"fn.example","prefix":"{prefix}","mode":"{mode}","cutoffMs":3000,"setpointMs":3000,"tries":2,"plant":"f"}}"#
@@ -225,12 +253,7 @@
         route("a", "/f/", "safe"),
         route("b", "/u/", "unsafe")
     );
-    std::fs::write(&config, json).expect("written");
-    until("a configuration", || {
-        let at = (2..5).map(|m| format!("127.0.0.{m}:{}", base + 4)).collect::<Vec<_>>().join(",");
-        let done = Command::new(BIN).args(["ctl", "--at", &at, "config", "replace"]).arg(&config).output();
-        done.is_ok_and(|o| o.status.success())
-    });
+    sys.configure(&json);
     until("a first answer", || sys.call(5, "GET", "/f/x", "first").is_some_and(|a| a.0 == 200));
     assert!(seen.lock().unwrap().starts >= 1, "nothing ran before it was called");
 
@@ -275,3 +298,47 @@
     // Called no more, all are stopped.
     until("idle processors stopped", || seen.lock().unwrap().processors.is_empty());
 }
+
+/// A configuration with a function for each of these names, under a path of its name.
+/// Nothing of them falls idle within the test.
+fn configuration(revision: u64, functions: &[&str]) -> String {
+    let routes = functions.iter().map(|f| {
+        format!(
+            r#"{{"name":"{f}","host":"fn.example","prefix":"/{f}/","mode":"safe","cutoffMs":3000,"setpointMs":3000,"tries":2,"plant":"{f}"}}"#
+        )
+    });
+    let services = functions.iter().map(|f| {
+        format!(r#"{{"name":"{f}","probe":null,"connLimit":50,"memoryMb":100,"bootMs":60000,"maxInflight":{MOST}}}"#)
+    });
+    let (routes, services): (Vec<String>, Vec<String>) = (routes.collect(), services.collect());
+    let (routes, services) = (routes.join(","), services.join(","));
+    format!(r#"{{"revision":{revision},"channels":[{routes}],"plants":[{services}],"limits":{{}}}}"#)
+}
+
+#[test]
+fn processors_of_a_service_that_left_the_configuration_are_stopped() {
+    let seen: Shared = Arc::default();
+    let sys = System::begin(&seen, "removed", 30_000);
+    let answers = |function: &str, id: &str| sys.call(5, "GET", &format!("/{function}/x"), id).map(|a| a.0);
+    let instances = |function: &str| {
+        let seen = seen.lock().unwrap();
+        seen.processors.values().filter(|instance| instance.service == function).count()
+    };
+    sys.configure(&configuration(1, &["stays", "leaves"]));
+    for function in ["stays", "leaves"] {
+        until("a first answer", || answers(function, &format!("first-{function}")) == Some(200));
+        assert!(instances(function) >= 1);
+    }
+    // What is under way when the service leaves has its answer.
+    std::thread::scope(|scope| {
+        let long = scope.spawn(|| sys.call(5, "GET", "/leaves/long", "long"));
+        until("the long request runs", || seen.lock().unwrap().runs.contains_key("long"));
+        sys.configure(&configuration(2, &["stays"]));
+        let (status, text) = long.join().expect("it ends").expect("an answer");
+        assert!(status == 200 && text.contains("X-Seal: s-long\r\n"), "{text}");
+    });
+    until("its route is gone", || answers("leaves", "late") == Some(404));
+    until("its processors are stopped", || instances("leaves") == 0);
+    assert!(instances("stays") >= 1, "the others are left alone");
+    assert_eq!(answers("stays", "last"), Some(200));
+}
