Processors whose answers never name their request are reported

Cause: an answer without X-Attempt-Id is read past, so that nothing that such a processor runs can end. The operator saw only messages that stay pending.

Change: the connection pool finds servers of which three calls in a row brought answers without an id and none of their own. It writes one line for each (`answers do not repeat X-Attempt-Id ...: processor=ADDRESS host=HOST`) and counts `processors_without_id`. Fronts tell the addresses to their agents, these to the control nodes with their sessions, and the leader tells all of them to the other control nodes: `ctl status` of each lists them, until an answer names its request. New optional fields: 12 of WatchRequest, 14 of ViewUpdate.

Ruled out: a flag in the delivery reports (store nodes would have to keep it, and functions have none); `ctl status` asking the fronts (it runs anywhere, and would open a connection to each).

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -19,9 +19,11 @@
             if let Some(n) = &w.node
                 && n.role == session.me().role
                 && n.inner == session.me().inner
-                && n.leaving
             {
-                session.set_leaving();
+                session.set_unidentified(&w.unidentified);
+                if n.leaving {
+                    session.set_leaving();
+                }
             }
             tokio::spawn(async move {
                 let mut rx = session.subscribe();
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -139,6 +139,8 @@
     known: watch::Sender<ClusterView>,
     node: Mutex<Node>,
     control_nodes: Mutex<Vec<String>>,
+    /// Processors whose answers do not name their request, as the front beside it found.
+    unidentified: Mutex<Vec<String>>,
 }
 
 impl Session {
@@ -148,6 +150,7 @@
             known: watch::channel(ClusterView::default()).0,
             node: Mutex::new(node),
             control_nodes: Mutex::new(control_nodes),
+            unidentified: Mutex::default(),
             rpc_clients,
             settings,
         })
@@ -189,6 +192,12 @@
         self.node.lock().unwrap().born = incarnation;
     }
 
+    /// Takes what the front tells of processors whose answers do not name their request;
+    /// the control nodes are told with the next watch request.
+    pub fn set_unidentified(&self, addresses: &[String]) {
+        *self.unidentified.lock().unwrap() = addresses.to_vec();
+    }
+
     pub fn set_leaving(&self) {
         self.node.lock().unwrap().leaving = true;
     }
@@ -252,6 +261,7 @@
                 node: (!node.name.is_empty()).then_some(node),
                 have: self.with_known(|k| k.have()),
                 wait_ms: wait,
+                unidentified: self.unidentified.lock().unwrap().clone(),
                 ..WatchRequest::default()
             };
             // The first answer brings the whole, over what may be a slow link.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod sessions;
 mod state;
 mod storage;
+mod unidentified;
 pub use assignment::*;
 pub use cluster_clock::*;
 pub use instance_launcher::*;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -7,6 +7,7 @@
 use crate::rollout::RolloutMonitor;
 use crate::state::*;
 use crate::storage::{self, StoredState, save};
+use crate::unidentified::UnidentifiedProcessors;
 use bytes::Bytes;
 use config::{Configuration, ConfigurationIndex, Role, Settings};
 use raft::*;
@@ -89,6 +90,7 @@
     /// Since when nobody acts as a partition's owner.
     pub(crate) unclaimed: HashMap<u32, u64>,
     pub(crate) cluster_clock: ClusterClock,
+    pub(crate) unidentified: UnidentifiedProcessors,
     /// A platform for functions.
     pub(crate) functions: bool,
     /// Since when the processors are as this leader itself listed them; 0: not yet.
@@ -253,9 +255,13 @@
                 .filter(|(_, l)| l.lag > 0)
                 .map(|(n, l)| (n, if l.lag == 1 { "slow" } else { "does not answer" }))
                 .collect();
+            let unidentified = match f.is_leader {
+                true => f.unidentified.reported(&f.sessions),
+                false => f.unidentified.told_by_leader().to_vec(),
+            };
             serde_json::json!({"node": self.settings.node, "leader": f.leader, "isLeader": f.is_leader,
                 "duties": if f.is_leader { vec!["lister", "judge", "assigner"] } else { vec![] },
-                "voters": f.voters, "behind": behind, "disks": disks, "revision": f.control_state.revision, "assignments": f.control_state.assignments.version, "membership": f.membership.version,
+                "voters": f.voters, "behind": behind, "disks": disks, "unidentified": unidentified, "revision": f.control_state.revision, "assignments": f.control_state.assignments.version, "membership": f.membership.version,
                 "units": f.membership.processors.len(), "partitions": parts, "nodes": nodes, "counters": telemetry::render()})
             .to_string()
         })
@@ -306,6 +312,7 @@
             steady: (0, 0),
             seizing: HashSet::new(),
             unclaimed: HashMap::new(),
+            unidentified: UnidentifiedProcessors::default(),
             cluster_clock: ClusterClock::new(
                 (settings.constraints.lead_ms / 2.0).max(quiet / 100.0) as u64,
                 (quiet / 4.0) as u64,
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -181,6 +181,7 @@
             if let Some(n) = &w.node {
                 newer_incarnation = f.later_incarnation(n);
                 f.cluster_clock.hear(&n.name, w.clock_ms, now);
+                f.unidentified.report(&n.name, &w.unidentified);
             }
             if f.is_leader
                 && f.membership.version == 0
@@ -234,6 +235,9 @@
                 newer_incarnation,
                 ..ViewUpdate::default()
             };
+            if w.node.as_ref().is_some_and(|n| n.role == "control") {
+                news.unidentified = f.unidentified.reported(&f.sessions);
+            }
             if let Some(json) = configuration {
                 news.put_configuration(json);
             }
@@ -248,7 +252,7 @@
         // A newcomer is known to nobody: whoever runs is asked who leads.
         let (mut hint, mut turn) = (String::new(), 0usize);
         loop {
-            let (leader, mine, have, sessions) = self.with(|f| {
+            let (leader, mine, have, sessions, unidentified) = self.with(|f| {
                 let now = self.now();
                 let limit = self.ratio(3.0);
                 let is_leader = f.is_leader;
@@ -262,7 +266,7 @@
                     .filter(|s| s.node.inner != me && s.node.role != "control" && s.node.role != "store")
                     .map(|s| s.node.clone())
                     .collect();
-                (f.leader.clone(), is_leader, Self::have(f), list)
+                (f.leader.clone(), is_leader, Self::have(f), list, f.unidentified.reported(&f.sessions))
             });
             if mine || leader == self.me {
                 tokio::time::sleep(Duration::from_millis(wait / 4)).await;
@@ -296,6 +300,7 @@
                 wait_ms: wait as u32,
                 sessions,
                 clock_ms: telemetry::wall_ms(),
+                unidentified,
             };
             match self.rpc_clients.to(&leader).call(Body::WatchRequest(w), Duration::from_millis(wait * 2)).await {
                 Ok(Body::ViewUpdate(n)) => self.with(|f| {
@@ -308,6 +313,7 @@
                         let own = self.node();
                         f.sessions.insert(own.name.clone(), Session { node: own, seen: u64::MAX / 2 });
                     }
+                    f.unidentified.told(n.unidentified);
                     if let Some(r) = n.membership
                         && f.membership.take(&r)
                     {
--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -60,6 +60,11 @@
         self.held.lock().unwrap().beat(self.now());
     }
 
+    /// Processors whose answers do not name their request, by address.
+    pub fn unidentified(&self) -> Vec<String> {
+        self.pool.unidentified()
+    }
+
     pub fn sweep(&self) {
         self.pool.sweep(|_| true);
     }
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -282,7 +282,7 @@
     }
 
     /// Takes the news from the agent beside it.
-    async fn follow(self: Arc<Self>) {
+    async fn follow(self: Arc<Self>, worker: Arc<DeliveryWorker>) {
         let wait = self.ratio(8.0);
         let addr = loopback(&self.settings);
         let incarnation = rpc::new_incarnation();
@@ -300,7 +300,8 @@
             let have = self.known.borrow().have();
             let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
             told = leaving;
-            let w = WatchRequest { node: Some(node), have, wait_ms, ..WatchRequest::default() };
+            let unidentified = worker.unidentified();
+            let w = WatchRequest { node: Some(node), have, wait_ms, unidentified, ..WatchRequest::default() };
             let mut closing = self.closing.subscribe();
             let end = self.rpc_clients.to(&addr);
             let asked = tokio::select! {
@@ -326,7 +327,7 @@
     let inner = bind(settings.inner_addr(Role::Front)).await?;
     let b = worker.clone();
     tokio::spawn(rpc::serve(inner, silence, move |body, responder| b.handle(body, responder)));
-    tokio::spawn(front.clone().follow());
+    tokio::spawn(front.clone().follow(worker.clone()));
     let h = front.clone();
     let ready = bind(settings.listen.ready.clone()).await?;
     let open = watch::channel(Closing::Open);
--- a/crates/functions/src/gateway.rs
+++ b/crates/functions/src/gateway.rs
@@ -157,7 +157,8 @@
             let have = self.known.borrow().have();
             let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
             told = leaving;
-            let w = WatchRequest { node: Some(node), have, wait_ms, ..WatchRequest::default() };
+            let unidentified = self.pool.unidentified();
+            let w = WatchRequest { node: Some(node), have, wait_ms, unidentified, ..WatchRequest::default() };
             let mut closing = self.closing.subscribe();
             let end = self.rpc_clients.to(&addr);
             let asked = tokio::select! {
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -1,4 +1,5 @@
 use crate::parse::*;
+use crate::unidentified::UnidentifiedAnswers;
 use bytes::{BufMut, BytesMut};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -33,8 +34,13 @@
 pub struct ConnectionPool {
     places: Mutex<HashMap<String, Place>>,
     idle: Duration,
+    unidentified: Mutex<UnidentifiedAnswers>,
 }
 
+/// For how many times the idle time of connections a server is remembered that does not
+/// name its requests.
+const UNIDENTIFIED_FOR: u32 = 60;
+
 pub struct Call<'a> {
     pub method: &'a str,
     pub path: &'a str,
@@ -67,7 +73,8 @@
 
 impl ConnectionPool {
     pub fn new(idle: Duration) -> Arc<ConnectionPool> {
-        Arc::new(ConnectionPool { places: Mutex::default(), idle })
+        let unidentified = Mutex::new(UnidentifiedAnswers::new(idle * UNIDENTIFIED_FOR));
+        Arc::new(ConnectionPool { places: Mutex::default(), idle, unidentified })
     }
 
     fn take_idle(&self, addr: &str, newest: Option<Duration>) -> Option<TcpStream> {
@@ -97,6 +104,27 @@
             p.idle.retain(|i| i.until > now);
             p.open > 0 || !p.idle.is_empty()
         });
+        self.unidentified.lock().unwrap().sweep(now);
+    }
+
+    /// The servers whose answers do not name their requests, by address: no call to them
+    /// brings anything.
+    pub fn unidentified(&self) -> Vec<String> {
+        self.unidentified.lock().unwrap().servers()
+    }
+
+    /// Notes whether a server's answers name their request, and reports one that leaves
+    /// the id out.
+    fn note_identification(&self, address: &str, host: &str, has_own_answer: bool, has_unidentified: bool) {
+        let mut unidentified = self.unidentified.lock().unwrap();
+        if has_own_answer {
+            unidentified.identified(address);
+        } else if has_unidentified && unidentified.missing(address, Instant::now()) {
+            telemetry::count("processors_without_id");
+            telemetry::error!(
+                "answers do not repeat X-Attempt-Id, none of its runs can end: processor={address} host={host}"
+            );
+        }
     }
 
     /// Opens a connection and keeps it for the next call; tells whether the other
@@ -158,14 +186,16 @@
         }
         out.put_slice(b"\r\n");
         out.put_slice(call.body);
+        let mut has_unidentified = false;
         let exchange = async {
             stream.write_all(&out).await.map_err(|_| SendError::Lost)?;
-            read_own_answer(&mut stream, &call).await
-        };
-        let (answer, left) = match tokio::time::timeout_at(end, exchange).await {
-            Ok(r) => r?,
-            Err(_) => return Err(SendError::Silent),
+            read_own_answer(&mut stream, &call, &mut has_unidentified).await
         };
+        let exchanged = tokio::time::timeout_at(end, exchange).await.unwrap_or(Err(SendError::Silent));
+        if named {
+            self.note_identification(addr, call.host, exchanged.is_ok(), has_unidentified);
+        }
+        let (answer, left) = exchanged?;
         if answer.keep && !left && named {
             let said = answer.header("keep-alive").and_then(|v| {
                 let at = v.find("timeout=")? + 8;
@@ -187,15 +217,23 @@
 
 /// Reads on until the answer to this very call: a surplus one may come in its
 /// place, or one that names nobody, and says nothing of it. Tells whether the
-/// connection is out of step.
-async fn read_own_answer(stream: &mut TcpStream, call: &Call<'_>) -> Result<(Answer, bool), SendError> {
+/// connection is out of step; `has_unidentified` is set at the first answer that names
+/// nobody.
+async fn read_own_answer(
+    stream: &mut TcpStream,
+    call: &Call<'_>,
+    has_unidentified: &mut bool,
+) -> Result<(Answer, bool), SendError> {
     let mut buf = BytesMut::with_capacity(2 << 10);
     let mut surplus = false;
     loop {
         let answer = read_answer(stream, call.method == "HEAD", &mut buf).await?;
         match answer.header("x-attempt-id") {
             Some(id) if !call.id.is_empty() && id != call.id => telemetry::count("answers_of_others"),
-            None if !call.id.is_empty() => telemetry::count("answers_without_id"),
+            None if !call.id.is_empty() => {
+                telemetry::count("answers_without_id");
+                *has_unidentified = true;
+            }
             _ => return Ok((answer, surplus || !buf.is_empty())),
         }
         surplus = true;
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,6 +3,7 @@
 mod client;
 mod parse;
 mod server;
+mod unidentified;
 pub use client::*;
 pub use parse::*;
 pub use server::*;
--- a/crates/http1/tests/calls.rs
+++ b/crates/http1/tests/calls.rs
@@ -269,3 +269,51 @@
         })
         .expect("no case fails");
 }
+
+/// A call that may be given up soon: its server answers, though not to it.
+async fn short_call(pool: &ConnectionPool, addr: &str, id: &str) -> Result<Answer, SendError> {
+    let headers = [("X-Attempt-Id", id)];
+    let call = Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id, newest: None };
+    pool.call(addr, call, 4, WAIT / 6).await
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_server_whose_answers_never_name_their_request_is_found_until_one_does() {
+    let plan = |id: &str, _| match id {
+        "named" => vec![Do::Send(answer(id, "own"))],
+        "silent" => vec![],
+        "closed" => vec![Do::Send(answer("", "unnamed")), Do::Close],
+        _ => vec![Do::Send(answer("", "unnamed"))],
+    };
+    let (addr, _) = server(plan).await;
+    let pool = ConnectionPool::new(Duration::from_secs(9));
+    // Silence says nothing of names; strays between answers that name theirs are strays.
+    for id in ["silent", "silent", "silent", "a", "b", "named", "c", "d"] {
+        let _ = short_call(&pool, &addr, id).await;
+        assert!(pool.unidentified().is_empty(), "found with {id}");
+    }
+    assert_eq!(body(&short_call(&pool, &addr, "closed").await), "Lost");
+    assert_eq!(pool.unidentified(), [addr.as_str()]);
+    assert_eq!(body(&short_call(&pool, &addr, "e").await), "Silent");
+    pool.sweep(|_| true);
+    assert_eq!(pool.unidentified(), [addr.as_str()], "remembered while it is called");
+    assert_eq!(body(&short_call(&pool, &addr, "named").await), "own");
+    assert!(pool.unidentified().is_empty(), "it names requests now");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_server_that_names_no_request_is_forgotten_when_it_is_not_called() {
+    let (addr, _) = server(|_, _| vec![Do::Send(answer("", "unnamed")), Do::Close]).await;
+    let pool = ConnectionPool::new(Duration::from_millis(1));
+    for id in ["a", "b", "c"] {
+        assert_eq!(body(&short_call(&pool, &addr, id).await), "Lost");
+    }
+    for _ in 0..200 {
+        pool.sweep(|_| true);
+        if pool.unidentified().is_empty() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("not forgotten");
+}
--- a/crates/rpc/src/messages/membership.rs
+++ b/crates/rpc/src/messages/membership.rs
@@ -57,6 +57,10 @@
     /// From a control node: its time of day.
     #[prost(uint64, tag = "5")]
     pub clock_ms: u64,
+    /// Addresses of processors whose answers do not name their request. From a front: those
+    /// that it found; from a control node: those that the fronts told it.
+    #[prost(string, repeated, tag = "12")]
+    pub unidentified: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -85,6 +89,10 @@
     /// Instead of the whole configuration: the changes since the asker's, in order.
     #[prost(message, repeated, tag = "8")]
     pub steps: Vec<ConfigurationStep>,
+    /// To a control node: processors whose answers do not name their request, as all fronts
+    /// told them.
+    #[prost(string, repeated, tag = "14")]
+    pub unidentified: Vec<String>,
 }
 
 /// What changed from one configuration to the next.
--- a/crates/willowslip/src/summary.rs
+++ b/crates/willowslip/src/summary.rs
@@ -48,6 +48,10 @@
             let _ = writeln!(s, "{what}: {}", all.join(" "));
         }
     }
+    let unidentified = names(v, "unidentified");
+    if !unidentified.is_empty() {
+        let _ = writeln!(s, "answers do not repeat X-Attempt-Id, none of their runs can end: {unidentified}");
+    }
     let _ = writeln!(
         s,
         "revision {}  assignments {}  membership {}  processors {}",
@@ -120,12 +124,13 @@
         };
         let partitions: Vec<Value> = (0..120).map(partition).collect();
         let v = json!({"node": "core-1", "isLeader": true, "leader": "x", "voters": ["x"], "duties": ["lister"],
-            "behind": {"y": 0, "z": 4}, "disks": {}, "revision": 4, "assignments": 5, "membership": 6, "units": 9,
+            "behind": {"y": 0, "z": 4}, "disks": {}, "unidentified": ["10.0.0.9:80", "10.0.0.9:81"], "revision": 4, "assignments": 5, "membership": 6, "units": 9,
             "nodes": nodes, "partitions": partitions, "counters": "a=1"});
         let s = summary(&v, None);
         assert!(s.lines().count() < 30, "{s}");
         assert!(s.contains("partitions: 120, 119 where") && s.contains("17 term 3 owner store-17: 1 of 2 in sync"));
         assert!(s.contains("b front 39, 1 leaving") && s.contains("behind by entries: z=4"));
+        assert!(s.contains("X-Attempt-Id, none of their runs can end: 10.0.0.9:80 10.0.0.9:81\n"));
         let s = summary(&v, Some("store-59"));
         assert!(s.contains("node store-59 store f") && s.lines().filter(|l| l.starts_with("partition ")).count() == 4);
     }
