--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -143,6 +143,8 @@
     /// control machines.
     time: Mutex<CarriedTime>,
     start: Instant,
+    /// Processors whose answers do not name their request, as the front beside it found.
+    unidentified: Mutex<Vec<String>>,
 }
 
 impl Session {
@@ -154,6 +156,7 @@
             known: watch::channel(ClusterView::default()).0,
             node: Mutex::new(node),
             control_nodes: Mutex::new(control_nodes),
+            unidentified: Mutex::default(),
             rpc_clients,
             settings,
         })
@@ -204,6 +207,12 @@
         self.node.lock().unwrap().born = incarnation;
     }
 
+    /// Takes what the front tells of processors whose answers do not name their request;
+    /// the control nodes are told with the next watch request.
+    pub fn set_unidentified(&self, addresses: &[String]) {
+        *self.unidentified.lock().unwrap() = addresses.to_vec();
+    }
+
     pub fn set_leaving(&self) {
         self.node.lock().unwrap().leaving = true;
     }
@@ -268,6 +277,7 @@
                 have: self.with_known(|k| k.have()),
                 wait_ms: wait,
                 time_ms: self.carried_ms(),
+                unidentified: self.unidentified.lock().unwrap().clone(),
                 ..WatchRequest::default()
             };
             let asked_at = self.now();
--- a/crates/rpc/src/messages/membership.rs
+++ b/crates/rpc/src/messages/membership.rs
@@ -60,6 +60,10 @@
     /// The cluster's time as the asker carries it on; 0 if it was told none.
     #[prost(uint64, tag = "15")]
     pub time_ms: u64,
+    /// Addresses of processors whose answers do not name their request. From a front: those
+    /// that it found; from a control node: those that the fronts told it.
+    #[prost(string, repeated, tag = "12")]
+    pub unidentified: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -91,6 +95,10 @@
     /// The cluster's time; 0 if it is not known.
     #[prost(uint64, tag = "15")]
     pub time_ms: u64,
+    /// To a control node: processors whose answers do not name their request, as all fronts
+    /// told them.
+    #[prost(string, repeated, tag = "14")]
+    pub unidentified: Vec<String>,
 }
 
 /// What changed from one configuration to the next.
