A process that ends answers what it has read; idle time by the newest limits

Cause: at four fifths of graceS a front ended whatever was unanswered: a request that waited for a slot or for an owner, longer than lossSlackMs, lost its connection without an answer. And a connection's idle time was that of the limits at its last request: raised by a new configuration, clients took up connections that were closed under them. Change: one end_in_order for both fronts; behind Shut comes Ending, at which handlers answer with what is known by then (503 where nothing can have run, else 502 or 504). The idle time is looked at again when it is over. Tests, failing before: a_server_that_ends_answers_what_it_has_read_and_reads_no_more (it does not compile without Ending; its handler shows that nothing told it), an_idle_connection_lives_by_the_limits_of_the_newest_configuration, a_process_that_ends_says_of_a_message_what_it_knows_by_then. Ruled out: to drop the call to the owner at that moment, which makes what was answered a moment later unclear; it is given a hundredth of quietMs.

--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -155,9 +155,11 @@
             || known.configuration.service(&c.service).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0);
         let (mut unclear, mut hint) = (false, None::<String>);
         let mut rx = self.known.subscribe();
+        let mut closing = self.closing.subscribe();
         loop {
             let left = if unclear { longest } else { budget }.saturating_sub(begun.elapsed());
-            if left.is_zero() {
+            // Also when the process is about to end: what is known by now is the answer.
+            if left.is_zero() || *closing.borrow_and_update() == Closing::Ending {
                 break;
             }
             let now = rx.borrow_and_update().clone();
@@ -184,9 +186,15 @@
                 // Nothing is sent to where nothing is answered: it would be unclear
                 // whether it was taken.
                 let dark = end.stuck(self.ratio(16.0));
+                // An owner that is well answers within that.
+                let ending = async {
+                    let _ = closing.wait_for(|c| *c == Closing::Ending).await;
+                    tokio::time::sleep(self.ratio(100.0)).await;
+                };
                 let asked = tokio::select! {
                     a = end.call(Body::Accept(accept), left), if !dark => a,
                     _ = moved, if !dark => Err(ExecutionOutcome::MayHaveRun),
+                    _ = ending, if !dark => Err(ExecutionOutcome::MayHaveRun),
                     _ = tokio::time::sleep(self.ratio(100.0)), if dark => Err(ExecutionOutcome::NotRun),
                 };
                 match asked {
@@ -234,7 +242,7 @@
             Some((p, _)) => vec![p],
             None => self.known.borrow().assignments.partitions.iter().map(|p| p.id).collect(),
         };
-        while begun.elapsed() < limit {
+        while begun.elapsed() < limit && *self.closing.borrow() != Closing::Ending {
             let mut open = Vec::new();
             for p in wanted {
                 let lookup = Lookup {
@@ -358,19 +366,9 @@
         }
     });
     let _ = stop.wait_for(|s| *s).await;
-    let begun = Instant::now();
     telemetry::change!("draining");
     let grace = Duration::from_millis((settings.constraints.grace_s * 1000.0) as u64);
-    let _ = front.closing.send(Closing::Draining);
-    // The platform needs two misses and a little to send nobody here any more.
-    tokio::time::sleep(grace * 2 / 5).await;
-    let _ = front.closing.send(Closing::Shut);
-    while begun.elapsed() < grace * 4 / 5 {
-        tokio::time::sleep(silence / 10).await;
-        if worker.idle() && http1::unanswered() == 0 && begun.elapsed() > grace / 2 {
-            break;
-        }
-    }
+    http1::end_in_order(&front.closing, grace, silence / 10, || worker.idle()).await;
     telemetry::report(&settings.node, &rpc::sent());
     Ok(())
 }
--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -48,6 +48,11 @@
 
 /// A front beside an owner that answers as `answer` says; None is silence.
 async fn played(answer: Option<AcceptOutcome>) -> (u16, bool, usize, Duration) {
+    played_until(answer, None).await
+}
+
+/// As `played`, in a process that is about to end after a time.
+async fn played_until(answer: Option<AcceptOutcome>, end: Option<Duration>) -> (u16, bool, usize, Duration) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address").to_string();
     let seen = Arc::new(AtomicUsize::new(0));
@@ -73,6 +78,13 @@
         headers: vec![header("Host", "h"), header("X-Attempt-Id", "m1")],
         ..Request::default()
     };
+    if let Some(end) = end {
+        let ending = front.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(end).await;
+            ending.closing.send_replace(http1::Closing::Ending);
+        });
+    }
     let begun = Instant::now();
     let reply = front.take(request).await;
     let retry = reply.headers.iter().any(|h| h.0 == "Retry-After");
@@ -100,6 +112,17 @@
     assert_eq!(played(Some(AcceptOutcome::Taken)).await.0, 202);
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn a_process_that_ends_says_of_a_message_what_it_knows_by_then() {
+    let end = Some(Duration::from_millis(100));
+    // It may have been taken; or no owner had it.
+    for (answer, said) in [(None, 504), (Some(AcceptOutcome::Unclear), 504), (Some(AcceptOutcome::Elsewhere), 503)] {
+        let (status, retry, _, took) = played_until(answer, end).await;
+        assert_eq!((status, retry), (said, said == 503));
+        assert!(took < Duration::from_millis(300), "{said} after {took:?}");
+    }
+}
+
 #[test]
 fn a_key_has_one_partition_whatever_its_service_and_zone() {
     let k = known("10.0.0.1:1");
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -93,6 +93,29 @@
     Draining,
     /// Idle connections are closed, and no new ones are taken.
     Shut,
+    /// The process is about to end: handlers answer at once, with what is known by then.
+    Ending,
+}
+
+/// Takes a server out of service within `grace`, so that each request that was read gets
+/// a whole answer: connections are ended by their answers first, then nothing new is taken,
+/// and at last what is unanswered still is told to answer. Returns early once there is
+/// none left and `idle` says that nothing else is under way; looks every `look`.
+pub async fn end_in_order(closing: &watch::Sender<Closing>, grace: Duration, look: Duration, idle: impl Fn() -> bool) {
+    let begun = tokio::time::Instant::now();
+    closing.send_replace(Closing::Draining);
+    // The platform needs two misses and a little to send nobody here any more.
+    tokio::time::sleep_until(begun + grace * 2 / 5).await;
+    closing.send_replace(Closing::Shut);
+    tokio::time::sleep_until(begun + grace / 2).await;
+    while (unanswered() > 0 || !idle()) && begun.elapsed() < grace * 4 / 5 {
+        tokio::time::sleep(look).await;
+    }
+    closing.send_replace(Closing::Ending);
+    // What is sent behind the last answers is read for a while; see `end_connection`.
+    while unanswered() > 0 && begun.elapsed() < grace * 9 / 10 {
+        tokio::time::sleep(look).await;
+    }
 }
 
 /// Reads and answers the requests of one connection after the other, until
@@ -110,11 +133,11 @@
     let mut buf = BytesMut::with_capacity(4 << 10);
     let mut out = BytesMut::new();
     loop {
-        let b = bounds();
-        let request = match read_request(&mut stream, &mut buf, &b, &mut closing).await {
+        let request = match read_request(&mut stream, &mut buf, &bounds, &mut closing).await {
             Ok(Some(r)) => r,
             Ok(None) => return,
             Err(t) => {
+                let b = bounds();
                 out.clear();
                 let limit = if t.status == 413 { format!(",\"limitBytes\":{}", b.body_bytes) } else { String::new() };
                 let body = format!("{{\"fault\":\"{}\"{limit}}}", t.why);
@@ -137,7 +160,7 @@
             return;
         }
         if !keep {
-            end_connection(&mut stream, b.header_ms).await;
+            end_connection(&mut stream, bounds().header_ms).await;
             return;
         }
     }
@@ -159,19 +182,19 @@
 async fn read_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
-    bounds: &Bounds,
+    bounds: &impl Fn() -> Bounds,
     closing: &mut watch::Receiver<Closing>,
 ) -> Result<Option<Request>, Turned> {
     if buf.is_empty() {
         buf.reserve(2 << 10);
-        let idle = tokio::time::sleep(Duration::from_millis(bounds.idle_ms));
         tokio::select! {
             biased;
             n = stream.read_buf(buf) => match n { Ok(n) if n > 0 => {}, _ => return Ok(None) },
-            _ = async { let _ = closing.wait_for(|c| *c == Closing::Shut).await; } => return Ok(None),
-            _ = idle => return Ok(None),
+            _ = async { let _ = closing.wait_for(|c| *c >= Closing::Shut).await; } => return Ok(None),
+            _ = idle_time(bounds) => return Ok(None),
         }
     }
+    let bounds = &bounds();
     let whole = async {
         let (mut request, framing, expect) = loop {
             // Line ends between requests are allowed.
@@ -224,6 +247,19 @@
     }
 }
 
+/// Passes when a connection has been idle for as long as the limits of that moment allow:
+/// a configuration may have raised them meanwhile.
+async fn idle_time(bounds: &impl Fn() -> Bounds) {
+    let since = tokio::time::Instant::now();
+    loop {
+        let end = since + Duration::from_millis(bounds().idle_ms);
+        if end <= tokio::time::Instant::now() {
+            return;
+        }
+        tokio::time::sleep_until(end).await;
+    }
+}
+
 /// Requests that are read and not answered yet, of every server of this process.
 static OPEN: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
 
@@ -261,7 +297,7 @@
     loop {
         let accepted = tokio::select! {
             a = listener.accept() => a,
-            _ = async { let _ = stop.wait_for(|c| *c == Closing::Shut).await; } => return,
+            _ = async { let _ = stop.wait_for(|c| *c >= Closing::Shut).await; } => return,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/http1/tests/clients.rs
+++ b/crates/http1/tests/clients.rs
@@ -186,3 +186,59 @@
     let ran = ran.lock().unwrap();
     assert!((10..=20).contains(&ran.len()) && ran.iter().collect::<std::collections::HashSet<_>>().len() == ran.len());
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_idle_connection_lives_by_the_limits_of_the_newest_configuration() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let idle = Arc::new(Mutex::new(100));
+    let (told, (_open, closed)) = (idle.clone(), watch::channel(Closing::Open));
+    let bounds = move || Bounds { idle_ms: *told.lock().unwrap(), ..Bounds::default() };
+    tokio::spawn(listen(listener, bounds, closed, |_| async { Reply::new(200) }));
+    let mut s = TcpStream::connect(&addr).await.expect("connected");
+    s.write_all(b"GET /0/0 HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("room");
+    // Raised while the connection rests, which is used again within the new limit.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    *idle.lock().unwrap() = 1000;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    s.write_all(b"GET /1/0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").await.expect("room");
+    assert_eq!(answers(&mut s, &[]).await.len(), 2);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_server_that_ends_answers_what_it_has_read_and_reads_no_more() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let (closing, closed) = watch::channel(Closing::Open);
+    let ending = closed.clone();
+    // Requests run for as long as their path says, or until the process is about to end.
+    tokio::spawn(listen(listener, Bounds::default, closed, move |r| {
+        let mut ending = ending.clone();
+        async move {
+            let ms = r.path.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+            tokio::select! {
+                _ = tokio::time::sleep(Duration::from_millis(ms)) => Reply::new(200),
+                _ = ending.wait_for(|c| *c == Closing::Ending) => Reply::new(503),
+            }
+        }
+    }));
+    let ask = async |ms: u64| {
+        let mut s = TcpStream::connect(&addr).await.expect("connected");
+        s.write_all(format!("GET /0/{ms} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes()).await.expect("room");
+        s
+    };
+    let (mut short, mut long) = (ask(100).await, ask(60_000).await);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let begun = std::time::Instant::now();
+    let grace = Duration::from_millis(2000);
+    let (_, mut late) = tokio::join!(end_in_order(&closing, grace, Duration::from_millis(5), || true), async {
+        tokio::time::sleep(grace / 4).await;
+        ask(300).await
+    });
+    let took = begun.elapsed();
+    assert!(took > grace / 2 && took < grace, "{took:?}");
+    let statuses = async |s: &mut TcpStream| answers(s, &[]).await.iter().map(|a| a.1).collect::<Vec<_>>();
+    assert_eq!((statuses(&mut short).await, statuses(&mut late).await), (vec![200], vec![200]));
+    assert_eq!(statuses(&mut long).await, [503], "told at the end, not cut");
+    assert!(TcpStream::connect(&addr).await.is_err(), "nothing new is taken");
+}
