Functions: tries bounded by processors, timeouts kept, no promise of our own making

Cause: the first send and the hedged one each counted the route's tries by themselves, by sends, so a route with two tries could run on four processors. A request was held for its wait and then for a whole timeout of its route. A processor's 408, 429 or 503 without X-Not-Run was passed on, which a client reads as a promise that it did not run. What had no time left for a send was told 504 though no processor had it. At the end of the process what waited for a slot was cut. Change: Attempts holds the processors that may have run one try, over all its sends; a processor that says that it did not run gives its place back, and one processor gets a request no more often than the route has tries. The deadline is the lesser of the client's and the route's. Typed failures; 503 only where no processor may have run it. Ruled out: answers with a processor's seal under another status: all statuses, whole and refused, show none.

--- a/crates/functions/src/gateway.rs
+++ b/crates/functions/src/gateway.rs
@@ -5,6 +5,7 @@
 mod slot_client;
 mod slot_service;
 
+use crate::attempts::Attempts;
 use crate::retry_budget::RetryBudget;
 use crate::slots::*;
 use agent::{ClusterView, loopback};
@@ -60,7 +61,8 @@
     rpc_clients: Arc<RpcClients>,
     pool: Arc<ConnectionPool>,
     known: watch::Sender<ClusterView>,
-    closing: watch::Sender<Closing>,
+    /// How far this process is on its way out.
+    pub closing: watch::Sender<Closing>,
     shared: Mutex<GatewayState>,
     /// Fronts by which slot owners are chosen, as of the last membership.
     fronts: Mutex<Arc<Vec<rpc::Front>>>,
@@ -104,10 +106,13 @@
     service: &'a str,
     id: &'a str,
     connection: &'a str,
+    /// When the client is to have its answer: by its own deadline and the route's timeout.
     end: Instant,
     safe: bool,
     /// Connections to one processor.
     limit: usize,
+    /// Where it was sent, by all sends of it.
+    attempts: Mutex<Attempts>,
 }
 
 /// What is to be done with what a processor said.
@@ -116,9 +121,111 @@
     Whole(Answer),
     /// None; and what its slot owner is told of the slot.
     Missed(DeliveryFailure, SlotEnd),
+    /// It was not sent there: that would be more processors than the route has tries.
+    TooManyProcessors,
+}
+
+/// Why a request ends without a processor's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// No processor has run it, and none will.
+    NotRun { retry_ms: u64 },
+    /// A processor may have run it, and its answer was lost.
+    MayHaveRun,
+    /// A processor had it and was silent until its time was over.
+    Silent,
+}
+
+impl Failure {
+    fn not_run() -> Failure {
+        Failure::NotRun { retry_ms: 100 }
+    }
+
+    /// What two sends of one request say together.
+    fn and(self, other: Failure) -> Failure {
+        match (self, other) {
+            (Failure::NotRun { retry_ms: a }, Failure::NotRun { retry_ms: b }) => {
+                Failure::NotRun { retry_ms: a.min(b) }
+            }
+            (Failure::NotRun { .. }, unclear) | (unclear, _) => unclear,
+        }
+    }
+
+    fn reply(self) -> Reply {
+        match self {
+            Failure::NotRun { retry_ms } => {
+                telemetry::count("answers_503");
+                busy(retry_ms)
+            }
+            Failure::MayHaveRun => {
+                telemetry::count("answers_502");
+                fault(502, "it may have run")
+            }
+            Failure::Silent => {
+                telemetry::count("answers_504");
+                fault(504, "no answer in time")
+            }
+        }
+    }
 }
 
 impl FunctionGateway {
+    /// A front that knows of nothing yet.
+    pub fn new(settings: Settings) -> Arc<FunctionGateway> {
+        let c = &settings.constraints;
+        let quiet = c.quiet_ms;
+        let silence = Duration::from_millis((quiet / 4.0) as u64);
+        let window = Duration::from_secs_f64(c.retry_window_s.max(0.1));
+        let incarnation = rpc::new_incarnation();
+        Arc::new(FunctionGateway {
+            rpc_clients: RpcClients::new(silence),
+            pool: ConnectionPool::new(silence),
+            known: watch::channel(ClusterView::default()).0,
+            closing: watch::channel(Closing::Open).0,
+            shared: Mutex::new(GatewayState {
+                slot_table: SlotTable::new(&settings.node, incarnation, (quiet / 40.0) as u64, (quiet / 4.0) as u64),
+                waiters: HashMap::new(),
+                dark: HashMap::new(),
+                passed_over: Vec::new(),
+                took: HashMap::new(),
+                holds: HashMap::new(),
+                retry_budget: RetryBudget::new(c.retry_ratio, window, Instant::now()),
+            }),
+            fronts: Mutex::default(),
+            processors: Mutex::default(),
+            start: Instant::now(),
+            slot_ids: AtomicU64::new(incarnation),
+            incarnation,
+            settings,
+        })
+    }
+
+    /// Takes what is new of the system, and works out anew who keeps what.
+    pub fn learn(self: &Arc<Self>, update: &ViewUpdate) {
+        if self.known.send_if_modified(|k| k.take(update)) {
+            self.arrange();
+        }
+    }
+
+    /// Carries out what comes with time, as long as the process runs.
+    pub async fn keep_time(self: Arc<Self>) {
+        let mut rounds = 0u64;
+        loop {
+            tokio::time::sleep(self.ratio(50.0)).await;
+            rounds += 1;
+            self.step(|c, now, out| c.tick(now, out));
+            if self.dark() != self.shared.lock().unwrap().passed_over {
+                self.arrange();
+            }
+            if rounds.is_multiple_of(50) {
+                self.pool.sweep(|_| true);
+            }
+            if rounds.is_multiple_of(400) {
+                telemetry::report(&self.settings.node, &rpc::sent());
+            }
+        }
+    }
+
     fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64 + 1_000_000
     }
@@ -165,11 +272,7 @@
                 _ = async { let _ = closing.wait_for(|c| *c != Closing::Open).await; }, if !leaving => continue,
             };
             match asked {
-                Ok(Body::ViewUpdate(n)) => {
-                    if self.known.send_if_modified(|k| k.take(&n)) {
-                        self.arrange();
-                    }
-                }
+                Ok(Body::ViewUpdate(n)) => self.learn(&n),
                 _ => tokio::time::sleep(wait / 16).await,
             }
         }
@@ -197,32 +300,8 @@
 
 /// Runs a function gateway until it is told to stop.
 pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), String> {
-    let quiet = settings.constraints.quiet_ms;
-    let silence = Duration::from_millis((quiet / 4.0) as u64);
-    let c = &settings.constraints;
-    let window = Duration::from_secs_f64(c.retry_window_s.max(0.1));
-    let incarnation = rpc::new_incarnation();
-    let functions = Arc::new(FunctionGateway {
-        rpc_clients: RpcClients::new(silence),
-        pool: ConnectionPool::new(Duration::from_millis((quiet / 4.0) as u64)),
-        known: watch::channel(ClusterView::default()).0,
-        closing: watch::channel(Closing::Open).0,
-        shared: Mutex::new(GatewayState {
-            slot_table: SlotTable::new(&settings.node, incarnation, (quiet / 40.0) as u64, (quiet / 4.0) as u64),
-            waiters: HashMap::new(),
-            dark: HashMap::new(),
-            passed_over: Vec::new(),
-            took: HashMap::new(),
-            holds: HashMap::new(),
-            retry_budget: RetryBudget::new(c.retry_ratio, window, Instant::now()),
-        }),
-        fronts: Mutex::default(),
-        processors: Mutex::default(),
-        start: Instant::now(),
-        slot_ids: AtomicU64::new(incarnation),
-        incarnation,
-        settings: settings.clone(),
-    });
+    let silence = Duration::from_millis((settings.constraints.quiet_ms / 4.0) as u64);
+    let functions = FunctionGateway::new(settings.clone());
     let bind = async |addr: String| tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"));
     let inner = bind(settings.inner_addr(Role::Front)).await?;
     let s = functions.clone();
@@ -244,38 +323,11 @@
         functions.closing.subscribe(),
         move |r| s.clone().answer(r),
     ));
-    let s = functions.clone();
-    tokio::spawn(async move {
-        let mut rounds = 0u64;
-        loop {
-            tokio::time::sleep(s.ratio(50.0)).await;
-            rounds += 1;
-            s.step(|c, now, out| c.tick(now, out));
-            if s.dark() != s.shared.lock().unwrap().passed_over {
-                s.arrange();
-            }
-            if rounds.is_multiple_of(50) {
-                s.pool.sweep(|_| true);
-            }
-            if rounds.is_multiple_of(400) {
-                telemetry::report(&s.settings.node, &rpc::sent());
-            }
-        }
-    });
+    tokio::spawn(functions.clone().keep_time());
     let _ = stop.wait_for(|s| *s).await;
-    let begun = Instant::now();
     telemetry::change!("draining");
     let grace = Duration::from_millis((settings.constraints.grace_s * 1000.0) as u64);
-    let _ = functions.closing.send(Closing::Draining);
-    // The platform needs two misses and a little to send nobody here any more.
-    tokio::time::sleep(grace * 2 / 5).await;
-    let _ = functions.closing.send(Closing::Shut);
-    while begun.elapsed() < grace * 4 / 5 {
-        tokio::time::sleep(silence / 10).await;
-        if http1::unanswered() == 0 && begun.elapsed() > grace / 2 {
-            break;
-        }
-    }
+    http1::end_in_order(&functions.closing, grace, silence / 10, || true).await;
     telemetry::report(&settings.node, &rpc::sent());
     Ok(())
 }
--- a/crates/functions/src/gateway/slot_client.rs
+++ b/crates/functions/src/gateway/slot_client.rs
@@ -64,14 +64,13 @@
         self.taken(a, w);
     }
 
-    /// A slot for one request; None if none can be had in time, with the time after
-    /// which one may.
+    /// A slot for one request, if one can be had in time.
     pub(super) async fn slot(
         self: &Arc<Self>,
         service: &str,
         c: &Route,
         left: Duration,
-    ) -> Result<(u64, SlotGrant), u64> {
+    ) -> Result<(u64, SlotGrant), Failure> {
         let end = Instant::now() + left;
         let mut said = 0;
         while Instant::now() < end {
@@ -158,7 +157,9 @@
                     self.shared.lock().unwrap().holds.insert(slot_id, (held, until));
                     return Ok((slot_id, g));
                 }
-                Some(g) if g.outcome == SlotOutcome::None as i32 => return Err(u64::from(g.retry_ms)),
+                Some(g) if g.outcome == SlotOutcome::None as i32 => {
+                    return Err(Failure::NotRun { retry_ms: u64::from(g.retry_ms) });
+                }
                 Some(g) if !g.processor.is_empty() => {
                     // That one does answer others: it is asked again.
                     self.shared.lock().unwrap().dark.remove(&g.processor);
@@ -168,7 +169,7 @@
             said = 100;
             tokio::time::sleep(self.ratio(400.0).min(end.saturating_duration_since(Instant::now()))).await;
         }
-        Err(said.max(50))
+        Err(Failure::NotRun { retry_ms: said.max(50) })
     }
 
     /// Tells the slot owner, whoever that is by now.
