Configuration: tenants, unkeyed routes, and how fresh it is shown to be

Cause: configurations carry `tenants` now, which were ignored. So two tenants could share a key, and nothing could tell whose a request is.

Change: tenants are read item by item and checked; an error names the tenant and never a key. The index finds the holder of a key. A list that is there and empty is not the same as none. The settings know `closed`, `revokeMs` and `keyWindowS`. `Freshness` keeps, by the steady clock, until when a configuration is shown to be the newest. `willowslip check` says how many tenants there are.

Ruled out: what the JSON reader says of a bad field, as it repeats the value, which may be a key.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -1,3 +1,5 @@
+use crate::index::placement_hash;
+use crate::tenant::{Tenant, TenantList, check_tenants};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashSet};
 
@@ -15,6 +17,9 @@
     pub services: Vec<Service>,
     #[prost(message, required, tag = "4")]
     pub limits: WireLimits,
+    /// Whose clients may send what; `None` where the configuration knows no tenants.
+    #[prost(message, optional, tag = "5")]
+    pub tenants: Option<TenantList>,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -54,6 +59,9 @@
     #[prost(btree_map = "string, double", tag = "14")]
     #[serde(deserialize_with = "weights")]
     pub mix: BTreeMap<String, f64>,
+    /// Its requests carry no tenant's key.
+    #[prost(bool, tag = "15")]
+    pub unkeyed: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -124,6 +132,11 @@
 }
 
 impl Route {
+    /// Stands for the place of a route, which stays when it is given another service.
+    pub fn place_hash(&self) -> u64 {
+        placement_hash(&format!("{}{}", self.host.to_ascii_lowercase(), self.prefix))
+    }
+
     /// The service of one request: with weights, by a number that differs from one
     /// request to the next.
     pub fn service_for(&self, number: u64) -> &str {
@@ -202,7 +215,12 @@
                 return Err(format!("channels: {}: cutoffMs must be above 0", c.name));
             }
         }
-        Ok(())
+        check_tenants(self.tenants())
+    }
+
+    /// The tenants; none where the configuration knows no tenants.
+    pub fn tenants(&self) -> &[Tenant] {
+        self.tenants.as_ref().map_or(&[], |list| &list.items)
     }
 
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -1,10 +1,17 @@
 //! A configuration with its indexes, made once for each version and shared by all
 //! who look things up in it: with over a thousand routes, lists are too slow.
 
-use crate::{Configuration, Route, Service};
+use crate::{Configuration, Route, Service, Tenant};
 use std::collections::HashMap;
 use std::ops::Deref;
 
+/// A hash that is the same in every process and version of the program: partitions are chosen
+/// by it.
+pub fn placement_hash(text: &str) -> u64 {
+    let h = text.bytes().fold(0xcbf29ce484222325u64, |h, b| (h ^ b as u64).wrapping_mul(0x100000001b3));
+    (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15) >> 16
+}
+
 #[derive(Clone, Default)]
 pub struct ConfigurationIndex {
     configuration: Configuration,
@@ -14,6 +21,10 @@
     services: HashMap<String, usize>,
     /// By service, the shortest aim for the start of a run.
     target_starts: HashMap<String, f64>,
+    /// By service, the routes on which messages for it come in.
+    message_routes: HashMap<String, Vec<usize>>,
+    /// By key, the tenant that holds it.
+    tenant_keys: HashMap<String, usize>,
 }
 
 impl Deref for ConfigurationIndex {
@@ -29,6 +40,9 @@
         for (n, c) in configuration.routes.iter().enumerate() {
             p.hosts.entry(c.host.to_ascii_lowercase()).or_default().push(n);
             p.routes.insert(c.name.clone(), n);
+            if c.mode == "deferred" {
+                p.message_routes.entry(c.service.clone()).or_default().push(n);
+            }
             let target_start = p.target_starts.entry(c.service.clone()).or_insert(f64::MAX);
             *target_start = target_start.min(c.target_start_ms);
         }
@@ -36,6 +50,9 @@
             routes.sort_by_key(|n| std::cmp::Reverse(configuration.routes[*n].prefix.len()));
         }
         p.services = configuration.services.iter().enumerate().map(|(n, s)| (s.name.clone(), n)).collect();
+        for (n, tenant) in configuration.tenants().iter().enumerate() {
+            p.tenant_keys.extend(tenant.keys.iter().map(|key| (key.clone(), n)));
+        }
         p.configuration = configuration;
         p
     }
@@ -63,6 +80,28 @@
         self.routes.get(name).map(|n| &self.configuration.routes[*n])
     }
 
+    /// Whether a service takes no more than so many messages a second, or has one endpoint:
+    /// then as few owners as possible are to give it messages.
+    pub fn is_metered(&self, service: &str) -> bool {
+        self.service(service).is_some_and(|s| s.endpoint.is_some() || s.flow_per_s > 0.0)
+    }
+
+    /// The routes on which messages for a service come in.
+    pub fn message_routes(&self, service: &str) -> impl ExactSizeIterator<Item = &Route> + Clone {
+        let routes = self.message_routes.get(service).map_or(&[][..], Vec::as_slice);
+        routes.iter().map(|n| &self.configuration.routes[*n])
+    }
+
+    /// Whether requests carry a tenant's key.
+    pub fn has_tenants(&self) -> bool {
+        self.configuration.tenants.is_some()
+    }
+
+    /// The tenant that holds a key.
+    pub fn tenant_of(&self, key: &str) -> Option<&Tenant> {
+        self.tenant_keys.get(key).map(|n| &self.configuration.tenants()[*n])
+    }
+
     /// The shortest aim for the start of a run that any route of a service has.
     pub fn target_start_ms(&self, service: &str) -> f64 {
         self.target_starts.get(service).copied().unwrap_or(f64::MAX)
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,12 @@
 //! Settings of a process and the operator's configuration: reading and checking.
 
 mod configuration;
+mod freshness;
 mod index;
 mod settings;
+mod tenant;
 pub use configuration::*;
+pub use freshness::Freshness;
 pub use index::*;
 pub use settings::*;
+pub use tenant::{TENANT_KEY_LIMIT, TENANT_NAME_LIMIT, Tenant, TenantList};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What a process is told by its settings file.
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -136,6 +137,30 @@
     pub retry_window_s: f64,
     #[prost(double, tag = "22")]
     pub retry_slack: f64,
+    /// Whether a machine takes nothing unless it shows its configuration to be fresh.
+    #[prost(bool, tag = "23")]
+    pub closed: bool,
+    /// How long after its removal a tenant's key may still be taken.
+    #[prost(double, tag = "24")]
+    pub revoke_ms: f64,
+    /// How long the key of an operation is remembered; 0: operations have no keys.
+    #[prost(double, tag = "25")]
+    pub key_window_s: f64,
+}
+
+impl Constraints {
+    /// How old the proof may be that a configuration is the newest; `None` where none is
+    /// asked for. An eighth less than the rule: steady clocks may run unevenly.
+    pub fn freshness_bound(&self) -> Option<Duration> {
+        self.closed.then(|| Duration::from_secs_f64(self.revoke_ms * 7.0 / 8.0 / 1000.0))
+    }
+
+    /// How long a process waits for news before it asks again: an eighth of `quietMs`, and
+    /// of `revokeMs` where each answer proves the configuration anew.
+    pub fn news_wait(&self) -> Duration {
+        let proven = if self.closed { self.revoke_ms } else { f64::MAX };
+        Duration::from_millis((self.quiet_ms.min(proven) / 8.0) as u64)
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -263,6 +288,12 @@
                 return settings_error(name, "must be above 0");
             }
         }
+        if c.closed && (c.revoke_ms.is_nan() || c.revoke_ms <= 0.0) {
+            return settings_error("constraints.revokeMs", "must be above 0 where closed is true");
+        }
+        if !c.key_window_s.is_finite() || c.key_window_s < 0.0 {
+            return settings_error("constraints.keyWindowS", "must be 0 or more");
+        }
         if self.limits.memory_mb == 0 {
             return settings_error("limits.memoryMb", "must be above 0");
         }
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -128,6 +128,15 @@
     std::future::pending::<()>().await;
 }
 
+/// What a configuration says of tenants; nothing where it has none.
+fn tenants_in(configuration: &config::Configuration) -> String {
+    if configuration.tenants.is_none() {
+        return String::new();
+    }
+    let unkeyed = configuration.routes.iter().filter(|route| route.unkeyed).count();
+    format!(", {} tenants, {unkeyed} routes without a key", configuration.tenants().len())
+}
+
 fn check(settings: Option<String>, config: Option<String>) -> ExitCode {
     let mut good = true;
     if settings.is_none() && config.is_none() {
@@ -146,7 +155,8 @@
     if let Some(path) = config {
         match ctl::read_input(&path).and_then(|b| config::Configuration::read(&b)) {
             Ok(t) => {
-                println!("configuration {}: good, {} routes, {} services", t.revision, t.routes.len(), t.services.len())
+                print!("configuration {}: good, {} routes, {} services", t.revision, t.routes.len(), t.services.len());
+                println!("{}", tenants_in(&t));
             }
             Err(e) => {
                 eprintln!("configuration: {e}");
--- a/crates/willowslip/tests/ctl.rs
+++ b/crates/willowslip/tests/ctl.rs
@@ -146,3 +146,23 @@
     assert_eq!(o.status.code(), Some(2));
     assert!(out(&o).starts_with("settings: file: "), "{}", out(&o));
 }
+
+#[test]
+fn check_reads_tenants_and_names_the_one_that_is_wrong() {
+    let dir = std::env::temp_dir().join(format!("willowslip-tenants-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let check = |name: &str, tenants: &str| {
+        let path = dir.join(name);
+        let text = CONFIG.replace("\"limits\": {}", &format!("\"limits\": {{}}, \"tenants\": {tenants}"));
+        std::fs::write(&path, text).expect("written");
+        Command::new(BIN).args(["check", "--config"]).arg(&path).output().expect("it runs")
+    };
+    let good = check("good.json", r#"[{"name": "clinic", "keys": ["secret-1"]}, {"name": "shop", "keys": []}]"#);
+    assert!(good.status.success() && out(&good).contains("2 tenants, 0 routes without a key"), "{}", out(&good));
+    let bad =
+        check("bad.json", r#"[{"name": "clinic", "keys": ["secret-1"]}, {"name": "shop", "keys": ["secret-1"]}]"#);
+    assert_eq!(bad.status.code(), Some(1));
+    let text = out(&bad);
+    assert!(text.contains("shop") && text.contains("clinic") && !text.contains("secret"), "{text}");
+    let _ = std::fs::remove_dir_all(&dir);
+}
