Control, agent: how long ago a configuration was shown to be the newest

Cause: a machine that is cut off goes on by the configuration that it has, so a key that was taken away is taken there for as long as the cut lasts.

Change: where machines have to show it (`closed`), an answer with news says how long before it was asked for its revision was known to be the newest: at once by a leader with authority, by what the leader told otherwise. Whoever asked counts from the moment at which it did, on its own steady clock. News is asked for every eighth of `revokeMs` there, and another control node is asked when an answer proves nothing. Without `closed` no byte is added and no pace changes.

Ruled out: a lease for each front at the leader, which would have to wait for those that are cut off before it acknowledges.

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -3,7 +3,7 @@
 use rpc::messages::*;
 use rpc::{Body, Responder, RpcClients};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// Where the agent of a machine feeds its front.
@@ -32,8 +32,9 @@
                         || h.assignments > w.have.assignments
                         || h.membership > w.have.membership
                 };
+                let asked_at = Instant::now();
                 let _ = tokio::time::timeout(wait, rx.wait_for(newer)).await;
-                let news = session.with_known(|k| k.news_for(&w.have));
+                let news = session.with_known(|k| k.proven_news_for(&w.have, asked_at));
                 responder.send(Body::ViewUpdate(news));
             });
         }
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,9 +1,9 @@
 use bytes::Bytes;
-use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Role, Settings};
+use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Freshness, Role, Settings};
 use rpc::messages::*;
 use rpc::{Body, RpcClients, after, possible};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// What a process knows of the world. Newer versions replace older ones; it
@@ -19,6 +19,8 @@
     pub leader: String,
     /// A change did not fit: the whole configuration is wanted.
     whole: bool,
+    /// Until when the configuration is shown to be the newest.
+    pub freshness: Freshness,
 }
 
 impl ClusterView {
@@ -55,9 +57,27 @@
             self.leader = news.leader.clone();
             moved = true;
         }
+        self.freshness.moved_to(self.configuration.revision);
         moved
     }
 
+    /// As `take`, of the answer to what was asked at `asked_at`: it may show that a
+    /// configuration was the newest then.
+    pub fn take_answer(&mut self, news: &ViewUpdate, asked_at: Instant) -> bool {
+        let moved = self.take(news);
+        let age = news.configuration_age_ms.map(Duration::from_millis);
+        if let Some(shown_at) = age.and_then(|age| asked_at.checked_sub(age)) {
+            self.freshness.shown(news.have.configuration, shown_at, self.configuration.revision);
+        }
+        moved
+    }
+
+    /// As `news_for`, with how fresh the configuration was when it was asked for.
+    pub fn proven_news_for(&self, have: &ViewVersions, asked_at: Instant) -> ViewUpdate {
+        let configuration_age_ms = self.freshness.age_ms(asked_at);
+        ViewUpdate { configuration_age_ms, ..self.news_for(have) }
+    }
+
     /// Takes changes of the configuration, each on the revision that it was made for.
     fn take_steps(&mut self, steps: &[ConfigurationStep]) -> bool {
         let new: Vec<&ConfigurationStep> = steps.iter().filter(|s| s.revision > self.configuration.revision).collect();
@@ -169,6 +189,19 @@
         self.known.send_if_modified(|k| k.take(news))
     }
 
+    /// Takes the answer to what was asked at `asked_at`.
+    fn take_answer(&self, news: &ViewUpdate, asked_at: Instant) -> bool {
+        self.known.send_if_modified(|k| k.take_answer(news, asked_at))
+    }
+
+    /// Whether an answer leaves the configuration unproven for so long that another control
+    /// node had better be asked.
+    fn wants_proof(&self, news: &ViewUpdate) -> bool {
+        let bound = self.settings.constraints.freshness_bound();
+        let age = news.configuration_age_ms.map(Duration::from_millis);
+        bound.is_some_and(|bound| age.is_none_or(|age| age > bound / 2))
+    }
+
     pub fn me(&self) -> Node {
         self.node.lock().unwrap().clone()
     }
@@ -238,7 +271,7 @@
     /// Keeps asking for news; ends never.
     pub async fn keep(self: Arc<Self>) {
         let quiet = self.settings.constraints.quiet_ms;
-        let wait = (quiet / 8.0) as u32;
+        let wait = self.settings.constraints.news_wait().as_millis() as u32;
         let (mut turn, mut failures) = (0usize, 0u32);
         loop {
             let control_nodes = self.order_control_nodes();
@@ -256,6 +289,7 @@
             };
             // The first answer brings the whole, over what may be a slow link.
             let times = if w.have.configuration == 0 { 4 } else { 2 };
+            let asked_at = Instant::now();
             let asked = self
                 .rpc_clients
                 .to(&addr)
@@ -272,7 +306,7 @@
                             }
                         }
                     }
-                    self.take(&n);
+                    self.take_answer(&n, asked_at);
                     if self.settings.runs_functions() && !n.steps.is_empty() {
                         // Reading a large configuration costs a small machine much: what
                         // follows closely is taken together.
@@ -284,7 +318,7 @@
                     if n.newer_incarnation > 0 && self.relive(n.newer_incarnation).is_some() {
                         continue;
                     }
-                    if n.leader.is_empty() {
+                    if n.leader.is_empty() || self.wants_proof(&n) {
                         // It follows nobody itself: others may know more.
                         turn += 1;
                         tokio::time::sleep(Duration::from_millis((quiet / 80.0) as u64)).await;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -8,7 +8,7 @@
 use crate::state::*;
 use crate::storage::{self, StoredState, save};
 use bytes::Bytes;
-use config::{Configuration, ConfigurationIndex, Role, Settings};
+use config::{Configuration, ConfigurationIndex, Freshness, Role, Settings};
 use raft::*;
 use rpc::messages::*;
 use rpc::{Responder, RpcClients, new_incarnation};
@@ -89,6 +89,8 @@
     /// Since when nobody acts as a partition's owner.
     pub(crate) unclaimed: HashMap<u32, u64>,
     pub(crate) cluster_clock: ClusterClock,
+    /// Of the configuration here, while another control node leads.
+    pub(crate) freshness: Freshness,
     /// A platform for functions.
     pub(crate) functions: bool,
     /// Since when the processors are as this leader itself listed them; 0: not yet.
@@ -312,6 +314,7 @@
             ),
             functions: settings.runs_functions(),
             listed_at: 0,
+            freshness: Freshness::default(),
             launcher: InstanceLauncher::new(
                 settings.platform.lag_ms as u64 + (settings.constraints.converge_ms / 4.0) as u64,
                 settings.platform.duty_per_s,
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -7,7 +7,7 @@
 use rpc::{after, possible};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 impl ControlShared {
@@ -173,8 +173,21 @@
         }
     }
 
+    /// How long before `asked_at` the configuration here was shown to be the newest. A leader
+    /// with authority holds all that was acknowledged; the others go by what it told them.
+    fn configuration_age_ms(&self, f: &mut ControlShared, asked_at: Instant) -> Option<u64> {
+        if !self.settings.constraints.closed {
+            return None;
+        }
+        if f.holds(self.now()) {
+            return Some(0);
+        }
+        f.freshness.moved_to(f.control_state.revision);
+        f.freshness.age_ms(asked_at)
+    }
+
     pub(crate) async fn watch(&self, w: WatchRequest) -> ViewUpdate {
-        let now = self.now();
+        let (now, asked_at) = (self.now(), Instant::now());
         let mut newer_incarnation = 0;
         self.with(|f| {
             let mut changed = false;
@@ -232,6 +245,7 @@
                     .map(|s| s.node.inner.clone())
                     .collect(),
                 newer_incarnation,
+                configuration_age_ms: self.configuration_age_ms(f, asked_at),
                 ..ViewUpdate::default()
             };
             if let Some(json) = configuration {
@@ -244,7 +258,7 @@
     /// A control node that does not lead keeps a session with it, tells it its own
     /// sessions, and takes the soft state from it.
     pub(crate) async fn follow(self: Arc<Self>, settings_updates: watch::Receiver<Settings>) {
-        let wait = self.ratio(8.0);
+        let wait = self.settings.constraints.news_wait().as_millis() as u64;
         // A newcomer is known to nobody: whoever runs is asked who leads.
         let (mut hint, mut turn) = (String::new(), 0usize);
         loop {
@@ -297,11 +311,16 @@
                 sessions,
                 clock_ms: telemetry::wall_ms(),
             };
+            let asked_at = Instant::now();
             match self.rpc_clients.to(&leader).call(Body::WatchRequest(w), Duration::from_millis(wait * 2)).await {
                 Ok(Body::ViewUpdate(n)) => self.with(|f| {
                     if f.is_leader {
                         return;
                     }
+                    let age = n.configuration_age_ms.map(Duration::from_millis);
+                    if let Some(shown_at) = age.and_then(|age| asked_at.checked_sub(age)) {
+                        f.freshness.shown(n.have.configuration, shown_at, f.control_state.revision);
+                    }
                     if n.newer_incarnation >= self.incarnation.load(Ordering::Relaxed) && possible(n.newer_incarnation)
                     {
                         self.incarnation.store(after(n.newer_incarnation), Ordering::Relaxed);
--- a/crates/rpc/src/messages/membership.rs
+++ b/crates/rpc/src/messages/membership.rs
@@ -85,6 +85,10 @@
     /// Instead of the whole configuration: the changes since the asker's, in order.
     #[prost(message, repeated, tag = "8")]
     pub steps: Vec<ConfigurationStep>,
+    /// How long before this was asked for the revision in `have` was shown to be the newest,
+    /// in milliseconds; told where machines have to show that.
+    #[prost(uint64, optional, tag = "10")]
+    pub configuration_age_ms: Option<u64>,
 }
 
 /// What changed from one configuration to the next.
