Messages of tenants, and one message for all tries at an operation

A processor was told no tenant, requests with unknown keys ran, and a repeat with the same operation key was another message.

Change: the front asks for the tenant's key, puts its name into the message and `X-Tenant`, and hands nothing else of the client on. State and body are for that tenant. Ids, order keys and operation keys count within a tenant. Accepts that are not committed yet are found by either name in a module of their own, and forgotten too when the record turns out to be a repeat: before, a third try waited for a position that was committed already, and could be told the repeat's. Routes to one metered service share its rate by the partitions that keep them. With `closed` a front whose configuration is not shown to be fresh takes and tells nothing.

Tests changed: `partition_of` takes its keys as one argument (answers.rs), a partition's timing has one field more and messages are found by tenant and id (splice.rs, fold.rs); none is weaker.

--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -39,6 +39,22 @@
     Some((parts.next()??, parts.next()??))
 }
 
+/// The headers of a delivery: what this system says, and nothing else that the client did.
+pub fn delivery_headers<'a>(run: &'a Run, deadline_ms: &'a str) -> Vec<(&'a str, &'a str)> {
+    let mut headers = vec![("X-Attempt-Id", run.item.id.as_str()), ("X-Deadline-Ms", deadline_ms)];
+    for (name, value) in [
+        ("X-Target-Instance", &run.processor),
+        ("X-Order-Key", &run.item.order_key),
+        ("X-Tenant", &run.item.tenant),
+        ("Content-Type", &run.item.content_type),
+    ] {
+        if !value.is_empty() {
+            headers.push((name, value));
+        }
+    }
+    headers
+}
+
 impl DeliveryWorker {
     pub fn new(front: Arc<FrontService>) -> Arc<DeliveryWorker> {
         let idle = Duration::from_millis(front.settings.constraints.quiet_ms as u64);
@@ -113,16 +129,7 @@
     async fn deliver(self: Arc<Self>, run: Run) {
         let begun = Instant::now();
         let deadline = run.timeout_ms.to_string();
-        let mut headers = vec![("X-Attempt-Id", run.item.id.as_str()), ("X-Deadline-Ms", deadline.as_str())];
-        for (name, value) in [
-            ("X-Target-Instance", &run.processor),
-            ("X-Order-Key", &run.item.order_key),
-            ("Content-Type", &run.item.content_type),
-        ] {
-            if !value.is_empty() {
-                headers.push((name, value));
-            }
-        }
+        let headers = delivery_headers(&run, &deadline);
         let call = Call {
             method: &run.item.method,
             path: &run.item.path,
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -1,6 +1,8 @@
 use crate::delivery::DeliveryWorker;
+use crate::placement::{PlacementKeys, partition_of};
+use crate::tenancy::{Refusal, operation_id, operation_key, tenant_if_any, tenant_name};
 use agent::{ClusterView, loopback};
-use config::{ConfigurationIndex, Role, Route, Settings};
+use config::{ConfigurationIndex, Role, Settings};
 use http1::{Bounds, Closing, Reply, Request};
 use rpc::messages::*;
 use rpc::{Body, ExecutionOutcome, RpcClients};
@@ -19,39 +21,17 @@
     Reply::json(status, serde_json::json!({ "fault": why }).to_string())
 }
 
-fn hash(text: &str) -> u64 {
-    let h = text.bytes().fold(0xcbf29ce484222325u64, |h, b| (h ^ b as u64).wrapping_mul(0x100000001b3));
-    (h ^ (h >> 32)).wrapping_mul(0x9e3779b97f4a7c15) >> 16
+fn stale() -> Reply {
+    telemetry::count("refused_stale");
+    fault(503, "the configuration is not known to be fresh").with("Retry-After", "1")
 }
 
-/// The partition that a message belongs to. All with one order key share one,
-/// whatever their service; all for one endpoint share one, so that one owner
-/// meters it; others go to an owner near the client.
-pub fn partition_of(
-    known: &ClusterView,
-    t: &ConfigurationIndex,
-    c: &Route,
-    order_key: &str,
-    id: &str,
-    zone: &str,
-) -> Option<u32> {
-    let all = &known.assignments.partitions;
-    if all.is_empty() {
-        return None;
+/// The tenant that asks for a message; empty for whoever shows no key.
+fn asking_tenant<'a>(configuration: &'a ConfigurationIndex, r: &Request) -> Result<&'a str, Refusal> {
+    if !configuration.has_tenants() {
+        return Ok("");
     }
-    let pick = |n: u64| all[(n % all.len() as u64) as usize].id;
-    if c.sequenced && !order_key.is_empty() {
-        return Some(pick(hash(order_key)));
-    }
-    if t.service(&c.service).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0) {
-        return Some(pick(hash(&c.service)));
-    }
-    let here: Vec<u32> = all
-        .iter()
-        .filter(|p| known.node(&p.owner, "store").is_some_and(|n| n.zone == zone && !n.leaving))
-        .map(|p| p.id)
-        .collect();
-    if here.is_empty() { Some(pick(hash(id))) } else { Some(here[(hash(id) % here.len() as u64) as usize]) }
+    Ok(tenant_if_any(configuration, r)?.map_or("", |tenant| &tenant.name))
 }
 
 fn owner_addr(k: &ClusterView, partition: u32) -> Option<(u64, String, String)> {
@@ -90,16 +70,26 @@
             && k.configuration.revision > 0
             && !k.assignments.partitions.is_empty()
             && k.membership.nodes.iter().any(|n| n.role == "store")
+            && self.is_fresh(&k)
+    }
+
+    /// Whether this front may act on its configuration: where machines have to show that
+    /// theirs is the newest, it was shown a short while ago. Asked once a request is whole, so
+    /// whatever passes was sent before that moment.
+    fn is_fresh(&self, known: &ClusterView) -> bool {
+        let bound = self.settings.constraints.freshness_bound();
+        bound.is_none_or(|bound| known.freshness.is_within(bound, Instant::now()))
     }
 
-    async fn answer(self: Arc<Self>, r: Request) -> Reply {
+    /// Answers a client's request.
+    pub async fn answer(self: Arc<Self>, r: Request) -> Reply {
         let path = r.path.split('?').next().unwrap_or("");
         if r.method == "GET" {
             if let Some(name) = path.strip_prefix("/message/") {
-                return self.look_up(name, r.header("host").unwrap_or(""), false).await;
+                return self.look_up(name, &r, false).await;
             }
             if let Some(name) = path.strip_prefix("/message-body/") {
-                return self.look_up(name, r.header("host").unwrap_or(""), true).await;
+                return self.look_up(name, &r, true).await;
             }
         }
         self.take(r).await
@@ -112,11 +102,22 @@
         if known.configuration.revision == 0 {
             return fault(503, "no configuration yet").with("Retry-After", "1");
         }
+        if !self.is_fresh(&known) {
+            return stale();
+        }
         let host = r.header("host").unwrap_or("");
         let path = r.path.split('?').next().unwrap_or("");
         let Some(c) = known.configuration.route(host, path).filter(|c| c.mode == "deferred") else {
             return fault(404, "no such route");
         };
+        let tenant = match tenant_name(&known.configuration, c.unkeyed, &r) {
+            Ok(name) => name,
+            Err(refusal) => return refusal.reply(),
+        };
+        let operation = match self.operation_of(tenant, &r) {
+            Ok(operation) => operation,
+            Err(refusal) => return refusal.reply(),
+        };
         let Some(id) = r.header("x-attempt-id").filter(|v| !v.is_empty() && v.len() <= 128) else {
             return fault(400, "X-Attempt-Id is missing");
         };
@@ -146,13 +147,16 @@
             notify_url: if c.notify { r.header("x-notify-url").unwrap_or("").to_owned() } else { String::new() },
             content_type: r.header("content-type").unwrap_or("").to_owned(),
             body: r.body.clone(),
+            tenant: tenant.to_owned(),
+            operation,
         };
         let zone = &self.settings.zone;
-        let Some(mut partition) = partition_of(&known, &known.configuration, c, order_key, id, zone) else {
+        let keys = PlacementKeys { tenant, order_key, operation, id };
+        let Some(mut partition) = partition_of(&known, &known.configuration, c, &keys, zone) else {
             return fault(503, "no owners yet").with("Retry-After", "1");
         };
-        let fixed = c.sequenced && !order_key.is_empty()
-            || known.configuration.service(&c.service).is_some_and(|p| p.endpoint.is_some() || p.flow_per_s > 0.0);
+        let fixed =
+            operation.is_some() || c.sequenced && !order_key.is_empty() || known.configuration.is_metered(&c.service);
         let (mut unclear, mut hint) = (false, None::<String>);
         let mut rx = self.known.subscribe();
         loop {
@@ -163,7 +167,7 @@
             let now = rx.borrow_and_update().clone();
             if !unclear && !fixed && hint.is_none() {
                 // Nothing was written: another owner near by may do as well.
-                partition = partition_of(&now, &known.configuration, c, order_key, id, zone).unwrap_or(partition);
+                partition = partition_of(&now, &known.configuration, c, &keys, zone).unwrap_or(partition);
             }
             let place = owner_addr(&now, partition);
             let addr = hint
@@ -225,8 +229,30 @@
         }
     }
 
-    async fn look_up(&self, name: &str, host: &str, body: bool) -> Reply {
+    /// The operation that a request is a try at; `None` where operations have no keys.
+    fn operation_of(&self, tenant: &str, r: &Request) -> Result<Option<OperationId>, Refusal> {
+        if self.settings.constraints.key_window_s <= 0.0 {
+            return Ok(None);
+        }
+        operation_key(r).map(|key| Some(operation_id(tenant, key)))
+    }
+
+    async fn look_up(&self, name: &str, r: &Request, body: bool) -> Reply {
         let begun = Instant::now();
+        let known = self.known.borrow().clone();
+        if !self.is_fresh(&known) {
+            return stale();
+        }
+        let host = r.header("host").unwrap_or("");
+        let asker = match asking_tenant(&known.configuration, r) {
+            Ok(name) => name,
+            Err(refusal) => return refusal.reply(),
+        };
+        // Whoever shows no key learns nothing of what tenants have sent.
+        let unknown = || match known.configuration.has_tenants() && asker.is_empty() {
+            true => Refusal::KeyMissing.reply(),
+            false => fault(404, "no such message"),
+        };
         let parsed = name.split_once('-').and_then(|(p, n)| Some((p.parse::<u32>().ok()?, n.parse::<u64>().ok()?)));
         // Askers wait about as long as half the call-back bound; answer inside that.
         let limit = Duration::from_millis((self.settings.constraints.notify_s * 350.0) as u64);
@@ -242,6 +268,7 @@
                     position: parsed.map_or(0, |n| n.1),
                     body,
                     id: if parsed.is_some() { String::new() } else { name.to_owned() },
+                    tenant: asker.to_owned(),
                 };
                 let addr = self.owner(p);
                 let found = match addr {
@@ -251,8 +278,9 @@
                 match found {
                     Ok(Body::Found(f)) if f.owner && f.known => {
                         let same = |h: &str| h.split(':').next().unwrap_or("").to_ascii_lowercase();
-                        if same(&f.host) != same(host) {
-                            return fault(404, "no such message");
+                        let visible = f.tenant.is_empty() || f.tenant == asker;
+                        if !visible || same(&f.host) != same(host) {
+                            return unknown();
                         }
                         if body {
                             return if f.state == "settled" {
@@ -273,7 +301,7 @@
                 }
             }
             if open.is_empty() {
-                return fault(404, "no such message");
+                return unknown();
             }
             wanted = open;
             tokio::time::sleep(self.ratio(200.0)).await;
@@ -283,7 +311,7 @@
 
     /// Takes the news from the agent beside it.
     async fn follow(self: Arc<Self>) {
-        let wait = self.ratio(8.0);
+        let wait = self.settings.constraints.news_wait();
         let addr = loopback(&self.settings);
         let incarnation = rpc::new_incarnation();
         let mut told = false;
@@ -301,6 +329,7 @@
             let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
             told = leaving;
             let w = WatchRequest { node: Some(node), have, wait_ms, ..WatchRequest::default() };
+            let asked_at = Instant::now();
             let mut closing = self.closing.subscribe();
             let end = self.rpc_clients.to(&addr);
             let asked = tokio::select! {
@@ -309,7 +338,7 @@
             };
             match asked {
                 Ok(Body::ViewUpdate(n)) => {
-                    self.known.send_if_modified(|k| k.take(&n));
+                    self.known.send_if_modified(|k| k.take_answer(&n, asked_at));
                 }
                 _ => tokio::time::sleep(wait / 16).await,
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,9 @@
 mod delivery;
 mod ingest;
 mod outbox;
-pub use delivery::read_answer;
-pub use ingest::{FrontService, partition_of, run};
+mod placement;
+pub mod tenancy;
+pub use delivery::{delivery_headers, read_answer};
+pub use ingest::{FrontService, run};
 pub use outbox::{Outbox, OutboxEntry};
+pub use placement::{PlacementKeys, partition_of};
--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -3,7 +3,7 @@
 
 use agent::ClusterView;
 use config::{Configuration, ConfigurationIndex, Settings};
-use front::{FrontService, partition_of};
+use front::{FrontService, PlacementKeys, partition_of};
 use http1::Request;
 use rpc::Body;
 use rpc::messages::*;
@@ -105,7 +105,8 @@
     let k = known("10.0.0.1:1");
     let t = ConfigurationIndex::from(Configuration::read(CONFIG.as_bytes()).expect("good"));
     let of = |route: &str, key: &str, id: &str, zone: &str| {
-        partition_of(&k, &t, t.route_named(route).expect("there"), key, id, zone).expect("one")
+        let keys = PlacementKeys { order_key: key, id, ..PlacementKeys::default() };
+        partition_of(&k, &t, t.route_named(route).expect("there"), &keys, zone).expect("one")
     };
     for key in ["a", "b", "c"] {
         let p = of("r2", key, "1", "x");
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -41,6 +41,7 @@
         202 => "Accepted",
         307 => "Temporary Redirect",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
--- a/crates/partition/src/record.rs
+++ b/crates/partition/src/record.rs
@@ -12,6 +12,7 @@
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
+#[allow(clippy::large_enum_variant)] // Each lives until it is encoded or folded.
 pub enum Entry {
     #[prost(message, tag = "2")]
     Accept(AcceptRecord),
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -102,10 +102,18 @@
     /// Silence after which a follower is sent the rest again.
     pub again: u64,
     pub status: u64,
+    /// For how long operations' keys are remembered; 0 where there are none.
+    pub operations: u64,
     /// Bytes of records kept in memory for followers that are behind.
     pub keep_bytes: usize,
 }
 
+impl Timing {
+    fn retention(&self) -> Retention {
+        Retention { status: self.status, operations: self.operations }
+    }
+}
+
 pub struct PartitionReplica {
     pub id: u32,
     me: String,
@@ -166,7 +174,7 @@
             log_bytes: 0,
             durable: 0,
             commit: 0,
-            state: PartitionState::new(timing.status),
+            state: PartitionState::new(timing.retention()),
             owner: String::new(),
             replicas: Vec::new(),
             in_sync: Vec::new(),
@@ -208,7 +216,7 @@
             if s.position != meta.base {
                 return Err(format!("partition {id}: snapshot is of {}, not of {}", s.position, meta.base));
             }
-            m.state = PartitionState::restore(&s, timing.status).map_err(|e| format!("partition {id}: {e}"))?;
+            m.state = PartitionState::restore(&s, timing.retention()).map_err(|e| format!("partition {id}: {e}"))?;
         } else if meta.base != 0 {
             return Err(format!("partition {id}: the snapshot of {} is missing", meta.base));
         }
--- a/crates/partition/src/replica/follower.rs
+++ b/crates/partition/src/replica/follower.rs
@@ -112,7 +112,7 @@
         self.chunks.clear();
         let restored = Snapshot::decode(data.clone())
             .map_err(|e| e.to_string())
-            .and_then(|s| PartitionState::restore(&s, self.timing.status));
+            .and_then(|s| PartitionState::restore(&s, self.timing.retention()));
         let state = match restored {
             Ok(j) => j,
             Err(e) => {
--- a/crates/partition/src/state.rs
+++ b/crates/partition/src/state.rs
@@ -1,7 +1,7 @@
 //! The fold: a partition's state as a function of its log alone.
 
 use crate::record::*;
-use rpc::messages::{Item, Outcome};
+use rpc::messages::{Item, OperationId, Outcome};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -70,14 +70,49 @@
     Stopped(Stop),
 }
 
+/// How long a partition remembers, in milliseconds of its records' times; a quarter longer in
+/// fact, for whoever is late and for owners whose times differ.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Retention {
+    /// A message that has ended.
+    pub status: u64,
+    /// The key of an operation, since its first try was accepted; 0 where there are no keys.
+    pub operations: u64,
+}
+
+impl From<u64> for Retention {
+    fn from(status: u64) -> Retention {
+        Retention { status, operations: 0 }
+    }
+}
+
+impl Retention {
+    /// When a message may be forgotten: nobody asks for its state any more, and its
+    /// operation's key is not remembered any more.
+    fn end(self, message: &Message) -> u64 {
+        let status_end = message.ended_ms + self.status * 5 / 4;
+        match message.item.operation {
+            Some(_) => status_end.max(self.operation_end(message)),
+            None => status_end,
+        }
+    }
+
+    /// Until when a try at a message's operation repeats it.
+    fn operation_end(self, message: &Message) -> u64 {
+        message.at_ms + self.operations * 5 / 4
+    }
+}
+
 #[derive(Clone, Default)]
 pub struct PartitionState {
     /// All up to here is folded.
     pub position: u64,
     pub pieces: BTreeMap<u64, Message>,
-    /// By request id.
+    /// By request id, within a tenant.
     ids: HashMap<String, u64>,
-    /// Messages that have not ended, by order key, in order.
+    /// The last message of each operation.
+    operations: HashMap<OperationId, u64>,
+    /// Messages that have not ended, by order key within a tenant, in order.
     orders: HashMap<String, VecDeque<u64>>,
     pub revision: u64,
     routes: HashMap<String, RouteFacts>,
@@ -85,12 +120,22 @@
     pub body_bytes: usize,
     /// Messages that have not ended.
     pub pending: BTreeSet<u64>,
-    status_ms: u64,
+    retention: Retention,
+    /// What has ended, by when it may be forgotten.
     ended: BTreeSet<(u64, u64)>,
 }
 
 /// What a message takes besides its body, about.
 const PIECE_BYTES: usize = 1024;
+/// What the key of its operation takes besides, about: in the message, and in the index.
+const OPERATION_BYTES: usize = 128;
+/// What that takes of a snapshot, with the tenant's name, about.
+const OPERATION_SNAPSHOT_BYTES: usize = 64;
+
+/// A client's name for something, as it is told apart from other tenants' names.
+fn scoped(tenant: &str, name: &str) -> String {
+    if tenant.is_empty() { name.to_owned() } else { format!("{tenant}\n{name}") }
+}
 
 fn mix(mut h: u64, v: u64) -> u64 {
     h ^= v;
@@ -122,8 +167,8 @@
 }
 
 impl PartitionState {
-    pub fn new(status_ms: u64) -> PartitionState {
-        PartitionState { status_ms, ..PartitionState::default() }
+    pub fn new(retention: impl Into<Retention>) -> PartitionState {
+        PartitionState { retention: retention.into(), ..PartitionState::default() }
     }
 
     pub fn digest(&self) -> u64 {
@@ -138,16 +183,32 @@
 
     /// Bytes of memory that the messages take, about.
     pub fn weight(&self) -> usize {
-        self.body_bytes + self.pieces.len() * PIECE_BYTES
+        self.body_bytes + self.pieces.len() * PIECE_BYTES + self.operations.len() * OPERATION_BYTES
     }
 
     /// Bytes of a snapshot, about.
     pub fn snapshot_bytes(&self) -> usize {
-        self.body_bytes + self.pieces.len() * (PIECE_BYTES / 4)
+        self.body_bytes + self.pieces.len() * (PIECE_BYTES / 4) + self.operations.len() * OPERATION_SNAPSHOT_BYTES
     }
 
-    pub fn find(&self, id: &str) -> Option<u64> {
-        self.ids.get(id).copied()
+    /// A tenant's message by its request id.
+    pub fn find(&self, tenant: &str, id: &str) -> Option<u64> {
+        self.ids.get(&scoped(tenant, id)).copied()
+    }
+
+    /// The message that an accept at `at_ms` would repeat: by its id, or as a try at the same
+    /// operation inside the window.
+    pub fn find_repeat(&self, item: &Item, at_ms: u64) -> Option<u64> {
+        self.find(&item.tenant, &item.id).or_else(|| {
+            let position = *self.operations.get(item.operation.as_ref()?)?;
+            let message = self.pieces.get(&position)?;
+            (at_ms <= self.retention.operation_end(message)).then_some(position)
+        })
+    }
+
+    /// How many operations' keys are kept.
+    pub fn remembered_operations(&self) -> usize {
+        self.operations.len()
     }
 
     pub fn has_route(&self, route: &str) -> bool {
@@ -174,7 +235,11 @@
     /// Whether nothing of its order key is before it.
     pub fn is_head(&self, pos: u64, w: &Message) -> bool {
         w.item.order_key.is_empty()
-            || self.orders.get(&w.item.order_key).and_then(|q| q.front()).is_none_or(|h| *h == pos)
+            || self
+                .orders
+                .get(&scoped(&w.item.tenant, &w.item.order_key))
+                .and_then(|q| q.front())
+                .is_none_or(|h| *h == pos)
     }
 
     fn change<T>(&mut self, pos: u64, f: impl FnOnce(&mut Message) -> T) -> Option<T> {
@@ -190,7 +255,10 @@
         if w.state != MessageState::Pending {
             return;
         }
-        let key = w.item.order_key.clone();
+        let key = match w.item.order_key.as_str() {
+            "" => String::new(),
+            order_key => scoped(&w.item.tenant, order_key),
+        };
         self.change(pos, |w| {
             w.state = state;
             w.result_tag = result_tag.to_owned();
@@ -201,13 +269,14 @@
             // A body is owed back only for what has not ended well.
             if let Some(w) = self.pieces.get_mut(&pos) {
                 self.body_bytes -= w.item.body.len();
-                // What is still asked for: id, host, and where to call back.
-                let item = std::mem::take(&mut w.item);
-                let (id, route, host, notify_url) = (item.id, item.route, item.host, item.notify_url);
-                w.item = Item { id, route, host, notify_url, ..Item::default() };
+                // What is still asked for: whose it is, by which names, and where to call back.
+                let Item { id, route, host, notify_url, tenant, operation, .. } = std::mem::take(&mut w.item);
+                w.item = Item { id, route, host, notify_url, tenant, operation, ..Item::default() };
             }
         }
-        self.ended.insert((at, pos));
+        if let Some(w) = self.pieces.get(&pos) {
+            self.ended.insert((self.retention.end(w), pos));
+        }
         out.push(Change::Ended(pos));
         if !key.is_empty()
             && let Some(q) = self.orders.get_mut(&key)
@@ -232,8 +301,8 @@
         let at = record.at_ms;
         match &record.entry {
             Some(Entry::Accept(a)) => {
-                if let Some(old) = self.ids.get(&a.item.id) {
-                    out.push(Change::Repeated { at: pos, old: *old });
+                if let Some(old) = self.find_repeat(&a.item, at) {
+                    out.push(Change::Repeated { at: pos, old });
                     return out;
                 }
                 let mut h = fingerprint(pos, a.item.id.as_bytes());
@@ -241,6 +310,12 @@
                 for s in [&a.item.route, &a.item.path, &a.item.order_key, &a.item.notify_url] {
                     h = fingerprint(h, s.as_bytes());
                 }
+                if !a.item.tenant.is_empty() {
+                    h = fingerprint(h, a.item.tenant.as_bytes());
+                }
+                if let Some(operation) = a.item.operation {
+                    h = mix(mix(h, operation.high), operation.low);
+                }
                 let w = Message {
                     item: a.item.clone(),
                     at_ms: at,
@@ -325,26 +400,34 @@
             Some(Entry::Routes(_)) | None => {}
         }
         // What ended long enough ago is forgotten: the time that it may be asked for, and a quarter.
-        while let Some((ended, p)) = self.ended.first().copied() {
-            if ended + self.status_ms * 5 / 4 >= at {
+        while let Some((end, p)) = self.ended.first().copied() {
+            if end >= at {
                 break;
             }
             self.ended.pop_first();
             if let Some(w) = self.pieces.remove(&p) {
                 self.digest = self.digest.wrapping_sub(part(p, &w));
                 self.body_bytes -= w.item.body.len();
-                self.ids.remove(&w.item.id);
+                self.ids.remove(&scoped(&w.item.tenant, &w.item.id));
+                if let Some(operation) = &w.item.operation
+                    && self.operations.get(operation) == Some(&p)
+                {
+                    self.operations.remove(operation);
+                }
             }
         }
         out
     }
 
     fn insert(&mut self, pos: u64, w: Message) {
-        self.ids.insert(w.item.id.clone(), pos);
+        self.ids.insert(scoped(&w.item.tenant, &w.item.id), pos);
+        if let Some(operation) = w.item.operation {
+            self.operations.insert(operation, pos);
+        }
         if w.state == MessageState::Pending {
             self.pending.insert(pos);
             if !w.item.order_key.is_empty() {
-                self.orders.entry(w.item.order_key.clone()).or_default().push_back(pos);
+                self.orders.entry(scoped(&w.item.tenant, &w.item.order_key)).or_default().push_back(pos);
             }
         }
         self.body_bytes += w.item.body.len();
@@ -383,8 +466,8 @@
     }
 
     /// The state that a snapshot holds; an error if it is not what was taken.
-    pub fn restore(s: &Snapshot, status_ms: u64) -> Result<PartitionState, String> {
-        let mut j = PartitionState::new(status_ms);
+    pub fn restore(s: &Snapshot, retention: impl Into<Retention>) -> Result<PartitionState, String> {
+        let mut j = PartitionState::new(retention);
         j.position = s.position;
         j.revision = s.revision;
         j.routes = s.routes.iter().map(|f| (f.route.clone(), f.clone())).collect();
@@ -395,9 +478,6 @@
                 1 => MessageState::Settled,
                 _ => MessageState::Dead,
             };
-            if state != MessageState::Pending {
-                ended.insert((p.ended_ms, p.position));
-            }
             let w = Message {
                 item: p.item.clone(),
                 at_ms: p.at_ms,
@@ -412,6 +492,9 @@
                 node: p.node.clone(),
                 fingerprint: p.fingerprint,
             };
+            if state != MessageState::Pending {
+                ended.insert((j.retention.end(&w), p.position));
+            }
             j.insert(p.position, w);
         }
         j.ended = ended;
--- a/crates/partition/tests/fold.rs
+++ b/crates/partition/tests/fold.rs
@@ -147,7 +147,7 @@
     j.fold(4, &record(1269, accept("m2", "")));
     assert!(j.pieces.contains_key(&2));
     j.fold(5, &record(1271, accept("m3", "")));
-    assert!(!j.pieces.contains_key(&2) && j.find("m1").is_none());
+    assert!(!j.pieces.contains_key(&2) && j.find("", "m1").is_none());
     assert_eq!(j.digest(), j.digest_anew());
 }
 
@@ -188,3 +188,11 @@
     assert!(j.since_known(whole(10, next)).routes.is_empty());
     assert_eq!(j.digest(), j.digest_anew());
 }
+
+#[test]
+fn the_digest_of_messages_without_keys_and_tenants_is_that_of_earlier_versions() {
+    let mut state = PartitionState::new(1000);
+    play(&mut state, &trace(), 0);
+    assert_eq!(state.digest(), 0x6501_7ce4_6c11_76eb);
+    assert_eq!(prost::Message::encoded_len(&state.snapshot()), 261, "nor is a byte added");
+}
--- /dev/null
+++ b/crates/partition/tests/operations.rs
@@ -0,0 +1,147 @@
+//! Operation keys in the fold: which accept repeats another, for how long, and for whom.
+
+use partition::*;
+use rpc::messages::{Item, OperationId, Outcome};
+
+const WINDOW: u64 = 4000;
+const RETENTION: Retention = Retention { status: 1000, operations: WINDOW };
+
+fn record(at_ms: u64, entry: Entry) -> Record {
+    Record { at_ms, entry: Some(entry) }
+}
+
+fn operation(low: u64) -> Option<OperationId> {
+    Some(OperationId { high: 7, low })
+}
+
+fn item(id: &str, tenant: &str, operation: Option<OperationId>) -> Item {
+    Item {
+        id: id.into(),
+        route: "r-a".into(),
+        tenant: tenant.into(),
+        operation,
+        body: b"body".to_vec().into(),
+        ..Item::default()
+    }
+}
+
+fn accept(item: Item) -> Entry {
+    Entry::Accept(AcceptRecord { item, delay_ms: 0 })
+}
+
+fn answer(position: u64, outcome: Outcome) -> Entry {
+    let result_tag = if outcome == Outcome::Done { "tag" } else { "" };
+    Entry::Answer(AnswerRecord {
+        position,
+        outcome: outcome as i32,
+        result_tag: result_tag.into(),
+        attempt: position + 100,
+    })
+}
+
+fn with_route() -> PartitionState {
+    let routes = vec![RouteFacts { route: "r-a".into(), tries: 1, retain_ms: 60_000 }];
+    let mut state = PartitionState::new(RETENTION);
+    state.fold(1, &record(1, Entry::Routes(Routes { revision: 1, routes, ..Routes::default() })));
+    state
+}
+
+#[test]
+fn a_repeat_inside_the_window_is_the_first_message_whatever_its_id() {
+    let mut state = with_route();
+    state.fold(2, &record(10, accept(item("m1", "clinic", operation(1)))));
+    let again = state.fold(3, &record(20, accept(item("m2", "clinic", operation(1)))));
+    assert_eq!(again, vec![Change::Repeated { at: 3, old: 2 }]);
+    assert_eq!(state.find_repeat(&item("m3", "clinic", operation(1)), 30), Some(2));
+    assert_eq!(state.find_repeat(&item("m3", "clinic", operation(2)), 30), None);
+    assert_eq!(state.pieces.len(), 1);
+}
+
+#[test]
+fn a_message_that_has_ended_well_or_not_is_known_by_its_key_until_the_window_is_over() {
+    for outcome in [Outcome::Done, Outcome::Never] {
+        let mut state = with_route();
+        state.fold(2, &record(10, accept(item("m1", "clinic", operation(1)))));
+        state.fold(3, &record(20, answer(2, outcome)));
+        // What is said of its state alone is over long before that.
+        let last = 10 + WINDOW * 5 / 4;
+        state.fold(4, &record(last, accept(item("other", "clinic", operation(2)))));
+        assert_eq!(state.find_repeat(&item("m2", "clinic", operation(1)), last), Some(2));
+        state.fold(5, &record(last + 1, accept(item("m2", "clinic", operation(1)))));
+        assert_eq!(state.find_repeat(&item("m3", "clinic", operation(1)), last + 2), Some(5), "a new one by then");
+        assert_eq!(state.digest(), state.digest_anew());
+    }
+}
+
+#[test]
+fn a_message_that_outlives_its_key_does_not_answer_for_it() {
+    let mut state = with_route();
+    state.fold(2, &record(10, accept(item("m1", "clinic", operation(1)))));
+    let later = 11 + WINDOW * 5 / 4;
+    assert_eq!(state.fold(3, &record(later, accept(item("m2", "clinic", operation(1))))), vec![Change::Accepted(3)]);
+    state.fold(4, &record(later + 1, answer(2, Outcome::Done)));
+    state.fold(5, &record(later + 2000, accept(item("m3", "clinic", operation(3)))));
+    assert!(!state.pieces.contains_key(&2), "the first one is forgotten");
+    assert_eq!(state.find_repeat(&item("m4", "clinic", operation(1)), later + 2000), Some(3), "its successor is not");
+}
+
+#[test]
+fn keys_are_forgotten_with_their_messages_so_that_their_number_is_bounded() {
+    let mut state = with_route();
+    for n in 0..500u64 {
+        let at = 10 + n * 100;
+        state.fold(2 + 2 * n, &record(at, accept(item(&format!("m{n}"), "clinic", operation(n)))));
+        state.fold(3 + 2 * n, &record(at + 1, answer(2 + 2 * n, Outcome::Done)));
+        assert_eq!(state.remembered_operations(), state.pieces.len());
+        assert!(state.pieces.len() <= 52, "one window and a quarter of them");
+    }
+    let without = PartitionState::new(RETENTION).weight();
+    assert!(state.weight() > without + state.pieces.len() * 1024, "keys count in what a store may hold");
+}
+
+#[test]
+fn a_snapshot_carries_the_keys_and_says_the_same_of_every_repeat() {
+    let mut state = with_route();
+    state.fold(2, &record(10, accept(item("m1", "clinic", operation(1)))));
+    state.fold(3, &record(20, accept(item("m2", "shop", operation(2)))));
+    state.fold(4, &record(30, answer(2, Outcome::Done)));
+    let mut restored = PartitionState::restore(&state.snapshot(), RETENTION).expect("a good snapshot");
+    for low in [1, 2] {
+        let again = item("m9", "clinic", operation(low));
+        assert_eq!(restored.find_repeat(&again, 40), state.find_repeat(&again, 40));
+        assert!(restored.find_repeat(&again, 40).is_some());
+    }
+    // Both forget at the same record.
+    let late = 31 + WINDOW * 5 / 4;
+    for s in [&mut state, &mut restored] {
+        s.fold(5, &record(late, accept(item("m3", "clinic", operation(3)))));
+    }
+    assert_eq!(state.digest(), restored.digest());
+    assert_eq!(state.remembered_operations(), restored.remembered_operations());
+}
+
+#[test]
+fn a_key_that_differs_shows_in_the_digest() {
+    let of = |operation| {
+        let mut state = with_route();
+        state.fold(2, &record(10, accept(item("m1", "clinic", operation))));
+        state.digest()
+    };
+    assert_ne!(of(operation(1)), of(operation(2)));
+    assert_ne!(of(operation(1)), of(None));
+}
+
+#[test]
+fn tenants_do_not_meet_in_ids_and_order_keys() {
+    let mut state = with_route();
+    let ordered = |id: &str, tenant: &str| Item { order_key: "k".into(), ..item(id, tenant, None) };
+    state.fold(2, &record(10, accept(ordered("m1", "clinic"))));
+    assert_eq!(state.fold(3, &record(11, accept(ordered("m1", "shop")))), vec![Change::Accepted(3)]);
+    assert_eq!(state.fold(4, &record(12, accept(ordered("m1", "clinic")))), vec![Change::Repeated { at: 4, old: 2 }]);
+    assert_eq!((state.find("clinic", "m1"), state.find("shop", "m1"), state.find("", "m1")), (Some(2), Some(3), None));
+    assert!(state.is_head(2, &state.pieces[&2]) && state.is_head(3, &state.pieces[&3]));
+    state.fold(5, &record(13, accept(ordered("m2", "clinic"))));
+    assert!(!state.is_head(5, &state.pieces[&5]));
+    assert_eq!(state.fold(6, &record(14, answer(2, Outcome::Done))), vec![Change::Ended(2), Change::Freed(5)]);
+    assert_eq!(state.find("clinic", "m1"), Some(2), "a settled one is found by its tenant");
+}
--- a/crates/partition/tests/splice.rs
+++ b/crates/partition/tests/splice.rs
@@ -7,7 +7,8 @@
 use rpc::messages::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-const TIMING: Timing = Timing { epoch: 500, window: 300, again: 250, status: 100_000, keep_bytes: 1 << 20 };
+const TIMING: Timing =
+    Timing { epoch: 500, window: 300, again: 250, status: 100_000, operations: 60_000, keep_bytes: 1 << 20 };
 
 #[derive(Default, Clone)]
 struct Disk {
@@ -212,7 +213,7 @@
     }
 
     fn known(&self, n: &str, id: &str) -> bool {
-        self.nodes[n].state.find(id).is_some()
+        self.nodes[n].state.find("", id).is_some()
     }
 }
 
@@ -743,3 +744,105 @@
     w.settle();
     assert!(w.nodes["b"].takes_reports());
 }
+
+fn operation(low: u64) -> Option<OperationId> {
+    Some(OperationId { high: 1, low })
+}
+
+impl World {
+    /// One try at an operation: the position that its client would be told.
+    fn try_operation(&mut self, id: &str, low: u64) -> u64 {
+        let item =
+            Item { id: id.into(), route: "r".into(), tenant: "t".into(), operation: operation(low), ..Item::default() };
+        let owner = self.owner();
+        if let Some(known) = self.nodes[&owner].state.find_repeat(&item, self.now) {
+            return known;
+        }
+        let position = self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0 })).expect("an owner");
+        let again = Item { id: String::new(), tenant: "t".into(), operation: operation(low), ..Item::default() };
+        self.nodes[&owner].state.find_repeat(&again, self.now).unwrap_or(position)
+    }
+}
+
+#[test]
+fn a_key_is_known_after_a_planned_move_and_after_a_take_over() {
+    let mut w = with_traffic(&["a", "b"]);
+    let first = w.try_operation("o1", 1);
+    w.pass(1500);
+    let now = w.now;
+    w.step("a", |m, t, out| m.start_move("b", false, now, t, out));
+    w.settle();
+    w.pass(700);
+    assert_eq!(w.owner(), "b");
+    assert_eq!(w.try_operation("o1-again", 1), first);
+    w.cut.insert("b".into());
+    w.seize("a");
+    assert_eq!(w.owner(), "a");
+    assert_eq!(w.try_operation("o1-once-more", 1), first);
+    assert_eq!(w.mismatches, 0);
+}
+
+#[test]
+fn a_key_whose_answer_was_lost_with_its_owner_has_one_message() {
+    let mut w = with_traffic(&["a", "b"]);
+    // The follower holds it, the owner's disk has not answered: nobody was told anything.
+    w.hold_sync.insert("a".into());
+    w.hold_sync.insert("b".into());
+    let written = w.append(accept_of("o1", 1)).expect("written");
+    w.hold_sync.remove("b");
+    w.settle();
+    assert!(w.nodes["b"].state.find_repeat(&item_of("x", 1), w.now).is_none(), "not committed");
+    w.crash("a");
+    w.cut.insert("a".into());
+    // Its client comes again before the new owner has folded what it took over.
+    w.hold_sync.insert("b".into());
+    w.seize("b");
+    let again = w.append(accept_of("o1-again", 1));
+    w.hold_sync.remove("b");
+    w.settle();
+    let known = w.nodes["b"].state.find_repeat(&item_of("x", 1), w.now);
+    assert_eq!(known, Some(written), "the repeat at {again:?} is the first one");
+    assert_eq!(w.nodes["b"].state.pieces.values().filter(|m| m.item.tenant == "t").count(), 1);
+}
+
+#[test]
+fn keys_are_there_after_all_power_was_lost() {
+    let mut w = with_traffic(&["a", "b"]);
+    let first = w.try_operation("o1", 1);
+    w.step("a", |m, _, out| m.compact(0, out));
+    let second = w.try_operation("o2", 2);
+    w.pass(100);
+    for n in ["a", "b"] {
+        w.crash(n);
+    }
+    w.seize("b");
+    assert_eq!((w.try_operation("o1-again", 1), w.try_operation("o2-again", 2)), (first, second));
+    w.cut.insert("b".into());
+    w.crash("a");
+    w.seize("a");
+    assert_eq!((w.try_operation("o1-third", 1), w.try_operation("o2-third", 2)), (first, second));
+}
+
+#[test]
+fn a_replica_that_joins_by_snapshot_knows_the_keys() {
+    let mut w = World::new(&["a"]);
+    w.chart.replicas = vec!["a".into(), "c".into()];
+    let first = w.try_operation("o1", 1);
+    for n in 0..600 {
+        w.message(&format!("m{n}"));
+    }
+    w.tell();
+    w.pass(3000);
+    assert!(w.chart.in_sync.contains(&"c".to_string()));
+    w.cut.insert("a".into());
+    w.seize("c");
+    assert_eq!(w.try_operation("o1-again", 1), first);
+}
+
+fn item_of(id: &str, low: u64) -> Item {
+    Item { id: id.into(), route: "r".into(), tenant: "t".into(), operation: operation(low), ..Item::default() }
+}
+
+fn accept_of(id: &str, low: u64) -> Entry {
+    Entry::Accept(AcceptRecord { item: item_of(id, low), delay_ms: 0 })
+}
--- a/crates/rpc/src/messages/control.rs
+++ b/crates/rpc/src/messages/control.rs
@@ -72,6 +72,15 @@
     pub incarnation: u64,
 }
 
+impl Assignments {
+    /// The partition of whatever has this hash; `None` before there are partitions. Their
+    /// number stays, so this does.
+    pub fn partition_for(&self, hash: u64) -> Option<u32> {
+        let at = hash.checked_rem(self.partitions.len() as u64)?;
+        Some(self.partitions[at as usize].id)
+    }
+}
+
 impl Partition {
     /// The incarnation in which a node took part last; 0 if that is not known.
     pub fn joined_incarnation(&self, node: &str) -> u64 {
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -36,6 +36,24 @@
     pub content_type: String,
     #[prost(bytes = "bytes", tag = "9")]
     pub body: Bytes,
+    /// The tenant that sent it; empty where the configuration has none or the route is
+    /// `unkeyed`.
+    #[prost(string, tag = "10")]
+    pub tenant: String,
+    /// The operation that it is a try at, where operations have keys.
+    #[prost(message, optional, tag = "11")]
+    pub operation: Option<OperationId>,
+}
+
+/// Stands for an operation key of a tenant: the first half of a SHA-256 over both.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct OperationId {
+    /// The first eight bytes.
+    #[prost(fixed64, tag = "1")]
+    pub high: u64,
+    /// The next eight bytes.
+    #[prost(fixed64, tag = "2")]
+    pub low: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -77,6 +95,9 @@
     /// Instead of the position: the request's id.
     #[prost(string, tag = "4")]
     pub id: String,
+    /// Whoever asks by id: the tenant whose messages are meant.
+    #[prost(string, tag = "5")]
+    pub tenant: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -94,6 +115,9 @@
     pub body: Bytes,
     #[prost(string, tag = "6")]
     pub host: String,
+    /// The tenant that the message belongs to.
+    #[prost(string, tag = "7")]
+    pub tenant: String,
 }
 
 /// One delivery, given to a delivery node.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,5 +3,7 @@
 
 mod scheduler;
 mod service;
+mod uncommitted;
 pub use scheduler::*;
 pub use service::run;
+pub use uncommitted::{AcceptNames, UncommittedAccepts};
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -88,6 +88,8 @@
     pub in_flight: HashMap<Key, InFlight>,
     processors: HashMap<String, ProcessorState>,
     buckets: HashMap<String, Bucket>,
+    /// The part of a metered service that this owner may use, where it is not the whole.
+    shares: HashMap<String, f64>,
     coins: HashMap<String, f64>,
     pauses: HashMap<Key, u32>,
     turns: HashMap<String, u32>,
@@ -150,6 +152,7 @@
             in_flight: HashMap::new(),
             processors: HashMap::new(),
             buckets: HashMap::new(),
+            shares: HashMap::new(),
             coins: HashMap::new(),
             pauses: HashMap::new(),
             turns: HashMap::new(),
@@ -285,16 +288,30 @@
         (self.timing.pause_ms << (*n - 1).min(6)).min(self.timing.longest_ms)
     }
 
+    /// Says which part of a metered service this owner may use.
+    pub fn set_share(&mut self, service: &str, share: f64) {
+        if share < 1.0 {
+            self.shares.insert(service.to_owned(), share);
+        } else {
+            self.shares.remove(service);
+        }
+    }
+
+    fn share(&self, service: &str) -> f64 {
+        self.shares.get(service).copied().unwrap_or(1.0)
+    }
+
     /// One token of a service's ceiling, if there is one now; else when.
     pub fn token(&mut self, service: &Service, now: u64) -> Result<(), u64> {
         if service.flow_per_s <= 0.0 {
             return Ok(());
         }
+        let flow_per_s = service.flow_per_s * self.share(&service.name);
         // Begins empty: another owner may just have spent what there was.
         let b = self.buckets.entry(service.name.clone()).or_insert(Bucket { tokens: 0.0, at: now });
-        let rate = service.flow_per_s / 1000.0;
+        let rate = flow_per_s / 1000.0;
         // A tenth of a second's worth may be saved up.
-        b.tokens = (b.tokens + (now - b.at) as f64 * rate).min((service.flow_per_s / 10.0).max(1.0));
+        b.tokens = (b.tokens + (now - b.at) as f64 * rate).min((flow_per_s / 10.0).max(1.0));
         b.at = now;
         if b.tokens >= 1.0 {
             b.tokens -= 1.0;
@@ -331,7 +348,8 @@
             let (load, s) = self.load(&service.name, now);
             // Half: after a take-over the connections of another delivery node may
             // still stand there.
-            let room = if s.failures > 0 { 1 } else { (service.conn_limit / 2).max(1) };
+            let half = f64::from(service.conn_limit / 2) * self.share(&service.name);
+            let room = if s.failures > 0 { 1 } else { (half as u32).max(1) };
             if now < s.shut_until || s.in_flight >= room || load >= service.conn_limit {
                 return None;
             }
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -9,6 +9,7 @@
 mod requests;
 
 use crate::scheduler::*;
+use crate::uncommitted::{AcceptNames, UncommittedAccepts};
 use agent::Session;
 use bytes::Bytes;
 use config::{Role, Settings};
@@ -32,8 +33,8 @@
     scheduler: DeliveryScheduler,
     /// Who waits for a position to be committed.
     waiters: HashMap<Key, Vec<Waiter>>,
-    /// Positions of accepts that are not committed yet, by request id.
-    fresh_ids: HashMap<String, Key>,
+    /// Accepts that are not committed yet.
+    fresh: UncommittedAccepts,
     /// Reports that are written and not committed yet: the attempt, and where.
     answering: HashMap<Key, (u64, u64)>,
     /// Partitions taken over whose delivery nodes have not all answered, and where
@@ -95,6 +96,7 @@
         window: (c.constraints.grace_s * 1000.0 / 20.0) as u64,
         again: (c.constraints.quiet_ms / 16.0) as u64,
         status: (c.constraints.status_s * 1000.0) as u64,
+        operations: (c.constraints.key_window_s * 1000.0) as u64,
         keep_bytes: (c.limits.memory_mb << 20) as usize / 128,
     }
 }
@@ -190,7 +192,7 @@
             replicas,
             scheduler: DeliveryScheduler::new(&settings.node, &settings.zone, &settings.region, scheduler_pace),
             waiters: HashMap::new(),
-            fresh_ids: HashMap::new(),
+            fresh: UncommittedAccepts::default(),
             answering: HashMap::new(),
             asking: HashMap::new(),
             lease_until: 0,
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -27,6 +27,24 @@
         }
     }
 
+    /// The part of a metered service's rate that this owner may use. Where tries at one
+    /// operation have to meet, several routes to such a service may have several owners; each
+    /// has the part of the routes that it keeps, and one that keeps none but has messages still,
+    /// as of a route that was given another service, that of one route.
+    fn metered_share(&self, i: &StoreState, known: &agent::ClusterView, service: &config::Service) -> f64 {
+        if self.settings.constraints.key_window_s <= 0.0 || !known.configuration.is_metered(&service.name) {
+            return 1.0;
+        }
+        let routes = known.configuration.message_routes(&service.name);
+        if routes.len() <= 1 || routes.clone().any(|route| route.sequenced) {
+            return 1.0;
+        }
+        let total = routes.len();
+        let is_own = |partition| i.replicas.get(&partition).is_some_and(PartitionReplica::open);
+        let own = routes.filter(|route| known.assignments.partition_for(route.place_hash()).is_some_and(is_own));
+        own.count().max(1) as f64 / total as f64
+    }
+
     /// Gives out what can be given out.
     pub(super) fn pump(self: &Arc<Self>) -> u64 {
         let now = self.now();
@@ -52,6 +70,8 @@
         let mut touched = HashSet::new();
         for name in i.scheduler.services_ready() {
             let Some(service) = known.configuration.service(&name) else { continue };
+            let share = self.metered_share(i, &known, service);
+            i.scheduler.set_share(&name, share);
             let target_start = known.configuration.target_start_ms(&name) as u64;
             while let Some(k) = i.scheduler.first_ready(&name, wall, target_start) {
                 let asked = i.asking.get(&k.0).is_some_and(|end| k.1 <= *end);
@@ -99,6 +119,7 @@
         let timeout = route.timeout_ms as u64;
         let mut item = w.item.clone();
         item.notify_url.clear();
+        item.operation = None;
         let dispatch =
             DispatchRecord { position: k.1, processor: choice.processor.clone(), node: choice.front.clone() };
         let record = Record { at_ms: wall, entry: Some(Entry::Dispatch(dispatch)) };
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -62,7 +62,7 @@
                     i.scheduler.drop_partition(partition);
                     i.asking.remove(&partition);
                     i.answering.retain(|k, _| k.0 != partition);
-                    i.fresh_ids.retain(|_, k| k.0 != partition);
+                    i.fresh.forget_partition(partition);
                     i.notified.remove(&partition);
                     let gone: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition).copied().collect();
                     for k in gone {
@@ -110,13 +110,15 @@
             match c {
                 Change::Accepted(pos) => {
                     telemetry::count("accepted");
-                    if let Some(w) = i.replicas[&partition].state.pieces.get(&pos) {
-                        i.fresh_ids.remove(&w.item.id);
-                    }
+                    i.fresh.forget((partition, pos));
                     self.answer_waiters(i, (partition, pos), pos);
                     self.schedule(i, (partition, pos), wall);
                 }
-                Change::Repeated { at, old } => self.answer_waiters(i, (partition, at), old),
+                Change::Repeated { at, old } => {
+                    telemetry::count("accepts_repeated");
+                    i.fresh.forget((partition, at));
+                    self.answer_waiters(i, (partition, at), old);
+                }
                 Change::Failed(pos) => {
                     i.answering.remove(&(partition, pos));
                     let pause = i.scheduler.pause((partition, pos));
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -38,14 +38,14 @@
             responder.send(accepted(AcceptOutcome::Elsewhere, 0, &owner));
             return;
         }
-        if let Some(k) = i.fresh_ids.get(&a.item.id).copied()
-            && k.0 == p
-        {
+        if let Some(k) = i.fresh.find(p, &a.item) {
             i.waiters.entry(k).or_default().push(Waiter::Accept(responder));
             return;
         }
         let m = &i.replicas[&p];
-        if let Some(pos) = m.state.find(&a.item.id) {
+        let at_ms = self.wall();
+        if let Some(pos) = m.state.find_repeat(&a.item, at_ms) {
+            telemetry::count("accepts_repeated");
             responder.send(accepted(AcceptOutcome::Taken, pos, ""));
             return;
         }
@@ -65,11 +65,8 @@
             responder.send(accepted(AcceptOutcome::Full, 0, ""));
             return;
         }
-        let id = a.item.id.clone();
-        let record = Record {
-            at_ms: self.wall(),
-            entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })),
-        };
+        let names = AcceptNames::of(&a.item);
+        let record = Record { at_ms, entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })) };
         let mut position = None;
         let now = self.now();
         let mut out = Vec::new();
@@ -79,7 +76,7 @@
         }
         match position {
             Some(pos) => {
-                i.fresh_ids.insert(id, (p, pos));
+                i.fresh.insert((p, pos), names);
                 i.waiters.entry((p, pos)).or_default().push(Waiter::Accept(responder));
             }
             None => responder.send(accepted(AcceptOutcome::Elsewhere, 0, "")),
@@ -179,7 +176,8 @@
         let Some(m) = i.replicas.get(&l.partition).filter(|m| m.role == ReplicaRole::Owner && self.leased(i)) else {
             return Found::default();
         };
-        let pos = if l.id.is_empty() { Some(l.position) } else { m.state.find(&l.id) };
+        let by_id = || m.state.find(&l.tenant, &l.id).or_else(|| m.state.find("", &l.id));
+        let pos = if l.id.is_empty() { Some(l.position) } else { by_id() };
         match pos.and_then(|p| m.state.pieces.get(&p)) {
             None if !m.caught_up() => Found::default(),
             Some(w) => Found {
@@ -189,6 +187,7 @@
                 result_tag: w.result_tag.clone(),
                 body: if l.body { w.item.body.clone() } else { Bytes::new() },
                 host: w.item.host.clone(),
+                tenant: w.item.tenant.clone(),
             },
             None => Found { owner: true, ..Found::default() },
         }
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -137,6 +137,18 @@
     assert!(sent.len() >= 500);
 }
 
+#[test]
+fn an_owner_with_a_part_of_a_metered_service_uses_no_more_than_that() {
+    let p = Service { flow_per_s: 40.0, endpoint: Some("10.0.0.1:80".into()), ..service() };
+    let sent_in_ten_seconds = |share: f64| {
+        let mut t = scheduler(vec![], vec![]);
+        t.set_share(&p.name, share);
+        (1000..11_000).filter(|now| t.token(&p, *now).is_ok()).count()
+    };
+    assert!((195..=200).contains(&sent_in_ten_seconds(0.5)));
+    assert!((395..=400).contains(&sent_in_ten_seconds(1.0)), "the whole is the whole");
+}
+
 #[test]
 fn all_deliveries_to_a_processor_go_through_one_node_of_its_zone() {
     let mut t = scheduler(vec![processor("u1", "x", "v1"), processor("u2", "y", "v1")], vec![]);
