--- a/crates/rpc/src/messages/membership.rs
+++ b/crates/rpc/src/messages/membership.rs
@@ -99,6 +99,10 @@
     /// told them.
     #[prost(string, repeated, tag = "14")]
     pub unidentified: Vec<String>,
+    /// How long before this was asked for the revision in `have` was shown to be the newest,
+    /// in milliseconds; told where machines have to show that.
+    #[prost(uint64, optional, tag = "10")]
+    pub configuration_age_ms: Option<u64>,
 }
 
 /// What changed from one configuration to the next.
