A leader that no majority answers probes; first elections with one winner

Cause: a leader that is heard and hears nobody went on with rounds that reset its followers' election time-outs until three election times were over. At the first start every node asked for votes at its first tick, and again while a vote of the term was under way, as giving a vote moved one time-out and not the other.

Change: past its lease a leader's rounds are probes (new optional field 18). They are answered and bring entries, but reset no time-out, and their answers extend no lease. Once a majority answers one, ordinary rounds go on. Nodes that have heard of no leader draw the moment of their first question within half an election time, wait for the outcome of a vote that they gave or asked for, and of two at one moment the greater by log and name goes on. Election times come from `rand` with a seed instead of own mixing.

Ruled out: stepping down when the lease ends, as a leader that was frozen for less than its followers' time-outs would lose an election that nobody else needs. Releasing followers from their promise by a probe, as the lease rests on it.

--- a/crates/control/tests/raft.rs
+++ b/crates/control/tests/raft.rs
@@ -1117,3 +1117,91 @@
     w.step(lost, Event::Message(kept.expect("one")));
     assert!(!w.nodes[lost].hard.may_vote, "it holds nothing of what it was readmitted for");
 }
+
+impl World {
+    /// Lets time pass while every message to `deaf` is lost. Whether it sent a round that
+    /// keeps others from electing.
+    fn pass_with_deaf(&mut self, deaf: &str, ms: u64) -> bool {
+        let append = rpc::messages::RaftMessageKind::Append as i32;
+        let mut keeps_followers = false;
+        for _ in 0..ms / 10 {
+            self.now += 10;
+            for n in ALL {
+                self.step(n, Event::Tick);
+            }
+            keeps_followers |= self.net.iter().any(|(_, m)| m.from == deaf && m.kind == append && !m.probe);
+            for n in ALL.into_iter().filter(|n| *n != deaf) {
+                self.deliver(n);
+            }
+            self.net.retain(|(to, _)| to != deaf);
+        }
+        keeps_followers
+    }
+}
+
+#[test]
+fn a_leader_that_is_heard_but_hears_no_majority_lets_the_others_elect() {
+    let mut w = World::new();
+    w.pass(2000);
+    let old = w.leader().expect("a leader");
+    let cut_at = w.now;
+    let mut last_heartbeat = cut_at;
+    loop {
+        if w.pass_with_deaf(&old, 10) {
+            last_heartbeat = w.now;
+        }
+        if w.leader().is_some_and(|l| l != old) {
+            break;
+        }
+        assert!(w.now < cut_at + 8 * TIMING.election, "nobody succeeds it");
+    }
+    assert!(last_heartbeat <= cut_at + TIMING.election, "it kept followers waiting for {} ms", last_heartbeat - cut_at);
+    println!("last heartbeat after {} ms, succeeded after {} ms", last_heartbeat - cut_at, w.now - cut_at);
+    // The followers' own time-outs, from the last heartbeat on.
+    assert!(w.now <= cut_at + 3 * TIMING.election + TIMING.beat, "succeeded after {} ms", w.now - cut_at);
+}
+
+#[test]
+fn a_leader_that_was_frozen_past_its_lease_leads_on_if_nobody_was_elected() {
+    let mut w = World::new();
+    w.pass(2000);
+    let leader = w.leader().expect("a leader");
+    let term = w.nodes[&leader].hard.term;
+    w.down.insert(leader.clone());
+    w.pass(TIMING.election - TIMING.beat / 2);
+    w.down.remove(&leader);
+    assert!(!w.nodes[&leader].holds_leadership(w.now), "its lease has run out");
+    w.pass(3 * TIMING.beat);
+    assert_eq!(w.leader().as_deref(), Some(leader.as_str()));
+    w.pass(4 * TIMING.election);
+    assert!(ALL.iter().all(|n| w.nodes[*n].hard.term == term), "an election by mistake");
+}
+
+#[test]
+fn an_answer_to_a_probe_extends_no_lease() {
+    let mut w = World::new();
+    w.pass(2000);
+    let leader = w.leader().expect("a leader");
+    w.pass_with_deaf(&leader, TIMING.election);
+    assert!(!w.nodes[&leader].holds_leadership(w.now));
+    // Its probes are answered now; of its other rounds none arrives.
+    let lease = w.nodes[&leader].serves_until(w.now);
+    let mut answered = 0;
+    for _ in 0..2 * TIMING.beat / 10 {
+        w.now += 10;
+        for n in ALL {
+            w.step(n, Event::Tick);
+        }
+        w.net.retain(|(_, m)| m.from != leader || m.probe);
+        for n in ALL.into_iter().filter(|n| *n != leader) {
+            w.deliver(n);
+        }
+        answered += w.net.iter().filter(|(to, m)| *to == leader && m.ok).count();
+        w.deliver(&leader);
+        assert_eq!(w.nodes[&leader].serves_until(w.now), lease, "followers promised nothing");
+    }
+    assert!(answered > 0, "no probe was answered");
+    // With its rounds arriving again it leads on.
+    w.pass(2 * TIMING.beat);
+    assert_eq!(w.leader(), Some(leader));
+}
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -10,6 +10,8 @@
 mod snapshot;
 
 use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use rpc::messages::{RaftEntry, RaftMessage, RaftMessageKind};
 use std::collections::{HashMap, HashSet};
 
@@ -124,6 +126,13 @@
     state: Vec<u8>,
 }
 
+/// A round of appends as its leader remembers it, to date the answers to it.
+#[derive(Clone, Copy)]
+struct SentRound {
+    at: u64,
+    probe: bool,
+}
+
 /// SHA-256 of a snapshot.
 fn digest_of(state: &[u8]) -> Bytes {
     use sha2::Digest;
@@ -165,6 +174,7 @@
     votes: HashSet<String>,
     /// Has heard of no leader since this process began.
     blank: bool,
+    /// When it asks for votes next, while that holds.
     blank_at: u64,
     /// Voters that said the same in answer to a pre_vote, and whether they would
     /// elect this one.
@@ -173,8 +183,12 @@
     matched: HashMap<String, u64>,
     /// When the round was sent that a voter has answered last.
     answered: HashMap<String, u64>,
-    sent: HashMap<u64, u64>,
+    /// As `answered`, probes included: says who is reached, and extends no lease.
+    reached: HashMap<String, u64>,
+    sent: HashMap<u64, SentRound>,
     round: u64,
+    /// Whether the current round is a probe, which keeps no follower from electing.
+    probing: bool,
     /// When this process began.
     born: u64,
     /// Names this incarnation where it asks to be readmitted.
@@ -186,7 +200,8 @@
     /// The round in which each was last told that it is readmitted.
     granted: HashMap<String, u64>,
     timing: Timing,
-    dice: u64,
+    /// Draws the election times.
+    rng: SmallRng,
 }
 
 impl RaftNode {
@@ -231,18 +246,21 @@
             next: HashMap::new(),
             matched: HashMap::new(),
             answered: HashMap::new(),
+            reached: HashMap::new(),
             sent: HashMap::new(),
             round: 0,
+            probing: false,
             born: now,
             asks_as: (seed ^ now).max(1),
             ballot: seed ^ now,
             waiting: HashMap::new(),
             granted: HashMap::new(),
             timing,
-            dice: seed | 1,
+            rng: SmallRng::seed_from_u64(seed),
         };
         v.count_voters();
         v.wait_again(now);
+        v.wait_blank(now);
         v
     }
 
@@ -298,7 +316,7 @@
         } else if self.blank && now >= self.blank_at && self.is_voter() && self.hard.may_vote && !self.leaving {
             // All may have ended at once: then nobody counts on a leader, and there is
             // nothing to wait for.
-            self.blank_at = now + self.timing.election / 8 + self.dice % (self.timing.election / 8).max(1);
+            self.wait_blank(now + self.timing.election / 4);
             self.campaign(now, true, false, out);
         }
     }
--- a/crates/raft/src/node/election.rs
+++ b/crates/raft/src/node/election.rs
@@ -1,13 +1,39 @@
 //! Elections: pre-votes, votes, election times, and how a leader steps down.
 
 use super::*;
+use rand::RngExt;
 
 impl RaftNode {
     pub(super) fn wait_again(&mut self, now: u64) {
-        self.dice ^= self.dice << 13;
-        self.dice ^= self.dice >> 7;
-        self.dice ^= self.dice << 17;
-        self.election_at = now + self.timing.election + self.dice % self.timing.election;
+        self.election_at = now + self.timing.election + self.rng.random_range(0..self.timing.election.max(1));
+    }
+
+    /// Draws when a node that has heard of no leader since its start asks for votes
+    /// next: not before `from`.
+    pub(super) fn wait_blank(&mut self, from: u64) {
+        self.blank_at = from + self.rng.random_range(0..(self.timing.election / 2).max(1));
+    }
+
+    /// Of nodes that begin together and ask for pre-votes at one moment, the greatest by
+    /// log and name goes on. Links keep their order, and one that begins together with
+    /// the others wants an answer of each of them: so a rival's question is seen before
+    /// the rival's answer, and two of them don't campaign at once. Pre-votes bind
+    /// nobody, so this is a matter of speed and not of safety.
+    fn defer_to_rival(&mut self, now: u64, m: &RaftMessage, newer: bool) {
+        // Past the first election time a majority is enough, and the draws decide.
+        let all_are_asked = self.blank && now < self.heard + self.timing.election;
+        let undecided = matches!(self.role, StateRole::Follower | StateRole::PreCandidate);
+        if !all_are_asked || !newer || !undecided {
+            return;
+        }
+        let (index, term) = self.last();
+        let own = (term, index, self.me.as_str());
+        let rival = (m.log_term, m.index, m.from.as_str());
+        if self.role == StateRole::PreCandidate && own > rival {
+            return;
+        }
+        self.role = StateRole::Follower;
+        self.wait_blank(now + self.timing.election / 2);
     }
 
     pub(super) fn campaign(&mut self, now: u64, pre_vote: bool, named: bool, out: &mut Vec<Effect>) {
@@ -25,6 +51,7 @@
             // Votes count until then and no longer: a voter that loses its disk may
             // forget its vote, and does not vote again before that.
             self.wait_again(now);
+            self.wait_blank(now + self.timing.election / 2);
             self.hard.term += 1;
             self.hard.voted_for = self.me.clone();
             self.leader.clear();
@@ -63,6 +90,7 @@
                 self.waiting.clear();
                 self.granted.clear();
                 self.answered = self.voters.iter().map(|v| (v.clone(), now)).collect();
+                self.reached = self.answered.clone();
                 out.push(Effect::BecameLeader);
                 // An entry of its own term, so that older ones can count as held.
                 // It names the voters anew, for those who hold no earlier entry.
@@ -113,6 +141,7 @@
         // One with a newer log may be a voter by an entry that is not here yet. It is
         // given a vote like any other, but nobody named it a successor.
         if m.pre_vote {
+            self.defer_to_rival(now, &m, newer);
             r.term = m.term;
             r.ok = !followed && newer && m.term > self.hard.term && self.hard.may_vote;
             r.blank = self.blank && self.role != StateRole::Leader;
@@ -135,6 +164,7 @@
         if r.ok {
             self.hard.voted_for = m.from.clone();
             self.wait_again(now);
+            self.wait_blank(now + self.timing.election / 2);
         }
         out.push(Effect::Save(Save { hard: Some(self.hard.clone()), ..Save::default() }));
         out.push(Effect::Send(m.from, r));
--- a/crates/raft/src/node/lease.rs
+++ b/crates/raft/src/node/lease.rs
@@ -33,11 +33,22 @@
 
     /// The latest moment at which a majority is known to have followed.
     pub(super) fn contact(&self, now: u64) -> u64 {
+        self.majority_since(&self.answered, now)
+    }
+
+    /// Whether a majority has answered rounds, probes included, that were sent within
+    /// the time that a lease lasts. While it has not, rounds are probes.
+    pub(super) fn reaches_majority(&self, now: u64) -> bool {
+        self.majority_since(&self.reached, now) + self.authority() > now
+    }
+
+    /// The latest of `times` that a majority of voters has reached.
+    fn majority_since(&self, times: &HashMap<String, u64>, now: u64) -> u64 {
         let mut times: Vec<u64> = self
             .voters
             .iter()
             .filter(|v| self.counts(v))
-            .map(|v| if *v == self.me { now } else { self.answered.get(v).copied().unwrap_or(0) })
+            .map(|v| if *v == self.me { now } else { times.get(v).copied().unwrap_or(0) })
             .collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
         times.get(self.majority() - 1).copied().unwrap_or(0)
--- a/crates/raft/src/node/membership.rs
+++ b/crates/raft/src/node/membership.rs
@@ -109,6 +109,7 @@
             // To the incarnation that asked, and to no later one of the same disk.
             r.offset = m.offset;
             r.round = self.round;
+            r.probe = self.probing;
             r.index = m.index;
             r.log_term = self.term_at(m.index).unwrap_or(0);
             r.commit = self.commit;
--- a/crates/raft/src/node/replication.rs
+++ b/crates/raft/src/node/replication.rs
@@ -6,7 +6,9 @@
     pub(super) fn broadcast(&mut self, now: u64, out: &mut Vec<Effect>) {
         self.beat_at = now + self.timing.beat;
         self.round += 1;
-        self.sent.insert(self.round, now);
+        // Followers are kept from electing only as long as a majority answers.
+        self.probing = !self.reaches_majority(now);
+        self.sent.insert(self.round, SentRound { at: now, probe: self.probing });
         self.sent.remove(&self.round.saturating_sub(256));
         for v in self.voters.iter().chain(&self.learners).cloned().collect::<Vec<_>>() {
             if v != self.me {
@@ -19,6 +21,7 @@
         let next = self.next.get(to).copied().unwrap_or(1);
         let mut m = self.message(RaftMessageKind::Append);
         m.round = self.round;
+        m.probe = self.probing;
         m.commit = self.commit;
         if next <= self.hard.base || self.outgoing.contains_key(to) {
             self.send_piece(to, m, out);
@@ -42,10 +45,17 @@
     }
 
     /// When the round was sent that this answers.
-    pub(super) fn hear_answer(&mut self, m: &RaftMessage) {
-        if let Some(at) = self.sent.get(&m.round) {
-            let a = self.answered.entry(m.from.clone()).or_insert(0);
-            *a = (*a).max(*at);
+    pub(super) fn hear_answer(&mut self, now: u64, m: &RaftMessage) {
+        let Some(sent) = self.sent.get(&m.round).copied() else { return };
+        let reached = self.reached.entry(m.from.clone()).or_insert(0);
+        *reached = (*reached).max(sent.at);
+        if !sent.probe {
+            let answered = self.answered.entry(m.from.clone()).or_insert(0);
+            *answered = (*answered).max(sent.at);
+        }
+        if self.probing && self.reaches_majority(now) {
+            // The next tick sends a round that extends the lease.
+            self.beat_at = 0;
         }
     }
 
@@ -57,13 +67,16 @@
             out.push(Effect::Send(m.from, r));
             return;
         }
-        if self.role != StateRole::Follower {
+        // A probe keeps nobody from electing.
+        if self.role != StateRole::Follower && !(m.probe && self.role == StateRole::PreCandidate) {
             self.become_follower(now, out);
         }
         self.leader = m.from.clone();
         self.blank = false;
-        self.heard = now;
-        self.wait_again(now);
+        if !m.probe {
+            self.heard = now;
+            self.wait_again(now);
+        }
         let mut save = Save::default();
         if self.incoming.as_ref().is_some_and(|i| i.index <= self.commit) {
             self.incoming = None;
@@ -158,7 +171,7 @@
         if m.readmit {
             self.waiting.entry(m.from.clone()).or_insert(now);
         }
-        self.hear_answer(&m);
+        self.hear_answer(now, &m);
         if self.outgoing.get(&m.from).is_some_and(|o| m.index >= o.index) {
             // It holds the snapshot, or more than that.
             self.outgoing.remove(&m.from);
--- a/crates/raft/src/node/snapshot.rs
+++ b/crates/raft/src/node/snapshot.rs
@@ -47,7 +47,7 @@
         if m.readmit {
             self.waiting.entry(m.from.clone()).or_insert(now);
         }
-        self.hear_answer(&m);
+        self.hear_answer(now, &m);
         let Some(o) = self.outgoing.get_mut(&m.from).filter(|o| o.index == m.index) else { return };
         if m.offset > o.state.len() as u64 {
             telemetry::count("raft_refused");
@@ -60,6 +60,7 @@
             o.sent = 0;
             let mut next = self.message(RaftMessageKind::InstallSnapshot);
             next.round = self.round;
+            next.probe = self.probing;
             next.commit = self.commit;
             self.send_piece(&m.from, next, out);
         }
--- a/crates/rpc/src/messages/raft.rs
+++ b/crates/rpc/src/messages/raft.rs
@@ -63,6 +63,10 @@
     /// SHA-256 of the whole snapshot.
     #[prost(bytes = "bytes", tag = "17")]
     pub digest: Bytes,
+    /// With `Append` and `InstallSnapshot`: of a leader that no majority answers. It is
+    /// answered and may bring entries, but keeps nobody from electing another leader.
+    #[prost(bool, tag = "18")]
+    pub probe: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
