Store nodes keep the membership; a new owner waits for one before it asks

Cause: after a loss of all power a store node knew no membership until the new leader told one, a sixteenth of quietMs and more after its election. Entries to replicas were dropped, no processor was known, and a new owner asked no delivery node at all and took that for "nothing is held". Change: the membership is stored and begun with, at version 0, so that any that a leader tells replaces it. A new owner asks only once it was told one, asks the nodes of the former one as well, and a node that the log names and that was not asked counts as silent. Disk: one new record, which earlier programs skip. Weighed, not run: asking the stored membership alone (another node may have come since it was stored); telling the membership sooner after an election (a leader that remembers none would tell a partial one).

--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -169,6 +169,12 @@
         self.known.send_if_modified(|k| k.take(news))
     }
 
+    /// Begins with the membership of a former incarnation: addresses to use until a leader
+    /// tells the current one, which replaces it whatever its version.
+    pub fn begin_with(&self, former: Membership) {
+        self.known.send_modify(|k| k.membership = Arc::new(Membership { version: 0, ..former }));
+    }
+
     pub fn me(&self) -> Node {
         self.node.lock().unwrap().clone()
     }
--- a/crates/agent/tests/steps.rs
+++ b/crates/agent/tests/steps.rs
@@ -3,7 +3,7 @@
 use agent::ClusterView;
 use config::{adjust, canonical};
 use rpc::fingerprint;
-use rpc::messages::{ConfigurationStep, ViewUpdate, ViewVersions};
+use rpc::messages::{ConfigurationStep, Membership, Node, ViewUpdate, ViewVersions};
 
 fn change(revision: u64, timeout: u64) -> Vec<u8> {
     let route = format!(r#"{{"name":"r1","host":"h","prefix":"/a/","plant":"p","cutoffMs":{timeout}}}"#);
@@ -45,3 +45,18 @@
         assert_eq!(k.have().configuration, 5);
     }
 }
+
+#[tokio::test]
+async fn a_former_membership_serves_until_any_leader_tells_the_current_one() {
+    let node = |name: &str| Node { name: name.into(), role: "store".into(), ..Node::default() };
+    let settings = config::Settings { port_range: vec![1, 4], ..config::Settings::default() };
+    let session = agent::Session::new(settings, node("s1"), rpc::RpcClients::new(std::time::Duration::from_secs(1)));
+    let former = Membership { version: 900, nodes: vec![node("s1"), node("s2")], ..Membership::default() };
+    session.begin_with(former);
+    assert!(session.with_known(|k| k.node("s2", "store").is_some()), "reached before a leader tells of it");
+    assert_eq!(session.with_known(|k| k.have().membership), 0, "and asked for as if nothing were known");
+    // Also one of a lower version, as from control nodes that begin anew.
+    let told = Membership { version: 3, nodes: vec![node("s1")], ..Membership::default() };
+    assert!(session.take(&ViewUpdate { membership: Some(told), ..ViewUpdate::default() }));
+    assert!(session.with_known(|k| k.node("s2", "store").is_none()));
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,5 +3,7 @@
 
 mod scheduler;
 mod service;
+mod takeover;
 pub use scheduler::*;
 pub use service::run;
+pub use takeover::{delivery_nodes_to_ask, silent_nodes, stored_form};
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -5,6 +5,7 @@
 mod duties;
 mod effects;
 mod lease;
+mod membership;
 mod recovery;
 mod requests;
 
@@ -52,6 +53,8 @@
     session: Arc<Session>,
     rpc_clients: Arc<RpcClients>,
     wal: Wal,
+    /// The nodes of the membership that was stored when this process began.
+    former_nodes: Vec<Node>,
     shared: Mutex<StoreState>,
     wake: Notifier,
     synced: mpsc::UnboundedSender<(u32, u64, u64)>,
@@ -122,6 +125,7 @@
     let mut snaps: HashMap<u32, Bytes> = HashMap::new();
     let mut logs: HashMap<u32, Vec<(u64, LogEntry)>> = HashMap::new();
     let (mut broken, mut birth) = (None, None);
+    let mut former = Membership::default();
     let wal = Wal::open(&settings.data_dir, settings.limits.disk_mb, settings.limits.memory_mb, |k, v| {
         if k.len() != 13 {
             return;
@@ -139,6 +143,10 @@
                 Ok(b) => birth = Some(b),
                 Err(e) => broken = Some(format!("the disk's own record: {e}")),
             },
+            b'r' => match Membership::decode(v) {
+                Ok(m) => former = m,
+                Err(e) => broken = Some(format!("the membership: {e}")),
+            },
             b's' => {
                 snaps.insert(p, Bytes::copy_from_slice(v));
             }
@@ -179,6 +187,8 @@
     };
     let rpc_clients = RpcClients::new(silence);
     let session = Session::new(settings.clone(), node, rpc_clients.clone());
+    let former_nodes = former.nodes.clone();
+    session.begin_with(former);
     let (synced, mut synced_rx) = mpsc::unbounded_channel();
     let scheduler_pace = SchedulerTiming {
         load_ms: (quiet / 16.0) as u64,
@@ -207,6 +217,7 @@
         session: session.clone(),
         rpc_clients,
         wal,
+        former_nodes,
         settings: settings.clone(),
     });
     let addr = settings.inner_addr(Role::Store);
@@ -216,6 +227,7 @@
     tokio::spawn(session.clone().keep());
     tokio::spawn(session.clone().heed(settings_updates));
     tokio::spawn(post.clone().keep_lease());
+    tokio::spawn(post.clone().store_membership());
     let p = post.clone();
     tokio::spawn(async move {
         while let Some((partition, term, end)) = synced_rx.recv().await {
--- a/crates/store/src/service/recovery.rs
+++ b/crates/store/src/service/recovery.rs
@@ -1,15 +1,24 @@
 //! Recovery of a new owner: the delivery nodes are asked what they hold.
 
 use super::*;
+use crate::takeover::{delivery_nodes_to_ask, silent_nodes};
+use agent::ClusterView;
 
 impl StoreService {
+    /// The delivery nodes to ask, once a leader has told this incarnation the membership.
+    async fn known_delivery_nodes(&self) -> Option<Vec<Node>> {
+        let mut views = self.session.subscribe();
+        let to_ask = |view: &ClusterView| delivery_nodes_to_ask(&view.membership, &self.former_nodes);
+        let view = views.wait_for(|view| to_ask(view).is_some()).await.ok()?;
+        to_ask(&view)
+    }
+
     /// After a take-over: what do the delivery nodes hold? From then on they
     /// refuse older terms.
     pub(super) async fn ask_fronts(self: Arc<Self>, partition: u32, term: u64, seized: bool) {
-        let fronts: Vec<Node> =
-            self.session.with_known(|k| k.membership.nodes.iter().filter(|n| n.role == "front").cloned().collect());
         let wait = Duration::from_millis(self.ratio(16.0));
         let taken = self.wall();
+        let Some(fronts) = self.known_delivery_nodes().await else { return };
         let mut asked = Vec::new();
         for h in fronts {
             let end = self.rpc_clients.to(&h.inner);
@@ -35,14 +44,13 @@
                 }),
             ));
         }
-        let (mut held, mut silent) = (Vec::new(), HashSet::new());
+        let (mut held, mut names, mut answered) = (Vec::new(), Vec::new(), HashSet::new());
         for (name, a) in asked {
-            match a.await.ok().flatten() {
-                Some(all) => held.extend(all.into_iter().map(|p: (u64, u64, u64)| (p, name.clone()))),
-                None => {
-                    silent.insert(name);
-                }
+            if let Some(all) = a.await.ok().flatten() {
+                held.extend(all.into_iter().map(|p: (u64, u64, u64)| (p, name.clone())));
+                answered.insert(name.clone());
             }
+            names.push(name);
         }
         // What is held is known by its position in the fold: it waits for that.
         loop {
@@ -77,14 +85,19 @@
         }
         let wall = self.wall();
         let pending: Vec<u64> = m.state.pending.iter().copied().collect();
+        let longest = |w: &partition::Message| {
+            let timeout = known.configuration.route_named(&w.item.route).map_or(0, |c| c.timeout_ms as u64);
+            timeout + self.ratio(16.0)
+        };
+        let at_work = pending.iter().map(|pos| &m.state.pieces[pos]).filter(|w| w.sent_ms + longest(w) > taken);
+        let silent = silent_nodes(&answered, names.iter().map(String::as_str), at_work.map(|w| w.node.as_str()));
         let owed: Vec<u64> = m.state.pieces.iter().filter(|(_, w)| w.owes_notice()).map(|(p, _)| *p).collect();
         for pos in pending {
             // Silence is not "nothing": what was last given to a node that did not
             // answer waits until that attempt cannot be running any more.
             let w = &i.replicas[&partition].state.pieces[&pos];
-            let timeout = known.configuration.route_named(&w.item.route).map_or(0, |c| c.timeout_ms as u64);
             let silence = Silence { any: seized && !silent.is_empty(), last: silent.contains(&w.node) };
-            let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, timeout + self.ratio(16.0));
+            let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, longest(w));
             if over > wall {
                 telemetry::count("runs_maybe_held");
                 i.scheduler.later((partition, pos), over);
