Control: owners are chosen when a store node has its first lease

Cause: partitions without an owner waited for the next turn of a timer of a sixtieth of quietMs; after a loss of all power twice where leases came late. Change: a first lease, of a new leader or a new incarnation, wakes the duty an eighth of that later. Who may become owner is decided as before.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -129,6 +129,9 @@
     pub(crate) news: Notifier,
     /// What nodes told has changed what is to be published.
     pub(crate) stale: Notifier,
+    /// A store node has its first lease of this leader or of a new incarnation: its
+    /// partitions may have no owner.
+    pub(crate) assign_soon: Notifier,
     pub(crate) inputs: mpsc::UnboundedSender<Input>,
     pub(crate) rpc_clients: Arc<RpcClients>,
     pub(crate) start: Instant,
@@ -322,6 +325,7 @@
         }),
         news: Notifier::new(),
         stale: Notifier::new(),
+        assign_soon: Notifier::new(),
         inputs,
         rpc_clients: RpcClients::new(Duration::from_millis((quiet / 4.0) as u64)),
         start,
@@ -362,7 +366,11 @@
         let period = Duration::from_millis(s.ratio(60.0));
         let mut rounds = 0u64;
         loop {
-            tokio::time::sleep(period).await;
+            tokio::select! {
+                _ = tokio::time::sleep(period) => {}
+                // Others that came back at the same moment are taken along.
+                _ = s.assign_soon.notified() => tokio::time::sleep(period / 8).await,
+            }
             rounds += 1;
             if s.holds_leadership() {
                 s.assign().await;
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -101,6 +101,9 @@
                 telemetry::change!("store node {name} came back in a new incarnation");
                 f.ended.insert(name.clone(), old.incarnation);
             }
+            if f.leases.get(&name).is_none_or(|old| old.incarnation != l.node.incarnation) {
+                self.assign_soon.notify_one();
+            }
             if f.first_store_at == 0 {
                 f.first_store_at = now;
             }
