Fronts: less is written into the dark, and 503 at once while no store answers

Cause: what was written to a dark owner within a sixteenth of quietMs ended with 504; and once the first unanswered call was given up, the next was written into the same dark (a test of this commit first failed for that, with 504). Change: an owner counts as silent after a fortieth; a call that was given up counts on for the bound after which its connection ends; and where no store node of the membership answers, a message that was not written is refused at once. Weighed, not run: a refusal at once where another store node may answer: a new owner is near then.

--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -8,6 +8,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// The part of `quietMs` after which an owner that answers nothing counts as silent. What
+/// was written to it before that is unclear, so it is as short as a commit across regions
+/// on a slow disk allows.
+const OWNER_SILENCE_PART: f64 = 40.0;
+
 pub struct FrontService {
     pub settings: Settings,
     pub rpc_clients: Arc<RpcClients>,
@@ -105,6 +110,17 @@
         self.take(r).await
     }
 
+    /// An owner that has answered nothing for so long is sent nothing new.
+    fn owner_silence(&self) -> Duration {
+        self.ratio(OWNER_SILENCE_PART)
+    }
+
+    /// Whether calls to each store node go unanswered.
+    fn no_store_answers(&self, view: &ClusterView) -> bool {
+        let mut stores = view.membership.nodes.iter().filter(|n| n.role == "store").peekable();
+        stores.peek().is_some() && stores.all(|n| self.rpc_clients.to(&n.inner).stuck(self.owner_silence()))
+    }
+
     /// Takes in one message; the answer says no more than is known.
     pub async fn take(&self, r: Request) -> Reply {
         let begun = Instant::now();
@@ -183,7 +199,12 @@
                 let moved = rx.wait_for(|k| owner_addr(k, partition) != place);
                 // Nothing is sent to where nothing is answered: it would be unclear
                 // whether it was taken.
-                let dark = end.stuck(self.ratio(16.0));
+                let dark = end.stuck(self.owner_silence());
+                if dark && !unclear && self.no_store_answers(&now) {
+                    // Nobody is there to take over: a wait would only end in this answer.
+                    telemetry::count("refused_no_store");
+                    break;
+                }
                 let asked = tokio::select! {
                     a = end.call(Body::Accept(accept), left), if !dark => a,
                     _ = moved, if !dark => Err(ExecutionOutcome::MayHaveRun),
--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -175,3 +175,64 @@
     let missed = [SendError::NotSent, SendError::Lost, SendError::Silent].map(|m| read_answer(&Err(m)).0);
     assert_eq!(missed, [Outcome::NotRun, Outcome::Unknown, Outcome::Unknown]);
 }
+
+/// A front, and a store node at `addr` for all partitions; `more` are further store nodes.
+fn front_beside(addr: &str, more: &[(&str, &str)]) -> Arc<FrontService> {
+    let mut settings = Settings { zone: "x".into(), ..Settings::default() };
+    settings.constraints.quiet_ms = 4000.0;
+    let front = FrontService::new(settings);
+    let mut view = known(addr);
+    let mut nodes = view.membership.nodes.clone();
+    nodes.extend(more.iter().map(|(name, inner)| Node {
+        name: name.to_string(),
+        role: "store".into(),
+        inner: inner.to_string(),
+        ..Node::default()
+    }));
+    let membership = Membership { version: 2, nodes, ..Membership::default() };
+    view.take(&ViewUpdate { membership: Some(membership), ..ViewUpdate::default() });
+    front.known.send_replace(view);
+    front
+}
+
+fn message(id: &str) -> Request {
+    let header = |n: &str, v: &str| (n.to_owned(), v.to_owned());
+    Request {
+        method: "POST".into(),
+        path: "/a/1".into(),
+        headers: vec![header("Host", "h"), header("X-Attempt-Id", id)],
+        ..Request::default()
+    }
+}
+
+/// Sends one message into silence, then another one, and says what that one is told and when.
+async fn second_into_silence(more: &[(&str, &str)]) -> (u16, bool, Duration) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(rpc::serve(listener, Duration::from_secs(9), |_, responder| std::mem::forget(responder)));
+    let front = front_beside(&addr, more);
+    let first = tokio::spawn({
+        let front = front.clone();
+        async move { front.take(message("m1")).await.status }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let begun = Instant::now();
+    let reply = front.take(message("m2")).await;
+    let took = begun.elapsed();
+    assert_eq!(first.await.expect("answered"), 504, "the first may have been taken");
+    (reply.status, reply.headers.iter().any(|h| h.0 == "Retry-After"), took)
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn what_no_store_node_can_take_is_refused_at_once() {
+    let (status, retry, took) = second_into_silence(&[]).await;
+    assert_eq!((status, retry), (503, true));
+    assert!(took < Duration::from_millis(400), "held for {took:?}");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn while_one_store_node_may_answer_a_new_owner_is_waited_for() {
+    let (status, _, took) = second_into_silence(&[("s9", "127.0.0.1:9")]).await;
+    assert_eq!(status, 503);
+    assert!(took > Duration::from_millis(1200), "refused after {took:?}");
+}
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -267,6 +267,8 @@
     waiting: Waiting,
     /// When the other side was heard last.
     heard: Arc<Mutex<Instant>>,
+    /// When a written call was last given up unanswered.
+    given_up: Option<Instant>,
 }
 
 /// The calling end of a connection to one address; connects when first used,
@@ -288,12 +290,15 @@
     }
 
     /// Whether a call has gone unanswered for so long, with nothing else heard
-    /// meanwhile: the other side is dark, frozen or cut off.
+    /// meanwhile: the other side is dark, frozen or cut off. One that was given up
+    /// unanswered still says so for the bound after which the connection itself ends.
     pub fn stuck(&self, bound: Duration) -> bool {
         let live = self.live.lock().unwrap();
         let Some(l) = live.as_ref().filter(|l| !l.tx.is_closed()) else { return false };
         let old = |at: Instant| at.elapsed() > bound;
-        old(*l.heard.lock().unwrap()) && l.waiting.lock().unwrap().values().any(|w| w.written.is_some_and(old))
+        let heard = *l.heard.lock().unwrap();
+        let given_up = l.given_up.is_some_and(|at| at > heard && at.elapsed() < self.silence);
+        old(heard) && (given_up || l.waiting.lock().unwrap().values().any(|w| w.written.is_some_and(old)))
     }
 
     fn push(self: &Arc<Self>, envelope: Envelope, wait: Option<oneshot::Sender<Result<Body, ExecutionOutcome>>>) {
@@ -303,7 +308,7 @@
             let waiting: Waiting = Arc::default();
             let heard = Arc::new(Mutex::new(Instant::now()));
             tokio::spawn(run(self.addr.clone(), self.silence, rx, waiting.clone(), heard.clone()));
-            *live = Some(Live { tx, waiting, heard });
+            *live = Some(Live { tx, waiting, heard, given_up: None });
         }
         let l = live.as_ref().expect("set above");
         let call = envelope.call;
@@ -332,11 +337,16 @@
             Ok(Err(_)) => Err(ExecutionOutcome::MayHaveRun),
             Err(_) => {
                 // What nobody waits for any more is not written later.
-                let live = self.live.lock().unwrap();
-                let w = live.as_ref().and_then(|l| l.waiting.lock().unwrap().remove(&call));
-                match w {
+                let mut live = self.live.lock().unwrap();
+                let Some(l) = live.as_mut() else { return Err(ExecutionOutcome::MayHaveRun) };
+                let removed = l.waiting.lock().unwrap().remove(&call);
+                match removed {
                     Some(Wait { written: None, .. }) => Err(ExecutionOutcome::NotRun),
-                    _ => Err(ExecutionOutcome::MayHaveRun),
+                    Some(_) => {
+                        l.given_up = Some(Instant::now());
+                        Err(ExecutionOutcome::MayHaveRun)
+                    }
+                    None => Err(ExecutionOutcome::MayHaveRun),
                 }
             }
         }
--- a/crates/rpc/tests/connections.rs
+++ b/crates/rpc/tests/connections.rs
@@ -140,6 +140,19 @@
     assert_eq!(mute.await.expect("no panic").err(), Some(ExecutionOutcome::MayHaveRun));
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn a_side_that_answers_nothing_stays_known_when_the_call_is_given_up() {
+    let (addr, _) = other_end().await;
+    let t = RpcClient::new(&addr, SILENCE);
+    let bound = Duration::from_millis(20);
+    let l = Body::Lookup(Lookup::default());
+    assert!(t.call(l.clone(), SILENCE).await.is_ok() && !t.stuck(bound));
+    let given_up = t.call(Body::Gossip(Gossip::default()), Duration::from_millis(100)).await;
+    assert_eq!(given_up.err(), Some(ExecutionOutcome::MayHaveRun));
+    assert!(t.stuck(bound), "nobody waits any more, and nothing was heard");
+    assert!(t.call(l, SILENCE).await.is_ok() && !t.stuck(bound), "any answer ends that");
+}
+
 /// Reads `take` bytes of what is sent, answers with `give`, and resets.
 async fn resets_after(take: usize, give: Vec<u8>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
