--- a/crates/store/src/service/recovery.rs
+++ b/crates/store/src/service/recovery.rs
@@ -17,7 +17,7 @@
     /// refuse older terms.
     pub(super) async fn ask_fronts(self: Arc<Self>, partition: u32, term: u64, seized: bool) {
         let wait = Duration::from_millis(self.ratio(16.0));
-        let taken = self.wall();
+        let taken_at = self.now();
         let Some(fronts) = self.known_delivery_nodes().await else { return };
         let mut asked = Vec::new();
         for h in fronts {
@@ -57,7 +57,7 @@
             {
                 let i = self.shared.lock().unwrap();
                 match i.replicas.get(&partition).filter(|m| m.term == term && m.role == ReplicaRole::Owner) {
-                    Some(m) if m.caught_up() => break,
+                    Some(m) if m.caught_up() && self.is_timed(&i, partition) => break,
                     Some(_) => {}
                     None => return,
                 }
@@ -71,6 +71,8 @@
         }
         i.asking.remove(&partition);
         let now = self.now();
+        let time = self.owner_time(i, partition);
+        let taken = time.saturating_sub(now - taken_at);
         let known = self.session.known();
         let m = &i.replicas[&partition];
         for ((pos, of_term, attempt), front) in held {
@@ -83,7 +85,6 @@
                 i.scheduler.name((partition, pos), of_term, attempt);
             }
         }
-        let wall = self.wall();
         let pending: Vec<u64> = m.state.pending.iter().copied().collect();
         let longest = |w: &partition::Message| {
             let timeout = known.configuration.route_named(&w.item.route).map_or(0, |c| c.timeout_ms as u64);
@@ -98,16 +99,16 @@
             let w = &i.replicas[&partition].state.pieces[&pos];
             let silence = Silence { any: seized && !silent.is_empty(), last: silent.contains(&w.node) };
             let over = silence.until(!w.item.order_key.is_empty(), w.sent_ms, taken, longest(w));
-            if over > wall {
+            if over > time {
                 telemetry::count("runs_maybe_held");
-                i.scheduler.later((partition, pos), over);
+                i.scheduler.later((partition, pos), now + surely_over(over - time));
                 continue;
             }
-            self.schedule(i, (partition, pos), wall);
+            self.schedule(i, (partition, pos), now);
         }
         for pos in owed {
             if !i.scheduler.notices.iter().any(|(_, k)| *k == (partition, pos)) {
-                i.scheduler.notices.push_back((wall, (partition, pos)));
+                i.scheduler.notices.push_back((now, (partition, pos)));
             }
         }
         self.wake.notify_one();
