--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,7 +3,9 @@
 
 mod scheduler;
 mod service;
+mod takeover;
 mod uncommitted;
 pub use scheduler::*;
 pub use service::run;
+pub use takeover::{delivery_nodes_to_ask, silent_nodes, stored_form};
 pub use uncommitted::{AcceptNames, UncommittedAccepts};
