Schedules of leaders that lead again, and a check that what is committed is held

Cause: a planted fault, a new leader that keeps its followers' progress from an earlier term of its own, passed every test and search.

Change: at each step the voters that lack the newest committed entry on their disks and may vote must be no majority. A new search of five voters: the leader and one other are cut off and write entries, another leader overwrites them, and the first one is to lead again; faults of all kinds fall between.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -817,6 +817,7 @@
 
     /// What must hold at each step.
     pub fn check(&mut self) {
+        self.check_commit_is_held();
         let holders: Vec<usize> = (0..self.nodes.len()).filter(|n| self.holds(*n)).collect();
         if holders.len() > 1 {
             let names: Vec<&str> = holders.iter().map(|n| self.nodes[*n].name.as_str()).collect();
@@ -844,6 +845,22 @@
         }
     }
 
+    /// The voters that lack the newest committed entry on their disks and may vote are no
+    /// majority: else they could elect a leader without it.
+    fn check_commit_is_held(&mut self) {
+        let Some((index, entry)) = self.committed.last_key_value() else { return };
+        let Some(voters) = self.committed.values().rev().find(|e| !e.voters.is_empty()).map(|e| &e.voters) else {
+            return;
+        };
+        let holds = |d: &Disk| d.hard.base >= *index || d.log.get(index).is_some_and(|e| e.term == entry.term);
+        let lacks = |n: &&Node| voters.contains(&n.name) && n.disk.hard.may_vote && !holds(&n.disk);
+        let lacking: Vec<&str> = self.nodes.iter().filter(lacks).map(|n| n.name.as_str()).collect();
+        if lacking.len() > voters.len() / 2 {
+            let why = format!("{lacking:?} lack entry {index}, which is committed, and could elect a leader");
+            self.fail(why);
+        }
+    }
+
     /// Ends all faults, and looks for a leader and all level within a bounded time.
     pub fn settle(&mut self) {
         if self.fault.is_some() {
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -30,6 +30,9 @@
     StepDown(usize),
     Leave(usize),
     Snapshot(usize),
+    /// The leader and one other are cut off and write entries that the next leader
+    /// overwrites; then the first one is to lead again.
+    LeadAgain(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -92,12 +95,25 @@
     ]
 }
 
-fn plan(n: usize, length: usize, close: bool) -> impl Strategy<Value = Plan> {
+/// Which faults a search draws.
+#[derive(Clone, Copy, PartialEq)]
+enum Faults {
+    Mixed,
+    Close,
+    Returns,
+}
+
+fn plan(n: usize, length: usize, faults: Faults) -> impl Strategy<Value = Plan> {
     let rates = prop::collection::vec(950..=1050u64, n);
     let late = prop::collection::vec(0..60u64, n);
     let latency = prop::collection::vec(1..24u64, n * n);
-    let ops = prop::collection::vec(if close { close_op(n).boxed() } else { op(n).boxed() }, 1..length);
-    let calm = if close { 0 } else { 1600 };
+    let op = match faults {
+        Faults::Mixed => op(n).boxed(),
+        Faults::Close => close_op(n).boxed(),
+        Faults::Returns => return_op(n).boxed(),
+    };
+    let ops = prop::collection::vec(op, 1..length);
+    let calm = if faults == Faults::Close { 0 } else { 1600 };
     let twice = prop_oneof![3 => Just(None), 1 => (0..24u64).prop_map(Some)];
     (rates, late, latency, twice, 6..60usize, ops).prop_map(move |(rates, late, latency, twice, long, ops)| Plan {
         rates,
@@ -182,10 +198,47 @@
         }
         Op::Leave(n) => w.leave(*n),
         Op::Snapshot(n) => w.snapshot(*n),
+        Op::LeadAgain(n) => lead_again(w, *n),
+    }
+}
+
+/// Entries of the leader that only `follower` takes are overwritten under another
+/// leader; then leadership is handed on until the first one has it again, at most once
+/// to each other node.
+fn lead_again(w: &mut World, follower: usize) {
+    let Some(first) = w.holder().filter(|l| *l != follower) else { return };
+    let nodes = 0..w.nodes.len();
+    for other in nodes.clone().filter(|n| ![first, follower].contains(n)) {
+        w.cut.extend([first, follower].into_iter().flat_map(|n| [(n, other), (other, n)]));
+    }
+    for operator in 0..8 {
+        w.order(operator, first);
+    }
+    for _ in 0..40 {
+        w.pass(48);
+        if w.holder().is_some_and(|l| l != first) {
+            break;
+        }
+    }
+    w.cut.clear();
+    w.pass(200);
+    // What it sends as a leader again does not reach the one that held its entries.
+    w.cut.insert((first, follower));
+    for _ in nodes {
+        match w.holder() {
+            Some(leader) if leader != first => w.step(leader, shell::step_down(), None),
+            _ => return,
+        }
+        w.pass(48);
     }
 }
 
-fn search(voters: usize, spare: usize, seed: u8, cases: u32, length: usize, close: bool) {
+/// Leaders that lead again, with faults of all kinds between.
+fn return_op(n: usize) -> impl Strategy<Value = Op> {
+    prop_oneof![2 => (0..n).prop_map(Op::LeadAgain), 3 => op(n)]
+}
+
+fn search(voters: usize, spare: usize, seed: u8, cases: u32, length: usize, faults: Faults) {
     let cases = std::env::var("FOREMAN_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
     let began = std::time::Instant::now();
     let config = Config {
@@ -198,7 +251,7 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let (mut played, mut passed) = (std::cell::Cell::new(0u32), std::cell::Cell::new(0u64));
     let seen = std::cell::RefCell::new(Seen::default());
-    let found = TestRunner::new_with_rng(config, rng).run(&plan(voters + spare, length, close), |p| {
+    let found = TestRunner::new_with_rng(config, rng).run(&plan(voters + spare, length, faults), |p| {
         let w = play(voters, spare, &p, false);
         played.set(played.get() + 1);
         passed.set(passed.get() + w.now - 10_000);
@@ -221,20 +274,25 @@
 
 #[test]
 fn three_voters_and_a_spare() {
-    search(3, 1, 1, 3000, 60, false);
+    search(3, 1, 1, 3000, 60, Faults::Mixed);
 }
 
 #[test]
 fn five_voters_and_a_spare() {
-    search(5, 1, 2, 2000, 60, false);
+    search(5, 1, 2, 2000, 60, Faults::Mixed);
 }
 
 #[test]
 fn elections_of_three() {
-    search(3, 1, 3, 3000, 60, true);
+    search(3, 1, 3, 3000, 60, Faults::Close);
 }
 
 #[test]
 fn elections_of_five() {
-    search(5, 0, 4, 3000, 60, true);
+    search(5, 0, 4, 3000, 60, Faults::Close);
+}
+
+#[test]
+fn leaders_of_five_that_lead_again() {
+    search(5, 0, 5, 600, 12, Faults::Returns);
 }
