--- a/crates/control/tests/explore.rs
+++ b/crates/control/tests/explore.rs
@@ -1,7 +1,7 @@
 //! Every run of a small world that departs from the calm one in at most so many
 //! places. A departure is a fault of a node or link, or a message that is late, lost,
 //! out of turn, repeated, or ends its receiver amid what it makes it do.
-//! `FOREMAN_ROUNDS`, `FOREMAN_DEPARTURES` and `FOREMAN_STATES` raise the bounds.
+//! `CONTROL_ROUNDS`, `CONTROL_DEPARTURES` and `CONTROL_STATES` raise the bounds.
 
 mod common;
 
@@ -331,9 +331,9 @@
 /// Two threads share the first departures; each one's states are its own, so that
 /// their number is the same in each run.
 fn explore(name: &str, start: World, ends: &[(u64, Departure)], rounds: u64, departures: usize) {
-    let rounds = number("FOREMAN_ROUNDS", rounds as usize) as u64;
-    let departures = number("FOREMAN_DEPARTURES", departures);
-    let limit = number("FOREMAN_STATES", 3_000_000);
+    let rounds = number("CONTROL_ROUNDS", rounds as usize) as u64;
+    let departures = number("CONTROL_DEPARTURES", departures);
+    let limit = number("CONTROL_STATES", 3_000_000);
     let mut world = start;
     world.trace = None;
     world.latency.fill(0);
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -1,5 +1,5 @@
 //! Long random schedules of faults against the real state machines, made smaller when
-//! one of them fails. `FOREMAN_SCHEDULES=N` plays N of each instead.
+//! one of them fails. `CONTROL_SCHEDULES=N` plays N of each instead.
 
 mod common;
 
@@ -239,7 +239,7 @@
 }
 
 fn search(voters: usize, spare: usize, seed: u8, cases: u32, length: usize, faults: Faults) {
-    let cases = std::env::var("FOREMAN_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
+    let cases = std::env::var("CONTROL_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
     let began = std::time::Instant::now();
     let config = Config {
         cases,
