--- a/crates/partition/tests/fold.rs
+++ b/crates/partition/tests/fold.rs
@@ -194,5 +194,9 @@
     let mut state = PartitionState::new(1000);
     play(&mut state, &trace(), 0);
     assert_eq!(state.digest(), 0x6501_7ce4_6c11_76eb);
-    assert_eq!(prost::Message::encoded_len(&state.snapshot()), 261, "nor is a byte added");
+    let mut snapshot = state.snapshot();
+    // The time that the log has reached is a field of its own since; nothing else is added.
+    assert_eq!(prost::Message::encoded_len(&snapshot), 261 + 2);
+    snapshot.reached_ms = 0;
+    assert_eq!(prost::Message::encoded_len(&snapshot), 261, "nor is a byte added");
 }
