--- a/crates/control/tests/raft.rs
+++ b/crates/control/tests/raft.rs
@@ -40,6 +40,14 @@
 }
 
 impl World {
+    /// A world in which one leads, and its name.
+    fn led() -> (World, String) {
+        let mut w = World::new();
+        w.pass(2000);
+        let leader = w.leader().expect("a leader");
+        (w, leader)
+    }
+
     fn new() -> World {
         World::of(&ALL)
     }
@@ -178,9 +186,7 @@
 
 #[test]
 fn one_leader_and_what_it_acknowledged_survives_it() {
-    let mut w = World::new();
-    w.pass(2000);
-    let first = w.leader().expect("a leader");
+    let (mut w, first) = World::led();
     w.put(&first, 0, 3);
     w.pass(200);
     assert!(w.control_states.values().all(|r| r.revision == 3));
@@ -199,9 +205,7 @@
 
 #[test]
 fn two_configurations_on_one_base_and_one_wins() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     w.put(&leader, 0, 3);
     w.put(&leader, 0, 4);
     w.pass(300);
@@ -215,9 +219,7 @@
 
 #[test]
 fn without_a_majority_nothing_is_taken() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != leader).collect();
     w.down.extend(others.iter().map(|s| s.to_string()));
     w.put(&leader, 0, 3);
@@ -233,9 +235,7 @@
 
 #[test]
 fn one_that_lost_its_disk_does_not_vote_until_readmitted() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     w.put(&leader, 0, 3);
     w.pass(300);
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != leader).collect();
@@ -256,9 +256,7 @@
 
 #[test]
 fn the_leader_names_its_successor() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     w.step(&leader, Event::StepDown);
     w.pass(100);
     let next = w.leader().expect("named, without waiting for an election");
@@ -267,9 +265,7 @@
 
 #[test]
 fn a_log_that_was_cut_is_sent_as_a_whole_state() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     let late = ALL.into_iter().find(|n| *n != leader).expect("another");
     w.down.insert(late.into());
     for r in 1..20 {
@@ -289,9 +285,7 @@
 
 #[test]
 fn after_the_end_of_all_at_once_nothing_is_answered_before_the_log_is_applied() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     w.put(&leader, 0, 3);
     w.pass(300);
     for n in ALL {
@@ -336,9 +330,7 @@
 
 #[test]
 fn a_lost_voter_is_replaced_by_a_newcomer_one_change_at_a_time() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     w.put(&c, 0, 3);
     w.pass(200);
     let lost = ALL.iter().find(|n| **n != c).expect("another").to_string();
@@ -369,9 +361,7 @@
 
 #[test]
 fn a_newcomer_without_the_log_is_not_made_a_voter() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let lost = ALL.iter().find(|n| **n != c).expect("another").to_string();
     w.down.insert(lost);
     w.newcomer("n");
@@ -386,9 +376,7 @@
 
 #[test]
 fn a_voter_that_just_came_back_waits_before_it_votes() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let other = ALL.iter().find(|n| **n != c).expect("another").to_string();
     w.start(&other);
     let term = w.nodes[&c].hard.term + 1;
@@ -409,9 +397,7 @@
 
 #[test]
 fn authority_runs_out_by_the_clock_without_a_step() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let until = w.nodes[&c].serves_until(w.now);
     assert!(until > w.now && until <= w.now + TIMING.election * 7 / 8, "shorter than others wait, as clocks differ");
     // Frozen, or waiting for its disk, it steps nothing: what it computed last
@@ -429,9 +415,7 @@
 
 #[test]
 fn frames_of_strangers_change_nothing() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let before = w.nodes[&c].hard.term;
     let ask = RaftMessage {
         from: "x".into(),
@@ -450,9 +434,7 @@
 
 #[test]
 fn when_all_ended_at_once_there_is_a_leader_without_waiting_for_an_old_one() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     w.put(&c, 0, 3);
     w.pass(300);
     w.net.clear();
@@ -476,9 +458,7 @@
 
 #[test]
 fn of_two_changes_on_either_side_of_a_cut_one_is_confirmed() {
-    let mut w = World::new();
-    w.pass(2000);
-    let old = w.leader().expect("a leader");
+    let (mut w, old) = World::led();
     w.put(&old, 0, 3);
     w.pass(200);
     w.beyond.insert(old.clone());
@@ -569,9 +549,7 @@
 
 #[test]
 fn a_leader_that_has_cut_its_log_goes_on() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     w.put(&c, 0, 3);
     w.pass(300);
     let (index, state) = (w.nodes[&c].applied(), w.control_states[&c].encode_to_vec());
@@ -614,9 +592,7 @@
 
 #[test]
 fn readmission_counts_the_voters_in_force() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     w.put(&c, 0, 3);
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
     // One is replaced by a newcomer for good; then the other one loses its disk.
@@ -647,9 +623,7 @@
 
 #[test]
 fn one_without_a_vote_is_readmitted_however_many_rounds_go_by() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
     w.down.insert(others[1].into());
     w.wipe(others[0]);
@@ -672,9 +646,7 @@
 #[test]
 fn answers_to_an_earlier_campaign_count_for_nothing() {
     use rpc::messages::RaftMessageKind;
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
     w.down.insert(c.clone());
     // One campaigns, and the votes for it stay on their way.
@@ -705,9 +677,7 @@
 
 #[test]
 fn a_forgotten_vote_is_not_given_again_while_it_may_count() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let lost = ALL.into_iter().find(|n| *n != c).expect("another");
     w.wipe(lost);
     let began = w.now;
@@ -738,9 +708,7 @@
 
 #[test]
 fn a_snapshot_takes_nothing_back_that_was_acknowledged_behind_it() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != c).collect();
     let (holder, late) = (others[0].to_string(), others[1].to_string());
     w.put(&c, 0, 1);
@@ -776,9 +744,7 @@
 
 /// A leader whose state is larger than any frame, and one that lacks all of it.
 fn one_that_lacks_a_large_state(bytes: usize) -> (World, String, String) {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let away = ALL.into_iter().find(|n| *n != c).expect("another").to_string();
     w.down.insert(away.clone());
     w.put(&c, 0, 9);
@@ -887,9 +853,7 @@
 
 #[test]
 fn what_an_emptied_disk_says_makes_no_majority() {
-    let mut w = World::new();
-    w.pass(2000);
-    let old = w.leader().expect("a leader");
+    let (mut w, old) = World::led();
     w.put(&old, 0, 3);
     w.pass(300);
     // Cut off; the two others go on without it.
@@ -916,9 +880,7 @@
 
 #[test]
 fn one_that_just_came_back_does_not_elect_itself_while_its_word_may_count() {
-    let mut w = World::new();
-    w.pass(2000);
-    let old = w.leader().expect("a leader");
+    let (mut w, old) = World::led();
     let others: Vec<&str> = ALL.into_iter().filter(|n| *n != old).collect();
     let (back, deaf) = (others[0], others[1]);
     // The deaf one has not heard the leader for an election time; the other one has
@@ -950,9 +912,7 @@
 #[test]
 fn messages_that_cannot_be_change_nothing() {
     use rpc::messages::RaftMessageKind;
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let others: Vec<String> = ALL.iter().filter(|n| **n != c).map(|n| n.to_string()).collect();
     for r in 1..4 {
         w.put(&c, r - 1, r);
@@ -1058,9 +1018,7 @@
 
 #[test]
 fn one_that_is_about_to_end_hands_its_vote_on_first() {
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     w.put(&c, 0, 3);
     let ending = ALL.into_iter().find(|n| *n != c).expect("another").to_string();
     let last = ALL.into_iter().find(|n| *n != c && *n != ending).expect("a third").to_string();
@@ -1093,9 +1051,7 @@
 #[test]
 fn readmission_is_of_the_incarnation_that_asked_and_is_told_once_a_round() {
     use rpc::messages::RaftMessageKind;
-    let mut w = World::new();
-    w.pass(2000);
-    let c = w.leader().expect("a leader");
+    let (mut w, c) = World::led();
     let lost = ALL.into_iter().find(|n| *n != c).expect("another");
     w.wipe(lost);
     let began = w.now;
@@ -1141,9 +1097,7 @@
 
 #[test]
 fn a_leader_that_is_heard_but_hears_no_majority_lets_the_others_elect() {
-    let mut w = World::new();
-    w.pass(2000);
-    let old = w.leader().expect("a leader");
+    let (mut w, old) = World::led();
     let cut_at = w.now;
     let mut last_heartbeat = cut_at;
     loop {
@@ -1163,9 +1117,7 @@
 
 #[test]
 fn a_leader_that_was_frozen_past_its_lease_leads_on_if_nobody_was_elected() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     let term = w.nodes[&leader].hard.term;
     w.down.insert(leader.clone());
     w.pass(TIMING.election - TIMING.beat / 2);
@@ -1179,9 +1131,7 @@
 
 #[test]
 fn an_answer_to_a_probe_extends_no_lease() {
-    let mut w = World::new();
-    w.pass(2000);
-    let leader = w.leader().expect("a leader");
+    let (mut w, leader) = World::led();
     w.pass_with_deaf(&leader, TIMING.election);
     assert!(!w.nodes[&leader].holds_leadership(w.now));
     // Its probes are answered now; of its other rounds none arrives.
--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -1,6 +1,8 @@
 //! What clients are told when it is unclear whether a message was taken, played
 //! against a stand-in owner on loopback.
 
+mod common;
+
 use agent::ClusterView;
 use config::{Configuration, ConfigurationIndex, Settings};
 use front::{FrontService, PlacementKeys, partition_of};
@@ -19,31 +21,7 @@
   "plants": [{"name": "p"}, {"name": "q"}, {"name": "e", "flowPerS": 9, "endpoint": "10.0.0.1:80"}], "limits": {}}"#;
 
 fn known(addr: &str) -> ClusterView {
-    let node = |name: &str, zone: &str| Node {
-        name: name.into(),
-        role: "store".into(),
-        zone: zone.into(),
-        inner: addr.into(),
-        ..Node::default()
-    };
-    let partitions = (0..6).map(|id| Partition {
-        id,
-        term: 1,
-        owner: if id % 2 == 0 { "s1" } else { "s2" }.into(),
-        ..Partition::default()
-    });
-    let mut k = ClusterView::default();
-    k.take(&ViewUpdate {
-        configuration: Some(CONFIG.into()),
-        assignments: Some(Assignments { version: 1, partitions: partitions.collect(), ..Assignments::default() }),
-        membership: Some(Membership {
-            version: 1,
-            nodes: vec![node("s1", "x"), node("s2", "y")],
-            ..Membership::default()
-        }),
-        ..ViewUpdate::default()
-    });
-    k
+    common::view(addr, CONFIG)
 }
 
 /// A front beside an owner that answers as `answer` says; None is silence.
--- a/crates/front/tests/tenants.rs
+++ b/crates/front/tests/tenants.rs
@@ -1,7 +1,10 @@
 //! What a front takes of tenants' requests and what it tells them, against a stand-in owner on
 //! loopback.
 
+mod common;
+
 use agent::ClusterView;
+use common::view;
 use config::{Configuration, ConfigurationIndex, Settings};
 use front::tenancy::operation_id;
 use front::{FrontService, PlacementKeys, delivery_headers, partition_of};
@@ -26,34 +29,6 @@
     accepts: Arc<Mutex<Vec<Item>>>,
 }
 
-fn view(owner: &str, config: &str) -> ClusterView {
-    let node = |name: &str, zone: &str| Node {
-        name: name.into(),
-        role: "store".into(),
-        zone: zone.into(),
-        inner: owner.into(),
-        ..Node::default()
-    };
-    let partitions = (0..6).map(|id| Partition {
-        id,
-        term: 1,
-        owner: if id % 2 == 0 { "s1" } else { "s2" }.into(),
-        ..Partition::default()
-    });
-    let mut view = ClusterView::default();
-    view.take(&ViewUpdate {
-        configuration: Some(config.to_owned().into()),
-        assignments: Some(Assignments { version: 1, partitions: partitions.collect(), ..Assignments::default() }),
-        membership: Some(Membership {
-            version: 1,
-            nodes: vec![node("s1", "x"), node("s2", "y")],
-            ..Membership::default()
-        }),
-        ..ViewUpdate::default()
-    });
-    view
-}
-
 /// The owner holds one message of the clinic, which was accepted at the host of the routes.
 async fn played(closed: bool, key_window_s: f64) -> Played {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
