--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -1,3 +1,4 @@
+use crate::homes::check_domains;
 use crate::index::placement_hash;
 use crate::tenant::{Tenant, TenantList, check_tenants};
 use serde_json::Value;
@@ -62,6 +63,10 @@
     /// Its requests carry no tenant's key.
     #[prost(bool, tag = "15")]
     pub unkeyed: bool,
+    /// The regions in which its requests may be run, kept and cached; empty: in any.
+    #[prost(string, repeated, tag = "16")]
+    #[serde(deserialize_with = "null_as_default")]
+    pub domains: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
@@ -87,6 +92,14 @@
     pub boot_ms: f64,
     #[prost(uint32, tag = "9")]
     pub max_inflight: u32,
+    /// For how many seconds a processor is cold after a start.
+    #[prost(double, tag = "10")]
+    #[serde(deserialize_with = "null_as_default")]
+    pub cold_s: f64,
+    /// Requests a second that a cold processor bears, from all machines together; 0: no bound.
+    #[prost(double, tag = "11")]
+    #[serde(deserialize_with = "null_as_default")]
+    pub cold_per_s: f64,
 }
 
 impl Service {
@@ -108,6 +121,16 @@
     pub idle_ms: f64,
 }
 
+/// Reads `null` as what stands where a field is left out.
+pub(crate) fn null_as_default<'de, D, T>(d: D) -> Result<T, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    T: Default + serde::Deserialize<'de>,
+{
+    let read: Option<T> = serde::Deserialize::deserialize(d)?;
+    Ok(read.unwrap_or_default())
+}
+
 /// Weights by service: an object of numbers, or a list of items that name a service
 /// and a weight.
 fn weights<'de, D: serde::Deserializer<'de>>(d: D) -> Result<BTreeMap<String, f64>, D::Error> {
@@ -115,6 +138,7 @@
     struct Part {
         #[serde(rename = "plant")]
         service: String,
+        #[serde(alias = "gain")]
         weight: f64,
     }
     #[derive(serde::Deserialize)]
@@ -172,6 +196,11 @@
             if p.flow_per_s.is_nan() || p.flow_per_s < 0.0 {
                 return Err(format!("plants: {}: flowPerS is not a rate", p.name));
             }
+            for (field, value) in [("coldS", p.cold_s), ("coldPerS", p.cold_per_s)] {
+                if !value.is_finite() || value < 0.0 {
+                    return Err(format!("plants: {}: {field} must be 0 or more", p.name));
+                }
+            }
             // A function has all three; whatever has none is no function.
             if p.memory_mb != 0.0 || p.boot_ms != 0.0 || p.max_inflight != 0 {
                 for (field, value, most) in [
@@ -214,6 +243,7 @@
             if c.timeout_ms.is_nan() || c.timeout_ms <= 0.0 {
                 return Err(format!("channels: {}: cutoffMs must be above 0", c.name));
             }
+            check_domains(&c.domains).map_err(|why| format!("channels: {}: {why}", c.name))?;
         }
         check_tenants(self.tenants())
     }
--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -1,8 +1,8 @@
 //! A configuration with its indexes, made once for each version and shared by all
 //! who look things up in it: with over a thousand routes, lists are too slow.
 
-use crate::{Configuration, Route, Service, Tenant};
-use std::collections::HashMap;
+use crate::{Configuration, Homes, Route, Service, Tenant};
+use std::collections::{BTreeSet, HashMap};
 use std::ops::Deref;
 
 /// A hash that is the same in every process and version of the program: partitions are chosen
@@ -25,6 +25,10 @@
     message_routes: HashMap<String, Vec<usize>>,
     /// By key, the tenant that holds it.
     tenant_keys: HashMap<String, usize>,
+    /// By name.
+    tenant_names: HashMap<String, usize>,
+    /// Any route or tenant is bound to regions.
+    has_homes: bool,
 }
 
 impl Deref for ConfigurationIndex {
@@ -52,7 +56,10 @@
         p.services = configuration.services.iter().enumerate().map(|(n, s)| (s.name.clone(), n)).collect();
         for (n, tenant) in configuration.tenants().iter().enumerate() {
             p.tenant_keys.extend(tenant.keys.iter().map(|key| (key.clone(), n)));
+            p.tenant_names.insert(tenant.name.clone(), n);
         }
+        p.has_homes = configuration.routes.iter().any(|route| !route.domains.is_empty())
+            || configuration.tenants().iter().any(|tenant| !tenant.domains.is_empty());
         p.configuration = configuration;
         p
     }
@@ -102,6 +109,32 @@
         self.tenant_keys.get(key).map(|n| &self.configuration.tenants()[*n])
     }
 
+    /// Where requests of a tenant on a route may be run and kept; `tenant` is empty where
+    /// there is none.
+    pub fn homes(&self, route: &Route, tenant: &str) -> Homes {
+        let homes = Homes::of(&route.domains);
+        match self.tenant_named(tenant) {
+            Some(tenant) => homes.and(Homes::of(&tenant.domains)),
+            None => homes,
+        }
+    }
+
+    /// Whether any route or tenant is bound to regions.
+    pub fn has_homes(&self) -> bool {
+        self.has_homes
+    }
+
+    /// The regions that any route or tenant is bound to, in their order, each once.
+    pub fn home_regions(&self) -> BTreeSet<&str> {
+        let routes = self.configuration.routes.iter().flat_map(|route| &route.domains);
+        let tenants = self.configuration.tenants().iter().flat_map(|tenant| &tenant.domains);
+        routes.chain(tenants).map(String::as_str).collect()
+    }
+
+    fn tenant_named(&self, name: &str) -> Option<&Tenant> {
+        self.tenant_names.get(name).map(|n| &self.configuration.tenants()[*n])
+    }
+
     /// The shortest aim for the start of a run that any route of a service has.
     pub fn target_start_ms(&self, service: &str) -> f64 {
         self.target_starts.get(service).copied().unwrap_or(f64::MAX)
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,3 +1,4 @@
+use crate::Homes;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -146,6 +147,16 @@
     /// How long the key of an operation is remembered; 0: operations have no keys.
     #[prost(double, tag = "25")]
     pub key_window_s: f64,
+    /// Within how many milliseconds after an evacuation's acknowledgement nothing reaches the
+    /// zone any more.
+    #[prost(double, tag = "26")]
+    pub drain_zone_ms: f64,
+    /// By how much `coldPerS` of a service may be exceeded in one second: a factor, and
+    /// requests on top of that.
+    #[prost(double, tag = "27")]
+    pub cold_overshoot: f64,
+    #[prost(double, tag = "28")]
+    pub cold_slack: f64,
 }
 
 impl Constraints {
@@ -308,6 +319,15 @@
         self.rollout == "functions"
     }
 
+    /// The zones of the regions that are allowed, in their order; empty where any is.
+    pub fn zones_within(&self, homes: &Homes) -> Vec<String> {
+        if !homes.is_bound() {
+            return Vec::new();
+        }
+        let zones = self.zones.iter().filter(|(_, region)| homes.allows(region));
+        zones.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// What the traffic role of a front machine is called.
     pub fn front_role(&self) -> &'static str {
         if self.runs_functions() { "functions" } else { "front" }
--- a/crates/config/src/tenant.rs
+++ b/crates/config/src/tenant.rs
@@ -1,6 +1,8 @@
 //! Tenants of a configuration: reading them item by item, checking them, and finding the
 //! tenant that holds a key.
 
+use crate::configuration::null_as_default;
+use crate::homes::check_domains;
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 
@@ -28,6 +30,10 @@
     /// Messages above `flow_per_s` that may be accepted at once.
     #[prost(double, tag = "5")]
     pub surge: f64,
+    /// The regions in which its requests may be run, kept and cached; empty: in any.
+    #[prost(string, repeated, tag = "6")]
+    #[serde(deserialize_with = "null_as_default")]
+    pub domains: Vec<String>,
 }
 
 impl Tenant {
@@ -53,6 +59,7 @@
                 return Err(format!("tenants: {}: {field} must be 0 or more", self.name));
             }
         }
+        check_domains(&self.domains).map_err(|why| format!("tenants: {}: {why}", self.name))?;
         Ok(())
     }
 }
@@ -121,6 +128,8 @@
         "flowPerS"
     } else if is_wrong("surge", Value::is_number) {
         "surge"
+    } else if is_wrong("domains", |value| value.is_null() || is_list_of_text(value)) {
+        "domains"
     } else {
         "rank"
     }
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -2,6 +2,7 @@
 //! and the platform's list of processors.
 
 use crate::assignment::*;
+use crate::evacuation::ColdKnown;
 use crate::rollout::RolloutDecision;
 use crate::service::*;
 use crate::state::*;
@@ -13,6 +14,34 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+impl ControlShared {
+    /// Notes from when on this leader knows of zones that were taken back.
+    fn note_returning_zones(&mut self, now: u64) {
+        let evacuations = &self.control_state.assignments.evacuations;
+        let returning = || evacuations.iter().filter(|e| e.finished && e.cold_known_from == 0);
+        self.returning_since.retain(|ordered, _| returning().any(|e| e.ordered == *ordered));
+        for evacuation in returning() {
+            self.returning_since.entry(evacuation.ordered).or_insert(now);
+        }
+    }
+
+    /// The zones taken back whose cold processors the membership shows, which is that of a
+    /// listing as of `listed`; none while this node may not publish what it lists.
+    fn cold_known_by(&self, listed: u64, now: u64) -> Vec<ColdKnown> {
+        if !self.publishes(now) {
+            return Vec::new();
+        }
+        let evacuations = self.control_state.assignments.evacuations.iter();
+        let is_shown = |e: &&Evacuation| self.returning_since.get(&e.ordered).is_some_and(|since| *since < listed);
+        let known = evacuations.filter(is_shown).map(|e| ColdKnown {
+            zone: e.zone.clone(),
+            ordered: e.ordered,
+            membership: self.membership.version,
+        });
+        known.collect()
+    }
+}
+
 impl ControlService {
     pub(crate) fn alive(f: &ControlShared, now: u64, lease: u64, name: &str) -> bool {
         // A lease runs from when the node sent its request; a quarter is added
@@ -42,6 +71,7 @@
         let mut words: Vec<(String, CommandPayload)> = Vec::new();
         self.with(|f| {
             self.tend_clock(f, now);
+            f.note_returning_zones(now);
             // Sessions that ended.
             let limit = self.ratio(3.0);
             let before = f.sessions.len();
@@ -290,6 +320,7 @@
                 continue;
             }
             let (mut processors, mut token, mut whole) = (Vec::new(), None::<String>, false);
+            let began = self.now();
             loop {
                 let path = token.as_ref().map_or("/units".into(), |t| format!("/units?pageToken={t}"));
                 let call = http1::Call {
@@ -327,18 +358,29 @@
             if whole {
                 processors.sort_by(|a, b| a.id.cmp(&b.id));
                 let now = self.now();
-                self.with(|f| {
+                let lag = self.listing_lag_ms();
+                let cold_known = self.with(|f| {
                     f.processors = processors;
                     f.listed = true;
                     f.listed_at = now;
                     Self::refresh_membership(f, now);
+                    f.cold_known_by(began.saturating_sub(lag), now)
                 });
                 self.news.notify_waiters();
+                for known in cold_known {
+                    self.propose(CommandPayload::ColdKnown(known)).await;
+                }
             }
             tokio::time::sleep(period).await;
         }
     }
 
+    /// How far the platform's list may be behind, in milliseconds.
+    fn listing_lag_ms(&self) -> u64 {
+        let margin = self.settings.constraints.converge_ms / 4.0;
+        (self.settings.platform.lag_ms + margin) as u64
+    }
+
     /// Keeps the cluster's time. A leader that nobody told what time is carried on starts
     /// it from the logs, once those who may carry it had the time to say so.
     pub(crate) fn tend_clock(&self, f: &mut ControlShared, now: u64) {
--- a/crates/control/src/instance_launcher.rs
+++ b/crates/control/src/instance_launcher.rs
@@ -45,21 +45,26 @@
         !self.workers.is_empty()
     }
 
-    /// The worker with the most room, in that zone if there is one about as good:
-    /// processors are spread, so that the end of a worker takes few of them.
-    pub fn choose(&mut self, memory_mb: f64, zone: &str, now: u64) -> Option<String> {
+    /// The worker with the most room in the zones that are allowed, in that zone if there is
+    /// one about as good: processors are spread, so that the end of a worker takes few of them.
+    pub fn choose(
+        &mut self,
+        memory_mb: f64,
+        zone: &str,
+        is_allowed: impl Fn(&str) -> bool,
+        now: u64,
+    ) -> Option<InstanceHost> {
         let room = |w: &InstanceHost| {
             let taken: f64 = self.taken.get(&w.name).map_or(0.0, |t| t.iter().map(|x| x.1).sum());
             w.headroom_mb - taken
         };
-        let fits = self
-            .workers
-            .iter()
-            .filter(|w| w.ready && room(w) >= memory_mb && self.refused.get(&w.name).is_none_or(|until| *until <= now));
+        let is_refusing = |w: &InstanceHost| self.refused.get(&w.name).is_some_and(|until| *until > now);
+        let fits =
+            self.workers.iter().filter(|w| w.ready && is_allowed(&w.zone) && room(w) >= memory_mb && !is_refusing(w));
         let weigh = |w: &InstanceHost| room(w) + if w.zone == zone { memory_mb } else { 0.0 };
-        let name = fits.max_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| b.name.cmp(&a.name)))?.name.clone();
-        self.taken.entry(name.clone()).or_default().push((now, memory_mb));
-        Some(name)
+        let host = fits.max_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| b.name.cmp(&a.name)))?.clone();
+        self.taken.entry(host.name.clone()).or_default().push((now, memory_mb));
+        Some(host)
     }
 
     /// The platform would not start anything there.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 mod assignment;
 mod cluster_clock;
 mod duties;
+mod evacuation;
 mod instance_launcher;
 mod leadership;
 mod operator;
@@ -17,6 +18,7 @@
 mod unidentified;
 pub use assignment::*;
 pub use cluster_clock::*;
+pub use evacuation::*;
 pub use instance_launcher::*;
 pub use operator::serve as serve_operator;
 pub use raft::*;
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -1,12 +1,13 @@
 //! What operators ask over HTTP.
 
+use crate::evacuation::EvacuateZone;
 use crate::rollout::RolloutMonitor;
-use crate::service::ControlService;
+use crate::service::{ControlService, ControlShared};
 use crate::state::*;
 use bytes::Bytes;
 use config::Configuration;
 use http1::{Bounds, Closing, Reply, Request};
-use rpc::messages::Rollout;
+use rpc::messages::{Rollout, ZoneUse};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -111,10 +112,45 @@
                 None => fault(404, "that node is not being retired"),
             }
         }
+        ("POST", ["evacuate", zone, "start"]) => evacuate(control, zone, false).await,
+        ("POST", ["evacuate", zone, "finish"]) => evacuate(control, zone, true).await,
+        ("GET", ["evacuate", "read"]) => Reply::json(200, control.with(|f| evacuations(f)).to_string()),
         _ => fault(404, "no such call"),
     }
 }
 
+/// The zones that are emptied or on their way back, as JSON.
+pub(crate) fn evacuations(f: &ControlShared) -> serde_json::Value {
+    let known = f.membership.version;
+    let assignments = &f.control_state.assignments;
+    let states = assignments.evacuations.iter().map(|e| {
+        let state = match assignments.zone_use(&e.zone, known) {
+            ZoneUse::Evacuated => "evacuated",
+            ZoneUse::Returning => "returning",
+            ZoneUse::Open => "open",
+        };
+        serde_json::json!({ "zone": e.zone, "state": state })
+    });
+    serde_json::json!({ "evacuations": states.collect::<Vec<_>>() })
+}
+
+async fn evacuate(control: &Arc<ControlService>, zone: &str, finished: bool) -> Reply {
+    if !control.settings.zones.contains_key(zone) {
+        return fault(404, &format!("no zone {zone:?}"));
+    }
+    let word = CommandPayload::Evacuate(EvacuateZone { zone: zone.to_owned(), finished });
+    match control.propose(word).await {
+        Some(ApplyResult::Done) => {
+            telemetry::count("evacuation_orders");
+            telemetry::change!("zone {zone} is {}", if finished { "taken back" } else { "evacuated" });
+            let state = if finished { "finished" } else { "started" };
+            Reply::json(200, serde_json::json!({ "zone": zone, "state": state }).to_string())
+        }
+        Some(ApplyResult::Repeated) => Reply::json(200, r#"{"again":true}"#),
+        _ => fault(504, "it may or may not be in force: send it again unchanged"),
+    }
+}
+
 async fn put(control: &Arc<ControlService>, r: &Request, adjust: bool) -> Reply {
     let Some(base) = r.header("x-base-revision").and_then(|v| v.parse::<u64>().ok()) else {
         return fault(400, "X-Base-Revision: missing or not a number");
--- a/crates/control/src/scaler.rs
+++ b/crates/control/src/scaler.rs
@@ -120,11 +120,13 @@
         };
         while Instant::now() < end && self.holds_leadership() {
             let now = self.now();
-            let (worker, fence, known) = self.with(|f| {
-                let fence = f.term();
-                (f.launcher.choose(memory, &s.zone, now), fence, f.launcher.known())
+            let (host, fence, known) = self.with(|f| {
+                let evacuated = f.control_state.assignments.evacuated_zones(f.membership.version);
+                let is_allowed =
+                    |zone: &str| !evacuated.contains(zone) && (s.zones.is_empty() || s.zones.iter().any(|z| z == zone));
+                (f.launcher.choose(memory, &s.zone, is_allowed, now), f.term(), f.launcher.known())
             });
-            let Some(worker) = worker else {
+            let Some(InstanceHost { name: worker, zone, .. }) = host else {
                 // Not asked yet is not full.
                 ack.full = known;
                 if known {
@@ -147,7 +149,7 @@
                         continue;
                     };
                     telemetry::count("starts");
-                    (ack.processor, ack.address) = (a.id, a.address);
+                    (ack.processor, ack.address, ack.zone) = (a.id, a.address, zone);
                     return ack;
                 }
                 Some((409, _)) => {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -102,6 +102,8 @@
     pub(crate) configuration_index: Arc<ConfigurationIndex>,
     /// The same as a tree, for changes.
     pub(crate) document: config::ConfigurationDocument,
+    /// Zones that were taken back, by the index of that order: since when this leader knows.
+    pub(crate) returning_since: HashMap<u64, u64>,
     /// The processors that each front is told, made once for a listing and a membership.
     pub(crate) shares: (u64, u64, HashMap<String, Processors>),
 }
@@ -271,6 +273,7 @@
                 "duties": if f.is_leader { vec!["lister", "judge", "assigner"] } else { vec![] },
                 "voters": f.voters, "clocks": clocks,
                 "clockCorrectionMs": f.cluster_clock.correction_ms(now), "behind": behind, "disks": disks,
+                "evacuations": crate::operator::evacuations(f)["evacuations"],
                 "unidentified": unidentified, "revision": f.control_state.revision, "assignments": f.control_state.assignments.version, "membership": f.membership.version,
                 "units": f.membership.processors.len(), "partitions": parts, "nodes": nodes, "counters": telemetry::render()})
             .to_string()
@@ -336,6 +339,7 @@
             ),
             configuration_index: Arc::default(),
             document: config::ConfigurationDocument::default(),
+            returning_since: HashMap::new(),
             shares: (0, 0, HashMap::new()),
         }),
         news: Notifier::new(),
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -21,6 +21,11 @@
         if known > node.incarnation { known } else { 0 }
     }
 
+    /// Whether this node publishes the membership: it leads, and remembers what was told.
+    pub(crate) fn publishes(&self, now: u64) -> bool {
+        self.holds(now) && now >= self.publish_from
+    }
+
     /// Takes what a node says of itself, from whoever brings it: a later incarnation
     /// replaces an earlier one, and leaving is not undone within an incarnation. Tells
     /// whether it was news.
@@ -147,7 +152,7 @@
     }
 
     pub(crate) fn refresh_membership(f: &mut ControlShared, now: u64) {
-        if !f.holds(now) || now < f.publish_from {
+        if !f.publishes(now) {
             return;
         }
         let nodes: Vec<&Node> = f.sessions.values().map(|s| &s.node).collect();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that the majority log folds into: the operator's word, and who
 //! owns which partition at which term.
 
+use crate::evacuation::{ColdKnown, EvacuateZone};
 use bytes::Bytes;
 use config::ConfigurationDocument;
 use prost::Message;
@@ -77,7 +78,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
-    #[prost(oneof = "CommandPayload", tags = "1, 2, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "CommandPayload", tags = "1, 2, 5, 6, 7, 8, 9, 10, 11")]
     pub word: Option<CommandPayload>,
     /// The cluster's time when it was proposed, ms; 0 if it was not known.
     #[prost(uint64, tag = "15")]
@@ -101,6 +102,10 @@
     StartRetire(StartRetire),
     #[prost(message, tag = "9")]
     FinishRetire(FinishRetire),
+    #[prost(message, tag = "10")]
+    Evacuate(EvacuateZone),
+    #[prost(message, tag = "11")]
+    ColdKnown(ColdKnown),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -325,6 +330,16 @@
                 slot.done = true;
                 slot.born = r.born;
             }
+            CommandPayload::Evacuate(order) => {
+                if !order.apply(&mut self.assignments.evacuations, index) {
+                    return ApplyResult::Repeated;
+                }
+            }
+            CommandPayload::ColdKnown(known) => {
+                if !known.apply(&mut self.assignments.evacuations) {
+                    return ApplyResult::Beaten;
+                }
+            }
             CommandPayload::Layout(l) => {
                 if !self.assignments.partitions.is_empty() {
                     return ApplyResult::Beaten;
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use control::*;
 use prost::Message;
-use rpc::messages::{Grant, Partition, Rollout, Sample};
+use rpc::messages::{Grant, Partition, Rollout, Sample, ZoneUse};
 
 /// One log; two members fold its entries, one of which begins anew from a snapshot
 /// before each, and now and then once there are very many.
@@ -285,3 +285,50 @@
     assert_eq!(telemetry::get("commands_undecoded"), before.1 + 6, "once for each member");
     assert_eq!(l.raw(Bytes::new()), ApplyResult::Done, "the log's own entries carry nothing");
 }
+
+impl Log {
+    fn evacuate(&mut self, zone: &str, finished: bool) -> ApplyResult {
+        self.put(CommandPayload::Evacuate(EvacuateZone { zone: zone.into(), finished }))
+    }
+
+    fn cold_known(&mut self, zone: &str, ordered: u64, membership: u64) -> ApplyResult {
+        self.put(CommandPayload::ColdKnown(ColdKnown { zone: zone.into(), ordered, membership }))
+    }
+
+    fn zone_use(&self, zone: &str, membership: u64) -> ZoneUse {
+        self.control_state.assignments.zone_use(zone, membership)
+    }
+}
+
+#[test]
+fn of_the_orders_for_one_zone_the_last_holds_and_a_repeat_is_acknowledged_again() {
+    let mut log = Log::default();
+    assert_eq!(log.evacuate("a", true), ApplyResult::Repeated, "it is not evacuated: so it is wanted");
+    assert_eq!(log.evacuate("a", false), ApplyResult::Done);
+    let version = log.control_state.assignments.version;
+    assert_eq!(log.evacuate("a", false), ApplyResult::Repeated);
+    assert_eq!(log.control_state.assignments.version, version, "a repeat is no news");
+    assert_eq!((log.zone_use("a", 9), log.zone_use("b", 9)), (ZoneUse::Evacuated, ZoneUse::Open));
+    assert_eq!(log.evacuate("a", true), ApplyResult::Done);
+    assert_eq!(log.evacuate("a", true), ApplyResult::Repeated);
+    assert_eq!(log.zone_use("a", 9), ZoneUse::Returning);
+    assert_eq!(log.evacuate("a", false), ApplyResult::Done, "and once more");
+    assert_eq!(log.zone_use("a", 9), ZoneUse::Evacuated);
+    assert_eq!(log.control_state.assignments.evacuations.len(), 1);
+}
+
+#[test]
+fn a_zone_that_was_taken_back_is_open_to_those_who_know_which_processors_are_cold() {
+    let mut log = Log::default();
+    log.evacuate("a", false);
+    log.evacuate("a", true);
+    let ordered = log.control_state.assignments.evacuations[0].ordered;
+    assert_eq!(log.cold_known("a", ordered, 40), ApplyResult::Done);
+    assert_eq!((log.zone_use("a", 39), log.zone_use("a", 40)), (ZoneUse::Returning, ZoneUse::Open));
+    // A listing from before another evacuation says nothing of the return after that.
+    log.evacuate("a", false);
+    assert_eq!(log.cold_known("a", ordered, 50), ApplyResult::Beaten);
+    log.evacuate("a", true);
+    assert_eq!(log.cold_known("a", ordered, 60), ApplyResult::Beaten);
+    assert_eq!(log.zone_use("a", 60), ZoneUse::Returning);
+}
--- a/crates/control/tests/scaler.rs
+++ b/crates/control/tests/scaler.rs
@@ -122,7 +122,7 @@
     }
 
     async fn start(&self, service: &str, nonce: &str) -> StartAck {
-        let s = Start { service: service.into(), nonce: nonce.into(), zone: "z".into() };
+        let s = Start { service: service.into(), nonce: nonce.into(), zone: "z".into(), zones: Vec::new() };
         match self.control.call(Body::Start(s), WAIT).await {
             Ok(Body::StartAck(a)) => a,
             _ => StartAck::default(),
--- a/crates/functions/src/gateway.rs
+++ b/crates/functions/src/gateway.rs
@@ -104,6 +104,8 @@
     request: &'a Request,
     route: &'a Route,
     service: &'a str,
+    /// Where it may run; empty for anywhere.
+    zones: Vec<String>,
     id: &'a str,
     connection: &'a str,
     /// When the client is to have its answer: by its own deadline and the route's timeout.
--- a/crates/functions/src/gateway/forward.rs
+++ b/crates/functions/src/gateway/forward.rs
@@ -24,6 +24,11 @@
         // Nothing is held for longer than its route wants it held.
         let end = begun + Duration::from_micros((given.min(c.timeout_ms) * 1000.0) as u64);
         let service = c.service_for(rpc::fingerprint(id.as_bytes())).to_owned();
+        let homes = configuration.homes(c, "");
+        let zones = self.settings.zones_within(&homes);
+        if homes.is_bound() && zones.is_empty() {
+            return fault(403, "none of the regions that it may run in is known");
+        }
         self.shared.lock().unwrap().retry_budget.sent(begun);
         let ask = Passing {
             connection: r.header("connection").unwrap_or(""),
@@ -32,6 +37,7 @@
             request: &r,
             route: c,
             service: &service,
+            zones,
             id,
             end,
             attempts: Mutex::new(Attempts::new(c.tries)),
@@ -91,7 +97,7 @@
         let c = ask.route;
         loop {
             let left = ask.end.saturating_duration_since(Instant::now());
-            let (slot_id, g) = self.slot(ask.service, c, wait_for_slot(c, left)).await?;
+            let (slot_id, g) = self.slot(ask.service, c, &ask.zones, wait_for_slot(c, left)).await?;
             let back = SlotRelease {
                 service: ask.service.to_owned(),
                 front: self.settings.node.clone(),
@@ -146,6 +152,10 @@
         if g.starting && !self.wait_until_up(ask, g, back).await {
             return Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Dark);
         }
+        if self.is_evacuated(&g.zone) {
+            telemetry::count("sends_spared_evacuated");
+            return Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Done);
+        }
         let within = ask.end.saturating_duration_since(Instant::now());
         if within < shortest_run(ask.route) {
             return Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Done);
@@ -162,6 +172,12 @@
         heard
     }
 
+    /// Whether the processors of a zone are sent nothing.
+    fn is_evacuated(&self, zone: &str) -> bool {
+        let known = self.known.borrow();
+        known.assignments.zone_use(zone, known.membership.version) == ZoneUse::Evacuated
+    }
+
     /// Connects to a processor that refuses until it has started, and tells its slot owner
     /// when it has; false if the time is over before that.
     async fn wait_until_up(self: &Arc<Self>, ask: &Passing<'_>, g: &SlotGrant, back: &SlotRelease) -> bool {
--- a/crates/functions/src/gateway/slot_client.rs
+++ b/crates/functions/src/gateway/slot_client.rs
@@ -69,6 +69,7 @@
         self: &Arc<Self>,
         service: &str,
         c: &Route,
+        zones: &[String],
         left: Duration,
     ) -> Result<(u64, SlotGrant), Failure> {
         let end = Instant::now() + left;
@@ -87,6 +88,7 @@
                 target_start_ms: c.target_latency_ms as u32,
                 dark: self.dark(),
                 rank: c.rank,
+                zones: zones.to_vec(),
             };
             // Dropped before there is an answer: the slot owner is told, whether it granted
             // one by then or not.
@@ -153,6 +155,7 @@
                         processor: g.processor.clone(),
                         address: g.address.clone(),
                         hold_ms: 0,
+                        zone: g.zone.clone(),
                     };
                     let until = Instant::now() + patience + Duration::from_millis(c.timeout_ms as u64);
                     self.shared.lock().unwrap().holds.insert(slot_id, (held, until));
--- a/crates/functions/src/gateway/slot_service.rs
+++ b/crates/functions/src/gateway/slot_service.rs
@@ -6,11 +6,11 @@
     pub(super) fn carry_out(self: &Arc<Self>, i: &mut GatewayState, effects: Vec<Effect>) {
         for e in effects {
             match e {
-                Effect::Grant { holder, processor, address, starting } => {
+                Effect::Grant { holder, processor, address, zone, starting } => {
                     telemetry::count("slots_granted");
                     if let Some(w) = i.waiters.remove(&holder) {
                         let outcome = SlotOutcome::Granted as i32;
-                        w.send(SlotGrant { outcome, processor, address, starting, retry_ms: 0 });
+                        w.send(SlotGrant { outcome, processor, address, zone, starting, retry_ms: 0 });
                     }
                 }
                 Effect::Refuse { holder, retry_ms } => {
@@ -21,9 +21,10 @@
                         w.send(SlotGrant { outcome, retry_ms: retry_ms as u32, ..SlotGrant::default() });
                     }
                 }
-                Effect::Start { service, nonce } => {
+                Effect::Start { service, nonce, zones } => {
                     telemetry::count("starts_asked");
-                    tokio::spawn(self.clone().start_processor(service, nonce));
+                    let zone = self.settings.zone.clone();
+                    tokio::spawn(self.clone().start_processor(Start { service, nonce, zone, zones }));
                 }
                 Effect::Stop { processor, .. } => {
                     telemetry::count("stops_asked");
@@ -42,21 +43,21 @@
     }
 
     /// Asks the leader for a processor, by one nonce until it is clear what came of it.
-    pub(super) async fn start_processor(self: Arc<Self>, service: String, nonce: String) {
+    pub(super) async fn start_processor(self: Arc<Self>, ask: Start) {
+        let Start { service, nonce, .. } = ask.clone();
         let wait = self.ratio(4.0);
         let end = Instant::now() + 4 * wait;
         let (mut full, mut pause) = (false, self.ratio(100.0));
         while Instant::now() < end {
             let leader = self.known.borrow().leader.clone();
-            let ask = Start { service: service.clone(), nonce: nonce.clone(), zone: self.settings.zone.clone() };
             let asked = if leader.is_empty() {
                 None
             } else {
-                self.rpc_clients.to(&leader).call(Body::Start(ask), wait).await.ok()
+                self.rpc_clients.to(&leader).call(Body::Start(ask.clone()), wait).await.ok()
             };
             if let Some(Body::StartAck(a)) = asked {
                 if !a.processor.is_empty() {
-                    self.step(|c, now, out| c.started(&service, &nonce, &a.processor, &a.address, now, out));
+                    self.step(|c, now, out| c.started(&service, &nonce, &a, now, out));
                     return;
                 }
                 if a.full {
@@ -219,10 +220,17 @@
         }
         for u in self.processors.lock().unwrap().iter() {
             if let Some(k) = kept.get_mut(&u.service) {
-                k.1.push(Listed { id: u.id.clone(), address: u.address.clone(), draining: u.draining });
+                k.1.push(Listed {
+                    id: u.id.clone(),
+                    address: u.address.clone(),
+                    zone: u.zone.clone(),
+                    draining: u.draining,
+                });
             }
         }
+        let evacuated = known.assignments.evacuated_zones(known.membership.version);
         self.step(|c, now, out| {
+            c.evacuate(evacuated, now, out);
             c.keep(&kept, now, out);
             if moved {
                 c.fronts(&there, now, out);
--- a/crates/functions/src/slots.rs
+++ b/crates/functions/src/slots.rs
@@ -1,7 +1,7 @@
 //! The slot owner of functions: who holds which slot of which processor. A state
 //! machine without I/O; its clock is in milliseconds.
 
-use rpc::messages::{SlotEnd, SlotHeld, SlotRelease, SlotRequest};
+use rpc::messages::{SlotEnd, SlotHeld, SlotRelease, SlotRequest, StartAck};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// A front and its slot id: names a slot that is held or waited for.
@@ -9,10 +9,27 @@
 
 #[derive(Debug, PartialEq, Clone)]
 pub enum Effect {
-    Grant { holder: Holder, processor: String, address: String, starting: bool },
-    Refuse { holder: Holder, retry_ms: u64 },
-    Start { service: String, nonce: String },
-    Stop { service: String, processor: String },
+    Grant {
+        holder: Holder,
+        processor: String,
+        address: String,
+        zone: String,
+        starting: bool,
+    },
+    Refuse {
+        holder: Holder,
+        retry_ms: u64,
+    },
+    /// `zones`: where it may be started; empty for anywhere.
+    Start {
+        service: String,
+        nonce: String,
+        zones: Vec<String>,
+    },
+    Stop {
+        service: String,
+        processor: String,
+    },
 }
 
 /// What a configuration says of a function.
@@ -27,12 +44,17 @@
 pub struct Listed {
     pub id: String,
     pub address: String,
+    pub zone: String,
     pub draining: bool,
 }
 
 #[derive(Debug)]
 struct Slots {
     address: String,
+    /// Empty if it is not known.
+    zone: String,
+    /// Its zone is evacuated: it is granted to nobody.
+    evacuated: bool,
     /// By whom, and until when at the most.
     held: BTreeMap<Holder, u64>,
     /// Somebody had an answer from it, or the platform lists it.
@@ -54,6 +76,15 @@
     target_start: u64,
     /// Of its route; 0 is the most urgent.
     rank: u32,
+    /// Where the request may run; empty for anywhere.
+    zones: Vec<String>,
+}
+
+/// A start that was asked for.
+struct Starting {
+    since: u64,
+    /// Where it may be; empty for anywhere.
+    zones: Vec<String>,
 }
 
 /// One grant of so many goes to whoever has waited longest, whatever its rank: the more
@@ -67,8 +98,8 @@
     /// Whether the configuration in force names it.
     is_configured: bool,
     processors: BTreeMap<String, Slots>,
-    /// Starts that were asked for and not answered, by nonce: since when.
-    starts: BTreeMap<String, u64>,
+    /// Starts that were asked for and not answered, by nonce.
+    starts: BTreeMap<String, Starting>,
     waits: VecDeque<Wait>,
     /// How long a slot is held by a run, about.
     hold_ms: f64,
@@ -95,6 +126,8 @@
     incarnation: u64,
     serial: u64,
     functions: HashMap<String, FunctionSlots>,
+    /// Zones whose processors are granted to nobody.
+    evacuated: HashSet<String>,
     /// Processors that are gone: the platform's list shows them for a while still.
     gone: HashMap<String, Gone>,
     /// How long a new slot owner waits for what the fronts hold, and what makes a silent
@@ -116,25 +149,38 @@
         self.facts.map_or(1000, |f| f.boot_ms.max(1))
     }
 
-    /// Slots that come with processors that are on their way up.
-    fn coming(&self) -> usize {
+    /// Slots that come with processors that are on their way up in these zones.
+    fn coming(&self, zones: &[String]) -> usize {
         let most = self.most();
-        let starting: usize =
-            self.processors.values().filter(|u| !u.up && !u.draining).map(|u| most - u.held.len().min(most)).sum();
-        starting + self.starts.len() * most
+        let starting = self.processors.values().filter(|u| !u.up && u.is_open() && u.is_in(zones));
+        let slots: usize = starting.map(|u| most - u.held.len().min(most)).sum();
+        slots + self.starts.values().filter(|start| start.zones == zones).count() * most
     }
 
-    fn usable(&self, now: u64) -> usize {
-        self.processors.values().filter(|u| u.up && !u.draining && u.shy <= now).count() * self.most()
+    /// Slots of the processors in these zones that are up.
+    fn usable(&self, zones: &[String], now: u64) -> usize {
+        let usable = |u: &&Slots| u.up && u.is_open() && u.is_in(zones) && u.shy <= now;
+        self.processors.values().filter(usable).count() * self.most()
     }
 
     /// When the next slot will be there, about.
     fn ready_in(&self, now: u64) -> u64 {
-        let begun = self.processors.values().filter(|u| !u.up && !u.draining).map(|u| u.began);
-        let begun = begun.chain(self.starts.values().copied()).min().unwrap_or(now);
+        let begun = self.processors.values().filter(|u| !u.up && u.is_open()).map(|u| u.began);
+        let begun = begun.chain(self.starts.values().map(|start| start.since)).min().unwrap_or(now);
         (begun + self.boot() * 3 / 2).saturating_sub(now)
     }
 
+    /// The sets of zones that those who wait are bound to, each once.
+    fn waited_zones(&self) -> Vec<Vec<String>> {
+        let mut all: Vec<Vec<String>> = Vec::new();
+        for wait in &self.waits {
+            if !all.contains(&wait.zones) {
+                all.push(wait.zones.clone());
+            }
+        }
+        all
+    }
+
     /// Takes out those whose time to wait is over.
     fn take_over(&mut self, now: u64) -> Vec<Wait> {
         let (over, left): (Vec<Wait>, Vec<Wait>) =
@@ -143,27 +189,34 @@
         over
     }
 
-    /// Who gets the next slot: the oldest of the most urgent ones, or in its turn the
-    /// oldest of all.
-    fn next_wait(&mut self) -> Option<Wait> {
+    /// Who gets the next slot, and of which processor: the oldest of the most urgent ones, or
+    /// in its turn the oldest of all.
+    fn next_grant(&mut self, now: u64) -> Option<(Wait, String)> {
+        let free: Vec<(Vec<String>, String)> = self
+            .waited_zones()
+            .into_iter()
+            .filter_map(|zones| Some((zones.clone(), self.free(&zones, now)?)))
+            .collect();
+        let free_for = |w: &Wait| free.iter().find(|(zones, _)| *zones == w.zones).map(|(_, id)| id.clone());
+        let served = || self.waits.iter().enumerate().filter(|(_, w)| free_for(w).is_some());
+        let is_turn_of_oldest = (self.grants + 1).is_multiple_of(GRANTS_TO_THE_OLDEST);
+        let next = if is_turn_of_oldest { served().next() } else { served().min_by_key(|(_, w)| w.rank) };
+        let (at, processor) = next.and_then(|(at, w)| Some((at, free_for(w)?)))?;
         self.grants += 1;
-        if self.grants.is_multiple_of(GRANTS_TO_THE_OLDEST) {
-            return self.waits.pop_front();
-        }
-        let most_urgent = self.waits.iter().enumerate().min_by_key(|(_, w)| w.rank).map(|(at, _)| at)?;
-        self.waits.remove(most_urgent)
+        Some((self.waits.remove(at)?, processor))
     }
 
-    /// A free slot: of the fullest processor that has one, so that others fall idle.
-    /// Of one that is starting only the first: whoever has it tells when it is up.
-    fn free(&self, now: u64) -> Option<String> {
+    /// A free slot in these zones: of the fullest processor that has one, so that others fall
+    /// idle. Of one that is starting only the first: whoever has it tells when it is up.
+    fn free(&self, zones: &[String], now: u64) -> Option<String> {
         let most = self.most();
-        let up = self.processors.iter().filter(|(_, u)| u.up && !u.draining && u.shy <= now && u.held.len() < most);
+        let is_free = |u: &Slots| u.up && u.is_open() && u.is_in(zones) && u.shy <= now && u.held.len() < most;
+        let up = self.processors.iter().filter(|(_, u)| is_free(u));
         let best = up.max_by_key(|(_, u)| u.held.len());
         let first = || {
             self.processors
                 .iter()
-                .filter(|(_, u)| !u.up && !u.draining && u.held.is_empty())
+                .filter(|(_, u)| !u.up && u.is_open() && u.is_in(zones) && u.held.is_empty())
                 .min_by_key(|(_, u)| u.began)
         };
         best.or_else(first).map(|(id, _)| id.clone())
@@ -177,12 +230,29 @@
             incarnation,
             serial: 0,
             functions: HashMap::new(),
+            evacuated: HashSet::new(),
             gone: HashMap::new(),
             settle,
             shy,
         }
     }
 
+    /// The zones that are evacuated now: their processors are granted to nobody, and end once
+    /// they are idle.
+    pub fn evacuate(&mut self, zones: HashSet<String>, now: u64, out: &mut Vec<Effect>) {
+        if zones == self.evacuated {
+            return;
+        }
+        for processor in self.functions.values_mut().flat_map(|f| f.processors.values_mut()) {
+            processor.evacuated = zones.contains(&processor.zone);
+        }
+        self.evacuated = zones;
+        let services: Vec<String> = self.functions.keys().cloned().collect();
+        for service in services {
+            self.serve(&service, now, out);
+        }
+    }
+
     /// Functions kept here, and how their slots stand: units, held, waiting.
     pub fn tallies(&self) -> Vec<(&str, usize, usize, usize)> {
         let mut all: Vec<(&str, usize, usize, usize)> = self
@@ -256,6 +326,8 @@
             for l in listed.iter().filter(|l| !gone.contains_key(&l.id)) {
                 let u = c.processors.entry(l.id.clone()).or_insert_with(|| Slots::new(&l.address, now));
                 (u.up, u.listed, u.draining) = (true, true, l.draining);
+                u.evacuated = self.evacuated.contains(&l.zone);
+                u.zone.clone_from(&l.zone);
             }
             self.serve(service, now, out);
         }
@@ -271,7 +343,13 @@
         }
         // Asked again, as its answer was lost: the same slot, and the same wait.
         if let Some((id, u)) = c.processors.iter().find(|(_, u)| u.held.contains_key(&holder)) {
-            out.push(Effect::Grant { holder, processor: id.clone(), address: u.address.clone(), starting: !u.up });
+            out.push(Effect::Grant {
+                holder,
+                processor: id.clone(),
+                address: u.address.clone(),
+                zone: u.zone.clone(),
+                starting: !u.up,
+            });
             return;
         }
         c.waits.retain(|w| w.holder != holder);
@@ -281,6 +359,7 @@
             hold: u64::from(a.hold_ms),
             target_start: u64::from(a.target_start_ms),
             rank: a.rank,
+            zones: a.zones.clone(),
         });
         self.serve(&a.service, now, out);
     }
@@ -343,25 +422,24 @@
         if self.gone.contains_key(&h.processor) {
             return;
         }
+        let is_evacuated = self.evacuated.contains(&h.zone);
         let c = self.function(&h.service, now);
         let u = c.processors.entry(h.processor.clone()).or_insert_with(|| Slots::new(&h.address, now));
+        if u.zone.is_empty() {
+            u.zone.clone_from(&h.zone);
+            u.evacuated = is_evacuated;
+        }
         u.held.insert((front.to_owned(), h.slot_id), now + u64::from(h.hold_ms));
     }
 
-    /// The platform has a processor on its way.
-    pub fn started(
-        &mut self,
-        service: &str,
-        nonce: &str,
-        processor: &str,
-        address: &str,
-        now: u64,
-        out: &mut Vec<Effect>,
-    ) {
+    /// The platform has a processor on its way: that of `ack`, which names one.
+    pub fn started(&mut self, service: &str, nonce: &str, ack: &StartAck, now: u64, out: &mut Vec<Effect>) {
         let Some(c) = self.functions.get_mut(service) else { return };
-        let began = c.starts.remove(nonce).unwrap_or(now);
-        if !self.gone.contains_key(processor) {
-            c.processors.entry(processor.to_owned()).or_insert_with(|| Slots { began, ..Slots::new(address, now) });
+        let began = c.starts.remove(nonce).map_or(now, |start| start.since);
+        if !self.gone.contains_key(&ack.processor) {
+            let (zone, evacuated) = (ack.zone.clone(), self.evacuated.contains(&ack.zone));
+            let starting = Slots { began, zone, evacuated, ..Slots::new(&ack.address, now) };
+            c.processors.entry(ack.processor.clone()).or_insert(starting);
         }
         self.serve(service, now, out);
     }
@@ -440,16 +518,15 @@
             out.push(Effect::Refuse { holder: w.holder, retry_ms: c.ready_in(now) });
         }
         while c.open <= now
-            && !c.waits.is_empty()
-            && let Some(id) = c.free(now)
+            && let Some((w, id)) = c.next_grant(now)
         {
-            let Some(w) = c.next_wait() else { break };
             if let Some(u) = c.processors.get_mut(&id) {
                 u.held.insert(w.holder.clone(), now + w.hold.max(w.until - now));
                 out.push(Effect::Grant {
                     holder: w.holder,
                     processor: id,
                     address: u.address.clone(),
+                    zone: u.zone.clone(),
                     starting: !u.up,
                 });
             }
@@ -457,11 +534,22 @@
         if c.waits.is_empty() || c.open > now {
             return;
         }
+        for zones in c.waited_zones() {
+            self.ask_for_starts(service, &zones, now, out);
+        }
+    }
+
+    /// Asks for as many starts as those need who wait for slots in these zones, and refuses
+    /// what no start under way can serve in time.
+    fn ask_for_starts(&mut self, service: &str, zones: &[String], now: u64, out: &mut Vec<Effect>) {
+        let Some(c) = self.functions.get_mut(service) else { return };
         // How long the last of them would wait for the processors that are up, against
         // how long a start takes and what the aim allows.
-        let (waiting, usable) = (c.waits.len(), c.usable(now));
+        let usable = c.usable(zones, now);
         let boot = c.boot();
-        let target_start = c.waits.iter().map(|w| w.target_start).min().unwrap_or(boot);
+        let bound = || c.waits.iter().filter(|w| w.zones == zones);
+        let waiting = bound().count();
+        let target_start = bound().map(|w| w.target_start).min().unwrap_or(boot);
         let hold = if c.hold_ms > 0.0 { c.hold_ms } else { boot as f64 / 8.0 };
         let patience = (target_start as f64 / 4.0).max(1.0);
         let wanted = if usable == 0 {
@@ -471,22 +559,22 @@
         } else {
             0
         };
-        let coming = c.coming();
+        let coming = c.coming(zones);
         let most = c.most();
         if c.full <= now && wanted > coming {
             for _ in 0..(wanted - coming).div_ceil(most) {
                 self.serial += 1;
                 let nonce = format!("{}-{}-{:x}", self.me, self.serial, self.incarnation);
                 let nonce = nonce[nonce.len().saturating_sub(64)..].to_owned();
-                c.starts.insert(nonce.clone(), now);
-                out.push(Effect::Start { service: service.to_owned(), nonce });
+                c.starts.insert(nonce.clone(), Starting { since: now, zones: zones.to_vec() });
+                out.push(Effect::Start { service: service.to_owned(), nonce, zones: zones.to_vec() });
             }
         }
         // What no start under way can serve in time is told at once.
         if usable == 0 {
-            let ready = if c.coming() == 0 { u64::MAX } else { now + c.ready_in(now) };
+            let ready = if c.coming(zones) == 0 { u64::MAX } else { now + c.ready_in(now) };
             let (keep, over): (VecDeque<Wait>, VecDeque<Wait>) =
-                std::mem::take(&mut c.waits).into_iter().partition(|w| w.until >= ready);
+                std::mem::take(&mut c.waits).into_iter().partition(|w| w.zones != zones || w.until >= ready);
             c.waits = keep;
             let retry_ms = c.ready_in(now);
             out.extend(over.into_iter().map(|w| Effect::Refuse { holder: w.holder, retry_ms }));
@@ -495,9 +583,21 @@
 }
 
 impl Slots {
+    /// Whether its slots may be granted.
+    fn is_open(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
+
+    /// Whether it is in one of these zones, of which none means anywhere.
+    fn is_in(&self, zones: &[String]) -> bool {
+        zones.is_empty() || zones.contains(&self.zone)
+    }
+
     fn new(address: &str, now: u64) -> Slots {
         Slots {
             address: address.to_owned(),
+            zone: String::new(),
+            evacuated: false,
             held: BTreeMap::new(),
             up: false,
             began: now,
--- a/crates/functions/tests/slot_owner.rs
+++ b/crates/functions/tests/slot_owner.rs
@@ -8,7 +8,14 @@
 const SETTLE: u64 = 100;
 
 fn listed(ids: &[&str]) -> Vec<Listed> {
-    ids.iter().map(|i| Listed { id: i.to_string(), address: format!("10.0.0.1:{i}"), draining: false }).collect()
+    ids.iter()
+        .map(|i| Listed { id: i.to_string(), address: format!("10.0.0.1:{i}"), zone: "z".into(), draining: false })
+        .collect()
+}
+
+fn ack(processor: &str, address: &str) -> StartAck {
+    let (processor, address, zone) = (processor.into(), address.into(), "z".into());
+    StartAck { processor, address, zone, ..StartAck::default() }
 }
 
 /// A slot owner with its clock, and what came of its steps.
@@ -46,6 +53,11 @@
     }
 
     fn ask(&mut self, patience_ms: u32) -> u64 {
+        self.ask_in(&[], patience_ms)
+    }
+
+    /// As `ask`, for a request that may run in these zones only.
+    fn ask_in(&mut self, zones: &[&str], patience_ms: u32) -> u64 {
         self.slot_ids += 1;
         let (service, front) = ("f".to_owned(), "a".to_owned());
         let a = SlotRequest {
@@ -57,6 +69,7 @@
             target_start_ms: 400,
             dark: vec![],
             rank: 0,
+            zones: zones.iter().map(|zone| zone.to_string()).collect(),
         };
         self.slot_table.ask(&a, self.now, &mut self.out);
         self.slot_ids
@@ -94,10 +107,10 @@
     assert!(w.granted().is_empty());
     let starts = w.starts();
     assert_eq!(starts.len(), 1, "two slots come with one start");
-    w.slot_table.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
+    w.slot_table.started("f", &starts[0], &ack("u1", "10.0.0.1:1"), w.now, &mut w.out);
     assert_eq!(w.granted(), [(a, "u1".into(), true)], "the first one connects until it is up");
     // The answer of a start that was asked again by the same nonce changes nothing.
-    w.slot_table.started("f", &starts[0], "u1", "10.0.0.1:1", w.now, &mut w.out);
+    w.slot_table.started("f", &starts[0], &ack("u1", "10.0.0.1:1"), w.now, &mut w.out);
     w.pass(300);
     assert!(w.granted().is_empty());
     w.back(a, "u1", SlotEnd::Up);
@@ -148,7 +161,11 @@
     // Another front holds both slots by the former slot owner's word.
     for slot_id in [71, 72] {
         let (service, processor, address) = ("f".to_owned(), "u1".to_owned(), "10.0.0.1:u1".to_owned());
-        w.slot_table.held("b", &SlotHeld { service, slot_id, processor, address, hold_ms: 400 }, w.now);
+        w.slot_table.held(
+            "b",
+            &SlotHeld { service, slot_id, processor, address, hold_ms: 400, ..SlotHeld::default() },
+            w.now,
+        );
     }
     w.pass(SETTLE);
     assert!(w.granted().is_empty(), "both are held");
@@ -212,7 +229,7 @@
                         w.slot_table.not_started("f", &n, false, w.now, &mut w.out);
                     } else {
                         processors += 1;
-                        w.slot_table.started("f", &n, &format!("u{processors}"), "10.0.0.1:9", w.now, &mut w.out);
+                        w.slot_table.started("f", &n, &ack(&format!("u{processors}"), "10.0.0.1:9"), w.now, &mut w.out);
                     }
                 }
                 _ => w.pass(chance(120)),
@@ -335,6 +352,7 @@
         target_start_ms: 400,
         dark: vec![],
         rank: 0,
+        zones: vec![],
     };
     w.slot_table.ask(&a, w.now, &mut w.out);
 }
@@ -373,7 +391,11 @@
     let mut w = World::new(&[]);
     // A front holds a slot of one that this slot owner's list does not show yet.
     let (service, processor, address) = ("f".to_owned(), "u9".to_owned(), "10.0.0.1:9".to_owned());
-    w.slot_table.held("b", &SlotHeld { service, slot_id: 71, processor, address, hold_ms: 9000 }, w.now);
+    w.slot_table.held(
+        "b",
+        &SlotHeld { service, slot_id: 71, processor, address, hold_ms: 9000, ..SlotHeld::default() },
+        w.now,
+    );
     let stop = Effect::Stop { service: "f".into(), processor: "u9".into() };
     for _ in 0..8 {
         w.pass(FACTS.boot_ms);
@@ -500,8 +522,17 @@
         let rank = usize::from(random % 10 >= urgent_in_ten);
         let (service, front) = ("f".to_owned(), "a".to_owned());
         let (patience_ms, hold_ms, target_start_ms, dark) = (1000, 3000, 400, vec![]);
-        let ask =
-            SlotRequest { service, front, slot_id: n, patience_ms, hold_ms, target_start_ms, dark, rank: rank as u32 };
+        let ask = SlotRequest {
+            service,
+            front,
+            slot_id: n,
+            patience_ms,
+            hold_ms,
+            target_start_ms,
+            dark,
+            rank: rank as u32,
+            zones: vec![],
+        };
         asked[rank] += 1;
         ranks.insert(n, rank);
         w.slot_table.ask(&ask, w.now, &mut w.out);
@@ -538,3 +569,51 @@
         assert!(lesser * 4 > all, "{urgent} of urgent, {lesser} of lesser, {all} of all");
     }
 }
+
+#[test]
+fn the_processors_of_an_evacuated_zone_are_granted_to_nobody_and_end_once_they_are_idle() {
+    let mut w = World::new(&["u1"]);
+    let first = w.ask(2000);
+    assert_eq!(w.granted(), [(first, "u1".into(), false)]);
+    w.slot_table.evacuate(HashSet::from(["z".to_owned()]), w.now, &mut w.out);
+    w.ask(2000);
+    assert!(w.granted().is_empty(), "a free slot of an evacuated zone was granted");
+    let starts = w.starts();
+    assert_eq!(starts.len(), 1, "one in another zone takes its place");
+    let elsewhere = StartAck { zone: "y".into(), ..ack("u2", "10.0.0.2:1") };
+    w.slot_table.started("f", &starts[0], &elsewhere, w.now, &mut w.out);
+    assert_eq!(w.granted().len(), 1);
+    // What runs there ends by itself; then the processor is stopped.
+    w.back(first, "u1", SlotEnd::Done);
+    w.pass(100 * FACTS.boot_ms);
+    let stopped = |e: &Effect| matches!(e, Effect::Stop { processor, .. } if processor == "u1");
+    assert!(w.out.iter().any(stopped));
+}
+
+#[test]
+fn a_start_that_was_on_its_way_when_its_zone_was_evacuated_is_granted_to_nobody() {
+    let mut w = World::new(&[]);
+    w.ask(2000);
+    let starts = w.starts();
+    w.slot_table.evacuate(HashSet::from(["z".to_owned()]), w.now, &mut w.out);
+    w.slot_table.started("f", &starts[0], &ack("u1", "10.0.0.1:1"), w.now, &mut w.out);
+    assert!(w.granted().is_empty());
+    w.slot_table.evacuate(HashSet::new(), w.now, &mut w.out);
+    assert_eq!(w.granted().len(), 1, "taken back, it is used");
+}
+
+#[test]
+fn a_request_that_is_bound_to_zones_gets_no_slot_elsewhere_and_holds_up_nobody() {
+    let mut w = World::new(&["u1"]);
+    let (bound, free) = (w.ask_in(&["y"], 2000), w.ask(2000));
+    assert_eq!(w.granted(), [(free, "u1".into(), false)], "one in another zone was granted, or one behind waits");
+    let all = std::mem::take(&mut w.out);
+    let asked = all.iter().find_map(|e| match e {
+        Effect::Start { nonce, zones, .. } => Some((nonce.clone(), zones.clone())),
+        _ => None,
+    });
+    let (nonce, zones) = asked.expect("a start in its own zones, though others are up");
+    assert_eq!(zones, ["y"]);
+    w.slot_table.started("f", &nonce, &StartAck { zone: "y".into(), ..ack("u2", "10.0.0.2:1") }, w.now, &mut w.out);
+    assert_eq!(w.granted(), [(bound, "u2".into(), true)]);
+}
--- a/crates/rpc/src/delta.rs
+++ b/crates/rpc/src/delta.rs
@@ -48,6 +48,7 @@
             partitions,
             rollouts: self.rollouts.clone(),
             retires: self.retires.clone(),
+            evacuations: self.evacuations.clone(),
             since: have,
         }
     }
@@ -70,6 +71,7 @@
         }
         self.rollouts.clone_from(&c.rollouts);
         self.retires.clone_from(&c.retires);
+        self.evacuations.clone_from(&c.evacuations);
         self.version = c.version;
         true
     }
--- a/crates/rpc/src/messages/control.rs
+++ b/crates/rpc/src/messages/control.rs
@@ -1,6 +1,7 @@
 //! What the majority assigns, leases, and what partitions ask of it.
 
 use super::*;
+use std::collections::HashSet;
 
 /// What came of the runs on one version of a service since the last report.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -36,6 +37,39 @@
     /// Not 0: only what has changed since that version.
     #[prost(uint64, tag = "5")]
     pub since: u64,
+    /// Zones that the operator has emptied, or has taken back; one item a zone at the most.
+    #[prost(message, repeated, tag = "6")]
+    pub evacuations: Vec<Evacuation>,
+}
+
+/// A zone whose processors the operator wants to be sent nothing, or that was taken back.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Evacuation {
+    /// The zone's name, as in the settings.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// The operator has taken it back.
+    #[prost(bool, tag = "2")]
+    pub finished: bool,
+    /// The index of the log at which the last order for this zone stands.
+    #[prost(uint64, tag = "3")]
+    pub ordered: u64,
+    /// Of a finished one: the membership version from which on the listing says which of
+    /// the zone's processors are cold; 0: none says it yet.
+    #[prost(uint64, tag = "4")]
+    pub cold_known_from: u64,
+}
+
+/// How processors of a zone may be used, as far as evacuations go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneUse {
+    /// As any other.
+    Open,
+    /// Taken back a short while ago: each of its processors may be cold without the listing
+    /// saying so.
+    Returning,
+    /// They are sent nothing.
+    Evacuated,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -79,6 +113,29 @@
         let at = hash.checked_rem(self.partitions.len() as u64)?;
         Some(self.partitions[at as usize].id)
     }
+
+    /// The zones whose processors are sent nothing.
+    pub fn evacuated_zones(&self, membership_version: u64) -> HashSet<String> {
+        let zones = self.evacuations.iter().map(|e| &e.zone);
+        zones.filter(|zone| self.zone_use(zone, membership_version) == ZoneUse::Evacuated).cloned().collect()
+    }
+
+    /// How the processors of a zone may be used by one that knows the membership of a version.
+    pub fn zone_use(&self, zone: &str, membership_version: u64) -> ZoneUse {
+        match self.evacuations.iter().find(|evacuation| evacuation.zone == zone) {
+            None => ZoneUse::Open,
+            Some(evacuation) if !evacuation.finished => ZoneUse::Evacuated,
+            Some(evacuation) if evacuation.is_cold_known(membership_version) => ZoneUse::Open,
+            Some(_) => ZoneUse::Returning,
+        }
+    }
+}
+
+impl Evacuation {
+    /// Whether the membership of a version says which processors of the zone are cold.
+    fn is_cold_known(&self, membership_version: u64) -> bool {
+        self.cold_known_from > 0 && membership_version >= self.cold_known_from
+    }
 }
 
 impl Partition {
--- a/crates/rpc/src/messages/slots.rs
+++ b/crates/rpc/src/messages/slots.rs
@@ -27,6 +27,9 @@
     /// The rank of the request's route; 0 is the most urgent.
     #[prost(uint32, tag = "8")]
     pub rank: u32,
+    /// The zones in which the request may run; empty: anywhere.
+    #[prost(string, repeated, tag = "9")]
+    pub zones: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -43,6 +46,9 @@
     /// With `None`: after how long another try may do better.
     #[prost(uint32, tag = "5")]
     pub retry_ms: u32,
+    /// The processor's zone; empty if it is not known.
+    #[prost(string, tag = "6")]
+    pub zone: String,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -108,6 +114,9 @@
     /// For how much longer, at the most.
     #[prost(uint32, tag = "5")]
     pub hold_ms: u32,
+    /// The processor's zone; empty if it is not known.
+    #[prost(string, tag = "6")]
+    pub zone: String,
 }
 
 /// A slot owner wants a processor of a function: asked of the leader.
@@ -118,8 +127,12 @@
     /// The same for every ask of one start, so that it is carried out once.
     #[prost(string, tag = "2")]
     pub nonce: String,
+    /// Where it is wanted, if there is room.
     #[prost(string, tag = "3")]
     pub zone: String,
+    /// The zones in which it may be started; empty: anywhere.
+    #[prost(string, repeated, tag = "4")]
+    pub zones: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -135,6 +148,9 @@
     /// No worker has room: asking again at once is of no use.
     #[prost(bool, tag = "4")]
     pub full: bool,
+    /// The processor's zone.
+    #[prost(string, tag = "5")]
+    pub zone: String,
 }
 
 /// A front asks for the processors of the functions that it keeps.
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -3,7 +3,7 @@
 //! whenever a partition is taken over.
 
 use config::{Route, Service};
-use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample};
+use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample, ZoneUse};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -101,6 +101,8 @@
     /// Of the membership in use: delivery nodes by zone, and the zones of this region.
     fronts: HashMap<String, Vec<usize>>,
     near: HashSet<String>,
+    /// Zones that are not used as any other, for evacuations.
+    zone_uses: HashMap<String, ZoneUse>,
     pub assignments: Arc<Assignments>,
     pub notices: VecDeque<(u64, Key)>,
     pub notices_in_flight: HashMap<String, u32>,
@@ -162,6 +164,7 @@
             turns_at: HashMap::new(),
             fronts: HashMap::new(),
             near: HashSet::new(),
+            zone_uses: HashMap::new(),
             assignments: Arc::default(),
             notices: VecDeque::new(),
             notices_in_flight: HashMap::new(),
@@ -170,6 +173,11 @@
 
     pub fn news(&mut self, membership: &Arc<Membership>, assignments: &Arc<Assignments>) {
         self.assignments = assignments.clone();
+        self.zone_uses = assignments
+            .evacuations
+            .iter()
+            .map(|e| (e.zone.clone(), assignments.zone_use(&e.zone, membership.version)))
+            .collect();
         if Arc::ptr_eq(membership, &self.membership) {
             return;
         }
@@ -408,11 +416,26 @@
         })
     }
 
+    fn zone_use(&self, zone: &str) -> ZoneUse {
+        self.zone_uses.get(zone).copied().unwrap_or(ZoneUse::Open)
+    }
+
+    /// Whether a processor may be sent anything.
+    fn is_usable(&self, processor: &Processor) -> bool {
+        !processor.draining && self.zone_use(&processor.zone) != ZoneUse::Evacuated
+    }
+
+    /// Whether a processor is cold, or may be without the listing saying so yet.
+    fn may_be_cold(&self, processor: &Processor) -> bool {
+        processor.cold || self.zone_use(&processor.zone) == ZoneUse::Returning
+    }
+
     /// The first of a version's processors, by id, that has room: every owner
     /// comes to the same one.
     fn packed<'a>(&self, processors: &'a [Processor], now: u64, revision: &str) -> Option<&'a Processor> {
         // Cold ones are slow for a while: they would be judged for that.
-        processors.iter().filter(|u| !u.draining && !u.cold && u.revision == revision).find(|u| {
+        let fits = |u: &&Processor| self.is_usable(u) && !self.may_be_cold(u) && u.revision == revision;
+        processors.iter().filter(fits).find(|u| {
             let (load, s) = self.load(&u.id, now);
             now >= s.shut_until && load < if s.failures > 0 { 1 } else { u.capacity.max(1) }
         })
@@ -429,7 +452,7 @@
     ) -> Option<&'a Processor> {
         let mut best: Option<(f64, &Processor)> = None;
         let order = self.turns_at.get(service)?.iter().map(|n| &processors[*n]);
-        for u in order.filter(|u| !u.draining && fits(u)) {
+        for u in order.filter(|u| self.is_usable(u) && fits(u)) {
             let (load, s) = self.load(&u.id, now);
             let capacity = u.capacity.max(1);
             let room = if s.failures > 0 { 1 } else { capacity };
@@ -443,7 +466,7 @@
             } else {
                 1.0
             };
-            let score = f64::from(load) / f64::from(capacity) + far + if u.cold { 0.5 } else { 0.0 };
+            let score = f64::from(load) / f64::from(capacity) + far + if self.may_be_cold(u) { 0.5 } else { 0.0 };
             if best.is_none_or(|(b, _)| score < b) {
                 best = Some((score, u));
             }
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -330,3 +330,21 @@
     assert_eq!(other.until(false, 500, 900, 1600), 0);
     assert_eq!((other.until(true, 0, 900, 1600), last.until(true, 500, 900, 1600)), (2500, 2500));
 }
+
+/// The scheduler's news of evacuations, with the processors as they are.
+fn evacuations(t: &mut DeliveryScheduler, evacuations: Vec<Evacuation>) {
+    let assignments = Assignments { evacuations, ..(*t.assignments).clone() };
+    let membership = t.membership.clone();
+    t.news(&membership, &Arc::new(assignments));
+}
+
+#[test]
+fn an_evacuated_zone_is_given_nothing_and_one_on_its_way_back_only_what_others_cannot_take() {
+    let mut t = scheduler(vec![processor("u1", "x", "v1"), processor("u2", "y", "v1")], vec![]);
+    let zone = |finished| Evacuation { zone: "x".into(), finished, ordered: 1, cold_known_from: 0 };
+    evacuations(&mut t, vec![zone(false)]);
+    let got: Vec<String> = (0..5).filter_map(|i| launch(&mut t, i)).map(|c| c.processor).collect();
+    assert_eq!(got, ["u2", "u2"], "the near ones are evacuated");
+    evacuations(&mut t, vec![zone(true)]);
+    assert_eq!(launch(&mut t, 9).map(|c| c.processor).as_deref(), Some("u1"));
+}
--- a/crates/willowslip/src/ctl.rs
+++ b/crates/willowslip/src/ctl.rs
@@ -32,6 +32,9 @@
     /// Emptying a store machine.
     #[command(subcommand)]
     Retire(RetireCall),
+    /// Emptying a zone of what its processors are sent, and taking it back.
+    #[command(subcommand)]
+    Evacuate(EvacuateCall),
     /// State and bytes of a message.
     #[command(subcommand)]
     Message(MessageCall),
@@ -94,6 +97,16 @@
     },
 }
 
+#[derive(Subcommand)]
+enum EvacuateCall {
+    /// Sends nothing more to the processors of a zone.
+    Start { zone: String },
+    /// Takes the zone back.
+    Finish { zone: String },
+    /// Prints the zones that are emptied or on their way back.
+    Status,
+}
+
 #[derive(Subcommand)]
 enum MessageCall {
     State {
@@ -117,6 +130,7 @@
             Config(self::Config::Replace { .. } | self::Config::Adjust { .. })
                 | Rollout(RolloutCall::Start { .. })
                 | Retire(RetireCall::Start { .. })
+                | Evacuate(EvacuateCall::Start { .. } | EvacuateCall::Finish { .. })
         )
     }
 }
@@ -229,6 +243,13 @@
             ask(ctl, "POST", &format!("/retire/{node}/start"), &[], body.as_bytes()).await
         }
         What::Retire(RetireCall::Read { node }) => ask(ctl, "GET", &format!("/retire/{node}/read"), &[], &[]).await,
+        What::Evacuate(EvacuateCall::Start { zone }) => {
+            ask(ctl, "POST", &format!("/evacuate/{zone}/start"), &[], &[]).await
+        }
+        What::Evacuate(EvacuateCall::Finish { zone }) => {
+            ask(ctl, "POST", &format!("/evacuate/{zone}/finish"), &[], &[]).await
+        }
+        What::Evacuate(EvacuateCall::Status) => ask(ctl, "GET", "/evacuate/read", &[], &[]).await,
         What::Message(MessageCall::State { name, host }) => {
             ask(ctl, "GET", &format!("/message/{name}"), &[("Host", host)], &[]).await
         }
--- a/crates/willowslip/src/summary.rs
+++ b/crates/willowslip/src/summary.rs
@@ -58,6 +58,9 @@
         "revision {}  assignments {}  membership {}  processors {}",
         v["revision"], v["assignments"], v["membership"], v["units"]
     );
+    for evacuation in list(v, "evacuations") {
+        let _ = writeln!(s, "zone {} is {}", text(evacuation, "zone"), text(evacuation, "state"));
+    }
     let nodes = list(v, "nodes");
     let mut by_zone: BTreeMap<(&str, &str), (usize, usize)> = BTreeMap::new();
     for n in nodes {
@@ -125,12 +128,13 @@
         };
         let partitions: Vec<Value> = (0..120).map(partition).collect();
         let v = json!({"node": "core-1", "isLeader": true, "leader": "x", "voters": ["x"], "duties": ["lister"],
-            "behind": {"y": 0, "z": 4}, "disks": {}, "clocks": {"store-3": -2400}, "unidentified": ["10.0.0.9:80", "10.0.0.9:81"], "revision": 4, "assignments": 5, "membership": 6, "units": 9,
+            "behind": {"y": 0, "z": 4}, "disks": {}, "clocks": {"store-3": -2400}, "unidentified": ["10.0.0.9:80", "10.0.0.9:81"], "evacuations": [{"zone": "c", "state": "evacuated"}], "revision": 4, "assignments": 5, "membership": 6, "units": 9,
             "nodes": nodes, "partitions": partitions, "counters": "a=1"});
         let s = summary(&v, None);
         assert!(s.lines().count() < 30, "{s}");
         assert!(s.contains("partitions: 120, 119 where") && s.contains("17 term 3 owner store-17: 1 of 2 in sync"));
         assert!(s.contains("b front 39, 1 leaving") && s.contains("behind by entries: z=4"));
+        assert!(s.contains("zone c is evacuated\n"));
         assert!(s.contains("clocks off, ms ahead: store-3=-2400"));
         assert!(s.contains("X-Attempt-Id, none of their runs can end: 10.0.0.9:80 10.0.0.9:81\n"));
         let s = summary(&v, Some("store-59"));
