Homes: messages bound to regions are kept by partitions of those regions and run there

Cause: route and tenant domains were not read, so a bound message went to any partition, copy and processor. Now a region that anything is bound to gets partitions of its own, one a store machine, all copies there (logged, added once, behind the others); placement goes by (route, tenant) first; the scheduler queues by (service, homes) and picks processors and delivery nodes within; an owner outside refuses. A metered service's rate is divided by the partitions that may keep messages for it. Placement moved to the agent crate, which front and store share. Property: no loss moves a copy out of its home.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,6 +3,8 @@
 //! on the front machines and by the store machines for themselves.
 
 mod feed;
+mod placement;
 mod session;
 pub use feed::*;
+pub use placement::*;
 pub use session::*;
--- /dev/null
+++ b/crates/agent/src/placement.rs
@@ -0,0 +1,118 @@
+//! Which partition keeps a message. The same at every front: where tries at one operation have
+//! to meet, nothing counts but the request and its route.
+
+use crate::ClusterView;
+use config::{ConfigurationIndex, Homes, Route, placement_hash};
+use rpc::messages::{Assignments, Node, OperationId, Partition};
+use std::collections::BTreeSet;
+
+/// What of a message decides which partition keeps it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlacementKeys<'a> {
+    /// The tenant that sends it; empty without tenants.
+    pub tenant: &'a str,
+    /// As the request carries it, whatever its route says of order.
+    pub order_key: &'a str,
+    /// Where operations have keys: all tries at one come to one partition.
+    pub operation: Option<OperationId>,
+    /// The message's own id.
+    pub id: &'a str,
+}
+
+impl PlacementKeys<'_> {
+    fn order_hash(&self) -> u64 {
+        if self.tenant.is_empty() {
+            return placement_hash(self.order_key);
+        }
+        placement_hash(&format!("{}\n{}", self.tenant, self.order_key))
+    }
+}
+
+/// The partition that a message belongs to. All with one order key share one,
+/// whatever their service; all for one endpoint share one, so that one owner
+/// meters it; others go to an owner near the client. Tries at one operation share one
+/// whatever the front, its zone and what it knows of owners. A message that is bound to
+/// regions is kept by a partition whose copies all stand in one of them; `None` while there
+/// is none.
+pub fn partition_of(
+    known: &ClusterView,
+    configuration: &ConfigurationIndex,
+    route: &Route,
+    keys: &PlacementKeys<'_>,
+    zone: &str,
+) -> Option<u32> {
+    let metered = configuration.is_metered(&route.service);
+    let ordered = !keys.order_key.is_empty();
+    let homes = configuration.homes(route, keys.tenant);
+    let hash = match keys.operation {
+        _ if route.sequenced && ordered => keys.order_hash(),
+        Some(_) if metered => route.place_hash(),
+        Some(_) if ordered => keys.order_hash(),
+        Some(operation) => operation.high,
+        None if metered => placement_hash(&route.service),
+        None => return near_partition(known, &homes, placement_hash(keys.id), zone),
+    };
+    partition_within(&known.assignments, &homes, hash)
+}
+
+/// The partition of whatever has this hash and these homes; `None` while no partition is bound
+/// to any of them. The number of partitions in a region stays, so this does.
+fn partition_within(assignments: &Assignments, homes: &Homes, hash: u64) -> Option<u32> {
+    if !homes.is_bound() {
+        return assignments.partition_for(hash);
+    }
+    // By rendezvous: a region that is added to the others takes its part only.
+    let weight = |region: &&str| placement_hash(&format!("{region} {hash}"));
+    let has_partitions = |region: &&str| assignments.partitions.iter().any(|p| p.home == *region);
+    let region = homes.regions().filter(has_partitions).max_by_key(weight)?;
+    let bound: Vec<u32> = assignments.partitions.iter().filter(|p| p.home == region).map(|p| p.id).collect();
+    let at = hash.checked_rem(bound.len() as u64)?;
+    Some(bound[at as usize])
+}
+
+/// Whether a partition may keep messages with these homes.
+fn may_keep(partition: &Partition, homes: &Homes) -> bool {
+    homes.is_bound() != partition.home.is_empty() && homes.allows(&partition.home)
+}
+
+/// A partition whose owner is in this zone, or any where there is none.
+fn near_partition(known: &ClusterView, homes: &Homes, hash: u64, zone: &str) -> Option<u32> {
+    let is_near = |owner: &Node| owner.zone == zone && !owner.leaving;
+    let here: Vec<u32> = known
+        .assignments
+        .partitions
+        .iter()
+        .filter(|p| may_keep(p, homes) && known.node(&p.owner, "store").is_some_and(is_near))
+        .map(|p| p.id)
+        .collect();
+    match hash.checked_rem(here.len() as u64) {
+        Some(at) => Some(here[at as usize]),
+        None => partition_within(&known.assignments, homes, hash),
+    }
+}
+
+/// The partitions that may keep messages for a metered service, which is sent no more than so
+/// many a second by all their owners together.
+pub fn metered_partitions(
+    known: &ClusterView,
+    configuration: &ConfigurationIndex,
+    service: &str,
+    has_operations: bool,
+) -> BTreeSet<u32> {
+    let routes = configuration.message_routes(service);
+    if routes.clone().any(|route| route.sequenced) {
+        // By their order keys they are kept by any.
+        return known.assignments.partitions.iter().map(|partition| partition.id).collect();
+    }
+    let bound_tenants = configuration.tenants().iter().filter(|tenant| !tenant.domains.is_empty());
+    let tenants: Vec<&str> = std::iter::once("").chain(bound_tenants.map(|tenant| tenant.name.as_str())).collect();
+    let mut partitions = BTreeSet::new();
+    for route in routes {
+        let operation = has_operations.then(OperationId::default);
+        for tenant in &tenants {
+            let keys = PlacementKeys { tenant, operation, ..PlacementKeys::default() };
+            partitions.extend(partition_of(known, configuration, route, &keys, ""));
+        }
+    }
+    partitions
+}
--- a/crates/control/src/assignment.rs
+++ b/crates/control/src/assignment.rs
@@ -93,6 +93,31 @@
         .collect()
 }
 
+/// The partitions of one region, for messages that are bound to it: one for each of its store
+/// machines, with all copies there. Their numbers begin at `first`.
+pub fn home_layout(
+    region: &str,
+    nodes: &[StoreMachine],
+    first: u32,
+    replica_count: usize,
+    spread: Spread,
+) -> Vec<Partition> {
+    let within: Vec<StoreMachine> = nodes.iter().filter(|node| node.region == region).cloned().collect();
+    let spread = Spread { regions: 0, ..spread };
+    let mut partitions = layout(&within, replica_count, spread);
+    partitions.truncate(within.len());
+    for partition in &mut partitions {
+        partition.id += first;
+        partition.home = region.to_owned();
+    }
+    partitions
+}
+
+/// The store machines that may hold a partition.
+pub fn fitting<'a>(p: &'a Partition, live: &'a [StoreMachine]) -> impl Iterator<Item = &'a StoreMachine> {
+    live.iter().filter(|node| p.home.is_empty() || node.region == p.home)
+}
+
 fn load(all: &[Partition], node: &str) -> usize {
     all.iter().filter(|q| q.replicas.iter().any(|h| h == node)).count()
 }
@@ -110,7 +135,8 @@
     spread: Spread,
 ) -> Option<String> {
     let held: Vec<&StoreMachine> = p.replicas.iter().filter_map(|h| live.iter().find(|n| n.name == *h)).collect();
-    live.iter()
+    let spread = if p.home.is_empty() { spread } else { Spread { regions: 0, ..spread } };
+    fitting(p, live)
         .filter(|n| !p.replicas.contains(&n.name))
         .min_by_key(|n| (fit(n, &held, replica_count, spread), load(all, &n.name)))
         .map(|n| n.name.clone())
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -119,8 +119,12 @@
                 }
                 return;
             }
-            let partitions = f.control_state.assignments.partitions.clone();
             let retiring: Vec<String> = Self::retiring(f);
+            if let Some(layout) = self.missing_home_layout(f, &live, &retiring, spread) {
+                words.push(("home layout".into(), CommandPayload::HomeLayout(layout)));
+                return;
+            }
+            let partitions = f.control_state.assignments.partitions.clone();
             let ending: Vec<String> = f
                 .sessions
                 .values()
@@ -190,8 +194,15 @@
                     continue;
                 }
                 let gone = p.replicas.iter().find(|h| gone.contains(h.as_str()));
+                let stay = fitting(p, &spare).filter(|n| gone.is_none_or(|gone| n.name != *gone)).count();
+                // A region has what store machines it has: one that is retired leaves fewer.
+                let is_retired = || gone.is_some_and(|gone| retiring.contains(gone));
+                let enough = match p.home.is_empty() {
+                    true => spare.len() >= replica_count,
+                    false => stay >= p.replicas.len() || (stay > 0 && is_retired()),
+                };
                 if let Some(gone) = gone
-                    && spare.len() >= replica_count
+                    && enough
                     && let Some(now) = rehome(p, gone, &partitions, &spare, replica_count, spread)
                 {
                     telemetry::change!("partition {} replicas {:?}", p.id, now.replicas);
@@ -245,6 +256,35 @@
         self.assigning.store(false, Ordering::Relaxed);
     }
 
+    /// The partitions of one region that a route or tenant is bound to and that has none yet,
+    /// once enough of its store machines stand for the copies that the settings ask for.
+    fn missing_home_layout(
+        &self,
+        f: &mut ControlShared,
+        live: &[StoreMachine],
+        retiring: &[String],
+        spread: Spread,
+    ) -> Option<Layout> {
+        let configuration = f.read_configuration_with_homes()?;
+        let replica_count = self.settings.tolerance.machines as usize + 1;
+        let existing = &f.control_state.assignments.partitions;
+        let nodes: Vec<StoreMachine> = live.iter().filter(|node| !retiring.contains(&node.name)).cloned().collect();
+        let is_known = |region: &&str| self.settings.zones.values().any(|known| known == region);
+        let is_missing = |region: &&str| !existing.iter().any(|p| p.home == *region);
+        let stands = |region: &&str| nodes.iter().filter(|node| node.region == *region).count() >= replica_count;
+        let regions = configuration.home_regions();
+        let region = *regions.iter().find(|region| is_known(region) && is_missing(region) && stands(region))?;
+        let first = existing.iter().map(|p| p.id + 1).max()?;
+        let mut partitions = home_layout(region, &nodes, first, replica_count, spread);
+        for partition in &mut partitions {
+            for replica in partition.replicas.clone() {
+                partition.set_joined(&replica, f.leases.get(&replica).map_or(0, |lease| lease.incarnation));
+            }
+        }
+        telemetry::change!("{} partitions for messages that are bound to {region}", partitions.len());
+        Some(Layout { partitions })
+    }
+
     pub(crate) async fn judge(&self) {
         // The leader's own clock may step in the middle of a trial.
         let Some(wall) = self.time() else { return };
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -100,6 +100,8 @@
     pub(crate) launcher: InstanceLauncher,
     /// The configuration in force, read once for a version.
     pub(crate) configuration_index: Arc<ConfigurationIndex>,
+    /// Whether the configuration of a revision has a field `domains`.
+    pub(crate) names_domains: (u64, bool),
     /// The same as a tree, for changes.
     pub(crate) document: config::ConfigurationDocument,
     /// Zones that were taken back, by the index of that order: since when this leader knows.
@@ -109,6 +111,29 @@
 }
 
 impl ControlShared {
+    /// The configuration in force, with its indexes; read once for a revision.
+    pub(crate) fn read_configuration(&mut self) -> Arc<ConfigurationIndex> {
+        if self.configuration_index.revision != self.control_state.revision
+            && let Ok(read) = Configuration::read(&self.control_state.configuration)
+        {
+            self.configuration_index = Arc::new(read.into());
+        }
+        self.configuration_index.clone()
+    }
+
+    /// As `read_configuration`, if the configuration in force may bind anything to regions: its
+    /// text is looked through once for a revision, which costs far less than reading it.
+    pub(crate) fn read_configuration_with_homes(&mut self) -> Option<Arc<ConfigurationIndex>> {
+        const FIELD: &[u8] = b"\"domains\"";
+        let revision = self.control_state.revision;
+        if self.names_domains.0 != revision {
+            let text = &self.control_state.configuration;
+            self.names_domains = (revision, text.windows(FIELD.len()).any(|part| part == FIELD));
+        }
+        let names_domains = self.names_domains.1;
+        names_domains.then(|| self.read_configuration()).filter(|configuration| configuration.has_homes())
+    }
+
     pub(crate) fn processors(&self) -> &[Processor] {
         &self.processors
     }
@@ -166,14 +191,7 @@
 
     /// The configuration in force, with its indexes.
     pub fn configuration_index(&self) -> Arc<ConfigurationIndex> {
-        self.with(|f| {
-            if f.configuration_index.revision != f.control_state.revision
-                && let Ok(t) = Configuration::read(&f.control_state.configuration)
-            {
-                f.configuration_index = Arc::new(t.into());
-            }
-            f.configuration_index.clone()
-        })
+        self.with(ControlShared::read_configuration)
     }
 
     /// The fleet's time; None while the leader does not know it.
@@ -338,6 +356,7 @@
                 settings.platform.duty_per_s,
             ),
             configuration_index: Arc::default(),
+            names_domains: (0, false),
             document: config::ConfigurationDocument::default(),
             returning_since: HashMap::new(),
             shares: (0, 0, HashMap::new()),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -78,7 +78,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
-    #[prost(oneof = "CommandPayload", tags = "1, 2, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "CommandPayload", tags = "1, 2, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub word: Option<CommandPayload>,
     /// The cluster's time when it was proposed, ms; 0 if it was not known.
     #[prost(uint64, tag = "15")]
@@ -106,6 +106,9 @@
     Evacuate(EvacuateZone),
     #[prost(message, tag = "11")]
     ColdKnown(ColdKnown),
+    /// Partitions of one region, for messages that are bound to it.
+    #[prost(message, tag = "12")]
+    HomeLayout(Layout),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -201,19 +204,36 @@
     Undecoded,
 }
 
+/// How many copies a partition is to have: a region may have fewer store machines than copies
+/// are wanted.
+fn copies_of(p: &Partition, replica_count: usize) -> usize {
+    if p.home.is_empty() { replica_count } else { replica_count.min(p.replicas.len()) }
+}
+
 /// Whether nothing is held by a node any more, and all of it stands elsewhere.
 pub fn emptied(partitions: &[Partition], node: &str, replica_count: usize) -> bool {
     !partitions.iter().any(|p| {
         p.owner == node
             || p.replicas.iter().any(|h| h == node)
             || p.in_sync.iter().any(|n| n == node)
-            || p.in_sync.len() < replica_count
+            || p.in_sync.len() < copies_of(p, replica_count)
             || p.grant.is_some()
     })
 }
 
 pub use rpc::fingerprint;
 
+/// Adds the partitions of a region behind all others, if it has none yet and their numbers are
+/// free; tells whether it did.
+fn add_home_partitions(all: &mut Vec<Partition>, new: Vec<Partition>, index: u64) -> bool {
+    let is_taken = |p: &Partition| p.home.is_empty() || all.iter().any(|q| q.home == p.home || q.id == p.id);
+    if all.is_empty() || new.is_empty() || new.iter().any(is_taken) {
+        return false;
+    }
+    all.extend(new.into_iter().map(|p| Partition { changed: index, ..p }));
+    true
+}
+
 impl ControlState {
     pub fn apply(&mut self, index: u64, data: &Bytes) -> ApplyResult {
         self.apply_with(&mut ConfigurationDocument::default(), index, data)
@@ -340,6 +360,11 @@
                     return ApplyResult::Beaten;
                 }
             }
+            CommandPayload::HomeLayout(layout) => {
+                if !add_home_partitions(&mut self.assignments.partitions, layout.partitions, index) {
+                    return ApplyResult::Beaten;
+                }
+            }
             CommandPayload::Layout(l) => {
                 if !self.assignments.partitions.is_empty() {
                     return ApplyResult::Beaten;
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -1,7 +1,6 @@
 use crate::delivery::DeliveryWorker;
-use crate::placement::{PlacementKeys, partition_of};
 use crate::tenancy::{Refusal, operation_id, operation_key, tenant_if_any, tenant_name};
-use agent::{ClusterView, loopback};
+use agent::{ClusterView, PlacementKeys, loopback, partition_of};
 use config::{ConfigurationIndex, Role, Settings};
 use http1::{Bounds, Closing, Reply, Request};
 use rpc::messages::*;
@@ -130,6 +129,10 @@
             Ok(name) => name,
             Err(refusal) => return refusal.reply(),
         };
+        if known.configuration.homes(c, tenant).is_nowhere() {
+            telemetry::count("refused_no_home");
+            return fault(403, "the route and the tenant have no region in common");
+        }
         let operation = match self.operation_of(tenant, &r) {
             Ok(operation) => operation,
             Err(refusal) => return refusal.reply(),
@@ -169,7 +172,7 @@
         let zone = &self.settings.zone;
         let keys = PlacementKeys { tenant, order_key, operation, id };
         let Some(mut partition) = partition_of(&known, &known.configuration, c, &keys, zone) else {
-            return fault(503, "no owners yet").with("Retry-After", "1");
+            return fault(503, "no owner of a partition for it yet").with("Retry-After", "1");
         };
         let fixed =
             operation.is_some() || c.sequenced && !order_key.is_empty() || known.configuration.is_metered(&c.service);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,9 +4,8 @@
 mod delivery;
 mod ingest;
 mod outbox;
-mod placement;
 pub mod tenancy;
+pub use agent::{PlacementKeys, partition_of};
 pub use delivery::{delivery_headers, read_answer};
 pub use ingest::{FrontService, run};
 pub use outbox::{Outbox, OutboxEntry};
-pub use placement::{PlacementKeys, partition_of};
--- a/crates/rpc/src/messages/control.rs
+++ b/crates/rpc/src/messages/control.rs
@@ -96,6 +96,10 @@
     /// The assignments's version in which this was news.
     #[prost(uint64, tag = "9")]
     pub changed: u64,
+    /// The region in which all its copies stand, for messages that are bound to it; empty for
+    /// one that keeps messages of any region.
+    #[prost(string, tag = "10")]
+    pub home: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -107,10 +111,12 @@
 }
 
 impl Assignments {
-    /// The partition of whatever has this hash; `None` before there are partitions. Their
-    /// number stays, so this does.
+    /// The partition of whatever has this hash and is bound to no region; `None` before there
+    /// are partitions. Their number stays, so this does.
     pub fn partition_for(&self, hash: u64) -> Option<u32> {
-        let at = hash.checked_rem(self.partitions.len() as u64)?;
+        // Those that are bound to a region come behind all others.
+        let unbound = self.partitions.partition_point(|p| p.home.is_empty());
+        let at = hash.checked_rem(unbound as u64)?;
         Some(self.partitions[at as usize].id)
     }
 
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -2,15 +2,30 @@
 //! gets the next one. Nothing here is durable; it is made anew from the fold
 //! whenever a partition is taken over.
 
-use config::{Route, Service};
+use config::{Homes, Route, Service};
 use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample, ZoneUse};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 /// A message: its partition and position.
 pub type Key = (u32, u64);
 
+/// Messages that the same processors may run wait in one queue.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct QueueId {
+    pub service: String,
+    /// The regions in which they may be run.
+    pub homes: Homes,
+}
+
+impl QueueId {
+    /// The queue of messages for a service that are bound to no region.
+    pub fn unbound(service: &str) -> QueueId {
+        QueueId { service: service.to_owned(), homes: Homes::default() }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct InFlight {
     pub service: String,
@@ -82,8 +97,8 @@
     zone: String,
     region: String,
     timing: SchedulerTiming,
-    ready: HashMap<String, BTreeSet<(u64, Key)>>,
-    queued: HashMap<Key, (String, u64)>,
+    ready: HashMap<QueueId, BTreeSet<(u64, Key)>>,
+    queued: HashMap<Key, (QueueId, u64)>,
     delayed: BinaryHeap<Reverse<(u64, Key)>>,
     pub in_flight: HashMap<Key, InFlight>,
     processors: HashMap<String, ProcessorState>,
@@ -101,6 +116,8 @@
     /// Of the membership in use: delivery nodes by zone, and the zones of this region.
     fronts: HashMap<String, Vec<usize>>,
     near: HashSet<String>,
+    /// The region of each zone.
+    regions: BTreeMap<String, String>,
     /// Zones that are not used as any other, for evacuations.
     zone_uses: HashMap<String, ZoneUse>,
     pub assignments: Arc<Assignments>,
@@ -164,6 +181,7 @@
             turns_at: HashMap::new(),
             fronts: HashMap::new(),
             near: HashSet::new(),
+            regions: BTreeMap::new(),
             zone_uses: HashMap::new(),
             assignments: Arc::default(),
             notices: VecDeque::new(),
@@ -171,6 +189,11 @@
         }
     }
 
+    /// Says which region each zone is in.
+    pub fn set_regions(&mut self, regions: &BTreeMap<String, String>) {
+        self.regions = regions.clone();
+    }
+
     pub fn news(&mut self, membership: &Arc<Membership>, assignments: &Arc<Assignments>) {
         self.assignments = assignments.clone();
         self.zone_uses = assignments
@@ -225,12 +248,12 @@
     }
 
     /// Queues a message by its age; once.
-    pub fn ready(&mut self, key: Key, service: &str, age: u64) {
+    pub fn ready(&mut self, key: Key, queue: QueueId, age: u64) {
         if self.in_flight.contains_key(&key) || self.queued.contains_key(&key) {
             return;
         }
-        self.queued.insert(key, (service.to_owned(), age));
-        self.ready.entry(service.to_owned()).or_default().insert((age, key));
+        self.queued.insert(key, (queue.clone(), age));
+        self.ready.entry(queue).or_default().insert((age, key));
     }
 
     pub fn later(&mut self, key: Key, at: u64) {
@@ -251,28 +274,28 @@
         self.delayed.peek().map(|Reverse((at, _))| *at)
     }
 
-    pub fn services_ready(&self) -> Vec<String> {
-        self.ready.iter().filter(|(_, q)| !q.is_empty()).map(|(p, _)| p.clone()).collect()
+    pub fn queues_ready(&self) -> Vec<QueueId> {
+        self.ready.iter().filter(|(_, q)| !q.is_empty()).map(|(queue, _)| queue.clone()).collect()
     }
 
-    /// The message of a service that is to go next: the oldest of those that can
+    /// The message of a queue that is to go next: the oldest of those that can
     /// still begin inside their aim. What is late already is late however long
     /// it waits; it gets every fourth turn, and all that the others leave.
-    pub fn first_ready(&self, service: &str, now: u64, target_start_ms: u64) -> Option<Key> {
-        let queue = self.ready.get(service)?;
+    pub fn first_ready(&self, id: &QueueId, now: u64, target_start_ms: u64) -> Option<Key> {
+        let queue = self.ready.get(id)?;
         let oldest = queue.first()?;
         // A quarter of the aim is left for the way: one that is only just in time
         // here begins too late there, and under load all would be such.
         let line = now.saturating_sub(target_start_ms * 3 / 4);
-        if oldest.0 >= line || self.turns.get(service).copied().unwrap_or(0) % 4 == 3 {
+        if oldest.0 >= line || self.turns.get(&id.service).copied().unwrap_or(0) % 4 == 3 {
             return Some(oldest.1);
         }
         Some(queue.range((line, (0, 0))..).next().unwrap_or(oldest).1)
     }
 
     pub fn unqueue(&mut self, key: Key) {
-        if let Some((service, age)) = self.queued.remove(&key)
-            && let Some(q) = self.ready.get_mut(&service)
+        if let Some((queue, age)) = self.queued.remove(&key)
+            && let Some(q) = self.ready.get_mut(&queue)
         {
             q.remove(&(age, key));
         }
@@ -337,8 +360,13 @@
         (s.in_flight + foreign, s)
     }
 
-    fn front(&self, key: &str, zone: &str) -> Option<(&str, &str)> {
-        let of = |zone: &str| self.fronts.get(zone).into_iter().flatten().map(|at| &self.membership.nodes[*at]);
+    /// A delivery node that may have messages with these homes, in that zone if there is one.
+    fn front(&self, key: &str, zone: &str, homes: &Homes) -> Option<(&str, &str)> {
+        let allowed = |node: &&Node| homes.allows(&node.region);
+        let of = |zone: &str| {
+            let nodes = self.fronts.get(zone).into_iter().flatten().map(|at| &self.membership.nodes[*at]);
+            nodes.filter(allowed)
+        };
         let found = rendezvous(key, of(zone))
             .or_else(|| rendezvous(key, of(&self.zone)))
             .or_else(|| rendezvous(key, self.fronts.keys().flat_map(|z| of(z))))?;
@@ -346,12 +374,12 @@
     }
 
     /// A delivery node for calls that no processor's zone decides.
-    pub fn any_front(&self, key: &str) -> Option<(String, String)> {
-        self.front(key, &self.zone).map(|(n, i)| (n.to_owned(), i.to_owned()))
+    pub fn any_front(&self, key: &str, homes: &Homes) -> Option<(String, String)> {
+        self.front(key, &self.zone, homes).map(|(n, i)| (n.to_owned(), i.to_owned()))
     }
 
-    /// The processor for the next message of a service, if one has room.
-    pub fn choose(&mut self, service: &Service, now: u64) -> Option<Target> {
+    /// The processor for the next message of a service with these homes, if one has room.
+    pub fn choose(&mut self, service: &Service, homes: &Homes, now: u64) -> Option<Target> {
         if let Some(address) = &service.endpoint {
             let (load, s) = self.load(&service.name, now);
             // Half: after a take-over the connections of another delivery node may
@@ -361,7 +389,7 @@
             if now < s.shut_until || s.in_flight >= room || load >= service.conn_limit {
                 return None;
             }
-            let (front, inner) = self.front(&service.name, &self.zone)?;
+            let (front, inner) = self.front(&service.name, &self.zone, homes)?;
             return Some(Target {
                 processor: service.name.clone(),
                 target: String::new(),
@@ -390,12 +418,14 @@
         let mut fit = if trying && wants_new == Some(true) {
             // On trial, its few runs are put on as few processors as have room:
             // what only goes wrong under load shows before the share is raised.
-            self.packed(processors, now, target)
+            self.packed(processors, now, |u| u.revision == target && self.may_run(u, homes))
         } else {
-            self.best(&service.name, processors, now, |u| wants_new.is_none_or(|w| (u.revision == target) == w))
+            let is_wanted = |u: &Processor| wants_new.is_none_or(|w| (u.revision == target) == w);
+            self.best(&service.name, processors, now, |u| is_wanted(u) && self.may_run(u, homes))
         };
         if fit.is_none() && wants_new == Some(true) && trying {
-            fit = self.best(&service.name, processors, now, |u| u.revision != target);
+            let is_former = |u: &Processor| u.revision != target;
+            fit = self.best(&service.name, processors, now, |u| is_former(u) && self.may_run(u, homes));
         }
         let u = fit?.clone();
         if let Some(r) = rollout.filter(|r| r.state == "running") {
@@ -405,7 +435,7 @@
                 *coin -= 1.0;
             }
         }
-        let (front, inner) = self.front(&u.id, &u.zone)?;
+        let (front, inner) = self.front(&u.id, &u.zone, homes)?;
         Some(Target {
             front: front.to_owned(),
             front_inner: inner.to_owned(),
@@ -430,12 +460,22 @@
         processor.cold || self.zone_use(&processor.zone) == ZoneUse::Returning
     }
 
-    /// The first of a version's processors, by id, that has room: every owner
-    /// comes to the same one.
-    fn packed<'a>(&self, processors: &'a [Processor], now: u64, revision: &str) -> Option<&'a Processor> {
+    /// Whether a processor stands in one of the homes.
+    fn may_run(&self, processor: &Processor, homes: &Homes) -> bool {
+        !homes.is_bound() || self.regions.get(&processor.zone).is_some_and(|region| homes.allows(region))
+    }
+
+    /// The first of the processors that fit, by id, that has room: every owner comes to the
+    /// same one.
+    fn packed<'a>(
+        &self,
+        processors: &'a [Processor],
+        now: u64,
+        fits: impl Fn(&Processor) -> bool,
+    ) -> Option<&'a Processor> {
         // Cold ones are slow for a while: they would be judged for that.
-        let fits = |u: &&Processor| self.is_usable(u) && !self.may_be_cold(u) && u.revision == revision;
-        processors.iter().filter(fits).find(|u| {
+        let is_apt = |u: &&Processor| self.is_usable(u) && !self.may_be_cold(u) && fits(u);
+        processors.iter().filter(is_apt).find(|u| {
             let (load, s) = self.load(&u.id, now);
             now >= s.shut_until && load < if s.failures > 0 { 1 } else { u.capacity.max(1) }
         })
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -13,7 +13,7 @@
 use crate::uncommitted::{AcceptNames, UncommittedAccepts};
 use agent::Session;
 use bytes::Bytes;
-use config::{Role, Settings};
+use config::{Homes, Role, Settings};
 use partition::*;
 use prost::Message;
 use rpc::messages::*;
@@ -208,10 +208,12 @@
         pause_ms: (quiet / 64.0) as u64,
         longest_ms: (quiet / 4.0) as u64,
     };
+    let mut scheduler = DeliveryScheduler::new(&settings.node, &settings.zone, &settings.region, scheduler_pace);
+    scheduler.set_regions(&settings.zones);
     let post = Arc::new(StoreService {
         shared: Mutex::new(StoreState {
             replicas,
-            scheduler: DeliveryScheduler::new(&settings.node, &settings.zone, &settings.region, scheduler_pace),
+            scheduler,
             waiters: HashMap::new(),
             fresh: UncommittedAccepts::default(),
             answering: HashMap::new(),
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// The queue that a message waits in by a configuration; `None` if that has no such route.
+fn queue_of(configuration: &config::ConfigurationIndex, item: &Item) -> Option<QueueId> {
+    let route = configuration.route_named(&item.route)?;
+    let homes = configuration.homes(route, &item.tenant);
+    Some(QueueId { service: route.service.clone(), homes })
+}
+
 impl StoreService {
     /// Queues a message if it may run: now, when it is due, or when its turn comes.
     pub(super) fn schedule(&self, i: &mut StoreState, k: Key, now: u64) {
@@ -26,29 +33,32 @@
         }
         // Since when it is due, by this process's steady clock.
         let due_since = now.saturating_sub(time.saturating_sub(w.due_ms));
-        let service =
-            self.session.with_known(|s| s.configuration.route_named(&w.item.route).map(|c| c.service.clone()));
-        if let Some(service) = service {
-            i.scheduler.ready(k, &service, due_since);
+        let queue = self.session.with_known(|known| queue_of(&known.configuration, &w.item));
+        if let Some(queue) = queue {
+            i.scheduler.ready(k, queue, due_since);
         }
     }
 
     /// The part of a metered service's rate that this owner may use. Where tries at one
-    /// operation have to meet, several routes to such a service may have several owners; each
-    /// has the part of the routes that it keeps, and one that keeps none but has messages still,
-    /// as of a route that was given another service, that of one route.
+    /// operation have to meet, or messages are bound to regions, several partitions may keep
+    /// messages for such a service; each owner has the part of the partitions that it owns, and
+    /// one that owns none but has messages still, as of a route that was given another service,
+    /// that of one partition.
     fn metered_share(&self, i: &StoreState, known: &agent::ClusterView, service: &config::Service) -> f64 {
-        if self.settings.constraints.key_window_s <= 0.0 || !known.configuration.is_metered(&service.name) {
+        let configuration = &known.configuration;
+        let has_operations = self.settings.constraints.key_window_s > 0.0;
+        let is_sequenced = || configuration.message_routes(&service.name).any(|route| route.sequenced);
+        let is_spread = || has_operations || configuration.has_homes() || is_sequenced();
+        if !configuration.is_metered(&service.name) || !is_spread() {
             return 1.0;
         }
-        let routes = known.configuration.message_routes(&service.name);
-        if routes.len() <= 1 || routes.clone().any(|route| route.sequenced) {
+        let partitions = agent::metered_partitions(known, configuration, &service.name, has_operations);
+        if partitions.len() <= 1 {
             return 1.0;
         }
-        let total = routes.len();
-        let is_own = |partition| i.replicas.get(&partition).is_some_and(PartitionReplica::open);
-        let own = routes.filter(|route| known.assignments.partition_for(route.place_hash()).is_some_and(is_own));
-        own.count().max(1) as f64 / total as f64
+        let is_own = |partition: &&u32| i.replicas.get(partition).is_some_and(PartitionReplica::open);
+        let own = partitions.iter().filter(is_own).count();
+        own.max(1) as f64 / partitions.len() as f64
     }
 
     /// Gives out what can be given out.
@@ -77,12 +87,13 @@
             i.scheduler.later(k, now + pause);
         }
         let mut touched = HashSet::new();
-        for name in i.scheduler.services_ready() {
-            let Some(service) = known.configuration.service(&name) else { continue };
+        for queue in i.scheduler.queues_ready() {
+            let name = &queue.service;
+            let Some(service) = known.configuration.service(name) else { continue };
             let share = self.metered_share(i, &known, service);
-            i.scheduler.set_share(&name, share);
-            let target_start = known.configuration.target_start_ms(&name) as u64;
-            while let Some(k) = i.scheduler.first_ready(&name, now, target_start) {
+            i.scheduler.set_share(name, share);
+            let target_start = known.configuration.target_start_ms(name) as u64;
+            while let Some(k) = i.scheduler.first_ready(&queue, now, target_start) {
                 let asked = i.asking.get(&k.0).is_some_and(|end| k.1 <= *end);
                 if asked || i.replicas.get(&k.0).is_none_or(|m| !m.open()) {
                     // Taken over or moving: another look comes with the next step.
@@ -90,7 +101,14 @@
                     i.scheduler.later(k, now + self.ratio(100.0));
                     continue;
                 }
-                let Some(choice) = i.scheduler.choose(service, now) else { break };
+                let item = i.replicas.get(&k.0).and_then(|m| m.state.pieces.get(&k.1)).map(|w| &w.item);
+                if item.and_then(|item| queue_of(&known.configuration, item)).is_none_or(|now| now != queue) {
+                    // Its route was changed or dropped since it was queued.
+                    i.scheduler.unqueue(k);
+                    self.schedule(i, k, now);
+                    continue;
+                }
+                let Some(choice) = i.scheduler.choose(service, &queue.homes, now) else { break };
                 if let Err(at) = i.scheduler.token(service, now) {
                     wake = wake.min(at);
                     break;
@@ -207,7 +225,11 @@
             let Some(w) = piece.filter(|w| w.owes_notice()) else { continue };
             let host = w.item.notify_url.trim_start_matches("http://").split('/').next().unwrap_or("").to_owned();
             let busy = i.scheduler.notices_in_flight.get(&host).copied().unwrap_or(0);
-            let front = i.scheduler.any_front(&host);
+            let homes = self.session.with_known(|s| {
+                let route = s.configuration.route_named(&w.item.route);
+                route.map_or_else(Homes::default, |route| s.configuration.homes(route, &w.item.tenant))
+            });
+            let front = i.scheduler.any_front(&host, &homes);
             let (Some((_, inner)), true, true) = (front, at <= now, busy < 8) else {
                 left.push_back((at, k));
                 continue;
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -42,6 +42,11 @@
             i.waiters.entry(k).or_default().push(Waiter::Accept(responder));
             return;
         }
+        if !self.may_keep(&a.item) {
+            telemetry::count("refused_not_at_home");
+            responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
+            return;
+        }
         let at_ms = self.owner_time(i, p);
         let m = &i.replicas[&p];
         if let Some(pos) = m.state.find_repeat(&a.item, at_ms) {
@@ -84,6 +89,14 @@
         self.carry_out(i, p, out);
     }
 
+    /// Whether a message may be kept in this region, as far as is known here.
+    fn may_keep(&self, item: &Item) -> bool {
+        self.session.with_known(|known| {
+            let route = known.configuration.route_named(&item.route);
+            route.is_none_or(|route| known.configuration.homes(route, &item.tenant).allows(&self.settings.region))
+        })
+    }
+
     pub(super) fn report(self: &Arc<Self>, i: &mut StoreState, r: Report, responder: Responder) {
         let k = (r.partition, r.position);
         let now = self.now();
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! Which processor gets the next message, and how fast.
 
-use config::{Route, Service};
+use config::{Homes, Route, Service};
 use rpc::messages::*;
 use std::sync::Arc;
 use store::*;
@@ -43,7 +43,7 @@
 }
 
 fn launch(t: &mut DeliveryScheduler, pos: u64) -> Option<Target> {
-    let c = t.choose(&service(), 1000)?;
+    let c = t.choose(&service(), &Homes::default(), 1000)?;
     t.launch((0, pos), &c, &route(), 9999);
     Some(c)
 }
@@ -59,7 +59,7 @@
     let mut t = scheduler(vec![processor("u1", "x", "v1"), processor("u2", "y", "v1"), draining], vec![]);
     let got: Vec<String> = (0..5).filter_map(|i| launch(&mut t, i)).map(|c| c.processor).collect();
     assert_eq!(got, ["u1", "u1", "u2", "u2"]);
-    assert_eq!(t.choose(&service(), 1000), None);
+    assert_eq!(t.choose(&service(), &Homes::default(), 1000), None);
     t.land((0, 0));
     assert_eq!(launch(&mut t, 9).map(|c| (c.processor, c.target)), Some(("u1".into(), "u1".into())));
 }
@@ -73,8 +73,8 @@
     assert!(launch(&mut t, 2).is_some() && launch(&mut t, 3).is_some(), "both slots are free");
     let f = t.land((0, 2)).expect("under way");
     t.learn(&f, &report(Outcome::Done, 200, 3), 1000);
-    assert!(t.choose(&service(), 1100).is_none(), "somebody else holds a slot");
-    assert!(t.choose(&service(), 1300).is_some(), "what was told is old");
+    assert!(t.choose(&service(), &Homes::default(), 1100).is_none(), "somebody else holds a slot");
+    assert!(t.choose(&service(), &Homes::default(), 1300).is_some(), "what was told is old");
 }
 
 #[test]
@@ -83,13 +83,13 @@
     launch(&mut t, 1);
     let f = t.land((0, 1)).expect("under way");
     t.learn(&f, &report(Outcome::NotRun, 0, 0), 1000);
-    assert!(t.choose(&service(), 1050).is_none());
-    let c = t.choose(&service(), 1500).expect("tried again");
+    assert!(t.choose(&service(), &Homes::default(), 1050).is_none());
+    let c = t.choose(&service(), &Homes::default(), 1500).expect("tried again");
     t.launch((0, 2), &c, &route(), 9999);
-    assert!(t.choose(&service(), 1500).is_none(), "one at a time until it does well");
+    assert!(t.choose(&service(), &Homes::default(), 1500).is_none(), "one at a time until it does well");
     let f = t.land((0, 2)).expect("under way");
     t.learn(&f, &report(Outcome::Done, 200, 1), 1500);
-    assert!(t.choose(&service(), 1500).is_some());
+    assert!(t.choose(&service(), &Homes::default(), 1500).is_some());
 }
 
 #[test]
@@ -191,27 +191,27 @@
 fn what_can_still_begin_in_time_goes_before_what_is_late() {
     let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
     for (pos, age) in [(1, 1000), (2, 1100), (3, 5000), (4, 5100)] {
-        t.ready((0, pos), "p", age);
+        t.ready((0, pos), QueueId::unbound("p"), age);
     }
     let mut order = vec![];
-    while let Some(k) = t.first_ready("p", 5500, 1000) {
-        let c = t.choose(&service(), 1000).expect("room");
+    while let Some(k) = t.first_ready(&QueueId::unbound("p"), 5500, 1000) {
+        let c = t.choose(&service(), &Homes::default(), 1000).expect("room");
         t.launch(k, &c, &route(), 9999);
         t.land(k);
         order.push(k.1);
     }
     assert_eq!(order, [3, 4, 1, 2]);
     // Fresh ones keep coming: every fourth turn still goes to the oldest.
-    t.ready((0, 9), "p", 1000);
+    t.ready((0, 9), QueueId::unbound("p"), 1000);
     let mut turns = 0;
     for pos in 10..20 {
-        t.ready((0, pos), "p", 5400);
-        let k = t.first_ready("p", 5500, 1000).expect("some");
+        t.ready((0, pos), QueueId::unbound("p"), 5400);
+        let k = t.first_ready(&QueueId::unbound("p"), 5500, 1000).expect("some");
         if k.1 == 9 {
             break;
         }
         turns += 1;
-        let c = t.choose(&service(), 1000).expect("room");
+        let c = t.choose(&service(), &Homes::default(), 1000).expect("room");
         t.launch(k, &c, &route(), 9999);
         t.land(k);
     }
@@ -221,9 +221,13 @@
 #[test]
 fn one_that_is_only_just_in_time_is_late() {
     let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
-    t.ready((0, 1), "p", 4550);
-    t.ready((0, 2), "p", 4800);
-    assert_eq!(t.first_ready("p", 5500, 1000), Some((0, 2)), "950 ms of 1,000 are over for the first");
+    t.ready((0, 1), QueueId::unbound("p"), 4550);
+    t.ready((0, 2), QueueId::unbound("p"), 4800);
+    assert_eq!(
+        t.first_ready(&QueueId::unbound("p"), 5500, 1000),
+        Some((0, 2)),
+        "950 ms of 1,000 are over for the first"
+    );
 }
 
 #[test]
@@ -348,3 +352,25 @@
     evacuations(&mut t, vec![zone(true)]);
     assert_eq!(launch(&mut t, 9).map(|c| c.processor).as_deref(), Some("u1"));
 }
+
+#[test]
+fn a_message_that_is_bound_to_regions_goes_to_processors_and_delivery_nodes_there_only() {
+    let regions = [("x".to_owned(), "r".to_owned()), ("y".to_owned(), "s".to_owned())];
+    let mut t = scheduler(vec![processor("u1", "x", "v1"), processor("u2", "y", "v1")], vec![]);
+    t.set_regions(&regions.into());
+    let nodes =
+        t.membership.nodes.iter().map(|n| Node { region: if n.zone == "x" { "r" } else { "s" }.into(), ..n.clone() });
+    let membership = Membership { version: 2, nodes: nodes.collect(), ..(*t.membership).clone() };
+    let assignments = t.assignments.clone();
+    t.news(&Arc::new(membership), &assignments);
+    let homes = Homes::of(&["s".to_owned()]);
+    for position in 0..2 {
+        let target = t.choose(&service(), &homes, 1000).expect("room there");
+        assert_eq!((target.processor.as_str(), target.front.as_str()), ("u2", "h3"));
+        t.launch((0, position), &target, &route(), 9999);
+    }
+    assert_eq!(t.choose(&service(), &homes, 1000), None, "room elsewhere is none");
+    let endpoint = Service { endpoint: Some("10.0.0.9:80".into()), ..service() };
+    assert_eq!(t.choose(&endpoint, &homes, 1000).expect("an endpoint is anywhere").front, "h3");
+    assert_eq!(t.choose(&endpoint, &Homes::of(&["q".to_owned()]), 1000), None, "no delivery node there");
+}
