Cold processors: leased budgets, one holder for each, kept by the leader

Cause: coldPerS was not read; every owner sent cold processors what their slots take. Now a cold processor of such a service is granted to one owner at a time by the leader (ledger with fencing of lost holders and former leaders), which meters it by a token bucket that begins empty; without a lease it is sent nothing. A zone taken back counts as cold until a listing is published. Idle where coldPerS is absent. New pure crate balance, with the sum over holders as a property.

--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of the tiers that send requests to processors: how much a processor may be sent
+//! by all machines together, and which processor gets the next request.
+//!
+//! Pure: time is given to every call, and nothing here does I/O. Depends on nothing else of
+//! this project.
+
+#![warn(missing_docs)]
+
+mod budget;
+pub use budget::{BudgetLedger, LeasedBucket};
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod assignment;
 mod cluster_clock;
+mod cold;
 mod duties;
 mod evacuation;
 mod instance_launcher;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -2,6 +2,7 @@
 //! the duties of the leader.
 
 use crate::cluster_clock::ClusterClock;
+use crate::cold::ColdLeases;
 use crate::instance_launcher::InstanceLauncher;
 use crate::leadership::turn;
 use crate::rollout::RolloutMonitor;
@@ -104,6 +105,8 @@
     pub(crate) names_domains: (u64, bool),
     /// The same as a tree, for changes.
     pub(crate) document: config::ConfigurationDocument,
+    /// Who may send to which cold processor, by this leader's word.
+    pub(crate) cold_leases: ColdLeases,
     /// Zones that were taken back, by the index of that order: since when this leader knows.
     pub(crate) returning_since: HashMap<u64, u64>,
     /// The processors that each front is told, made once for a listing and a membership.
@@ -231,6 +234,7 @@
                     responder.send(Body::OrderAck(ack));
                 });
             }
+            Body::ColdLease(ask) => responder.send(Body::ColdLeaseAck(self.lease_cold(&ask.node))),
             Body::ProcessorsRequest(a) => responder.send(Body::Processors(self.processors_of(&a))),
             Body::Start(s) => {
                 let control = self.clone();
@@ -358,6 +362,7 @@
             configuration_index: Arc::default(),
             names_domains: (0, false),
             document: config::ConfigurationDocument::default(),
+            cold_leases: ColdLeases::default(),
             returning_since: HashMap::new(),
             shares: (0, 0, HashMap::new()),
         }),
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -28,7 +28,7 @@
 }
 
 /// Frames and bytes sent by this process, by kind.
-static SENT: [(AtomicU64, AtomicU64); 35] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; 35];
+static SENT: [(AtomicU64, AtomicU64); 37] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; 37];
 
 fn kind(b: &Body) -> usize {
     match b {
@@ -67,6 +67,8 @@
         Body::Stop(_) => 32,
         Body::ProcessorsRequest(_) => 33,
         Body::Processors(_) => 34,
+        Body::ColdLease(_) => 35,
+        Body::ColdLeaseAck(_) => 36,
     }
 }
 
@@ -108,6 +110,8 @@
         "stop",
         "units_ask",
         "units",
+        "cold_lease",
+        "cold_lease_ack",
     ];
     let load = |n: usize| (SENT[n].1.load(Ordering::Relaxed), SENT[n].0.load(Ordering::Relaxed));
     let mut all: Vec<(u64, u64, &str)> =
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+mod cold;
 mod control;
 mod delivery;
 mod membership;
@@ -9,6 +10,7 @@
 mod raft;
 mod slots;
 mod status;
+pub use cold::*;
 pub use control::*;
 pub use delivery::*;
 pub use membership::*;
@@ -26,7 +28,7 @@
     pub reply: bool,
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46"
     )]
     pub body: Option<Body>,
 }
@@ -103,6 +105,10 @@
     ProcessorsRequest(ProcessorsRequest),
     #[prost(message, tag = "44")]
     Processors(Processors),
+    #[prost(message, tag = "45")]
+    ColdLease(ColdLease),
+    #[prost(message, tag = "46")]
+    ColdLeaseAck(ColdLeaseAck),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -2,6 +2,7 @@
 //! gets the next one. Nothing here is durable; it is made anew from the fold
 //! whenever a partition is taken over.
 
+use balance::LeasedBucket;
 use config::{Homes, Route, Service};
 use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample, ZoneUse};
 use std::cmp::Reverse;
@@ -116,6 +117,8 @@
     /// Of the membership in use: delivery nodes by zone, and the zones of this region.
     fronts: HashMap<String, Vec<usize>>,
     near: HashSet<String>,
+    /// The cold processors that this owner may send to, and how much.
+    cold_buckets: HashMap<String, LeasedBucket>,
     /// The region of each zone.
     regions: BTreeMap<String, String>,
     /// Zones that are not used as any other, for evacuations.
@@ -181,6 +184,7 @@
             turns_at: HashMap::new(),
             fronts: HashMap::new(),
             near: HashSet::new(),
+            cold_buckets: HashMap::new(),
             regions: BTreeMap::new(),
             zone_uses: HashMap::new(),
             assignments: Arc::default(),
@@ -421,13 +425,18 @@
             self.packed(processors, now, |u| u.revision == target && self.may_run(u, homes))
         } else {
             let is_wanted = |u: &Processor| wants_new.is_none_or(|w| (u.revision == target) == w);
-            self.best(&service.name, processors, now, |u| is_wanted(u) && self.may_run(u, homes))
+            self.best(service, processors, now, |u| is_wanted(u) && self.may_run(u, homes))
         };
         if fit.is_none() && wants_new == Some(true) && trying {
             let is_former = |u: &Processor| u.revision != target;
-            fit = self.best(&service.name, processors, now, |u| is_former(u) && self.may_run(u, homes));
+            fit = self.best(service, processors, now, |u| is_former(u) && self.may_run(u, homes));
         }
         let u = fit?.clone();
+        if self.is_metered_cold(service, &u)
+            && !self.cold_buckets.get_mut(&u.id).is_some_and(|bucket| bucket.take(service.cold_per_s, now))
+        {
+            return None;
+        }
         if let Some(r) = rollout.filter(|r| r.state == "running") {
             let coin = self.coins.entry(service.name.clone()).or_insert(0.5);
             *coin = (*coin + f64::from(r.share) / 1000.0).min(2.0);
@@ -460,6 +469,32 @@
         processor.cold || self.zone_use(&processor.zone) == ZoneUse::Returning
     }
 
+    /// Whether a processor may be cold and its service bounds what such ones are sent.
+    fn is_metered_cold(&self, service: &Service, processor: &Processor) -> bool {
+        service.cold_per_s > 0.0 && self.may_be_cold(processor)
+    }
+
+    /// Whether a processor may be sent one more message now, as far as it is cold.
+    fn has_cold_token(&self, service: &Service, processor: &Processor, now: u64) -> bool {
+        !self.is_metered_cold(service, processor)
+            || self.cold_buckets.get(&processor.id).is_some_and(|bucket| bucket.has_token(service.cold_per_s, now))
+    }
+
+    /// Whether any processor may be cold whose service, as the test says, bounds what it is
+    /// sent.
+    pub fn has_metered_cold(&self, is_metered: impl Fn(&str) -> bool) -> bool {
+        self.membership.processors.iter().any(|u| self.may_be_cold(u) && !u.draining && is_metered(&u.service))
+    }
+
+    /// The leader grants these cold processors to this owner until then.
+    pub fn grant_cold(&mut self, processors: &[String], now: u64, until: u64) {
+        self.cold_buckets.retain(|_, bucket| !bucket.is_over(now));
+        for id in processors {
+            let bucket = self.cold_buckets.entry(id.clone()).or_insert_with(|| LeasedBucket::new(now, until));
+            bucket.renew(now, until);
+        }
+    }
+
     /// Whether a processor stands in one of the homes.
     fn may_run(&self, processor: &Processor, homes: &Homes) -> bool {
         !homes.is_bound() || self.regions.get(&processor.zone).is_some_and(|region| homes.allows(region))
@@ -485,14 +520,14 @@
     /// another first: they know little of each other's runs, and would else meet.
     fn best<'a>(
         &self,
-        service: &str,
+        service: &Service,
         processors: &'a [Processor],
         now: u64,
         fits: impl Fn(&Processor) -> bool,
     ) -> Option<&'a Processor> {
         let mut best: Option<(f64, &Processor)> = None;
-        let order = self.turns_at.get(service)?.iter().map(|n| &processors[*n]);
-        for u in order.filter(|u| self.is_usable(u) && fits(u)) {
+        let order = self.turns_at.get(&service.name)?.iter().map(|n| &processors[*n]);
+        for u in order.filter(|u| self.is_usable(u) && fits(u) && self.has_cold_token(service, u, now)) {
             let (load, s) = self.load(&u.id, now);
             let capacity = u.capacity.max(1);
             let room = if s.failures > 0 { 1 } else { capacity };
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -1,6 +1,7 @@
 //! The shell of a store node: carries out the effects of its partitions' state
 //! machines, keeps the lease, and gives deliveries to the delivery nodes.
 
+mod cold;
 mod dispatch;
 mod duties;
 mod effects;
@@ -242,6 +243,7 @@
     tokio::spawn(session.clone().keep());
     tokio::spawn(session.clone().heed(settings_updates));
     tokio::spawn(post.clone().keep_lease());
+    tokio::spawn(post.clone().keep_cold_leases());
     tokio::spawn(post.clone().store_membership());
     let p = post.clone();
     tokio::spawn(async move {
--- /dev/null
+++ b/crates/store/src/service/cold.rs
@@ -0,0 +1,36 @@
+//! Leases on cold processors of services that bound what such ones are sent (`coldPerS`): the
+//! leader grants each of them to one owner at a time.
+
+use super::*;
+
+impl StoreService {
+    /// Keeps the leases while there is any such processor; asks nothing else.
+    pub(super) async fn keep_cold_leases(self: Arc<Self>) {
+        let period = Duration::from_millis(self.settings.lease_ms() / 3);
+        loop {
+            tokio::time::sleep(period).await;
+            if !self.has_metered_cold() {
+                continue;
+            }
+            let leader = self.session.with_known(|known| known.leader.clone());
+            if leader.is_empty() {
+                continue;
+            }
+            let asked = self.now();
+            let ask = Body::ColdLease(ColdLease { node: self.session.me() });
+            let Ok(Body::ColdLeaseAck(ack)) = self.rpc_clients.to(&leader).call(ask, period).await else { continue };
+            let until = asked + u64::from(ack.ttl_ms);
+            self.shared.lock().unwrap().scheduler.grant_cold(&ack.processors, self.now(), until);
+            self.wake.notify_one();
+        }
+    }
+
+    fn has_metered_cold(&self) -> bool {
+        let configuration = self.session.with_known(|known| known.configuration.clone());
+        if configuration.services.iter().all(|service| service.cold_per_s <= 0.0) {
+            return false;
+        }
+        let is_metered = |service: &str| configuration.service(service).is_some_and(|s| s.cold_per_s > 0.0);
+        self.shared.lock().unwrap().scheduler.has_metered_cold(is_metered)
+    }
+}
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -374,3 +374,42 @@
     assert_eq!(t.choose(&endpoint, &homes, 1000).expect("an endpoint is anywhere").front, "h3");
     assert_eq!(t.choose(&endpoint, &Homes::of(&["q".to_owned()]), 1000), None, "no delivery node there");
 }
+
+#[test]
+fn a_cold_processor_is_sent_only_what_its_lease_allows_and_nothing_without_one() {
+    let cold = Processor { cold: true, ..processor("u1", "x", "v1") };
+    let mut t = scheduler(vec![cold], vec![]);
+    let metered = Service { cold_per_s: 4.0, ..service() };
+    let mut sent = |t: &mut DeliveryScheduler, from: u64, to: u64| {
+        let mut count = 0;
+        for now in from..to {
+            if let Some(target) = t.choose(&metered, &Homes::default(), now) {
+                t.launch((0, now), &target, &route(), now + 10);
+                t.land((0, now));
+                count += 1;
+            }
+        }
+        count
+    };
+    assert_eq!(sent(&mut t, 1000, 2000), 0, "without a lease");
+    t.grant_cold(&["u1".to_owned()], 2000, 3500);
+    assert_eq!(sent(&mut t, 2000, 3000), 3, "it begins empty");
+    assert_eq!(sent(&mut t, 3000, 3500), 2);
+    assert_eq!(sent(&mut t, 3500, 5000), 0, "the lease is over");
+    // One that bounds nothing is used as before, cold or not.
+    assert!(t.choose(&service(), &Homes::default(), 5000).is_some());
+}
+
+#[test]
+fn a_zone_that_was_taken_back_is_metered_as_cold_until_the_listing_says_what_is() {
+    let mut t = scheduler(vec![processor("u1", "x", "v1")], vec![]);
+    let metered = Service { cold_per_s: 4.0, ..service() };
+    let returned = |cold_known_from| Evacuation { zone: "x".into(), finished: true, ordered: 1, cold_known_from };
+    evacuations(&mut t, vec![returned(0)]);
+    assert!(t.has_metered_cold(|_| true) && !t.has_metered_cold(|_| false));
+    assert_eq!(t.choose(&metered, &Homes::default(), 1000), None);
+    evacuations(&mut t, vec![returned(2)]);
+    assert_eq!(t.choose(&metered, &Homes::default(), 1000), None, "the membership here is older");
+    evacuations(&mut t, vec![returned(1)]);
+    assert!(t.choose(&metered, &Homes::default(), 1000).is_some());
+}
