Proxy: what both forwarding tiers need in one crate; a client that leaves frees its processor

Servers of forwarding tiers now watch; a repeatable request is dropped at once, with its slot, an unsafe one runs on and is sent nowhere else. Route, time, tries, retry budget, rules of answers and hedging moved from functions to proxy without a copy.

--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -371,6 +371,7 @@
                     body: &[],
                     id: "",
                     newest: None,
+                    connect: None,
                 };
                 telemetry::count("platform_calls");
                 let Ok(a) = pool.call(&addr, call, 2, Duration::from_millis(1000)).await else { break };
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -46,6 +46,7 @@
         listener,
         move || bounds,
         closing,
+        http1::ClientWatch::Off,
         move |r| {
             let control = control.clone();
             async move { answer(&control, r).await }
--- a/crates/control/src/scaler.rs
+++ b/crates/control/src/scaler.rs
@@ -56,7 +56,8 @@
                 continue;
             }
             let (headers, body, id) = (&[], &[], "");
-            let call = Call { method: "GET", path: "/workers", host: &addr, headers, body, id, newest: None };
+            let call =
+                Call { method: "GET", path: "/workers", host: &addr, headers, body, id, newest: None, connect: None };
             telemetry::count("platform_calls");
             let page = match pool.call(&addr, call, 2, period).await {
                 Ok(a) if a.status == 200 => serde_json::from_slice::<Page>(&a.body).ok(),
@@ -209,6 +210,7 @@
             body: body.as_bytes(),
             id: "",
             newest: None,
+            connect: None,
         };
         telemetry::count("platform_calls");
         let a = self.platform_pool.call(platform, call, 32, Duration::from_millis(self.ratio(5.0))).await.ok()?;
--- a/crates/control/tests/scaler.rs
+++ b/crates/control/tests/scaler.rs
@@ -82,7 +82,7 @@
         let p = platform.clone();
         let (open, closing) = watch::channel(Closing::Open);
         std::mem::forget(open);
-        tokio::spawn(http1::listen(listener, Bounds::default, closing, move |r| {
+        tokio::spawn(http1::listen(listener, Bounds::default, closing, http1::ClientWatch::Off, move |r| {
             let p = p.clone();
             async move { answer(&p, &r) }
         }));
@@ -161,6 +161,7 @@
             body,
             id: "",
             newest: None,
+            connect: None,
         };
         if pool.call(&control, call, 2, WAIT).await.is_ok_and(|a| a.status == 200) {
             break;
--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -143,6 +143,7 @@
             body: &run.item.body,
             id: &run.item.id,
             newest: None,
+            connect: None,
         };
         // The processor ends its work at the cutoff and says so; a little longer for that to arrive.
         let within = Duration::from_millis(run.timeout_ms as u64) * 21 / 20;
@@ -217,7 +218,16 @@
         }
         .to_string();
         let headers = [("Content-Type", "application/json")];
-        let call = Call { method: "POST", path, host, headers: &headers, body: body.as_bytes(), id: "", newest: None };
+        let call = Call {
+            method: "POST",
+            path,
+            host,
+            headers: &headers,
+            body: body.as_bytes(),
+            id: "",
+            newest: None,
+            connect: None,
+        };
         let within = Duration::from_millis((self.front.settings.constraints.notify_s * 300.0) as u64);
         // Receivers take few connections, and there is a delivery node for them in
         // each zone.
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -2,7 +2,7 @@
 use crate::tenancy::{Refusal, operation_id, operation_key, tenant_if_any, tenant_name};
 use agent::{ClusterView, PlacementKeys, loopback, partition_of};
 use config::{ConfigurationIndex, Role, Settings};
-use http1::{Bounds, Closing, Reply, Request};
+use http1::{Bounds, ClientWatch, Closing, Reply, Request};
 use rpc::messages::*;
 use rpc::{Body, ExecutionOutcome, RpcClients};
 use std::sync::Arc;
@@ -392,13 +392,19 @@
     let h = front.clone();
     let ready = bind(settings.listen.ready.clone()).await?;
     let open = watch::channel(Closing::Open);
-    tokio::spawn(http1::listen(ready, Bounds::default, open.1, move |_| {
+    tokio::spawn(http1::listen(ready, Bounds::default, open.1, ClientWatch::Off, move |_| {
         let ok = h.is_ready();
         async move { if ok { Reply::new(200) } else { Reply::new(503) } }
     }));
     let clients = bind(settings.listen.front.clone()).await?;
     let (h, hb) = (front.clone(), front.clone());
-    tokio::spawn(http1::listen(clients, move || hb.bounds(), front.closing.subscribe(), move |r| h.clone().answer(r)));
+    tokio::spawn(http1::listen(
+        clients,
+        move || hb.bounds(),
+        front.closing.subscribe(),
+        ClientWatch::Off,
+        move |r| h.clone().answer(r),
+    ));
     let (b, beat) = (worker.clone(), silence / 10);
     tokio::spawn(async move {
         loop {
--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -149,8 +149,16 @@
     let pool = http1::ConnectionPool::new(Duration::from_secs(9));
     for id in ["m1", "m2"] {
         let headers = [("X-Attempt-Id", id)];
-        let call =
-            http1::Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id, newest: None };
+        let call = http1::Call {
+            method: "POST",
+            path: "/",
+            host: "h",
+            headers: &headers,
+            body: b"x",
+            id,
+            newest: None,
+            connect: None,
+        };
         let a = pool.call(&addr, call, 4, Duration::from_secs(2)).await.expect("an answer");
         assert_eq!((a.header("x-seal"), a.header("x-attempt-id")), (Some("right"), Some(id)));
     }
--- a/crates/functions/src/gateway.rs
+++ b/crates/functions/src/gateway.rs
@@ -5,12 +5,11 @@
 mod slot_client;
 mod slot_service;
 
-use crate::attempts::Attempts;
-use crate::retry_budget::RetryBudget;
 use crate::slots::*;
 use agent::{ClusterView, loopback};
 use config::{Role, Route, Settings};
-use http1::{Answer, Bounds, Call, Closing, ConnectionPool, Reply, Request, SendError};
+use http1::{Answer, Bounds, ClientWatch, Closing, ConnectionPool, Reply, Request};
+use proxy::{ClientRequest, ConnectionRules, Failure, RetryBudget, SendOutcome, Target, busy, hedged, reply_of, send};
 use rpc::messages::*;
 use rpc::{Body, DeliveryFailure, ExecutionOutcome, Responder, RetryOwner, RetrySafety, RpcClients};
 use std::collections::{HashMap, HashSet};
@@ -73,104 +72,6 @@
     incarnation: u64,
 }
 
-fn fault(status: u16, why: &str) -> Reply {
-    Reply::json(status, serde_json::json!({ "fault": why }).to_string())
-}
-
-fn busy(retry_ms: u64) -> Reply {
-    let secs = (retry_ms as f64 / 1000.0).clamp(0.02, 5.0);
-    fault(503, "no processor can take it now").with("Retry-After", format!("{secs:.2}"))
-}
-
-/// Whether a header concerns one connection only, or is written anew for the next.
-pub fn hop_by_hop(name: &str, connection: &str) -> bool {
-    const OWN: [&str; 9] = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-        "content-length",
-    ];
-    OWN.iter().any(|o| name.eq_ignore_ascii_case(o))
-        || connection.split(',').any(|c| c.trim().eq_ignore_ascii_case(name))
-}
-
-/// A client's request on its way.
-struct Passing<'a> {
-    request: &'a Request,
-    route: &'a Route,
-    service: &'a str,
-    /// Where it may run; empty for anywhere.
-    zones: Vec<String>,
-    id: &'a str,
-    connection: &'a str,
-    /// When the client is to have its answer: by its own deadline and the route's timeout.
-    end: Instant,
-    safe: bool,
-    /// Connections to one processor.
-    limit: usize,
-    /// Where it was sent, by all sends of it.
-    attempts: Mutex<Attempts>,
-}
-
-/// What is to be done with what a processor said.
-enum Heard {
-    /// Its answer, whole: the client's.
-    Whole(Answer),
-    /// None; and what its slot owner is told of the slot.
-    Missed(DeliveryFailure, SlotEnd),
-    /// It was not sent there: that would be more processors than the route has tries.
-    TooManyProcessors,
-}
-
-/// Why a request ends without a processor's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failure {
-    /// No processor has run it, and none will.
-    NotRun { retry_ms: u64 },
-    /// A processor may have run it, and its answer was lost.
-    MayHaveRun,
-    /// A processor had it and was silent until its time was over.
-    Silent,
-}
-
-impl Failure {
-    fn not_run() -> Failure {
-        Failure::NotRun { retry_ms: 100 }
-    }
-
-    /// What two sends of one request say together.
-    fn and(self, other: Failure) -> Failure {
-        match (self, other) {
-            (Failure::NotRun { retry_ms: a }, Failure::NotRun { retry_ms: b }) => {
-                Failure::NotRun { retry_ms: a.min(b) }
-            }
-            (Failure::NotRun { .. }, unclear) | (unclear, _) => unclear,
-        }
-    }
-
-    fn reply(self) -> Reply {
-        match self {
-            Failure::NotRun { retry_ms } => {
-                telemetry::count("answers_503");
-                busy(retry_ms)
-            }
-            Failure::MayHaveRun => {
-                telemetry::count("answers_502");
-                fault(502, "it may have run")
-            }
-            Failure::Silent => {
-                telemetry::count("answers_504");
-                fault(504, "no answer in time")
-            }
-        }
-    }
-}
-
 impl FunctionGateway {
     /// A front that knows of nothing yet.
     pub fn new(settings: Settings) -> Arc<FunctionGateway> {
@@ -314,7 +215,7 @@
     let s = functions.clone();
     let ready = bind(settings.listen.ready.clone()).await?;
     let open = watch::channel(Closing::Open);
-    tokio::spawn(http1::listen(ready, Bounds::default, open.1, move |_| {
+    tokio::spawn(http1::listen(ready, Bounds::default, open.1, ClientWatch::Off, move |_| {
         let ok = s.is_ready();
         async move { if ok { Reply::new(200) } else { Reply::new(503) } }
     }));
@@ -324,6 +225,7 @@
         clients,
         move || sb.bounds(),
         functions.closing.subscribe(),
+        ClientWatch::On,
         move |r| s.clone().answer(r),
     ));
     tokio::spawn(functions.clone().keep_time());
--- a/crates/functions/src/gateway/forward.rs
+++ b/crates/functions/src/gateway/forward.rs
@@ -2,6 +2,21 @@
 
 use super::*;
 
+/// What is to be done with what a processor said.
+enum Heard {
+    /// Its answer, whole: the client's.
+    Whole(Answer),
+    /// None; and what its slot owner is told of the slot.
+    Missed(DeliveryFailure, SlotEnd),
+    /// It was not sent there: that would be more processors than the route has tries.
+    TooManyProcessors,
+}
+
+/// By how much a request may take longer than runs usually do before another is sent beside it.
+const HEDGE_FACTOR: f64 = 3.0;
+/// The part of its aim before which no request is sent beside another.
+const HEDGE_PART: f64 = 0.6;
+
 impl FunctionGateway {
     /// One request of a client.
     pub async fn answer(self: Arc<Self>, r: Request) -> Reply {
@@ -10,79 +25,44 @@
         if configuration.revision == 0 {
             return busy(500);
         }
-        let host = r.header("host").unwrap_or("");
-        let path = r.path.split('?').next().unwrap_or("");
-        let Some(c) = configuration.route(host, path) else { return fault(404, "no such route") };
-        let Some(id) = r.header("x-attempt-id").filter(|v| !v.is_empty() && v.len() <= 128) else {
-            return fault(400, "X-Attempt-Id is missing");
+        let ask = match ClientRequest::read(&r, &configuration, &self.settings, begun) {
+            Ok(ask) => ask,
+            Err(refusal) => return refusal,
         };
-        let given = match r.header("x-deadline-ms").map(|v| v.parse::<f64>()) {
-            Some(Ok(d)) if (0.0..1e9).contains(&d) => d,
-            Some(_) => return fault(400, "X-Deadline-Ms is not a time"),
-            None => c.timeout_ms,
-        };
-        // Nothing is held for longer than its route wants it held.
-        let end = begun + Duration::from_micros((given.min(c.timeout_ms) * 1000.0) as u64);
-        let service = c.service_for(rpc::fingerprint(id.as_bytes())).to_owned();
-        let homes = configuration.homes(c, "");
-        let zones = self.settings.zones_within(&homes);
-        if homes.is_bound() && zones.is_empty() {
-            return fault(403, "none of the regions that it may run in is known");
-        }
         self.shared.lock().unwrap().retry_budget.sent(begun);
-        let ask = Passing {
-            connection: r.header("connection").unwrap_or(""),
-            limit: configuration.service(&service).map_or(8, |p| p.conn_limit.max(1)) as usize,
-            safe: c.mode == "safe",
-            request: &r,
-            route: c,
-            service: &service,
-            zones,
-            id,
-            end,
-            attempts: Mutex::new(Attempts::new(c.tries)),
-        };
         let mut closing = self.closing.subscribe();
         let outcome = tokio::select! {
             // First: what others give back as they end is not to be taken any more.
             biased;
             // The process is about to end: what is known by now is the answer.
             _ = closing.wait_for(|c| *c == Closing::Ending) => Err(Failure::not_run()),
+            // Nobody waits for it: the slot goes back and the processor drops it.
+            _ = ask.request.departure.left(), if ask.is_safe => {
+                telemetry::count("requests_abandoned");
+                Err(Failure::not_run())
+            }
             outcome = self.serve(&ask) => outcome,
         };
         match outcome {
-            Ok(answer) => reply(answer),
-            Err(Failure::NotRun { .. }) if ask.attempts.lock().unwrap().may_have_run() => Failure::MayHaveRun.reply(),
+            Ok(answer) => reply_of(answer),
+            Err(Failure::NotRun { .. }) if ask.attempts().may_have_run() => Failure::MayHaveRun.reply(),
             Err(failure) => failure.reply(),
         }
     }
 
     /// Sends a request, and beside the first send another one where that takes long.
-    async fn serve(self: &Arc<Self>, ask: &Passing<'_>) -> Result<Answer, Failure> {
-        let first = self.tries(ask);
-        if !ask.safe {
-            return first.await;
-        }
+    async fn serve(self: &Arc<Self>, ask: &ClientRequest<'_>) -> Result<Answer, Failure> {
+        let usual = self.shared.lock().unwrap().took.get(&ask.service).copied();
+        let Some(usual) = usual.filter(|_| ask.is_safe) else { return self.tries(ask).await };
         // An answer may be lost, or its processor slow: when it takes far longer than
         // runs do, another is asked as well, and the first answer is the client's.
-        tokio::pin!(first);
-        let usual = self.shared.lock().unwrap().took.get(ask.service).copied();
-        let patience = ask.route.target_latency_ms.max(1.0) * 0.6;
-        let late = Duration::from_micros((usual.map_or(patience, |t| patience.max(3.0 * t)) * 1000.0) as u64);
-        tokio::select! {
-            outcome = &mut first => return outcome,
-            _ = tokio::time::sleep(late), if usual.is_some() => {}
-        }
-        if !ask.attempts.lock().unwrap().has_room() || !self.holds_any(ask.service) || !self.again() {
-            return first.await;
-        }
-        telemetry::count("sent_beside");
-        let second = self.tries(ask);
-        tokio::pin!(second);
-        tokio::select! {
-            outcome = &mut first => if is_good(&outcome) { outcome } else { better(outcome, second.await) },
-            outcome = &mut second => if is_good(&outcome) { outcome } else { better(outcome, first.await) },
-        }
+        let patience_ms = (ask.route.target_latency_ms.max(1.0) * HEDGE_PART).max(usual * HEDGE_FACTOR);
+        let patience = Duration::from_micros((patience_ms * 1000.0) as u64);
+        let second = || {
+            let is_worth_it = ask.attempts().has_room() && self.holds_any(&ask.service) && self.again();
+            is_worth_it.then(|| self.tries(ask))
+        };
+        hedged(self.tries(ask), patience, second).await
     }
 
     /// Takes one of the repeats that are allowed to this front.
@@ -93,13 +73,15 @@
     }
 
     /// Sends one request until there is an answer, or another try must not be.
-    async fn tries(self: &Arc<Self>, ask: &Passing<'_>) -> Result<Answer, Failure> {
-        let c = ask.route;
+    async fn tries(self: &Arc<Self>, ask: &ClientRequest<'_>) -> Result<Answer, Failure> {
         loop {
-            let left = ask.end.saturating_duration_since(Instant::now());
-            let (slot_id, g) = self.slot(ask.service, c, &ask.zones, wait_for_slot(c, left)).await?;
+            if ask.is_abandoned() {
+                return Err(Failure::not_run());
+            }
+            let patience = wait_for_slot(ask.route, ask.left());
+            let (slot_id, g) = self.slot(&ask.service, ask.route, &ask.zones, patience).await?;
             let back = SlotRelease {
-                service: ask.service.to_owned(),
+                service: ask.service.clone(),
                 front: self.settings.node.clone(),
                 slot_id,
                 processor: g.processor.clone(),
@@ -118,7 +100,7 @@
             };
             if took > 0 {
                 let mut i = self.shared.lock().unwrap();
-                let t = i.took.entry(ask.service.to_owned()).or_insert(f64::from(took));
+                let t = i.took.entry(ask.service.clone()).or_insert(f64::from(took));
                 *t = *t * 0.9 + f64::from(took) * 0.1;
             }
             self.tell(SlotRelease { end: ended as i32, took_ms: took, ..back });
@@ -137,9 +119,8 @@
                     if gap == DeliveryFailure::Silent { Failure::Silent } else { Failure::MayHaveRun }
                 }
             };
-            let again = gap.again(if ask.safe { RetrySafety::Safe } else { RetrySafety::Unsafe });
-            let more =
-                matches!(again, RetryOwner::Front | RetryOwner::FrontTries) && ask.attempts.lock().unwrap().has_room();
+            let again = gap.again(if ask.is_safe { RetrySafety::Safe } else { RetrySafety::Unsafe });
+            let more = matches!(again, RetryOwner::Front | RetryOwner::FrontTries) && ask.attempts().has_room();
             if !more || !self.again() {
                 return Err(failure);
             }
@@ -148,7 +129,7 @@
     }
 
     /// Passes a request to the processor of a granted slot, once that is up.
-    async fn pass(self: &Arc<Self>, ask: &Passing<'_>, g: &SlotGrant, back: &SlotRelease) -> Heard {
+    async fn pass(self: &Arc<Self>, ask: &ClientRequest<'_>, g: &SlotGrant, back: &SlotRelease) -> Heard {
         if g.starting && !self.wait_until_up(ask, g, back).await {
             return Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Dark);
         }
@@ -156,20 +137,29 @@
             telemetry::count("sends_spared_evacuated");
             return Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Done);
         }
-        let within = ask.end.saturating_duration_since(Instant::now());
-        if within < shortest_run(ask.route) {
+        let within = ask.left();
+        if ask.is_abandoned() || within < ask.shortest_run() {
             return Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Done);
         }
-        if !ask.attempts.lock().unwrap().begin(&g.processor) {
+        if !ask.attempts().begin(&g.processor) {
             return Heard::TooManyProcessors;
         }
-        let heard = self.send(ask, g, within).await;
-        if let Heard::Missed(gap, _) = &heard
-            && gap.execution() == ExecutionOutcome::NotRun
-        {
-            ask.attempts.lock().unwrap().did_not_run(&g.processor);
+        let target = Target { processor: g.processor.clone(), address: g.address.clone() };
+        let rules = ConnectionRules { newest: self.ratio(20.0), connect: None, refusal: self.ratio(200.0) };
+        let outcome = send(&self.pool, ask, &target, within, rules).await;
+        if outcome.has_not_run() {
+            ask.attempts().did_not_run(&g.processor);
+        }
+        match outcome {
+            SendOutcome::Answered(answer) => Heard::Whole(answer),
+            SendOutcome::OtherProcessor => Heard::Missed(DeliveryFailure::Refused, SlotEnd::Gone),
+            SendOutcome::Refused => Heard::Missed(DeliveryFailure::Refused, SlotEnd::Full),
+            SendOutcome::NotSent { is_gone: true } => Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Gone),
+            SendOutcome::NotSent { is_gone: false } => Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Dark),
+            SendOutcome::Lost => Heard::Missed(DeliveryFailure::Lost, SlotEnd::Done),
+            SendOutcome::Silent if g.starting => Heard::Missed(DeliveryFailure::Silent, SlotEnd::Dark),
+            SendOutcome::Silent => Heard::Missed(DeliveryFailure::Silent, SlotEnd::Done),
         }
-        heard
     }
 
     /// Whether the processors of a zone are sent nothing.
@@ -180,11 +170,11 @@
 
     /// Connects to a processor that refuses until it has started, and tells its slot owner
     /// when it has; false if the time is over before that.
-    async fn wait_until_up(self: &Arc<Self>, ask: &Passing<'_>, g: &SlotGrant, back: &SlotRelease) -> bool {
+    async fn wait_until_up(self: &Arc<Self>, ask: &ClientRequest<'_>, g: &SlotGrant, back: &SlotRelease) -> bool {
         let step = self.ratio(200.0);
         loop {
-            let left = ask.end.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            let left = ask.left();
+            if left.is_zero() || ask.is_abandoned() {
                 return false;
             }
             match self.pool.open(&g.address, left.min(self.ratio(20.0))).await {
@@ -195,68 +185,6 @@
         self.tell(SlotRelease { end: SlotEnd::Up as i32, ..back.clone() });
         true
     }
-
-    /// One send of a request, and what its answer means.
-    async fn send(&self, ask: &Passing<'_>, g: &SlotGrant, within: Duration) -> Heard {
-        let r = ask.request;
-        let late = Heard::Missed(DeliveryFailure::Silent, if g.starting { SlotEnd::Dark } else { SlotEnd::Done });
-        let unclear = Heard::Missed(DeliveryFailure::Lost, SlotEnd::Done);
-        let deadline = within.as_millis().to_string();
-        let mut headers: Vec<(&str, &str)> = Vec::with_capacity(r.headers.len() + 2);
-        for (n, v) in &r.headers {
-            let own = ["host", "x-deadline-ms", "x-target-instance"];
-            if !hop_by_hop(n, ask.connection) && !own.iter().any(|o| n.eq_ignore_ascii_case(o)) {
-                headers.push((n, v));
-            }
-        }
-        headers.push(("X-Deadline-Ms", &deadline));
-        headers.push(("X-Target-Instance", &g.processor));
-        let host = r.header("host").unwrap_or("");
-        // What must not run twice goes over a connection that was heard just now.
-        let newest = (!ask.safe).then(|| self.ratio(20.0));
-        let call =
-            Call { method: &r.method, path: &r.path, host, headers: &headers, body: &r.body, id: ask.id, newest };
-        match self.pool.call(&g.address, call, ask.limit, within).await {
-            Ok(a) if a.status == 421 => Heard::Missed(DeliveryFailure::Refused, SlotEnd::Gone),
-            Ok(a) if a.header("x-not-run").is_some() && a.status >= 400 => {
-                Heard::Missed(DeliveryFailure::Refused, SlotEnd::Full)
-            }
-            Ok(a) if (200..300).contains(&a.status) => {
-                let sealed = a.header("x-seal").is_some_and(|s| !s.is_empty());
-                if sealed && a.header("content-encoding").is_none() && a.whole {
-                    Heard::Whole(a)
-                } else {
-                    telemetry::count("answers_not_whole");
-                    unclear
-                }
-            }
-            Ok(a) if a.status == 504 => late,
-            // It is not said that it did not run, which is what the client would read.
-            Ok(a) if promises_not_run(a.status) => {
-                telemetry::count("promises_of_nobody");
-                unclear
-            }
-            Ok(a) if a.whole => Heard::Whole(a),
-            Ok(_) => unclear,
-            // Only who refuses is gone: packets of one that is well are lost at times.
-            Err(SendError::NotSent) if rpc::refuses(&g.address, self.ratio(200.0)).await => {
-                Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Gone)
-            }
-            Err(SendError::NotSent) => Heard::Missed(DeliveryFailure::NotSent, SlotEnd::Dark),
-            Err(SendError::Lost) => unclear,
-            Err(SendError::Silent) => late,
-        }
-    }
-}
-
-/// Whether a status tells a client that its request has not run and never will.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
-/// The shortest deadline of a send: with less, no run is to be expected.
-fn shortest_run(c: &Route) -> Duration {
-    Duration::from_micros((c.target_latency_ms * 100.0) as u64).max(Duration::from_millis(2))
 }
 
 /// How long a request waits for a slot: what is left then must do for a run, for which a
@@ -265,22 +193,3 @@
     let run = Duration::from_micros((c.target_latency_ms * 250.0) as u64);
     left - run.max(left / 10).min(left / 2)
 }
-
-fn is_good(outcome: &Result<Answer, Failure>) -> bool {
-    outcome.as_ref().is_ok_and(|a| a.status < 500)
-}
-
-/// Of two sends of one request, neither of which came to a good answer: the later one's
-/// answer, or the earlier one's, or what both say together.
-fn better(earlier: Result<Answer, Failure>, later: Result<Answer, Failure>) -> Result<Answer, Failure> {
-    match (earlier, later) {
-        (_, Ok(answer)) | (Ok(answer), Err(_)) => Ok(answer),
-        (Err(one), Err(other)) => Err(one.and(other)),
-    }
-}
-
-fn reply(a: Answer) -> Reply {
-    let connection = a.header("connection").unwrap_or("").to_owned();
-    let passed = a.headers.into_iter().filter(|(n, _)| !hop_by_hop(n, &connection)).collect();
-    Reply { body: a.body, passed, ..Reply::new(a.status) }
-}
--- a/crates/functions/tests/gateway.rs
+++ b/crates/functions/tests/gateway.rs
@@ -78,7 +78,12 @@
                         return;
                     }
                     Act::Refuse { status } => (status, format!("X-Not-Run: 1\r\nX-Seal: {status}-of-{id}\r\n")),
-                    Act::Silent => std::future::pending().await,
+                    Act::Silent => {
+                        // The caller's end is noted.
+                        let _ = stream.read(&mut [0; 1]).await;
+                        runs.lock().unwrap().entry(format!("{request} dropped")).or_default().insert(id.clone());
+                        return;
+                    }
                 };
                 let answer =
                     format!("HTTP/1.1 {status} Said\r\nX-Attempt-Id: {request}\r\n{own}Content-Length: 2\r\n\r\nok");
@@ -387,7 +392,9 @@
     let gateway = world.gateway.clone();
     let closing = gateway.closing.subscribe();
     let serving = gateway.clone();
-    tokio::spawn(http1::listen(listener, http1::Bounds::default, closing, move |r| serving.clone().answer(r)));
+    tokio::spawn(http1::listen(listener, http1::Bounds::default, closing, http1::ClientWatch::On, move |r| {
+        serving.clone().answer(r)
+    }));
     // The last one waits for the one slot of `g`, which is never free.
     let (mut clients, paths) = (Vec::new(), ["/f/run", "/f/silent", "/g/silent", "/g/wait"]);
     for path in paths {
@@ -450,3 +457,33 @@
     }
     assert!(world.starts.lock().unwrap().contains(&"g".to_owned()));
 }
+
+#[tokio::test]
+async fn a_client_that_leaves_frees_the_processor_of_what_may_be_repeated_and_only_that() {
+    let routes = [route("s", "/s/", "safe", "f", 2, 9000), route("u", "/u/", "unsafe", "f", 1, 9000)];
+    let config = configuration(1, &routes, &[service("f", 8)]);
+    let world = World::new(Leader::Starts, &config, |path, _| match path.rsplit('/').next() {
+        Some("silent") => Act::Silent,
+        _ => Act::Answer { status: 200, after_ms: 2 },
+    })
+    .await;
+    world.warm("/s/up").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let (serving, closing) = (world.gateway.clone(), world.gateway.closing.subscribe());
+    tokio::spawn(http1::listen(listener, http1::Bounds::default, closing, http1::ClientWatch::On, move |r| {
+        serving.clone().answer(r)
+    }));
+    for path in ["/s/silent", "/u/silent"] {
+        let mut stream = TcpStream::connect(&address).await.expect("connected");
+        let request = format!("POST {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {path}\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        while world.processors_of(path) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        drop(stream);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(world.processors_of("/s/silent dropped"), 1, "the processor works on for nobody");
+    assert_eq!(world.processors_of("/u/silent dropped"), 0, "what may not be repeated is broken off");
+}
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -58,6 +58,8 @@
     pub id: &'a str,
     /// Only a connection that was used or opened within this time; None: any kept one.
     pub newest: Option<Duration>,
+    /// How long a new connection may take; None: a quarter of the call's time.
+    pub connect: Option<Duration>,
 }
 
 struct OpenCount<'a> {
@@ -164,13 +166,13 @@
         }
         let _open = OpenCount { pool: self, addr };
         let end = tokio::time::Instant::now() + within;
+        let connect_within = call.connect.map_or(within / 4, |connect| connect.min(within));
         // An answer that names nobody belongs to the one request of its connection, or
         // to nobody knows which.
         let named = !call.id.is_empty();
         let mut stream = match if named { self.take_idle(addr, call.newest) } else { None } {
             Some(s) => s,
-            // A quarter of the time at most goes into connecting.
-            None => match tokio::time::timeout(within / 4, TcpStream::connect(addr)).await {
+            None => match tokio::time::timeout(connect_within, TcpStream::connect(addr)).await {
                 Ok(Ok(s)) => {
                     let _ = s.set_nodelay(true);
                     telemetry::count("connections_opened");
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,9 +3,11 @@
 #![warn(missing_docs)]
 
 mod client;
+mod departure;
 mod parse;
 mod server;
 mod unidentified;
 pub use client::*;
+pub use departure::Departure;
 pub use parse::*;
 pub use server::*;
--- a/crates/http1/src/parse.rs
+++ b/crates/http1/src/parse.rs
@@ -1,3 +1,4 @@
+use crate::departure::Departure;
 use bytes::{Buf, Bytes, BytesMut};
 
 /// How large and how slow a request may be.
@@ -52,6 +53,8 @@
     pub body: Bytes,
     /// Whether the connection may take another request behind this one.
     pub keep: bool,
+    /// Whether its client has left meanwhile, where the server watches that.
+    pub departure: Departure,
 }
 
 impl Request {
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,3 +1,4 @@
+use crate::departure::{Departure, DepartureSender};
 use crate::parse::*;
 use bytes::{Bytes, BytesMut};
 use std::future::Future;
@@ -130,12 +131,22 @@
     }
 }
 
+/// Whether a server looks, while a request is handled, for its client leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientWatch {
+    /// The handler is told; see [`Departure`].
+    On,
+    /// It is not looked for: what is handled is carried through whoever waits for it.
+    Off,
+}
+
 /// Reads and answers the requests of one connection after the other, until
 /// either side ends it or the server shuts between two requests.
 pub async fn serve_connection<H, F>(
     mut stream: TcpStream,
     bounds: impl Fn() -> Bounds,
     mut closing: watch::Receiver<Closing>,
+    client_watch: ClientWatch,
     handler: H,
 ) where
     H: Fn(Request) -> F,
@@ -145,7 +156,7 @@
     let mut buf = BytesMut::with_capacity(4 << 10);
     let mut out = BytesMut::new();
     loop {
-        let request = match read_request(&mut stream, &mut buf, &bounds, &mut closing).await {
+        let mut request = match read_request(&mut stream, &mut buf, &bounds, &mut closing).await {
             Ok(Some(r)) => r,
             Ok(None) => return,
             Err(t) => {
@@ -161,7 +172,14 @@
         };
         let _unanswered = Unanswered::new();
         let (keep, head_only) = (request.keep, request.method == "HEAD");
-        let reply = handler(request).await;
+        let reply = match client_watch {
+            ClientWatch::Off => handler(request).await,
+            ClientWatch::On => {
+                let (sender, departure) = Departure::new();
+                request.departure = departure;
+                handled_while_watched(&mut stream, &mut buf, &sender, handler(request)).await
+            }
+        };
         if reply.cut {
             return;
         }
@@ -178,6 +196,33 @@
     }
 }
 
+/// How much of the requests behind the one that is handled is read before its answer.
+const READ_AHEAD_BYTES: usize = 4 << 10;
+
+/// Waits for a handler, and tells it if its client closes the connection meanwhile.
+async fn handled_while_watched(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    sender: &DepartureSender,
+    handling: impl Future<Output = Reply>,
+) -> Reply {
+    tokio::pin!(handling);
+    while buf.len() < READ_AHEAD_BYTES {
+        buf.reserve(1 << 10);
+        let read = tokio::select! {
+            biased;
+            reply = &mut handling => return reply,
+            read = stream.read_buf(buf) => read,
+        };
+        if !matches!(read, Ok(bytes) if bytes > 0) {
+            telemetry::count("clients_left");
+            sender.leave();
+            break;
+        }
+    }
+    handling.await
+}
+
 /// Ends a connection so that its last answer is not lost: to close while something is
 /// unread, or still on its way here, is a reset, which takes what was not sent yet along.
 async fn end_connection(stream: &mut TcpStream, within_ms: u64) {
@@ -300,6 +345,7 @@
     listener: TcpListener,
     bounds: impl Fn() -> Bounds + Clone + Send + Sync + 'static,
     closing: watch::Receiver<Closing>,
+    client_watch: ClientWatch,
     handler: H,
 ) where
     H: Fn(Request) -> F + Send + Sync + 'static,
@@ -318,7 +364,7 @@
         };
         let (handler, bounds, closing) = (handler.clone(), bounds.clone(), closing.clone());
         tokio::spawn(async move {
-            serve_connection(stream, bounds, closing, move |r| {
+            serve_connection(stream, bounds, closing, client_watch, move |r| {
                 let handler = handler.clone();
                 async move { handler(r).await }
             })
--- a/crates/http1/tests/calls.rs
+++ b/crates/http1/tests/calls.rs
@@ -84,7 +84,7 @@
 async fn call(pool: &ConnectionPool, addr: &str, id: &str, path: &str) -> Result<Answer, SendError> {
     let headers = [("X-Attempt-Id", id)];
     let headers: &[(&str, &str)] = if id.is_empty() { &[] } else { &headers };
-    let call = Call { method: "POST", path, host: "h", headers, body: b"x", id, newest: None };
+    let call = Call { method: "POST", path, host: "h", headers, body: b"x", id, newest: None, connect: None };
     pool.call(addr, call, 4, WAIT).await
 }
 
@@ -220,8 +220,16 @@
             let (pool, addr, id) = (pool.clone(), addr.clone(), id.clone());
             tokio::spawn(async move {
                 let headers = [("X-Attempt-Id", id.as_str())];
-                let c =
-                    Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id: &id, newest: None };
+                let c = Call {
+                    method: "POST",
+                    path: "/",
+                    host: "h",
+                    headers: &headers,
+                    body: b"x",
+                    id: &id,
+                    newest: None,
+                    connect: None,
+                };
                 (id.clone(), pool.call(&addr, c, 4, WAIT / 10).await)
             })
         });
@@ -273,7 +281,8 @@
 /// A call that may be given up soon: its server answers, though not to it.
 async fn short_call(pool: &ConnectionPool, addr: &str, id: &str) -> Result<Answer, SendError> {
     let headers = [("X-Attempt-Id", id)];
-    let call = Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id, newest: None };
+    let call =
+        Call { method: "POST", path: "/", host: "h", headers: &headers, body: b"x", id, newest: None, connect: None };
     pool.call(addr, call, 4, WAIT / 6).await
 }
 
--- a/crates/http1/tests/clients.rs
+++ b/crates/http1/tests/clients.rs
@@ -21,7 +21,7 @@
     let ran: Arc<Mutex<Vec<String>>> = Arc::default();
     let (all, (closing, closed)) = (ran.clone(), watch::channel(Closing::Open));
     let bounds = move || Bounds { header_ms, ..Bounds::default() };
-    tokio::spawn(listen(listener, bounds, closed, move |r| {
+    tokio::spawn(listen(listener, bounds, closed, ClientWatch::Off, move |r: Request| {
         ran.lock().unwrap().push(r.path.clone());
         let size = r.path.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0);
         let body: Bytes = vec![b'a'; size].into();
@@ -194,7 +194,7 @@
     let idle = Arc::new(Mutex::new(100));
     let (told, (_open, closed)) = (idle.clone(), watch::channel(Closing::Open));
     let bounds = move || Bounds { idle_ms: *told.lock().unwrap(), ..Bounds::default() };
-    tokio::spawn(listen(listener, bounds, closed, |_| async { Reply::new(200) }));
+    tokio::spawn(listen(listener, bounds, closed, ClientWatch::Off, |_| async { Reply::new(200) }));
     let mut s = TcpStream::connect(&addr).await.expect("connected");
     s.write_all(b"GET /0/0 HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("room");
     // Raised while the connection rests, which is used again within the new limit.
@@ -212,7 +212,7 @@
     let (closing, closed) = watch::channel(Closing::Open);
     let ending = closed.clone();
     // Requests run for as long as their path says, or until the process is about to end.
-    tokio::spawn(listen(listener, Bounds::default, closed, move |r| {
+    tokio::spawn(listen(listener, Bounds::default, closed, ClientWatch::Off, move |r: Request| {
         let mut ending = ending.clone();
         async move {
             let ms = r.path.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -242,3 +242,32 @@
     assert_eq!(statuses(&mut long).await, [503], "told at the end, not cut");
     assert!(TcpStream::connect(&addr).await.is_err(), "nothing new is taken");
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_handler_is_told_that_its_client_has_left_and_not_that_it_sent_another_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let (_closing, closed) = watch::channel(Closing::Open);
+    let left: Arc<Mutex<Vec<(String, bool)>>> = Arc::default();
+    let noted = left.clone();
+    tokio::spawn(listen(listener, Bounds::default, closed, ClientWatch::On, move |r: Request| {
+        let noted = noted.clone();
+        async move {
+            let has_left = tokio::time::timeout(Duration::from_millis(300), r.departure.left()).await.is_ok();
+            noted.lock().unwrap().push((r.path.clone(), has_left && r.departure.has_left()));
+            Reply::new(200)
+        }
+    }));
+    let mut stays = TcpStream::connect(&addr).await.expect("connected");
+    // Both at once: the second is read while the first is handled.
+    stays.write_all(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("room");
+    let mut leaves = TcpStream::connect(&addr).await.expect("connected");
+    leaves.write_all(b"GET /3 HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("room");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(leaves);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(*left.lock().unwrap(), [("/3".to_owned(), true)], "told at once");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(left.lock().unwrap()[1..], [("/1".to_owned(), false), ("/2".to_owned(), false)]);
+    drop(stays);
+}
--- a/crates/proxy/src/retry_budget.rs
+++ b/crates/proxy/src/retry_budget.rs
@@ -1,3 +1,6 @@
+//! How often requests may be sent again, so that repeats do not multiply a load that is too
+//! high already.
+
 use std::time::{Duration, Instant};
 
 /// How often requests may be sent again: a share of those sent for the first time
@@ -12,6 +15,7 @@
 }
 
 impl RetryBudget {
+    /// A budget that begins now: repeats up to `ratio` of first sends within a `window`.
     pub fn new(ratio: f64, window: Duration, now: Instant) -> RetryBudget {
         RetryBudget { ratio, window, began: now, first: [0.0; 2], again: [0.0; 2] }
     }
@@ -28,6 +32,7 @@
         }
     }
 
+    /// A request was sent for the first time.
     pub fn sent(&mut self, now: Instant) {
         self.turn(now);
         self.first[0] += 1.0;
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -380,7 +380,7 @@
     let cold = Processor { cold: true, ..processor("u1", "x", "v1") };
     let mut t = scheduler(vec![cold], vec![]);
     let metered = Service { cold_per_s: 4.0, ..service() };
-    let mut sent = |t: &mut DeliveryScheduler, from: u64, to: u64| {
+    let sent = |t: &mut DeliveryScheduler, from: u64, to: u64| {
         let mut count = 0;
         for now in from..to {
             if let Some(target) = t.choose(&metered, &Homes::default(), now) {
--- a/crates/willowslip/src/ctl.rs
+++ b/crates/willowslip/src/ctl.rs
@@ -163,7 +163,8 @@
         for _ in 0..3 {
             let host = headers.iter().find(|h| h.0 == "Host").map_or(addr.as_str(), |h| h.1).to_owned();
             let rest: Vec<(&str, &str)> = headers.iter().filter(|h| h.0 != "Host").copied().collect();
-            let call = Call { method, path: &path, host: &host, headers: &rest, body, id: "", newest: None };
+            let call =
+                Call { method, path: &path, host: &host, headers: &rest, body, id: "", newest: None, connect: None };
             match pool.call(&addr, call, 4, Duration::from_secs(2)).await {
                 Ok(a) if a.status == 307 => {
                     let to = a.header("location").unwrap_or("").trim_start_matches("http://").to_owned();
