--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,9 +2,13 @@
 //! configuration, the assignments and the membership. Used by the `agent` program
 //! on the front machines and by the store machines for themselves.
 
+mod cold;
 mod feed;
+mod follower;
 mod placement;
 mod session;
+pub use cold::ask_cold_lease;
 pub use feed::*;
+pub use follower::Follower;
 pub use placement::*;
 pub use session::*;
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,5 +6,9 @@
 
 #![warn(missing_docs)]
 
+mod balancer;
 mod budget;
+mod health;
+pub use balancer::{Balancer, Processor};
 pub use budget::{BudgetLedger, LeasedBucket};
+pub use health::{Health, Pauses, SendEnd};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -47,7 +47,7 @@
     /// How much is logged: `error`, `change` or `debug`; empty means `change`.
     #[prost(string, tag = "19")]
     pub log_level: String,
-    /// The kind of deployment: `functions`, or empty for messages.
+    /// The kind of deployment: `functions`, `api` for a gateway, or empty for messages.
     #[prost(string, tag = "20")]
     pub rollout: String,
 }
@@ -286,6 +286,8 @@
         // Each kind of deployment has bounds of its own.
         let own: &[(&str, f64)] = if self.runs_functions() {
             &[("constraints.retryWindowS", c.retry_window_s), ("platform.dutyPerS", self.platform.duty_per_s)]
+        } else if self.runs_gateway() {
+            &[("constraints.retryWindowS", c.retry_window_s)]
         } else {
             &[
                 ("constraints.rollbackMs", c.rollback_ms),
@@ -319,6 +321,11 @@
         self.rollout == "functions"
     }
 
+    /// Whether this deployment passes requests on to processors that the platform runs.
+    pub fn runs_gateway(&self) -> bool {
+        self.rollout == "api"
+    }
+
     /// The zones of the regions that are allowed, in their order; empty where any is.
     pub fn zones_within(&self, homes: &Homes) -> Vec<String> {
         if !homes.is_bound() {
@@ -330,7 +337,13 @@
 
     /// What the traffic role of a front machine is called.
     pub fn front_role(&self) -> &'static str {
-        if self.runs_functions() { "functions" } else { "front" }
+        if self.runs_functions() {
+            "functions"
+        } else if self.runs_gateway() {
+            "gateway"
+        } else {
+            "front"
+        }
     }
 
     pub fn inner_addr(&self, role: Role) -> String {
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -1,6 +1,6 @@
 use crate::delivery::DeliveryWorker;
 use crate::tenancy::{Refusal, operation_id, operation_key, tenant_if_any, tenant_name};
-use agent::{ClusterView, PlacementKeys, loopback, partition_of};
+use agent::{ClusterView, Follower, PlacementKeys, partition_of};
 use config::{ConfigurationIndex, Role, Settings};
 use http1::{Bounds, ClientWatch, Closing, Reply, Request};
 use rpc::messages::*;
@@ -343,39 +343,13 @@
 
     /// Takes the news from the agent beside it.
     async fn follow(self: Arc<Self>, worker: Arc<DeliveryWorker>) {
-        let wait = self.settings.constraints.news_wait();
-        let addr = loopback(&self.settings);
-        let incarnation = rpc::new_incarnation();
-        let mut told = false;
-        loop {
-            let leaving = *self.closing.borrow() != Closing::Open;
-            let node = Node {
-                name: self.settings.node.clone(),
-                role: "front".into(),
-                inner: self.settings.inner_addr(Role::Front),
-                incarnation,
-                leaving,
-                ..Node::default()
-            };
-            let have = self.known.borrow().have();
-            let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
-            told = leaving;
-            let unidentified = worker.unidentified();
-            let w = WatchRequest { node: Some(node), have, wait_ms, unidentified, ..WatchRequest::default() };
-            let asked_at = Instant::now();
-            let mut closing = self.closing.subscribe();
-            let end = self.rpc_clients.to(&addr);
-            let asked = tokio::select! {
-                a = end.call(Body::WatchRequest(w), wait * 2) => a,
-                _ = async { let _ = closing.wait_for(|c| *c != Closing::Open).await; }, if !leaving => continue,
-            };
-            match asked {
-                Ok(Body::ViewUpdate(n)) => {
-                    self.known.send_if_modified(|k| k.take_answer(&n, asked_at));
-                }
-                _ => tokio::time::sleep(wait / 16).await,
-            }
-        }
+        let follower = Follower::new(&self.settings, self.rpc_clients.clone(), rpc::new_incarnation());
+        let have = || self.known.borrow().have();
+        let learn = |news: &ViewUpdate, asked_at| {
+            self.known.send_if_modified(|known| known.take_answer(news, asked_at));
+        };
+        let is_leaving = |closing: &Closing| *closing != Closing::Open;
+        follower.run(self.closing.subscribe(), is_leaving, have, || worker.unidentified(), learn).await;
     }
 }
 
--- a/crates/functions/src/gateway.rs
+++ b/crates/functions/src/gateway.rs
@@ -6,7 +6,7 @@
 mod slot_service;
 
 use crate::slots::*;
-use agent::{ClusterView, loopback};
+use agent::{ClusterView, Follower};
 use config::{Role, Route, Settings};
 use http1::{Answer, Bounds, ClientWatch, Closing, ConnectionPool, Reply, Request};
 use proxy::{ClientRequest, ConnectionRules, Failure, RetryBudget, SendOutcome, Target, busy, hedged, reply_of, send};
@@ -151,35 +151,11 @@
 
     /// Follows the agent beside it; keeps what it is to keep.
     async fn follow(self: Arc<Self>) {
-        let wait = self.ratio(8.0);
-        let addr = loopback(&self.settings);
-        let mut told = false;
-        loop {
-            let leaving = *self.closing.borrow() != Closing::Open;
-            let node = Node {
-                name: self.settings.node.clone(),
-                role: "functions".into(),
-                inner: self.settings.inner_addr(Role::Front),
-                incarnation: self.incarnation,
-                leaving,
-                ..Node::default()
-            };
-            let have = self.known.borrow().have();
-            let wait_ms = if leaving && !told { 1 } else { wait.as_millis() as u32 };
-            told = leaving;
-            let unidentified = self.pool.unidentified();
-            let w = WatchRequest { node: Some(node), have, wait_ms, unidentified, ..WatchRequest::default() };
-            let mut closing = self.closing.subscribe();
-            let end = self.rpc_clients.to(&addr);
-            let asked = tokio::select! {
-                a = end.call(Body::WatchRequest(w), wait * 2) => a,
-                _ = async { let _ = closing.wait_for(|c| *c != Closing::Open).await; }, if !leaving => continue,
-            };
-            match asked {
-                Ok(Body::ViewUpdate(n)) => self.learn(&n),
-                _ => tokio::time::sleep(wait / 16).await,
-            }
-        }
+        let follower = Follower::new(&self.settings, self.rpc_clients.clone(), self.incarnation);
+        let have = || self.known.borrow().have();
+        let is_leaving = |closing: &Closing| *closing != Closing::Open;
+        let learn = |news: &ViewUpdate, _| self.learn(news);
+        follower.run(self.closing.subscribe(), is_leaving, have, || self.pool.unidentified(), learn).await;
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,171 @@
+//! Forwarding: which sends a request gets, and what its client is told.
+
+use crate::service::GatewayService;
+use balance::SendEnd;
+use http1::{Answer, Closing, Reply, Request};
+use proxy::{ClientRequest, ConnectionRules, Failure, SendOutcome, Target, busy, hedged, reply_of, send};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// By how much a request may take longer than runs usually do before another is sent beside it.
+const HEDGE_FACTOR: f64 = 3.0;
+/// The part of its aim before which no request is sent beside another.
+const HEDGE_PART: f64 = 0.6;
+/// The parts of `quietMs`: how long a connection may have rested that carries what must not run
+/// twice, how long a new one may take, and how long to ask whether anybody listens.
+const NEWEST_PART: f64 = 20.0;
+const CONNECT_PART: f64 = 20.0;
+const REFUSAL_PART: f64 = 200.0;
+/// Sends of one request at the most, those included that came to nothing.
+const MOST_SENDS: usize = 6;
+/// When to try again where the gateway knows of no configuration yet, in milliseconds.
+const UNCONFIGURED_RETRY_MS: u64 = 500;
+
+/// A send that is under way; dropped before its end, nobody waits for it any more.
+struct Sending<'a> {
+    gateway: &'a GatewayService,
+    service: &'a str,
+    target: Target,
+    end: SendEnd,
+}
+
+impl Drop for Sending<'_> {
+    fn drop(&mut self) {
+        let now_ms = self.gateway.now_ms();
+        self.gateway.with_state(|state| state.end(self.service, &self.target.processor, self.end, now_ms));
+    }
+}
+
+/// What one send came to.
+enum Sent {
+    /// The client's answer.
+    Answered(Answer),
+    /// No answer that a client can be given.
+    Missed(Failure),
+    /// As `Missed`, and nothing had left: another send repeats nothing.
+    NotSent,
+    /// That would be more processors than the route has tries.
+    TooManyProcessors,
+}
+
+impl GatewayService {
+    /// Answers one request of a client.
+    pub async fn answer(self: Arc<Self>, request: Request) -> Reply {
+        let begun = Instant::now();
+        let configuration = self.known.borrow().configuration.clone();
+        if configuration.revision == 0 {
+            return busy(UNCONFIGURED_RETRY_MS);
+        }
+        let ask = match ClientRequest::read(&request, &configuration, &self.settings, begun) {
+            Ok(ask) => ask,
+            Err(refusal) => return refusal,
+        };
+        self.with_state(|state| state.retry_budget.sent(begun));
+        let mut closing = self.closing.subscribe();
+        let outcome = tokio::select! {
+            biased;
+            // The process is about to end: what is known by now is the answer.
+            _ = closing.wait_for(|phase| *phase == Closing::Ending) => Err(Failure::not_run()),
+            // Nobody waits for it: the processor drops it.
+            _ = request.departure.left(), if ask.is_safe => {
+                telemetry::count("requests_abandoned");
+                Err(Failure::not_run())
+            }
+            outcome = self.serve(&ask) => outcome,
+        };
+        match outcome {
+            Ok(answer) => reply_of(answer),
+            Err(Failure::NotRun { .. }) if ask.attempts().may_have_run() => Failure::MayHaveRun.reply(),
+            Err(failure) => failure.reply(),
+        }
+    }
+
+    /// Sends a request, and beside the first send another one where that takes long and it may
+    /// run more than once.
+    async fn serve(&self, ask: &ClientRequest<'_>) -> Result<Answer, Failure> {
+        let usual = self.with_state(|state| state.balancer.usual_ms(&ask.service));
+        let Some(usual) = usual.filter(|_| ask.is_safe) else { return self.tries(ask).await };
+        let patience_ms = (ask.route.target_latency_ms.max(1.0) * HEDGE_PART).max(usual * HEDGE_FACTOR);
+        let second = || {
+            let is_worth_it = ask.attempts().has_room() && self.take_repeat();
+            is_worth_it.then(|| self.tries(ask))
+        };
+        hedged(self.tries(ask), Duration::from_micros((patience_ms * 1000.0) as u64), second).await
+    }
+
+    fn take_repeat(&self) -> bool {
+        let slack = self.settings.constraints.retry_slack;
+        self.with_state(|state| state.take_repeat(slack))
+    }
+
+    /// Sends a request until there is an answer, or another send must not be.
+    async fn tries(&self, ask: &ClientRequest<'_>) -> Result<Answer, Failure> {
+        // A processor's failure of a request that may be repeated: the client's answer if no
+        // better one comes.
+        let mut fallback = None;
+        let mut failure = Failure::not_run();
+        for _ in 0..MOST_SENDS {
+            if ask.is_abandoned() || ask.left() < ask.shortest_run() {
+                break;
+            }
+            let Some(sending) = self.begin(ask) else { break };
+            match self.send_on(ask, sending).await {
+                Sent::Answered(answer) if answer.status < 500 || !ask.is_safe => return Ok(answer),
+                Sent::Answered(answer) => fallback = Some(answer),
+                Sent::Missed(said) => failure = said,
+                Sent::NotSent => {
+                    telemetry::count("sends_not_sent");
+                    continue;
+                }
+                Sent::TooManyProcessors => {
+                    failure = Failure::MayHaveRun;
+                    break;
+                }
+            }
+            let may_repeat = ask.is_safe || matches!(failure, Failure::NotRun { .. });
+            if !may_repeat || !ask.attempts().has_room() || !self.take_repeat() {
+                break;
+            }
+            telemetry::count("sent_again");
+        }
+        fallback.ok_or(failure)
+    }
+
+    /// Chooses a processor and counts the request as sent there.
+    fn begin<'a>(&'a self, ask: &'a ClientRequest<'_>) -> Option<Sending<'a>> {
+        let now_ms = self.now_ms();
+        let target = self.with_state(|state| state.begin(&self.known.borrow(), ask, now_ms))?;
+        Some(Sending { gateway: self, service: &ask.service, target, end: SendEnd::Abandoned })
+    }
+
+    /// Sends a request to the processor that was chosen.
+    async fn send_on(&self, ask: &ClientRequest<'_>, mut sending: Sending<'_>) -> Sent {
+        let processor = sending.target.processor.clone();
+        if !ask.attempts().begin(&processor) {
+            return Sent::TooManyProcessors;
+        }
+        let sent = Instant::now();
+        let rules = ConnectionRules {
+            newest: self.ratio(NEWEST_PART),
+            connect: Some(self.ratio(CONNECT_PART)),
+            refusal: self.ratio(REFUSAL_PART),
+        };
+        let outcome = send(&self.pool, ask, &sending.target, ask.left(), rules).await;
+        if outcome.has_not_run() {
+            ask.attempts().did_not_run(&processor);
+        }
+        let took_ms = sent.elapsed().as_millis().max(1) as u64;
+        let (end, result) = match outcome {
+            SendOutcome::Answered(answer) if answer.status >= 500 => (SendEnd::Failed, Sent::Answered(answer)),
+            SendOutcome::Answered(answer) => (SendEnd::Good { took_ms }, Sent::Answered(answer)),
+            SendOutcome::OtherProcessor => (SendEnd::Gone, Sent::Missed(Failure::not_run())),
+            SendOutcome::Refused => (SendEnd::Full, Sent::Missed(Failure::not_run())),
+            SendOutcome::NotSent { is_gone: true } => (SendEnd::Gone, Sent::NotSent),
+            SendOutcome::NotSent { is_gone: false } => (SendEnd::Unreachable, Sent::NotSent),
+            SendOutcome::Lost => (SendEnd::Failed, Sent::Missed(Failure::MayHaveRun)),
+            SendOutcome::Silent => (SendEnd::Failed, Sent::Missed(Failure::Silent)),
+        };
+        sending.end = end;
+        result
+    }
+}
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -24,6 +24,11 @@
         self.sends.len() < self.tries
     }
 
+    /// Whether a processor may have run the request, or is at it.
+    pub fn had(&self, processor: &str) -> bool {
+        self.sends.contains_key(processor)
+    }
+
     /// Begins a send, unless that would be one processor too many, or once too often to
     /// the same one.
     pub fn begin(&mut self, processor: &str) -> bool {
@@ -47,7 +52,7 @@
         }
     }
 
-    /// Whether a processor may have run the request, or is at it.
+    /// Whether any processor may have run the request, or is at it.
     pub fn may_have_run(&self) -> bool {
         !self.sends.is_empty()
     }
--- a/crates/store/src/service/cold.rs
+++ b/crates/store/src/service/cold.rs
@@ -13,14 +13,12 @@
                 continue;
             }
             let leader = self.session.with_known(|known| known.leader.clone());
-            if leader.is_empty() {
-                continue;
-            }
             let asked = self.now();
-            let ask = Body::ColdLease(ColdLease { node: self.session.me() });
-            let Ok(Body::ColdLeaseAck(ack)) = self.rpc_clients.to(&leader).call(ask, period).await else { continue };
-            let until = asked + u64::from(ack.ttl_ms);
-            self.shared.lock().unwrap().scheduler.grant_cold(&ack.processors, self.now(), until);
+            let Some(lease) = agent::ask_cold_lease(&self.rpc_clients, &leader, self.session.me(), period).await else {
+                continue;
+            };
+            let until = asked + u64::from(lease.ttl_ms);
+            self.shared.lock().unwrap().scheduler.grant_cold(&lease.processors, self.now(), until);
             self.wake.notify_one();
         }
     }
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -24,6 +24,8 @@
     Front,
     /// Front machines of a platform for functions: passes requests on, keeps slots.
     Functions,
+    /// Front machines of an API gateway: passes requests on to processors of the platform.
+    Gateway,
     /// Front machines: keeps the session with the control plane, feeds the front.
     Agent,
     /// Store machines: owns and replicates partitions of messages.
@@ -77,6 +79,7 @@
         match cli.command {
             Command::Front => front::run(settings, stopped).await,
             Command::Functions => functions::run(settings, stopped).await,
+            Command::Gateway => gateway::run(settings, stopped).await,
             Command::Agent => agent::run(settings, stopped, updates).await,
             Command::Store => store::run(settings, stopped, updates).await,
             _ => control::run(settings, stopped, updates).await,
