--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -124,8 +124,9 @@
     tokio::spawn(gateway.clone().keep_cold_leases());
     tokio::spawn(gateway.clone().keep_time());
     let asked = gateway.clone();
-    let always_open = watch::channel(Closing::Open).1;
-    tokio::spawn(http1::listen(ready, Bounds::default, always_open, ClientWatch::Off, move |_| {
+    // Kept until the end: it is asked while the gateway drains as well.
+    let (_stays_open, open) = watch::channel(Closing::Open);
+    tokio::spawn(http1::listen(ready, Bounds::default, open, ClientWatch::Off, move |_| {
         let status = if asked.is_ready() { 200 } else { 503 };
         async move { Reply::new(status) }
     }));
