Call-backs: the URL is parsed and checked before the accept, never to our own machines

Cause: X-Notify-Url was taken apart by looking for slashes and sent as it stood, so any client could have a control node given an order (evacuations need no body). Now a library's parser reads it (absolute http, host, port), 400 says what is wrong; machines of the system, of any role, the platform and this machine are refused at the accept and again when sent. X-Deadline-Ms that is no finite number gets 400. A message whose route moved is looked at anew before it is dispatched.

--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -1,6 +1,7 @@
 //! Deliveries and call-backs: carried out here, reported to whoever owns the
 //! partition by then, and held until that owner has it on its disks.
 
+use crate::callback::CallbackUrl;
 use crate::ingest::FrontService;
 use crate::outbox::*;
 use http1::{Answer, Call, Closing, ConnectionPool, SendError};
@@ -208,9 +209,17 @@
     }
 
     async fn notify(&self, n: Notify) -> u32 {
-        let Some(rest) = n.url.strip_prefix("http://") else { return 400 };
-        let (host, path) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
-        let addr = if host.contains(':') { host.to_owned() } else { format!("{host}:80") };
+        let Ok(url) = n.url.parse::<CallbackUrl>() else { return 400 };
+        let membership = self.front.known.borrow().membership.clone();
+        let addr = match url.resolve(&self.front.settings, &membership).await {
+            Ok(addr) => addr,
+            Err(why) => {
+                // The machine may have joined since the message was accepted.
+                telemetry::count("call_backs_not_sent");
+                telemetry::debug!("call-back of {}: {why}", n.id);
+                return 0;
+            }
+        };
         let body = if n.result_tag.is_empty() {
             serde_json::json!({"id": n.id, "state": n.state})
         } else {
@@ -220,8 +229,8 @@
         let headers = [("Content-Type", "application/json")];
         let call = Call {
             method: "POST",
-            path,
-            host,
+            path: &url.target,
+            host: &url.authority,
             headers: &headers,
             body: body.as_bytes(),
             id: "",
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -1,3 +1,4 @@
+use crate::callback::{CallbackError, CallbackUrl};
 use crate::delivery::DeliveryWorker;
 use crate::tenancy::{Refusal, operation_id, operation_key, tenant_if_any, tenant_name};
 use agent::{ClusterView, Follower, PlacementKeys, partition_of};
@@ -141,6 +142,17 @@
             return fault(400, "X-Attempt-Id is missing");
         };
         let number = |name: &str| r.header(name).map(|v| v.parse::<f64>().ok().filter(|n| *n >= 0.0 && *n < 1e12));
+        let deadline = match number("x-deadline-ms") {
+            Some(None) => return fault(400, "X-Deadline-Ms is not a time"),
+            given => given.flatten(),
+        };
+        let notify_url = match self.callback_of(c.notify, &known, &r) {
+            Ok(url) => url,
+            Err(why) => {
+                telemetry::count("refused_callback");
+                return fault(400, &why.to_string());
+            }
+        };
         let delay = match number("x-delay-ms") {
             Some(None) => return fault(400, "X-Delay-Ms is not a time"),
             Some(Some(d)) => d as u64,
@@ -150,7 +162,7 @@
             if c.target_latency_ms > 0.0 { c.target_latency_ms } else { self.settings.constraints.quiet_ms / 20.0 };
         // What is given up on is told at once: after five times the aim, or when
         // four fifths of the client's own time are over.
-        let given = number("x-deadline-ms").flatten().unwrap_or(f64::MAX) * 0.8;
+        let given = deadline.unwrap_or(f64::MAX) * 0.8;
         let budget = Duration::from_millis((setpoint * 5.0).min(given) as u64);
         // What may have been written is not given up on as early: a 504 ends it for
         // the client, and the next owner knows, or takes it, once there is one.
@@ -163,7 +175,7 @@
             host: host.to_owned(),
             path: r.path.clone(),
             order_key: if c.sequenced { order_key.to_owned() } else { String::new() },
-            notify_url: if c.notify { r.header("x-notify-url").unwrap_or("").to_owned() } else { String::new() },
+            notify_url,
             content_type: r.header("content-type").unwrap_or("").to_owned(),
             body: r.body.clone(),
             tenant: tenant.to_owned(),
@@ -261,6 +273,16 @@
         }
     }
 
+    /// The URL that is owed a call-back; empty where none is.
+    fn callback_of(&self, notifies: bool, known: &ClusterView, r: &Request) -> Result<String, CallbackError> {
+        let Some(text) = r.header("x-notify-url").filter(|text| notifies && !text.is_empty()) else {
+            return Ok(String::new());
+        };
+        let url: CallbackUrl = text.parse()?;
+        url.check_foreign(&self.settings, &known.membership)?;
+        Ok(text.to_owned())
+    }
+
     /// The operation that a request is a try at; `None` where operations have no keys.
     fn operation_of(&self, tenant: &str, r: &Request) -> Result<Option<OperationId>, Refusal> {
         if self.settings.constraints.key_window_s <= 0.0 {
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -103,9 +103,9 @@
                 }
                 let item = i.replicas.get(&k.0).and_then(|m| m.state.pieces.get(&k.1)).map(|w| &w.item);
                 if item.and_then(|item| queue_of(&known.configuration, item)).is_none_or(|now| now != queue) {
-                    // Its route was changed or dropped since it was queued.
+                    // Its route was changed or dropped since it was queued: looked at anew.
                     i.scheduler.unqueue(k);
-                    self.schedule(i, k, now);
+                    i.scheduler.later(k, now + self.ratio(400.0));
                     continue;
                 }
                 let Some(choice) = i.scheduler.choose(service, &queue.homes, now) else { break };
