--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -95,7 +95,7 @@
         let window = SMALLEST_WINDOW + pool.in_flight as usize;
         let can_take = |processor: &&Processor| self.can_take(processor, now_ms) && is_allowed(processor);
         let best = |ring: &'_ [Processor]| -> Option<usize> {
-            let usable = self.from_own_position(ring).filter(|at| can_take(&&ring[*at])).take(window);
+            let usable = self.places_from_own_position(ring).filter(|at| can_take(&&ring[*at])).take(window);
             usable.min_by(|a, b| self.cost(pool, &ring[*a]).total_cmp(&self.cost(pool, &ring[*b])))
         };
         if let Some(at) = best(&pool.near) {
@@ -110,7 +110,7 @@
     }
 
     /// The places of a ring from where this node's window begins.
-    fn from_own_position(&self, ring: &[Processor]) -> impl Iterator<Item = usize> {
+    fn places_from_own_position(&self, ring: &[Processor]) -> impl Iterator<Item = usize> {
         let (index, count) = self.position;
         let (len, begin) = (ring.len(), index * ring.len() / count);
         (0..len).map(move |step| (begin + step) % len)
