--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -42,8 +42,8 @@
     Answered(Answer),
     /// No answer that a client can be given.
     Missed(Failure),
-    /// As `Missed`, and nothing had left: another send repeats nothing.
-    NotSent,
+    /// Nothing had left: another send repeats nothing.
+    Nothing,
     /// That would be more processors than the route has tries.
     TooManyProcessors,
 }
@@ -113,7 +113,7 @@
                 Sent::Answered(answer) if answer.status < 500 || !ask.is_safe => return Ok(answer),
                 Sent::Answered(answer) => fallback = Some(answer),
                 Sent::Missed(said) => failure = said,
-                Sent::NotSent => {
+                Sent::Nothing => {
                     telemetry::count("sends_not_sent");
                     continue;
                 }
@@ -160,8 +160,8 @@
             SendOutcome::Answered(answer) => (SendEnd::Good { took_ms }, Sent::Answered(answer)),
             SendOutcome::OtherProcessor => (SendEnd::Gone, Sent::Missed(Failure::not_run())),
             SendOutcome::Refused => (SendEnd::Full, Sent::Missed(Failure::not_run())),
-            SendOutcome::NotSent { is_gone: true } => (SendEnd::Gone, Sent::NotSent),
-            SendOutcome::NotSent { is_gone: false } => (SendEnd::Unreachable, Sent::NotSent),
+            SendOutcome::NotSent { is_gone: true } => (SendEnd::Gone, Sent::Nothing),
+            SendOutcome::NotSent { is_gone: false } => (SendEnd::Unreachable, Sent::Nothing),
             SendOutcome::Lost => (SendEnd::Failed, Sent::Missed(Failure::MayHaveRun)),
             SendOutcome::Silent => (SendEnd::Failed, Sent::Missed(Failure::Silent)),
         };
