Replicas: a follower that its owner does not hear is replaced by one in another zone

The owner now reports one that has owed an acknowledgement for three sixteenths of quietMs; the leader names a home elsewhere, and the old one leaves once that is in sync: no copy is missing meanwhile.

--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -61,6 +61,31 @@
         retires.filter(|r| !r.done || same_disk(r)).map(|r| r.node.clone()).collect()
     }
 
+    /// The store machines that stand and are not leaving.
+    fn live_machines(&self, f: &ControlShared, now: u64) -> Vec<StoreMachine> {
+        let lease = self.settings.lease_ms();
+        let stands = |node: &&Node| node.role == "store" && !node.leaving && Self::alive(f, now, lease, &node.name);
+        let nodes = f.sessions.values().map(|session| &session.node).filter(stands);
+        let machine = |node: &Node| StoreMachine {
+            name: node.name.clone(),
+            zone: node.zone.clone(),
+            region: node.region.clone(),
+        };
+        nodes.map(machine).collect()
+    }
+
+    /// Those of them that may be given partitions.
+    pub(crate) fn spare_machines(&self, f: &ControlShared, now: u64) -> Vec<StoreMachine> {
+        let retiring = Self::retiring(f);
+        self.live_machines(f, now).into_iter().filter(|machine| !retiring.contains(&machine.name)).collect()
+    }
+
+    /// Over how many places the copies of a partition are to be spread.
+    pub(crate) fn spread(&self) -> Spread {
+        let tolerance = &self.settings.tolerance;
+        Spread { zones: tolerance.zones as usize, regions: tolerance.regions as usize }
+    }
+
     pub(crate) async fn assign(self: &Arc<Self>) {
         if self.assigning.swap(true, Ordering::Relaxed) {
             return;
@@ -86,19 +111,9 @@
                 self.news.notify_waiters();
             }
             self.tell_control_nodes(f);
-            let live: Vec<StoreMachine> = f
-                .sessions
-                .values()
-                .filter(|s| s.node.role == "store" && !s.node.leaving && Self::alive(f, now, lease, &s.node.name))
-                .map(|s| StoreMachine {
-                    name: s.node.name.clone(),
-                    zone: s.node.zone.clone(),
-                    region: s.node.region.clone(),
-                })
-                .collect();
-            let tolerance = &self.settings.tolerance;
-            let replica_count = tolerance.machines as usize + 1;
-            let spread = Spread { zones: tolerance.zones as usize, regions: tolerance.regions as usize };
+            let live = self.live_machines(f, now);
+            let replica_count = self.settings.tolerance.machines as usize + 1;
+            let spread = self.spread();
             if f.steady.0 != live.len() {
                 f.steady = (live.len(), now);
             }
@@ -131,7 +146,7 @@
                 .filter(|s| s.node.role == "store" && s.node.leaving)
                 .map(|s| s.node.name.clone())
                 .collect();
-            let spare: Vec<StoreMachine> = live.iter().filter(|n| !retiring.contains(&n.name)).cloned().collect();
+            let spare = self.spare_machines(f, now);
             // Who is to be no home any more: retiring nodes, and nodes that are away for
             // twice the settling time, or a quarter of it where another one is there to
             // take its place, as after a machine was replaced by one at another address.
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -1,5 +1,6 @@
 //! Orders of store machines on their partitions: granted by the majority's log.
 
+use crate::assignment::{StoreMachine, rehome};
 use crate::service::ControlService;
 use crate::state::*;
 use rpc::messages::*;
@@ -16,6 +17,42 @@
         self.with(|f| f.control_state.assignments.partitions.iter().find(|p| p.id == id).cloned())
     }
 
+    /// Another node in the place of one that the owner does not hear, in another zone, as what
+    /// cuts the links of a pair of nodes as a rule cuts those of their zones. It stays in sync
+    /// until the other one is, so that there is no copy less meanwhile. One at a time for each
+    /// partition.
+    fn replacement(&self, was: &Partition, o: &Order) -> RolloutVerdict {
+        let is_settled = was.grant.is_none()
+            && was.replicas.iter().all(|replica| was.in_sync.contains(replica))
+            && was.in_sync.len() == was.replicas.len();
+        if o.term != was.term || o.node == was.owner || !was.replicas.contains(&o.node) || !is_settled {
+            return RolloutVerdict::Refused;
+        }
+        let now = self.now();
+        let replica_count = self.settings.tolerance.machines as usize + 1;
+        self.with(|f| {
+            let zone = f.sessions.get(&o.node).map(|session| session.node.zone.clone());
+            let elsewhere: Vec<StoreMachine> = self.spare_machines(f, now);
+            let elsewhere: Vec<StoreMachine> = elsewhere
+                .into_iter()
+                .filter(|machine| Some(&machine.zone) != zone.as_ref() || was.replicas.contains(&machine.name))
+                .collect();
+            let all = &f.control_state.assignments.partitions;
+            match rehome(was, &o.node, all, &elsewhere, replica_count, self.spread()) {
+                Some(put) if put.replicas.len() == was.replicas.len() => {
+                    telemetry::change!(
+                        "partition {}: {} is not heard by its owner, replicas {:?}",
+                        was.id,
+                        o.node,
+                        put.replicas
+                    );
+                    RolloutVerdict::Put(put)
+                }
+                _ => RolloutVerdict::Refused,
+            }
+        })
+    }
+
     pub(crate) async fn order(&self, o: Order) -> OrderAck {
         let mut ack = OrderAck { leader: self.leader(), ..OrderAck::default() };
         let Some(term) = self.authority() else { return ack };
@@ -39,7 +76,11 @@
             ack.partition = self.partition(o.partition);
             return ack;
         }
-        match rule(&was, &o) {
+        let verdict = match OrderKind::try_from(o.kind) {
+            Ok(OrderKind::Replace) => self.replacement(&was, &o),
+            _ => rule(&was, &o),
+        };
+        match verdict {
             // By what was read here, and given only if that was the last word: this
             // process may have stood still in between.
             execution @ (RolloutVerdict::Refused | RolloutVerdict::Stands) => {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -495,7 +495,8 @@
                 g.in_sync.retain(|n| *n != order.node);
             }
         }
-        OrderKind::None => return RolloutVerdict::Refused,
+        // Ruled on by whoever knows which machines stand.
+        OrderKind::Replace | OrderKind::None => return RolloutVerdict::Refused,
     }
     RolloutVerdict::Put(now)
 }
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -75,8 +75,24 @@
     incarnation: u64,
     /// When the majority last refused to count it in.
     refused: u64,
+    /// When it was last heard, or held all there was.
+    level: u64,
+    /// When another node was last asked for in its place.
+    reported: u64,
 }
 
+impl Peer {
+    /// One that is presumed to be level now.
+    fn new(now: u64) -> Peer {
+        Peer { heard: now, level: now, ..Peer::default() }
+    }
+}
+
+/// A follower in sync that has owed an acknowledgement for so many times `again`, with nothing
+/// heard from it, is to be replaced. A process that has ended is known to the leader much
+/// sooner, by its lease; what is left are links that are cut between this pair of nodes.
+const UNHEARD: u64 = 3;
+
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
     Verify,
@@ -404,7 +420,20 @@
             // One that is to be in sync and is not is asked where it is, even
             // when there is nothing to send.
             let out_of_sync = !self.in_sync.contains(&n) && !self.joining.contains_key(&n);
-            let p = self.peers.entry(n.clone()).or_insert_with(|| Peer { heard: now, ..Peer::default() });
+            let p = self.peers.entry(n.clone()).or_insert_with(|| Peer::new(now));
+            if p.acked >= end {
+                p.level = now;
+            } else if !out_of_sync && self.replicas.contains(&n) && now > p.level.max(p.reported) + UNHEARD * again {
+                p.reported = now;
+                telemetry::count("followers_unheard");
+                out.push(Effect::Ask(Order {
+                    partition: self.id,
+                    term: self.term,
+                    node: n.clone(),
+                    kind: OrderKind::Replace as i32,
+                    ..Order::default()
+                }));
+            }
             if (p.acked < end || out_of_sync) && now > p.heard.max(p.resent) + again {
                 // Lost on the way, or the node is new here: say where we are.
                 p.resent = now;
--- a/crates/partition/src/replica/replication.rs
+++ b/crates/partition/src/replica/replication.rs
@@ -20,7 +20,7 @@
 
     pub(super) fn send_to(&mut self, node: &str, now: u64, notice: bool, out: &mut Vec<Effect>) {
         let end = self.end();
-        let p = self.peers.entry(node.to_owned()).or_insert_with(|| Peer { heard: now, ..Peer::default() });
+        let p = self.peers.entry(node.to_owned()).or_insert_with(|| Peer::new(now));
         if p.snapshot > 0 {
             return;
         }
@@ -149,7 +149,7 @@
         }
         let (commit, first, end, took_at) = (self.commit, self.first, self.end(), self.took_at);
         let Some(p) = self.peers.get_mut(&a.node) else { return };
-        p.heard = now;
+        (p.heard, p.level) = (now, now);
         if p.incarnation != a.incarnation {
             // Another process: what the former one had on disk may be gone.
             p.incarnation = a.incarnation;
--- a/crates/partition/tests/splice.rs
+++ b/crates/partition/tests/splice.rs
@@ -31,6 +31,8 @@
     took: Vec<(String, u64, bool)>,
     stood: Vec<String>,
     mismatches: usize,
+    /// Followers in whose place another one was asked for.
+    unheard: Vec<String>,
     /// Orders are left unanswered.
     mute: bool,
 }
@@ -58,6 +60,7 @@
             took: vec![],
             stood: vec![],
             mismatches: 0,
+            unheard: vec![],
             mute: false,
         };
         w.tell();
@@ -117,6 +120,12 @@
             }
             OrderKind::Join if o.term == c.term && !c.in_sync.contains(&o.node) => c.in_sync.push(o.node.clone()),
             OrderKind::Drop => c.in_sync.retain(|n| *n != o.node),
+            OrderKind::Replace => {
+                self.unheard.push(o.node.clone());
+                let other = ["a", "b", "c"].into_iter().find(|n| !c.replicas.iter().any(|r| r == n));
+                c.replicas.retain(|n| *n != o.node);
+                c.replicas.extend(other.map(str::to_owned));
+            }
             _ => ack.refused = true,
         }
         ack.partition = Some(c.clone());
@@ -900,3 +909,28 @@
 fn accept_of(id: &str, low: u64) -> Entry {
     Entry::Accept(AcceptRecord { item: item_of(id, low), delay_ms: 0 })
 }
+
+#[test]
+fn a_follower_that_the_owner_does_not_hear_is_replaced_and_no_copy_is_missing_meanwhile() {
+    let mut w = World::new(&["a", "b"]);
+    w.pass(5000);
+    // The link of this pair only: the control nodes hear both, so nobody is given up.
+    w.cut.insert("b".into());
+    w.pass(5000);
+    assert!(w.unheard.is_empty(), "nothing was owed");
+    let second = w.message("m2").expect("written");
+    w.pass(500);
+    assert!(w.unheard.is_empty(), "it may come yet");
+    assert!(w.nodes["a"].commit < second, "committed without it");
+    let mut least = usize::MAX;
+    for _ in 0..100 {
+        w.pass(50);
+        w.tell();
+        w.settle();
+        least = least.min(w.chart.in_sync.len());
+    }
+    assert_eq!(w.unheard, ["b"]);
+    assert_eq!((w.chart.in_sync.clone(), least), (vec!["a".to_owned(), "c".to_owned()], 2));
+    assert!(w.nodes["a"].commit >= second, "it goes on");
+    assert!(w.nodes["c"].durable >= second, "on as many disks as before");
+}
--- a/crates/rpc/src/messages/control.rs
+++ b/crates/rpc/src/messages/control.rs
@@ -293,6 +293,9 @@
     Join = 3,
     /// `node` leaves the in-sync set.
     Drop = 4,
+    /// The owner does not hear `node`, which holds up all commits: another node is to hold
+    /// the partition in its place.
+    Replace = 5,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
