--- a/crates/willowslip/tests/orders.rs
+++ b/crates/willowslip/tests/orders.rs
@@ -44,7 +44,13 @@
 
 impl Fleet {
     fn new(name: &str, machines: std::ops::Range<u8>) -> Fleet {
-        let from = 42_000 + (std::process::id() % 400) as u16 * 40 + if name == "large" { 20 } else { 0 };
+        // Tests of one process begin their search apart.
+        let apart = match name {
+            "large" => 20,
+            "evacuate" => 10,
+            _ => 0,
+        };
+        let from = 42_000 + (std::process::id() % 400) as u16 * 40 + apart;
         let free = |b: &u16| {
             (machines.clone()).all(|m| (*b..*b + 7).all(|p| TcpListener::bind((format!("127.0.1.{m}"), p)).is_ok()))
         };
@@ -66,7 +72,8 @@
             "node = \"{name}\"\nip = \"{ip}\"\nzone = \"z{}\"\nportRange = [{b}, {}]\nseeds = [{}]\ninitialStart = {first}\n\
              dataDir = \"{}\"\n[listen]\ncontrol = \"{control}\"\n[limits]\nmemoryMb = 256\ndiskMb = 200\n\
              [tolerance]\nmachines = 1\n[constraints]\nquietMs = 3000\nackMs = 60000\ngraceS = 6\nsettleS = 3\n\
-             drainMs = 3000\nconvergeMs = 3000\nrollbackMs = 5000\nstatusS = 60\nnotifyS = 5\npeakWindowS = 5\nexposure = 0.1\n",
+             drainMs = 3000\nconvergeMs = 3000\nrollbackMs = 5000\nstatusS = 60\nnotifyS = 5\npeakWindowS = 5\nexposure = 0.1\n\
+             [zones]\nz0 = \"r\"\nz1 = \"r\"\nz2 = \"r\"\n",
             machine % 3,
             b + 3,
             seeds.join(","),
@@ -290,3 +297,54 @@
     println!("limit {most} bytes, {count} routes: peak {peak} kB, then {now} kB, of 256 MB");
     assert!(peak < 128 << 10, "{peak} kB");
 }
+
+#[test]
+fn evacuations_hold_through_leaders_and_the_end_of_all_and_a_repeat_is_acknowledged() {
+    let mut f = Fleet::new("evacuate", 2..5);
+    for m in 2..5 {
+        f.start("control", m, true, 2..5);
+    }
+    f.leader();
+    let state = |f: &Fleet, zone: &str| -> String {
+        let (status, body) = f.send("GET", "/evacuate/read", None, "");
+        assert_eq!(status, 200);
+        let read: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+        let all = read["evacuations"].as_array().expect("a list");
+        let found = all.iter().find(|e| e["zone"] == zone).and_then(|e| e["state"].as_str());
+        found.unwrap_or("none").to_owned()
+    };
+    let (status, body) = f.send("POST", "/evacuate/nowhere/start", None, "");
+    assert!(status == 404 && body.contains("nowhere"), "{status} {body}");
+    // Each row: the order, what is read then, and whether it is one that had been taken.
+    let table = [
+        ("z1", "start", "evacuated", false),
+        ("z1", "start", "evacuated", true),
+        ("z2", "start", "evacuated", false),
+        ("z1", "finish", "returning", false),
+        ("z1", "finish", "returning", true),
+        ("z1", "start", "evacuated", false),
+        ("z2", "finish", "returning", false),
+        ("z0", "finish", "none", true),
+    ];
+    for (n, (zone, order, read, repeated)) in table.into_iter().enumerate() {
+        if n % 3 == 1 {
+            // By the next leader, and with the former one back.
+            let leader = f.leader();
+            f.kill(&format!("control-{leader}"));
+            let (status, _) = f.send("POST", &format!("/evacuate/{zone}/{order}"), None, "");
+            f.start("control", leader, false, 2..5);
+            assert_eq!(status, 200, "row {n}");
+        } else {
+            let (status, body) = f.send("POST", &format!("/evacuate/{zone}/{order}"), None, "");
+            assert_eq!((status, body.contains("again")), (200, repeated), "row {n}: {body}");
+        }
+        assert_eq!(state(&f, zone), read, "row {n}");
+    }
+    for m in 2..5 {
+        f.kill(&format!("control-{m}"));
+    }
+    for m in 2..5 {
+        f.start("control", m, false, 2..5);
+    }
+    assert_eq!((state(&f, "z1"), state(&f, "z2")), ("evacuated".to_owned(), "returning".to_owned()));
+}
