--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -302,17 +302,16 @@
             let leader = if known { leader } else { std::mem::take(&mut hint) };
             let leader = if leader.is_empty() || leader == self.me {
                 tokio::time::sleep(Duration::from_millis(wait / 8)).await;
-                let seeds: Vec<String> =
-                    settings_updates.borrow().seed_control_nodes().into_iter().filter(|s| *s != self.me).collect();
+                let asked = self.may_know_leader(&settings_updates.borrow());
                 turn += 1;
-                let Some(seed) = seeds.get(turn % seeds.len().max(1)) else { continue };
+                let Some(address) = asked.get(turn % asked.len().max(1)) else { continue };
                 let w = WatchRequest {
                     have: ViewVersions { configuration: u64::MAX, assignments: u64::MAX, membership: u64::MAX },
                     wait_ms: 1,
                     ..WatchRequest::default()
                 };
                 if let Ok(Body::ViewUpdate(n)) =
-                    self.rpc_clients.to(seed).call(Body::WatchRequest(w), Duration::from_millis(wait)).await
+                    self.rpc_clients.to(address).call(Body::WatchRequest(w), Duration::from_millis(wait)).await
                 {
                     hint = n.leader;
                 }
@@ -366,6 +365,18 @@
         }
     }
 
+    /// The control nodes that are asked who leads: the voters of the log here, one of which does
+    /// or hears of it, and those that the settings name. The latter alone may all be without a
+    /// vote, and know of nobody but each other after all of them have lost power.
+    fn may_know_leader(&self, settings: &Settings) -> Vec<String> {
+        let mut addresses = self.with(|f| f.voters.clone());
+        addresses.extend(settings.seed_control_nodes());
+        addresses.retain(|address| *address != self.me);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     pub(crate) fn node(&self) -> Node {
         Node {
             name: self.settings.node.clone(),
--- a/crates/willowslip/tests/orders.rs
+++ b/crates/willowslip/tests/orders.rs
@@ -48,6 +48,7 @@
         let apart = match name {
             "large" => 20,
             "evacuate" => 10,
+            "seeds" => 30,
             _ => 0,
         };
         let from = 42_000 + (std::process::id() % 400) as u16 * 40 + apart;
@@ -92,7 +93,7 @@
 
     fn leader(&self) -> u8 {
         until("a leader", || {
-            (2..5).filter(|m| self.programs.running.contains_key(&format!("control-{m}"))).find(|m| self.leads(*m))
+            (2..7).filter(|m| self.programs.running.contains_key(&format!("control-{m}"))).find(|m| self.leads(*m))
         })
     }
 
@@ -348,3 +349,40 @@
     }
     assert_eq!((state(&f, "z1"), state(&f, "z2")), ("evacuated".to_owned(), "returning".to_owned()));
 }
+
+#[test]
+fn after_the_end_of_all_the_leader_is_found_by_settings_that_name_only_nodes_without_a_vote() {
+    let mut f = Fleet::new("seeds", 2..7);
+    for m in 2..7 {
+        f.start("control", m, true, 2..5);
+    }
+    assert_eq!(f.send("POST", "/config/replace", Some(0), CONFIG).0, 200);
+    let leader = f.leader();
+    // Three votes for five nodes; those without one hold the log as well.
+    let voters = |f: &Fleet| -> Option<Vec<String>> {
+        let (_, _, body) = call(&f.control(leader), "GET", "/status", None, b"")?;
+        let status: serde_json::Value = serde_json::from_str(&body).ok()?;
+        let voters = status["voters"].as_array()?.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect();
+        Some(voters)
+    };
+    let all = until("three voters", || voters(&f).filter(|v| v.len() == 3));
+    let has_vote = |m: &u8| all.iter().any(|v| v.starts_with(&format!("127.0.1.{m}:")));
+    let without: Vec<u8> = (2..7).filter(|m| !has_vote(m)).collect();
+    let knows = |f: &Fleet, m: u8| {
+        let (_, _, body) = call(&f.control(m), "GET", "/status", None, b"")?;
+        let status: serde_json::Value = serde_json::from_str(&body).ok()?;
+        (status["revision"] == 3 && status["leader"].as_str().is_some_and(|l| !l.is_empty())).then_some(())
+    };
+    for m in &without {
+        until("the log", || knows(&f, *m));
+    }
+    for m in 2..7 {
+        f.kill(&format!("control-{m}"));
+    }
+    for m in 2..7 {
+        f.start("control", m, false, without[0]..without[0] + 1);
+    }
+    for m in without {
+        until("a leader, told to one without a vote", || knows(&f, m));
+    }
+}
