--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -140,15 +140,45 @@
     format!(", {} tenants, {unkeyed} routes without a key", configuration.tenants().len())
 }
 
+/// What the homes of a configuration mean for copies: a line for each region that anything is
+/// bound to, by the settings if there are any.
+fn homes_in(configuration: &config::Configuration, settings: Option<&Settings>) -> String {
+    let index = config::ConfigurationIndex::from(configuration.clone());
+    let mut lines = String::new();
+    for region in index.home_regions() {
+        let routes = configuration.routes.iter().filter(|route| route.domains.iter().any(|d| d == region)).count();
+        let tenants =
+            configuration.tenants().iter().filter(|tenant| tenant.domains.iter().any(|d| d == region)).count();
+        lines += &format!("home {region}: {routes} routes, {tenants} tenants");
+        if let Some(settings) = settings {
+            let zones: Vec<&str> =
+                settings.zones.iter().filter(|(_, r)| *r == region).map(|(zone, _)| zone.as_str()).collect();
+            let copies = settings.tolerance.machines + 1;
+            lines += &match zones.is_empty() {
+                true => "; no such region in the settings: its requests are refused".to_owned(),
+                false => {
+                    format!("; {copies} copies, all in {}: as many store machines are needed there", zones.join(" "))
+                }
+            };
+        }
+        lines.push('\n');
+    }
+    lines
+}
+
 fn check(settings: Option<String>, config: Option<String>) -> ExitCode {
     let mut good = true;
+    let mut read_settings = None;
     if settings.is_none() && config.is_none() {
         eprintln!("nothing to check: give --settings or --config");
         return ExitCode::from(2);
     }
     if let Some(path) = settings {
         match Settings::load(&path) {
-            Ok(c) => println!("settings of {}: good", c.node),
+            Ok(c) => {
+                println!("settings of {}: good", c.node);
+                read_settings = Some(c);
+            }
             Err(e) => {
                 eprintln!("{e}");
                 good = false;
@@ -160,6 +190,7 @@
             Ok(t) => {
                 print!("configuration {}: good, {} routes, {} services", t.revision, t.routes.len(), t.services.len());
                 println!("{}", tenants_in(&t));
+                print!("{}", homes_in(&t, read_settings.as_ref()));
             }
             Err(e) => {
                 eprintln!("configuration: {e}");
--- a/crates/willowslip/tests/ctl.rs
+++ b/crates/willowslip/tests/ctl.rs
@@ -166,3 +166,28 @@
     assert!(text.contains("shop") && text.contains("clinic") && !text.contains("secret"), "{text}");
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+#[test]
+fn check_says_what_the_homes_of_a_configuration_mean_for_copies() {
+    let dir = std::env::temp_dir().join(format!("willowslip-homes-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let (settings, config) = (dir.join("local.toml"), dir.join("config.json"));
+    let text = "node = \"store-1\"\nip = \"127.0.0.1\"\nzone = \"a\"\nportRange = [7000, 7004]\nseeds = [\"127.0.0.1:1\"]\n\
+         [limits]\nmemoryMb = 128\n[tolerance]\nmachines = 2\n[zones]\na = \"north\"\nb = \"north\"\nc = \"south\"\n\
+         [constraints]\nquietMs = 1000\nackMs = 3000\ngraceS = 2\nsettleS = 2\ndrainMs = 1000\nconvergeMs = 1000\n\
+         rollbackMs = 1000\nstatusS = 60\nnotifyS = 5\npeakWindowS = 5\nexposure = 0.1\n";
+    std::fs::write(&settings, text).expect("written");
+    let route = |n: u32, domains: &str| {
+        format!(
+            r#"{{"name": "r{n}", "host": "h", "prefix": "/{n}/", "cutoffMs": 9, "plant": "p", "domains": {domains}}}"#
+        )
+    };
+    let routes = [route(1, r#"["north"]"#), route(2, r#"["north", "east"]"#), route(3, "null")].join(", ");
+    let whole = format!(r#"{{"revision": 1, "channels": [{routes}], "plants": [{{"name": "p"}}], "limits": {{}}}}"#);
+    std::fs::write(&config, whole).expect("written");
+    let said = Command::new(BIN).arg("check").arg("--settings").arg(&settings).arg("--config").arg(&config).output();
+    let said = String::from_utf8_lossy(&said.expect("it runs").stdout).into_owned();
+    assert!(said.contains("home north: 2 routes, 0 tenants; 3 copies, all in a b:"), "{said}");
+    assert!(said.contains("home east: 1 routes, 0 tenants; no such region in the settings"), "{said}");
+    let _ = std::fs::remove_dir_all(&dir);
+}
