--- a/crates/front/src/callback.rs
+++ b/crates/front/src/callback.rs
@@ -2,8 +2,8 @@
 //! accepted.
 //!
 //! A call-back is a request that this system sends by a client's word, from inside. So its URL
-//! is taken apart by a parser, never by looking for slashes, and it may not name a machine of
-//! this system: an order of the operator needs no body and could be given that way.
+//! is taken apart by a parser, never by looking for slashes, and it may not name an address at
+//! which this system listens: an order of the operator needs no body and could be given that way.
 
 use config::Settings;
 use http::Uri;
@@ -42,8 +42,8 @@
     /// 0, or no number.
     #[error("X-Notify-Url: the port is not one")]
     Port,
-    /// It names a machine of this system.
-    #[error("X-Notify-Url names a machine of this system")]
+    /// Something of this system listens there.
+    #[error("X-Notify-Url names an address of this system")]
     OwnMachine,
 }
 
@@ -86,10 +86,10 @@
         self.host.trim_start_matches('[').trim_end_matches(']').parse().ok()
     }
 
-    /// Refuses a URL that names a machine of this system by its address.
+    /// Refuses a URL that names an address of this system.
     pub fn check_foreign(self, settings: &Settings, membership: &Membership) -> Result<CallbackUrl, CallbackError> {
         match self.ip() {
-            Some(ip) if is_own(ip, settings, membership) => Err(CallbackError::OwnMachine),
+            Some(ip) if is_own(SocketAddr::new(ip, self.port), settings, membership) => Err(CallbackError::OwnMachine),
             _ => Ok(self),
         }
     }
@@ -102,25 +102,31 @@
             None => tokio::net::lookup_host((host, self.port)).await.ok().and_then(|mut all| all.next()),
         };
         let address = found.ok_or(CallbackError::Unreadable)?;
-        if is_own(address.ip(), settings, membership) {
+        if is_own(address, settings, membership) {
             return Err(CallbackError::OwnMachine);
         }
         Ok(address.to_string())
     }
 }
 
-fn ip_of(address: &str) -> Option<IpAddr> {
-    address.parse::<SocketAddr>().ok().map(|address| address.ip())
+fn read(address: &str) -> Option<SocketAddr> {
+    address.parse().ok()
 }
 
-/// Whether an address is of a machine of this system, as far as is known here: a member of any
-/// role, a control node that the settings name, the platform, or this machine by whatever name.
-fn is_own(ip: IpAddr, settings: &Settings, membership: &Membership) -> bool {
-    let ip = ip.to_canonical();
+/// Whether something of this system listens at an address, as far as is known here: the
+/// platform, or on a machine of it (this one, a member of any role, a control node that the
+/// settings name) one of the ports that its programs use, which are the same on all machines.
+fn is_own(address: SocketAddr, settings: &Settings, membership: &Membership) -> bool {
+    let address = SocketAddr::new(address.ip().to_canonical(), address.port());
+    let listen = &settings.listen;
+    let told = [&listen.front, &listen.ready, &listen.control].into_iter().chain(&settings.seeds);
+    let told: Vec<SocketAddr> = told.filter_map(|text| read(text)).collect();
+    let is_inner = matches!(settings.port_range[..], [first, last] if (first..=last).contains(&address.port().into()));
+    if !is_inner && told.iter().all(|known| known.port() != address.port()) {
+        return read(&settings.platform.address) == Some(address);
+    }
     let own_ip: Option<IpAddr> = settings.ip.parse().ok();
-    // Where all machines share one for a trial, a loopback address is as any other.
-    let is_this = ip.is_unspecified() || (ip.is_loopback() && own_ip.is_none_or(|own| !own.is_loopback()));
-    let members = membership.nodes.iter().map(|node| node.inner.as_str());
-    let told = settings.seeds.iter().map(String::as_str).chain([settings.platform.address.as_str()]);
-    is_this || own_ip == Some(ip) || members.chain(told).any(|address| ip_of(address) == Some(ip))
+    let is_this = address.ip().is_unspecified() || address.ip().is_loopback() || own_ip == Some(address.ip());
+    let members = membership.nodes.iter().filter_map(|node| read(&node.inner));
+    is_this || members.chain(told).any(|known| known.ip() == address.ip())
 }
