--- a/crates/control/tests/scaler.rs
+++ b/crates/control/tests/scaler.rs
@@ -1,17 +1,19 @@
 //! The scaler against a stand-in platform on loopback: answers that are lost, workers
 //! without room, and a leader that ends in between.
 
+#[path = "common/loopback.rs"]
+mod loopback;
+
 use config::Settings;
-use http1::{Bounds, Call, Closing, ConnectionPool, Reply};
+use http1::Reply;
+use loopback::WAIT;
 use rpc::messages::*;
 use rpc::{Body, RpcClient};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-const WAIT: Duration = Duration::from_secs(5);
 const CONFIG: &str = r#"{"revision":1,"channels":[{"name":"r","host":"h","prefix":"/a/","mode":"safe","cutoffMs":900,"plant":"f"}],
   "plants":[{"name":"f","probe":null,"memoryMb":100,"bootMs":50,"maxInflight":2},{"name":"big","memoryMb":5000,"bootMs":50,"maxInflight":2}],"limits":{}}"#;
 
@@ -77,48 +79,15 @@
 impl World {
     async fn new() -> World {
         let platform = Arc::new(Mutex::new(Platform::default()));
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address").to_string();
         let p = platform.clone();
-        let (open, closing) = watch::channel(Closing::Open);
-        std::mem::forget(open);
-        tokio::spawn(http1::listen(listener, Bounds::default, closing, http1::ClientWatch::Off, move |r| {
-            let p = p.clone();
-            async move { answer(&p, &r) }
-        }));
-        let from = 50_000 + (std::process::id() % 400) as u16 * 20;
-        let free = |b: &u16| (*b..*b + 6).all(|p| std::net::TcpListener::bind(("127.0.0.1", p)).is_ok());
-        let base = (from..60_000).step_by(20).find(free).expect("free ports") as u32;
-        let mut c = Settings {
-            node: "core-1".into(),
-            ip: "127.0.0.1".into(),
-            zone: "z".into(),
-            port_range: vec![base, base + 3],
-            seeds: vec![format!("127.0.0.1:{}", base + 4)],
-            initial_start: true,
-            rollout: "functions".into(),
-            data_dir: std::env::temp_dir().join(format!("willowslip-scaler-{base}")).display().to_string(),
-            ..Settings::default()
-        };
-        c.listen.control = format!("127.0.0.1:{}", base + 4);
-        (c.limits.memory_mb, c.limits.disk_mb) = (128, 128);
-        (c.constraints.quiet_ms, c.constraints.ack_ms, c.constraints.settle_s) = (2000.0, 5000.0, 4.0);
-        c.constraints.converge_ms = 1000.0;
-        (c.platform.address, c.platform.duty_per_s, c.platform.lag_ms) = (address, 200.0, 300.0);
-        let control = RpcClient::new(&format!("127.0.0.1:{base}"), WAIT);
-        World { platform, settings: c, control }
+        let address = loopback::platform(move |r| answer(&p, r)).await;
+        let settings = loopback::settings("functions", &address, 50_000);
+        let control = RpcClient::new(&format!("127.0.0.1:{}", settings.port_range[0]), WAIT);
+        World { platform, settings, control }
     }
 
-    /// One incarnation of the control node: nothing of it goes on when it has ended.
     fn run(&self) -> (watch::Sender<bool>, tokio::task::JoinHandle<Result<(), String>>) {
-        let (stop, stopped) = watch::channel(false);
-        let settings = self.settings.clone();
-        let incarnation = move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-            let settings_updates = watch::channel(settings.clone()).1;
-            runtime.block_on(control::run(settings, stopped, settings_updates))
-        };
-        (stop, tokio::task::spawn_blocking(incarnation))
+        loopback::run(&self.settings)
     }
 
     async fn start(&self, service: &str, nonce: &str) -> StartAck {
@@ -147,28 +116,7 @@
 async fn a_start_is_carried_out_once_whatever_is_lost() {
     let w = World::new().await;
     let (stop, running) = w.run();
-    let pool = ConnectionPool::new(WAIT);
-    let headers = [("X-Base-Revision", "0")];
-    let control = w.settings.listen.control.clone();
-    let begun = Instant::now();
-    loop {
-        let body = CONFIG.as_bytes();
-        let call = Call {
-            method: "POST",
-            path: "/config/replace",
-            host: &control,
-            headers: &headers,
-            body,
-            id: "",
-            newest: None,
-            connect: None,
-        };
-        if pool.call(&control, call, 2, WAIT).await.is_ok_and(|a| a.status == 200) {
-            break;
-        }
-        assert!(begun.elapsed() < 3 * WAIT, "no configuration");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    loopback::order(&w.settings, "/config/replace", CONFIG).await;
     // Two answers are lost after the platform did it; one worker refuses.
     w.platform.lock().unwrap().lose = 2;
     let a = w.started("n-1").await;
