Homes: a body is not given to a front outside of them

The owner now withholds it from a front in another region, which answers 503 with Retry-After; states are told everywhere. Inert where nothing is bound.

--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -323,6 +323,7 @@
                     body,
                     id: if parsed.is_some() { String::new() } else { name.to_owned() },
                     tenant: asker.to_owned(),
+                    region: self.settings.region.clone(),
                 };
                 let addr = self.owner(p);
                 let found = match addr {
@@ -336,6 +337,11 @@
                         if !visible || same(&f.host) != same(host) {
                             return unknown();
                         }
+                        if f.withheld {
+                            telemetry::count("bodies_withheld");
+                            return fault(503, "its body does not leave its regions: ask a front there")
+                                .with("Retry-After", "1");
+                        }
                         if body {
                             return if f.state == "settled" {
                                 fault(404, "the message is settled")
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -98,6 +98,9 @@
     /// Whoever asks by id: the tenant whose messages are meant.
     #[prost(string, tag = "5")]
     pub tenant: String,
+    /// The region of the asking front, to which a body may not be allowed.
+    #[prost(string, tag = "6")]
+    pub region: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -118,6 +121,9 @@
     /// The tenant that the message belongs to.
     #[prost(string, tag = "7")]
     pub tenant: String,
+    /// There is a body, which may not leave the regions that the message is bound to.
+    #[prost(bool, tag = "8")]
+    pub withheld: bool,
 }
 
 /// One delivery, given to a delivery node.
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -184,6 +184,20 @@
         }
     }
 
+    /// Whether a message's body may be sent to the region of whoever asks for it. Of a message
+    /// whose route is gone the region of its partition is what is left of its homes.
+    fn may_be_sent_to(&self, lookup: &Lookup, item: &Item) -> bool {
+        let region = &lookup.region;
+        self.session.with_known(|known| match known.configuration.route_named(&item.route) {
+            Some(route) => known.configuration.homes(route, &item.tenant).allows(region),
+            None => {
+                let partitions = &known.assignments.partitions;
+                let home = partitions.iter().find(|p| p.id == lookup.partition).map_or("", |p| &p.home);
+                home.is_empty() || home == region
+            }
+        })
+    }
+
     pub(super) fn lookup(&self, i: &StoreState, l: &Lookup) -> Found {
         let Some(m) = i.replicas.get(&l.partition).filter(|m| m.role == ReplicaRole::Owner && self.leased(i)) else {
             return Found::default();
@@ -192,15 +206,19 @@
         let pos = if l.id.is_empty() { Some(l.position) } else { by_id() };
         match pos.and_then(|p| m.state.pieces.get(&p)) {
             None if !m.caught_up() => Found::default(),
-            Some(w) => Found {
-                owner: true,
-                known: true,
-                state: w.state.word().into(),
-                result_tag: w.result_tag.clone(),
-                body: if l.body { w.item.body.clone() } else { Bytes::new() },
-                host: w.item.host.clone(),
-                tenant: w.item.tenant.clone(),
-            },
+            Some(w) => {
+                let withheld = l.body && !w.item.body.is_empty() && !self.may_be_sent_to(l, &w.item);
+                Found {
+                    owner: true,
+                    known: true,
+                    state: w.state.word().into(),
+                    result_tag: w.result_tag.clone(),
+                    body: if l.body && !withheld { w.item.body.clone() } else { Bytes::new() },
+                    host: w.item.host.clone(),
+                    tenant: w.item.tenant.clone(),
+                    withheld,
+                }
+            }
             None => Found { owner: true, ..Found::default() },
         }
     }
