--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -48,10 +48,10 @@
         {
             moved |= Arc::make_mut(&mut self.assignments).take(c);
         }
-        if let Some(r) = &news.membership
+        if let Some(r) = news.told_membership()
             && r.version > self.membership.version
         {
-            moved |= Arc::make_mut(&mut self.membership).take(r);
+            moved |= Arc::make_mut(&mut self.membership).take(&r);
         }
         if !news.leader.is_empty() && news.leader != self.leader {
             self.leader = news.leader.clone();
@@ -135,10 +135,12 @@
             have: mine,
             steps,
             assignments: (mine.assignments > have.assignments).then(|| self.assignments.since(have.assignments)),
-            membership: (mine.membership > have.membership).then(|| self.membership.since(have.membership)),
             leader: self.leader.clone(),
             ..ViewUpdate::default()
         };
+        if mine.membership > have.membership {
+            news.put_membership(self.membership.since(have.membership));
+        }
         if let Some(json) = configuration {
             news.put_configuration(json);
         }
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -248,7 +248,6 @@
                 steps,
                 assignments: (have.assignments > w.have.assignments)
                     .then(|| f.control_state.assignments.since(w.have.assignments)),
-                membership: (have.membership > w.have.membership).then(|| f.membership.since(w.have.membership)),
                 leader: if f.leader == self.me && !f.holds(self.now()) { String::new() } else { f.leader.clone() },
                 control_nodes: f
                     .sessions
@@ -264,6 +263,9 @@
             if w.node.as_ref().is_some_and(|n| n.role == "control") {
                 news.unidentified = f.unidentified.reported(&f.sessions);
             }
+            if have.membership > w.have.membership {
+                news.put_membership(f.membership.since(w.have.membership));
+            }
             if let Some(json) = configuration {
                 news.put_configuration(json);
             }
@@ -346,8 +348,8 @@
                         let own = self.node();
                         f.sessions.insert(own.name.clone(), Session { node: own, seen: u64::MAX / 2 });
                     }
-                    f.unidentified.told(n.unidentified);
-                    if let Some(r) = n.membership
+                    f.unidentified.told(n.unidentified.clone());
+                    if let Some(r) = n.told_membership()
                         && f.membership.take(&r)
                     {
                         if !f.functions {
--- a/crates/rpc/src/delta.rs
+++ b/crates/rpc/src/delta.rs
@@ -3,11 +3,16 @@
 
 use crate::messages::{Assignments, Gone, Membership, Node, Processor, ViewUpdate};
 use bytes::Bytes;
+use prost::Message;
+use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
 
 /// So many removals are remembered for those that are behind.
 const REMEMBERED: usize = 256;
 
+/// A membership from that size on is packed.
+const PACKED_MEMBERSHIP_BYTES: usize = 128 << 10;
+
 /// What is packed is never longer than this when it is whole again.
 const UNPACKED: usize = 4 << 20;
 
@@ -21,19 +26,42 @@
         }
     }
 
+    /// Puts in a membership, packed if it is large.
+    pub fn put_membership(&mut self, membership: Membership) {
+        if membership.encoded_len() < PACKED_MEMBERSHIP_BYTES {
+            self.membership = Some(membership);
+        } else {
+            telemetry::count("memberships_packed");
+            self.packed_membership = lz4_flex::compress_prepend_size(&membership.encode_to_vec()).into();
+        }
+    }
+
+    /// The membership, if there is one, packed or not.
+    pub fn told_membership(&self) -> Option<Cow<'_, Membership>> {
+        if self.packed_membership.is_empty() {
+            return self.membership.as_ref().map(Cow::Borrowed);
+        }
+        let bytes = unpacked(&self.packed_membership)?;
+        Membership::decode(bytes.as_slice()).ok().map(Cow::Owned)
+    }
+
     /// The whole configuration, if there is one.
     pub fn whole_configuration(&self) -> Option<Bytes> {
         if self.packed.is_empty() {
             return self.configuration.clone();
         }
-        let size =
-            self.packed.get(..4).and_then(|s| s.try_into().ok()).map_or(usize::MAX, |s| u32::from_le_bytes(s) as usize);
-        let whole = (size <= UNPACKED).then(|| lz4_flex::decompress_size_prepended(&self.packed).ok()).flatten();
-        if whole.is_none() {
-            telemetry::count("news_not_unpacked");
-        }
-        whole.map(Bytes::from)
+        unpacked(&self.packed).map(Bytes::from)
+    }
+}
+
+/// What was packed, if it is whole and not longer than anything that is.
+fn unpacked(packed: &[u8]) -> Option<Vec<u8>> {
+    let size = packed.get(..4).and_then(|s| s.try_into().ok()).map_or(usize::MAX, |s| u32::from_le_bytes(s) as usize);
+    let whole = (size <= UNPACKED).then(|| lz4_flex::decompress_size_prepended(packed).ok()).flatten();
+    if whole.is_none() {
+        telemetry::count("news_not_unpacked");
     }
+    whole
 }
 
 impl Assignments {
--- a/crates/rpc/src/messages/membership.rs
+++ b/crates/rpc/src/messages/membership.rs
@@ -89,6 +89,10 @@
     /// The whole configuration, packed; a large one takes a slow link for seconds else.
     #[prost(bytes = "bytes", tag = "9")]
     pub packed: Bytes,
+    /// Instead of `membership`, packed: a large one takes a slow link for longer than an answer
+    /// is waited for.
+    #[prost(bytes = "bytes", tag = "11")]
+    pub packed_membership: Bytes,
     /// Instead of the whole configuration: the changes since the asker's, in order.
     #[prost(message, repeated, tag = "8")]
     pub steps: Vec<ConfigurationStep>,
--- a/crates/rpc/tests/view_updates.rs
+++ b/crates/rpc/tests/view_updates.rs
@@ -119,3 +119,37 @@
     assert!(far.take(&first) && far.take(&second) && !far.take(&first));
     assert_eq!(far, leader);
 }
+
+#[test]
+fn a_large_membership_is_told_packed_and_a_small_one_as_it_is() {
+    let of = |count: usize| {
+        let processor = |n: usize| Processor {
+            id: format!("i-{:08x}", n.wrapping_mul(0x9e37_79b9)),
+            service: "a-service".into(),
+            address: format!("10.{}.{}.9:8080", n / 250, n % 250),
+            zone: "a-zone".into(),
+            revision: "v1".into(),
+            capacity: 6,
+            changed: 1 << 24,
+            ..Processor::default()
+        };
+        Membership {
+            version: 1 << 24,
+            processors: (0..count).map(processor).collect(),
+            listed: true,
+            ..Membership::default()
+        }
+    };
+    let (small, large) = (of(300), of(3000));
+    let mut news = ViewUpdate::default();
+    news.put_membership(small.clone());
+    assert!(news.packed_membership.is_empty() && news.told_membership().as_deref() == Some(&small));
+    let mut news = ViewUpdate::default();
+    news.put_membership(large.clone());
+    let packed = news.packed_membership.len();
+    assert!(news.membership.is_none() && packed * 2 < prost::Message::encoded_len(&large), "{packed} bytes");
+    assert_eq!(news.told_membership().as_deref(), Some(&large));
+    news.packed_membership.truncate(packed / 2);
+    assert!(news.told_membership().is_none(), "what is not whole is not taken");
+    assert!(ViewUpdate::default().told_membership().is_none());
+}
