--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -89,7 +89,7 @@
 }
 
 /// A follower in sync that has owed an acknowledgement for so many times `again`, with nothing
-/// heard from it, is to be replaced. A process that has ended is known to the leader much
+/// heard from it, is to be replaced, if it was heard before: one that never was may be starting. A process that has ended is known to the leader much
 /// sooner, by its lease; what is left are links that are cut between this pair of nodes.
 const UNHEARD: u64 = 3;
 
@@ -423,7 +423,11 @@
             let p = self.peers.entry(n.clone()).or_insert_with(|| Peer::new(now));
             if p.acked >= end {
                 p.level = now;
-            } else if !out_of_sync && self.replicas.contains(&n) && now > p.level.max(p.reported) + UNHEARD * again {
+            } else if !out_of_sync
+                && self.replicas.contains(&n)
+                && p.incarnation != 0
+                && now > p.level.max(p.reported) + UNHEARD * again
+            {
                 p.reported = now;
                 telemetry::count("followers_unheard");
                 out.push(Effect::Ask(Order {
--- a/crates/partition/tests/splice.rs
+++ b/crates/partition/tests/splice.rs
@@ -913,7 +913,13 @@
 #[test]
 fn a_follower_that_the_owner_does_not_hear_is_replaced_and_no_copy_is_missing_meanwhile() {
     let mut w = World::new(&["a", "b"]);
+    for node in w.nodes.values_mut() {
+        node.incarnation = 1;
+    }
+    w.pass(5000);
+    w.append(Entry::Routes(Routes { revision: 2, ..Routes::default() })).expect("written");
     w.pass(5000);
+    assert!(w.unheard.is_empty(), "it is heard");
     // The link of this pair only: the control nodes hear both, so nobody is given up.
     w.cut.insert("b".into());
     w.pass(5000);
