One set of leased buckets, one look-up of homes, one last answer for both forwarding tiers

Read again, the change had these twice: granting and spending cold leases in the store's scheduler and the gateway (LeasedBuckets in balance), the homes of a message by its route's name in three places of the store (ConfigurationIndex::homes_on), and what a client is told in the end in functions and gateway (ClientRequest::reply). Three bounds of the settings that nothing read are gone.

--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -118,3 +118,30 @@
         true
     }
 }
+
+/// The leased buckets of one holder, by receiver: without one it sends nothing.
+#[derive(Clone, Debug, Default)]
+pub struct LeasedBuckets {
+    buckets: HashMap<String, LeasedBucket>,
+}
+
+impl LeasedBuckets {
+    /// The ledger grants these receivers until then. Leases that are over are forgotten.
+    pub fn grant(&mut self, receivers: &[String], now_ms: u64, until_ms: u64) {
+        self.buckets.retain(|_, bucket| !bucket.is_over(now_ms));
+        for receiver in receivers {
+            let new = || LeasedBucket::new(now_ms, until_ms);
+            self.buckets.entry(receiver.clone()).or_insert_with(new).renew(now_ms, until_ms);
+        }
+    }
+
+    /// Whether one request may be sent to a receiver now, at `per_s` requests a second.
+    pub fn has_token(&self, receiver: &str, per_s: f64, now_ms: u64) -> bool {
+        self.buckets.get(receiver).is_some_and(|bucket| bucket.has_token(per_s, now_ms))
+    }
+
+    /// Takes what one request costs; false if it must not be sent now.
+    pub fn take(&mut self, receiver: &str, per_s: f64, now_ms: u64) -> bool {
+        self.buckets.get_mut(receiver).is_some_and(|bucket| bucket.take(per_s, now_ms))
+    }
+}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,5 +10,5 @@
 mod budget;
 mod health;
 pub use balancer::{Balancer, Processor};
-pub use budget::{BudgetLedger, LeasedBucket};
+pub use budget::{BudgetLedger, LeasedBucket, LeasedBuckets};
 pub use health::{Health, Pauses, SendEnd};
--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// As `homes`, by the route's name; `None` if there is no such route.
+    pub fn homes_on(&self, route: &str, tenant: &str) -> Option<Homes> {
+        self.route_named(route).map(|route| self.homes(route, tenant))
+    }
+
     /// Whether any route or tenant is bound to regions.
     pub fn has_homes(&self) -> bool {
         self.has_homes
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -147,16 +147,6 @@
     /// How long the key of an operation is remembered; 0: operations have no keys.
     #[prost(double, tag = "25")]
     pub key_window_s: f64,
-    /// Within how many milliseconds after an evacuation's acknowledgement nothing reaches the
-    /// zone any more.
-    #[prost(double, tag = "26")]
-    pub drain_zone_ms: f64,
-    /// By how much `coldPerS` of a service may be exceeded in one second: a factor, and
-    /// requests on top of that.
-    #[prost(double, tag = "27")]
-    pub cold_overshoot: f64,
-    #[prost(double, tag = "28")]
-    pub cold_slack: f64,
 }
 
 impl Constraints {
--- a/crates/functions/src/gateway/forward.rs
+++ b/crates/functions/src/gateway/forward.rs
@@ -43,11 +43,7 @@
             }
             outcome = self.serve(&ask) => outcome,
         };
-        match outcome {
-            Ok(answer) => reply_of(answer),
-            Err(Failure::NotRun { .. }) if ask.attempts().may_have_run() => Failure::MayHaveRun.reply(),
-            Err(failure) => failure.reply(),
-        }
+        ask.reply(outcome)
     }
 
     /// Sends a request, and beside the first send another one where that takes long.
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -1,7 +1,6 @@
 //! Leases on cold processors of services that bound what such ones are sent (`coldPerS`).
 
 use crate::service::GatewayService;
-use balance::LeasedBucket;
 use rpc::messages::{Node, ZoneUse};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,13 +20,7 @@
                 continue;
             };
             let (now_ms, until_ms) = (self.now_ms(), asked_ms + u64::from(lease.ttl_ms));
-            self.with_state(|state| {
-                state.cold_buckets.retain(|_, bucket| !bucket.is_over(now_ms));
-                for id in &lease.processors {
-                    let new = || LeasedBucket::new(now_ms, until_ms);
-                    state.cold_buckets.entry(id.clone()).or_insert_with(new).renew(now_ms, until_ms);
-                }
-            });
+            self.with_state(|state| state.cold_buckets.grant(&lease.processors, now_ms, until_ms));
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::service::GatewayService;
 use balance::SendEnd;
 use http1::{Answer, Closing, Reply, Request};
-use proxy::{ClientRequest, ConnectionRules, Failure, SendOutcome, Target, busy, hedged, reply_of, send};
+use proxy::{ClientRequest, ConnectionRules, Failure, SendOutcome, Target, busy, hedged, send};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -73,11 +73,7 @@
             }
             outcome = self.serve(&ask) => outcome,
         };
-        match outcome {
-            Ok(answer) => reply_of(answer),
-            Err(Failure::NotRun { .. }) if ask.attempts().may_have_run() => Failure::MayHaveRun.reply(),
-            Err(failure) => failure.reply(),
-        }
+        ask.reply(outcome)
     }
 
     /// Sends a request, and beside the first send another one where that takes long and it may
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows and counts, behind one short lock.
 
 use agent::ClusterView;
-use balance::{Balancer, LeasedBucket, Pauses, Processor, SendEnd};
+use balance::{Balancer, LeasedBuckets, Pauses, Processor, SendEnd};
 use config::Settings;
 use proxy::{ClientRequest, RetryBudget, Target};
 use rpc::messages::ZoneUse;
@@ -17,7 +17,7 @@
     pub(crate) balancer: Balancer,
     pub(crate) retry_budget: RetryBudget,
     /// The cold processors that this gateway may send to, and how much.
-    pub(crate) cold_buckets: HashMap<String, LeasedBucket>,
+    pub(crate) cold_buckets: LeasedBuckets,
     /// Gateways that share the retry budget, as far as is known.
     gateways: usize,
     /// The membership that the balancer was told last.
@@ -35,7 +35,7 @@
         GatewayState {
             balancer: Balancer::new(&settings.zone, pauses),
             retry_budget: RetryBudget::new(constraints.retry_ratio, window, Instant::now()),
-            cold_buckets: HashMap::new(),
+            cold_buckets: LeasedBuckets::default(),
             gateways: 1,
             told_membership: 0,
         }
@@ -75,10 +75,7 @@
             processor.is_cold
                 || view.assignments.zone_use(&processor.zone, view.membership.version) == ZoneUse::Returning
         };
-        let has_token = |processor: &Processor| {
-            let bucket = self.cold_buckets.get(&processor.id);
-            bucket.is_some_and(|bucket| bucket.has_token(cold_per_s, now_ms))
-        };
+        let has_token = |processor: &Processor| self.cold_buckets.has_token(&processor.id, cold_per_s, now_ms);
         let is_allowed = |processor: &Processor| {
             (ask.zones.is_empty() || ask.zones.contains(&processor.zone))
                 && view.assignments.zone_use(&processor.zone, view.membership.version) != ZoneUse::Evacuated
@@ -88,11 +85,8 @@
         let chosen = self.balancer.choose(&ask.service, now_ms, is_new);
         let chosen = chosen.or_else(|| self.balancer.choose(&ask.service, now_ms, is_allowed))?;
         let target = Target { processor: chosen.id.clone(), address: chosen.address.clone() };
-        if cold_per_s > 0.0
-            && may_be_cold(chosen)
-            && let Some(bucket) = self.cold_buckets.get_mut(&target.processor)
-        {
-            bucket.take(cold_per_s, now_ms);
+        if cold_per_s > 0.0 && may_be_cold(chosen) {
+            self.cold_buckets.take(&target.processor, cold_per_s, now_ms);
         }
         self.balancer.begin(&ask.service, &target.processor);
         Some(target)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,7 +14,7 @@
 mod retry_budget;
 mod send;
 pub use attempts::Attempts;
-pub use failure::{Failure, busy, fault, reply_of};
+pub use failure::{Failure, busy};
 pub use headers::hop_by_hop;
 pub use hedge::hedged;
 pub use request::ClientRequest;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,9 +1,9 @@
 //! A client's request on its way: its route, its time and its tries.
 
 use crate::attempts::Attempts;
-use crate::failure::fault;
+use crate::failure::{Failure, fault, reply_of};
 use config::{ConfigurationIndex, Route, Settings};
-use http1::{Reply, Request};
+use http1::{Answer, Reply, Request};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -89,6 +89,16 @@
         Duration::from_micros((self.route.target_latency_ms * 100.0) as u64).max(Duration::from_millis(2))
     }
 
+    /// What its client is told in the end. That it has not run is said only if no processor
+    /// may have run it in any of its sends.
+    pub fn reply(&self, outcome: Result<Answer, Failure>) -> Reply {
+        match outcome {
+            Ok(answer) => reply_of(answer),
+            Err(Failure::NotRun { .. }) if self.attempts().may_have_run() => Failure::MayHaveRun.reply(),
+            Err(failure) => failure.reply(),
+        }
+    }
+
     /// Whether its client has closed its connection.
     pub fn is_abandoned(&self) -> bool {
         self.request.departure.has_left()
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -2,7 +2,7 @@
 //! gets the next one. Nothing here is durable; it is made anew from the fold
 //! whenever a partition is taken over.
 
-use balance::LeasedBucket;
+use balance::LeasedBuckets;
 use config::{Homes, Route, Service};
 use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample, ZoneUse};
 use std::cmp::Reverse;
@@ -118,7 +118,7 @@
     fronts: HashMap<String, Vec<usize>>,
     near: HashSet<String>,
     /// The cold processors that this owner may send to, and how much.
-    cold_buckets: HashMap<String, LeasedBucket>,
+    cold_buckets: LeasedBuckets,
     /// The region of each zone.
     regions: BTreeMap<String, String>,
     /// Zones that are not used as any other, for evacuations.
@@ -184,7 +184,7 @@
             turns_at: HashMap::new(),
             fronts: HashMap::new(),
             near: HashSet::new(),
-            cold_buckets: HashMap::new(),
+            cold_buckets: LeasedBuckets::default(),
             regions: BTreeMap::new(),
             zone_uses: HashMap::new(),
             assignments: Arc::default(),
@@ -432,9 +432,7 @@
             fit = self.best(service, processors, now, |u| is_former(u) && self.may_run(u, homes));
         }
         let u = fit?.clone();
-        if self.is_metered_cold(service, &u)
-            && !self.cold_buckets.get_mut(&u.id).is_some_and(|bucket| bucket.take(service.cold_per_s, now))
-        {
+        if self.is_metered_cold(service, &u) && !self.cold_buckets.take(&u.id, service.cold_per_s, now) {
             return None;
         }
         if let Some(r) = rollout.filter(|r| r.state == "running") {
@@ -476,8 +474,7 @@
 
     /// Whether a processor may be sent one more message now, as far as it is cold.
     fn has_cold_token(&self, service: &Service, processor: &Processor, now: u64) -> bool {
-        !self.is_metered_cold(service, processor)
-            || self.cold_buckets.get(&processor.id).is_some_and(|bucket| bucket.has_token(service.cold_per_s, now))
+        !self.is_metered_cold(service, processor) || self.cold_buckets.has_token(&processor.id, service.cold_per_s, now)
     }
 
     /// Whether any processor may be cold whose service, as the test says, bounds what it is
@@ -488,11 +485,7 @@
 
     /// The leader grants these cold processors to this owner until then.
     pub fn grant_cold(&mut self, processors: &[String], now: u64, until: u64) {
-        self.cold_buckets.retain(|_, bucket| !bucket.is_over(now));
-        for id in processors {
-            let bucket = self.cold_buckets.entry(id.clone()).or_insert_with(|| LeasedBucket::new(now, until));
-            bucket.renew(now, until);
-        }
+        self.cold_buckets.grant(processors, now, until);
     }
 
     /// Whether a processor stands in one of the homes.
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -14,7 +14,7 @@
 use crate::uncommitted::{AcceptNames, UncommittedAccepts};
 use agent::Session;
 use bytes::Bytes;
-use config::{Homes, Role, Settings};
+use config::{Role, Settings};
 use partition::*;
 use prost::Message;
 use rpc::messages::*;
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -225,11 +225,8 @@
             let Some(w) = piece.filter(|w| w.owes_notice()) else { continue };
             let host = w.item.notify_url.trim_start_matches("http://").split('/').next().unwrap_or("").to_owned();
             let busy = i.scheduler.notices_in_flight.get(&host).copied().unwrap_or(0);
-            let homes = self.session.with_known(|s| {
-                let route = s.configuration.route_named(&w.item.route);
-                route.map_or_else(Homes::default, |route| s.configuration.homes(route, &w.item.tenant))
-            });
-            let front = i.scheduler.any_front(&host, &homes);
+            let homes = self.session.with_known(|s| s.configuration.homes_on(&w.item.route, &w.item.tenant));
+            let front = i.scheduler.any_front(&host, &homes.unwrap_or_default());
             let (Some((_, inner)), true, true) = (front, at <= now, busy < 8) else {
                 left.push_back((at, k));
                 continue;
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -91,10 +91,8 @@
 
     /// Whether a message may be kept in this region, as far as is known here.
     fn may_keep(&self, item: &Item) -> bool {
-        self.session.with_known(|known| {
-            let route = known.configuration.route_named(&item.route);
-            route.is_none_or(|route| known.configuration.homes(route, &item.tenant).allows(&self.settings.region))
-        })
+        let homes = self.session.with_known(|known| known.configuration.homes_on(&item.route, &item.tenant));
+        homes.is_none_or(|homes| homes.allows(&self.settings.region))
     }
 
     pub(super) fn report(self: &Arc<Self>, i: &mut StoreState, r: Report, responder: Responder) {
@@ -188,8 +186,8 @@
     /// whose route is gone the region of its partition is what is left of its homes.
     fn may_be_sent_to(&self, lookup: &Lookup, item: &Item) -> bool {
         let region = &lookup.region;
-        self.session.with_known(|known| match known.configuration.route_named(&item.route) {
-            Some(route) => known.configuration.homes(route, &item.tenant).allows(region),
+        self.session.with_known(|known| match known.configuration.homes_on(&item.route, &item.tenant) {
+            Some(homes) => homes.allows(region),
             None => {
                 let partitions = &known.assignments.partitions;
                 let home = partitions.iter().find(|p| p.id == lookup.partition).map_or("", |p| &p.home);
