--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -315,7 +315,7 @@
             let timeout = configuration_index.routes.iter().map(|c| c.timeout_ms).fold(0.0, f64::max);
             let linger = timeout as u64 + self.settings.constraints.revert_slack_ms as u64;
             for r in f.control_state.assignments.rollouts.iter().filter(|r| r.state == "running") {
-                let p = f.plumbs.entry(r.service.clone()).or_default();
+                let p = f.rollout_monitors.entry(r.service.clone()).or_default();
                 p.judges(r.began);
                 let mut now = r.clone();
                 now.spent = now.spent.max(p.sent_new);
--- a/crates/control/src/leadership.rs
+++ b/crates/control/src/leadership.rs
@@ -304,7 +304,7 @@
                     f.term = raft.hard.term;
                     f.membership_seq = 0;
                     f.publish_from = if f.membership.version > 0 { 0 } else { now + control.ratio(16.0) };
-                    f.plumbs.clear();
+                    f.rollout_monitors.clear();
                     f.leases.clear();
                     f.cluster_clock.begin_term();
                     f.unclaimed.clear();
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -81,7 +81,7 @@
     pub(crate) membership_seq: u64,
     pub(crate) processors: Vec<Processor>,
     pub(crate) listed: bool,
-    pub(crate) plumbs: HashMap<String, RolloutMonitor>,
+    pub(crate) rollout_monitors: HashMap<String, RolloutMonitor>,
     pub(crate) first_store_at: u64,
     /// How many store nodes there are, and since when.
     pub(crate) steady: (usize, u64),
@@ -342,7 +342,7 @@
             membership_seq: 0,
             processors: Vec::new(),
             listed: false,
-            plumbs: HashMap::new(),
+            rollout_monitors: HashMap::new(),
             first_store_at: 0,
             steady: (0, 0),
             seizing: HashSet::new(),
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -133,7 +133,7 @@
                     f.control_state.assignments.rollouts.iter().find(|r| r.service == s.service && r.state == "running")
                 {
                     let target = r.target.clone();
-                    f.plumbs.entry(s.service.clone()).or_default().add(&target, s);
+                    f.rollout_monitors.entry(s.service.clone()).or_default().add(&target, s);
                 }
             }
             let term = |c: &Holding| {
