--- /dev/null
+++ b/crates/soak/src/clients.rs
@@ -0,0 +1,82 @@
+//! Stand-in clients: they send messages and note what they were answered.
+
+use crate::http::exchange;
+use std::time::{Duration, Instant};
+
+/// How long a client waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// One message to send.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// Its id, as `X-Attempt-Id`.
+    pub id: String,
+    /// The path, below the route's prefix.
+    pub path: String,
+    /// Its order key; empty on routes without order.
+    pub order_key: String,
+    /// The tenant's key; empty where there are no tenants.
+    pub tenant_key: String,
+}
+
+/// What became of a send.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The message.
+    pub message: Message,
+    /// When its client began to send it.
+    pub sent: Instant,
+    /// When the answer was there.
+    pub answered: Instant,
+    /// The status; 0 without an answer.
+    pub status: u16,
+    /// The message's name, by which its state is asked for; of a 202.
+    pub name: String,
+    /// Whether `Retry-After` was told.
+    pub retry_after: bool,
+}
+
+/// The host of all routes of a soak.
+pub const HOST: &str = "soak.example";
+
+fn authorization(tenant_key: &str) -> String {
+    if tenant_key.is_empty() { String::new() } else { format!("Authorization: Bearer {tenant_key}\r\n") }
+}
+
+/// Sends a message to a front.
+pub fn send(front: &str, message: Message) -> Sent {
+    let order = match message.order_key.as_str() {
+        "" => String::new(),
+        key => format!("X-Order-Key: {key}\r\n"),
+    };
+    let request = format!(
+        "POST {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{order}{}Content-Length: 4\r\n\
+         Connection: close\r\n\r\nbody",
+        message.path,
+        message.id,
+        authorization(&message.tenant_key),
+    );
+    let sent = Instant::now();
+    let answer = exchange(front, &request, PATIENCE);
+    let answered = Instant::now();
+    let status = answer.as_ref().map_or(0, |answer| answer.status);
+    let header = |name: &str| answer.as_ref().and_then(|answer| answer.header(name)).map(str::to_owned);
+    Sent {
+        name: header("X-Message-Name").unwrap_or_default(),
+        retry_after: header("Retry-After").is_some(),
+        message,
+        sent,
+        answered,
+        status,
+    }
+}
+
+/// Whether a message is said to be settled.
+pub fn is_settled(front: &str, sent: &Sent) -> bool {
+    let request = format!(
+        "GET /message/{} HTTP/1.1\r\nHost: {HOST}\r\n{}Connection: close\r\n\r\n",
+        sent.name,
+        authorization(&sent.message.tenant_key),
+    );
+    exchange(front, &request, PATIENCE).is_some_and(|answer| answer.body.contains("\"settled\""))
+}
