Store: an audit of the schedule says what messages wait for

Owners now count waiting messages by cause, and check two invariants with a counter of violations each: every message that may run is scheduled, and every queue belongs to a service that the configuration has.

--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -305,6 +305,17 @@
         }
     }
 
+    /// How many messages wait for a time.
+    pub fn delayed(&self) -> usize {
+        self.delayed.len()
+    }
+
+    /// All messages that are queued, wait for a time or are under way.
+    pub fn scheduled(&self) -> HashSet<Key> {
+        let delayed = self.delayed.iter().map(|Reverse((_, key))| *key);
+        self.queued.keys().chain(self.in_flight.keys()).copied().chain(delayed).collect()
+    }
+
     pub fn queued(&self) -> usize {
         self.queued.len()
     }
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -1,6 +1,7 @@
 //! The shell of a store node: carries out the effects of its partitions' state
 //! machines, keeps the lease, and gives deliveries to the delivery nodes.
 
+mod audit;
 mod cold;
 mod dispatch;
 mod duties;
--- a/crates/store/src/service/duties.rs
+++ b/crates/store/src/service/duties.rs
@@ -73,6 +73,7 @@
                 }
             }
         }
+        self.audit(i, rounds);
         let now = self.now();
         let corrections = i.replicas.values().map(|m| m.correction_ms(now).unsigned_abs());
         telemetry::set("partition_time_correction_ms", corrections.max().unwrap_or(0));
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,6 +3,9 @@
 
 #![warn(missing_docs)]
 
+mod invariant;
+pub use invariant::check_invariant;
+
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
