Store: messages go by the services of their route as it is, weights included

Class: a decision taken from a view of the configuration and kept when it changes.

Change: a message's service is the one that its id chooses by the route's weights, the same for queues, partitions, retries, metering and aims; queues are chosen anew for all that wait when the configuration changes. Same class elsewhere: a message whose route the view lacks was dropped by schedule, and is looked at again; one whose dispatch or report could not be appended stays scheduled; an owner that takes over from its own former term forgets what that one held in memory, which could mark a message as being answered for good.

--- a/crates/agent/src/placement.rs
+++ b/crates/agent/src/placement.rs
@@ -41,15 +41,37 @@
     keys: &PlacementKeys<'_>,
     zone: &str,
 ) -> Option<u32> {
-    let metered = configuration.is_metered(&route.service);
+    let service = service_of(route, keys.id);
+    partition_for_service(known, configuration, route, service, keys, zone)
+}
+
+/// The service that a message goes to: of services that share its route by weights, the one
+/// that its id chooses, the same at every node that knows the same weights.
+pub fn service_of<'a>(route: &'a Route, id: &str) -> &'a str {
+    match route.mix.is_empty() {
+        true => &route.service,
+        false => route.service_for(rpc::fingerprint(id.as_bytes())),
+    }
+}
+
+/// As `partition_of`, of a message that goes to this service of its route.
+fn partition_for_service(
+    known: &ClusterView,
+    configuration: &ConfigurationIndex,
+    route: &Route,
+    service: &str,
+    keys: &PlacementKeys<'_>,
+    zone: &str,
+) -> Option<u32> {
     let ordered = !keys.order_key.is_empty();
     let homes = configuration.homes(route, keys.tenant);
     let hash = match keys.operation {
         _ if route.sequenced && ordered => keys.order_hash(),
-        Some(_) if metered => route.place_hash(),
+        // Tries at one operation have ids of their own, by which their services may differ.
+        Some(_) if configuration.has_metered_service(route) => route.place_hash(),
         Some(_) if ordered => keys.order_hash(),
         Some(operation) => operation.high,
-        None if metered => placement_hash(&route.service),
+        None if configuration.is_metered(service) => placement_hash(service),
         None => return near_partition(known, &homes, placement_hash(keys.id), zone),
     };
     partition_within(&known.assignments, &homes, hash)
@@ -111,7 +133,7 @@
         let operation = has_operations.then(OperationId::default);
         for tenant in &tenants {
             let keys = PlacementKeys { tenant, operation, ..PlacementKeys::default() };
-            partitions.extend(partition_of(known, configuration, route, &keys, ""));
+            partitions.extend(partition_for_service(known, configuration, route, service, &keys, ""));
         }
     }
     partitions
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -161,6 +161,13 @@
         placement_hash(&format!("{}{}", self.host.to_ascii_lowercase(), self.prefix))
     }
 
+    /// The services that its requests may go to: those that share it by weights, where there
+    /// are any, else its own.
+    pub fn services(&self) -> impl Iterator<Item = &str> + Clone {
+        let own = self.mix.is_empty().then_some(self.service.as_str());
+        self.mix.keys().map(String::as_str).chain(own)
+    }
+
     /// The service of one request: with weights, by a number that differs from one
     /// request to the next.
     pub fn service_for(&self, number: u64) -> &str {
--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -44,11 +44,13 @@
         for (n, c) in configuration.routes.iter().enumerate() {
             p.hosts.entry(c.host.to_ascii_lowercase()).or_default().push(n);
             p.routes.insert(c.name.clone(), n);
-            if c.mode == "deferred" {
-                p.message_routes.entry(c.service.clone()).or_default().push(n);
+            for service in c.services() {
+                if c.mode == "deferred" {
+                    p.message_routes.entry(service.to_owned()).or_default().push(n);
+                }
+                let target_start = p.target_starts.entry(service.to_owned()).or_insert(f64::MAX);
+                *target_start = target_start.min(c.target_start_ms);
             }
-            let target_start = p.target_starts.entry(c.service.clone()).or_insert(f64::MAX);
-            *target_start = target_start.min(c.target_start_ms);
         }
         for routes in p.hosts.values_mut() {
             routes.sort_by_key(|n| std::cmp::Reverse(configuration.routes[*n].prefix.len()));
@@ -93,6 +95,11 @@
         self.service(service).is_some_and(|s| s.endpoint.is_some() || s.flow_per_s > 0.0)
     }
 
+    /// Whether any of the services that a route's requests may go to is metered.
+    pub fn has_metered_service(&self, route: &Route) -> bool {
+        route.services().any(|service| self.is_metered(service))
+    }
+
     /// The routes on which messages for a service come in.
     pub fn message_routes(&self, service: &str) -> impl ExactSizeIterator<Item = &Route> + Clone {
         let routes = self.message_routes.get(service).map_or(&[][..], Vec::as_slice);
@@ -136,7 +143,8 @@
         routes.chain(tenants).map(String::as_str).collect()
     }
 
-    fn tenant_named(&self, name: &str) -> Option<&Tenant> {
+    /// A tenant by its name.
+    pub fn tenant_named(&self, name: &str) -> Option<&Tenant> {
         self.tenant_names.get(name).map(|n| &self.configuration.tenants()[*n])
     }
 
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -187,7 +187,7 @@
             return fault(503, "no owner of a partition for it yet").with("Retry-After", "1");
         };
         let fixed =
-            operation.is_some() || c.sequenced && !order_key.is_empty() || known.configuration.is_metered(&c.service);
+            operation.is_some() || c.sequenced && !order_key.is_empty() || known.configuration.has_metered_service(c);
         let (mut unclear, mut hint) = (false, None::<String>);
         let mut rx = self.known.subscribe();
         let mut closing = self.closing.subscribe();
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,22 +1,30 @@
 //! The processes of a small deployment on loopback: three control nodes, three store nodes and
-//! two front machines with their agents.
+//! a front machine with its agent.
 
 use std::collections::HashMap;
 use std::fs::{self, File};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+/// How many clusters this process has begun.
+static CLUSTERS: AtomicU16 = AtomicU16::new(0);
+
 /// Machines of each kind, by the last part of their loopback address.
 const CONTROL: std::ops::Range<u8> = 2..5;
 const STORE: std::ops::Range<u8> = 5..8;
-const FRONT: std::ops::Range<u8> = 8..10;
+/// One: agents listen for the front beside them on 127.0.0.1, whatever their machine, and all
+/// machines have the same ports.
+const FRONT: std::ops::Range<u8> = 8..9;
 /// Ports that a machine uses: four inner ones, the operator's, the clients' and the ready one.
 const PORTS: u16 = 7;
 const OPERATOR_PORT: u16 = 4;
 const CLIENT_PORT: u16 = 5;
 const READY_PORT: u16 = 6;
+/// Ports between two clusters.
+const CLUSTER_STEP: u16 = 20;
 /// How often something that is waited for is looked at.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -87,11 +95,13 @@
     pub fn new(program: &Path, options: ClusterOptions) -> Result<Cluster, ClusterError> {
         let is_free = |base: &u16| {
             let machines = CONTROL.start..FRONT.end;
-            let mut addresses = machines.map(|machine| format!("{}.{machine}", options.network));
+            let own = machines.map(|machine| format!("{}.{machine}", options.network));
+            let mut addresses = own.chain(["127.0.0.1".to_owned()]);
             addresses.all(|ip| (*base..*base + PORTS).all(|port| TcpListener::bind((ip.as_str(), port)).is_ok()))
         };
-        let from = 33_000 + (std::process::id() % 500) as u16 * 20;
-        let base_port = (from..60_000).step_by(20).find(is_free);
+        let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+        let from = 20_000 + (std::process::id() % 100) as u16 * 200 + number % 10 * CLUSTER_STEP;
+        let base_port = (from..60_000).step_by(usize::from(CLUSTER_STEP)).find(is_free);
         let base_port = base_port.ok_or_else(|| ClusterError::NoPorts(options.network.clone()))?;
         let unique = format!("willowslip-soak-{}-{}-{base_port}", std::process::id(), options.network);
         let folder = std::env::temp_dir().join(unique);
@@ -229,7 +239,8 @@
             "front" => format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", base + CLIENT_PORT, base + READY_PORT),
             _ => String::new(),
         };
-        let seeds: Vec<String> = CONTROL.map(|m| format!("\"{}:{}\"", self.ip(m), base + OPERATOR_PORT)).collect();
+        let seeds: Vec<String> =
+            CONTROL.map(|m| format!("\"{}:{}\"", self.ip(m), self.base_port + OPERATOR_PORT)).collect();
         format!(
             "node = \"{node}\"\nip = \"{ip}\"\nzone = \"z{}\"\nportRange = [{base}, {}]\nseeds = [{}]\n\
              initialStart = {is_first}\ndataDir = \"{}\"\n[listen]\n{listen}\n[limits]\nmemoryMb = 200\ndiskMb = 200\n\
--- a/crates/store/src/scheduler.rs
+++ b/crates/store/src/scheduler.rs
@@ -2,6 +2,7 @@
 //! gets the next one. Nothing here is durable; it is made anew from the fold
 //! whenever a partition is taken over.
 
+use crate::queue::QueueId;
 use balance::LeasedBuckets;
 use config::{Homes, Route, Service};
 use rpc::messages::{Assignments, Membership, Node, Outcome, Processor, Report, Sample, ZoneUse};
@@ -12,21 +13,6 @@
 /// A message: its partition and position.
 pub type Key = (u32, u64);
 
-/// Messages that the same processors may run wait in one queue.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct QueueId {
-    pub service: String,
-    /// The regions in which they may be run.
-    pub homes: Homes,
-}
-
-impl QueueId {
-    /// The queue of messages for a service that are bound to no region.
-    pub fn unbound(service: &str) -> QueueId {
-        QueueId { service: service.to_owned(), homes: Homes::default() }
-    }
-}
-
 #[derive(Clone, Debug)]
 pub struct InFlight {
     pub service: String,
@@ -55,8 +41,12 @@
     at: u64,
 }
 
+/// Where a message is to be run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
+    /// The service that the processor belongs to.
+    pub service: String,
+    /// The processor's id, or the service's name for an endpoint.
     pub processor: String,
     /// Empty for an endpoint.
     pub target: String,
@@ -278,6 +268,11 @@
         self.delayed.peek().map(|Reverse((at, _))| *at)
     }
 
+    /// The messages that are queued, each with its queue.
+    pub fn queued_messages(&self) -> impl Iterator<Item = (Key, &QueueId)> {
+        self.queued.iter().map(|(key, (queue, _))| (*key, queue))
+    }
+
     pub fn queues_ready(&self) -> Vec<QueueId> {
         self.ready.iter().filter(|(_, q)| !q.is_empty()).map(|(queue, _)| queue.clone()).collect()
     }
@@ -406,6 +401,7 @@
             }
             let (front, inner) = self.front(&service.name, &self.zone, homes)?;
             return Some(Target {
+                service: service.name.clone(),
                 processor: service.name.clone(),
                 target: String::new(),
                 address: address.clone(),
@@ -455,6 +451,7 @@
         }
         let (front, inner) = self.front(&u.id, &u.zone, homes)?;
         Some(Target {
+            service: service.name.clone(),
             front: front.to_owned(),
             front_inner: inner.to_owned(),
             processor: u.id.clone(),
@@ -555,11 +552,11 @@
 
     pub fn launch(&mut self, key: Key, choice: &Target, route: &Route, until: u64) {
         self.unqueue(key);
-        let turn = self.turns.entry(route.service.clone()).or_insert(0);
+        let turn = self.turns.entry(choice.service.clone()).or_insert(0);
         *turn = turn.wrapping_add(1);
         self.processors.entry(choice.processor.clone()).or_default().in_flight += 1;
         let in_flight = InFlight {
-            service: route.service.clone(),
+            service: choice.service.clone(),
             route: route.name.clone(),
             processor: choice.processor.clone(),
             revision: choice.revision.clone(),
@@ -574,14 +571,14 @@
     }
 
     /// Taken over while under way.
-    pub fn adopt(&mut self, key: Key, route: &Route, processor: &str, front: &str, until: u64) {
+    pub fn adopt(&mut self, key: Key, route: &Route, service: &str, processor: &str, front: &str, until: u64) {
         self.unqueue(key);
         if self.in_flight.contains_key(&key) {
             return;
         }
         self.processors.entry(processor.to_owned()).or_default().in_flight += 1;
         let in_flight = InFlight {
-            service: route.service.clone(),
+            service: service.to_owned(),
             route: route.name.clone(),
             processor: processor.to_owned(),
             revision: String::new(),
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -11,6 +11,7 @@
 mod recovery;
 mod requests;
 
+use crate::queue::QueueId;
 use crate::scheduler::*;
 use crate::uncommitted::{AcceptNames, UncommittedAccepts};
 use agent::Session;
@@ -43,6 +44,8 @@
     /// Partitions taken over whose delivery nodes have not all answered, and where
     /// their logs ended then: what came after that nobody else can have given out.
     asking: HashMap<u32, u64>,
+    /// The revision of the configuration that queues were last chosen by.
+    queued_by_revision: u64,
     lease_until: u64,
     notified: HashMap<u32, Vec<u64>>,
     leaving: bool,
@@ -220,6 +223,7 @@
             fresh: UncommittedAccepts::default(),
             answering: HashMap::new(),
             asking: HashMap::new(),
+            queued_by_revision: 0,
             lease_until: 0,
             notified: HashMap::new(),
             leaving: false,
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -2,13 +2,6 @@
 
 use super::*;
 
-/// The queue that a message waits in by a configuration; `None` if that has no such route.
-fn queue_of(configuration: &config::ConfigurationIndex, item: &Item) -> Option<QueueId> {
-    let route = configuration.route_named(&item.route)?;
-    let homes = configuration.homes(route, &item.tenant);
-    Some(QueueId { service: route.service.clone(), homes })
-}
-
 impl StoreService {
     /// Queues a message if it may run: now, when it is due, or when its turn comes.
     pub(super) fn schedule(&self, i: &mut StoreState, k: Key, now: u64) {
@@ -33,9 +26,34 @@
         }
         // Since when it is due, by this process's steady clock.
         let due_since = now.saturating_sub(time.saturating_sub(w.due_ms));
-        let queue = self.session.with_known(|known| queue_of(&known.configuration, &w.item));
-        if let Some(queue) = queue {
-            i.scheduler.ready(k, queue, due_since);
+        let queue = self.session.with_known(|known| QueueId::of(&known.configuration, &w.item));
+        match queue {
+            Some(queue) => i.scheduler.ready(k, queue, due_since),
+            // The message is from a node with a newer configuration, which comes; or its route
+            // is gone, which the fold is about to be told.
+            None => {
+                telemetry::count("routes_not_known_yet");
+                i.scheduler.later(k, now + self.ratio(40.0));
+            }
+        }
+    }
+
+    /// Chooses the queues of all waiting messages anew where the configuration has changed: a
+    /// route may have other services, or a service be gone.
+    fn choose_queues(&self, i: &mut StoreState, configuration: &config::ConfigurationIndex, now: u64) {
+        if i.queued_by_revision == configuration.revision {
+            return;
+        }
+        i.queued_by_revision = configuration.revision;
+        let is_elsewhere = |(key, queue): &(Key, &QueueId)| {
+            let message = i.replicas.get(&key.0).and_then(|replica| replica.state.pieces.get(&key.1));
+            message.and_then(|message| QueueId::of(configuration, &message.item)).as_ref() != Some(*queue)
+        };
+        let moved: Vec<Key> = i.scheduler.queued_messages().filter(is_elsewhere).map(|(key, _)| key).collect();
+        telemetry::add("messages_queued_anew", moved.len() as u64);
+        for key in moved {
+            i.scheduler.unqueue(key);
+            self.schedule(i, key, now);
         }
     }
 
@@ -79,6 +97,7 @@
         while let Some(k) = i.scheduler.take_due(now) {
             self.schedule(i, k, now);
         }
+        self.choose_queues(i, &known.configuration, now);
         for k in i.scheduler.overdue(now) {
             // The delivery node was to report by now: silence, no attempt.
             telemetry::count("runs_overdue");
@@ -102,7 +121,7 @@
                     continue;
                 }
                 let item = i.replicas.get(&k.0).and_then(|m| m.state.pieces.get(&k.1)).map(|w| &w.item);
-                if item.and_then(|item| queue_of(&known.configuration, item)).is_none_or(|now| now != queue) {
+                if item.and_then(|item| QueueId::of(&known.configuration, item)).is_none_or(|now| now != queue) {
                     // Its route was changed or dropped since it was queued: looked at anew.
                     i.scheduler.unqueue(k);
                     i.scheduler.later(k, now + self.ratio(400.0));
@@ -115,6 +134,7 @@
                 }
                 if !self.dispatch(i, &known, k, service, choice, now) {
                     i.scheduler.unqueue(k);
+                    i.scheduler.later(k, now + self.ratio(100.0));
                 }
                 touched.insert(k.0);
             }
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -47,7 +47,8 @@
                 Effect::Folded(changes) => self.folded(i, partition, changes),
                 Effect::TookOver { seized } => {
                     telemetry::count(if seized { "partitions_seized" } else { "partitions_taken" });
-                    i.scheduler.drop_partition(partition);
+                    // Of its own former term too: what was not committed then may not be now.
+                    self.forget_partition(i, partition, "");
                     let m = &i.replicas[&partition];
                     let term = m.term;
                     i.asking.insert(partition, m.end());
@@ -59,22 +60,7 @@
                 }
                 Effect::StoodDown(owner) => {
                     telemetry::change!("partition {partition} is owned by {owner:?} now");
-                    i.scheduler.drop_partition(partition);
-                    i.asking.remove(&partition);
-                    i.answering.retain(|k, _| k.0 != partition);
-                    i.fresh.forget_partition(partition);
-                    i.notified.remove(&partition);
-                    let gone: Vec<Key> = i.waiters.keys().filter(|k| k.0 == partition).copied().collect();
-                    for k in gone {
-                        for w in i.waiters.remove(&k).into_iter().flatten() {
-                            match w {
-                                Waiter::Accept(p) => {
-                                    p.send(accepted(AcceptOutcome::Unclear, 0, &owner));
-                                }
-                                Waiter::Report(p) => p.send(Body::ReportAck(ReportAck { kept: false })),
-                            }
-                        }
-                    }
+                    self.forget_partition(i, partition, &owner);
                 }
                 Effect::Ask(order) => {
                     let post = self.clone();
@@ -87,6 +73,25 @@
         }
     }
 
+    /// Forgets what is held in memory of a partition that this node owned until now, and tells
+    /// those who wait that it is unclear what becomes of theirs.
+    fn forget_partition(&self, i: &mut StoreState, partition: u32, owner: &str) {
+        i.scheduler.drop_partition(partition);
+        i.asking.remove(&partition);
+        i.answering.retain(|key, _| key.0 != partition);
+        i.fresh.forget_partition(partition);
+        i.notified.remove(&partition);
+        let waited_for: Vec<Key> = i.waiters.keys().filter(|key| key.0 == partition).copied().collect();
+        for key in waited_for {
+            for waiter in i.waiters.remove(&key).into_iter().flatten() {
+                match waiter {
+                    Waiter::Accept(responder) => responder.send(accepted(AcceptOutcome::Unclear, 0, owner)),
+                    Waiter::Report(responder) => responder.send(Body::ReportAck(ReportAck { kept: false })),
+                }
+            }
+        }
+    }
+
     pub(super) async fn order(self: Arc<Self>, partition: u32, order: Order) {
         let leader = self.session.with_known(|k| k.leader.clone());
         if leader.is_empty() {
--- a/crates/store/src/service/recovery.rs
+++ b/crates/store/src/service/recovery.rs
@@ -81,7 +81,8 @@
                 && let Some(c) = known.configuration.route_named(&w.item.route)
             {
                 let until = now + c.timeout_ms as u64 * 21 / 20 + self.ratio(8.0);
-                i.scheduler.adopt((partition, pos), c, &w.processor, &front, until);
+                let service = agent::service_of(c, &w.item.id);
+                i.scheduler.adopt((partition, pos), c, service, &w.processor, &front, until);
                 i.scheduler.name((partition, pos), of_term, attempt);
             }
         }
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -144,12 +144,22 @@
                     AnswerRecord { position: k.1, outcome: r.outcome, result_tag: r.result_tag, attempt: r.attempt };
                 let record = Record { at_ms: self.owner_time(i, k.0), entry: Some(Entry::Answer(answer)) };
                 let mut out = Vec::new();
-                if let Some(m) = i.replicas.get_mut(&k.0)
-                    && let Some(pos) = m.append(&record, now, &mut out)
-                {
+                let position = i.replicas.get_mut(&k.0).and_then(|m| {
+                    let position = m.append(&record, now, &mut out);
                     m.flush(now, &mut out);
-                    i.answering.insert(k, (r.attempt, pos));
-                    i.waiters.entry((k.0, pos)).or_default().push(Waiter::Report(responder));
+                    position
+                });
+                match position {
+                    Some(pos) => {
+                        i.answering.insert(k, (r.attempt, pos));
+                        i.waiters.entry((k.0, pos)).or_default().push(Waiter::Report(responder));
+                    }
+                    // It is reported again; until then the message stays scheduled.
+                    None => {
+                        responder.send(Body::ReportAck(ReportAck { kept: false }));
+                        let pause = i.scheduler.pause(k);
+                        i.scheduler.later(k, now + pause);
+                    }
                 }
                 self.carry_out(i, k.0, out);
             }
@@ -172,7 +182,8 @@
     pub(super) fn class(&self, i: &StoreState, k: Key) -> RetrySafety {
         let Some(w) = i.replicas.get(&k.0).and_then(|m| m.state.pieces.get(&k.1)) else { return RetrySafety::Message };
         let dedupes = self.session.with_known(|s| {
-            let service = s.configuration.route_named(&w.item.route).and_then(|c| s.configuration.service(&c.service));
+            let route = s.configuration.route_named(&w.item.route);
+            let service = route.and_then(|c| s.configuration.service(agent::service_of(c, &w.item.id)));
             service.is_some_and(|p| p.dedupes)
         });
         match (dedupes, w.item.order_key.is_empty()) {
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -317,7 +317,7 @@
     assert!(t.outdated((0, 1), 4, 80));
     // Taken over without a name: any report ends it.
     t.land((0, 1));
-    t.adopt((0, 1), &route(), "u1", "h1", 9999);
+    t.adopt((0, 1), &route(), "p", "u1", "h1", 9999);
     assert!(!t.outdated((0, 1), 3, 60));
 }
 
