Tenants' limits are counted over all nodes, in leased tokens

Change: owners of partitions take a token of the tenant's for each message that they accept, after repeats are found, so that those take none. The leader keeps the ledger and is the only one that grants. It counts a token from its grant until a window after it was reported as spent, or after its holder's lease is surely over; a new leader grants nothing before the owner of every partition has told what the partition's log accepted in the last window. A message that finds no token waits for one answer of the leader, for a fiftieth of quietMs; refused ones get 429 with Retry-After. Invariant with a counter: what is known to be spent in a window is inside the bound. Nothing is asked where no tenant has a limit.

Planted faults: the property over lost, late and repeated messages, ended holders and new leaders fails where spent tokens are not counted and where a new ledger grants at once; it does not find forgotten shares of silent holders nor overtaken requests, which have tests of their own that fail.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -1,5 +1,6 @@
-//! Decisions of the tiers that send requests to processors: how much a processor may be sent
-//! by all machines together, and which processor gets the next request.
+//! Decisions of the tiers that send requests to processors: how much a processor may be sent,
+//! and a tenant may have accepted, by all machines together, and which processor gets the next
+//! request.
 //!
 //! Pure: time is given to every call, and nothing here does I/O. Depends on nothing else of
 //! this project.
@@ -9,6 +10,8 @@
 mod balancer;
 mod budget;
 mod health;
+mod quota;
 pub use balancer::{Balancer, Processor};
 pub use budget::{BudgetLedger, LeasedBucket, LeasedBuckets};
 pub use health::{Health, Pauses, SendEnd};
+pub use quota::{QuotaAnswer, QuotaLedger, QuotaLimit, QuotaReport, QuotaStock, QuotaTake, QuotaTerms, WINDOW_PARTS};
--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -143,6 +143,16 @@
         routes.chain(tenants).map(String::as_str).collect()
     }
 
+    /// Whether any tenant is held to a limit.
+    pub fn has_limits(&self) -> bool {
+        self.configuration.tenants().iter().any(|tenant| tenant.flow_per_s > 0.0)
+    }
+
+    /// Whether a tenant is held to a limit.
+    pub fn has_limit(&self, tenant: &str) -> bool {
+        self.tenant_named(tenant).is_some_and(|tenant| tenant.flow_per_s > 0.0)
+    }
+
     /// A tenant by its name.
     pub fn tenant_named(&self, name: &str) -> Option<&Tenant> {
         self.tenant_names.get(name).map(|n| &self.configuration.tenants()[*n])
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -147,6 +147,15 @@
     /// How long the key of an operation is remembered; 0: operations have no keys.
     #[prost(double, tag = "25")]
     pub key_window_s: f64,
+    /// The window over which a tenant's limit is counted, in seconds; 0: limits are not counted.
+    #[prost(double, tag = "26")]
+    pub quota_window_s: f64,
+    /// The part by which a tenant may exceed its limit in a window.
+    #[prost(double, tag = "27")]
+    pub quota_overshoot: f64,
+    /// By how many messages it may exceed it besides.
+    #[prost(double, tag = "28")]
+    pub quota_slack: f64,
 }
 
 impl Constraints {
@@ -297,6 +306,16 @@
         if !c.key_window_s.is_finite() || c.key_window_s < 0.0 {
             return settings_error("constraints.keyWindowS", "must be 0 or more");
         }
+        let quota = [
+            ("constraints.quotaWindowS", c.quota_window_s),
+            ("constraints.quotaOvershoot", c.quota_overshoot),
+            ("constraints.quotaSlack", c.quota_slack),
+        ];
+        for (name, value) in quota {
+            if !value.is_finite() || value < 0.0 {
+                return settings_error(name, "must be 0 or more");
+            }
+        }
         if self.limits.memory_mb == 0 {
             return settings_error("limits.memoryMb", "must be above 0");
         }
@@ -361,4 +380,10 @@
     pub fn lease_ms(&self) -> u64 {
         (self.constraints.quiet_ms / 12.0) as u64
     }
+
+    /// How long a share of a tenant's limit may be spent after it was asked for, in
+    /// milliseconds: long enough for another leader to be elected meanwhile.
+    pub fn quota_lease_ms(&self) -> u64 {
+        (self.constraints.quiet_ms / 4.0) as u64
+    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod leadership;
 mod operator;
 mod orders;
+mod quota;
 mod rollout;
 mod scaler;
 mod service;
--- /dev/null
+++ b/crates/control/src/quota.rs
@@ -0,0 +1,103 @@
+//! Limits of tenants: a duty of the leader.
+//!
+//! What the owners of all partitions together accept of a tenant in a window is bounded. The
+//! leader grants them shares in tokens; the ledger fences an owner that is lost. A new leader
+//! grants nothing until the owner of every partition has told what was accepted there in the
+//! last window, which a partition's log knows whoever owned it.
+
+use crate::service::{ControlService, ControlShared};
+use balance::{QuotaLedger, QuotaLimit, QuotaReport, QuotaTerms};
+use config::Settings;
+use rpc::messages::{QuotaRequest, QuotaResponse, TenantGrant, TenantUsage};
+use std::collections::HashMap;
+
+/// The ledger of one leader's term.
+#[derive(Default)]
+pub(crate) struct QuotaLeases {
+    term: u64,
+    ledger: Option<QuotaLedger>,
+    /// By partition, the owner's term whose accepted messages are counted.
+    counted: HashMap<u32, u64>,
+}
+
+/// How quotas are counted by these settings; `None` where they are not.
+pub(crate) fn quota_terms(settings: &Settings) -> Option<QuotaTerms> {
+    let constraints = &settings.constraints;
+    (constraints.quota_window_s > 0.0).then(|| QuotaTerms {
+        window_ms: (constraints.quota_window_s * 1000.0) as u64,
+        lease_ms: settings.quota_lease_ms(),
+        overshoot: constraints.quota_overshoot,
+        slack: constraints.quota_slack,
+    })
+}
+
+fn report_of(usage: &TenantUsage) -> QuotaReport {
+    let TenantUsage { tenant, held, spent_total, wanted, recent } = usage.clone();
+    QuotaReport { tenant, held, spent_total, wanted, recent }
+}
+
+impl ControlService {
+    /// Takes what an owner spent, and grants it shares.
+    pub(crate) fn lease_quota(&self, ask: &QuotaRequest) -> QuotaResponse {
+        let Some(terms) = quota_terms(&self.settings) else { return QuotaResponse::default() };
+        let now = self.now();
+        self.with(|f| {
+            if !f.holds(now) || f.later_incarnation(&ask.node) > 0 {
+                return QuotaResponse::default();
+            }
+            f.answer_quota(ask, terms, now)
+        })
+    }
+}
+
+impl ControlShared {
+    fn answer_quota(&mut self, ask: &QuotaRequest, terms: QuotaTerms, now: u64) -> QuotaResponse {
+        let configuration = self.read_configuration();
+        let term = self.term();
+        let leases = &mut self.quota_leases;
+        if leases.term != term {
+            *leases = QuotaLeases { term, ..QuotaLeases::default() };
+        }
+        let ledger = leases.ledger.get_or_insert_with(|| QuotaLedger::new(terms, now));
+        let (node, incarnation) = (ask.node.name.as_str(), ask.node.incarnation);
+        if !ledger.hear(node, incarnation, ask.sequence, ask.introduces, now) {
+            return QuotaResponse { introduce: true, ..QuotaResponse::default() };
+        }
+        leases.counted.extend(ask.counted.iter().map(|holding| (holding.partition, holding.term)));
+        let reports: Vec<QuotaReport> = ask.usages.iter().map(report_of).collect();
+        for report in &reports {
+            ledger.report(node, incarnation, report, now);
+        }
+        if !ledger.is_settled(now) {
+            let partitions = &self.control_state.assignments.partitions;
+            let is_counted = |id: u32, term: u64| leases.counted.get(&id).is_some_and(|counted| *counted >= term);
+            if !partitions.is_empty() && partitions.iter().all(|p| is_counted(p.id, p.term)) {
+                ledger.settle();
+            }
+        }
+        let mut grants = Vec::with_capacity(reports.len());
+        for report in &reports {
+            let limit = configuration.tenant_named(&report.tenant).filter(|tenant| tenant.flow_per_s > 0.0);
+            let Some(tenant) = limit else {
+                grants.push(TenantGrant::default());
+                continue;
+            };
+            let limit = QuotaLimit { flow_per_s: tenant.flow_per_s, surge: tenant.surge };
+            let answer = ledger.grant(node, incarnation, report, limit, now);
+            grants.push(TenantGrant { granted: answer.granted, keep: answer.keep, retry_ms: answer.retry_ms });
+            telemetry::add("quota_tokens_granted", u64::from(answer.granted));
+            check_spent(ledger, &report.tenant, limit, now);
+        }
+        QuotaResponse { taken: true, introduce: false, grants }
+    }
+}
+
+/// Invariant: what is known to be spent of a tenant's limit in a window is inside its bound.
+fn check_spent(ledger: &QuotaLedger, tenant: &str, limit: QuotaLimit, now: u64) {
+    let Some((spent, bound)) = ledger.spent(tenant, limit, now) else { return };
+    telemetry::check_invariant(
+        "invariant_quota_overspent",
+        spent.saturating_sub(bound),
+        format_args!("tenant {tenant}: {spent} in a window, {bound} allowed"),
+    );
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -5,6 +5,7 @@
 use crate::cold::ColdLeases;
 use crate::instance_launcher::InstanceLauncher;
 use crate::leadership::turn;
+use crate::quota::QuotaLeases;
 use crate::rollout::RolloutMonitor;
 use crate::state::*;
 use crate::storage::{self, StoredState, save};
@@ -107,6 +108,8 @@
     pub(crate) document: config::ConfigurationDocument,
     /// Who may send to which cold processor, by this leader's word.
     pub(crate) cold_leases: ColdLeases,
+    /// Who holds which share of tenants' limits, by this leader's word.
+    pub(crate) quota_leases: QuotaLeases,
     /// Zones that were taken back, by the index of that order: since when this leader knows.
     pub(crate) returning_since: HashMap<u64, u64>,
     /// The processors that each front is told, made once for a listing and a membership.
@@ -235,6 +238,7 @@
                 });
             }
             Body::ColdLease(ask) => responder.send(Body::ColdLeaseAck(self.lease_cold(&ask.node))),
+            Body::QuotaRequest(ask) => responder.send(Body::QuotaResponse(self.lease_quota(&ask))),
             Body::ProcessorsRequest(a) => responder.send(Body::Processors(self.processors_of(&a))),
             Body::Start(s) => {
                 let control = self.clone();
@@ -363,6 +367,7 @@
             names_domains: (0, false),
             document: config::ConfigurationDocument::default(),
             cold_leases: ColdLeases::default(),
+            quota_leases: QuotaLeases::default(),
             returning_since: HashMap::new(),
             shares: (0, 0, HashMap::new()),
         }),
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -248,6 +248,12 @@
                                 telemetry::count("refused_full");
                                 return fault(503, "no room").with("Retry-After", "1");
                             }
+                            AcceptOutcome::OverQuota if !unclear => {
+                                telemetry::count("refused_quota");
+                                let retry_s = u64::from(a.retry_ms).div_ceil(1000).max(1);
+                                let refusal = fault(429, "the tenant has no more of its limit now");
+                                return refusal.with("Retry-After", retry_s.to_string());
+                            }
                             AcceptOutcome::NoRoute if !unclear => return fault(404, "no such route"),
                             AcceptOutcome::Elsewhere if !a.owner.is_empty() => hint = Some(a.owner),
                             _ => {}
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -27,8 +27,11 @@
     }
 }
 
+/// How many kinds of messages there are.
+const KINDS: usize = 39;
+
 /// Frames and bytes sent by this process, by kind.
-static SENT: [(AtomicU64, AtomicU64); 37] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; 37];
+static SENT: [(AtomicU64, AtomicU64); KINDS] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; KINDS];
 
 fn kind(b: &Body) -> usize {
     match b {
@@ -69,6 +72,8 @@
         Body::Processors(_) => 34,
         Body::ColdLease(_) => 35,
         Body::ColdLeaseAck(_) => 36,
+        Body::QuotaRequest(_) => 37,
+        Body::QuotaResponse(_) => 38,
     }
 }
 
@@ -112,6 +117,8 @@
         "units",
         "cold_lease",
         "cold_lease_ack",
+        "quota_request",
+        "quota_response",
     ];
     let load = |n: usize| (SENT[n].1.load(Ordering::Relaxed), SENT[n].0.load(Ordering::Relaxed));
     let mut all: Vec<(u64, u64, &str)> =
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -7,6 +7,7 @@
 mod delivery;
 mod membership;
 mod partition;
+mod quota;
 mod raft;
 mod slots;
 mod status;
@@ -15,6 +16,7 @@
 pub use delivery::*;
 pub use membership::*;
 pub use partition::*;
+pub use quota::*;
 pub use raft::*;
 pub use slots::*;
 pub use status::*;
@@ -28,7 +30,7 @@
     pub reply: bool,
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47, 48"
     )]
     pub body: Option<Body>,
 }
@@ -109,6 +111,10 @@
     ColdLease(ColdLease),
     #[prost(message, tag = "46")]
     ColdLeaseAck(ColdLeaseAck),
+    #[prost(message, tag = "47")]
+    QuotaRequest(QuotaRequest),
+    #[prost(message, tag = "48")]
+    QuotaResponse(QuotaResponse),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -70,6 +70,8 @@
     NoRoute = 4,
     /// It may be written.
     Unclear = 5,
+    /// Its tenant has no more of its limit now; nothing was written.
+    OverQuota = 6,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod lease;
 mod membership;
+mod quota;
 mod recovery;
 mod requests;
 
@@ -44,6 +45,8 @@
     /// Partitions taken over whose delivery nodes have not all answered, and where
     /// their logs ended then: what came after that nobody else can have given out.
     asking: HashMap<u32, u64>,
+    /// Where tenants' limits are counted.
+    quota: Option<quota::QuotaState>,
     /// The revision of the configuration that queues were last chosen by.
     queued_by_revision: u64,
     lease_until: u64,
@@ -63,6 +66,8 @@
     former_nodes: Vec<Node>,
     shared: Mutex<StoreState>,
     wake: Notifier,
+    /// A message waits for a share of its tenant's limit.
+    quota_wanted: Notifier,
     synced: mpsc::UnboundedSender<(u32, u64, u64)>,
     start: Instant,
     /// The cluster's time. A lock of its own: it is looked at while the other one is held.
@@ -223,6 +228,7 @@
             fresh: UncommittedAccepts::default(),
             answering: HashMap::new(),
             asking: HashMap::new(),
+            quota: quota::quota_state(&settings),
             queued_by_revision: 0,
             lease_until: 0,
             notified: HashMap::new(),
@@ -232,6 +238,7 @@
             memory_limit: (settings.limits.memory_mb << 20) as usize / 2,
         }),
         wake: Notifier::new(),
+        quota_wanted: Notifier::new(),
         synced,
         start: Instant::now(),
         cluster_time: Mutex::new(CarriedTime::default()),
@@ -249,6 +256,9 @@
     tokio::spawn(session.clone().heed(settings_updates));
     tokio::spawn(post.clone().keep_lease());
     tokio::spawn(post.clone().keep_cold_leases());
+    if settings.constraints.quota_window_s > 0.0 {
+        tokio::spawn(post.clone().keep_quota_leases());
+    }
     tokio::spawn(post.clone().store_membership());
     let p = post.clone();
     tokio::spawn(async move {
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -7,7 +7,7 @@
         let mut guard = self.shared.lock().unwrap();
         let i = &mut *guard;
         match body {
-            Body::Accept(a) => self.accept(i, a, responder),
+            Body::Accept(a) => self.accept(i, a, responder, None),
             Body::Report(r) => self.report(i, r, responder),
             Body::Lookup(l) => {
                 let found = self.lookup(i, &l);
@@ -27,7 +27,15 @@
         }
     }
 
-    pub(super) fn accept(self: &Arc<Self>, i: &mut StoreState, a: Accept, responder: Responder) {
+    /// Takes a message in. `waited_until_ms`: it has waited for a share of its tenant's limit,
+    /// and may until then.
+    pub(super) fn accept(
+        self: &Arc<Self>,
+        i: &mut StoreState,
+        a: Accept,
+        responder: Responder,
+        waited_until_ms: Option<u64>,
+    ) {
         let p = a.partition;
         let owner = match i.replicas.get(&p) {
             Some(m) if m.open() && self.leased(i) => None,
@@ -70,6 +78,7 @@
             responder.send(accepted(AcceptOutcome::Full, 0, ""));
             return;
         }
+        let Some((a, responder)) = self.admit_by_quota(i, a, responder, waited_until_ms) else { return };
         let names = AcceptNames::of(&a.item);
         let record = Record { at_ms, entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })) };
         let mut position = None;
--- a/crates/willowslip/tests/quotas.rs
+++ b/crates/willowslip/tests/quotas.rs
@@ -4,6 +4,7 @@
 use soak::clients::{HOST, Message, Sent, send};
 use soak::{Cluster, ClusterOptions, Processor};
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(2);
@@ -22,8 +23,11 @@
             {"name": "free", "keys": ["key-free"], "flowPerS": 0, "surge": 0}]})
 }
 
-fn message(tenant_key: &str, number: usize) -> Message {
-    let id = format!("{tenant_key}-{number}");
+/// How many messages were sent so far: no two have the same id.
+static SENT: AtomicUsize = AtomicUsize::new(0);
+
+fn message(tenant_key: &str) -> Message {
+    let id = format!("{tenant_key}-{}", SENT.fetch_add(1, Ordering::Relaxed));
     Message { id, path: "/m/x".into(), tenant_key: tenant_key.into(), ..Message::default() }
 }
 
@@ -35,7 +39,7 @@
         if Instant::now() >= end {
             break;
         }
-        all.push(send(&fronts[number % fronts.len()], message(tenant_key, number)));
+        all.push(send(&fronts[number % fronts.len()], message(tenant_key)));
         std::thread::sleep(pause);
     }
     all
@@ -60,6 +64,11 @@
     cluster.start(&configuration(&processor)).expect("it starts");
     let fronts = cluster.fronts();
 
+    // Until the owners of all partitions have told the leader what they accepted before.
+    let begun = Instant::now();
+    while send(&fronts[0], message("key-limited")).status != 202 {
+        assert!(begun.elapsed() < Duration::from_secs(20), "nothing is accepted");
+    }
     let below = send_steadily(&fronts, "key-limited", Duration::from_millis(150), Duration::from_secs(4));
     let refused = below.iter().filter(|sent| sent.status == 429).count();
     assert_eq!(refused, 0, "of {} messages at two thirds of the limit", below.len());
