Quotas: what is spent is counted partition by partition

Counted twice, a tenant is refused below its limit for a window.

Change: spent tokens are told and kept by partition and term; what an owner of a higher term tells takes the place of what is known of the partition, and what comes of a former term is passed over: it stands in the log, or was never accepted. A message for a partition whose log was not looked through yet waits.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,4 +14,7 @@
 pub use balancer::{Balancer, Processor};
 pub use budget::{BudgetLedger, LeasedBucket, LeasedBuckets};
 pub use health::{Health, Pauses, SendEnd};
-pub use quota::{QuotaAnswer, QuotaLedger, QuotaLimit, QuotaReport, QuotaStock, QuotaTake, QuotaTerms, WINDOW_PARTS};
+pub use quota::{
+    PartitionSpending, QuotaAnswer, QuotaLedger, QuotaLimit, QuotaReport, QuotaStock, QuotaTake, QuotaTerms,
+    WINDOW_PARTS,
+};
--- a/crates/balance/src/quota.rs
+++ b/crates/balance/src/quota.rs
@@ -9,7 +9,7 @@
 
 mod ledger;
 mod stock;
-pub use ledger::{QuotaAnswer, QuotaLedger, QuotaReport};
+pub use ledger::{PartitionSpending, QuotaAnswer, QuotaLedger, QuotaReport};
 pub use stock::{QuotaStock, QuotaTake};
 
 /// In how many parts a holder tells what it spent in the last window, by age.
--- a/crates/balance/src/quota/ledger.rs
+++ b/crates/balance/src/quota/ledger.rs
@@ -23,12 +23,22 @@
     pub tenant: String,
     /// Tokens that it holds.
     pub held: u32,
-    /// Tokens that it has spent since it began.
-    pub spent_total: u64,
     /// Tokens that it would like to have besides.
     pub wanted: u32,
-    /// Tokens spent in the last window that the ledger does not know of, in parts by age: with
-    /// an introduction all of them, else those spent by whoever had its work before.
+    /// What it has spent, partition by partition.
+    pub spendings: Vec<PartitionSpending>,
+}
+
+/// Tokens that were spent on messages of one partition.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PartitionSpending {
+    /// The partition's number.
+    pub partition: u32,
+    /// The owner's term.
+    pub term: u64,
+    /// Tokens that the holder has spent since it began with that term.
+    pub spent_total: u64,
+    /// Not empty: all that was spent in the last window, by former owners too, in parts by age.
     pub recent: Vec<u32>,
 }
 
@@ -47,7 +57,8 @@
 #[derive(Default)]
 struct Share {
     outstanding: u64,
-    spent_total: u64,
+    /// By partition, what it said that it has spent.
+    totals: HashMap<u32, u64>,
 }
 
 /// What is known of a holder.
@@ -56,11 +67,18 @@
     until_ms: u64,
 }
 
+/// Tokens that count until a time; of no partition where it is not known that they were spent.
+struct Spent {
+    until_ms: u64,
+    tokens: u64,
+    partition: Option<u32>,
+}
+
 #[derive(Default)]
 struct Account {
     shares: HashMap<Holder, Share>,
-    /// Tokens that were spent, or may have been, with the end of the window in which they count.
-    spent: VecDeque<(u64, u64)>,
+    /// Tokens that were spent, or may have been, in the order in which they cease to count.
+    spent: VecDeque<Spent>,
     spent_sum: u64,
     /// Until when more may be spent than the limit in force says, as it was higher.
     lowered_until_ms: u64,
@@ -68,22 +86,43 @@
 }
 
 impl Account {
-    fn count_spent(&mut self, tokens: u64, until_ms: u64) {
+    fn count_spent(&mut self, tokens: u64, until_ms: u64, partition: Option<u32>) {
         if tokens == 0 {
             return;
         }
         self.spent_sum += tokens;
-        let at = self.spent.partition_point(|(until, _)| *until <= until_ms);
-        self.spent.insert(at, (until_ms, tokens));
+        let at = self.spent.partition_point(|spent| spent.until_ms <= until_ms);
+        self.spent.insert(at, Spent { until_ms, tokens, partition });
     }
 
     fn forget_spent(&mut self, now_ms: u64) {
-        while let Some((until_ms, tokens)) = self.spent.front().copied() {
-            if until_ms > now_ms {
-                break;
+        while let Some(spent) = self.spent.pop_front_if(|spent| spent.until_ms <= now_ms) {
+            self.spent_sum -= spent.tokens;
+        }
+    }
+
+    fn forget_partition(&mut self, partition: u32) {
+        self.spent.retain(|spent| spent.partition != Some(partition));
+        self.spent_sum = self.spent.iter().map(|spent| spent.tokens).sum();
+    }
+
+    /// Takes what a holder says that it spent on messages of a partition.
+    fn spend(&mut self, holder: &Holder, spending: &PartitionSpending, terms: &QuotaTerms, now_ms: u64) {
+        let (window_ms, part_ms) = (terms.window_ms, terms.part_ms());
+        let (partition, total) = (spending.partition, spending.spent_total);
+        let share = self.shares.entry(holder.clone()).or_default();
+        let former = share.totals.insert(partition, total).unwrap_or(0);
+        if spending.recent.is_empty() {
+            self.count_spent(total.saturating_sub(former), now_ms + window_ms, Some(partition));
+            return;
+        }
+        self.forget_partition(partition);
+        for (tokens, part) in spending.recent.iter().zip(0u64..) {
+            // What is in the part before now's may be as young as nothing.
+            let age_ms = part.saturating_sub(1) * part_ms;
+            if age_ms < window_ms {
+                self.count_spent(u64::from(*tokens), now_ms + window_ms - age_ms, Some(partition));
             }
-            self.spent.pop_front();
-            self.spent_sum -= tokens;
         }
     }
 
@@ -102,6 +141,8 @@
     expired_at_ms: u64,
     holders: HashMap<Holder, HolderState>,
     accounts: HashMap<String, Account>,
+    /// By partition, the highest term of an owner that has told what was spent there.
+    partition_terms: HashMap<u32, u64>,
 }
 
 impl QuotaLedger {
@@ -115,6 +156,7 @@
             expired_at_ms: 0,
             holders: HashMap::new(),
             accounts: HashMap::new(),
+            partition_terms: HashMap::new(),
         }
     }
 
@@ -152,24 +194,33 @@
         }
     }
 
-    /// Takes what a holder that was heard reports of a tenant.
+    /// The owner of a partition at a term tells all that was spent there in the last window,
+    /// with the reports that follow: it takes the place of what former owners told.
+    pub fn count_partition(&mut self, partition: u32, term: u64) {
+        let known = self.partition_terms.entry(partition).or_insert(0);
+        if term > *known {
+            *known = term;
+            self.accounts.values_mut().for_each(|account| account.forget_partition(partition));
+        }
+    }
+
+    /// The highest term at which an owner told what was spent on a partition; 0: none did.
+    pub fn counted_term(&self, partition: u32) -> u64 {
+        self.partition_terms.get(&partition).copied().unwrap_or(0)
+    }
+
+    /// Takes what a holder that was heard reports of a tenant. What it spent at a former term of
+    /// a partition stands in the log of that partition, which a later owner has told, or was
+    /// never accepted.
     pub fn report(&mut self, node: &str, incarnation: u64, report: &QuotaReport, now_ms: u64) {
-        let (window_ms, part_ms) = (self.terms.window_ms, self.terms.part_ms());
-        let account = self.accounts.entry(report.tenant.clone()).or_default();
         let holder = (node.to_owned(), incarnation);
-        if let Some(share) = account.shares.get(&holder) {
-            let spent = report.spent_total.saturating_sub(share.spent_total);
-            account.count_spent(spent, now_ms + window_ms);
-        }
-        for (tokens, part) in report.recent.iter().zip(0u64..) {
-            // What is in the part before now's may be as young as nothing.
-            let age_ms = part.saturating_sub(1) * part_ms;
-            if age_ms < window_ms {
-                account.count_spent(u64::from(*tokens), now_ms + window_ms - age_ms);
+        let account = self.accounts.entry(report.tenant.clone()).or_default();
+        for spending in &report.spendings {
+            if self.partition_terms.get(&spending.partition).is_none_or(|term| spending.term >= *term) {
+                account.spend(&holder, spending, &self.terms, now_ms);
             }
         }
-        let share = Share { outstanding: u64::from(report.held), spent_total: report.spent_total };
-        account.shares.insert(holder, share);
+        account.shares.entry(holder).or_default().outstanding = u64::from(report.held);
     }
 
     /// Grants a holder that was heard tokens of a tenant, after its report.
@@ -203,11 +254,15 @@
         QuotaAnswer { granted, keep, retry_ms: if granted < report.wanted { retry_ms } else { 0 } }
     }
 
-    /// Tokens of a tenant that were spent in the last window, as far as is known, and the bound
-    /// on them; `None` while a higher limit may still show.
+    /// Tokens of a tenant that are known to be spent in the last window, and the bound on them;
+    /// `None` while a higher limit may still show.
     pub fn spent(&self, tenant: &str, limit: QuotaLimit, now_ms: u64) -> Option<(u64, u64)> {
         let account = self.accounts.get(tenant).filter(|account| account.lowered_until_ms <= now_ms)?;
-        Some((account.spent_sum, self.terms.bound(limit)))
+        let known = account.spent.iter().filter(|spent| spent.partition.is_some());
+        // What is told by age counts for up to two parts longer than it should.
+        let window_ms = self.terms.window_ms + 2 * self.terms.part_ms();
+        let bound = QuotaTerms { window_ms, ..self.terms }.bound(limit);
+        Some((known.map(|spent| spent.tokens).sum(), bound))
     }
 
     /// Tokens of a tenant that are held, and that were spent in the last window.
@@ -229,7 +284,7 @@
             self.holders.remove(&holder);
             for account in self.accounts.values_mut() {
                 if let Some(share) = account.shares.remove(&holder) {
-                    account.count_spent(share.outstanding, until_ms + window_ms);
+                    account.count_spent(share.outstanding, until_ms + window_ms, None);
                 }
             }
         }
--- a/crates/balance/src/quota/stock.rs
+++ b/crates/balance/src/quota/stock.rs
@@ -1,8 +1,8 @@
 //! The tokens of one holder.
 
-use super::ledger::{QuotaAnswer, QuotaReport};
+use super::ledger::{PartitionSpending, QuotaAnswer, QuotaReport};
 use super::{QuotaTerms, WINDOW_PARTS};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// For how much of the demand a holder keeps tokens, in seconds.
 const STOCK_S: f64 = 0.6;
@@ -45,20 +45,15 @@
         }
     }
 
-    /// Takes all that another one has, which is empty then.
-    fn take_from(&mut self, other: &mut Parts) {
-        for (part, count) in other.counts.drain(..) {
-            self.add(part, count);
-        }
-    }
-
-    /// Adds what it has to a list by age, in parts.
-    fn count_by_age(&self, now_part: u64, by_age: &mut [u32]) {
+    /// What it has by age, in parts.
+    fn by_age(&self, now_part: u64) -> Vec<u32> {
+        let mut by_age = vec![0; WINDOW_PARTS as usize + 1];
         for (part, count) in &self.counts {
             if let Some(sum) = by_age.get_mut(now_part.saturating_sub(*part) as usize) {
                 *sum += count;
             }
         }
+        by_age
     }
 
     fn since(&self, part: u64) -> u32 {
@@ -66,15 +61,26 @@
     }
 }
 
+/// What was spent on messages of one partition.
+#[derive(Default)]
+struct Spending {
+    term: u64,
+    /// By this holder since it began with that term.
+    total: u64,
+    /// In the last window, by former owners too.
+    spent: Parts,
+    /// The ledger knows what was spent in the last window.
+    is_told: bool,
+    /// The total that was told last.
+    told_total: u64,
+}
+
 #[derive(Default)]
 struct Stock {
     held: u32,
-    spent_total: u64,
-    spent: Parts,
-    /// Spent by whoever had this holder's work before, and not told yet; and told, but not
-    /// answered yet.
-    inherited: Parts,
-    inherited_told: Parts,
+    spendings: BTreeMap<u32, Spending>,
+    /// Tokens spent since the last report.
+    spent_since_report: u32,
     demand: Parts,
     /// Messages that wait for a token.
     missing: u32,
@@ -84,28 +90,45 @@
     is_news: bool,
 }
 
+impl Stock {
+    /// What to tell of the partitions of which there is news, or of all.
+    fn told(&self, tells_all: bool, part: u64) -> Vec<PartitionSpending> {
+        let is_news = |spending: &&Spending| tells_all || !spending.is_told || spending.total != spending.told_total;
+        let told = self.spendings.iter().filter(|(_, spending)| is_news(spending));
+        let told = told.map(|(partition, spending)| PartitionSpending {
+            partition: *partition,
+            term: spending.term,
+            spent_total: spending.total,
+            recent: if tells_all || !spending.is_told { spending.spent.by_age(part) } else { Vec::new() },
+        });
+        told.collect()
+    }
+}
+
 /// What a holder may spend, tenant by tenant. Times are in milliseconds of its steady clock.
 pub struct QuotaStock {
     terms: QuotaTerms,
     /// Until when what is held may be spent.
     until_ms: u64,
-    /// One for each tenant that it has had a message of: their totals may not begin anew.
+    /// One for each tenant that it has had a message of.
     stocks: HashMap<String, Stock>,
+    /// By partition, the term at which this holder owns it, or owned it last.
+    terms_of_partitions: HashMap<u32, u64>,
 }
 
 impl QuotaStock {
     /// A holder that holds nothing.
     pub fn new(terms: QuotaTerms) -> QuotaStock {
-        QuotaStock { terms, until_ms: 0, stocks: HashMap::new() }
+        QuotaStock { terms, until_ms: 0, stocks: HashMap::new(), terms_of_partitions: HashMap::new() }
     }
 
     fn part(&self, now_ms: u64) -> u64 {
         now_ms / self.terms.part_ms()
     }
 
-    /// Takes a token for one message of a tenant. `is_first`: it was not told to ask before,
+    /// Takes a token for one message of a tenant for a partition. `is_first`: it was not told to ask before,
     /// and so is not counted as demand yet.
-    pub fn take(&mut self, tenant: &str, is_first: bool, now_ms: u64) -> QuotaTake {
+    pub fn take(&mut self, tenant: &str, partition: u32, is_first: bool, now_ms: u64) -> QuotaTake {
         let part = self.part(now_ms);
         let is_leased = now_ms < self.until_ms;
         if !self.stocks.contains_key(tenant) {
@@ -117,8 +140,12 @@
         }
         if is_leased && stock.held > 0 {
             stock.held -= 1;
-            stock.spent_total += 1;
-            stock.spent.add(part, 1);
+            stock.spent_since_report += 1;
+            let term = self.terms_of_partitions.get(&partition).copied().unwrap_or(0);
+            let new = || Spending { term, ..Spending::default() };
+            let spending = stock.spendings.entry(partition).or_insert_with(new);
+            spending.total += 1;
+            spending.spent.add(part, 1);
             stock.is_news = true;
             return QuotaTake::Taken;
         }
@@ -130,19 +157,38 @@
         QuotaTake::Ask
     }
 
-    /// A message that was told to ask waits no longer.
+    /// A message waits for a token, whatever is held.
+    pub fn wait(&mut self, tenant: &str) {
+        self.stocks.entry(tenant.to_owned()).or_default().missing += 1;
+    }
+
+    /// A message that was told to ask, or to wait, waits no longer.
     pub fn give_up(&mut self, tenant: &str) {
         if let Some(stock) = self.stocks.get_mut(tenant) {
             stock.missing = stock.missing.saturating_sub(1);
         }
     }
 
-    /// Counts messages of a tenant that were accepted `age_ms` ago by whoever had this holder's
-    /// work before.
-    pub fn count_accepted(&mut self, tenant: &str, age_ms: u64, now_ms: u64) {
+    /// This holder owns a partition from a term on; what was accepted there in the last window
+    /// is counted next.
+    pub fn begin_partition(&mut self, partition: u32, term: u64) {
+        for stock in self.stocks.values_mut() {
+            // Of the tenant's messages its log may have none any more: that is told as well.
+            if let Some(spending) = stock.spendings.get_mut(&partition) {
+                *spending = Spending { term, ..Spending::default() };
+                stock.is_news = true;
+            }
+        }
+        self.terms_of_partitions.insert(partition, term);
+    }
+
+    /// Counts a message of a tenant that a partition accepted `age_ms` ago, by its log.
+    pub fn count_accepted(&mut self, tenant: &str, partition: u32, age_ms: u64, now_ms: u64) {
         let part = self.part(now_ms.saturating_sub(age_ms));
+        let term = self.terms_of_partitions.get(&partition).copied().unwrap_or(0);
         let stock = self.stocks.entry(tenant.to_owned()).or_default();
-        stock.inherited.add(part, 1);
+        let spending = stock.spendings.entry(partition).or_insert_with(|| Spending { term, ..Spending::default() });
+        spending.spent.add(part, 1);
         stock.is_news = true;
     }
 
@@ -153,8 +199,10 @@
         let demand_s = window_s * DEMAND_PARTS as f64 / WINDOW_PARTS as f64;
         let mut reports = Vec::new();
         for (tenant, stock) in &mut self.stocks {
-            stock.spent.forget((part + 1).saturating_sub(WINDOW_PARTS + 1));
-            stock.demand.forget((part + 1).saturating_sub(DEMAND_PARTS + 1));
+            for spending in stock.spendings.values_mut() {
+                spending.spent.forget(part.saturating_sub(WINDOW_PARTS));
+            }
+            stock.demand.forget(part.saturating_sub(DEMAND_PARTS));
             let demand_per_s = f64::from(stock.demand.since((part + 1).saturating_sub(DEMAND_PARTS))) / demand_s;
             let target = (demand_per_s * STOCK_S).ceil() as u32;
             let surplus = if is_leased { stock.held.saturating_sub(target * 2) } else { stock.held };
@@ -164,18 +212,9 @@
                 continue;
             }
             stock.is_news = true;
-            let mut inherited = std::mem::take(&mut stock.inherited);
-            stock.inherited_told.take_from(&mut inherited);
-            let mut recent = vec![0; WINDOW_PARTS as usize + 1];
-            stock.inherited_told.count_by_age(part, &mut recent);
-            if introduces {
-                stock.spent.count_by_age(part, &mut recent);
-            }
-            if recent.iter().all(|count| *count == 0) {
-                recent.clear();
-            }
-            let (held, spent_total) = (stock.held, stock.spent_total);
-            reports.push(QuotaReport { tenant: tenant.clone(), held, spent_total, wanted, recent });
+            stock.spent_since_report = 0;
+            let (held, spendings) = (stock.held, stock.told(introduces, part));
+            reports.push(QuotaReport { tenant: tenant.clone(), held, wanted, spendings });
         }
         reports
     }
@@ -185,12 +224,15 @@
         self.until_ms = self.until_ms.max(asked_ms + self.terms.lease_ms);
         for (report, answer) in reports.iter().zip(answers) {
             let Some(stock) = self.stocks.get_mut(&report.tenant) else { continue };
-            let mut told = std::mem::take(&mut stock.inherited_told);
-            stock.spent.take_from(&mut told);
-            stock.is_news = !stock.inherited.counts.is_empty() || stock.spent_total != report.spent_total;
-            let spent_since = (stock.spent_total - report.spent_total) as u32;
+            for told in &report.spendings {
+                let spending = stock.spendings.get_mut(&told.partition);
+                let Some(spending) = spending.filter(|spending| spending.term == told.term) else { continue };
+                spending.is_told = true;
+                spending.told_total = told.spent_total;
+            }
+            stock.is_news = stock.spendings.values().any(|s| !s.is_told || s.total != s.told_total);
             // Of what it held it has spent some meanwhile; those count as the first ones kept.
-            stock.held = answer.keep.saturating_sub(spent_since).min(stock.held) + answer.granted;
+            stock.held = answer.keep.saturating_sub(stock.spent_since_report).min(stock.held) + answer.granted;
             stock.dry_until_ms = match answer.granted {
                 0 if report.wanted > 0 => now_ms + u64::from(answer.retry_ms),
                 _ => 0,
--- a/crates/balance/tests/quota.rs
+++ b/crates/balance/tests/quota.rs
@@ -3,7 +3,7 @@
 
 use balance::{QuotaAnswer, QuotaLedger, QuotaLimit, QuotaReport, QuotaStock, QuotaTake, QuotaTerms};
 use proptest::prelude::*;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 const TERMS: QuotaTerms = QuotaTerms { window_ms: 2000, lease_ms: 600, overshoot: 0.0, slack: 0.0 };
 const LIMIT: QuotaLimit = QuotaLimit { flow_per_s: 20.0, surge: 10.0 };
@@ -16,7 +16,7 @@
     sequence: u64,
     introduces: bool,
     reports: Vec<QuotaReport>,
-    counted: HashSet<usize>,
+    counted: BTreeMap<usize, u64>,
     asked_ms: u64,
 }
 
@@ -26,14 +26,15 @@
     incarnation: u64,
     sequence: u64,
     introduces: bool,
-    owned: HashSet<usize>,
+    /// Its partitions, with its term of each.
+    owned: BTreeMap<usize, u64>,
     /// Its one request under way; whatever else arrives is not its answer.
     awaits: Option<Request>,
 }
 
 impl Holder {
     fn new(incarnation: u64) -> Holder {
-        let (owned, awaits) = (HashSet::new(), None);
+        let (owned, awaits) = (BTreeMap::new(), None);
         Holder { stock: QuotaStock::new(TERMS), incarnation, sequence: 0, introduces: true, owned, awaits }
     }
 }
@@ -63,8 +64,8 @@
     now: u64,
     holders: Vec<Holder>,
     ledger: QuotaLedger,
-    /// Partitions whose log the ledger's holders have counted.
-    counted: HashSet<usize>,
+    /// By partition, its owner's term.
+    terms: Vec<u64>,
     old: Vec<(usize, Request)>,
     /// By partition: when each message was accepted.
     logs: Vec<Vec<u64>>,
@@ -74,16 +75,17 @@
     fn new() -> World {
         let mut holders: Vec<Holder> = (0..HOLDERS).map(|_| Holder::new(1)).collect();
         for (partition, holder) in holders.iter_mut().enumerate() {
-            holder.owned.insert(partition);
+            holder.owned.insert(partition, 1);
+            holder.stock.begin_partition(partition as u32, 1);
         }
         let ledger = QuotaLedger::new(TERMS, 10_000);
-        World { now: 10_000, holders, ledger, counted: HashSet::new(), old: vec![], logs: vec![vec![]; HOLDERS] }
+        World { now: 10_000, holders, ledger, terms: vec![1; HOLDERS], old: vec![], logs: vec![vec![]; HOLDERS] }
     }
 
     fn messages(&mut self, holder: usize, count: usize) {
-        let Some(partition) = self.holders[holder].owned.iter().next().copied() else { return };
+        let Some(partition) = self.holders[holder].owned.keys().next().copied() else { return };
         for _ in 0..count {
-            if self.holders[holder].stock.take(TENANT, true, self.now) == QuotaTake::Taken {
+            if self.holders[holder].stock.take(TENANT, partition as u32, true, self.now) == QuotaTake::Taken {
                 self.logs[partition].push(self.now);
             }
         }
@@ -128,11 +130,14 @@
         if !self.ledger.hear(&name, request.incarnation, request.sequence, request.introduces, now) {
             return Some(None);
         }
+        for (partition, term) in &request.counted {
+            self.ledger.count_partition(*partition as u32, *term);
+        }
         for report in &request.reports {
             self.ledger.report(&name, request.incarnation, report, now);
         }
-        self.counted.extend(&request.counted);
-        if self.counted.len() == HOLDERS {
+        let mut terms = self.terms.iter().zip(0u32..);
+        if terms.all(|(term, partition)| self.ledger.counted_term(partition) >= *term) {
             self.ledger.settle();
         }
         let grant = |report| self.ledger.grant(&name, request.incarnation, report, LIMIT, now);
@@ -143,17 +148,19 @@
         let owned = std::mem::take(&mut self.holders[number].owned);
         self.holders[number] = Holder::new(self.holders[number].incarnation + 1);
         let heir = (number + 1) % HOLDERS;
-        for partition in owned {
-            for at in self.logs[partition].iter().filter(|at| **at + TERMS.window_ms > self.now) {
-                self.holders[heir].stock.count_accepted(TENANT, self.now - at, self.now);
+        for partition in owned.into_keys() {
+            self.terms[partition] += 1;
+            let (term, now) = (self.terms[partition], self.now);
+            self.holders[heir].stock.begin_partition(partition as u32, term);
+            for at in self.logs[partition].iter().filter(|at| **at + TERMS.window_ms > now) {
+                self.holders[heir].stock.count_accepted(TENANT, partition as u32, now - at, now);
             }
-            self.holders[heir].owned.insert(partition);
+            self.holders[heir].owned.insert(partition, term);
         }
     }
 
     fn leader(&mut self) {
         self.ledger = QuotaLedger::new(TERMS, self.now);
-        self.counted.clear();
         self.old.clear();
         for holder in &mut self.holders {
             holder.introduces = true;
@@ -231,7 +238,7 @@
         world.now += 1;
         if tick.is_multiple_of(1000 / per_s) {
             let holder = at(tick);
-            match world.holders[holder].stock.take(TENANT, true, world.now) {
+            match world.holders[holder].stock.take(TENANT, holder as u32, true, world.now) {
                 QuotaTake::Taken => world.logs[0].push(world.now),
                 QuotaTake::Refused { .. } => refused += 1,
                 QuotaTake::Ask => waiting.push((holder, world.now)),
@@ -245,7 +252,7 @@
             for (holder, _) in std::mem::take(&mut waiting) {
                 let stock = &mut world.holders[holder].stock;
                 stock.give_up(TENANT);
-                match stock.take(TENANT, false, world.now) {
+                match stock.take(TENANT, holder as u32, false, world.now) {
                     QuotaTake::Taken => world.logs[0].push(world.now),
                     _ => refused += 1,
                 }
--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -6,18 +6,15 @@
 //! last window, which a partition's log knows whoever owned it.
 
 use crate::service::{ControlService, ControlShared};
-use balance::{QuotaLedger, QuotaLimit, QuotaReport, QuotaTerms};
+use balance::{PartitionSpending, QuotaLedger, QuotaLimit, QuotaReport, QuotaTerms};
 use config::Settings;
-use rpc::messages::{QuotaRequest, QuotaResponse, TenantGrant, TenantUsage};
-use std::collections::HashMap;
+use rpc::messages::{PartitionUsage, QuotaRequest, QuotaResponse, TenantGrant, TenantUsage};
 
 /// The ledger of one leader's term.
 #[derive(Default)]
 pub(crate) struct QuotaLeases {
     term: u64,
     ledger: Option<QuotaLedger>,
-    /// By partition, the owner's term whose accepted messages are counted.
-    counted: HashMap<u32, u64>,
 }
 
 /// How quotas are counted by these settings; `None` where they are not.
@@ -31,14 +28,18 @@
     })
 }
 
-fn report_of(usage: &TenantUsage) -> QuotaReport {
-    let TenantUsage { tenant, held, spent_total, wanted, recent } = usage.clone();
-    QuotaReport { tenant, held, spent_total, wanted, recent }
+fn report_of(usage: TenantUsage) -> QuotaReport {
+    let spending = |usage: PartitionUsage| {
+        let PartitionUsage { partition, term, spent_total, recent } = usage;
+        PartitionSpending { partition, term, spent_total, recent }
+    };
+    let TenantUsage { tenant, held, wanted, spendings } = usage;
+    QuotaReport { tenant, held, wanted, spendings: spendings.into_iter().map(spending).collect() }
 }
 
 impl ControlService {
     /// Takes what an owner spent, and grants it shares.
-    pub(crate) fn lease_quota(&self, ask: &QuotaRequest) -> QuotaResponse {
+    pub(crate) fn lease_quota(&self, ask: QuotaRequest) -> QuotaResponse {
         let Some(terms) = quota_terms(&self.settings) else { return QuotaResponse::default() };
         let now = self.now();
         self.with(|f| {
@@ -51,27 +52,28 @@
 }
 
 impl ControlShared {
-    fn answer_quota(&mut self, ask: &QuotaRequest, terms: QuotaTerms, now: u64) -> QuotaResponse {
+    fn answer_quota(&mut self, ask: QuotaRequest, terms: QuotaTerms, now: u64) -> QuotaResponse {
         let configuration = self.read_configuration();
         let term = self.term();
         let leases = &mut self.quota_leases;
         if leases.term != term {
-            *leases = QuotaLeases { term, ..QuotaLeases::default() };
+            *leases = QuotaLeases { term, ledger: None };
         }
         let ledger = leases.ledger.get_or_insert_with(|| QuotaLedger::new(terms, now));
         let (node, incarnation) = (ask.node.name.as_str(), ask.node.incarnation);
         if !ledger.hear(node, incarnation, ask.sequence, ask.introduces, now) {
             return QuotaResponse { introduce: true, ..QuotaResponse::default() };
         }
-        leases.counted.extend(ask.counted.iter().map(|holding| (holding.partition, holding.term)));
-        let reports: Vec<QuotaReport> = ask.usages.iter().map(report_of).collect();
+        for holding in &ask.counted {
+            ledger.count_partition(holding.partition, holding.term);
+        }
+        let reports: Vec<QuotaReport> = ask.usages.into_iter().map(report_of).collect();
         for report in &reports {
             ledger.report(node, incarnation, report, now);
         }
         if !ledger.is_settled(now) {
             let partitions = &self.control_state.assignments.partitions;
-            let is_counted = |id: u32, term: u64| leases.counted.get(&id).is_some_and(|counted| *counted >= term);
-            if !partitions.is_empty() && partitions.iter().all(|p| is_counted(p.id, p.term)) {
+            if !partitions.is_empty() && partitions.iter().all(|p| ledger.counted_term(p.id) >= p.term) {
                 ledger.settle();
             }
         }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -238,7 +238,7 @@
                 });
             }
             Body::ColdLease(ask) => responder.send(Body::ColdLeaseAck(self.lease_cold(&ask.node))),
-            Body::QuotaRequest(ask) => responder.send(Body::QuotaResponse(self.lease_quota(&ask))),
+            Body::QuotaRequest(ask) => responder.send(Body::QuotaResponse(self.lease_quota(ask))),
             Body::ProcessorsRequest(a) => responder.send(Body::Processors(self.processors_of(&a))),
             Body::Start(s) => {
                 let control = self.clone();
--- a/crates/rpc/src/messages/quota.rs
+++ b/crates/rpc/src/messages/quota.rs
@@ -11,14 +11,28 @@
     /// Tokens that it holds.
     #[prost(uint32, tag = "2")]
     pub held: u32,
-    /// Tokens that this incarnation has spent.
-    #[prost(uint64, tag = "3")]
-    pub spent_total: u64,
     /// Tokens that it would like to have besides.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "3")]
     pub wanted: u32,
-    /// Tokens spent in the last window that the leader does not know of, in parts by age.
-    #[prost(uint32, repeated, tag = "5")]
+    /// What was spent, a partition each.
+    #[prost(message, repeated, tag = "4")]
+    pub spendings: Vec<PartitionUsage>,
+}
+
+/// Tokens of a tenant that were spent on messages of one partition.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartitionUsage {
+    /// The partition's number.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// The owner's term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Tokens that this owner has spent since it began with that term.
+    #[prost(uint64, tag = "3")]
+    pub spent_total: u64,
+    /// Not empty: all that was spent in the last window, in parts by age.
+    #[prost(uint32, repeated, tag = "4")]
     pub recent: Vec<u32>,
 }
 
--- a/crates/store/src/service/quota.rs
+++ b/crates/store/src/service/quota.rs
@@ -3,7 +3,7 @@
 //! leader, for a short while.
 
 use super::*;
-use balance::{QuotaAnswer, QuotaReport, QuotaStock, QuotaTake, QuotaTerms};
+use balance::{PartitionSpending, QuotaAnswer, QuotaReport, QuotaStock, QuotaTake, QuotaTerms};
 
 /// The part of `quietMs` after which shares are asked for and told at the latest.
 const PERIOD_PART: f64 = 40.0;
@@ -64,13 +64,22 @@
         responder: Responder,
         waited_until_ms: Option<u64>,
     ) -> Option<(Accept, Responder)> {
-        let Some(quota) = &mut i.quota else { return Some((accept, responder)) };
         let tenant = &accept.item.tenant;
         if tenant.is_empty() || !self.session.with_known(|known| known.configuration.has_limit(tenant)) {
             return Some((accept, responder));
         }
+        self.count_taken_over(i);
+        let Some(quota) = &mut i.quota else { return Some((accept, responder)) };
         let now = self.now();
-        match quota.stock.take(tenant, waited_until_ms.is_none(), now) {
+        let take = match quota.counted.contains_key(&accept.partition) {
+            true => quota.stock.take(tenant, accept.partition, waited_until_ms.is_none(), now),
+            // What was accepted before is not known yet.
+            false => {
+                quota.stock.wait(tenant);
+                QuotaTake::Ask
+            }
+        };
+        match take {
             QuotaTake::Taken => Some((accept, responder)),
             QuotaTake::Ask => {
                 let until_ms = waited_until_ms.unwrap_or(now + self.ratio(PATIENCE_PART));
@@ -99,8 +108,8 @@
         loop {
             let _ = tokio::time::timeout(period, self.quota_wanted.notified()).await;
             let leader = self.session.with_known(|known| known.leader.clone());
-            if let Some(request) = self.quota_request(&leader) {
-                self.ask_quota(&leader, request, period).await;
+            if let Some((request, reports)) = self.quota_request(&leader) {
+                self.ask_quota(&leader, request, &reports, period).await;
             }
             self.resume_waiting();
             tokio::time::sleep(pause).await;
@@ -109,7 +118,7 @@
 
     /// What to ask a leader, if there is anything to ask or tell it. One that knows this owner
     /// hears from it within a lease.
-    fn quota_request(&self, leader: &str) -> Option<QuotaRequest> {
+    fn quota_request(&self, leader: &str) -> Option<(QuotaRequest, Vec<QuotaReport>)> {
         let has_limits = |known: &agent::ClusterView| known.configuration.has_limits();
         if leader.is_empty() || !self.session.with_known(has_limits) {
             return None;
@@ -119,9 +128,6 @@
         let i = &mut *guard;
         self.count_taken_over(i);
         let quota = i.quota.as_mut()?;
-        let owned = i.replicas.values().filter(|replica| replica.role == ReplicaRole::Owner);
-        let terms: HashMap<u32, u64> = owned.map(|replica| (replica.id, replica.term)).collect();
-        quota.counted.retain(|partition, term| terms.get(partition) == Some(term));
         let (asked, asked_ms) = &quota.asked;
         let is_due = asked != leader || now >= asked_ms + self.settings.quota_lease_ms() / 2;
         if !is_due && !quota.is_owed && !quota.stock.has_news() {
@@ -132,33 +138,19 @@
         quota.is_owed = true;
         quota.sequence += 1;
         let reports = quota.stock.reports(quota.introduces, now);
-        let usage = |report: QuotaReport| {
-            let QuotaReport { tenant, held, spent_total, wanted, recent } = report;
-            TenantUsage { tenant, held, spent_total, wanted, recent }
-        };
         let counted = quota.counted.iter().map(|(partition, term)| Holding { partition: *partition, term: *term });
-        Some(QuotaRequest {
+        let request = QuotaRequest {
             node: self.session.me(),
             sequence: quota.sequence,
             introduces: quota.introduces,
-            usages: reports.into_iter().map(usage).collect(),
+            usages: reports.iter().map(usage_of).collect(),
             counted: counted.collect(),
-        })
+        };
+        Some((request, reports))
     }
 
-    async fn ask_quota(&self, leader: &str, request: QuotaRequest, wait: Duration) {
+    async fn ask_quota(&self, leader: &str, request: QuotaRequest, reports: &[QuotaReport], wait: Duration) {
         let asked_ms = self.now();
-        let reports: Vec<QuotaReport> = request
-            .usages
-            .iter()
-            .map(|usage| QuotaReport {
-                tenant: usage.tenant.clone(),
-                held: usage.held,
-                spent_total: usage.spent_total,
-                wanted: usage.wanted,
-                recent: Vec::new(),
-            })
-            .collect();
         let incarnation = request.node.incarnation;
         let answer = self.rpc_clients.to(leader).call(Body::QuotaRequest(request), wait).await;
         let mut i = self.shared.lock().unwrap();
@@ -172,7 +164,7 @@
                     retry_ms: grant.retry_ms,
                 };
                 let answers: Vec<QuotaAnswer> = response.grants.iter().map(answer).collect();
-                quota.stock.answered(&reports, &answers, asked_ms, self.now());
+                quota.stock.answered(reports, &answers, asked_ms, self.now());
             }
             Ok(Body::QuotaResponse(response)) if response.introduce => quota.introduces = true,
             _ => telemetry::count("quota_requests_missed"),
@@ -198,22 +190,43 @@
         let window_ms = (self.settings.constraints.quota_window_s * 1000.0) as u64;
         let now = self.now();
         let Some(quota) = i.quota.as_mut() else { return };
+        let owns = |partition: &u32, term: u64| {
+            i.replicas.get(partition).is_some_and(|replica| replica.role == ReplicaRole::Owner && replica.term == term)
+        };
+        quota.counted.retain(|partition, term| owns(partition, *term));
         for replica in i.replicas.values() {
-            let is_counted = quota.counted.get(&replica.id) == Some(&replica.term);
             let is_known = replica.role == ReplicaRole::Owner && replica.caught_up();
-            let Some(time) = replica.time(now).filter(|_| is_known && !is_counted) else { continue };
+            if !is_known || quota.counted.contains_key(&replica.id) {
+                continue;
+            }
+            let Some(time) = replica.time(now) else { continue };
             quota.counted.insert(replica.id, replica.term);
             quota.is_owed = true;
+            quota.stock.begin_partition(replica.id, replica.term);
             let is_recent = |message: &&partition::Message| message.at_ms + window_ms > time;
             for message in replica.state.pieces.values().rev().take_while(is_recent) {
                 if !message.item.tenant.is_empty() {
-                    quota.stock.count_accepted(&message.item.tenant, time.saturating_sub(message.at_ms), now);
+                    let age_ms = time.saturating_sub(message.at_ms);
+                    quota.stock.count_accepted(&message.item.tenant, replica.id, age_ms, now);
                 }
             }
         }
     }
 }
 
+fn usage_of(report: &QuotaReport) -> TenantUsage {
+    let usage = |spending: &PartitionSpending| {
+        let PartitionSpending { partition, term, spent_total, recent } = spending.clone();
+        PartitionUsage { partition, term, spent_total, recent }
+    };
+    TenantUsage {
+        tenant: report.tenant.clone(),
+        held: report.held,
+        wanted: report.wanted,
+        spendings: report.spendings.iter().map(usage).collect(),
+    }
+}
+
 /// Refuses a message whose tenant has no more of its limit.
 fn refuse(responder: Responder, retry_ms: u64) {
     let outcome = AcceptOutcome::OverQuota as i32;
