Soak: real processes under seeded troubles that overlap

Control nodes, store nodes, a front and its agent on loopback; stand-in processors and clients. Kills, pauses, silent services, lost answers and changes of the route's services, two or three at once, by seed. Judged: messages left lying, lost, unasked, refused and run, out of order, a tenant over its limit, alarms of invariants, processes that end.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -146,10 +146,17 @@
     /// # Errors
     /// It is not acknowledged within a minute.
     pub fn configure(&self, config: &serde_json::Value) -> Result<(), ClusterError> {
+        wait_for("configuration", Duration::from_secs(60), || self.configure_once(config).is_ok())
+    }
+
+    /// Gives it a whole configuration once.
+    ///
+    /// # Errors
+    /// It is not acknowledged, though it may be in force.
+    pub fn configure_once(&self, config: &serde_json::Value) -> Result<(), ClusterError> {
         let path = self.folder.join("config.json");
         fs::write(&path, config.to_string()).map_err(|source| ClusterError::File { path: path.clone(), source })?;
-        let file = path.display().to_string();
-        wait_for("configuration", Duration::from_secs(60), || self.ctl(&["config", "replace", &file]).is_ok())
+        self.ctl(&["config", "replace", &path.display().to_string()]).map(|_| ())
     }
 
     /// Runs the operator's client, and returns the JSON that it prints.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,15 +1,23 @@
-//! Real processes of the system on loopback, with stand-in processors and clients.
+//! Soak test: the programs of the system as real processes on loopback, with stand-in processors
+//! and clients, under seeded troubles that overlap in time.
 //!
-//! [`Cluster`] runs the processes, [`Processor`] stands in for a service, and [`clients`] send
-//! messages.
+//! [`Cluster`] runs the processes, [`Processor`] stands in for a service, [`clients`] send
+//! messages, [`Schedule`] draws the troubles of a seed, and [`Verdict`] says which rule was
+//! broken. [`run()`] puts them together for one seed.
 
 #![warn(missing_docs)]
 
 pub mod clients;
 mod cluster;
+mod faults;
 mod http;
 mod processor;
+mod run;
+mod verdict;
 
 pub use cluster::{Cluster, ClusterError, ClusterOptions};
+pub use faults::{Fault, FaultKind, Schedule};
 pub use http::{Response, exchange};
 pub use processor::{Processor, Run};
+pub use run::{Plan, run};
+pub use verdict::{Verdict, Violation};
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,225 @@
+//! One soak: a cluster, its clients and the troubles of a seed.
+
+use crate::clients::{HOST, Message, Sent, is_settled, send};
+use crate::cluster::{Cluster, ClusterError, ClusterOptions};
+use crate::faults::{Fault, FaultKind, Schedule};
+use crate::processor::Processor;
+use crate::verdict::{Verdict, Violation, judge_limit, judge_runs};
+use serde_json::{Value, json};
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// The key of the tenant with a limit, and of the one without.
+const LIMITED_KEY: &str = "key-limited";
+const FREE_KEY: &str = "key-free";
+const FLOW_PER_S: f64 = 20.0;
+const SURGE: f64 = 20.0;
+const OVERSHOOT: f64 = 0.1;
+const SLACK: f64 = 5.0;
+const WINDOW: Duration = Duration::from_secs(2);
+/// Order keys in use: so few that messages of one follow each other.
+const ORDER_KEYS: usize = 8;
+/// How long after the end of the troubles everything that was accepted may take to settle.
+const SETTLING: Duration = Duration::from_secs(40);
+/// How often troubles are looked at.
+const STEP: Duration = Duration::from_millis(20);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Draws the troubles.
+    pub seed: u64,
+    /// How long messages are sent.
+    pub length: Duration,
+    /// The pause between two messages of a client.
+    pub pause: Duration,
+    /// The first three parts of the cluster's loopback addresses.
+    pub network: String,
+}
+
+/// A trouble that is under way.
+struct Active {
+    fault: Fault,
+    until: Instant,
+}
+
+/// The parts of a soak that troubles act on.
+struct World {
+    cluster: Cluster,
+    services: [Processor; 2],
+    revision: u64,
+}
+
+/// Runs one soak with the `willowslip` binary at this path.
+///
+/// # Errors
+/// The cluster cannot be started, or a process cannot be signalled.
+pub fn run(program: &Path, plan: &Plan) -> Result<Verdict, ClusterError> {
+    let mut world = World::start(program, plan)?;
+    let front = world.cluster.fronts()[0].clone();
+    let schedule = Schedule::draw(plan.seed, plan.length);
+    let (sent, is_over, numbers) = (Mutex::new(Vec::new()), AtomicBool::new(false), AtomicUsize::new(0));
+    let played = std::thread::scope(|scope| {
+        for client in 0..4 {
+            let (front, sent, is_over, numbers) = (&front, &sent, &is_over, &numbers);
+            scope.spawn(move || send_until_over(client, front, plan.pause, numbers, is_over, sent));
+        }
+        let played = world.play(&schedule, plan.length);
+        is_over.store(true, Ordering::Relaxed);
+        played
+    });
+    played?;
+    let mut sent: Vec<Sent> = sent.into_inner().unwrap_or_default();
+    sent.sort_by_key(|sent| sent.sent);
+    Ok(world.judge(&front, &sent))
+}
+
+/// One client: sends message after message, of one tenant and partly in order.
+fn send_until_over(
+    client: usize,
+    front: &str,
+    pause: Duration,
+    numbers: &AtomicUsize,
+    is_over: &AtomicBool,
+    all: &Mutex<Vec<Sent>>,
+) {
+    let tenant_key = if client == 0 { LIMITED_KEY } else { FREE_KEY };
+    while !is_over.load(Ordering::Relaxed) {
+        let number = numbers.fetch_add(1, Ordering::Relaxed);
+        let is_ordered = client % 2 == 1;
+        let message = Message {
+            id: format!("m-{number}"),
+            path: if is_ordered { "/ordered/x".into() } else { "/plain/x".into() },
+            order_key: if is_ordered { format!("k{}", number % ORDER_KEYS) } else { String::new() },
+            tenant_key: tenant_key.into(),
+        };
+        let sent = send(front, message);
+        if let Ok(mut all) = all.lock() {
+            all.push(sent);
+        }
+        // The client of the tenant with a limit presses beyond it.
+        std::thread::sleep(if client == 0 { pause / 4 } else { pause });
+    }
+}
+
+impl World {
+    fn start(program: &Path, plan: &Plan) -> Result<World, ClusterError> {
+        let constraints =
+            format!("quotaWindowS = {}\nquotaOvershoot = {OVERSHOOT}\nquotaSlack = {SLACK}", WINDOW.as_secs());
+        let options = ClusterOptions { network: plan.network.clone(), constraints };
+        let processor =
+            || Processor::start().map_err(|source| ClusterError::Process { name: "processor".into(), source });
+        let services = [processor()?, processor()?];
+        let cluster = Cluster::new(program, options)?;
+        let mut world = World { cluster, services, revision: 1 };
+        let first = world.configuration(json!({"plant": "service-0"}));
+        world.cluster.start(&first)?;
+        Ok(world)
+    }
+
+    /// A configuration whose routes go where `target` says.
+    fn configuration(&self, target: Value) -> Value {
+        let service = |number: usize| json!({"name": format!("service-{number}"), "connLimit": 50, "endpoint": self.services[number].address()});
+        let route = |name: &str, sequenced: bool| {
+            let mut route = json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "mode": "deferred",
+                "cutoffMs": 500, "setpointMs": 500, "tries": 1000, "sequenced": sequenced, "retainS": 600,
+                "startSetpointMs": 1000});
+            if let (Some(route), Some(target)) = (route.as_object_mut(), target.as_object()) {
+                route.extend(target.clone());
+            }
+            route
+        };
+        json!({"revision": self.revision, "limits": {},
+            "channels": [route("plain", false), route("ordered", true)],
+            "plants": [service(0), service(1)],
+            "tenants": [{"name": "limited", "keys": [LIMITED_KEY], "flowPerS": FLOW_PER_S, "surge": SURGE},
+                {"name": "free", "keys": [FREE_KEY], "flowPerS": 0, "surge": 0}]})
+    }
+
+    /// Plays the troubles, and ends those that are under way at the end.
+    fn play(&mut self, schedule: &Schedule, length: Duration) -> Result<(), ClusterError> {
+        let begun = Instant::now();
+        let mut ahead = schedule.faults.iter().cloned().peekable();
+        let mut active: Vec<Active> = Vec::new();
+        while begun.elapsed() < length || !active.is_empty() {
+            while let Some(fault) = ahead.next_if(|fault| begun.elapsed() >= fault.at) {
+                self.begin(&fault)?;
+                active.push(Active { until: Instant::now() + fault.length, fault });
+            }
+            let (over, left) = active.into_iter().partition(|a: &Active| Instant::now() >= a.until);
+            active = left;
+            for Active { fault, .. } in over {
+                self.end(&fault)?;
+            }
+            std::thread::sleep(STEP);
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, fault: &Fault) -> Result<(), ClusterError> {
+        let service = fault.target.parse::<usize>().unwrap_or(0);
+        match fault.kind {
+            FaultKind::Kill => self.cluster.kill(&fault.target),
+            FaultKind::Pause => self.cluster.signal(&fault.target, "-STOP")?,
+            FaultKind::ServiceCut => self.services[service].set_silent(true),
+            FaultKind::AnswersLost => self.services[service].lose_one_in(5),
+            FaultKind::RouteChange => {
+                let weights = json!([{"plant": "service-0", "gain": 1}, {"plant": "service-1", "gain": 1}]);
+                self.change(json!({"mix": weights}));
+            }
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, fault: &Fault) -> Result<(), ClusterError> {
+        let service = fault.target.parse::<usize>().unwrap_or(0);
+        match fault.kind {
+            FaultKind::Kill => self.cluster.spawn(&fault.target)?,
+            FaultKind::Pause => self.cluster.signal(&fault.target, "-CONT")?,
+            FaultKind::ServiceCut => self.services[service].set_silent(false),
+            FaultKind::AnswersLost => self.services[service].lose_one_in(0),
+            FaultKind::RouteChange => self.change(json!({"plant": format!("service-{service}")})),
+        }
+        Ok(())
+    }
+
+    /// Gives a configuration once: during troubles it may not be taken.
+    fn change(&mut self, target: Value) {
+        self.revision += 1;
+        let configuration = self.configuration(target);
+        let _ = self.cluster.configure_once(&configuration);
+    }
+
+    fn judge(&mut self, front: &str, sent: &[Sent]) -> Verdict {
+        let mut violations: Vec<Violation> = Vec::new();
+        let end = Instant::now() + SETTLING;
+        for accepted in sent.iter().filter(|sent| sent.status == 202) {
+            while !is_settled(front, accepted) {
+                if Instant::now() >= end {
+                    violations.push(Violation::LeftLying(accepted.message.id.clone()));
+                    break;
+                }
+                std::thread::sleep(STEP);
+            }
+        }
+        let mut runs = self.services[0].runs();
+        runs.extend(self.services[1].runs());
+        runs.sort_by_key(|run| run.began);
+        judge_runs(sent, &runs, &mut violations);
+        let of_limited = |sent: &&Sent| sent.message.tenant_key == LIMITED_KEY;
+        let limited: Vec<Sent> = sent.iter().filter(of_limited).cloned().collect();
+        let allowed = ((FLOW_PER_S * WINDOW.as_secs_f64() + SURGE) * (1.0 + OVERSHOOT) + SLACK) as usize;
+        judge_limit(&limited, WINDOW, allowed, &mut violations);
+        violations.extend(self.cluster.ended().into_iter().map(Violation::Ended));
+        for name in Cluster::processes() {
+            let log = self.cluster.log(&name);
+            let alarms = log.lines().filter(|line| line.contains("ALARM"));
+            violations.extend(alarms.map(|line| Violation::Alarm(format!("{name}: {line}"))));
+        }
+        let accepted = sent.iter().filter(|sent| sent.status == 202).count();
+        let refused = limited.iter().filter(|sent| sent.status == 429).count();
+        Verdict { violations, accepted, sent: sent.len(), refused }
+    }
+}
