--- a/crates/balance/src/quota/ledger.rs
+++ b/crates/balance/src/quota/ledger.rs
@@ -265,9 +265,14 @@
         Some((known.map(|spent| spent.tokens).sum(), bound))
     }
 
-    /// Tokens of a tenant that are held, and that were spent in the last window.
-    pub fn usage(&self, tenant: &str) -> (u64, u64) {
-        self.accounts.get(tenant).map_or((0, 0), |account| (account.total() - account.spent_sum, account.spent_sum))
+    /// By tenant, in order of name: tokens that are held, and that count as spent.
+    pub fn usage(&self) -> Vec<(&str, u64, u64)> {
+        let held = |account: &Account| account.total() - account.spent_sum;
+        let accounts = self.accounts.iter();
+        let mut all: Vec<(&str, u64, u64)> =
+            accounts.map(|(tenant, account)| (tenant.as_str(), held(account), account.spent_sum)).collect();
+        all.sort_unstable();
+        all
     }
 
     /// Counts what is held by holders whose lease is over as spent at its end, and forgets what
--- a/crates/balance/src/quota/stock.rs
+++ b/crates/balance/src/quota/stock.rs
@@ -244,9 +244,4 @@
     pub fn has_news(&self) -> bool {
         self.stocks.values().any(|stock| stock.is_news || stock.held > 0 || stock.missing > 0)
     }
-
-    /// Whether any message waits for a token.
-    pub fn is_missing(&self) -> bool {
-        self.stocks.values().any(|stock| stock.missing > 0)
-    }
 }
--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -17,6 +17,14 @@
     ledger: Option<QuotaLedger>,
 }
 
+impl QuotaLeases {
+    /// What each tenant with a limit has held and spent, for operators: of this leader's term.
+    pub(crate) fn status(&self) -> serde_json::Value {
+        let usage = self.ledger.iter().flat_map(QuotaLedger::usage);
+        usage.map(|(tenant, held, spent)| serde_json::json!({"tenant": tenant, "held": held, "spent": spent})).collect()
+    }
+}
+
 /// How quotas are counted by these settings; `None` where they are not.
 pub(crate) fn quota_terms(settings: &Settings) -> Option<QuotaTerms> {
     let constraints = &settings.constraints;
--- /dev/null
+++ b/crates/store/src/scheduler/choice.rs
@@ -0,0 +1,172 @@
+//! The choice of a processor for the next message of a service.
+
+use super::*;
+
+impl DeliveryScheduler {
+    /// A delivery node for calls that no processor's zone decides.
+    pub fn any_front(&self, key: &str, homes: &Homes) -> Option<(String, String)> {
+        self.front(key, &self.zone, homes).map(|(n, i)| (n.to_owned(), i.to_owned()))
+    }
+
+    /// The processor for the next message of a service with these homes, if one has room.
+    pub fn choose(&mut self, service: &Service, homes: &Homes, now: u64) -> Option<Target> {
+        if let Some(address) = &service.endpoint {
+            let (load, s) = self.load(&service.name, now);
+            // Half: after a take-over the connections of another delivery node may
+            // still stand there.
+            let half = f64::from(service.conn_limit / 2) * self.share(&service.name);
+            let room = if s.failures > 0 { 1 } else { (half as u32).max(1) };
+            if now < s.shut_until || s.in_flight >= room || load >= service.conn_limit {
+                return None;
+            }
+            let (front, inner) = self.front(&service.name, &self.zone, homes)?;
+            return Some(Target {
+                service: service.name.clone(),
+                processor: service.name.clone(),
+                target: String::new(),
+                address: address.clone(),
+                revision: String::new(),
+                front: front.to_owned(),
+                front_inner: inner.to_owned(),
+            });
+        }
+        let rollout = self.assignments.rollouts.iter().find(|r| r.service == service.name);
+        let (mut wants_new, mut target) = (None, "");
+        if let Some(r) = rollout {
+            target = &r.target;
+            wants_new = match r.state.as_str() {
+                "settled" => Some(true),
+                "reverted" => Some(false),
+                _ if r.share >= 1000 => Some(true),
+                _ => {
+                    let coin = self.coins.get(&service.name).copied().unwrap_or(0.5) + f64::from(r.share) / 1000.0;
+                    Some(coin >= 1.0)
+                }
+            };
+        }
+        let processors = self.by_service.get(&service.name)?;
+        let trying = rollout.is_some_and(|r| r.state == "running" && r.share < 1000);
+        let mut fit = if trying && wants_new == Some(true) {
+            // On trial, its few runs are put on as few processors as have room:
+            // what only goes wrong under load shows before the share is raised.
+            self.packed(processors, now, |u| u.revision == target && self.may_run(u, homes))
+        } else {
+            let is_wanted = |u: &Processor| wants_new.is_none_or(|w| (u.revision == target) == w);
+            self.best(service, processors, now, |u| is_wanted(u) && self.may_run(u, homes))
+        };
+        if fit.is_none() && wants_new == Some(true) && trying {
+            let is_former = |u: &Processor| u.revision != target;
+            fit = self.best(service, processors, now, |u| is_former(u) && self.may_run(u, homes));
+        }
+        let u = fit?.clone();
+        if self.is_metered_cold(service, &u) && !self.cold_buckets.take(&u.id, service.cold_per_s, now) {
+            return None;
+        }
+        if let Some(r) = rollout.filter(|r| r.state == "running") {
+            let coin = self.coins.entry(service.name.clone()).or_insert(0.5);
+            *coin = (*coin + f64::from(r.share) / 1000.0).min(2.0);
+            if u.revision == r.target {
+                *coin -= 1.0;
+            }
+        }
+        let (front, inner) = self.front(&u.id, &u.zone, homes)?;
+        Some(Target {
+            service: service.name.clone(),
+            front: front.to_owned(),
+            front_inner: inner.to_owned(),
+            processor: u.id.clone(),
+            target: u.id,
+            address: u.address,
+            revision: u.revision,
+        })
+    }
+
+    fn zone_use(&self, zone: &str) -> ZoneUse {
+        self.zone_uses.get(zone).copied().unwrap_or(ZoneUse::Open)
+    }
+
+    /// Whether a processor may be sent anything.
+    fn is_usable(&self, processor: &Processor) -> bool {
+        !processor.draining && self.zone_use(&processor.zone) != ZoneUse::Evacuated
+    }
+
+    /// Whether a processor is cold, or may be without the listing saying so yet.
+    fn may_be_cold(&self, processor: &Processor) -> bool {
+        processor.cold || self.zone_use(&processor.zone) == ZoneUse::Returning
+    }
+
+    /// Whether a processor may be cold and its service bounds what such ones are sent.
+    fn is_metered_cold(&self, service: &Service, processor: &Processor) -> bool {
+        service.cold_per_s > 0.0 && self.may_be_cold(processor)
+    }
+
+    /// Whether a processor may be sent one more message now, as far as it is cold.
+    fn has_cold_token(&self, service: &Service, processor: &Processor, now: u64) -> bool {
+        !self.is_metered_cold(service, processor) || self.cold_buckets.has_token(&processor.id, service.cold_per_s, now)
+    }
+
+    /// Whether any processor may be cold whose service, as the test says, bounds what it is
+    /// sent.
+    pub fn has_metered_cold(&self, is_metered: impl Fn(&str) -> bool) -> bool {
+        self.membership.processors.iter().any(|u| self.may_be_cold(u) && !u.draining && is_metered(&u.service))
+    }
+
+    /// The leader grants these cold processors to this owner until then.
+    pub fn grant_cold(&mut self, processors: &[String], now: u64, until: u64) {
+        self.cold_buckets.grant(processors, now, until);
+    }
+
+    /// Whether a processor stands in one of the homes.
+    fn may_run(&self, processor: &Processor, homes: &Homes) -> bool {
+        !homes.is_bound() || self.regions.get(&processor.zone).is_some_and(|region| homes.allows(region))
+    }
+
+    /// The first of the processors that fit, by id, that has room: every owner comes to the
+    /// same one.
+    fn packed<'a>(
+        &self,
+        processors: &'a [Processor],
+        now: u64,
+        fits: impl Fn(&Processor) -> bool,
+    ) -> Option<&'a Processor> {
+        // Cold ones are slow for a while: they would be judged for that.
+        let is_apt = |u: &&Processor| self.is_usable(u) && !self.may_be_cold(u) && fits(u);
+        processors.iter().filter(is_apt).find(|u| {
+            let (load, s) = self.load(&u.id, now);
+            now >= s.shut_until && load < if s.failures > 0 { 1 } else { u.capacity.max(1) }
+        })
+    }
+
+    /// The least loaded, near ones before far ones. Of equals each owner takes
+    /// another first: they know little of each other's runs, and would else meet.
+    fn best<'a>(
+        &self,
+        service: &Service,
+        processors: &'a [Processor],
+        now: u64,
+        fits: impl Fn(&Processor) -> bool,
+    ) -> Option<&'a Processor> {
+        let mut best: Option<(f64, &Processor)> = None;
+        let order = self.turns_at.get(&service.name)?.iter().map(|n| &processors[*n]);
+        for u in order.filter(|u| self.is_usable(u) && fits(u) && self.has_cold_token(service, u, now)) {
+            let (load, s) = self.load(&u.id, now);
+            let capacity = u.capacity.max(1);
+            let room = if s.failures > 0 { 1 } else { capacity };
+            if now < s.shut_until || load >= room {
+                continue;
+            }
+            let far = if u.zone == self.zone {
+                0.0
+            } else if self.near.contains(&u.zone) {
+                0.5
+            } else {
+                1.0
+            };
+            let score = f64::from(load) / f64::from(capacity) + far + if self.may_be_cold(u) { 0.5 } else { 0.0 };
+            if best.is_none_or(|(b, _)| score < b) {
+                best = Some((score, u));
+            }
+        }
+        best.map(|(_, u)| u)
+    }
+}
