Soak: service is to be back once the troubles are over

Traced by a run at a load of 21 with the logs kept: fsync on the machine's disk took over a sixteenth of quietMs, so all stores gave up their leases ("the disk does not answer") and clients got 503 or waited. The bound of 100 accepted messages, which no landing had, is replaced by a rule that does not hang on the machine's pace: a message is accepted within 15 s of the last trouble (NotBack).

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,6 +23,8 @@
 const ORDER_KEYS: usize = 8;
 /// How long after the end of the troubles everything that was accepted may take to settle.
 const SETTLING: Duration = Duration::from_secs(40);
+/// How long after the end of the troubles it may take until a message is accepted.
+const RECOVERY: Duration = Duration::from_secs(15);
 /// How often troubles are looked at.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -61,19 +63,37 @@
     let front = world.cluster.fronts()[0].clone();
     let schedule = Schedule::draw(plan.seed, plan.length);
     let (sent, is_over, numbers) = (Mutex::new(Vec::new()), AtomicBool::new(false), AtomicUsize::new(0));
-    let played = std::thread::scope(|scope| {
+    let (played, is_back) = std::thread::scope(|scope| {
         for client in 0..4 {
             let (front, sent, is_over, numbers) = (&front, &sent, &is_over, &numbers);
             scope.spawn(move || send_until_over(client, front, plan.pause, numbers, is_over, sent));
         }
         let played = world.play(&schedule, plan.length);
+        let is_back = is_accepted_again(&sent);
         is_over.store(true, Ordering::Relaxed);
-        played
+        (played, is_back)
     });
     played?;
     let mut sent: Vec<Sent> = sent.into_inner().unwrap_or_default();
     sent.sort_by_key(|sent| sent.sent);
-    Ok(world.judge(&front, &sent))
+    let mut verdict = world.judge(&front, &sent);
+    if !is_back {
+        verdict.violations.push(Violation::NotBack);
+    }
+    Ok(verdict)
+}
+
+/// Waits until a message that is sent from now on is accepted; false if none is in time.
+fn is_accepted_again(all: &Mutex<Vec<Sent>>) -> bool {
+    let begun = Instant::now();
+    let is_new = |sent: &Sent| sent.status == 202 && sent.sent >= begun;
+    while begun.elapsed() < RECOVERY {
+        if all.lock().is_ok_and(|all| all.iter().any(is_new)) {
+            return true;
+        }
+        std::thread::sleep(STEP);
+    }
+    false
 }
 
 /// One client: sends message after message, of one tenant and partly in order.
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -10,6 +10,8 @@
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
+    /// No message was accepted in time once all troubles were over.
+    NotBack,
     /// An accepted message was not settled in time.
     LeftLying(String),
     /// An accepted message never ran, though it is settled.
--- a/crates/willowslip/tests/soak.rs
+++ b/crates/willowslip/tests/soak.rs
@@ -10,7 +10,7 @@
     let plan = Plan { seed, length: LENGTH, pause: Duration::from_millis(20), network: network.into() };
     let verdict = run(Path::new(env!("CARGO_BIN_EXE_willowslip")), &plan).expect("it runs");
     assert!(verdict.violations.is_empty(), "seed {seed}: {verdict}");
-    assert!(verdict.accepted > 100, "seed {seed}: {verdict}");
+    assert!(verdict.accepted > 0, "seed {seed}: {verdict}");
 }
 
 #[test]
