--- a/crates/balance/tests/quota.rs
+++ b/crates/balance/tests/quota.rs
@@ -28,14 +28,12 @@
     introduces: bool,
     /// Its partitions, with its term of each.
     owned: BTreeMap<usize, u64>,
-    /// Its one request under way; whatever else arrives is not its answer.
-    awaits: Option<Request>,
 }
 
 impl Holder {
     fn new(incarnation: u64) -> Holder {
-        let (owned, awaits) = (BTreeMap::new(), None);
-        Holder { stock: QuotaStock::new(TERMS), incarnation, sequence: 0, introduces: true, owned, awaits }
+        let owned = BTreeMap::new();
+        Holder { stock: QuotaStock::new(TERMS), incarnation, sequence: 0, introduces: true, owned }
     }
 }
 
@@ -105,7 +103,6 @@
             counted: holder.owned.clone(),
             asked_ms: now,
         };
-        holder.awaits = Some(request.clone());
         self.old.push((number, request.clone()));
         if !arrives {
             return;
