--- a/review/lib/bench.py
+++ b/review/lib/bench.py
@@ -226,6 +226,8 @@
     examples/loopback.sh has them, on addresses and ports that are free."""
 
     CONTROL, STORE, FRONT = (2, 3, 4), (5, 6, 7), (8,)
+    # The role that clients reach, and the kind of deployment where it is not the first one.
+    CLIENT_ROLE, ROLLOUT = "front", ""
 
     def __init__(self, record, constraints=None, platform=None, regions=None):
         if not os.access(PROGRAM, os.X_OK):
@@ -272,7 +274,7 @@
 
     def processes(self):
         named = [("control", m) for m in self.CONTROL] + [("store", m) for m in self.STORE]
-        named += [("front", m) for m in self.FRONT] + [("agent", m) for m in self.FRONT]
+        named += [(self.CLIENT_ROLE, m) for m in self.FRONT] + [("agent", m) for m in self.FRONT]
         return ["%s-%d" % pair for pair in named]
 
     def settings(self, name, first):
@@ -282,7 +284,7 @@
         zones = {self.zone(m): self.regions.get(self.zone(m), "region-0") for m in range(2, 9)}
         kind = {"control": "core", "store": "store"}.get(role, "front")
         lines = [
-            'node = "%s"' % ("front-%d" % machine if role == "agent" else name),
+            'node = "%s"' % ("front-%d" % machine if kind == "front" else name),
             'role = "%s"' % role, 'machineClass = "%s"' % kind, 'ip = "%s"' % ip,
             'zone = "%s"' % self.zone(machine), 'region = "%s"' % zones[self.zone(machine)],
             "portRange = [%d, %d]" % (self.base, self.base + 3),
@@ -291,6 +293,8 @@
             "counted = %s" % ("false" if kind == "front" else "true"),
             'discovery = "platform"',
         ]
+        if self.ROLLOUT:
+            lines.append('rollout = "%s"' % self.ROLLOUT)
         if kind != "front":
             lines.append('dataDir = "%s"' % os.path.join(self.folder, name))
         lines.append("[zones]")
@@ -298,7 +302,7 @@
         lines.append("[listen]")
         if role == "control":
             lines.append('control = "%s"' % self.control(machine))
-        if role == "front":
+        if role == self.CLIENT_ROLE:
             lines += ['front = "%s"' % self.front, 'ready = "%s"' % self.ready_address]
         lines += ["[limits]", "cpuShare = 0.5", "cores = 1", "memoryMb = 260", "fileLimit = 4096",
                   "linkMbps = 1000.0", "diskMb = %d" % (0 if kind == "front" else 256)]
@@ -481,15 +485,15 @@
         broken = case(record, started)
         code = BROKEN if broken else HELD
         record("the rule was broken: %s" % broken if broken else "the rule held")
-        print(broken or "the rule held")
+        print(broken or "the rule held", flush=True)
     except CannotRun as why:
         code = COULD_NOT_RUN
         record("could not run: %s" % why)
-        print("could not run:", why)
+        print("could not run:", why, flush=True)
     except Exception as why:  # A fault of the case itself says nothing of the rule.
         code = COULD_NOT_RUN
         record("could not run: %r" % why)
-        print("could not run: %r" % why)
+        print("could not run: %r" % why, flush=True)
     finally:
         for cluster in started:
             cluster.end()
