--- a/review/lib/bench.py
+++ b/review/lib/bench.py
@@ -237,7 +237,7 @@
         self.platform = platform
         self.regions = regions or {}
         self.folder = tempfile.mkdtemp(prefix="willowslip-review-")
-        self.running, self.started = {}, {}
+        self.running, self.started, self.formed = {}, {}, False
         self.net, self.base = self.free_place()
 
     def free_place(self):
@@ -314,7 +314,8 @@
 
     def spawn(self, name):
         """Starts a process with the command of deploy/system.toml."""
-        first = name not in self.started
+        # `initialStart` is for the first start of the whole system only.
+        first = name not in self.started and not self.formed
         self.started[name] = True
         os.makedirs(os.path.join(self.folder, name), exist_ok=True)
         path = os.path.join(self.folder, name + ".toml")
@@ -350,6 +351,7 @@
     def start(self, config, within=40):
         for name in self.processes():
             self.spawn(name)
+        self.formed = True
         status = self.order("POST", "/config/replace", config, {"X-Base-Revision": "0"}, within)
         if status != 200:
             raise CannotRun("the first configuration is not acknowledged: %s" % status)
