--- a/crates/agent/src/placement.rs
+++ b/crates/agent/src/placement.rs
@@ -45,6 +45,14 @@
     partition_for_service(known, configuration, route, service, keys, zone)
 }
 
+/// The partition whose log says where an operation is kept: it keeps it itself, or has placed it
+/// in another one. It follows from the operation alone, as whatever else decides where a message
+/// belongs (its route, service, order key, homes) may change between two tries; `None` before
+/// there are partitions.
+pub fn operation_directory(assignments: &Assignments, operation: &OperationId) -> Option<u32> {
+    assignments.partition_for(operation.high)
+}
+
 /// The service that a message goes to: of services that share its route by weights, the one
 /// that its id chooses, the same at every node that knows the same weights.
 pub fn service_of<'a>(route: &'a Route, id: &str) -> &'a str {
@@ -69,7 +77,6 @@
         _ if route.sequenced && ordered => keys.order_hash(),
         // Tries at one operation have ids of their own, by which their services may differ.
         Some(_) if configuration.has_metered_service(route) => route.place_hash(),
-        Some(_) if ordered => keys.order_hash(),
         Some(operation) => operation.high,
         None if configuration.is_metered(service) => placement_hash(service),
         None => return near_partition(known, &homes, placement_hash(keys.id), zone),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,10 +1,14 @@
 //! The front machines' program: takes messages from clients, answers for their
 //! state, and carries out deliveries and call-backs.
 
+mod accept;
 mod callback;
 mod delivery;
 mod ingest;
+mod lookup;
 mod outbox;
+mod owner_calls;
+mod submission;
 pub mod tenancy;
 pub use agent::{PlacementKeys, partition_of};
 pub use callback::{CallbackError, CallbackUrl};
--- a/crates/partition/src/lib.rs
+++ b/crates/partition/src/lib.rs
@@ -5,10 +5,13 @@
 //! carries out their effects in the order given.
 
 mod clock;
+mod digest;
+mod placements;
 mod record;
 mod replica;
 mod state;
 pub use clock::{PartitionClock, surely_over};
+pub use placements::{Placement, Placements, SnapshotPlacement};
 pub use record::*;
 pub use replica::{Effect, Meta, PartitionReplica, ReplicaRole, Timing};
 pub use state::*;
--- a/crates/partition/src/record.rs
+++ b/crates/partition/src/record.rs
@@ -1,13 +1,13 @@
 //! What a partition's log holds.
 
-use rpc::messages::Item;
+use rpc::messages::{Item, OperationId};
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
     /// The owner's time of day when it wrote this; the fold knows no other clock.
     #[prost(uint64, tag = "1")]
     pub at_ms: u64,
-    #[prost(oneof = "Entry", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Entry", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub entry: Option<Entry>,
 }
 
@@ -33,6 +33,8 @@
     Stage(Stage),
     #[prost(message, tag = "10")]
     Stop(Stop),
+    #[prost(message, tag = "11")]
+    Place(PlaceRecord),
 }
 
 /// What a store machine's disk knows of itself.
@@ -69,6 +71,16 @@
     pub delay_ms: u64,
 }
 
+/// Places an operation in another partition, unless this one keeps it or has placed it before.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PlaceRecord {
+    #[prost(message, required, tag = "1")]
+    pub operation: OperationId,
+    /// The partition that is to keep it.
+    #[prost(uint32, tag = "2")]
+    pub partition: u32,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct DispatchRecord {
     #[prost(uint64, tag = "1")]
--- a/crates/partition/src/state.rs
+++ b/crates/partition/src/state.rs
@@ -1,5 +1,7 @@
 //! The fold: a partition's state as a function of its log alone.
 
+use crate::digest::{fingerprint, mix};
+use crate::placements::{Placement, Placements, SnapshotPlacement};
 use crate::record::*;
 use rpc::messages::{Item, OperationId, Outcome};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -56,6 +58,11 @@
         at: u64,
         old: u64,
     },
+    /// The record at `at` is of an operation that is placed in another partition.
+    PlacedElsewhere {
+        at: u64,
+        partition: u32,
+    },
     /// A failed attempt; more are allowed.
     Failed(u64),
     Ended(u64),
@@ -99,7 +106,12 @@
 
     /// Until when a try at a message's operation repeats it.
     fn operation_end(self, message: &Message) -> u64 {
-        message.at_ms + self.operations * 5 / 4
+        self.key_end(message.at_ms)
+    }
+
+    /// Until when an operation is remembered that was taken or placed at a time.
+    fn key_end(self, at_ms: u64) -> u64 {
+        at_ms + self.operations * 5 / 4
     }
 }
 
@@ -112,6 +124,8 @@
     ids: HashMap<String, u64>,
     /// The last message of each operation.
     operations: HashMap<OperationId, u64>,
+    /// Operations that other partitions keep.
+    placements: Placements,
     /// Messages that have not ended, by order key within a tenant, in order.
     orders: HashMap<String, VecDeque<u64>>,
     pub revision: u64,
@@ -139,22 +153,6 @@
     if tenant.is_empty() { name.to_owned() } else { format!("{tenant}\n{name}") }
 }
 
-fn mix(mut h: u64, v: u64) -> u64 {
-    h ^= v;
-    h = h.wrapping_mul(0x9e3779b97f4a7c15);
-    h ^ (h >> 29)
-}
-
-fn fingerprint(mut h: u64, bytes: &[u8]) -> u64 {
-    h = mix(h, bytes.len() as u64);
-    for c in bytes.chunks(8) {
-        let mut w = [0u8; 8];
-        w[..c.len()].copy_from_slice(c);
-        h = mix(h, u64::from_le_bytes(w));
-    }
-    h
-}
-
 /// One message's part of the digest. The parts are added up, so that a change
 /// costs no more than the message it concerns.
 fn part(pos: u64, w: &Message) -> u64 {
@@ -179,23 +177,27 @@
     }
 
     pub fn digest(&self) -> u64 {
-        mix(mix(self.digest, self.revision), self.pieces.len() as u64)
+        let sum = self.digest.wrapping_add(self.placements.digest());
+        mix(mix(sum, self.revision), self.pieces.len() as u64)
     }
 
     /// The digest from scratch: what the running one must equal.
     pub fn digest_anew(&self) -> u64 {
         let sum = self.pieces.iter().fold(0u64, |a, (p, w)| a.wrapping_add(part(*p, w)));
+        let sum = sum.wrapping_add(self.placements.digest_anew());
         mix(mix(sum, self.revision), self.pieces.len() as u64)
     }
 
     /// Bytes of memory that the messages take, about.
     pub fn weight(&self) -> usize {
-        self.body_bytes + self.pieces.len() * PIECE_BYTES + self.operations.len() * OPERATION_BYTES
+        let operations = self.operations.len() + self.placements.len();
+        self.body_bytes + self.pieces.len() * PIECE_BYTES + operations * OPERATION_BYTES
     }
 
     /// Bytes of a snapshot, about.
     pub fn snapshot_bytes(&self) -> usize {
-        self.body_bytes + self.pieces.len() * (PIECE_BYTES / 4) + self.operations.len() * OPERATION_SNAPSHOT_BYTES
+        let operations = self.operations.len() + self.placements.len();
+        self.body_bytes + self.pieces.len() * (PIECE_BYTES / 4) + operations * OPERATION_SNAPSHOT_BYTES
     }
 
     /// A tenant's message by its request id.
@@ -206,11 +208,26 @@
     /// The message that an accept at `at_ms` would repeat: by its id, or as a try at the same
     /// operation inside the window.
     pub fn find_repeat(&self, item: &Item, at_ms: u64) -> Option<u64> {
-        self.find(&item.tenant, &item.id).or_else(|| {
-            let position = *self.operations.get(item.operation.as_ref()?)?;
-            let message = self.pieces.get(&position)?;
-            (at_ms <= self.retention.operation_end(message)).then_some(position)
-        })
+        self.find(&item.tenant, &item.id).or_else(|| self.find_operation(item.operation.as_ref()?, at_ms))
+    }
+
+    /// The message that keeps an operation, inside the window.
+    pub fn find_operation(&self, operation: &OperationId, at_ms: u64) -> Option<u64> {
+        let position = *self.operations.get(operation)?;
+        let message = self.pieces.get(&position)?;
+        (at_ms <= self.retention.operation_end(message)).then_some(position)
+    }
+
+    /// Where an operation is placed that another partition keeps.
+    pub fn placement_of(&self, operation: &OperationId, at_ms: u64) -> Option<Placement> {
+        self.placements.get(operation, at_ms)
+    }
+
+    /// Whether a placement is to be written anew when it is asked for, so that it outlasts what
+    /// is taken by it: an eighth of the window has passed since it was.
+    pub fn is_placement_due(&self, placement: &Placement, at_ms: u64) -> bool {
+        let left_ms = placement.until_ms.saturating_sub(at_ms);
+        left_ms < self.retention.operations * 9 / 8
     }
 
     /// How many operations' keys are kept.
@@ -218,6 +235,11 @@
         self.operations.len()
     }
 
+    /// How many operations are placed in other partitions.
+    pub fn placed_operations(&self) -> usize {
+        self.placements.len()
+    }
+
     pub fn has_route(&self, route: &str) -> bool {
         self.routes.contains_key(route)
     }
@@ -313,6 +335,11 @@
                     out.push(Change::Repeated { at: pos, old });
                     return out;
                 }
+                let placement = a.item.operation.and_then(|operation| self.placement_of(&operation, at));
+                if let Some(Placement { partition, .. }) = placement {
+                    out.push(Change::PlacedElsewhere { at: pos, partition });
+                    return out;
+                }
                 let mut h = fingerprint(pos, a.item.id.as_bytes());
                 h = fingerprint(h, &a.item.body);
                 for s in [&a.item.route, &a.item.path, &a.item.order_key, &a.item.notify_url] {
@@ -341,6 +368,14 @@
                 self.insert(pos, w);
                 out.push(Change::Accepted(pos));
             }
+            Some(Entry::Place(place)) => match self.find_operation(&place.operation, at) {
+                Some(old) => out.push(Change::Repeated { at: pos, old }),
+                None => {
+                    let until_ms = self.retention.key_end(at);
+                    let partition = self.placements.place(place.operation, place.partition, at, until_ms);
+                    out.push(Change::PlacedElsewhere { at: pos, partition });
+                }
+            },
             Some(Entry::Dispatch(d)) => {
                 self.change(d.position, |w| {
                     w.sent_ms = at;
@@ -407,6 +442,7 @@
             Some(Entry::Stop(s)) => out.push(Change::Stopped(s.clone())),
             Some(Entry::Routes(_)) | None => {}
         }
+        self.placements.forget_before(at);
         // What ended long enough ago is forgotten: the time that it may be asked for, and a quarter.
         while let Some((end, p)) = self.ended.first().copied() {
             if end >= at {
@@ -471,6 +507,7 @@
                 .collect(),
             digest: self.digest(),
             reached_ms: self.reached_ms,
+            placements: self.placements.snapshot(),
         }
     }
 
@@ -507,6 +544,7 @@
             j.insert(p.position, w);
         }
         j.ended = ended;
+        j.placements = Placements::restore(&s.placements);
         // A snapshot of an earlier release says it by its messages alone.
         let latest = j.pieces.values().map(|w| w.at_ms.max(w.sent_ms).max(w.ended_ms)).max();
         j.reached_ms = s.reached_ms.max(latest.unwrap_or(0));
@@ -532,6 +570,8 @@
     /// The latest time that a record has.
     #[prost(uint64, tag = "15")]
     pub reached_ms: u64,
+    #[prost(message, repeated, tag = "16")]
+    pub placements: Vec<SnapshotPlacement>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/partition/tests/operations.rs
+++ b/crates/partition/tests/operations.rs
@@ -145,3 +145,67 @@
     assert_eq!(state.fold(6, &record(14, answer(2, Outcome::Done))), vec![Change::Ended(2), Change::Freed(5)]);
     assert_eq!(state.find("clinic", "m1"), Some(2), "a settled one is found by its tenant");
 }
+
+fn place(low: u64, partition: u32) -> Entry {
+    Entry::Place(PlaceRecord { operation: operation(low).expect("one"), partition })
+}
+
+#[test]
+fn the_first_record_that_places_an_operation_decides_where_it_is_kept() {
+    let mut state = with_route();
+    let elsewhere = |at| vec![Change::PlacedElsewhere { at, partition: 5 }];
+    assert_eq!(state.fold(2, &record(10, place(1, 5))), elsewhere(2));
+    assert_eq!(state.fold(3, &record(11, place(1, 6))), elsewhere(3));
+    assert_eq!(state.fold(4, &record(12, accept(item("m1", "clinic", operation(1))))), elsewhere(4));
+    assert!(state.pieces.is_empty(), "what is placed elsewhere is not kept here");
+    assert_eq!(state.fold(5, &record(13, accept(item("m2", "clinic", operation(2))))), vec![Change::Accepted(5)]);
+    assert_eq!(state.fold(6, &record(14, place(2, 5))), vec![Change::Repeated { at: 6, old: 5 }]);
+    assert_eq!(state.digest(), state.digest_anew());
+}
+
+#[test]
+fn a_placement_holds_for_a_window_and_a_quarter_after_it_was_last_asked_for() {
+    let mut state = with_route();
+    state.fold(2, &record(10, place(1, 5)));
+    let asked = 10 + WINDOW;
+    state.fold(3, &record(asked, place(1, 6)));
+    let operation = operation(1).expect("one");
+    let last = asked + WINDOW * 5 / 4;
+    let placement = state.placement_of(&operation, last).expect("it holds");
+    assert_eq!((placement.partition, placement.until_ms), (5, last));
+    assert_eq!(state.placement_of(&operation, last + 1), None);
+    state.fold(4, &record(last + 1, accept(item("m1", "clinic", Some(operation)))));
+    assert_eq!((state.placed_operations(), state.remembered_operations()), (0, 1), "its number is bounded");
+    assert_eq!(state.digest(), state.digest_anew());
+}
+
+#[test]
+fn a_placement_is_written_anew_once_an_eighth_of_the_window_has_passed() {
+    let mut state = with_route();
+    state.fold(2, &record(10, place(1, 5)));
+    let placement = state.placement_of(&operation(1).expect("one"), 10).expect("it holds");
+    assert!(!state.is_placement_due(&placement, 10 + WINDOW / 8));
+    assert!(state.is_placement_due(&placement, 11 + WINDOW / 8));
+}
+
+#[test]
+fn a_snapshot_carries_the_placements() {
+    let mut state = with_route();
+    state.fold(2, &record(10, place(1, 5)));
+    state.fold(3, &record(20, place(2, 6)));
+    let mut restored = PartitionState::restore(&state.snapshot(), RETENTION).expect("a good snapshot");
+    for low in [1, 2] {
+        let operation = operation(low).expect("one");
+        assert_eq!(restored.placement_of(&operation, 30), state.placement_of(&operation, 30));
+        assert!(restored.placement_of(&operation, 30).is_some());
+    }
+    let late = 11 + WINDOW * 5 / 4;
+    for state in [&mut state, &mut restored] {
+        state.fold(4, &record(late, place(3, 7)));
+        assert_eq!(state.placed_operations(), 2, "the first one is forgotten");
+    }
+    assert_eq!(state.digest(), restored.digest());
+    let mut other = with_route();
+    other.fold(2, &record(10, place(1, 5)));
+    assert_ne!(other.digest(), state.digest(), "a placement that is missing shows");
+}
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -28,7 +28,7 @@
 }
 
 /// How many kinds of messages there are.
-const KINDS: usize = 39;
+const KINDS: usize = 40;
 
 /// Frames and bytes sent by this process, by kind.
 static SENT: [(AtomicU64, AtomicU64); KINDS] = [const { (AtomicU64::new(0), AtomicU64::new(0)) }; KINDS];
@@ -74,6 +74,7 @@
         Body::ColdLeaseAck(_) => 36,
         Body::QuotaRequest(_) => 37,
         Body::QuotaResponse(_) => 38,
+        Body::PlaceOperation(_) => 39,
     }
 }
 
@@ -119,6 +120,7 @@
         "cold_lease_ack",
         "quota_request",
         "quota_response",
+        "place_operation",
     ];
     let load = |n: usize| (SENT[n].1.load(Ordering::Relaxed), SENT[n].0.load(Ordering::Relaxed));
     let mut all: Vec<(u64, u64, &str)> =
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -30,7 +30,7 @@
     pub reply: bool,
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47, 48"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49"
     )]
     pub body: Option<Body>,
 }
@@ -115,6 +115,8 @@
     QuotaRequest(QuotaRequest),
     #[prost(message, tag = "48")]
     QuotaResponse(QuotaResponse),
+    #[prost(message, tag = "49")]
+    PlaceOperation(PlaceOperation),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -46,7 +46,7 @@
 }
 
 /// Stands for an operation key of a tenant: the first half of a SHA-256 over both.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
 pub struct OperationId {
     /// The first eight bytes.
     #[prost(fixed64, tag = "1")]
@@ -72,6 +72,29 @@
     Unclear = 5,
     /// Its tenant has no more of its limit now; nothing was written.
     OverQuota = 6,
+    /// Its operation was placed in another partition, which `partition` names; it is not kept here.
+    PlacedElsewhere = 7,
+    /// Of a question alone: the operation is neither kept here nor placed elsewhere.
+    NotKnown = 8,
+}
+
+/// Asks the owner of a partition where an operation is kept. An operation that is neither kept
+/// there nor placed elsewhere yet is placed in the `wanted` partition, and the answer holds for
+/// as long as operations are remembered. Answered by `Accepted`: `Taken` with the position of
+/// the message, `PlacedElsewhere`, or an outcome that says that nothing was decided.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PlaceOperation {
+    /// The partition whose owner is asked.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(message, required, tag = "2")]
+    pub operation: OperationId,
+    /// Where to place it; absent: a question that places nothing.
+    #[prost(uint32, optional, tag = "3")]
+    pub wanted: Option<u32>,
+    /// The rank of the message's route, by which room is given.
+    #[prost(uint32, tag = "4")]
+    pub rank: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -84,6 +107,9 @@
     pub owner: String,
     #[prost(uint32, tag = "4")]
     pub retry_ms: u32,
+    /// With `PlacedElsewhere`: the partition that the operation was placed in.
+    #[prost(uint32, tag = "5")]
+    pub partition: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -17,6 +17,8 @@
     pub order_key: String,
     /// The tenant's key; empty where there are no tenants.
     pub tenant_key: String,
+    /// The key of its operation; empty where operations have none.
+    pub operation_key: String,
 }
 
 /// What became of a send.
@@ -43,17 +45,20 @@
     if tenant_key.is_empty() { String::new() } else { format!("Authorization: Bearer {tenant_key}\r\n") }
 }
 
+/// A header's line; none for an empty value.
+fn header_line(name: &str, value: &str) -> String {
+    if value.is_empty() { String::new() } else { format!("{name}: {value}\r\n") }
+}
+
 /// Sends a message to a front.
 pub fn send(front: &str, message: Message) -> Sent {
-    let order = match message.order_key.as_str() {
-        "" => String::new(),
-        key => format!("X-Order-Key: {key}\r\n"),
-    };
     let request = format!(
-        "POST {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{order}{}Content-Length: 4\r\n\
+        "POST {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{}{}{}Content-Length: 4\r\n\
          Connection: close\r\n\r\nbody",
         message.path,
         message.id,
+        header_line("X-Order-Key", &message.order_key),
+        header_line("X-Operation-Key", &message.operation_key),
         authorization(&message.tenant_key),
     );
     let sent = Instant::now();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -114,6 +114,7 @@
             path: if is_ordered { "/ordered/x".into() } else { "/plain/x".into() },
             order_key: if is_ordered { format!("k{}", number % ORDER_KEYS) } else { String::new() },
             tenant_key: tenant_key.into(),
+            ..Message::default()
         };
         let sent = send(front, message);
         if let Ok(mut all) = all.lock() {
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod lease;
 mod membership;
+mod placements;
 mod quota;
 mod recovery;
 mod requests;
@@ -29,6 +30,7 @@
 use wal::{Op, Wal, key};
 
 enum Waiter {
+    /// For an accept, or for the placement of an operation.
     Accept(Responder),
     Report(Responder),
 }
@@ -111,7 +113,12 @@
 }
 
 fn accepted(outcome: AcceptOutcome, position: u64, owner: &str) -> Body {
-    Body::Accepted(Accepted { outcome: outcome as i32, position, owner: owner.into(), retry_ms: 0 })
+    Body::Accepted(Accepted { outcome: outcome as i32, position, owner: owner.into(), ..Accepted::default() })
+}
+
+fn placed_elsewhere(partition: u32) -> Body {
+    let outcome = AcceptOutcome::PlacedElsewhere as i32;
+    Body::Accepted(Accepted { outcome, partition, ..Accepted::default() })
 }
 
 fn timing(c: &Settings) -> Timing {
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -116,13 +116,17 @@
                 Change::Accepted(pos) => {
                     telemetry::count("accepted");
                     i.fresh.forget((partition, pos));
-                    self.answer_waiters(i, (partition, pos), pos);
+                    self.answer_waiters(i, (partition, pos), &accepted(AcceptOutcome::Taken, pos, ""));
                     self.schedule(i, (partition, pos), now);
                 }
                 Change::Repeated { at, old } => {
                     telemetry::count("accepts_repeated");
                     i.fresh.forget((partition, at));
-                    self.answer_waiters(i, (partition, at), old);
+                    self.answer_waiters(i, (partition, at), &accepted(AcceptOutcome::Taken, old, ""));
+                }
+                Change::PlacedElsewhere { at, partition: other } => {
+                    i.fresh.forget((partition, at));
+                    self.answer_waiters(i, (partition, at), &placed_elsewhere(other));
                 }
                 Change::Failed(pos) => {
                     i.answering.remove(&(partition, pos));
@@ -151,17 +155,19 @@
             for w in i.waiters.remove(&k).into_iter().flatten() {
                 match w {
                     Waiter::Report(p) => p.send(Body::ReportAck(ReportAck { kept: true })),
-                    Waiter::Accept(p) => p.send(accepted(AcceptOutcome::Taken, k.1, "")),
+                    // All that the fold decided was answered above.
+                    Waiter::Accept(p) => p.send(accepted(AcceptOutcome::Unclear, 0, "")),
                 }
             }
         }
         self.wake.notify_one();
     }
 
-    pub(super) fn answer_waiters(&self, i: &mut StoreState, k: Key, pos: u64) {
-        for w in i.waiters.remove(&k).into_iter().flatten() {
-            if let Waiter::Accept(p) = w {
-                p.send(accepted(AcceptOutcome::Taken, pos, ""));
+    /// Answers those who wait for the accept or the placement that stands at `key`.
+    fn answer_waiters(&self, i: &mut StoreState, key: Key, answer: &Body) {
+        for waiter in i.waiters.remove(&key).into_iter().flatten() {
+            if let Waiter::Accept(responder) = waiter {
+                responder.send(answer.clone());
             }
         }
     }
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -8,6 +8,7 @@
         let i = &mut *guard;
         match body {
             Body::Accept(a) => self.accept(i, a, responder, None),
+            Body::PlaceOperation(request) => self.place_operation(i, request, responder),
             Body::Report(r) => self.report(i, r, responder),
             Body::Lookup(l) => {
                 let found = self.lookup(i, &l);
@@ -37,12 +38,7 @@
         waited_until_ms: Option<u64>,
     ) {
         let p = a.partition;
-        let owner = match i.replicas.get(&p) {
-            Some(m) if m.open() && self.leased(i) => None,
-            Some(m) => Some(if m.owner == self.settings.node { String::new() } else { m.owner.clone() }),
-            None => Some(String::new()),
-        };
-        if let Some(owner) = owner {
+        if let Some(owner) = self.other_owner(i, p) {
             responder.send(accepted(AcceptOutcome::Elsewhere, 0, &owner));
             return;
         }
@@ -50,11 +46,6 @@
             i.waiters.entry(k).or_default().push(Waiter::Accept(responder));
             return;
         }
-        if !self.may_keep(&a.item) {
-            telemetry::count("refused_not_at_home");
-            responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
-            return;
-        }
         let at_ms = self.owner_time(i, p);
         let m = &i.replicas[&p];
         if let Some(pos) = m.state.find_repeat(&a.item, at_ms) {
@@ -62,6 +53,15 @@
             responder.send(accepted(AcceptOutcome::Taken, pos, ""));
             return;
         }
+        if let Some(placement) = a.item.operation.and_then(|operation| m.state.placement_of(&operation, at_ms)) {
+            responder.send(placed_elsewhere(placement.partition));
+            return;
+        }
+        if !self.may_keep(&a.item) {
+            telemetry::count("refused_not_at_home");
+            responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
+            return;
+        }
         if !m.state.has_route(&a.item.route) {
             // Older news than the front has, or newer.
             let outcome =
@@ -69,11 +69,8 @@
             responder.send(accepted(outcome, 0, ""));
             return;
         }
-        let held: usize = i.replicas.values().map(|m| m.state.weight()).sum();
         let rank = self.session.with_known(|k| k.configuration.route_named(&a.item.route).map_or(0, |c| c.rank));
-        let disk = (self.settings.limits.disk_mb << 20) as usize;
-        let room = Capacity { memory: i.memory_limit, disk: disk * 9 / 10 };
-        if !room.admits(rank, held + a.item.body.len(), self.wal.used_bytes() as usize) {
+        if !self.has_room(i, rank, a.item.body.len()) {
             telemetry::count("refused_full");
             responder.send(accepted(AcceptOutcome::Full, 0, ""));
             return;
@@ -98,6 +95,24 @@
         self.carry_out(i, p, out);
     }
 
+    /// Who owns a partition whose owner this node is not, or which takes nothing now; empty if
+    /// that is not known.
+    pub(super) fn other_owner(&self, i: &StoreState, partition: u32) -> Option<String> {
+        match i.replicas.get(&partition) {
+            Some(replica) if replica.open() && self.leased(i) => None,
+            Some(replica) if replica.owner != self.settings.node => Some(replica.owner.clone()),
+            _ => Some(String::new()),
+        }
+    }
+
+    /// Whether so many bytes more may be kept for messages of a rank.
+    pub(super) fn has_room(&self, i: &StoreState, rank: u32, bytes: usize) -> bool {
+        let held: usize = i.replicas.values().map(|replica| replica.state.weight()).sum();
+        let disk = (self.settings.limits.disk_mb << 20) as usize;
+        let room = Capacity { memory: i.memory_limit, disk: disk * 9 / 10 };
+        room.admits(rank, held + bytes, self.wal.used_bytes() as usize)
+    }
+
     /// Whether a message may be kept in this region, as far as is known here.
     fn may_keep(&self, item: &Item) -> bool {
         let homes = self.session.with_known(|known| known.configuration.homes_on(&item.route, &item.tenant));
--- a/crates/store/src/uncommitted.rs
+++ b/crates/store/src/uncommitted.rs
@@ -34,8 +34,13 @@
     /// The accept that a message would repeat.
     pub fn find(&self, partition: u32, item: &Item) -> Option<Key> {
         let by_id = self.ids.get(&(partition, item.tenant.clone(), item.id.clone()));
-        let by_operation = || self.operations.get(&(partition, item.operation?));
-        by_id.or_else(by_operation).map(|position| (partition, *position))
+        let by_operation = || self.find_operation(partition, item.operation?);
+        by_id.map(|position| (partition, *position)).or_else(by_operation)
+    }
+
+    /// The accept that keeps an operation.
+    pub fn find_operation(&self, partition: u32, operation: OperationId) -> Option<Key> {
+        self.operations.get(&(partition, operation)).map(|position| (partition, *position))
     }
 
     /// Takes in what was written.
--- a/crates/store/tests/uncommitted.rs
+++ b/crates/store/tests/uncommitted.rs
@@ -20,6 +20,8 @@
     assert_eq!(accepts.find(3, &item("clinic", "m1", 0)), Some((3, 9)));
     assert_eq!(accepts.find(3, &item("clinic", "m2", 5)), Some((3, 9)));
     assert_eq!(accepts.find(3, &item("clinic", "m2", 6)), None);
+    let operation = OperationId { high: 5, low: 1 };
+    assert_eq!((accepts.find_operation(3, operation), accepts.find_operation(4, operation)), (Some((3, 9)), None));
     assert_eq!(accepts.find(3, &item("shop", "m1", 0)), None, "another tenant's");
     assert_eq!(accepts.find(4, &item("clinic", "m1", 5)), None, "another partition's");
 }
