--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -21,9 +21,7 @@
                 && n.inner == session.me().inner
             {
                 session.set_unidentified(&w.unidentified);
-                if n.leaving {
-                    session.set_leaving();
-                }
+                session.service_told(n.incarnation, n.leaving);
             }
             tokio::spawn(async move {
                 let mut rx = session.subscribe();
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,10 +5,12 @@
 mod cold;
 mod feed;
 mod follower;
+mod identity;
 mod placement;
 mod session;
 pub use cold::ask_cold_lease;
 pub use feed::*;
 pub use follower::Follower;
+pub use identity::NodeIdentity;
 pub use placement::*;
 pub use session::*;
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,7 +1,8 @@
+use crate::identity::NodeIdentity;
 use bytes::Bytes;
 use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Freshness, Role, Settings};
 use rpc::messages::*;
-use rpc::{Body, CarriedTime, RpcClients, after, possible};
+use rpc::{Body, CarriedTime, RpcClients, possible};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -159,7 +160,7 @@
     pub settings: Settings,
     pub rpc_clients: Arc<RpcClients>,
     known: watch::Sender<ClusterView>,
-    node: Mutex<Node>,
+    identity: Mutex<NodeIdentity>,
     control_nodes: Mutex<Vec<String>>,
     /// The cluster's time: carried on here, so that it outlasts the loss of all store and
     /// control machines.
@@ -176,7 +177,7 @@
             time: Mutex::new(CarriedTime::default()),
             start: Instant::now(),
             known: watch::channel(ClusterView::default()).0,
-            node: Mutex::new(node),
+            identity: Mutex::new(NodeIdentity::new(node)),
             control_nodes: Mutex::new(control_nodes),
             unidentified: Mutex::default(),
             rpc_clients,
@@ -229,23 +230,22 @@
     }
 
     pub fn me(&self) -> Node {
-        self.node.lock().unwrap().clone()
+        self.identity.lock().unwrap().node()
     }
 
     /// An incarnation of this node is known that comes after its own: begins another.
     pub fn relive(&self, newer_incarnation: u64) -> Option<u64> {
-        let mut n = self.node.lock().unwrap();
-        if newer_incarnation < n.incarnation || !possible(newer_incarnation) {
+        if !possible(newer_incarnation) {
             return None;
         }
-        n.incarnation = after(newer_incarnation);
-        telemetry::change!("an incarnation after this one is known: now {}", n.incarnation);
-        Some(n.incarnation)
+        let incarnation = self.identity.lock().unwrap().begin_after(newer_incarnation)?;
+        telemetry::change!("an incarnation after this one is known: now {incarnation}");
+        Some(incarnation)
     }
 
     /// This node's disk is another one than was known, since that incarnation.
     pub fn reborn(&self, incarnation: u64) {
-        self.node.lock().unwrap().born = incarnation;
+        self.identity.lock().unwrap().set_born(incarnation);
     }
 
     /// Takes what the front tells of processors whose answers do not name their request;
@@ -254,8 +254,14 @@
         *self.unidentified.lock().unwrap() = addresses.to_vec();
     }
 
+    /// This process is about to end: its node takes no work any more.
     pub fn set_leaving(&self) {
-        self.node.lock().unwrap().leaving = true;
+        self.identity.lock().unwrap().end();
+    }
+
+    /// The service process beside this one tells its incarnation, and whether it is about to end.
+    pub fn service_told(&self, incarnation: u64, is_leaving: bool) {
+        self.identity.lock().unwrap().service_told(incarnation, is_leaving);
     }
 
     /// The settings name other control nodes now: they are asked as well.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -25,6 +25,8 @@
 const READY_PORT: u16 = 6;
 /// Ports between two clusters.
 const CLUSTER_STEP: u16 = 20;
+/// `graceS` of the settings, and a little for the system.
+const GRACE: Duration = Duration::from_millis(4500);
 /// How often something that is waited for is looked at.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -120,14 +122,7 @@
             self.spawn(&name)?;
         }
         self.configure(config)?;
-        for front in FRONT {
-            let ready = format!("{}:{}", self.ip(front), self.base_port + READY_PORT);
-            let request = "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
-            let is_ready =
-                || crate::exchange(&ready, request, Duration::from_secs(1)).is_some_and(|answer| answer.status == 200);
-            wait_for("ready", Duration::from_secs(60), is_ready)?;
-        }
-        Ok(())
+        self.wait_ready()
     }
 
     /// The names of all its processes: a role and a machine.
@@ -211,6 +206,36 @@
         status.map(|_| ()).map_err(|source| ClusterError::Process { name: name.into(), source })
     }
 
+    /// Tells a process to end, as the platform does, and waits until it has.
+    ///
+    /// # Errors
+    /// It runs on for longer than it is allowed to.
+    pub fn terminate(&mut self, name: &str) -> Result<(), ClusterError> {
+        self.signal(name, "-TERM")?;
+        let Some(mut child) = self.running.remove(name) else { return Ok(()) };
+        let waited = wait_for(&format!("the end of {name}"), GRACE, || matches!(child.try_wait(), Ok(Some(_))));
+        if waited.is_err() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        waited
+    }
+
+    /// Waits until the fronts are ready.
+    ///
+    /// # Errors
+    /// They are not within a minute.
+    pub fn wait_ready(&self) -> Result<(), ClusterError> {
+        for front in FRONT {
+            let ready = format!("{}:{}", self.ip(front), self.base_port + READY_PORT);
+            let request = "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
+            let is_ready =
+                || crate::exchange(&ready, request, Duration::from_secs(1)).is_some_and(|answer| answer.status == 200);
+            wait_for("ready", Duration::from_secs(60), is_ready)?;
+        }
+        Ok(())
+    }
+
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, name: &str) {
         if let Some(mut child) = self.running.remove(name) {
