--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -108,11 +108,11 @@
                 responder.send(Body::Held(held));
             }
             Body::Notify(n) => {
-                let b = self.clone();
-                tokio::spawn(async move {
-                    let status = b.notify(n).await;
+                let worker = self.clone();
+                tokio::spawn(telemetry::contained(async move {
+                    let status = worker.notify(n).await;
                     responder.send(Body::NotifyAck(NotifyAck { status }));
-                });
+                }));
             }
             Body::Status(_) => {
                 let k = self.front.known.borrow().have();
@@ -132,8 +132,8 @@
         }
     }
 
-    async fn deliver(self: Arc<Self>, run: Run) {
-        let begun = Instant::now();
+    /// Sends a message to its processor.
+    async fn send(self: Arc<Self>, run: Arc<Run>) -> Result<Answer, SendError> {
         let deadline = run.timeout_ms.to_string();
         let headers = delivery_headers(&run, &deadline);
         let call = Call {
@@ -148,7 +148,15 @@
         };
         // The processor ends its work at the cutoff and says so; a little longer for that to arrive.
         let within = Duration::from_millis(run.timeout_ms as u64) * 21 / 20;
-        let asked = self.pool.call(&run.address, call, run.conn_limit.max(1) as usize, within).await;
+        self.pool.call(&run.address, call, run.conn_limit.max(1) as usize, within).await
+    }
+
+    async fn deliver(self: Arc<Self>, run: Run) {
+        let begun = Instant::now();
+        let run = Arc::new(run);
+        // Whatever a processor answers, the report of its run is owed.
+        let sending = tokio::spawn(telemetry::contained(self.clone().send(run.clone())));
+        let asked = sending.await.unwrap_or(Err(SendError::Lost));
         let (outcome, result_tag) = read_answer(&asked);
         let told = asked.as_ref().ok().and_then(load);
         let report = Report {
--- a/crates/front/src/submission.rs
+++ b/crates/front/src/submission.rs
@@ -69,7 +69,7 @@
 /// 400: the value is no time.
 fn time_header(request: &Request, name: &str) -> Result<Option<f64>, Box<Reply>> {
     let Some(text) = request.header(name) else { return Ok(None) };
-    let time = text.parse::<f64>().ok().filter(|time| *time >= 0.0 && *time < TIME_LIMIT_MS);
+    let time = http1::milliseconds(text, TIME_LIMIT_MS);
     time.map(Some).ok_or_else(|| fault(400, &format!("{name} is not a time")).into())
 }
 
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -1,3 +1,4 @@
+use crate::header_time::keep_alive_timeout;
 use crate::parse::*;
 use crate::unidentified::UnidentifiedAnswers;
 use bytes::{BufMut, BytesMut};
@@ -41,6 +42,9 @@
 /// name its requests.
 const UNIDENTIFIED_FOR: u32 = 60;
 
+/// The longest time that an unused connection is kept, whatever its server says.
+const LONGEST_KEPT: Duration = Duration::from_secs(3600);
+
 /// One request to a server.
 pub struct Call<'a> {
     /// The method, as on the request line.
@@ -206,15 +210,9 @@
         }
         let (answer, left) = exchanged?;
         if answer.keep && !left && named {
-            let said = answer.header("keep-alive").and_then(|v| {
-                let at = v.find("timeout=")? + 8;
-                v[at..].split([',', ' ', ';']).next()?.parse::<f64>().ok()
-            });
+            let told = answer.header("keep-alive").and_then(keep_alive_timeout);
             // Three quarters of what the server says, so as not to meet its close.
-            let kept = match said {
-                Some(s) => Duration::from_secs_f64((s * 0.75).clamp(0.0, 3600.0)),
-                None => self.idle,
-            };
+            let kept = told.map_or(self.idle, |time| (time * 3 / 4).min(LONGEST_KEPT));
             let mut places = self.places.lock().unwrap();
             if let Some(p) = places.get_mut(addr) {
                 p.idle.push(Idle { stream, since: Instant::now(), until: Instant::now() + kept });
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod client;
 mod departure;
+mod header_time;
 mod parse;
 mod server;
 mod unidentified;
 pub use client::*;
 pub use departure::Departure;
+pub use header_time::{keep_alive_timeout, milliseconds, whole_seconds};
 pub use parse::*;
 pub use server::*;
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -363,12 +363,10 @@
             continue;
         };
         let (handler, bounds, closing) = (handler.clone(), bounds.clone(), closing.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, bounds, closing, client_watch, move |r| {
-                let handler = handler.clone();
-                async move { handler(r).await }
-            })
-            .await;
+        let connection = serve_connection(stream, bounds, closing, client_watch, move |request| {
+            let handler = handler.clone();
+            async move { handler(request).await }
         });
+        tokio::spawn(telemetry::contained(connection));
     }
 }
--- a/crates/http1/tests/calls.rs
+++ b/crates/http1/tests/calls.rs
@@ -129,6 +129,23 @@
     assert!(seen.lock().unwrap().runs.values().all(|n| *n == 1));
 }
 
+/// Guards against LOST: a time in `Keep-Alive` that is none ended the process.
+#[tokio::test(flavor = "current_thread")]
+async fn a_server_may_say_anything_of_how_long_it_keeps_a_connection() {
+    let told = ["NaN", "inf", "-1", "1e400", "99999999999999999999", "", "5", "5, timeout=NaN", "\u{fffd}"];
+    let plan = move |id: &str, _| {
+        let time = told[id.parse::<usize>().expect("a number")];
+        let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nKeep-Alive: timeout={time}\r\n");
+        vec![Do::Send(format!("{head}Content-Length: 2\r\n\r\nok").into_bytes())]
+    };
+    let (addr, seen) = server(plan).await;
+    let pool = ConnectionPool::new(Duration::from_secs(9));
+    for (number, time) in told.iter().enumerate() {
+        assert_eq!(body(&call(&pool, &addr, &number.to_string(), "/").await), "ok", "{time}");
+    }
+    assert_eq!(seen.lock().unwrap().connections, 1, "what is no time says nothing");
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn an_answer_with_two_lengths_or_a_false_one_is_none() {
     for bad in [
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -48,9 +48,10 @@
         let route = configuration.route(host, path).ok_or_else(|| fault(404, "no such route"))?;
         let id = request.header("x-attempt-id").filter(|id| !id.is_empty() && id.len() <= ID_LIMIT);
         let id = id.ok_or_else(|| fault(400, "X-Attempt-Id is missing"))?;
-        let given_ms = match request.header("x-deadline-ms").map(str::parse::<f64>) {
-            Some(Ok(deadline)) if (0.0..DEADLINE_LIMIT_MS).contains(&deadline) => deadline,
-            Some(_) => return Err(fault(400, "X-Deadline-Ms is not a time")),
+        let given_ms = match request.header("x-deadline-ms") {
+            Some(text) => {
+                http1::milliseconds(text, DEADLINE_LIMIT_MS).ok_or_else(|| fault(400, "X-Deadline-Ms is not a time"))?
+            }
             None => route.timeout_ms,
         };
         let homes = configuration.homes(route, "");
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -202,10 +202,22 @@
         tune(&stream, silence);
         connection += 1;
         let (handle, ended) = (handle.clone(), ended.clone());
-        tokio::spawn(async move {
+        tokio::spawn(telemetry::contained(async move {
+            let _end = ConnectionEnd { connection, ended: &*ended };
             read_all(stream, connection, &*handle).await;
-            ended(connection);
-        });
+        }));
+    }
+}
+
+/// Tells the end of a connection, however its task ends.
+struct ConnectionEnd<'a, E: Fn(u64)> {
+    connection: u64,
+    ended: &'a E,
+}
+
+impl<E: Fn(u64)> Drop for ConnectionEnd<'_, E> {
+    fn drop(&mut self) {
+        (self.ended)(self.connection);
     }
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,7 +3,9 @@
 
 #![warn(missing_docs)]
 
+mod containment;
 mod invariant;
+pub use containment::{contained, end_process_on_panic};
 pub use invariant::check_invariant;
 
 use std::collections::BTreeMap;
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -72,6 +72,7 @@
             return ExitCode::from(2);
         }
     };
+    telemetry::end_process_on_panic();
     let ended = runtime.block_on(async {
         let (stop, stopped) = watch::channel(false);
         let (changed, updates) = watch::channel(settings.clone());
