--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -1,8 +1,10 @@
 use crate::header_time::keep_alive_timeout;
 use crate::parse::*;
+use crate::sent_ids::SentIds;
 use crate::unidentified::UnidentifiedAnswers;
 use bytes::{BufMut, BytesMut};
 use std::collections::HashMap;
+use std::hash::RandomState;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,8 +21,10 @@
     Silent,
 }
 
+/// A connection that is kept for the next call.
 struct Idle {
     stream: TcpStream,
+    sent: SentIds,
     since: Instant,
     until: Instant,
 }
@@ -35,6 +39,7 @@
 pub struct ConnectionPool {
     places: Mutex<HashMap<String, Place>>,
     idle: Duration,
+    hasher: RandomState,
     unidentified: Mutex<UnidentifiedAnswers>,
 }
 
@@ -66,6 +71,15 @@
     pub connect: Option<Duration>,
 }
 
+/// Whether a kept connection may carry another call. One that has something to read was closed, or
+/// is out of step.
+fn is_usable(idle: &Idle, newest: Option<Duration>, now: Instant) -> bool {
+    let mut one = [0u8; 1];
+    idle.until > now
+        && newest.is_none_or(|newest| now.duration_since(idle.since) <= newest)
+        && matches!(idle.stream.try_read(&mut one), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 struct OpenCount<'a> {
     pool: &'a ConnectionPool,
     addr: &'a str,
@@ -87,23 +101,31 @@
     /// A pool that keeps unused connections for that long.
     pub fn new(idle: Duration) -> Arc<ConnectionPool> {
         let unidentified = Mutex::new(UnidentifiedAnswers::new(idle * UNIDENTIFIED_FOR));
-        Arc::new(ConnectionPool { places: Mutex::default(), idle, unidentified })
+        Arc::new(ConnectionPool { places: Mutex::default(), idle, hasher: RandomState::new(), unidentified })
     }
 
-    fn take_idle(&self, addr: &str, newest: Option<Duration>) -> Option<TcpStream> {
+    /// A kept connection for a call: the newest that has not carried its id. One that has makes
+    /// room for a new one.
+    fn take_idle(&self, address: &str, call: &Call<'_>) -> Option<(TcpStream, SentIds)> {
         let mut places = self.places.lock().unwrap();
-        let place = places.get_mut(addr)?;
+        let idle = &mut places.get_mut(address)?.idle;
         let now = Instant::now();
-        while let Some(i) = place.idle.pop() {
-            // A kept connection that has something to read was closed, or is out of step.
-            let mut one = [0u8; 1];
-            if i.until > now
-                && newest.is_none_or(|n| now.duration_since(i.since) <= n)
-                && matches!(i.stream.try_read(&mut one), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
-            {
-                return Some(i.stream);
+        let mut passed_over = None;
+        while let Some(at) = passed_over.unwrap_or(idle.len()).checked_sub(1) {
+            if !is_usable(&idle[at], call.newest, now) {
+                idle.remove(at);
+                passed_over = passed_over.map(|_| at);
+            } else if idle[at].sent.may_contain(&self.hasher, call.id) {
+                passed_over = Some(at);
+            } else {
+                let Idle { stream, sent, .. } = idle.remove(at);
+                return Some((stream, sent));
             }
         }
+        if let Some(oldest) = passed_over {
+            telemetry::count("connections_with_the_same_id");
+            idle.remove(oldest);
+        }
         None
     }
 
@@ -149,7 +171,12 @@
                 let now = Instant::now();
                 let mut places = self.places.lock().unwrap();
                 let until = now + Duration::from_secs(1);
-                places.entry(addr.to_owned()).or_default().idle.push(Idle { stream, since: now, until });
+                places.entry(addr.to_owned()).or_default().idle.push(Idle {
+                    stream,
+                    sent: SentIds::default(),
+                    since: now,
+                    until,
+                });
                 Ok(())
             }
             Ok(Err(_)) => Err(SendError::NotSent),
@@ -174,13 +201,14 @@
         // An answer that names nobody belongs to the one request of its connection, or
         // to nobody knows which.
         let named = !call.id.is_empty();
-        let mut stream = match if named { self.take_idle(addr, call.newest) } else { None } {
-            Some(s) => s,
+        let kept = if named { self.take_idle(addr, &call) } else { None };
+        let (mut stream, mut sent) = match kept {
+            Some(kept) => kept,
             None => match tokio::time::timeout(connect_within, TcpStream::connect(addr)).await {
                 Ok(Ok(s)) => {
                     let _ = s.set_nodelay(true);
                     telemetry::count("connections_opened");
-                    s
+                    (s, SentIds::default())
                 }
                 _ => return Err(SendError::NotSent),
             },
@@ -199,6 +227,7 @@
         }
         out.put_slice(b"\r\n");
         out.put_slice(call.body);
+        sent.insert(&self.hasher, call.id);
         let mut has_unidentified = false;
         let exchange = async {
             stream.write_all(&out).await.map_err(|_| SendError::Lost)?;
@@ -209,13 +238,13 @@
             self.note_identification(addr, call.host, exchanged.is_ok(), has_unidentified);
         }
         let (answer, left) = exchanged?;
-        if answer.keep && !left && named {
+        if answer.keep && !left && named && !sent.is_full() {
             let told = answer.header("keep-alive").and_then(keep_alive_timeout);
             // Three quarters of what the server says, so as not to meet its close.
             let kept = told.map_or(self.idle, |time| (time * 3 / 4).min(LONGEST_KEPT));
             let mut places = self.places.lock().unwrap();
             if let Some(p) = places.get_mut(addr) {
-                p.idle.push(Idle { stream, since: Instant::now(), until: Instant::now() + kept });
+                p.idle.push(Idle { stream, sent, since: Instant::now(), until: Instant::now() + kept });
             }
         }
         Ok(answer)
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,6 +6,7 @@
 mod departure;
 mod header_time;
 mod parse;
+mod sent_ids;
 mod server;
 mod unidentified;
 pub use client::*;
--- a/crates/http1/tests/calls.rs
+++ b/crates/http1/tests/calls.rs
@@ -129,6 +129,26 @@
     assert!(seen.lock().unwrap().runs.values().all(|n| *n == 1));
 }
 
+/// Guards against REFUSED and MIXED: the second answer to a first send counted as that to the second.
+#[tokio::test(flavor = "current_thread")]
+async fn a_late_answer_to_an_earlier_send_of_a_request_is_not_that_to_a_later_one() {
+    // The second answer to the first send comes only as the next request is read.
+    let plan = |id: &str, turn| {
+        let late = if turn > 0 { answer("again", "first send") } else { Vec::new() };
+        let own = if id == "again" { "own" } else { id };
+        vec![Do::Send(late), Do::Send(answer(id, own))]
+    };
+    let (addr, seen) = server(plan).await;
+    let pool = ConnectionPool::new(Duration::from_secs(9));
+    for _ in 0..3 {
+        assert_eq!(body(&call(&pool, &addr, "again", "/").await), "own");
+    }
+    assert_eq!(seen.lock().unwrap().connections, 3, "no connection carries a request twice");
+    assert_eq!(body(&call(&pool, &addr, "other", "/").await), "other", "another's answer is passed over");
+    let seen = seen.lock().unwrap();
+    assert_eq!((seen.connections, seen.runs["again"]), (3, 3), "another request goes by a kept one");
+}
+
 /// Guards against LOST: a time in `Keep-Alive` that is none ended the process.
 #[tokio::test(flavor = "current_thread")]
 async fn a_server_may_say_anything_of_how_long_it_keeps_a_connection() {
