--- a/crates/agent/src/placement.rs
+++ b/crates/agent/src/placement.rs
@@ -3,7 +3,7 @@
 
 use crate::ClusterView;
 use config::{ConfigurationIndex, Homes, Route, placement_hash};
-use rpc::messages::{Assignments, Node, OperationId, Partition};
+use rpc::messages::{Assignments, Node, OperationId, OrderKey, Partition};
 use std::collections::BTreeSet;
 
 /// What of a message decides which partition keeps it.
@@ -53,6 +53,19 @@
     assignments.partition_for(operation.high)
 }
 
+/// The partition whose log says where the messages of an order key are kept, as
+/// [`operation_directory`] does for an operation: where they are bound to no region, it keeps them.
+pub fn order_directory(assignments: &Assignments, order: &OrderKey) -> Option<u32> {
+    let keys = PlacementKeys { tenant: &order.tenant, order_key: &order.key, ..PlacementKeys::default() };
+    assignments.partition_for(keys.order_hash())
+}
+
+/// Whether messages with these homes may be kept by a partition, wherever they would be placed.
+pub fn may_be_kept_in(assignments: &Assignments, homes: &Homes, partition: u32) -> bool {
+    let found = assignments.partitions.iter().find(|p| p.id == partition);
+    found.is_some_and(|p| !homes.is_bound() || !p.home.is_empty() && homes.allows(&p.home))
+}
+
 /// The service that a message goes to: of services that share its route by weights, the one
 /// that its id chooses, the same at every node that knows the same weights.
 pub fn service_of<'a>(route: &'a Route, id: &str) -> &'a str {
--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -1,26 +1,54 @@
 //! Taking a message in: finds the partition that is to keep it, and has its owner write it.
 //!
-//! Invariant (docs/design/tenants.md): a message with an operation key is written only where the
-//! operation's directory has placed the operation, or by the directory's partition itself.
+//! Invariant (docs/design/tenants.md): a message with an operation or order key is written only
+//! where the placements of these have led, or by their directory's partition itself.
 
 use crate::ingest::{FrontService, fault};
 use crate::owner_calls::{OwnerAnswer, OwnerCalls};
 use crate::submission::Submission;
-use agent::operation_directory;
+use agent::{may_be_kept_in, operation_directory, order_directory};
 use http1::{Reply, Request};
 use rpc::Body;
-use rpc::messages::{Accept, AcceptOutcome, Accepted, OperationId, PlaceOperation};
+use rpc::messages::{Accept, AcceptOutcome, Accepted, OrderKey, Place, PlacementGenerations, PlacementSubject};
 
-/// Where a message is to be written, or what is answered in place of that.
+/// The most placements that are followed for one message.
+const PLACEMENT_STEPS: usize = 12;
+
+/// Where the placements of a subject have led.
 enum Placement {
-    /// In this partition.
-    Partition(u32),
+    /// To this partition, by a placement of that generation.
+    At { partition: u32, generation: u64 },
     /// The operation is kept already.
     Kept { partition: u32, position: u64 },
-    /// It can't be taken now; nothing was written.
+    /// The message can't be taken now; nothing was written.
     Refused(Reply),
 }
 
+/// Where a message is to be written.
+#[derive(Clone, Copy)]
+struct Target {
+    partition: u32,
+    generations: PlacementGenerations,
+}
+
+/// What came of an attempt to write a message.
+enum Written {
+    /// The answer to its client.
+    Answered(Reply),
+    /// Nothing was written: its order key or its operation is placed elsewhere.
+    Moved,
+}
+
+/// A subject whose placements are followed.
+struct Walk<'a> {
+    submission: &'a Submission,
+    subject: PlacementSubject,
+    partition: u32,
+    generation: u64,
+    /// Where the message belongs; `None`: a question that places nothing.
+    wanted: Option<u32>,
+}
+
 /// The answer to whoever sent a message that is kept.
 fn taken(partition: u32, position: u64) -> Reply {
     Reply::new(202).with("X-Message-Name", format!("{partition}-{position}"))
@@ -41,82 +69,134 @@
             return unavailable("no owner of a partition for it yet");
         };
         let mut calls = OwnerCalls::new(self);
-        let partition = match self.place(&submission, wanted, &mut calls).await {
-            Placement::Partition(partition) => partition,
-            Placement::Kept { partition, position } => return taken(partition, position),
-            Placement::Refused(refusal) => return refusal,
-        };
-        self.write(&submission, partition, &mut calls).await
+        let mut has_moved = false;
+        for _ in 0..PLACEMENT_STEPS {
+            let target = match self.place(&submission, wanted, has_moved, &mut calls).await {
+                Ok(target) => target,
+                Err(reply) => return reply,
+            };
+            match self.write(&submission, target, &mut calls).await {
+                Written::Answered(reply) => return reply,
+                Written::Moved => has_moved = true,
+            }
+        }
+        given_up(false)
     }
 
-    /// Where a message is to be written that belongs to the `wanted` partition.
-    async fn place(&self, submission: &Submission, wanted: u32, calls: &mut OwnerCalls<'_>) -> Placement {
-        let Some(operation) = submission.item.operation else { return Placement::Partition(wanted) };
-        let Some(directory) = operation_directory(&submission.view.assignments, &operation) else {
+    /// Where a message is to be written that belongs to the `wanted` partition: its order key
+    /// comes first, and its operation is then placed where that has led.
+    async fn place(
+        &self,
+        submission: &Submission,
+        wanted: u32,
+        has_moved: bool,
+        calls: &mut OwnerCalls<'_>,
+    ) -> Result<Target, Reply> {
+        let mut target = Target { partition: wanted, generations: PlacementGenerations::default() };
+        if !submission.item.order_key.is_empty() {
+            let placement = self.place_order(submission, wanted, has_moved, calls).await;
+            (target.partition, target.generations.order) = located(placement)?;
+        }
+        if submission.item.operation.is_some() {
+            let placement = self.place_operation(submission, target.partition, has_moved, calls).await;
+            (target.partition, target.generations.operation) = located(placement)?;
+        }
+        Ok(target)
+    }
+
+    /// Where the messages of an order key are kept: while some are under way, where these are.
+    async fn place_order(
+        &self,
+        submission: &Submission,
+        wanted: u32,
+        has_moved: bool,
+        calls: &mut OwnerCalls<'_>,
+    ) -> Placement {
+        let order = OrderKey { tenant: submission.item.tenant.clone(), key: submission.item.order_key.clone() };
+        let Some(directory) = order_directory(&submission.view.assignments, &order) else {
             return Placement::Refused(unavailable("no owner of a partition for it yet"));
         };
-        self.follow_placements(submission, operation, directory, Some(wanted), calls).await
+        if directory == wanted && !has_moved {
+            return Placement::At { partition: wanted, generation: 0 };
+        }
+        let subject = PlacementSubject::Order(order);
+        let walk = Walk { submission, subject, partition: directory, generation: 0, wanted: Some(wanted) };
+        self.follow_placements(walk, calls).await
     }
 
-    /// Follows an operation from one partition that may know of it to the next, until one keeps
-    /// it or the `wanted` one is reached; without that this is a question alone.
-    async fn follow_placements(
+    /// Where an operation is kept, or to be kept.
+    async fn place_operation(
         &self,
         submission: &Submission,
-        operation: OperationId,
-        first: u32,
-        wanted: Option<u32>,
+        wanted: u32,
+        has_moved: bool,
         calls: &mut OwnerCalls<'_>,
     ) -> Placement {
-        let mut visited = vec![first];
-        let mut partition = first;
-        while wanted != Some(partition) {
-            let left = submission.left(false);
-            if left.is_zero() || calls.is_ending() {
+        let Some(operation) = submission.item.operation else {
+            return Placement::At { partition: wanted, generation: 0 };
+        };
+        let Some(directory) = operation_directory(&submission.view.assignments, &operation) else {
+            return Placement::Refused(unavailable("no owner of a partition for it yet"));
+        };
+        if directory == wanted && !has_moved {
+            return Placement::At { partition: wanted, generation: 0 };
+        }
+        let subject = PlacementSubject::Operation(operation);
+        let walk = Walk { submission, subject, partition: directory, generation: 0, wanted: Some(wanted) };
+        self.follow_placements(walk, calls).await
+    }
+
+    /// Follows a subject from one partition that may know of it to the next, until one keeps it or
+    /// the wanted one is reached.
+    async fn follow_placements(&self, mut walk: Walk<'_>, calls: &mut OwnerCalls<'_>) -> Placement {
+        let mut steps = 0;
+        loop {
+            if steps > 0 && walk.wanted == Some(walk.partition) {
+                return Placement::At { partition: walk.partition, generation: walk.generation };
+            }
+            let left = walk.submission.left(false);
+            if left.is_zero() || calls.is_ending() || steps >= PLACEMENT_STEPS {
                 break;
             }
-            let request = PlaceOperation { partition, operation, wanted, rank: submission.rank };
-            match calls.ask(partition, Body::PlaceOperation(request), left, false).await {
+            let request = Place {
+                partition: walk.partition,
+                subject: Some(walk.subject.clone()),
+                wanted: walk.wanted,
+                rank: walk.submission.rank,
+                generation: walk.generation,
+                hold_ms: walk.submission.hold_ms,
+            };
+            match calls.ask(walk.partition, Body::Place(request), left, false).await {
                 OwnerAnswer::NoStoreAnswers => {
                     telemetry::count("refused_no_store");
                     break;
                 }
-                OwnerAnswer::Answered(AcceptOutcome::Taken, Accepted { position, .. }) => {
-                    return Placement::Kept { partition, position };
-                }
-                OwnerAnswer::Answered(AcceptOutcome::PlacedElsewhere, Accepted { partition: next, .. }) => {
-                    if visited.contains(&next) {
-                        telemetry::count("placements_in_a_circle");
-                        return Placement::Refused(unavailable("its operation is being placed"));
-                    }
+                OwnerAnswer::Answered(AcceptOutcome::PlacedElsewhere, accepted) => {
                     calls.forget_hint();
-                    visited.push(next);
-                    partition = next;
+                    steps += 1;
+                    (walk.partition, walk.generation) = (accepted.partition, accepted.generation);
                     continue;
                 }
-                OwnerAnswer::Answered(AcceptOutcome::NotKnown, _) => {
-                    return Placement::Refused(unavailable("its operation is being placed"));
-                }
-                OwnerAnswer::Answered(AcceptOutcome::Full, _) => {
-                    telemetry::count("refused_full");
-                    return Placement::Refused(unavailable("no room"));
+                OwnerAnswer::Answered(outcome, accepted) => {
+                    if let Some(placement) = walk.end(outcome, &accepted) {
+                        calls.forget_hint();
+                        return placement;
+                    }
                 }
                 // What may have been placed is placed the same once more.
-                _ => telemetry::count("placements_again"),
+                _ => {}
             }
+            telemetry::count("placements_again");
             tokio::time::sleep(self.ratio(400.0).min(left)).await;
         }
-        if wanted == Some(partition) {
-            calls.forget_hint();
-            return Placement::Partition(partition);
-        }
         telemetry::count("answers_503");
         Placement::Refused(unavailable("no owner can take it now"))
     }
 
     /// Has the owner of a partition write a message.
-    async fn write(&self, submission: &Submission, partition: u32, calls: &mut OwnerCalls<'_>) -> Reply {
-        let (mut partition, mut is_unclear) = (partition, false);
+    async fn write(&self, submission: &Submission, target: Target, calls: &mut OwnerCalls<'_>) -> Written {
+        let Target { mut partition, generations } = target;
+        let mut is_unclear = false;
         loop {
             let left = submission.left(is_unclear);
             if left.is_zero() || calls.is_ending() {
@@ -132,15 +212,24 @@
                 item: submission.item.clone(),
                 revision: submission.view.configuration.revision,
                 delay_ms: submission.delay_left_ms(),
+                generations,
             };
             match calls.ask(partition, Body::Accept(accept), left, is_unclear).await {
-                OwnerAnswer::Answered(AcceptOutcome::Taken, accepted) => return taken(partition, accepted.position),
+                OwnerAnswer::Answered(AcceptOutcome::Taken, accepted) => {
+                    return Written::Answered(taken(partition, accepted.position));
+                }
+                OwnerAnswer::Answered(AcceptOutcome::PlacedElsewhere | AcceptOutcome::OrderPlacedElsewhere, _)
+                    if !is_unclear =>
+                {
+                    calls.forget_hint();
+                    return Written::Moved;
+                }
                 OwnerAnswer::Answered(AcceptOutcome::PlacedElsewhere, accepted) => {
-                    return self.find_placed(submission, accepted.partition, is_unclear, calls).await;
+                    return Written::Answered(self.find_placed(submission, &accepted, calls).await);
                 }
                 OwnerAnswer::Answered(outcome, accepted) => {
                     if let Some(refusal) = refusal_of(outcome, &accepted).filter(|_| !is_unclear) {
-                        return refusal;
+                        return Written::Answered(refusal);
                     }
                 }
                 OwnerAnswer::Unclear => is_unclear = true,
@@ -153,28 +242,56 @@
             telemetry::count("accepts_again");
             tokio::time::sleep(self.ratio(400.0).min(left)).await;
         }
-        given_up(is_unclear)
+        Written::Answered(given_up(is_unclear))
     }
 
-    /// Answers for a message whose operation was placed elsewhere while it was on its way: with
-    /// the name of what is kept there, if it is.
-    async fn find_placed(
-        &self,
-        submission: &Submission,
-        partition: u32,
-        is_unclear: bool,
-        calls: &mut OwnerCalls<'_>,
-    ) -> Reply {
-        let Some(operation) = submission.item.operation else { return given_up(is_unclear) };
+    /// Answers for a message that may have been written, and whose operation is placed elsewhere:
+    /// with the name of what is kept there, if it is.
+    async fn find_placed(&self, submission: &Submission, accepted: &Accepted, calls: &mut OwnerCalls<'_>) -> Reply {
+        let Some(operation) = submission.item.operation else { return given_up(true) };
         calls.forget_hint();
-        match self.follow_placements(submission, operation, partition, None, calls).await {
+        let subject = PlacementSubject::Operation(operation);
+        let Accepted { partition, generation, .. } = *accepted;
+        let walk = Walk { submission, subject, partition, generation, wanted: None };
+        match self.follow_placements(walk, calls).await {
             Placement::Kept { partition, position } => taken(partition, position),
-            Placement::Refused(refusal) if !is_unclear => refusal,
-            _ => given_up(is_unclear),
+            _ => given_up(true),
+        }
+    }
+}
+
+impl Walk<'_> {
+    /// Where the walk ends by an owner's word; `None` where it is to be asked again.
+    fn end(&self, outcome: AcceptOutcome, accepted: &Accepted) -> Option<Placement> {
+        let Walk { submission, partition, generation, .. } = *self;
+        match outcome {
+            AcceptOutcome::Taken => Some(Placement::Kept { partition, position: accepted.position }),
+            AcceptOutcome::StaysHere => {
+                if may_be_kept_in(&submission.view.assignments, &submission.homes, partition) {
+                    return Some(Placement::At { partition, generation });
+                }
+                telemetry::count("refused_order_elsewhere");
+                Some(Placement::Refused(unavailable("messages of its order key are under way in another region")))
+            }
+            AcceptOutcome::NotKnown => Some(Placement::Refused(unavailable("its operation is being placed"))),
+            AcceptOutcome::Full => {
+                telemetry::count("refused_full");
+                Some(Placement::Refused(unavailable("no room")))
+            }
+            _ => None,
         }
     }
 }
 
+/// The partition that placements have led to, with their generation; else the answer.
+fn located(placement: Placement) -> Result<(u32, u64), Reply> {
+    match placement {
+        Placement::At { partition, generation } => Ok((partition, generation)),
+        Placement::Kept { partition, position } => Err(taken(partition, position)),
+        Placement::Refused(refusal) => Err(refusal),
+    }
+}
+
 /// The answer to a message that its owner refuses for good; `None` where it may be asked again.
 fn refusal_of(outcome: AcceptOutcome, accepted: &Accepted) -> Option<Reply> {
     match outcome {
--- a/crates/front/src/submission.rs
+++ b/crates/front/src/submission.rs
@@ -4,7 +4,7 @@
 use crate::ingest::{FrontService, fault, stale};
 use crate::tenancy::{Refusal, operation_id, operation_key, tenant_name};
 use agent::{ClusterView, PlacementKeys, partition_of};
-use config::Route;
+use config::{Homes, Route};
 use http1::{Reply, Request};
 use rpc::messages::{Item, OperationId};
 use std::time::{Duration, Instant};
@@ -29,6 +29,10 @@
     pub(crate) rank: u32,
     /// From the request until it is due, in milliseconds.
     pub(crate) delay_ms: u64,
+    /// The regions that it is bound to.
+    pub(crate) homes: Homes,
+    /// How long it may be under way once it is taken, in milliseconds.
+    pub(crate) hold_ms: u64,
     /// How long it is tried while nothing was written.
     pub(crate) budget: Duration,
     /// How long it is tried once it may have been written.
@@ -89,7 +93,8 @@
         }
         let route = deferred_route(&view, request)?;
         let tenant = tenant_name(&view.configuration, route.unkeyed, request).map_err(|refusal| refusal.reply())?;
-        if view.configuration.homes(route, tenant).is_nowhere() {
+        let homes = view.configuration.homes(route, tenant);
+        if homes.is_nowhere() {
             telemetry::count("refused_no_home");
             return Err(fault(403, "the route and the tenant have no region in common").into());
         }
@@ -129,6 +134,8 @@
             begun,
             item,
             rank: route.rank,
+            homes,
+            hold_ms: delay_ms + (route.retain_s * 1000.0) as u64,
             delay_ms,
             budget: within(BUDGET_AIMS),
             unclear_budget: within(UNCLEAR_BUDGET_AIMS),
--- a/crates/front/tests/operation_places.rs
+++ b/crates/front/tests/placements.rs
@@ -1,11 +1,12 @@
-//! Tries at one operation against stand-in owners that fold real records, while routes, services,
-//! order, homes and partitions change between them.
+//! Operations and order keys against stand-in owners that fold real records, while routes,
+//! services, order, homes and partitions change, which two fronts learn at their own times.
 
 use agent::ClusterView;
 use config::Settings;
 use front::FrontService;
 use http1::Request;
-use partition::{AcceptRecord, Entry, PartitionState, PlaceRecord, Record, Retention, RouteFacts, Routes};
+use partition::{AcceptRecord, AnswerRecord, Change, Entry, MessageState, PartitionState, PlaceRecord, Record};
+use partition::{Retention, RouteFacts, Routes};
 use proptest::prelude::*;
 use rpc::messages::*;
 use rpc::{Body, Responder};
@@ -20,7 +21,9 @@
 const PER_REGION: u32 = 2;
 const WINDOW_MS: u64 = 60_000;
 /// The most configurations, memberships and tries of one case.
-const STEPS: usize = 30;
+const STEPS: usize = 40;
+const FRONTS: usize = 2;
+const OPERATIONS: u8 = 16;
 
 /// What an owner does with a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +35,9 @@
     Full,
 }
 
+/// Which fronts learn a change at once.
+type Learners = [bool; FRONTS];
+
 #[derive(Clone, Debug)]
 struct RouteChoice {
     name: u8,
@@ -44,10 +50,15 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Configure(Vec<RouteChoice>),
+    Configure(Vec<RouteChoice>, Learners),
     /// A region gets its partitions.
-    Partitions(u8),
+    Partitions(u8, Learners),
+    /// A front learns the newest configuration and partitions.
+    Learn(usize),
+    /// All messages that are under way in partitions of this remainder end.
+    Settle(u32),
     Try {
+        front: usize,
         operation: u8,
         is_inner: bool,
         order_key: u8,
@@ -56,7 +67,7 @@
 }
 
 fn route_choice() -> impl Strategy<Value = RouteChoice> {
-    (0..3u8, any::<bool>(), any::<bool>(), any::<bool>(), 0..4u8).prop_map(
+    (0..3u8, any::<bool>(), any::<bool>(), proptest::bool::weighted(0.8), 0..4u8).prop_map(
         |(name, is_inner, is_metered, is_sequenced, homes)| RouteChoice {
             name,
             is_inner,
@@ -69,11 +80,17 @@
 
 fn step() -> impl Strategy<Value = Step> {
     let owners = prop_oneof![6 => Just(Owners::Sound), 1 => Just(Owners::AnswersLost), 1 => Just(Owners::Full)];
-    let attempt = (0..4u8, any::<bool>(), 0..3u8, owners);
+    let order_key = prop_oneof![1 => Just(0u8), 4 => 1..3u8];
+    let attempt = (0..FRONTS, 0..OPERATIONS, any::<bool>(), order_key, owners);
+    let learners = || [proptest::bool::weighted(0.7), proptest::bool::weighted(0.7)];
+    let routes = proptest::collection::vec(route_choice(), 1..4);
     prop_oneof![
-        2 => proptest::collection::vec(route_choice(), 1..3).prop_map(Step::Configure),
-        1 => (0..2u8).prop_map(Step::Partitions),
-        7 => attempt.prop_map(|(operation, is_inner, order_key, owners)| Step::Try {
+        3 => (routes, learners()).prop_map(|(routes, learners)| Step::Configure(routes, learners)),
+        1 => (0..2u8, learners()).prop_map(|(region, learners)| Step::Partitions(region, learners)),
+        2 => (0..FRONTS).prop_map(Step::Learn),
+        1 => (0..3u32).prop_map(Step::Settle),
+        9 => attempt.prop_map(|(front, operation, is_inner, order_key, owners)| Step::Try {
+            front,
             operation,
             is_inner,
             order_key,
@@ -92,11 +109,12 @@
     fn handle(&mut self, body: Body, responder: Responder) {
         let accepted = match body {
             Body::Accept(accept) if self.owners != Owners::Full => {
-                let record = AcceptRecord { item: accept.item, delay_ms: 0 };
+                let generations = Some(accept.generations);
+                let record = AcceptRecord { item: accept.item, delay_ms: 0, generations };
                 self.write(accept.partition, Entry::Accept(record))
             }
             Body::Accept(_) => Accepted { outcome: AcceptOutcome::Full as i32, ..Accepted::default() },
-            Body::PlaceOperation(place) => self.place(place),
+            Body::Place(place) => self.place(place),
             _ => return,
         };
         if self.owners != Owners::AnswersLost {
@@ -104,21 +122,27 @@
         }
     }
 
-    fn place(&mut self, place: PlaceOperation) -> Accepted {
-        let PlaceOperation { partition, operation, wanted, .. } = place;
+    fn place(&mut self, place: Place) -> Accepted {
+        let Place { partition, subject, wanted, generation, hold_ms, .. } = place;
         if let Some(wanted) = wanted {
-            return self.write(partition, Entry::Place(PlaceRecord { operation, partition: wanted }));
+            return self
+                .write(partition, Entry::Place(PlaceRecord { partition: wanted, subject, generation, hold_ms }));
         }
+        let subject = subject.expect("one");
         let state = self.state(partition);
-        let known = state.find_operation(&operation, 1);
-        let placed = state.placement_of(&operation, 1);
-        let outcome = match (known, placed) {
-            (Some(_), _) => AcceptOutcome::Taken,
-            (None, Some(_)) => AcceptOutcome::PlacedElsewhere,
+        let known = match &subject {
+            PlacementSubject::Operation(operation) => state.find_operation(operation, 1),
+            PlacementSubject::Order(_) => None,
+        };
+        let placed = state.placement_of(&subject, generation, 1);
+        let outcome = match (placed, known) {
+            (Some(_), _) => AcceptOutcome::PlacedElsewhere,
+            (None, Some(_)) => AcceptOutcome::Taken,
             (None, None) => AcceptOutcome::NotKnown,
         };
-        let partition = placed.map_or(0, |placement| placement.partition);
-        Accepted { outcome: outcome as i32, position: known.unwrap_or(0), partition, ..Accepted::default() }
+        let (partition, generation) = placed.map_or((0, 0), |placement| (placement.partition, placement.generation));
+        let position = known.unwrap_or(0);
+        Accepted { outcome: outcome as i32, position, partition, generation, ..Accepted::default() }
     }
 
     fn state(&mut self, partition: u32) -> &mut PartitionState {
@@ -137,15 +161,42 @@
         let state = self.state(partition);
         let position = state.position + 1;
         let changes = state.fold(position, &Record { at_ms: 1, entry: Some(entry) });
-        let (outcome, position, partition) = match changes.first() {
-            Some(partition::Change::Accepted(position)) => (AcceptOutcome::Taken, *position, 0),
-            Some(partition::Change::Repeated { old, .. }) => (AcceptOutcome::Taken, *old, 0),
-            Some(partition::Change::PlacedElsewhere { partition, .. }) => {
-                (AcceptOutcome::PlacedElsewhere, 0, *partition)
+        let answer = |outcome: AcceptOutcome| Accepted { outcome: outcome as i32, ..Accepted::default() };
+        match changes.first() {
+            Some(Change::Accepted(position) | Change::Repeated { old: position, .. }) => {
+                Accepted { position: *position, ..answer(AcceptOutcome::Taken) }
             }
+            Some(Change::PlacedElsewhere { placement, .. }) => Accepted {
+                partition: placement.partition,
+                generation: placement.generation,
+                ..answer(AcceptOutcome::PlacedElsewhere)
+            },
+            Some(Change::OrderPlacedElsewhere { .. }) => answer(AcceptOutcome::OrderPlacedElsewhere),
+            Some(Change::StaysHere { .. }) => answer(AcceptOutcome::StaysHere),
             other => panic!("an accept or a placement makes {other:?}"),
-        };
-        Accepted { outcome: outcome as i32, position, partition, ..Accepted::default() }
+        }
+    }
+
+    /// Ends all messages that are under way in a partition.
+    fn settle(&mut self, partition: u32) {
+        let Some(state) = self.partitions.get_mut(&partition) else { return };
+        for position in state.pending.clone() {
+            let outcome = Outcome::Done as i32;
+            let answer = AnswerRecord { position, outcome, result_tag: "s".into(), attempt: position };
+            state.fold(state.position + 1, &Record { at_ms: 1, entry: Some(Entry::Answer(answer)) });
+        }
+    }
+
+    /// In which partitions messages of each order key are under way.
+    fn orders_under_way(&self) -> HashMap<String, BTreeSet<u32>> {
+        let mut orders: HashMap<String, BTreeSet<u32>> = HashMap::new();
+        for (partition, state) in &self.partitions {
+            let pending = state.pieces.values().filter(|message| message.state == MessageState::Pending);
+            for message in pending.filter(|message| !message.item.order_key.is_empty()) {
+                orders.entry(message.item.order_key.clone()).or_default().insert(*partition);
+            }
+        }
+        orders
     }
 
     /// In which partitions each operation is kept.
@@ -196,7 +247,7 @@
 
 /// A front with its stand-in owners.
 struct World {
-    front: Arc<FrontService>,
+    fronts: Vec<Arc<FrontService>>,
     store: Arc<Mutex<Store>>,
     view: ClusterView,
     regions: BTreeSet<u8>,
@@ -224,34 +275,47 @@
             membership: Some(Membership { version: 1, nodes: vec![node], ..Membership::default() }),
             ..ViewUpdate::default()
         });
-        let front = FrontService::new(settings);
-        World { front, store, view, regions: BTreeSet::new(), version: 1, tries: 0, names: HashMap::new() }
+        let fronts = (0..FRONTS).map(|_| FrontService::new(settings.clone())).collect();
+        let regions = BTreeSet::new();
+        World { fronts, store, view, regions, version: 1, tries: 0, names: HashMap::new() }
     }
 
-    fn learn(&mut self, configuration: Option<String>) {
+    fn change(&mut self, configuration: Option<String>, learners: Learners) {
         self.version += 1;
         self.view.take(&ViewUpdate {
             configuration: configuration.map(Into::into),
             assignments: Some(assignments(self.version, &self.regions)),
             ..ViewUpdate::default()
         });
-        self.front.known.send_replace(self.view.clone());
+        (0..FRONTS).filter(|front| learners[*front]).for_each(|front| self.learn(front));
+    }
+
+    fn learn(&self, front: usize) {
+        self.fronts[front].known.send_replace(self.view.clone());
     }
 
     async fn play(&mut self, step: &Step) -> Result<(), TestCaseError> {
         match step {
-            Step::Configure(choices) => {
+            Step::Configure(choices, learners) => {
                 let configuration = configuration(self.version + 1, choices);
-                self.learn(Some(configuration));
+                self.change(Some(configuration), *learners);
             }
-            Step::Partitions(region) => {
+            Step::Partitions(region, learners) => {
                 self.regions.insert(*region);
-                self.learn(None);
+                self.change(None, *learners);
+            }
+            Step::Learn(front) => self.learn(*front),
+            Step::Settle(remainder) => {
+                let all = 0..UNBOUND + PER_REGION * REGIONS.len() as u32;
+                let mut store = self.store.lock().expect("not poisoned");
+                all.filter(|partition| partition % 3 == *remainder).for_each(|partition| store.settle(partition));
             }
-            Step::Try { operation, is_inner, order_key, owners } => {
-                self.attempt(*operation, *is_inner, *order_key, *owners).await?;
+            Step::Try { front, operation, is_inner, order_key, owners } => {
+                self.attempt(*front, *operation, *is_inner, *order_key, *owners).await?;
             }
         }
+        let orders = self.store.lock().expect("not poisoned").orders_under_way();
+        prop_assert!(orders.values().all(|partitions| partitions.len() == 1), "in two partitions: {orders:?}");
         let kept = self.store.lock().expect("not poisoned").kept();
         prop_assert!(kept.values().all(|partitions| partitions.len() == 1), "kept twice: {kept:?}");
         Ok(())
@@ -259,6 +323,7 @@
 
     async fn attempt(
         &mut self,
+        front: usize,
         operation: u8,
         is_inner: bool,
         order_key: u8,
@@ -276,7 +341,7 @@
         let headers = headers.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
         let path = if is_inner { "/a/b/x" } else { "/a/x" };
         let request = Request { method: "POST".into(), path: path.into(), headers, ..Request::default() };
-        let reply = self.front.take(request).await;
+        let reply = self.fronts[front].take(request).await;
         if reply.status == 202 {
             let name = reply.headers.iter().find(|(name, _)| *name == "X-Message-Name").map(|(_, value)| value.clone());
             let name = name.expect("a name").to_string();
@@ -290,9 +355,10 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 96, ..ProptestConfig::default() })]
 
-    /// Guards against TWICE: whatever decides where a message is kept changes between two tries.
+    /// Guards against TWICE and ORDER: whatever decides where a message is kept changes between two
+    /// tries, or between two messages of an order key.
     #[test]
-    fn an_operation_is_kept_once_whatever_changes_between_its_tries(
+    fn an_operation_is_kept_once_and_an_order_in_one_place_whatever_changes(
         steps in proptest::collection::vec(step(), 1..STEPS),
     ) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -301,7 +367,7 @@
             let all = [false, true].map(|is_inner| RouteChoice {
                 name: 0, is_inner, is_metered: false, is_sequenced: false, homes: 0,
             });
-            world.learn(Some(configuration(1, &all)));
+            world.change(Some(configuration(1, &all)), [true; FRONTS]);
             for step in &steps {
                 world.play(step).await?;
             }
--- a/crates/partition/src/record.rs
+++ b/crates/partition/src/record.rs
@@ -1,6 +1,6 @@
 //! What a partition's log holds.
 
-use rpc::messages::{Item, OperationId};
+use rpc::messages::{Item, PlacementGenerations, PlacementSubject};
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
@@ -69,16 +69,25 @@
     pub item: Item,
     #[prost(uint64, tag = "2")]
     pub delay_ms: u64,
+    /// By which placements it came here; absent where none was needed.
+    #[prost(message, optional, tag = "3")]
+    pub generations: Option<PlacementGenerations>,
 }
 
-/// Places an operation in another partition, unless this one keeps it or has placed it before.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+/// Places a subject in another partition, unless this one keeps it or has placed it before.
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct PlaceRecord {
-    #[prost(message, required, tag = "1")]
-    pub operation: OperationId,
     /// The partition that is to keep it.
-    #[prost(uint32, tag = "2")]
+    #[prost(uint32, tag = "1")]
     pub partition: u32,
+    #[prost(oneof = "PlacementSubject", tags = "2, 3")]
+    pub subject: Option<PlacementSubject>,
+    /// That of the placement by which the subject came here; 0 at the directory.
+    #[prost(uint64, tag = "4")]
+    pub generation: u64,
+    /// For an order key: how long its message may be under way, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub hold_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/partition/src/state.rs
+++ b/crates/partition/src/state.rs
@@ -3,7 +3,7 @@
 use crate::digest::{fingerprint, mix};
 use crate::placements::{Placement, Placements, SnapshotPlacement};
 use crate::record::*;
-use rpc::messages::{Item, OperationId, Outcome};
+use rpc::messages::{Item, OperationId, OrderKey, Outcome, PlacementSubject};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -58,10 +58,19 @@
         at: u64,
         old: u64,
     },
-    /// The record at `at` is of an operation that is placed in another partition.
+    /// The record at `at` is of an operation or order key that is placed in another partition.
     PlacedElsewhere {
         at: u64,
-        partition: u32,
+        placement: Placement,
+    },
+    /// The accept at `at` is of an order key that is placed in another partition.
+    OrderPlacedElsewhere {
+        at: u64,
+    },
+    /// The record at `at` would place an order key of which messages are under way here, or which
+    /// has come back.
+    StaysHere {
+        at: u64,
     },
     /// A failed attempt; more are allowed.
     Failed(u64),
@@ -106,12 +115,16 @@
 
     /// Until when a try at a message's operation repeats it.
     fn operation_end(self, message: &Message) -> u64 {
-        self.key_end(message.at_ms)
+        message.at_ms + self.operations * 5 / 4
     }
 
-    /// Until when an operation is remembered that was taken or placed at a time.
-    fn key_end(self, at_ms: u64) -> u64 {
-        at_ms + self.operations * 5 / 4
+    /// How long a placement holds: as long as the operation is remembered, or messages of the
+    /// order key may be under way, and a quarter.
+    fn placement_time(self, subject: &PlacementSubject, hold_ms: u64) -> u64 {
+        match subject {
+            PlacementSubject::Operation(_) => self.operations * 5 / 4,
+            PlacementSubject::Order(_) => hold_ms + hold_ms / 4,
+        }
     }
 }
 
@@ -124,7 +137,7 @@
     ids: HashMap<String, u64>,
     /// The last message of each operation.
     operations: HashMap<OperationId, u64>,
-    /// Operations that other partitions keep.
+    /// Operations and order keys that other partitions keep.
     placements: Placements,
     /// Messages that have not ended, by order key within a tenant, in order.
     orders: HashMap<String, VecDeque<u64>>,
@@ -166,6 +179,12 @@
     fingerprint(h, w.processor.as_bytes())
 }
 
+/// The order key of a message; `None` without one.
+pub fn order_of(item: &Item) -> Option<OrderKey> {
+    let order = || OrderKey { tenant: item.tenant.clone(), key: item.order_key.clone() };
+    (!item.order_key.is_empty()).then(order)
+}
+
 impl PartitionState {
     pub fn new(retention: impl Into<Retention>) -> PartitionState {
         PartitionState { retention: retention.into(), ..PartitionState::default() }
@@ -218,16 +237,33 @@
         (at_ms <= self.retention.operation_end(message)).then_some(position)
     }
 
-    /// Where an operation is placed that another partition keeps.
-    pub fn placement_of(&self, operation: &OperationId, at_ms: u64) -> Option<Placement> {
-        self.placements.get(operation, at_ms)
+    /// Whether an attempt at a message is counted as one that failed.
+    pub fn is_failure_counted(&self, position: u64, attempt: u64) -> bool {
+        self.pieces.get(&position).is_some_and(|message| message.failed.contains(&attempt))
+    }
+
+    /// Where a subject is placed that another partition keeps, for one that came here by a
+    /// placement of that generation.
+    pub fn placement_of(&self, subject: &PlacementSubject, generation: u64, at_ms: u64) -> Option<Placement> {
+        self.placements.get(subject, generation, at_ms)
+    }
+
+    /// Whether messages of an order key are under way.
+    pub fn has_order(&self, order: &OrderKey) -> bool {
+        self.orders.contains_key(&scoped(&order.tenant, &order.key))
     }
 
     /// Whether a placement is to be written anew when it is asked for, so that it outlasts what
-    /// is taken by it: an eighth of the window has passed since it was.
-    pub fn is_placement_due(&self, placement: &Placement, at_ms: u64) -> bool {
-        let left_ms = placement.until_ms.saturating_sub(at_ms);
-        left_ms < self.retention.operations * 9 / 8
+    /// is taken by it: an eighth of its time has passed since it was. `hold_ms` as in the request.
+    pub fn is_placement_due(
+        &self,
+        placement: &Placement,
+        subject: &PlacementSubject,
+        hold_ms: u64,
+        at_ms: u64,
+    ) -> bool {
+        let time_ms = self.retention.placement_time(subject, hold_ms);
+        at_ms + time_ms - time_ms / 10 > placement.until_ms
     }
 
     /// How many operations' keys are kept.
@@ -235,8 +271,8 @@
         self.operations.len()
     }
 
-    /// How many operations are placed in other partitions.
-    pub fn placed_operations(&self) -> usize {
+    /// How many operations and order keys are placed in other partitions.
+    pub fn placed_subjects(&self) -> usize {
         self.placements.len()
     }
 
@@ -335,9 +371,8 @@
                     out.push(Change::Repeated { at: pos, old });
                     return out;
                 }
-                let placement = a.item.operation.and_then(|operation| self.placement_of(&operation, at));
-                if let Some(Placement { partition, .. }) = placement {
-                    out.push(Change::PlacedElsewhere { at: pos, partition });
+                if let Some(refusal) = self.accept_by_placement(pos, a, at) {
+                    out.push(refusal);
                     return out;
                 }
                 let mut h = fingerprint(pos, a.item.id.as_bytes());
@@ -368,14 +403,7 @@
                 self.insert(pos, w);
                 out.push(Change::Accepted(pos));
             }
-            Some(Entry::Place(place)) => match self.find_operation(&place.operation, at) {
-                Some(old) => out.push(Change::Repeated { at: pos, old }),
-                None => {
-                    let until_ms = self.retention.key_end(at);
-                    let partition = self.placements.place(place.operation, place.partition, at, until_ms);
-                    out.push(Change::PlacedElsewhere { at: pos, partition });
-                }
-            },
+            Some(Entry::Place(place)) => out.extend(self.place(pos, place, at)),
             Some(Entry::Dispatch(d)) => {
                 self.change(d.position, |w| {
                     w.sent_ms = at;
@@ -463,6 +491,44 @@
         out
     }
 
+    /// Whether an accept may be folded by the placements of its operation and order key: if so,
+    /// these have come back here, else the change says why not.
+    fn accept_by_placement(&mut self, at: u64, accept: &AcceptRecord, at_ms: u64) -> Option<Change> {
+        let generations = accept.generations.unwrap_or_default();
+        let operation = accept.item.operation.map(PlacementSubject::Operation);
+        let order = order_of(&accept.item).map(PlacementSubject::Order);
+        let placed = |subject: &PlacementSubject, generation| self.placement_of(subject, generation, at_ms);
+        if let Some(placement) = operation.as_ref().and_then(|subject| placed(subject, generations.operation)) {
+            return Some(Change::PlacedElsewhere { at, placement });
+        }
+        if order.as_ref().and_then(|subject| placed(subject, generations.order)).is_some() {
+            return Some(Change::OrderPlacedElsewhere { at });
+        }
+        for subject in operation.iter().chain(&order) {
+            self.placements.remove(subject);
+        }
+        None
+    }
+
+    /// Folds a record that places a subject.
+    fn place(&mut self, at: u64, record: &PlaceRecord, at_ms: u64) -> Option<Change> {
+        let subject = record.subject.as_ref()?;
+        if self.placement_of(subject, record.generation, at_ms).is_none() {
+            match subject {
+                PlacementSubject::Operation(operation) => {
+                    if let Some(old) = self.find_operation(operation, at_ms) {
+                        return Some(Change::Repeated { at, old });
+                    }
+                }
+                PlacementSubject::Order(order) if self.has_order(order) => return Some(Change::StaysHere { at }),
+                PlacementSubject::Order(_) => {}
+            }
+        }
+        let until_ms = at_ms + self.retention.placement_time(subject, record.hold_ms);
+        let placement = self.placements.place(subject.clone(), record.partition, record.generation, at_ms, until_ms);
+        Some(Change::PlacedElsewhere { at, placement })
+    }
+
     fn insert(&mut self, pos: u64, w: Message) {
         self.ids.insert(scoped(&w.item.tenant, &w.item.id), pos);
         if let Some(operation) = w.item.operation {
--- a/crates/partition/tests/operations.rs
+++ b/crates/partition/tests/operations.rs
@@ -1,9 +1,11 @@
 //! Operation keys in the fold: which accept repeats another, for how long, and for whom.
 
 use partition::*;
-use rpc::messages::{Item, OperationId, Outcome};
+use rpc::messages::{Item, OperationId, OrderKey, Outcome, PlacementGenerations, PlacementSubject};
 
 const WINDOW: u64 = 4000;
+/// How long a message of an order key may be under way.
+const HOLD: u64 = 8000;
 const RETENTION: Retention = Retention { status: 1000, operations: WINDOW };
 
 fn record(at_ms: u64, entry: Entry) -> Record {
@@ -26,7 +28,7 @@
 }
 
 fn accept(item: Item) -> Entry {
-    Entry::Accept(AcceptRecord { item, delay_ms: 0 })
+    Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None })
 }
 
 fn answer(position: u64, outcome: Outcome) -> Entry {
@@ -146,63 +148,112 @@
     assert_eq!(state.find("clinic", "m1"), Some(2), "a settled one is found by its tenant");
 }
 
+fn subject(low: u64) -> PlacementSubject {
+    PlacementSubject::Operation(operation(low).expect("one"))
+}
+
+fn place_from(subject: PlacementSubject, partition: u32, generation: u64) -> Entry {
+    Entry::Place(PlaceRecord { partition, subject: Some(subject), generation, hold_ms: HOLD })
+}
+
 fn place(low: u64, partition: u32) -> Entry {
-    Entry::Place(PlaceRecord { operation: operation(low).expect("one"), partition })
+    place_from(subject(low), partition, 0)
+}
+
+fn accept_from(item: Item, operation: u64, order: u64) -> Entry {
+    let generations = Some(PlacementGenerations { operation, order });
+    Entry::Accept(AcceptRecord { item, delay_ms: 0, generations })
 }
 
 #[test]
 fn the_first_record_that_places_an_operation_decides_where_it_is_kept() {
     let mut state = with_route();
-    let elsewhere = |at| vec![Change::PlacedElsewhere { at, partition: 5 }];
-    assert_eq!(state.fold(2, &record(10, place(1, 5))), elsewhere(2));
-    assert_eq!(state.fold(3, &record(11, place(1, 6))), elsewhere(3));
-    assert_eq!(state.fold(4, &record(12, accept(item("m1", "clinic", operation(1))))), elsewhere(4));
+    let place_of = |changes: Vec<Change>| match changes[..] {
+        [Change::PlacedElsewhere { placement, .. }] => (placement.partition, placement.generation),
+        ref other => panic!("{other:?}"),
+    };
+    assert_eq!(place_of(state.fold(2, &record(10, place(1, 5)))), (5, 1));
+    assert_eq!(place_of(state.fold(3, &record(11, place(1, 6)))), (5, 1));
+    assert_eq!(place_of(state.fold(4, &record(12, accept(item("m1", "clinic", operation(1)))))), (5, 1));
     assert!(state.pieces.is_empty(), "what is placed elsewhere is not kept here");
     assert_eq!(state.fold(5, &record(13, accept(item("m2", "clinic", operation(2))))), vec![Change::Accepted(5)]);
     assert_eq!(state.fold(6, &record(14, place(2, 5))), vec![Change::Repeated { at: 6, old: 5 }]);
     assert_eq!(state.digest(), state.digest_anew());
 }
 
+#[test]
+fn a_chain_that_comes_back_ends_an_older_placement_and_no_newer_one() {
+    let mut state = with_route();
+    state.fold(2, &record(10, place(1, 5)));
+    let changes = state.fold(3, &record(11, place_from(subject(1), 6, 2)));
+    assert!(matches!(changes[..], [Change::PlacedElsewhere { placement, .. }] if placement.generation == 3));
+    let late = state.fold(4, &record(12, accept_from(item("m1", "clinic", operation(1)), 2, 0)));
+    assert!(matches!(late[..], [Change::PlacedElsewhere { .. }]), "the chain has gone on since: {late:?}");
+    assert_eq!(
+        state.fold(5, &record(13, accept_from(item("m1", "clinic", operation(1)), 3, 0))),
+        vec![Change::Accepted(5)]
+    );
+    assert_eq!(state.placed_subjects(), 0);
+    assert_eq!(state.digest(), state.digest_anew());
+}
+
+#[test]
+fn an_order_key_stays_while_its_messages_are_under_way_and_is_refused_once_it_is_placed_elsewhere() {
+    let mut state = with_route();
+    let ordered = |id: &str| Item { order_key: "k".into(), ..item(id, "clinic", None) };
+    let order = || PlacementSubject::Order(OrderKey { tenant: "clinic".into(), key: "k".into() });
+    state.fold(2, &record(10, accept(ordered("m1"))));
+    assert_eq!(state.fold(3, &record(11, place_from(order(), 5, 0))), vec![Change::StaysHere { at: 3 }]);
+    state.fold(4, &record(12, answer(2, Outcome::Done)));
+    let changes = state.fold(5, &record(13, place_from(order(), 5, 0)));
+    let until = 13 + HOLD * 5 / 4;
+    assert!(matches!(changes[..], [Change::PlacedElsewhere { placement, .. }] if placement.until_ms == until));
+    assert_eq!(state.fold(6, &record(14, accept(ordered("m2")))), vec![Change::OrderPlacedElsewhere { at: 6 }]);
+    let other = Item { tenant: "shop".into(), ..ordered("m3") };
+    assert_eq!(state.fold(7, &record(15, accept(other))), vec![Change::Accepted(7)], "another tenant's key is another");
+    assert_eq!(state.fold(8, &record(16, accept_from(ordered("m4"), 0, 1))), vec![Change::Accepted(8)], "it is back");
+    assert_eq!(state.digest(), state.digest_anew());
+}
+
 #[test]
 fn a_placement_holds_for_a_window_and_a_quarter_after_it_was_last_asked_for() {
     let mut state = with_route();
     state.fold(2, &record(10, place(1, 5)));
     let asked = 10 + WINDOW;
     state.fold(3, &record(asked, place(1, 6)));
-    let operation = operation(1).expect("one");
     let last = asked + WINDOW * 5 / 4;
-    let placement = state.placement_of(&operation, last).expect("it holds");
+    let placement = state.placement_of(&subject(1), 0, last).expect("it holds");
     assert_eq!((placement.partition, placement.until_ms), (5, last));
-    assert_eq!(state.placement_of(&operation, last + 1), None);
-    state.fold(4, &record(last + 1, accept(item("m1", "clinic", Some(operation)))));
-    assert_eq!((state.placed_operations(), state.remembered_operations()), (0, 1), "its number is bounded");
+    assert_eq!(state.placement_of(&subject(1), 0, last + 1), None);
+    state.fold(4, &record(last + 1, accept(item("m1", "clinic", operation(1)))));
+    assert_eq!((state.placed_subjects(), state.remembered_operations()), (0, 1), "its number is bounded");
     assert_eq!(state.digest(), state.digest_anew());
 }
 
 #[test]
-fn a_placement_is_written_anew_once_an_eighth_of_the_window_has_passed() {
+fn a_placement_is_written_anew_once_a_tenth_of_its_time_has_passed() {
     let mut state = with_route();
     state.fold(2, &record(10, place(1, 5)));
-    let placement = state.placement_of(&operation(1).expect("one"), 10).expect("it holds");
-    assert!(!state.is_placement_due(&placement, 10 + WINDOW / 8));
-    assert!(state.is_placement_due(&placement, 11 + WINDOW / 8));
+    let placement = state.placement_of(&subject(1), 0, 10).expect("it holds");
+    assert!(!state.is_placement_due(&placement, &subject(1), 0, 10 + WINDOW / 8));
+    assert!(state.is_placement_due(&placement, &subject(1), 0, 11 + WINDOW / 8));
 }
 
 #[test]
 fn a_snapshot_carries_the_placements() {
     let mut state = with_route();
+    let order = PlacementSubject::Order(OrderKey { tenant: "clinic".into(), key: "k".into() });
     state.fold(2, &record(10, place(1, 5)));
-    state.fold(3, &record(20, place(2, 6)));
+    state.fold(3, &record(20, place_from(order.clone(), 6, 4)));
     let mut restored = PartitionState::restore(&state.snapshot(), RETENTION).expect("a good snapshot");
-    for low in [1, 2] {
-        let operation = operation(low).expect("one");
-        assert_eq!(restored.placement_of(&operation, 30), state.placement_of(&operation, 30));
-        assert!(restored.placement_of(&operation, 30).is_some());
+    for subject in [subject(1), order] {
+        assert_eq!(restored.placement_of(&subject, 0, 30), state.placement_of(&subject, 0, 30));
+        assert!(restored.placement_of(&subject, 0, 30).is_some());
     }
     let late = 11 + WINDOW * 5 / 4;
     for state in [&mut state, &mut restored] {
         state.fold(4, &record(late, place(3, 7)));
-        assert_eq!(state.placed_operations(), 2, "the first one is forgotten");
+        assert_eq!(state.placed_subjects(), 2, "the first one is forgotten");
     }
     assert_eq!(state.digest(), restored.digest());
     let mut other = with_route();
--- a/crates/partition/tests/splice.rs
+++ b/crates/partition/tests/splice.rs
@@ -200,7 +200,7 @@
 
     fn message(&mut self, id: &str) -> Option<u64> {
         let item = Item { id: id.into(), route: "r".into(), body: vec![1; 100].into(), ..Item::default() };
-        self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0 }))
+        self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None }))
     }
 
     /// The node loses its memory and whatever was not synced.
@@ -411,7 +411,7 @@
 impl World {
     fn message_at(&mut self, node: &str, id: &str) {
         let item = Item { id: id.into(), route: "r".into(), ..Item::default() };
-        let e = Entry::Accept(AcceptRecord { item, delay_ms: 0 });
+        let e = Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None });
         let at_ms = self.now;
         self.step(node, |m, now, out| {
             m.append(&Record { at_ms, entry: Some(e) }, now, out);
@@ -508,7 +508,7 @@
     let mut sent = 0;
     for i in 0..50 {
         let item = Item { id: format!("y{i}"), route: "r".into(), ..Item::default() };
-        let e = Entry::Accept(AcceptRecord { item, delay_ms: 0 });
+        let e = Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None });
         w.step("a", |m, now, out| {
             m.append(&Record { at_ms: 0, entry: Some(e) }, now, out);
             m.flush(now, out);
@@ -821,7 +821,8 @@
         if let Some(known) = self.nodes[&owner].state.find_repeat(&item, self.now) {
             return known;
         }
-        let position = self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0 })).expect("an owner");
+        let position =
+            self.append(Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None })).expect("an owner");
         let again = Item { id: String::new(), tenant: "t".into(), operation: operation(low), ..Item::default() };
         self.nodes[&owner].state.find_repeat(&again, self.now).unwrap_or(position)
     }
@@ -907,7 +908,7 @@
 }
 
 fn accept_of(id: &str, low: u64) -> Entry {
-    Entry::Accept(AcceptRecord { item: item_of(id, low), delay_ms: 0 })
+    Entry::Accept(AcceptRecord { item: item_of(id, low), delay_ms: 0, generations: None })
 }
 
 #[test]
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -74,7 +74,7 @@
         Body::ColdLeaseAck(_) => 36,
         Body::QuotaRequest(_) => 37,
         Body::QuotaResponse(_) => 38,
-        Body::PlaceOperation(_) => 39,
+        Body::Place(_) => 39,
     }
 }
 
@@ -120,7 +120,7 @@
         "cold_lease_ack",
         "quota_request",
         "quota_response",
-        "place_operation",
+        "place",
     ];
     let load = |n: usize| (SENT[n].1.load(Ordering::Relaxed), SENT[n].0.load(Ordering::Relaxed));
     let mut all: Vec<(u64, u64, &str)> =
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -116,7 +116,7 @@
     #[prost(message, tag = "48")]
     QuotaResponse(QuotaResponse),
     #[prost(message, tag = "49")]
-    PlaceOperation(PlaceOperation),
+    Place(Place),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -13,6 +13,20 @@
     /// Left until it is due.
     #[prost(uint64, tag = "4")]
     pub delay_ms: u64,
+    /// The generations of the placements by which it came here; 0 at the directory.
+    #[prost(message, required, tag = "5")]
+    pub generations: PlacementGenerations,
+}
+
+/// The generations of the placements by which a message came to its partition.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct PlacementGenerations {
+    /// That of its operation's placement.
+    #[prost(uint64, tag = "1")]
+    pub operation: u64,
+    /// That of its order key's placement.
+    #[prost(uint64, tag = "2")]
+    pub order: u64,
 }
 
 /// A message as it arrived.
@@ -74,27 +88,58 @@
     OverQuota = 6,
     /// Its operation was placed in another partition, which `partition` names; it is not kept here.
     PlacedElsewhere = 7,
-    /// Of a question alone: the operation is neither kept here nor placed elsewhere.
+    /// Of a question alone: its operation is neither kept here nor placed elsewhere.
     NotKnown = 8,
+    /// Of a placement: messages of the order key are under way here, and it stays.
+    StaysHere = 9,
+    /// Its order key was placed in another partition; nothing was written.
+    OrderPlacedElsewhere = 10,
+}
+
+/// An order key of a tenant.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
+pub struct OrderKey {
+    /// Empty without tenants.
+    #[prost(string, tag = "1")]
+    pub tenant: String,
+    #[prost(string, tag = "2")]
+    pub key: String,
+}
+
+/// What is placed in one partition at a time.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Oneof)]
+pub enum PlacementSubject {
+    /// All tries at an operation.
+    #[prost(message, tag = "2")]
+    Operation(OperationId),
+    /// All messages of an order key.
+    #[prost(message, tag = "3")]
+    Order(OrderKey),
 }
 
-/// Asks the owner of a partition where an operation is kept. An operation that is neither kept
-/// there nor placed elsewhere yet is placed in the `wanted` partition, and the answer holds for
-/// as long as operations are remembered. Answered by `Accepted`: `Taken` with the position of
-/// the message, `PlacedElsewhere`, or an outcome that says that nothing was decided.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct PlaceOperation {
+/// Asks the owner of a partition where a subject is kept. One that is neither kept there nor
+/// placed elsewhere is placed in the `wanted` partition. Answered by `Accepted`: `Taken` with the
+/// position of an operation's message, `StaysHere`, `PlacedElsewhere` with partition and generation,
+/// or an outcome that says that nothing was decided.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Place {
     /// The partition whose owner is asked.
     #[prost(uint32, tag = "1")]
     pub partition: u32,
-    #[prost(message, required, tag = "2")]
-    pub operation: OperationId,
+    #[prost(oneof = "PlacementSubject", tags = "2, 3")]
+    pub subject: Option<PlacementSubject>,
     /// Where to place it; absent: a question that places nothing.
-    #[prost(uint32, optional, tag = "3")]
+    #[prost(uint32, optional, tag = "4")]
     pub wanted: Option<u32>,
     /// The rank of the message's route, by which room is given.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "5")]
     pub rank: u32,
+    /// That of the placement by which the asker came here; 0 at the directory.
+    #[prost(uint64, tag = "6")]
+    pub generation: u64,
+    /// For an order key: how long its message may be under way, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub hold_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -107,9 +152,12 @@
     pub owner: String,
     #[prost(uint32, tag = "4")]
     pub retry_ms: u32,
-    /// With `PlacedElsewhere`: the partition that the operation was placed in.
+    /// With `PlacedElsewhere`: the partition that the subject was placed in.
     #[prost(uint32, tag = "5")]
     pub partition: u32,
+    /// With `PlacedElsewhere`: the placement's generation.
+    #[prost(uint64, tag = "6")]
+    pub generation: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -116,9 +116,10 @@
     Body::Accepted(Accepted { outcome: outcome as i32, position, owner: owner.into(), ..Accepted::default() })
 }
 
-fn placed_elsewhere(partition: u32) -> Body {
+fn placed_elsewhere(placement: &partition::Placement) -> Body {
     let outcome = AcceptOutcome::PlacedElsewhere as i32;
-    Body::Accepted(Accepted { outcome, partition, ..Accepted::default() })
+    let partition::Placement { partition, generation, .. } = *placement;
+    Body::Accepted(Accepted { outcome, partition, generation, ..Accepted::default() })
 }
 
 fn timing(c: &Settings) -> Timing {
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -124,9 +124,17 @@
                     i.fresh.forget((partition, at));
                     self.answer_waiters(i, (partition, at), &accepted(AcceptOutcome::Taken, old, ""));
                 }
-                Change::PlacedElsewhere { at, partition: other } => {
+                Change::PlacedElsewhere { at, placement } => {
                     i.fresh.forget((partition, at));
-                    self.answer_waiters(i, (partition, at), &placed_elsewhere(other));
+                    self.answer_waiters(i, (partition, at), &placed_elsewhere(&placement));
+                }
+                Change::OrderPlacedElsewhere { at } => {
+                    i.fresh.forget((partition, at));
+                    let answer = accepted(AcceptOutcome::OrderPlacedElsewhere, 0, "");
+                    self.answer_waiters(i, (partition, at), &answer);
+                }
+                Change::StaysHere { at } => {
+                    self.answer_waiters(i, (partition, at), &accepted(AcceptOutcome::StaysHere, 0, ""));
                 }
                 Change::Failed(pos) => {
                     i.answering.remove(&(partition, pos));
--- a/crates/store/src/service/placements.rs
+++ b/crates/store/src/service/placements.rs
@@ -1,54 +1,48 @@
-//! Where operations are kept: answers for those that this node's partitions keep or have placed
-//! elsewhere, and places others where the asker wants them.
+//! Where operations and order keys are kept: answers for those that this node's partitions keep or
+//! have placed elsewhere, and places others where the asker wants them.
 //!
-//! Invariant (docs/design/tenants.md): the record that comes first in the log of an operation's
-//! directory decides, so what is not folded yet is waited for and never guessed.
+//! Invariant (docs/design/tenants.md): the log of a partition decides, so what is not folded yet is
+//! waited for and never guessed.
 
 use super::*;
 
 impl StoreService {
-    /// Answers where an operation is kept, or places it.
-    pub(super) fn place_operation(self: &Arc<Self>, i: &mut StoreState, request: PlaceOperation, responder: Responder) {
-        let PlaceOperation { partition, operation, wanted, rank } = request;
+    /// Answers where a subject is kept, or places it.
+    pub(super) fn place(self: &Arc<Self>, i: &mut StoreState, request: Place, responder: Responder) {
+        let partition = request.partition;
         if let Some(owner) = self.other_owner(i, partition) {
             responder.send(accepted(AcceptOutcome::Elsewhere, 0, &owner));
             return;
         }
-        if let Some(key) = i.fresh.find_operation(partition, operation) {
+        let Some(subject) = &request.subject else {
+            responder.send(accepted(AcceptOutcome::NotKnown, 0, ""));
+            return;
+        };
+        if let PlacementSubject::Operation(operation) = subject
+            && let Some(key) = i.fresh.find_operation(partition, *operation)
+        {
             i.waiters.entry(key).or_default().push(Waiter::Accept(responder));
             return;
         }
         let at_ms = self.owner_time(i, partition);
-        let replica = &i.replicas[&partition];
-        if let Some(position) = replica.state.find_operation(&operation, at_ms) {
-            telemetry::count("accepts_repeated");
-            responder.send(accepted(AcceptOutcome::Taken, position, ""));
-            return;
-        }
-        let placement = replica.state.placement_of(&operation, at_ms);
-        let settled = placement.filter(|p| wanted.is_none() || !replica.state.is_placement_due(p, at_ms));
-        if let Some(placement) = settled {
-            responder.send(placed_elsewhere(placement.partition));
+        if let Some(answer) = known_place(&i.replicas[&partition], &request, subject, at_ms) {
+            responder.send(answer);
             return;
         }
-        let Some(wanted) = wanted else {
-            // What a former owner wrote may not be folded yet.
-            let outcome = if replica.caught_up() { AcceptOutcome::NotKnown } else { AcceptOutcome::Elsewhere };
-            responder.send(accepted(outcome, 0, ""));
-            return;
-        };
-        if !self.has_room(i, rank, 0) {
+        let Some(wanted) = request.wanted else { return };
+        if !self.has_room(i, request.rank, 0) {
             telemetry::count("refused_full");
             responder.send(accepted(AcceptOutcome::Full, 0, ""));
             return;
         }
-        let place = PlaceRecord { operation, partition: wanted };
+        let Place { subject, generation, hold_ms, .. } = request;
+        let place = PlaceRecord { partition: wanted, subject, generation, hold_ms };
         self.write_placement(i, partition, Record { at_ms, entry: Some(Entry::Place(place)) }, responder);
     }
 
     /// Writes a placement; whoever asked is answered by what the fold makes of it.
     fn write_placement(self: &Arc<Self>, i: &mut StoreState, partition: u32, record: Record, responder: Responder) {
-        telemetry::count("operations_placed");
+        telemetry::count("placements_written");
         let now = self.now();
         let mut effects = Vec::new();
         let position = i.replicas.get_mut(&partition).and_then(|replica| {
@@ -63,3 +57,30 @@
         self.carry_out(i, partition, effects);
     }
 }
+
+/// The answer that needs no record; `None` where one is to be written.
+fn known_place(replica: &PartitionReplica, request: &Place, subject: &PlacementSubject, at_ms: u64) -> Option<Body> {
+    let state = &replica.state;
+    let placement = state.placement_of(subject, request.generation, at_ms);
+    let is_settled = |placement: &partition::Placement| {
+        request.wanted.is_none() || !state.is_placement_due(placement, subject, request.hold_ms, at_ms)
+    };
+    if let Some(placement) = placement {
+        return is_settled(&placement).then(|| placed_elsewhere(&placement));
+    }
+    match subject {
+        PlacementSubject::Operation(operation) => {
+            if let Some(position) = state.find_operation(operation, at_ms) {
+                telemetry::count("accepts_repeated");
+                return Some(accepted(AcceptOutcome::Taken, position, ""));
+            }
+        }
+        PlacementSubject::Order(order) if state.has_order(order) => {
+            return Some(accepted(AcceptOutcome::StaysHere, 0, ""));
+        }
+        PlacementSubject::Order(_) => {}
+    }
+    // What a former owner wrote may not be folded yet.
+    let outcome = if replica.caught_up() { AcceptOutcome::NotKnown } else { AcceptOutcome::Elsewhere };
+    request.wanted.is_none().then(|| accepted(outcome, 0, ""))
+}
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -8,7 +8,7 @@
         let i = &mut *guard;
         match body {
             Body::Accept(a) => self.accept(i, a, responder, None),
-            Body::PlaceOperation(request) => self.place_operation(i, request, responder),
+            Body::Place(request) => self.place(i, request, responder),
             Body::Report(r) => self.report(i, r, responder),
             Body::Lookup(l) => {
                 let found = self.lookup(i, &l);
@@ -53,8 +53,8 @@
             responder.send(accepted(AcceptOutcome::Taken, pos, ""));
             return;
         }
-        if let Some(placement) = a.item.operation.and_then(|operation| m.state.placement_of(&operation, at_ms)) {
-            responder.send(placed_elsewhere(placement.partition));
+        if let Some(refusal) = refusal_by_placement(m, &a, at_ms) {
+            responder.send(refusal);
             return;
         }
         if !self.may_keep(&a.item) {
@@ -77,7 +77,9 @@
         }
         let Some((a, responder)) = self.admit_by_quota(i, a, responder, waited_until_ms) else { return };
         let names = AcceptNames::of(&a.item);
-        let record = Record { at_ms, entry: Some(Entry::Accept(AcceptRecord { item: a.item, delay_ms: a.delay_ms })) };
+        let generations = (a.generations != PlacementGenerations::default()).then_some(a.generations);
+        let accept = AcceptRecord { item: a.item, delay_ms: a.delay_ms, generations };
+        let record = Record { at_ms, entry: Some(Entry::Accept(accept)) };
         let mut position = None;
         let now = self.now();
         let mut out = Vec::new();
@@ -290,3 +292,17 @@
         s
     }
 }
+
+/// The answer to a message whose operation or order key is placed in another partition; `None` if
+/// neither is.
+fn refusal_by_placement(replica: &PartitionReplica, accept: &Accept, at_ms: u64) -> Option<Body> {
+    let Accept { item, generations, .. } = accept;
+    let operation = item.operation.map(PlacementSubject::Operation);
+    let placed = |subject: &PlacementSubject, generation| replica.state.placement_of(subject, generation, at_ms);
+    if let Some(placement) = operation.and_then(|subject| placed(&subject, generations.operation)) {
+        return Some(placed_elsewhere(&placement));
+    }
+    let order = partition::order_of(item).map(PlacementSubject::Order);
+    let is_placed = order.is_some_and(|subject| placed(&subject, generations.order).is_some());
+    is_placed.then(|| accepted(AcceptOutcome::OrderPlacedElsewhere, 0, ""))
+}
