A failure that is told again is not written again (LOST), names are read as told (MIXED)

Cause: the second record changes nothing in the fold, so the message went on waiting for its answer; names were parsed as numbers, signs and zeros included.

Change: the owner acknowledges a failure that is counted and schedules the message; a name is that of a message only as it was told. Tests: a_failure_that_is_counted_is_known_by_its_attempt, a_name_is_that_of_a_message_only_as_it_was_told.

--- a/crates/front/src/lookup.rs
+++ b/crates/front/src/lookup.rs
@@ -16,6 +16,14 @@
     Ok(tenant_if_any(configuration, r)?.map_or("", |tenant| &tenant.name))
 }
 
+/// The partition and position that a message's name stands for; `None` if no message has it, as
+/// with a sign or leading zeros.
+fn position_of(name: &str) -> Option<(u32, u64)> {
+    let (partition, position) = name.split_once('-')?;
+    let place = (partition.parse().ok()?, position.parse().ok()?);
+    (format!("{}-{}", place.0, place.1) == name).then_some(place)
+}
+
 impl FrontService {
     /// Answers with the state of a message, or with its body.
     pub(crate) async fn look_up(&self, name: &str, r: &Request, body: bool) -> Reply {
@@ -34,7 +42,7 @@
             true => Refusal::KeyMissing.reply(),
             false => fault(404, "no such message"),
         };
-        let parsed = name.split_once('-').and_then(|(p, n)| Some((p.parse::<u32>().ok()?, n.parse::<u64>().ok()?)));
+        let parsed = position_of(name);
         // Askers wait about as long as half the call-back bound; answer inside that.
         let limit = Duration::from_millis((self.settings.constraints.notify_s * 350.0) as u64);
         let mut wanted: Vec<u32> = match parsed {
--- a/crates/front/tests/tenants.rs
+++ b/crates/front/tests/tenants.rs
@@ -27,6 +27,8 @@
 struct Played {
     front: Arc<FrontService>,
     accepts: Arc<Mutex<Vec<Item>>>,
+    /// The positions of messages that were asked for; 0 by their ids.
+    asked_positions: Arc<Mutex<Vec<u64>>>,
 }
 
 /// The owner holds one message of the clinic, which was accepted at the host of the routes.
@@ -35,21 +37,26 @@
     let address = listener.local_addr().expect("an address").to_string();
     let accepts = Arc::new(Mutex::new(Vec::new()));
     let taken = accepts.clone();
+    let asked_positions = Arc::new(Mutex::new(Vec::new()));
+    let asked = asked_positions.clone();
     tokio::spawn(rpc::serve(listener, Duration::from_secs(1), move |body, responder| match body {
         Body::Accept(accept) => {
             taken.lock().expect("not poisoned").push(accept.item);
             let outcome = AcceptOutcome::Taken as i32;
             responder.send(Body::Accepted(Accepted { outcome, position: 7, ..Accepted::default() }));
         }
-        Body::Lookup(_) => responder.send(Body::Found(Found {
-            owner: true,
-            known: true,
-            state: "pending".into(),
-            body: b"secret".to_vec().into(),
-            host: "h".into(),
-            tenant: "clinic".into(),
-            ..Found::default()
-        })),
+        Body::Lookup(lookup) => {
+            asked.lock().expect("not poisoned").push(lookup.position);
+            responder.send(Body::Found(Found {
+                owner: true,
+                known: true,
+                state: "pending".into(),
+                body: b"secret".to_vec().into(),
+                host: "h".into(),
+                tenant: "clinic".into(),
+                ..Found::default()
+            }))
+        }
         _ => {}
     }));
     let mut settings = Settings { zone: "x".into(), ..Settings::default() };
@@ -60,7 +67,7 @@
     settings.constraints.key_window_s = key_window_s;
     let front = FrontService::new(settings);
     front.known.send_replace(view(&address, CONFIG));
-    Played { front, accepts }
+    Played { front, accepts, asked_positions }
 }
 
 fn request(method: &str, path: &str, headers: &[(&str, &str)]) -> Request {
@@ -196,6 +203,20 @@
     assert_eq!(played.accepted().len(), 1);
 }
 
+/// Guards against MIXED: a name that no message has was read as that of another.
+#[tokio::test(flavor = "current_thread")]
+async fn a_name_is_that_of_a_message_only_as_it_was_told() {
+    let played = played(false, 0.0).await;
+    let headers = [("Authorization", "Bearer key-of-clinic")];
+    assert_eq!(played.get("/message/2-3", &headers).await.status, 200);
+    for name in ["2-+3", "02-3", "2-03", "+2-3", "2--3", "2-3-"] {
+        played.asked_positions.lock().expect("not poisoned").clear();
+        played.get(&format!("/message/{name}"), &headers).await;
+        let asked = played.asked_positions.lock().expect("not poisoned").clone();
+        assert!(asked.iter().all(|position| *position == 0), "{name} is asked for as an id: {asked:?}");
+    }
+}
+
 fn index(config: &str) -> ConfigurationIndex {
     Configuration::read(config.as_bytes()).expect("valid").into()
 }
--- a/crates/partition/tests/fold.rs
+++ b/crates/partition/tests/fold.rs
@@ -18,7 +18,7 @@
         body: b"body".to_vec().into(),
         ..Item::default()
     };
-    Entry::Accept(AcceptRecord { item, delay_ms: 0 })
+    Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None })
 }
 
 fn answer(position: u64, outcome: Outcome, attempt: u64) -> Entry {
@@ -200,3 +200,22 @@
     snapshot.reached_ms = 0;
     assert_eq!(prost::Message::encoded_len(&snapshot), 261, "nor is a byte added");
 }
+
+/// Guards against LOST: a failure that was told again after a change of owner was written again.
+#[test]
+fn a_failure_that_is_counted_is_known_by_its_attempt() {
+    let mut state = PartitionState::new(1000);
+    let routes = vec![RouteFacts { route: "r".into(), tries: 3, retain_ms: 60_000 }];
+    let item = Item { id: "m".into(), route: "r".into(), ..Item::default() };
+    let answer = AnswerRecord { position: 2, outcome: Outcome::Failed as i32, result_tag: String::new(), attempt: 7 };
+    let entries = [
+        Entry::Routes(Routes { revision: 1, routes, ..Routes::default() }),
+        Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None }),
+        Entry::Answer(answer.clone()),
+    ];
+    for (position, entry) in (1..).zip(entries) {
+        state.fold(position, &Record { at_ms: position, entry: Some(entry) });
+    }
+    assert!(state.is_failure_counted(2, 7) && !state.is_failure_counted(2, 8) && !state.is_failure_counted(1, 7));
+    assert_eq!(state.fold(4, &Record { at_ms: 4, entry: Some(Entry::Answer(answer)) }), vec![], "it counts once");
+}
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -158,6 +158,16 @@
             return;
         }
         match outcome {
+            // Told to a former owner already: another record of it would change nothing, and the
+            // message would wait for that for ever.
+            Outcome::Failed if m.state.is_failure_counted(k.1, r.attempt) => {
+                telemetry::count("failures_told_again");
+                responder.send(Body::ReportAck(ReportAck { kept: true }));
+                if !outdated {
+                    let pause = i.scheduler.pause(k);
+                    i.scheduler.later(k, now + pause);
+                }
+            }
             Outcome::Done | Outcome::Failed | Outcome::Never => {
                 if let Some((attempt, at)) = i.answering.get(&k).copied()
                     && attempt == r.attempt
