An owner takes nothing that its configuration cannot judge (QUOTA, found by the soak)

Callers saw: a tenant got 150 to 179 messages accepted in a window that allows 71, as a store that had been killed came back.

Cause: the store's process was given its partitions by splice before its session had brought a configuration, and an empty one holds no tenant to a limit (nor a message to its homes).

Change: an owner whose configuration lacks the route or tenant of a message says 'elsewhere', and the front asks again. Counter accepts_not_judged.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -67,12 +67,14 @@
 }
 
 /// What may differ from one cluster to another.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ClusterOptions {
     /// The first three parts of its loopback addresses; clusters that run at once use others.
     pub network: String,
     /// Lines for `[constraints]` besides the usual ones.
     pub constraints: String,
+    /// Whether its folder, with settings, logs and data, outlasts it.
+    pub keeps_folder: bool,
 }
 
 /// A cluster of processes; they end, and its folder goes, with the value.
@@ -91,7 +93,9 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let _ = fs::remove_dir_all(&self.folder);
+        if !self.options.keeps_folder {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -260,6 +264,11 @@
         }
     }
 
+    /// Where its settings, logs and data are.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// What a process has written so far, over all its starts.
     pub fn log(&self, name: &str) -> String {
         fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,6 +24,9 @@
     /// The first three parts of the loopback addresses to use.
     #[arg(long, default_value = "127.0.20")]
     network: String,
+    /// Keep the folders of the clusters, with their logs, in the system's temporary folder.
+    #[arg(long)]
+    keep: bool,
 }
 
 fn main() -> ExitCode {
@@ -32,12 +35,17 @@
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let length = Duration::from_secs(arguments.seconds);
         let network = arguments.network.clone();
-        let plan = Plan { seed, length, pause: Duration::from_millis(15), network };
-        let at_once = Schedule::draw(seed, length).most_at_once();
+        let pause = Duration::from_millis(15);
+        let plan = Plan { seed, length, pause, network, keeps_folder: arguments.keep };
+        let schedule = Schedule::draw(seed, length);
+        let at_once = schedule.most_at_once();
         match run(&arguments.program, &plan) {
             Ok(verdict) => {
                 is_clean &= verdict.violations.is_empty();
                 println!("seed {seed}, up to {at_once} troubles at once: {verdict}");
+                if !verdict.violations.is_empty() {
+                    print_schedule(&schedule);
+                }
             }
             Err(error) => {
                 is_clean = false;
@@ -47,3 +55,11 @@
     }
     if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+/// Says which troubles a seed had, and when.
+fn print_schedule(schedule: &Schedule) {
+    for fault in &schedule.faults {
+        let (from, to) = (fault.at.as_secs_f64(), (fault.at + fault.length).as_secs_f64());
+        println!("  {from:.2} to {to:.2} s: {:?} {}", fault.kind, fault.target);
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -50,6 +50,8 @@
     pub pause: Duration,
     /// The first three parts of the cluster's loopback addresses.
     pub network: String,
+    /// Whether the cluster's folder is kept.
+    pub keeps_folder: bool,
 }
 
 /// A trouble that is under way.
@@ -170,7 +172,7 @@
             "quotaWindowS = {}\nquotaOvershoot = {OVERSHOOT}\nquotaSlack = {SLACK}\nkeyWindowS = {KEY_WINDOW_S}",
             WINDOW.as_secs()
         );
-        let options = ClusterOptions { network: plan.network.clone(), constraints };
+        let options = ClusterOptions { network: plan.network.clone(), constraints, keeps_folder: plan.keeps_folder };
         let processor =
             || Processor::start().map_err(|source| ClusterError::Process { name: "processor".into(), source });
         let services = [processor()?, processor()?];
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -57,6 +57,11 @@
             responder.send(refusal);
             return;
         }
+        if !self.can_judge(&a.item) {
+            telemetry::count("accepts_not_judged");
+            responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
+            return;
+        }
         if !self.may_keep(&a.item) {
             telemetry::count("refused_not_at_home");
             responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
@@ -115,6 +120,16 @@
         room.admits(rank, held + bytes, self.wal.used_bytes() as usize)
     }
 
+    /// Whether the configuration that is known here says what a message is bound by: a process that
+    /// has just begun may own a partition before it knows any.
+    fn can_judge(&self, item: &Item) -> bool {
+        self.session.with_known(|known| {
+            let configuration = &known.configuration;
+            let knows_tenant = item.tenant.is_empty() || configuration.tenant_named(&item.tenant).is_some();
+            knows_tenant && configuration.route_named(&item.route).is_some()
+        })
+    }
+
     /// Whether a message may be kept in this region, as far as is known here.
     fn may_keep(&self, item: &Item) -> bool {
         let homes = self.session.with_known(|known| known.configuration.homes_on(&item.route, &item.tenant));
--- a/crates/willowslip/tests/operations.rs
+++ b/crates/willowslip/tests/operations.rs
@@ -61,7 +61,11 @@
 #[test]
 fn tries_run_once_whatever_routes_they_come_by() {
     let processor = Processor::start().expect("a port");
-    let options = ClusterOptions { network: "127.0.10".into(), constraints: "keyWindowS = 60".into() };
+    let options = ClusterOptions {
+        network: "127.0.10".into(),
+        constraints: "keyWindowS = 60".into(),
+        ..ClusterOptions::default()
+    };
     let mut cluster = Cluster::new(Path::new(env!("CARGO_BIN_EXE_willowslip")), options).expect("ports");
     let plain = route("hand", "/hand/");
     cluster.start(&configuration(1, json!([plain]), &processor)).expect("it starts");
--- a/crates/willowslip/tests/quotas.rs
+++ b/crates/willowslip/tests/quotas.rs
@@ -59,7 +59,7 @@
         "quotaWindowS = {}\nquotaOvershoot = {OVERSHOOT}\nquotaSlack = {SLACK}\nkeyWindowS = 0",
         WINDOW.as_secs()
     );
-    let options = ClusterOptions { network: "127.0.6".into(), constraints };
+    let options = ClusterOptions { network: "127.0.6".into(), constraints, ..ClusterOptions::default() };
     let mut cluster = Cluster::new(Path::new(env!("CARGO_BIN_EXE_willowslip")), options).expect("ports");
     cluster.start(&configuration(&processor)).expect("it starts");
     let fronts = cluster.fronts();
--- a/crates/willowslip/tests/service_restart.rs
+++ b/crates/willowslip/tests/service_restart.rs
@@ -36,7 +36,7 @@
 #[test]
 fn a_front_that_is_started_again_alone_is_given_deliveries() {
     let processor = Processor::start().expect("a port");
-    let options = ClusterOptions { network: "127.0.11".into(), constraints: String::new() };
+    let options = ClusterOptions { network: "127.0.11".into(), ..ClusterOptions::default() };
     let mut cluster = Cluster::new(Path::new(env!("CARGO_BIN_EXE_willowslip")), options).expect("ports");
     let route = json!({"name": "r", "host": HOST, "prefix": "/m/", "mode": "deferred", "cutoffMs": 1000,
         "setpointMs": 1000, "tries": 3, "sequenced": false, "retainS": 60, "startSetpointMs": 1000, "plant": "p"});
--- a/crates/willowslip/tests/soak.rs
+++ b/crates/willowslip/tests/soak.rs
@@ -8,7 +8,12 @@
 const LENGTH: Duration = Duration::from_secs(12);
 
 fn is_clean(seed: u64, network: &str) {
-    let plan = Plan { seed, length: LENGTH, pause: Duration::from_millis(15), network: network.into() };
+    is_clean_for(LENGTH, seed, network);
+}
+
+fn is_clean_for(length: Duration, seed: u64, network: &str) {
+    let pause = Duration::from_millis(15);
+    let plan = Plan { seed, length, pause, network: network.into(), keeps_folder: false };
     let verdict = run(Path::new(env!("CARGO_BIN_EXE_willowslip")), &plan).expect("it runs");
     assert!(verdict.violations.is_empty(), "seed {seed}: {verdict}");
     assert!(verdict.accepted > 0, "seed {seed}: {verdict}");
@@ -34,6 +39,13 @@
     is_clean(6, "127.0.13");
 }
 
+/// Guards against QUOTA: a store that had just begun owned a partition before it knew any
+/// configuration, and took messages without their tenant's limit.
+#[test]
+fn no_rule_is_broken_as_a_store_comes_back_in_the_midst_of_changes() {
+    is_clean_for(Duration::from_secs(25), 123, "127.0.14");
+}
+
 #[test]
 fn troubles_overlap_and_a_seed_draws_the_same_ones_again() {
     let length = Duration::from_secs(60);
--- a/crates/willowslip/tests/weights.rs
+++ b/crates/willowslip/tests/weights.rs
@@ -9,7 +9,7 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn options() -> ClusterOptions {
-    ClusterOptions { network: "127.0.4".into(), constraints: String::new() }
+    ClusterOptions { network: "127.0.4".into(), ..ClusterOptions::default() }
 }
 
 /// A configuration whose one route goes to the services as `target` says.
