Placements: the fold and the owner's answers share one decision

Whether a subject is placed elsewhere, kept here or under way here, and whether a message is refused for its placements, stood twice: in the fold and in the store's answers. Both call PartitionState::whereabouts and refusal_by_placement now. Item::order() is the one way to a message's order key, and StoreService::append the one place where a record is appended and sent on, which stood three times.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -9,10 +9,12 @@
 use agent::{may_be_kept_in, operation_directory, order_directory};
 use http1::{Reply, Request};
 use rpc::Body;
-use rpc::messages::{Accept, AcceptOutcome, Accepted, OrderKey, Place, PlacementGenerations, PlacementSubject};
+use rpc::messages::{Accept, AcceptOutcome, Accepted, Place, PlacementGenerations, PlacementSubject};
 
 /// The most placements that are followed for one message.
 const PLACEMENT_STEPS: usize = 12;
+/// Why a message is refused before there are partitions for it.
+const NO_PARTITION: &str = "no owner of a partition for it yet";
 
 /// Where the placements of a subject have led.
 enum Placement {
@@ -66,7 +68,7 @@
             Err(refusal) => return *refusal,
         };
         let Some(wanted) = submission.partition(&submission.view, &self.settings.zone) else {
-            return unavailable("no owner of a partition for it yet");
+            return unavailable(NO_PARTITION);
         };
         let mut calls = OwnerCalls::new(self);
         let mut has_moved = false;
@@ -83,8 +85,8 @@
         given_up(false)
     }
 
-    /// Where a message is to be written that belongs to the `wanted` partition: its order key
-    /// comes first, and its operation is then placed where that has led.
+    /// Where a message is to be written that belongs to the `wanted` partition: where messages of
+    /// its order key are under way comes first, and its operation is then placed there.
     async fn place(
         &self,
         submission: &Submission,
@@ -93,57 +95,31 @@
         calls: &mut OwnerCalls<'_>,
     ) -> Result<Target, Reply> {
         let mut target = Target { partition: wanted, generations: PlacementGenerations::default() };
-        if !submission.item.order_key.is_empty() {
-            let placement = self.place_order(submission, wanted, has_moved, calls).await;
-            (target.partition, target.generations.order) = located(placement)?;
+        let assignments = &submission.view.assignments;
+        if let Some(order) = submission.item.order() {
+            let directory = order_directory(assignments, &order);
+            let walk = Walk::new(submission, PlacementSubject::Order(order), directory, target.partition)?;
+            (target.partition, target.generations.order) = self.locate(walk, has_moved, calls).await?;
         }
-        if submission.item.operation.is_some() {
-            let placement = self.place_operation(submission, target.partition, has_moved, calls).await;
-            (target.partition, target.generations.operation) = located(placement)?;
+        if let Some(operation) = submission.item.operation {
+            let directory = operation_directory(assignments, &operation);
+            let walk = Walk::new(submission, PlacementSubject::Operation(operation), directory, target.partition)?;
+            (target.partition, target.generations.operation) = self.locate(walk, has_moved, calls).await?;
         }
         Ok(target)
     }
 
-    /// Where the messages of an order key are kept: while some are under way, where these are.
-    async fn place_order(
-        &self,
-        submission: &Submission,
-        wanted: u32,
-        has_moved: bool,
-        calls: &mut OwnerCalls<'_>,
-    ) -> Placement {
-        let order = OrderKey { tenant: submission.item.tenant.clone(), key: submission.item.order_key.clone() };
-        let Some(directory) = order_directory(&submission.view.assignments, &order) else {
-            return Placement::Refused(unavailable("no owner of a partition for it yet"));
-        };
-        if directory == wanted && !has_moved {
-            return Placement::At { partition: wanted, generation: 0 };
+    /// The partition that a subject's placements lead to, with the generation of the last; else the
+    /// answer. Where the subject belongs to its directory nothing is asked unless it has moved.
+    async fn locate(&self, walk: Walk<'_>, has_moved: bool, calls: &mut OwnerCalls<'_>) -> Result<(u32, u64), Reply> {
+        if walk.wanted == Some(walk.partition) && !has_moved {
+            return Ok((walk.partition, walk.generation));
         }
-        let subject = PlacementSubject::Order(order);
-        let walk = Walk { submission, subject, partition: directory, generation: 0, wanted: Some(wanted) };
-        self.follow_placements(walk, calls).await
-    }
-
-    /// Where an operation is kept, or to be kept.
-    async fn place_operation(
-        &self,
-        submission: &Submission,
-        wanted: u32,
-        has_moved: bool,
-        calls: &mut OwnerCalls<'_>,
-    ) -> Placement {
-        let Some(operation) = submission.item.operation else {
-            return Placement::At { partition: wanted, generation: 0 };
-        };
-        let Some(directory) = operation_directory(&submission.view.assignments, &operation) else {
-            return Placement::Refused(unavailable("no owner of a partition for it yet"));
-        };
-        if directory == wanted && !has_moved {
-            return Placement::At { partition: wanted, generation: 0 };
+        match self.follow_placements(walk, calls).await {
+            Placement::At { partition, generation } => Ok((partition, generation)),
+            Placement::Kept { partition, position } => Err(taken(partition, position)),
+            Placement::Refused(refusal) => Err(refusal),
         }
-        let subject = PlacementSubject::Operation(operation);
-        let walk = Walk { submission, subject, partition: directory, generation: 0, wanted: Some(wanted) };
-        self.follow_placements(walk, calls).await
     }
 
     /// Follows a subject from one partition that may know of it to the next, until one keeps it or
@@ -260,7 +236,21 @@
     }
 }
 
-impl Walk<'_> {
+impl<'a> Walk<'a> {
+    /// One that begins at a subject's directory.
+    ///
+    /// # Errors
+    /// The answer where there is no directory yet.
+    fn new(
+        submission: &'a Submission,
+        subject: PlacementSubject,
+        directory: Option<u32>,
+        wanted: u32,
+    ) -> Result<Walk<'a>, Reply> {
+        let partition = directory.ok_or_else(|| unavailable(NO_PARTITION))?;
+        Ok(Walk { submission, subject, partition, generation: 0, wanted: Some(wanted) })
+    }
+
     /// Where the walk ends by an owner's word; `None` where it is to be asked again.
     fn end(&self, outcome: AcceptOutcome, accepted: &Accepted) -> Option<Placement> {
         let Walk { submission, partition, generation, .. } = *self;
@@ -283,15 +273,6 @@
     }
 }
 
-/// The partition that placements have led to, with their generation; else the answer.
-fn located(placement: Placement) -> Result<(u32, u64), Reply> {
-    match placement {
-        Placement::At { partition, generation } => Ok((partition, generation)),
-        Placement::Kept { partition, position } => Err(taken(partition, position)),
-        Placement::Refused(refusal) => Err(refusal),
-    }
-}
-
 /// The answer to a message that its owner refuses for good; `None` where it may be asked again.
 fn refusal_of(outcome: AcceptOutcome, accepted: &Accepted) -> Option<Reply> {
     match outcome {
--- a/crates/partition/src/state.rs
+++ b/crates/partition/src/state.rs
@@ -1,9 +1,14 @@
 //! The fold: a partition's state as a function of its log alone.
 
+mod placing;
+mod snapshot;
+pub use placing::{PlacementRefusal, Whereabouts};
+pub use snapshot::{Snapshot, SnapshotPiece};
+
 use crate::digest::{fingerprint, mix};
-use crate::placements::{Placement, Placements, SnapshotPlacement};
+use crate::placements::{Placement, Placements};
 use crate::record::*;
-use rpc::messages::{Item, OperationId, OrderKey, Outcome, PlacementSubject};
+use rpc::messages::{Item, OperationId, Outcome, PlacementSubject};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -179,12 +184,6 @@
     fingerprint(h, w.processor.as_bytes())
 }
 
-/// The order key of a message; `None` without one.
-pub fn order_of(item: &Item) -> Option<OrderKey> {
-    let order = || OrderKey { tenant: item.tenant.clone(), key: item.order_key.clone() };
-    (!item.order_key.is_empty()).then(order)
-}
-
 impl PartitionState {
     pub fn new(retention: impl Into<Retention>) -> PartitionState {
         PartitionState { retention: retention.into(), ..PartitionState::default() }
@@ -242,40 +241,11 @@
         self.pieces.get(&position).is_some_and(|message| message.failed.contains(&attempt))
     }
 
-    /// Where a subject is placed that another partition keeps, for one that came here by a
-    /// placement of that generation.
-    pub fn placement_of(&self, subject: &PlacementSubject, generation: u64, at_ms: u64) -> Option<Placement> {
-        self.placements.get(subject, generation, at_ms)
-    }
-
-    /// Whether messages of an order key are under way.
-    pub fn has_order(&self, order: &OrderKey) -> bool {
-        self.orders.contains_key(&scoped(&order.tenant, &order.key))
-    }
-
-    /// Whether a placement is to be written anew when it is asked for, so that it outlasts what
-    /// is taken by it: an eighth of its time has passed since it was. `hold_ms` as in the request.
-    pub fn is_placement_due(
-        &self,
-        placement: &Placement,
-        subject: &PlacementSubject,
-        hold_ms: u64,
-        at_ms: u64,
-    ) -> bool {
-        let time_ms = self.retention.placement_time(subject, hold_ms);
-        at_ms + time_ms - time_ms / 10 > placement.until_ms
-    }
-
     /// How many operations' keys are kept.
     pub fn remembered_operations(&self) -> usize {
         self.operations.len()
     }
 
-    /// How many operations and order keys are placed in other partitions.
-    pub fn placed_subjects(&self) -> usize {
-        self.placements.len()
-    }
-
     pub fn has_route(&self, route: &str) -> bool {
         self.routes.contains_key(route)
     }
@@ -371,10 +341,15 @@
                     out.push(Change::Repeated { at: pos, old });
                     return out;
                 }
-                if let Some(refusal) = self.accept_by_placement(pos, a, at) {
-                    out.push(refusal);
+                let generations = a.generations.unwrap_or_default();
+                if let Some(refusal) = self.refusal_by_placement(&a.item, generations, at) {
+                    out.push(match refusal {
+                        PlacementRefusal::Operation(placement) => Change::PlacedElsewhere { at: pos, placement },
+                        PlacementRefusal::Order => Change::OrderPlacedElsewhere { at: pos },
+                    });
                     return out;
                 }
+                self.end_placements(&a.item);
                 let mut h = fingerprint(pos, a.item.id.as_bytes());
                 h = fingerprint(h, &a.item.body);
                 for s in [&a.item.route, &a.item.path, &a.item.order_key, &a.item.notify_url] {
@@ -491,44 +466,6 @@
         out
     }
 
-    /// Whether an accept may be folded by the placements of its operation and order key: if so,
-    /// these have come back here, else the change says why not.
-    fn accept_by_placement(&mut self, at: u64, accept: &AcceptRecord, at_ms: u64) -> Option<Change> {
-        let generations = accept.generations.unwrap_or_default();
-        let operation = accept.item.operation.map(PlacementSubject::Operation);
-        let order = order_of(&accept.item).map(PlacementSubject::Order);
-        let placed = |subject: &PlacementSubject, generation| self.placement_of(subject, generation, at_ms);
-        if let Some(placement) = operation.as_ref().and_then(|subject| placed(subject, generations.operation)) {
-            return Some(Change::PlacedElsewhere { at, placement });
-        }
-        if order.as_ref().and_then(|subject| placed(subject, generations.order)).is_some() {
-            return Some(Change::OrderPlacedElsewhere { at });
-        }
-        for subject in operation.iter().chain(&order) {
-            self.placements.remove(subject);
-        }
-        None
-    }
-
-    /// Folds a record that places a subject.
-    fn place(&mut self, at: u64, record: &PlaceRecord, at_ms: u64) -> Option<Change> {
-        let subject = record.subject.as_ref()?;
-        if self.placement_of(subject, record.generation, at_ms).is_none() {
-            match subject {
-                PlacementSubject::Operation(operation) => {
-                    if let Some(old) = self.find_operation(operation, at_ms) {
-                        return Some(Change::Repeated { at, old });
-                    }
-                }
-                PlacementSubject::Order(order) if self.has_order(order) => return Some(Change::StaysHere { at }),
-                PlacementSubject::Order(_) => {}
-            }
-        }
-        let until_ms = at_ms + self.retention.placement_time(subject, record.hold_ms);
-        let placement = self.placements.place(subject.clone(), record.partition, record.generation, at_ms, until_ms);
-        Some(Change::PlacedElsewhere { at, placement })
-    }
-
     fn insert(&mut self, pos: u64, w: Message) {
         self.ids.insert(scoped(&w.item.tenant, &w.item.id), pos);
         if let Some(operation) = w.item.operation {
@@ -544,128 +481,4 @@
         self.digest = self.digest.wrapping_add(part(pos, &w));
         self.pieces.insert(pos, w);
     }
-
-    pub fn snapshot(&self) -> Snapshot {
-        let mut routes: Vec<RouteFacts> = self.routes.values().cloned().collect();
-        routes.sort_by(|a, b| a.route.cmp(&b.route));
-        Snapshot {
-            position: self.position,
-            revision: self.revision,
-            routes,
-            pieces: self
-                .pieces
-                .iter()
-                .map(|(p, w)| SnapshotPiece {
-                    position: *p,
-                    item: w.item.clone(),
-                    at_ms: w.at_ms,
-                    due_ms: w.due_ms,
-                    state: w.state as u32,
-                    failed: w.failed.clone(),
-                    result_tag: w.result_tag.clone(),
-                    ended_ms: w.ended_ms,
-                    notified: w.notified,
-                    sent_ms: w.sent_ms,
-                    processor: w.processor.clone(),
-                    node: w.node.clone(),
-                    fingerprint: w.fingerprint,
-                })
-                .collect(),
-            digest: self.digest(),
-            reached_ms: self.reached_ms,
-            placements: self.placements.snapshot(),
-        }
-    }
-
-    /// The state that a snapshot holds; an error if it is not what was taken.
-    pub fn restore(s: &Snapshot, retention: impl Into<Retention>) -> Result<PartitionState, String> {
-        let mut j = PartitionState::new(retention);
-        j.position = s.position;
-        j.revision = s.revision;
-        j.routes = s.routes.iter().map(|f| (f.route.clone(), f.clone())).collect();
-        let mut ended = BTreeSet::new();
-        for p in &s.pieces {
-            let state = match p.state {
-                0 => MessageState::Pending,
-                1 => MessageState::Settled,
-                _ => MessageState::Dead,
-            };
-            let w = Message {
-                item: p.item.clone(),
-                at_ms: p.at_ms,
-                due_ms: p.due_ms,
-                state,
-                failed: p.failed.clone(),
-                result_tag: p.result_tag.clone(),
-                ended_ms: p.ended_ms,
-                notified: p.notified,
-                sent_ms: p.sent_ms,
-                processor: p.processor.clone(),
-                node: p.node.clone(),
-                fingerprint: p.fingerprint,
-            };
-            if state != MessageState::Pending {
-                ended.insert((j.retention.end(&w), p.position));
-            }
-            j.insert(p.position, w);
-        }
-        j.ended = ended;
-        j.placements = Placements::restore(&s.placements);
-        // A snapshot of an earlier release says it by its messages alone.
-        let latest = j.pieces.values().map(|w| w.at_ms.max(w.sent_ms).max(w.ended_ms)).max();
-        j.reached_ms = s.reached_ms.max(latest.unwrap_or(0));
-        if j.digest() != s.digest {
-            return Err("snapshot does not match its digest".into());
-        }
-        Ok(j)
-    }
-}
-
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Snapshot {
-    #[prost(uint64, tag = "1")]
-    pub position: u64,
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    #[prost(message, repeated, tag = "3")]
-    pub routes: Vec<RouteFacts>,
-    #[prost(message, repeated, tag = "4")]
-    pub pieces: Vec<SnapshotPiece>,
-    #[prost(fixed64, tag = "5")]
-    pub digest: u64,
-    /// The latest time that a record has.
-    #[prost(uint64, tag = "15")]
-    pub reached_ms: u64,
-    #[prost(message, repeated, tag = "16")]
-    pub placements: Vec<SnapshotPlacement>,
-}
-
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct SnapshotPiece {
-    #[prost(uint64, tag = "1")]
-    pub position: u64,
-    #[prost(message, required, tag = "2")]
-    pub item: Item,
-    #[prost(uint64, tag = "3")]
-    pub at_ms: u64,
-    #[prost(uint64, tag = "4")]
-    pub due_ms: u64,
-    #[prost(uint32, tag = "5")]
-    pub state: u32,
-    #[prost(uint64, repeated, tag = "6")]
-    pub failed: Vec<u64>,
-    #[prost(string, tag = "7")]
-    pub result_tag: String,
-    #[prost(uint64, tag = "8")]
-    pub ended_ms: u64,
-    #[prost(bool, tag = "9")]
-    pub notified: bool,
-    #[prost(uint64, tag = "10")]
-    pub sent_ms: u64,
-    #[prost(string, tag = "11")]
-    pub processor: String,
-    #[prost(string, tag = "12")]
-    pub node: String,
-    #[prost(fixed64, tag = "13")]
-    pub fingerprint: u64,
 }
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -59,6 +59,14 @@
     pub operation: Option<OperationId>,
 }
 
+impl Item {
+    /// The order key that it is under; `None` without one.
+    pub fn order(&self) -> Option<OrderKey> {
+        let order = || OrderKey { tenant: self.tenant.clone(), key: self.order_key.clone() };
+        (!self.order_key.is_empty()).then(order)
+    }
+}
+
 /// Stands for an operation key of a tenant: the first half of a SHA-256 over both.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
 pub struct OperationId {
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -18,6 +18,22 @@
         self.carry_out(i, partition, out);
     }
 
+    /// Appends a record to a partition's log and sends it to the replicas, once its effects are
+    /// carried out; its position, or `None` where the partition takes none.
+    pub(super) fn append(
+        &self,
+        i: &mut StoreState,
+        partition: u32,
+        record: &Record,
+        effects: &mut Vec<Effect>,
+    ) -> Option<u64> {
+        let now = self.now();
+        let replica = i.replicas.get_mut(&partition)?;
+        let position = replica.append(record, now, effects);
+        replica.flush(now, effects);
+        position
+    }
+
     pub(super) fn carry_out(self: &Arc<Self>, i: &mut StoreState, partition: u32, effects: Vec<Effect>) {
         for e in effects {
             match e {
--- a/crates/store/src/service/placements.rs
+++ b/crates/store/src/service/placements.rs
@@ -43,14 +43,8 @@
     /// Writes a placement; whoever asked is answered by what the fold makes of it.
     fn write_placement(self: &Arc<Self>, i: &mut StoreState, partition: u32, record: Record, responder: Responder) {
         telemetry::count("placements_written");
-        let now = self.now();
         let mut effects = Vec::new();
-        let position = i.replicas.get_mut(&partition).and_then(|replica| {
-            let position = replica.append(&record, now, &mut effects);
-            replica.flush(now, &mut effects);
-            position
-        });
-        match position {
+        match self.append(i, partition, &record, &mut effects) {
             Some(position) => i.waiters.entry((partition, position)).or_default().push(Waiter::Accept(responder)),
             None => responder.send(accepted(AcceptOutcome::Elsewhere, 0, "")),
         }
@@ -61,26 +55,19 @@
 /// The answer that needs no record; `None` where one is to be written.
 fn known_place(replica: &PartitionReplica, request: &Place, subject: &PlacementSubject, at_ms: u64) -> Option<Body> {
     let state = &replica.state;
-    let placement = state.placement_of(subject, request.generation, at_ms);
-    let is_settled = |placement: &partition::Placement| {
-        request.wanted.is_none() || !state.is_placement_due(placement, subject, request.hold_ms, at_ms)
-    };
-    if let Some(placement) = placement {
-        return is_settled(&placement).then(|| placed_elsewhere(&placement));
-    }
-    match subject {
-        PlacementSubject::Operation(operation) => {
-            if let Some(position) = state.find_operation(operation, at_ms) {
-                telemetry::count("accepts_repeated");
-                return Some(accepted(AcceptOutcome::Taken, position, ""));
-            }
+    let is_question = request.wanted.is_none();
+    match state.whereabouts(subject, request.generation, at_ms) {
+        Some(Whereabouts::Elsewhere(placement)) => {
+            let is_settled = is_question || !state.is_placement_due(&placement, subject, request.hold_ms, at_ms);
+            is_settled.then(|| placed_elsewhere(&placement))
         }
-        PlacementSubject::Order(order) if state.has_order(order) => {
-            return Some(accepted(AcceptOutcome::StaysHere, 0, ""));
+        Some(Whereabouts::KeptHere(position)) => {
+            telemetry::count("accepts_repeated");
+            Some(accepted(AcceptOutcome::Taken, position, ""))
         }
-        PlacementSubject::Order(_) => {}
+        Some(Whereabouts::UnderWayHere) => Some(accepted(AcceptOutcome::StaysHere, 0, "")),
+        // What a former owner wrote may not be folded yet.
+        None if is_question && !replica.caught_up() => Some(accepted(AcceptOutcome::Elsewhere, 0, "")),
+        None => is_question.then(|| accepted(AcceptOutcome::NotKnown, 0, "")),
     }
-    // What a former owner wrote may not be folded yet.
-    let outcome = if replica.caught_up() { AcceptOutcome::NotKnown } else { AcceptOutcome::Elsewhere };
-    request.wanted.is_none().then(|| accepted(outcome, 0, ""))
 }
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -53,8 +53,11 @@
             responder.send(accepted(AcceptOutcome::Taken, pos, ""));
             return;
         }
-        if let Some(refusal) = refusal_by_placement(m, &a, at_ms) {
-            responder.send(refusal);
+        if let Some(refusal) = m.state.refusal_by_placement(&a.item, a.generations, at_ms) {
+            responder.send(match refusal {
+                PlacementRefusal::Operation(placement) => placed_elsewhere(&placement),
+                PlacementRefusal::Order => accepted(AcceptOutcome::OrderPlacedElsewhere, 0, ""),
+            });
             return;
         }
         if !self.can_judge(&a.item) {
@@ -85,14 +88,8 @@
         let generations = (a.generations != PlacementGenerations::default()).then_some(a.generations);
         let accept = AcceptRecord { item: a.item, delay_ms: a.delay_ms, generations };
         let record = Record { at_ms, entry: Some(Entry::Accept(accept)) };
-        let mut position = None;
-        let now = self.now();
         let mut out = Vec::new();
-        if let Some(m) = i.replicas.get_mut(&p) {
-            position = m.append(&record, now, &mut out);
-            m.flush(now, &mut out);
-        }
-        match position {
+        match self.append(i, p, &record, &mut out) {
             Some(pos) => {
                 i.fresh.insert((p, pos), names);
                 i.waiters.entry((p, pos)).or_default().push(Waiter::Accept(responder));
@@ -195,12 +192,7 @@
                     AnswerRecord { position: k.1, outcome: r.outcome, result_tag: r.result_tag, attempt: r.attempt };
                 let record = Record { at_ms: self.owner_time(i, k.0), entry: Some(Entry::Answer(answer)) };
                 let mut out = Vec::new();
-                let position = i.replicas.get_mut(&k.0).and_then(|m| {
-                    let position = m.append(&record, now, &mut out);
-                    m.flush(now, &mut out);
-                    position
-                });
-                match position {
+                match self.append(i, k.0, &record, &mut out) {
                     Some(pos) => {
                         i.answering.insert(k, (r.attempt, pos));
                         i.waiters.entry((k.0, pos)).or_default().push(Waiter::Report(responder));
@@ -317,17 +309,3 @@
         s
     }
 }
-
-/// The answer to a message whose operation or order key is placed in another partition; `None` if
-/// neither is.
-fn refusal_by_placement(replica: &PartitionReplica, accept: &Accept, at_ms: u64) -> Option<Body> {
-    let Accept { item, generations, .. } = accept;
-    let operation = item.operation.map(PlacementSubject::Operation);
-    let placed = |subject: &PlacementSubject, generation| replica.state.placement_of(subject, generation, at_ms);
-    if let Some(placement) = operation.and_then(|subject| placed(&subject, generations.operation)) {
-        return Some(placed_elsewhere(&placement));
-    }
-    let order = partition::order_of(item).map(PlacementSubject::Order);
-    let is_placed = order.is_some_and(|subject| placed(&subject, generations.order).is_some());
-    is_placed.then(|| accepted(AcceptOutcome::OrderPlacedElsewhere, 0, ""))
-}
