--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -4,7 +4,7 @@
 use crate::unidentified::UnidentifiedAnswers;
 use bytes::{BufMut, BytesMut};
 use std::collections::HashMap;
-use std::hash::RandomState;
+use std::hash::{BuildHasher, RandomState};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -106,16 +106,16 @@
 
     /// A kept connection for a call: the newest that has not carried its id. One that has makes
     /// room for a new one.
-    fn take_idle(&self, address: &str, call: &Call<'_>) -> Option<(TcpStream, SentIds)> {
+    fn take_idle(&self, address: &str, newest: Option<Duration>, id_hash: u64) -> Option<(TcpStream, SentIds)> {
         let mut places = self.places.lock().unwrap();
         let idle = &mut places.get_mut(address)?.idle;
         let now = Instant::now();
         let mut passed_over = None;
         while let Some(at) = passed_over.unwrap_or(idle.len()).checked_sub(1) {
-            if !is_usable(&idle[at], call.newest, now) {
+            if !is_usable(&idle[at], newest, now) {
                 idle.remove(at);
                 passed_over = passed_over.map(|_| at);
-            } else if idle[at].sent.may_contain(&self.hasher, call.id) {
+            } else if idle[at].sent.may_contain(id_hash) {
                 passed_over = Some(at);
             } else {
                 let Idle { stream, sent, .. } = idle.remove(at);
@@ -201,7 +201,8 @@
         // An answer that names nobody belongs to the one request of its connection, or
         // to nobody knows which.
         let named = !call.id.is_empty();
-        let kept = if named { self.take_idle(addr, &call) } else { None };
+        let id_hash = self.hasher.hash_one(call.id);
+        let kept = if named { self.take_idle(addr, call.newest, id_hash) } else { None };
         let (mut stream, mut sent) = match kept {
             Some(kept) => kept,
             None => match tokio::time::timeout(connect_within, TcpStream::connect(addr)).await {
@@ -227,7 +228,7 @@
         }
         out.put_slice(b"\r\n");
         out.put_slice(call.body);
-        sent.insert(&self.hasher, call.id);
+        sent.insert(id_hash);
         let mut has_unidentified = false;
         let exchange = async {
             stream.write_all(&out).await.map_err(|_| SendError::Lost)?;
--- a/crates/http1/src/sent_ids.rs
+++ b/crates/http1/src/sent_ids.rs
@@ -4,8 +4,6 @@
 //! request is sent again. Invariant (docs/design.md, 17): a connection carries an id once, so an
 //! answer that bears it belongs to that one send, however late or often it comes.
 
-use std::hash::BuildHasher;
-
 /// How many requests a connection carries; it is not kept beyond that.
 const CAPACITY: usize = 1024;
 
@@ -16,14 +14,14 @@
 }
 
 impl SentIds {
-    /// Whether a request with this id may have been sent: two ids may have one hash.
-    pub(crate) fn may_contain(&self, hasher: &impl BuildHasher, id: &str) -> bool {
-        self.hashes.contains(&hasher.hash_one(id))
+    /// Whether a request whose id has this hash may have been sent: two ids may have one hash.
+    pub(crate) fn may_contain(&self, id_hash: u64) -> bool {
+        self.hashes.contains(&id_hash)
     }
 
-    /// A request with this id is sent.
-    pub(crate) fn insert(&mut self, hasher: &impl BuildHasher, id: &str) {
-        self.hashes.push(hasher.hash_one(id));
+    /// A request whose id has this hash is sent.
+    pub(crate) fn insert(&mut self, id_hash: u64) {
+        self.hashes.push(id_hash);
     }
 
     /// Whether no more are remembered.
