Soak: a message without an operation key is an operation of its own

The verdict on messages that never ran passed over those without a key, as any run of another without one counted for them. All messages of a soak have keys, so no verdict so far was wrong.

--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -1,7 +1,7 @@
 //! What is judged of a soak: the rules that clients and processors can see, and the alarms of
 //! the processes themselves.
 
-use crate::clients::Sent;
+use crate::clients::{Message, Sent};
 use crate::processor::Run;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -67,6 +67,14 @@
     }
 }
 
+/// What tries at one message share: without an operation key each message is an operation of its own.
+fn operation_of(message: &Message) -> &str {
+    match message.operation_key.as_str() {
+        "" => &message.id,
+        key => key,
+    }
+}
+
 /// Judges what ran against what was sent.
 pub(crate) fn judge_runs(all: &[Sent], runs: &[Run], violations: &mut Vec<Violation>) {
     let mut first_runs: HashMap<&str, &Run> = HashMap::new();
@@ -84,15 +92,15 @@
             violations.push(Violation::RefusedAndRan(sent.message.id.clone()));
         }
         if ran {
-            tries.entry(&sent.message.operation_key).or_default().push(&sent.message.id);
+            tries.entry(operation_of(&sent.message)).or_default().push(&sent.message.id);
         }
     }
     for sent in all.iter().filter(|sent| sent.status == 202) {
-        if !tries.contains_key(sent.message.operation_key.as_str()) {
+        if !tries.contains_key(operation_of(&sent.message)) {
             violations.push(Violation::NeverRan(sent.message.id.clone()));
         }
     }
-    for (operation, tries) in tries.into_iter().filter(|(operation, tries)| !operation.is_empty() && tries.len() > 1) {
+    for (operation, tries) in tries.into_iter().filter(|(_, tries)| tries.len() > 1) {
         let (operation, tries) = (operation.to_owned(), tries.into_iter().map(str::to_owned).collect());
         violations.push(Violation::RanTwice { operation, tries });
     }
