--- a/crates/agent/src/placement.rs
+++ b/crates/agent/src/placement.rs
@@ -1,5 +1,5 @@
-//! Which partition keeps a message. The same at every front: where tries at one operation have
-//! to meet, nothing counts but the request and its route.
+//! Which partition a message belongs to, and which one knows where an operation or an order key is
+//! kept. The same at every front that knows the same.
 
 use crate::ClusterView;
 use config::{ConfigurationIndex, Homes, Route, placement_hash};
@@ -11,9 +11,9 @@
 pub struct PlacementKeys<'a> {
     /// The tenant that sends it; empty without tenants.
     pub tenant: &'a str,
-    /// As the request carries it, whatever its route says of order.
+    /// Empty without one, or where the route keeps no order.
     pub order_key: &'a str,
-    /// Where operations have keys: all tries at one come to one partition.
+    /// Where operations have keys.
     pub operation: Option<OperationId>,
     /// The message's own id.
     pub id: &'a str,
@@ -30,9 +30,8 @@
 
 /// The partition that a message belongs to. All with one order key share one,
 /// whatever their service; all for one endpoint share one, so that one owner
-/// meters it; others go to an owner near the client. Tries at one operation share one
-/// whatever the front, its zone and what it knows of owners. A message that is bound to
-/// regions is kept by a partition whose copies all stand in one of them; `None` while there
+/// meters it; others go to an owner near the client, or, where operations have keys, by
+/// these. A message that is bound to regions is kept by a partition whose copies all stand in one of them; `None` while there
 /// is none.
 pub fn partition_of(
     known: &ClusterView,
@@ -98,7 +97,7 @@
 }
 
 /// The partition of whatever has this hash and these homes; `None` while no partition is bound
-/// to any of them. The number of partitions in a region stays, so this does.
+/// to any of them. It changes when one of these regions gets its partitions.
 fn partition_within(assignments: &Assignments, homes: &Homes, hash: u64) -> Option<u32> {
     if !homes.is_bound() {
         return assignments.partition_for(hash);
