--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -8,8 +8,11 @@
 use std::process::ExitCode;
 use tokio::sync::watch;
 
+/// The version, with the commit that the program was built from.
+const VERSION: &str = env!("WILLOWSLIP_VERSION");
+
 #[derive(Parser)]
-#[command(name = "willowslip", version, about = "Takes in, keeps and delivers messages.")]
+#[command(name = "willowslip", version = VERSION, about = "Takes in, keeps and delivers messages.")]
 struct Cli {
     /// How much is logged: error, change or debug (over what the settings say).
     #[arg(long, global = true)]
@@ -73,6 +76,7 @@
         }
     };
     telemetry::end_process_on_panic();
+    telemetry::change!("willowslip {VERSION}: {} on {}", settings.role, settings.node);
     let ended = runtime.block_on(async {
         let (stop, stopped) = watch::channel(false);
         let (changed, updates) = watch::channel(settings.clone());
