--- /dev/null
+++ b/crates/control/src/copies.rs
@@ -0,0 +1,122 @@
+//! Which copies of a partition count, and which machine takes the place of one whose disk does
+//! not keep up.
+//!
+//! Invariant (docs/design/durability.md): a node whose session stands leaves an in-sync set for its
+//! disk's sake only when enough other copies are in sync, or when no machine is there to hold one
+//! in its place. A disk that is slow for a moment, as any disk may be, leaves no message with
+//! fewer copies than the settings ask for.
+
+use crate::assignment::{Spread, StoreMachine, fitting, rehome};
+use crate::service::{ControlService, ControlShared, Leased};
+use crate::state::{CopyHealth, copies_of};
+use rpc::messages::Partition;
+
+/// What a store node tells of its disk with its lease.
+pub(crate) const DISK_WELL: u32 = 0;
+/// Its disk does not answer at all.
+pub(crate) const DISK_SILENT: u32 = 2;
+
+/// The state of store nodes at one moment, as far as their copies go.
+pub(crate) struct CopyJudge<'a> {
+    pub(crate) shared: &'a ControlShared,
+    /// The leader's clock, in milliseconds.
+    pub(crate) now: u64,
+    /// How long a lease lasts, in milliseconds.
+    pub(crate) lease_ms: u64,
+    /// After how many milliseconds a copy on a disk that does not keep up is given up though no
+    /// other one has come in its place.
+    pub(crate) patience_ms: u64,
+    /// How many copies the settings ask for.
+    pub(crate) replica_count: usize,
+    /// Store machines that are to hold nothing.
+    pub(crate) retiring: &'a [String],
+}
+
+impl ControlShared {
+    /// Those of the machines whose disks keep up.
+    pub(crate) fn with_sound_disks(&self, machines: &[StoreMachine]) -> Vec<StoreMachine> {
+        let keeps_up = |machine: &&StoreMachine| self.leases.get(&machine.name).is_none_or(|l| l.lag == DISK_WELL);
+        machines.iter().filter(keeps_up).cloned().collect()
+    }
+}
+
+impl CopyJudge<'_> {
+    fn lease(&self, node: &str) -> Option<&Leased> {
+        self.shared.leases.get(node)
+    }
+
+    fn lag(&self, node: &str) -> u32 {
+        self.lease(node).map_or(DISK_WELL, |lease| lease.lag)
+    }
+
+    /// Whether a node's session stands, and its disk holds what was in sync.
+    fn holds(&self, p: &Partition, node: &str) -> bool {
+        // An emptied disk holds what it was filled with since then only.
+        let is_whole = self.lease(node).is_none_or(|lease| p.joined_incarnation(node) >= lease.born);
+        is_whole && ControlService::session_stands(self.shared, self.now, self.lease_ms, node)
+    }
+
+    /// Whether a node's disk holds up the others. A slow one does not hold up an owner whose own
+    /// is slow too.
+    fn is_hindrance(&self, p: &Partition, node: &str) -> bool {
+        let is_candidate = p.grant.as_ref().is_some_and(|grant| grant.candidate == node);
+        match self.lag(node) {
+            DISK_WELL => false,
+            DISK_SILENT => true,
+            _ => node != p.owner && !is_candidate && self.lag(&p.owner) == DISK_WELL,
+        }
+    }
+
+    /// Whether the copy of a node that hinders the others may be given up.
+    fn is_dispensable(&self, p: &Partition, node: &str) -> bool {
+        let is_sound = |n: &&String| **n != node && self.holds(p, n) && self.lag(n) == DISK_WELL;
+        if p.in_sync.iter().filter(is_sound).count() >= copies_of(p, self.replica_count) {
+            return true;
+        }
+        let is_over = self.lease(node).is_some_and(|lease| self.now > lease.lagging_since + self.patience_ms);
+        is_over || !self.has_other_machine(p)
+    }
+
+    /// Whether there is a store machine that holds no copy and could.
+    fn has_other_machine(&self, p: &Partition) -> bool {
+        self.shared.sessions.values().map(|session| &session.node).any(|node| {
+            let may_hold = node.role == "store" && (p.home.is_empty() || node.region == p.home);
+            may_hold && !node.leaving && !p.replicas.contains(&node.name) && !self.retiring.contains(&node.name)
+        })
+    }
+
+    /// How far a node's copy of a partition counts.
+    pub(crate) fn health(&self, p: &Partition, node: &str) -> CopyHealth {
+        if !self.holds(p, node) || (self.is_hindrance(p, node) && self.is_dispensable(p, node)) {
+            return CopyHealth::Gone;
+        }
+        match self.lag(node) {
+            DISK_SILENT => CopyHealth::Impaired,
+            _ => CopyHealth::Sound,
+        }
+    }
+
+    /// The partition with another machine, of those whose disks do well, in the place of a replica
+    /// whose disk does not keep up.
+    /// That one stays in sync until the other one is. One at a time for each partition.
+    pub(crate) fn replaced(
+        &self,
+        p: &Partition,
+        all: &[Partition],
+        well: &[StoreMachine],
+        spread: Spread,
+    ) -> Option<Partition> {
+        let impaired = p.replicas.iter().find(|node| **node != p.owner && self.is_hindrance(p, node))?;
+        let is_settled = p.grant.is_none()
+            && p.in_sync.iter().all(|node| p.replicas.contains(node))
+            && p.replicas.iter().all(|node| node == impaired || p.in_sync.contains(node));
+        if !is_settled {
+            return None;
+        }
+        fitting(p, well).find(|machine| !p.replicas.contains(&machine.name))?;
+        let put = rehome(p, impaired, all, well, self.replica_count, spread)?;
+        telemetry::count("copies_moved_from_slow_disks");
+        telemetry::change!("partition {}: the disk of {impaired} does not keep up, replicas {:?}", p.id, put.replicas);
+        Some(put)
+    }
+}
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -2,6 +2,7 @@
 //! and the platform's list of processors.
 
 use crate::assignment::*;
+use crate::copies::{CopyJudge, DISK_SILENT};
 use crate::evacuation::ColdKnown;
 use crate::rollout::RolloutDecision;
 use crate::service::*;
@@ -43,15 +44,22 @@
 }
 
 impl ControlService {
-    pub(crate) fn alive(f: &ControlShared, now: u64, lease: u64, name: &str) -> bool {
+    /// Whether a store node's process runs and is in touch.
+    pub(crate) fn session_stands(f: &ControlShared, now: u64, lease: u64, name: &str) -> bool {
         // A lease runs from when the node sent its request; a quarter is added
         // for what clocks and queues may differ.
         let grace = f.leader_since + lease * 2;
         f.leases.get(name).map_or(now < grace, |l| {
-            l.lag < 2 && f.ended.get(name) != Some(&l.incarnation) && now < l.at.max(f.leader_since) + lease * 5 / 4
+            f.ended.get(name) != Some(&l.incarnation) && now < l.at.max(f.leader_since) + lease * 5 / 4
         })
     }
 
+    /// Whether its disk answers besides.
+    pub(crate) fn alive(f: &ControlShared, now: u64, lease: u64, name: &str) -> bool {
+        let answers = f.leases.get(name).is_none_or(|l| l.lag < DISK_SILENT);
+        answers && Self::session_stands(f, now, lease, name)
+    }
+
     /// Store machines that are to hold nothing: those being emptied, and those that
     /// were, until a machine of that name comes with another disk. Once it is
     /// settled such a machine is taken away at any moment, disk included.
@@ -165,27 +173,39 @@
                 retiring.iter().any(|r| r == h) || silent(h, 2000.0) || (ends && replaced())
             });
             let gone: HashSet<&str> = replicas.into_iter().collect();
+            self.check_ownership(f, &partitions, now);
+            let well = f.with_sound_disks(&spare);
             for p in &partitions {
                 let incarnation = |n: &str| f.leases.get(n).map(|l| l.incarnation);
-                // An emptied disk holds what it was filled with since then only.
-                let holds = |n: &str| f.leases.get(n).is_none_or(|l| p.joined_incarnation(n) >= l.born);
-                let lag = |n: &str| f.leases.get(n).map_or(0, |l| l.lag);
-                // A slow disk does not hold up an owner whose own is well.
-                let slows = |n: &str| {
-                    let candidate = p.grant.as_ref().is_some_and(|g| g.candidate == n);
-                    n != p.owner && !candidate && lag(n) > 0 && lag(&p.owner) == 0
+                let judge = CopyJudge {
+                    shared: f,
+                    now,
+                    lease_ms: lease,
+                    patience_ms: (settle * 1000.0) as u64,
+                    replica_count,
+                    retiring: &retiring,
+                };
+                let mut put = seize(p, |n| judge.health(p, n), incarnation);
+                let revived = || {
+                    let is_told = |n: &str| f.leases.contains_key(n);
+                    let health = |n: &str| if is_told(n) { judge.health(p, n) } else { CopyHealth::Gone };
+                    revive(p, health, incarnation)
                 };
-                let stands = |n: &str| Self::alive(f, now, lease, n) && holds(n) && !slows(n);
-                let mut put = seize(p, stands, incarnation);
                 let claimed = f.leases.iter().any(|(n, l)| {
                     Self::alive(f, now, lease, n) && l.claims.iter().any(|c| c.partition == p.id && c.term >= p.term)
                 });
-                if claimed {
-                    f.unclaimed.remove(&p.id);
-                } else if now > *f.unclaimed.entry(p.id).or_insert(now) + 3 * lease && put.is_none() {
-                    let stands = |n: &str| f.leases.contains_key(n) && Self::alive(f, now, lease, n) && holds(n);
-                    put = revive(p, stands, incarnation);
+                let unclaimed_since = f.unclaimed.get(&p.id).copied().unwrap_or(now);
+                let is_left = !claimed && now > unclaimed_since + 3 * lease && put.is_none();
+                if is_left {
+                    put = revived();
+                }
+                if put.is_none() {
+                    put = judge.replaced(p, &partitions, &well, spread);
+                }
+                if claimed || is_left {
                     f.unclaimed.remove(&p.id);
+                } else {
+                    f.unclaimed.entry(p.id).or_insert(now);
                 }
                 if let Some(put) = put {
                     if put.term != p.term {
@@ -199,7 +219,7 @@
                             put.owner,
                             put.term
                         );
-                    } else {
+                    } else if put.in_sync != p.in_sync {
                         telemetry::change!("partition {} in sync: {:?}", p.id, put.in_sync);
                     }
                     words.push((
@@ -237,7 +257,7 @@
             let kept_free = (self.settings.constraints.settle_s * 1000.0) as u64;
             if words.is_empty()
                 && now > f.steady.1 + kept_free
-                && let Some(now) = rebalance(&partitions, &spare)
+                && let Some(now) = rebalance(&partitions, &well)
             {
                 telemetry::change!("partition {} replicas {:?}, for balance", now.id, now.replicas);
                 let was = partitions.iter().find(|p| p.id == now.id).cloned();
@@ -271,6 +291,37 @@
         self.assigning.store(false, Ordering::Relaxed);
     }
 
+    /// Notes which partitions have an owner, and tells of those that have had none for longer than
+    /// it takes to give them one: twice the time after which a machine that is away is replaced.
+    fn check_ownership(&self, f: &mut ControlShared, partitions: &[Partition], now: u64) {
+        let lease = self.settings.lease_ms();
+        for p in partitions {
+            let claims_it = |l: &Leased| l.claims.iter().any(|c| c.partition == p.id && c.term >= p.term);
+            let is_claimed = f.leases.iter().any(|(n, l)| Self::alive(f, now, lease, n) && claims_it(l));
+            f.ownership_watch.note(p.id, is_claimed, now);
+        }
+        telemetry::set("partition_unowned_ms", f.ownership_watch.longest_ms(now));
+        if !f.ownership_watch.is_alarm_due() {
+            return;
+        }
+        let bound = (self.settings.constraints.settle_s * 4000.0) as u64;
+        let unowned = f.ownership_watch.unowned_for(bound, now);
+        let first = unowned.first().and_then(|id| partitions.iter().find(|p| p.id == *id));
+        let state_of = |node: &String| {
+            let stands = Self::session_stands(f, now, lease, node);
+            let born = f.leases.get(node).map_or(0, |l| l.born);
+            let is_emptied = first.is_some_and(|p| p.joined_incarnation(node) < born);
+            let lag = f.leases.get(node).map_or(0, |l| l.lag);
+            format!("{node}: stands {stands}, emptied {is_emptied}, lag {lag}")
+        };
+        let waits_for: Vec<String> = first.iter().flat_map(|p| &p.in_sync).map(state_of).collect();
+        telemetry::check_invariant(
+            "invariant_partition_unowned",
+            unowned.len() as u64,
+            format_args!("partitions without an owner {unowned:?}; of the first these are in sync: {waits_for:?}"),
+        );
+    }
+
     /// The partitions of one region that a route or tenant is bound to and that has none yet,
     /// once enough of its store machines stand for the copies that the settings ask for.
     fn missing_home_layout(
--- a/crates/control/src/leadership.rs
+++ b/crates/control/src/leadership.rs
@@ -308,6 +308,7 @@
                     f.leases.clear();
                     f.cluster_clock.begin_term();
                     f.unclaimed.clear();
+                    f.ownership_watch.clear();
                     // Who told another control node is taken over, and must tell again.
                     for n in f.membership.nodes.clone() {
                         let node = Node { changed: 0, ..n };
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -5,6 +5,7 @@
 use crate::cold::ColdLeases;
 use crate::instance_launcher::InstanceLauncher;
 use crate::leadership::turn;
+use crate::ownership_watch::OwnershipWatch;
 use crate::quota::QuotaLeases;
 use crate::rollout::RolloutMonitor;
 use crate::state::*;
@@ -55,6 +56,8 @@
     pub(crate) connection: u64,
     /// How its disk does: 0 well, 1 slow, 2 it does not answer.
     pub(crate) lag: u32,
+    /// Since when it does not do well; of no meaning while it does.
+    pub(crate) lagging_since: u64,
 }
 
 /// State shared by the tasks of a control node, behind a short lock.
@@ -91,6 +94,7 @@
     pub(crate) seizing: HashSet<String>,
     /// Since when nobody acts as a partition's owner.
     pub(crate) unclaimed: HashMap<u32, u64>,
+    pub(crate) ownership_watch: OwnershipWatch,
     pub(crate) cluster_clock: ClusterClock,
     pub(crate) unidentified: UnidentifiedProcessors,
     /// Of the configuration here, while another control node leads.
@@ -263,6 +267,7 @@
     }
 
     pub fn status(&self) -> String {
+        let looked_at = self.now();
         self.with(|f| {
             let parts: Vec<serde_json::Value> = f
                 .control_state
@@ -271,7 +276,8 @@
                 .iter()
                 .map(|p| {
                     serde_json::json!({"id": p.id, "term": p.term, "owner": p.owner, "inSync": p.in_sync,
-                        "replicas": p.replicas, "candidate": p.grant.as_ref().map(|g| g.candidate.clone())})
+                        "replicas": p.replicas, "candidate": p.grant.as_ref().map(|g| g.candidate.clone()),
+                        "unownedMs": f.ownership_watch.unowned_ms(p.id, looked_at)})
                 })
                 .collect();
             let nodes: Vec<serde_json::Value> = f
@@ -352,6 +358,7 @@
             steady: (0, 0),
             seizing: HashSet::new(),
             unclaimed: HashMap::new(),
+            ownership_watch: OwnershipWatch::default(),
             unidentified: UnidentifiedProcessors::default(),
             cluster_clock: ClusterClock::new(
                 (settings.constraints.lead_ms / 2.0).max(quiet / 100.0) as u64,
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -114,6 +114,8 @@
             if f.first_store_at == 0 {
                 f.first_store_at = now;
             }
+            let former = f.leases.get(&name).filter(|old| old.lag > 0);
+            let lagging_since = former.map_or(now, |old| old.lagging_since);
             f.leases.insert(
                 name.clone(),
                 Leased {
@@ -123,6 +125,7 @@
                     claims: l.claims.clone(),
                     connection,
                     lag: l.lag,
+                    lagging_since,
                 },
             );
             if f.tell(&l.node, now) {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -206,7 +206,7 @@
 
 /// How many copies a partition is to have: a region may have fewer store machines than copies
 /// are wanted.
-fn copies_of(p: &Partition, replica_count: usize) -> usize {
+pub(crate) fn copies_of(p: &Partition, replica_count: usize) -> usize {
     if p.home.is_empty() { replica_count } else { replica_count.min(p.replicas.len()) }
 }
 
@@ -501,23 +501,41 @@
     RolloutVerdict::Put(now)
 }
 
-/// What becomes of a partition when some of its nodes' incarnations have ended.
-/// `stands` tells whether a node's session stands and its disk holds what it
-/// held when it took part last; `incarnation` is the incarnation that it is in, if it has told
-/// that already: who has not is presumed to be as it was, but is given nothing.
+/// How far a store node counts for the partitions that it holds a copy of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyHealth {
+    /// Its session stands, its disk keeps up, and it holds what it held when it took part last.
+    Sound,
+    /// Its session stands and its disk does not keep up: it owns nothing, and its copy counts
+    /// until another node holds one in its place.
+    Impaired,
+    /// Its copy does not count.
+    Gone,
+}
+
+impl CopyHealth {
+    fn counts(self) -> bool {
+        self != CopyHealth::Gone
+    }
+}
+
+/// What becomes of a partition when some of its nodes' incarnations have ended, or may own
+/// nothing. `incarnation` is the incarnation that a node is in, if it has told that already: who
+/// has not is presumed to be as it was, but is given nothing.
 pub fn seize(
     p: &Partition,
-    stands: impl Fn(&str) -> bool,
+    health: impl Fn(&str) -> CopyHealth,
     incarnation: impl Fn(&str) -> Option<u64>,
 ) -> Option<Partition> {
     let mut now = p.clone();
+    let is_sound = |n: &str| health(n) == CopyHealth::Sound;
     // An owner in another incarnation remembers nothing of its term: a new one is needed.
-    let owner = stands(&p.owner) && incarnation(&p.owner).is_none_or(|l| l == p.joined_incarnation(&p.owner));
-    if owner && p.grant.as_ref().is_none_or(|g| stands(&g.candidate)) {
+    let owner = is_sound(&p.owner) && incarnation(&p.owner).is_none_or(|l| l == p.joined_incarnation(&p.owner));
+    if owner && p.grant.as_ref().is_none_or(|g| is_sound(&g.candidate)) {
         // Only followers can be missing: they stop holding up the owner.
-        now.in_sync.retain(|n| *n == p.owner || stands(n));
+        now.in_sync.retain(|n| *n == p.owner || health(n).counts());
         if let Some(g) = &mut now.grant {
-            g.in_sync.retain(|n| *n == g.candidate || stands(n));
+            g.in_sync.retain(|n| *n == g.candidate || health(n).counts());
         }
         return (now != *p).then_some(now);
     }
@@ -527,9 +545,9 @@
         .in_sync
         .iter()
         .filter(|n| p.grant.as_ref().is_none_or(|g| g.in_sync.contains(n)))
-        .filter(|n| stands(n))
+        .filter(|n| health(n).counts())
         .collect();
-    let told = || eligible.iter().filter(|n| incarnation(n).is_some());
+    let told = || eligible.iter().filter(|n| is_sound(n) && incarnation(n).is_some());
     let next = told()
         .find(|n| **n != &p.owner && p.replicas.first() == Some(**n))
         .or(told().find(|n| **n != &p.owner))
@@ -547,12 +565,15 @@
 /// there: as after the end of all processes at once. One of them begins anew.
 pub fn revive(
     p: &Partition,
-    stands: impl Fn(&str) -> bool,
+    health: impl Fn(&str) -> CopyHealth,
     incarnation: impl Fn(&str) -> Option<u64>,
 ) -> Option<Partition> {
-    let all =
-        || p.in_sync.iter().filter(|n| p.grant.as_ref().is_none_or(|g| g.in_sync.contains(n))).filter(|n| stands(n));
-    let next = all().find(|n| **n == p.owner).or_else(|| all().next())?;
+    let all = || {
+        let holders = p.in_sync.iter().filter(|n| p.grant.as_ref().is_none_or(|g| g.in_sync.contains(n)));
+        holders.filter(|n| health(n).counts())
+    };
+    let sound = || all().filter(|n| health(n) == CopyHealth::Sound);
+    let next = sound().find(|n| **n == p.owner).or_else(|| sound().next())?;
     let mut now = Partition {
         owner: next.clone(),
         term: p.grant.as_ref().map_or(p.term, |g| g.term) + 1,
--- a/crates/control/tests/duties.rs
+++ b/crates/control/tests/duties.rs
@@ -7,6 +7,11 @@
     n.iter().map(|s| s.to_string()).collect()
 }
 
+/// The health of nodes of which some stand and the others are gone.
+fn those(stand: impl Fn(&str) -> bool) -> impl Fn(&str) -> CopyHealth {
+    move |node| if stand(node) { CopyHealth::Sound } else { CopyHealth::Gone }
+}
+
 fn partition(owner: &str, in_sync: &[&str]) -> Partition {
     Partition {
         id: 1,
@@ -25,32 +30,60 @@
 #[test]
 fn a_dead_owner_is_succeeded_only_by_one_in_sync() {
     let p = partition("a", &["a", "b"]);
-    assert_eq!(seize(&p, |_| true, |_| Some(0)), None);
-    let s = seize(&p, |n| n != "a", |_| Some(0)).expect("b takes over");
+    assert_eq!(seize(&p, those(|_| true), |_| Some(0)), None);
+    let s = seize(&p, those(|n| n != "a"), |_| Some(0)).expect("b takes over");
     assert_eq!((s.owner.as_str(), s.term, s.seized, s.in_sync), ("b", 5, true, names(&["b"])));
-    assert_eq!(seize(&partition("a", &["a"]), |n| n != "a", |_| Some(0)), None, "nobody else holds everything");
-    let s = seize(&p, |n| n != "b", |_| Some(0)).expect("b is dropped");
+    assert_eq!(seize(&partition("a", &["a"]), those(|n| n != "a"), |_| Some(0)), None, "nobody else holds everything");
+    let s = seize(&p, those(|n| n != "b"), |_| Some(0)).expect("b is dropped");
     assert_eq!((s.owner.as_str(), s.term, s.in_sync), ("a", 4, names(&["a"])));
 }
 
+/// Guards against LOST: a disk that did not answer for a moment left partitions with one copy.
+#[test]
+fn a_node_whose_disk_does_not_answer_owns_nothing_and_keeps_its_copy() {
+    let p = partition("a", &["a", "b"]);
+    let impaired =
+        |name: &'static str| move |node: &str| if node == name { CopyHealth::Impaired } else { CopyHealth::Sound };
+    assert_eq!(seize(&p, impaired("b"), |_| Some(0)), None, "the follower stays in sync");
+    let s = seize(&p, impaired("a"), |_| Some(0)).expect("b takes over");
+    assert_eq!((s.owner.as_str(), s.term, s.in_sync), ("b", 5, names(&["a", "b"])));
+    assert_eq!(seize(&p, |_| CopyHealth::Impaired, |_| Some(0)), None, "nobody can write");
+    assert_eq!(revive(&p, |_| CopyHealth::Impaired, |_| Some(0)), None);
+    let r = revive(&p, impaired("a"), |_| Some(0)).expect("b begins anew");
+    assert_eq!((r.owner.as_str(), r.in_sync), ("b", names(&["a", "b"])));
+}
+
+#[test]
+fn the_time_without_an_owner_is_counted_until_somebody_claims_the_partition() {
+    let mut watch = OwnershipWatch::default();
+    for now in [1000, 1500, 2000] {
+        watch.note(1, false, now);
+        watch.note(2, now < 2000, now);
+    }
+    assert_eq!((watch.unowned_ms(1, 3000), watch.unowned_ms(2, 3000), watch.unowned_ms(3, 3000)), (2000, 1000, 0));
+    assert_eq!((watch.unowned_for(1000, 3000), watch.longest_ms(3000)), (vec![1], 2000));
+    watch.note(1, true, 3000);
+    assert_eq!((watch.unowned_ms(1, 4000), watch.unowned_for(1000, 4000)), (0, vec![2]));
+}
+
 #[test]
 fn an_owner_in_another_incarnation_needs_a_new_term() {
     let mut p = partition("a", &["a", "b"]);
     p.set_joined("a", 7);
     p.set_joined("b", 7);
-    assert_eq!(seize(&p, |_| true, |_| Some(7)), None);
+    assert_eq!(seize(&p, those(|_| true), |_| Some(7)), None);
     // Restarted with its disk: the other one goes on, both hold everything.
-    let s = seize(&p, |_| true, |n| Some(if n == "a" { 9 } else { 7 })).expect("a new term");
+    let s = seize(&p, those(|_| true), |n| Some(if n == "a" { 9 } else { 7 })).expect("a new term");
     assert_eq!((s.owner.as_str(), s.term, s.in_sync.len(), s.joined_incarnation("b")), ("b", 5, 2, 7));
     // Alone, it goes on itself, in its new incarnation.
-    let s = seize(&p, |n| n == "a", |_| Some(9)).expect("a new term");
+    let s = seize(&p, those(|n| n == "a"), |_| Some(9)).expect("a new term");
     assert_eq!((s.owner.as_str(), s.term, s.joined_incarnation("a")), ("a", 5, 9));
     // A leader that is new waits for a node to tell its incarnation before it gives it anything.
     let told = |n: &str| (n != "b").then_some(9);
-    assert_eq!(seize(&p, |_| true, told).map(|s| s.owner), Some("a".into()));
-    assert_eq!(seize(&p, |n| n == "b", |_| None), None);
+    assert_eq!(seize(&p, those(|_| true), told).map(|s| s.owner), Some("a".into()));
+    assert_eq!(seize(&p, those(|n| n == "b"), |_| None), None);
     // A follower that came back empty does not stand: it is out until it joins anew.
-    let s = seize(&p, |n| n != "b", |n| Some(if n == "b" { 9 } else { 7 })).expect("b is dropped");
+    let s = seize(&p, those(|n| n != "b"), |n| Some(if n == "b" { 9 } else { 7 })).expect("b is dropped");
     assert_eq!((s.owner.as_str(), s.term, s.in_sync), ("a", 4, names(&["a"])));
     let mut join = order(OrderKind::Join, 4, "b");
     join.incarnation = 9;
@@ -62,11 +95,11 @@
 fn with_a_grant_out_only_those_of_both_terms_are_eligible() {
     let mut p = partition("a", &["a", "b"]);
     p.grant = Some(Grant { term: 5, candidate: "b".into(), in_sync: names(&["b"]) });
-    let s = seize(&p, |n| n == "b", |_| Some(0)).expect("the candidate");
+    let s = seize(&p, those(|n| n == "b"), |_| Some(0)).expect("the candidate");
     assert_eq!((s.owner.as_str(), s.term), ("b", 6));
-    assert_eq!(seize(&p, |n| n == "a", |_| Some(0)), None, "the candidate may have taken messages alone");
+    assert_eq!(seize(&p, those(|n| n == "a"), |_| Some(0)), None, "the candidate may have taken messages alone");
     p.grant = Some(Grant { term: 5, candidate: "b".into(), in_sync: names(&["a", "b"]) });
-    let s = seize(&p, |n| n == "a", |_| Some(0)).expect("the incumbent goes on");
+    let s = seize(&p, those(|n| n == "a"), |_| Some(0)).expect("the incumbent goes on");
     assert_eq!((s.owner.as_str(), s.term, s.grant), ("a", 6, None));
 }
 
@@ -239,11 +272,11 @@
 #[test]
 fn when_nobody_acts_as_owner_one_that_holds_everything_begins_anew() {
     let mut p = partition("a", &["a", "b"]);
-    let r = revive(&p, |_| true, |_| Some(0)).expect("the same owner");
+    let r = revive(&p, those(|_| true), |_| Some(0)).expect("the same owner");
     assert_eq!((r.owner.as_str(), r.term, r.seized, r.in_sync), ("a", 5, true, names(&["a", "b"])));
-    assert_eq!(revive(&p, |n| n == "b", |_| Some(0)).map(|r| r.owner), Some("b".into()));
+    assert_eq!(revive(&p, those(|n| n == "b"), |_| Some(0)).map(|r| r.owner), Some("b".into()));
     p.grant = Some(Grant { term: 5, candidate: "b".into(), in_sync: names(&["b"]) });
-    let r = revive(&p, |_| true, |_| Some(0)).expect("the candidate may have more");
+    let r = revive(&p, those(|_| true), |_| Some(0)).expect("the candidate may have more");
     assert_eq!((r.owner.as_str(), r.term), ("b", 6));
-    assert_eq!(revive(&p, |n| n == "a", |_| Some(0)), None);
+    assert_eq!(revive(&p, those(|n| n == "a"), |_| Some(0)), None);
 }
--- a/crates/control/tests/sessions.rs
+++ b/crates/control/tests/sessions.rs
@@ -93,6 +93,13 @@
 
 /// One control node, two store nodes, and the partitions laid out.
 async fn laid_out(from: u16) -> (World, StandIn, StandIn, Assignments) {
+    let (world, mut stores, now) = laid_out_on(from, &["a", "b"]).await;
+    let b = stores.pop().expect("two");
+    (world, stores.pop().expect("two"), b, now)
+}
+
+/// One control node, store nodes of these names, and the partitions laid out.
+async fn laid_out_on(from: u16, names: &[&str]) -> (World, Vec<StandIn>, Assignments) {
     let base = free_base(from);
     let dir = std::env::temp_dir().join(format!("willowslip-sessions-{from}-{}", std::process::id()));
     let mut c = Settings {
@@ -113,17 +120,50 @@
     let (stop, stopped) = tokio::sync::watch::channel(false);
     let running = tokio::spawn(control::run(c.clone(), stopped, tokio::sync::watch::channel(c).1));
     let watcher = RpcClient::new(&control, WAIT);
-    let (a, b) = (StandIn::new("a", &control).await, StandIn::new("b", &control).await);
+    let mut stores = Vec::new();
+    for name in names {
+        stores.push(StandIn::new(name, &control).await);
+    }
     let begun = Instant::now();
     let mut now = Assignments::default();
     while now.partitions.is_empty() {
         assert!(begun.elapsed() < Duration::from_secs(60), "no layout");
-        a.beat(&now).await;
-        b.beat(&now).await;
+        for store in &stores {
+            store.beat(&now).await;
+        }
         tokio::time::sleep(Duration::from_millis(100)).await;
         now = assignments(&watcher).await;
     }
-    (World { dir, lease, stop, running, watcher }, a, b, now)
+    (World { dir, lease, stop, running, watcher }, stores, now)
+}
+
+/// Guards against LOST: while a disk did not answer, or was slow, its partitions had one copy though
+/// a third machine could have held another.
+#[tokio::test(flavor = "current_thread")]
+async fn a_disk_that_does_not_keep_up_costs_no_copy_where_another_machine_can_hold_it() {
+    for lag in [1, 2] {
+        let (w, stores, first) = laid_out_on(46_000 + 200 * lag as u16, &["a", "b", "c"]).await;
+        let (a, b, c) = (&stores[0], &stores[1], &stores[2]);
+        let all_whole = |now: &Assignments| now.partitions.iter().all(|p| p.in_sync.len() >= 2);
+        let has_copy = |p: &Partition| p.in_sync.iter().any(|node| node == "c");
+        assert!(all_whole(&first) && first.partitions.iter().any(has_copy));
+        let mut now = first;
+        let begun = Instant::now();
+        let follows = |p: &&Partition| p.owner != "c" && p.replicas.iter().any(|node| node == "c");
+        while now.partitions.iter().any(|p| follows(&p)) {
+            assert!(begun.elapsed() < w.lease, "no other machine takes its place");
+            assert!(a.beat(&now).await && b.beat(&now).await);
+            assert_eq!(c.tell(&now, lag).await.granted, lag < 2);
+            assert!(all_whole(&now), "{:?}", now.partitions);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            now = assignments(&w.watcher).await;
+        }
+        assert!(
+            all_whole(&now) && now.partitions.iter().filter(|p| p.owner != "c").any(has_copy),
+            "until that holds it"
+        );
+        w.end().await;
+    }
 }
 
 #[tokio::test(flavor = "current_thread")]
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -299,6 +299,12 @@
         all
     }
 
+    /// The nodes in sync that have not acknowledged all of the log, which holds up its commit.
+    pub fn awaited(&self) -> Vec<&str> {
+        let has_all = |node: &str| self.peers.get(node).is_some_and(|peer| peer.acked >= self.end());
+        self.in_sync.iter().map(String::as_str).filter(|node| *node != self.me && !has_all(node)).collect()
+    }
+
     pub fn in_sync(&self) -> &[String] {
         &self.in_sync
     }
--- a/crates/store/src/service/duties.rs
+++ b/crates/store/src/service/duties.rs
@@ -57,19 +57,18 @@
             // Back to the preferred owner, by a planned move like any other.
             let m = &i.replicas[&p];
             if m.role == ReplicaRole::Owner && !m.is_moving() && !i.leaving && rounds.is_multiple_of(10) {
-                let replica = m.replicas.first().cloned().unwrap_or_default();
-                if lag == 1 {
-                    // Slow here: over to one that keeps up, until this one does again.
-                    let well =
-                        |c: &String| !i.lagging.contains(c) && known.node(c, "store").is_some_and(|n| !n.leaving);
-                    if let Some(to) = m.candidates().into_iter().find(well) {
-                        self.step(i, p, |m, now, out| m.start_move(&to, true, time, now, out));
-                    }
-                } else if !replica.is_empty() && replica != self.settings.node && m.in_sync().contains(&replica) {
-                    let ready = known.node(&replica, "store").is_some_and(|n| !n.leaving);
-                    if ready {
-                        self.step(i, p, |m, now, out| m.start_move(&replica, false, time, now, out));
-                    }
+                let preferred = m.replicas.first().cloned().unwrap_or_default();
+                let keeps_up =
+                    |node: &String| !i.lagging.contains(node) && known.node(node, "store").is_some_and(|n| !n.leaving);
+                // Slow here: over to one that keeps up, until this one does again. Its copy counts
+                // until another one has come in its place.
+                let to = match lag {
+                    1 => m.candidates().into_iter().find(keeps_up),
+                    _ => Some(preferred)
+                        .filter(|node| *node != self.settings.node && m.in_sync().contains(node) && keeps_up(node)),
+                };
+                if let Some(to) = to {
+                    self.step(i, p, |m, now, out| m.start_move(&to, false, time, now, out));
                 }
             }
         }
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -24,6 +24,9 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
+/// For how many times the bound of a slow write the last ones say how the disk does.
+const SLOW_MEMORY: u32 = 32;
+
 /// All keys are this long.
 pub const KEY: usize = 13;
 /// A key on disk, as [`key`] makes it.
@@ -63,6 +66,8 @@
     since: AtomicU64,
     /// How long the last writes took, in milliseconds, newest first: 16 bits each.
     took: AtomicU64,
+    /// When the last write came back, in milliseconds.
+    ended: AtomicU64,
 }
 
 /// A handle to the disk thread.
@@ -84,6 +89,7 @@
             start: Instant::now(),
             since: AtomicU64::new(0),
             took: AtomicU64::new(0),
+            ended: AtomicU64::new(0),
         });
         let s = shared.clone();
         std::thread::Builder::new()
@@ -103,10 +109,13 @@
         self.shared.used.load(Ordering::Relaxed)
     }
 
-    /// Whether the last four writes all took longer than that.
+    /// Whether the last four writes all took longer than that, and not so long ago that they say
+    /// nothing of the disk as it is now.
     pub fn is_slow(&self, bound: Duration) -> bool {
         let took = self.shared.took.load(Ordering::Relaxed);
-        (0..4).all(|n| Duration::from_millis(took >> (16 * n) & 0xffff) > bound)
+        let ended = Duration::from_millis(self.shared.ended.load(Ordering::Relaxed));
+        let is_recent = self.shared.start.elapsed().saturating_sub(ended) < bound * SLOW_MEMORY;
+        is_recent && (0..4).all(|n| Duration::from_millis(took >> (16 * n) & 0xffff) > bound)
     }
 
     /// For how long the disk has not answered a write.
@@ -149,6 +158,7 @@
         let began = shared.since.load(Ordering::Relaxed);
         let took = (shared.start.elapsed().as_millis() as u64 + 1).saturating_sub(began).min(0xffff);
         shared.took.store(shared.took.load(Ordering::Relaxed) << 16 | took, Ordering::Relaxed);
+        shared.ended.store(shared.start.elapsed().as_millis() as u64, Ordering::Relaxed);
         shared.since.store(0, Ordering::Relaxed);
         for d in dones {
             d();
