A body comes from any copy where its owner cannot be asked (LOST)

Callers asked for a body at any front and got 503 for as long as its partition had no owner in office, though other machines held the same bytes.

Cause: a look-up asked the owner that the front's own view names, and nobody else. Repeated accepts are counted by reason and pause for twice as long each time.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -10,12 +10,18 @@
 use http1::{Reply, Request};
 use rpc::Body;
 use rpc::messages::{Accept, AcceptOutcome, Accepted, Place, PlacementGenerations, PlacementSubject};
+use std::time::Duration;
 
 /// The most placements that are followed for one message.
 const PLACEMENT_STEPS: usize = 12;
 /// Why a message is refused before there are partitions for it.
 const NO_PARTITION: &str = "no owner of a partition for it yet";
 
+/// The part of `quietMs` before a request is tried again for the first time.
+const FIRST_PAUSE_PART: f64 = 400.0;
+/// The part of `quietMs` that no pause between two tries exceeds.
+const LONGEST_PAUSE_PART: f64 = 64.0;
+
 /// Where the placements of a subject have led.
 enum Placement {
     /// To this partition, by a placement of that generation.
@@ -60,7 +66,26 @@
     fault(503, why).with("Retry-After", "1")
 }
 
+/// The pauses between the tries of one request: each is twice the former one, up to a limit, so
+/// that a partition which can't take anything for a while is not flooded when it can.
+struct RetryPause {
+    next: Duration,
+    longest: Duration,
+}
+
+impl RetryPause {
+    /// Waits for the next pause, or for what is left of the request's time.
+    async fn wait(&mut self, left: Duration) {
+        tokio::time::sleep(self.next.min(left)).await;
+        self.next = (self.next * 2).min(self.longest);
+    }
+}
+
 impl FrontService {
+    fn retry_pause(&self) -> RetryPause {
+        RetryPause { next: self.ratio(FIRST_PAUSE_PART), longest: self.ratio(LONGEST_PAUSE_PART) }
+    }
+
     /// Takes in one message; the answer says no more than is known.
     pub async fn take(&self, request: Request) -> Reply {
         let submission = match self.submission_of(&request) {
@@ -126,6 +151,7 @@
     /// the wanted one is reached.
     async fn follow_placements(&self, mut walk: Walk<'_>, calls: &mut OwnerCalls<'_>) -> Placement {
         let mut steps = 0;
+        let mut pause = self.retry_pause();
         loop {
             if steps > 0 && walk.wanted == Some(walk.partition) {
                 return Placement::At { partition: walk.partition, generation: walk.generation };
@@ -163,7 +189,7 @@
                 _ => {}
             }
             telemetry::count("placements_again");
-            tokio::time::sleep(self.ratio(400.0).min(left)).await;
+            pause.wait(left).await;
         }
         telemetry::count("answers_503");
         Placement::Refused(unavailable("no owner can take it now"))
@@ -173,6 +199,7 @@
     async fn write(&self, submission: &Submission, target: Target, calls: &mut OwnerCalls<'_>) -> Written {
         let Target { mut partition, generations } = target;
         let mut is_unclear = false;
+        let mut pause = self.retry_pause();
         loop {
             let left = submission.left(is_unclear);
             if left.is_zero() || calls.is_ending() {
@@ -190,7 +217,11 @@
                 delay_ms: submission.delay_left_ms(),
                 generations,
             };
-            match calls.ask(partition, Body::Accept(accept), left, is_unclear).await {
+            let answer = calls.ask(partition, Body::Accept(accept), left, is_unclear).await;
+            if let Some(cause) = answer.retry_counter() {
+                telemetry::count(cause);
+            }
+            match answer {
                 OwnerAnswer::Answered(AcceptOutcome::Taken, accepted) => {
                     return Written::Answered(taken(partition, accepted.position));
                 }
@@ -216,7 +247,11 @@
                 }
             }
             telemetry::count("accepts_again");
-            tokio::time::sleep(self.ratio(400.0).min(left)).await;
+            if calls.has_hint() {
+                // Another node is asked next, which may well take it.
+                pause = self.retry_pause();
+            }
+            pause.wait(left).await;
         }
         Written::Answered(given_up(is_unclear))
     }
--- a/crates/front/src/owner_calls.rs
+++ b/crates/front/src/owner_calls.rs
@@ -16,8 +16,8 @@
 /// Where the owner of a partition takes calls.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct OwnerAddress {
-    term: u64,
-    name: String,
+    pub(crate) term: u64,
+    pub(crate) name: String,
     /// Its inner address.
     pub(crate) inner: String,
 }
@@ -44,6 +44,18 @@
     NoStoreAnswers,
 }
 
+impl OwnerAnswer {
+    /// The counter of what is tried again for this; `None` for an answer that ends the request.
+    pub(crate) fn retry_counter(&self) -> Option<&'static str> {
+        match self {
+            OwnerAnswer::Answered(AcceptOutcome::Elsewhere, _) => Some("accepts_again_elsewhere"),
+            OwnerAnswer::NotSent => Some("accepts_again_not_sent"),
+            OwnerAnswer::Unclear => Some("accepts_again_unclear"),
+            OwnerAnswer::Answered(..) | OwnerAnswer::NoStoreAnswers => None,
+        }
+    }
+}
+
 /// The calls for one request.
 pub(crate) struct OwnerCalls<'a> {
     front: &'a FrontService,
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -251,27 +251,30 @@
     }
 
     pub(super) fn lookup(&self, i: &StoreState, l: &Lookup) -> Found {
-        let Some(m) = i.replicas.get(&l.partition).filter(|m| m.role == ReplicaRole::Owner && self.leased(i)) else {
-            return Found::default();
-        };
-        let by_id = || m.state.find(&l.tenant, &l.id).or_else(|| m.state.find("", &l.id));
-        let pos = if l.id.is_empty() { Some(l.position) } else { by_id() };
-        match pos.and_then(|p| m.state.pieces.get(&p)) {
-            None if !m.caught_up() => Found::default(),
-            Some(w) => {
-                let withheld = l.body && !w.item.body.is_empty() && !self.may_be_sent_to(l, &w.item);
-                Found {
-                    owner: true,
-                    known: true,
-                    state: w.state.word().into(),
-                    result_tag: w.result_tag.clone(),
-                    body: if l.body && !withheld { w.item.body.clone() } else { Bytes::new() },
-                    host: w.item.host.clone(),
-                    tenant: w.item.tenant.clone(),
-                    withheld,
-                }
-            }
-            None => Found { owner: true, ..Found::default() },
+    /// What this node knows of a message. Only the owner says in which state a message is, or that
+    /// there is none; bytes that are committed are the same in each copy.
+        let Some(replica) = i.replicas.get(&l.partition) else { return Found::default() };
+        let speaks = replica.role == ReplicaRole::Owner && self.leased(i);
+        let by_id = || replica.state.find(&l.tenant, &l.id).or_else(|| replica.state.find("", &l.id));
+        let position = if l.id.is_empty() { Some(l.position) } else { by_id() };
+        match position.and_then(|position| replica.state.pieces.get(&position)) {
+            Some(message) if speaks || l.body => self.found(message, l, speaks),
+            None if speaks && replica.caught_up() => Found { owner: true, ..Found::default() },
+            _ => Found::default(),
+        }
+    }
+
+    fn found(&self, message: &partition::Message, l: &Lookup, speaks: bool) -> Found {
+        let withheld = l.body && !message.item.body.is_empty() && !self.may_be_sent_to(l, &message.item);
+        Found {
+            owner: speaks,
+            known: true,
+            state: message.state.word().into(),
+            result_tag: message.result_tag.clone(),
+            body: if l.body && !withheld { message.item.body.clone() } else { Bytes::new() },
+            host: message.item.host.clone(),
+            tenant: message.item.tenant.clone(),
+            withheld,
         }
     }
 
@@ -281,7 +284,7 @@
         for (n, m) in i.replicas.values().enumerate() {
             let _ = write!(
                 s,
-                "{}{{\"id\":{},\"seat\":\"{}\",\"term\":{},\"end\":{},\"commit\":{},\"durable\":{},\"verified\":{},\"mismatch\":{},\"digest\":\"{:016x}\",\"pending\":{},\"kept\":{},\"moving\":{}}}",
+                "{}{{\"id\":{},\"seat\":\"{}\",\"term\":{},\"end\":{},\"commit\":{},\"durable\":{},\"verified\":{},\"mismatch\":{},\"digest\":\"{:016x}\",\"pending\":{},\"kept\":{},\"moving\":{},\"waitsFor\":{:?}}}",
                 if n > 0 { "," } else { "" },
                 m.id,
                 if m.role == ReplicaRole::Owner { "owner" } else { "follower" },
@@ -294,7 +297,8 @@
                 m.state.digest(),
                 m.state.pending.len(),
                 m.state.pieces.len(),
-                m.is_moving()
+                m.is_moving(),
+                if m.role == ReplicaRole::Owner { m.awaited() } else { Vec::new() }
             );
         }
         let _ = write!(
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod containment;
 mod invariant;
+mod throttle;
 pub use containment::{contained, end_process_on_panic};
 pub use invariant::check_invariant;
+pub use throttle::Throttle;
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
