--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -113,8 +113,8 @@
     tokio::spawn(session.clone().heed(settings_updates));
     tokio::spawn(gossip(session.clone()));
     let _ = stop.wait_for(|s| *s).await;
-    // The front may drain for as long as it is allowed to; it is fed until then.
-    session.set_leaving();
+    // The front may drain for as long as it is allowed to; it is fed until then. Whether the node
+    // leaves is the front's to say: it may go on while its agent alone is started again.
     tokio::time::sleep(Duration::from_millis((settings.constraints.grace_s * 750.0) as u64)).await;
     telemetry::report(&settings.node, &rpc::sent());
     Ok(())
--- a/crates/willowslip/tests/service_restart.rs
+++ b/crates/willowslip/tests/service_restart.rs
@@ -8,6 +8,10 @@
 
 const MESSAGES: usize = 5;
 const PATIENCE: Duration = Duration::from_secs(20);
+/// By then all nodes know what a node has said of itself.
+const NEWS: Duration = Duration::from_secs(1);
+/// Less than what an agent that is told to end stays for, so that the front may drain.
+const AGENT_LINGERS: Duration = Duration::from_millis(2500);
 
 /// Messages that are accepted, and settled in time.
 fn all_settle(front: &str, label: &str) {
@@ -32,7 +36,8 @@
     }
 }
 
-/// Guards against LOST: a front that was started again beside its agent was given no delivery.
+/// Guards against LOST: a front that was started again beside its agent was given no delivery, nor
+/// was one whose agent was told to end.
 #[test]
 fn a_front_that_is_started_again_alone_is_given_deliveries() {
     let processor = Processor::start().expect("a port");
@@ -45,6 +50,15 @@
     cluster.start(&configuration).expect("it starts");
     let front = cluster.fronts()[0].clone();
     all_settle(&front, "before");
+    // The agent alone is told to end: the front goes on, so the node takes deliveries as before.
+    cluster.signal("agent-8", "-TERM").expect("a signal");
+    let told = Instant::now();
+    std::thread::sleep(NEWS);
+    all_settle(&front, "while the agent ends");
+    assert!(told.elapsed() < AGENT_LINGERS, "the deliveries waited for another agent");
+    cluster.terminate("agent-8").expect("it ends in time");
+    cluster.spawn("agent-8").expect("it starts");
+    cluster.wait_ready().expect("ready");
     for (process, label) in [("front-8", "stopped"), ("front-8", "stopped again"), ("agent-8", "agent")] {
         cluster.terminate(process).expect("it ends in time");
         cluster.spawn(process).expect("it starts");
