--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -67,13 +67,18 @@
     }
 }
 
+/// A host without its port.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
 impl ConfigurationIndex {
     /// The route of a request: by host, then by the longest prefix of its path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = match host.rsplit_once(':') {
-            Some((h, port)) if port.bytes().all(|b| b.is_ascii_digit()) => h,
-            _ => host,
-        };
+        let host = without_port(host);
         let routes = match self.hosts.get(host) {
             Some(r) => r,
             None => self.hosts.get(&host.to_ascii_lowercase())?,
@@ -89,6 +94,15 @@
         self.routes.get(name).map(|n| &self.configuration.routes[*n])
     }
 
+    /// The route of that name, where it still has the host and path of a message that was taken
+    /// in on it: another route may have been given the same name since.
+    pub fn route_covering(&self, name: &str, host: &str, path: &str) -> Option<&Route> {
+        let path = path.split('?').next().unwrap_or("");
+        let covers =
+            |route: &&Route| route.host.eq_ignore_ascii_case(without_port(host)) && path.starts_with(&route.prefix);
+        self.route_named(name).filter(covers)
+    }
+
     /// Whether a service takes no more than so many messages a second, or has one endpoint:
     /// then as few owners as possible are to give it messages.
     pub fn is_metered(&self, service: &str) -> bool {
--- a/crates/config/tests/checks.rs
+++ b/crates/config/tests/checks.rs
@@ -154,3 +154,19 @@
     c["channels"][0]["mix"] = json!({"p": 0});
     assert!(read(&c).expect_err("nothing").contains("r1"));
 }
+
+#[test]
+fn a_route_covers_what_was_taken_in_on_it_until_its_name_passes_to_another_one() {
+    let index = |value: &Value| {
+        ConfigurationIndex::from(Configuration::read(value.to_string().as_bytes()).expect("a configuration"))
+    };
+    let before = index(&config());
+    let covers = |index: &ConfigurationIndex, host: &str, path: &str| index.route_covering("r1", host, path).is_some();
+    assert!(covers(&before, "h", "/a/x?q=/z") && covers(&before, "H:80", "/a/b/x"));
+    assert!(!covers(&before, "h", "/c/x") && !covers(&before, "other", "/a/x") && !covers(&before, "h", "/?q=/a/"));
+    let mut changed = config();
+    changed["channels"][0]["prefix"] = json!("/c/");
+    let after = index(&changed);
+    assert!(!covers(&after, "h", "/a/x") && covers(&after, "h", "/c/x"));
+    assert!(before.route_covering("gone", "h", "/a/x").is_none());
+}
--- a/crates/store/src/queue.rs
+++ b/crates/store/src/queue.rs
@@ -18,9 +18,10 @@
         QueueId { service: service.to_owned(), homes: Homes::default() }
     }
 
-    /// The queue that a message waits in by a configuration; `None` if that has no such route.
+    /// The queue that a message waits in by a configuration; `None` if that has no such route, or
+    /// another one of that name.
     pub fn of(configuration: &ConfigurationIndex, item: &Item) -> Option<QueueId> {
-        let route = configuration.route_named(&item.route)?;
+        let route = configuration.route_covering(&item.route, &item.host, &item.path)?;
         let service = agent::service_of(route, &item.id).to_owned();
         Some(QueueId { service, homes: configuration.homes(route, &item.tenant) })
     }
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -162,7 +162,8 @@
         let at_ms = self.owner_time(i, k.0);
         let Some(m) = i.replicas.get_mut(&k.0) else { return false };
         let Some(w) = m.state.pieces.get(&k.1).filter(|w| w.state == MessageState::Pending) else { return false };
-        let Some(route) = known.configuration.route_named(&w.item.route) else { return false };
+        let route = known.configuration.route_covering(&w.item.route, &w.item.host, &w.item.path);
+        let Some(route) = route else { return false };
         let timeout = route.timeout_ms as u64;
         let mut item = w.item.clone();
         item.notify_url.clear();
--- a/crates/store/src/service/duties.rs
+++ b/crates/store/src/service/duties.rs
@@ -26,17 +26,7 @@
                     records.push(Entry::Notified(Positions { positions: n }));
                 }
                 if rounds.is_multiple_of(10) {
-                    let over: Vec<u64> = m
-                        .state
-                        .pending
-                        .iter()
-                        .filter(|pos| {
-                            let w = &m.state.pieces[pos];
-                            let keep = m.state.retain_ms(&w.item.route);
-                            keep > 0 && time > w.at_ms + surely_over(keep)
-                        })
-                        .copied()
-                        .collect();
+                    let over = self.ended_messages(m, &known.configuration, time);
                     if !over.is_empty() {
                         records.push(Entry::Expire(Positions { positions: over }));
                     }
@@ -81,6 +71,41 @@
         }
     }
 
+    /// The pending messages that have ended without a run: by their time, or as their route was
+    /// replaced by another one of its name. The latter is said once they are older than what
+    /// configurations take to be known everywhere, by one that is as new as the partition's.
+    fn ended_messages(
+        &self,
+        replica: &PartitionReplica,
+        configuration: &config::ConfigurationIndex,
+        time: u64,
+    ) -> Vec<u64> {
+        let state = &replica.state;
+        let is_current = configuration.revision >= state.revision;
+        let settled_ms = self.settings.constraints.quiet_ms as u64;
+        let is_over = |message: &partition::Message| {
+            let retain_ms = state.retain_ms(&message.item.route);
+            retain_ms > 0 && time > message.at_ms + surely_over(retain_ms)
+        };
+        let is_replaced = |message: &partition::Message| {
+            let item = &message.item;
+            is_current
+                && time > message.at_ms + settled_ms
+                && configuration.route_named(&item.route).is_some()
+                && configuration.route_covering(&item.route, &item.host, &item.path).is_none()
+        };
+        let mut ended = Vec::new();
+        for position in &state.pending {
+            let message = &state.pieces[position];
+            let replaced = is_replaced(message);
+            telemetry::add("messages_of_replaced_routes", u64::from(replaced));
+            if replaced || is_over(message) {
+                ended.push(*position);
+            }
+        }
+        ended
+    }
+
     /// Whether this node's copy of a partition is still to be taken by another one: it has
     /// a new home that is not in sync yet, or there is a store machine to take its place,
     /// which the leader is about to give it to.
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -118,12 +118,13 @@
     }
 
     /// Whether the configuration that is known here says what a message is bound by: a process that
-    /// has just begun may own a partition before it knows any.
+    /// has just begun may own a partition before it knows any, and a route's name may have passed
+    /// to another route.
     fn can_judge(&self, item: &Item) -> bool {
         self.session.with_known(|known| {
             let configuration = &known.configuration;
             let knows_tenant = item.tenant.is_empty() || configuration.tenant_named(&item.tenant).is_some();
-            knows_tenant && configuration.route_named(&item.route).is_some()
+            knows_tenant && configuration.route_covering(&item.route, &item.host, &item.path).is_some()
         })
     }
 
@@ -250,9 +251,9 @@
         })
     }
 
-    pub(super) fn lookup(&self, i: &StoreState, l: &Lookup) -> Found {
     /// What this node knows of a message. Only the owner says in which state a message is, or that
     /// there is none; bytes that are committed are the same in each copy.
+    pub(super) fn lookup(&self, i: &StoreState, l: &Lookup) -> Found {
         let Some(replica) = i.replicas.get(&l.partition) else { return Found::default() };
         let speaks = replica.role == ReplicaRole::Owner && self.leased(i);
         let by_id = || replica.state.find(&l.tenant, &l.id).or_else(|| replica.state.find("", &l.id));
