--- a/crates/control/src/copies.rs
+++ b/crates/control/src/copies.rs
@@ -18,18 +18,18 @@
 
 /// The state of store nodes at one moment, as far as their copies go.
 pub(crate) struct CopyJudge<'a> {
-    pub(crate) shared: &'a ControlShared,
+    shared: &'a ControlShared,
     /// The leader's clock, in milliseconds.
-    pub(crate) now: u64,
+    now: u64,
     /// How long a lease lasts, in milliseconds.
-    pub(crate) lease_ms: u64,
+    lease_ms: u64,
     /// After how many milliseconds a copy on a disk that does not keep up is given up though no
     /// other one has come in its place.
-    pub(crate) patience_ms: u64,
+    patience_ms: u64,
     /// How many copies the settings ask for.
-    pub(crate) replica_count: usize,
+    replica_count: usize,
     /// Store machines that are to hold nothing.
-    pub(crate) retiring: &'a [String],
+    retiring: &'a [String],
 }
 
 impl ControlShared {
@@ -40,6 +40,20 @@
     }
 }
 
+impl ControlService {
+    /// The state of store nodes as it is now.
+    pub(crate) fn copy_judge<'a>(&self, shared: &'a ControlShared, now: u64, retiring: &'a [String]) -> CopyJudge<'a> {
+        CopyJudge {
+            shared,
+            now,
+            lease_ms: self.settings.lease_ms(),
+            patience_ms: (self.settings.constraints.settle_s * 1000.0) as u64,
+            replica_count: self.settings.tolerance.machines as usize + 1,
+            retiring,
+        }
+    }
+}
+
 impl CopyJudge<'_> {
     fn lease(&self, node: &str) -> Option<&Leased> {
         self.shared.leases.get(node)
@@ -85,6 +99,16 @@
         })
     }
 
+    /// Whether a copy may come into sync: on a disk that keeps up, or on a slow one where there are
+    /// too few others.
+    pub(crate) fn may_join(&self, p: &Partition, node: &str) -> bool {
+        match self.lag(node) {
+            DISK_WELL => true,
+            DISK_SILENT => false,
+            _ => !self.is_dispensable(p, node),
+        }
+    }
+
     /// How far a node's copy of a partition counts.
     pub(crate) fn health(&self, p: &Partition, node: &str) -> CopyHealth {
         if !self.holds(p, node) || (self.is_hindrance(p, node) && self.is_dispensable(p, node)) {
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -2,7 +2,7 @@
 //! and the platform's list of processors.
 
 use crate::assignment::*;
-use crate::copies::{CopyJudge, DISK_SILENT};
+use crate::copies::DISK_SILENT;
 use crate::evacuation::ColdKnown;
 use crate::rollout::RolloutDecision;
 use crate::service::*;
@@ -50,7 +50,8 @@
         // for what clocks and queues may differ.
         let grace = f.leader_since + lease * 2;
         f.leases.get(name).map_or(now < grace, |l| {
-            f.ended.get(name) != Some(&l.incarnation) && now < l.at.max(f.leader_since) + lease * 5 / 4
+            let heard_from = l.at.max(f.leader_since).max(f.resumed_at);
+            f.ended.get(name) != Some(&l.incarnation) && now < heard_from + lease * 5 / 4
         })
     }
 
@@ -177,14 +178,7 @@
             let well = f.with_sound_disks(&spare);
             for p in &partitions {
                 let incarnation = |n: &str| f.leases.get(n).map(|l| l.incarnation);
-                let judge = CopyJudge {
-                    shared: f,
-                    now,
-                    lease_ms: lease,
-                    patience_ms: (settle * 1000.0) as u64,
-                    replica_count,
-                    retiring: &retiring,
-                };
+                let judge = self.copy_judge(f, now, &retiring);
                 let mut put = seize(p, |n| judge.health(p, n), incarnation);
                 let revived = || {
                     let is_told = |n: &str| f.leases.contains_key(n);
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -61,8 +61,12 @@
             return ack;
         };
         // One comes into sync only in the incarnation that holds a lease, and with a disk
-        // that keeps up.
-        let fit = self.with(|f| f.leases.get(&o.node).is_some_and(|l| l.incarnation == o.incarnation && l.lag == 0));
+        // that keeps up where there are enough others.
+        let fit = self.with(|f| {
+            let is_current = f.leases.get(&o.node).is_some_and(|l| l.incarnation == o.incarnation);
+            let retiring = Self::retiring(f);
+            is_current && self.copy_judge(f, self.now(), &retiring).may_join(&was, &o.node)
+        });
         if o.kind == OrderKind::Join as i32 && o.seen != was.changed {
             // Asked before the last word on this partition: with that, it may ask anew.
             ack.partition = Some(was);
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -73,6 +73,9 @@
     /// Until when this control node may act for the majority; 0 when it may not.
     pub(crate) serves_until: u64,
     pub(crate) leader_since: u64,
+    /// When this process last went on after it had stood still: what nodes sent meanwhile was not
+    /// read, so no lease has run out for that.
+    pub(crate) resumed_at: u64,
     /// From when the membership of this leader is news: one that remembers none waits
     /// until the nodes have told it their sessions.
     pub(crate) publish_from: u64,
@@ -345,6 +348,7 @@
             is_leader: false,
             serves_until: 0,
             leader_since: 0,
+            resumed_at: 0,
             publish_from: 0,
             voters: Vec::new(),
             voters_settled: false,
@@ -414,6 +418,7 @@
     let s = control.clone();
     tokio::spawn(async move { s.list(settings_updates).await });
     tokio::spawn(turn(control.clone(), raft, wal, rx));
+    tokio::spawn(control.clone().watch_for_pauses());
     let s = control.clone();
     let (close, closing) = watch::channel(http1::Closing::Open);
     tokio::spawn(crate::operator::serve(s, closing));
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -10,6 +10,12 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// How often in the time of a lease a process looks whether it has stood still for as long.
+const PAUSE_LOOKS: u64 = 4;
+/// Leases are prolonged for that once in so many times their length at most: nodes that have ended
+/// are found all the same.
+const PAUSE_SPACING: u64 = 4;
+
 impl ControlShared {
     /// The incarnation of a node, if one is known that comes after this one.
     pub(crate) fn later_incarnation(&self, node: &Node) -> u64 {
@@ -167,6 +173,25 @@
         }
     }
 
+    /// Notes when this process has stood still, as on a machine without processor time for it.
+    pub(crate) async fn watch_for_pauses(self: Arc<Self>) {
+        let lease = self.settings.lease_ms();
+        loop {
+            let begun = Instant::now();
+            tokio::time::sleep(Duration::from_millis(lease / PAUSE_LOOKS)).await;
+            if begun.elapsed() < Duration::from_millis(lease) {
+                continue;
+            }
+            telemetry::count("pauses");
+            let now = self.now();
+            self.with(|f| {
+                if now > f.resumed_at + lease * PAUSE_SPACING {
+                    f.resumed_at = now;
+                }
+            });
+        }
+    }
+
     /// Publishes what nodes told, a moment after the first of them: when many begin
     /// at once, each version would else be sent to all that are there already.
     pub(crate) async fn publish(self: Arc<Self>) {
