Several front machines may stand on one host

An agent listened for the front beside it on 127.0.0.1 at its inner port, and all machines have the same ports, so one host could bear one front machine only. A machine whose own address is a loopback one uses that. Nothing changes where machines have other addresses. Measured: a cluster of six fronts on 127.0.30.x is ready and serves.

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -2,13 +2,19 @@
 use config::{Role, Settings};
 use rpc::messages::*;
 use rpc::{Body, Responder, RpcClients};
+use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-/// Where the agent of a machine feeds its front.
+/// Where the agent of a machine feeds its front. Several machines may stand on one host, each with
+/// a loopback address of its own: there it is that one.
 pub fn loopback(settings: &Settings) -> String {
-    format!("127.0.0.1:{}", settings.inner_port(Role::Agent))
+    let is_loopback = settings.ip.parse().is_ok_and(|ip: IpAddr| ip.is_loopback());
+    match is_loopback {
+        true => settings.inner_addr(Role::Agent),
+        false => format!("{}:{}", Ipv4Addr::LOCALHOST, settings.inner_port(Role::Agent)),
+    }
 }
 
 fn answer(session: &Arc<Session>, body: Body, responder: Responder) {
@@ -104,7 +110,9 @@
     };
     let rpc_clients = RpcClients::new(silence);
     let session = Session::new(settings.clone(), node, rpc_clients);
-    for addr in [loopback(&settings), settings.inner_addr(Role::Agent)] {
+    let mut addresses = vec![loopback(&settings), settings.inner_addr(Role::Agent)];
+    addresses.dedup();
+    for addr in addresses {
         let listener = tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"))?;
         let s = session.clone();
         tokio::spawn(rpc::serve(listener, silence, move |b, p| answer(&s, b, p)));
