--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -6,6 +6,9 @@
 /// How long a client waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 
+/// The body of messages that name none.
+const USUAL_BODY: &str = "body";
+
 /// One message to send.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -19,6 +22,10 @@
     pub tenant_key: String,
     /// The key of its operation; empty where operations have none.
     pub operation_key: String,
+    /// How long it is not to run.
+    pub delay: Duration,
+    /// Its bytes; where empty, others that are the same for all messages.
+    pub body: String,
 }
 
 /// What became of a send.
@@ -51,13 +58,17 @@
 }
 
 fn request_of(message: &Message, connection: &str) -> String {
+    let body = if message.body.is_empty() { USUAL_BODY } else { &message.body };
+    let delay = if message.delay.is_zero() { String::new() } else { message.delay.as_millis().to_string() };
     format!(
-        "POST {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{}{}{}Content-Length: 4\r\n{connection}\r\nbody",
+        "POST {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{}{}{}{}Content-Length: {}\r\n{connection}\r\n{body}",
         message.path,
         message.id,
+        header_line("X-Delay-Ms", &delay),
         header_line("X-Order-Key", &message.order_key),
         header_line("X-Operation-Key", &message.operation_key),
         authorization(&message.tenant_key),
+        body.len(),
     )
 }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,5 +1,5 @@
 //! The processes of a small deployment on loopback: three control nodes, three store nodes and
-//! a front machine with its agent, and one more store node that may be added.
+//! one to six front machines with their agents, and one more store node that may be added.
 
 use std::collections::HashMap;
 use std::fs::{self, File};
@@ -15,9 +15,8 @@
 /// Machines of each kind, by the last part of their loopback address.
 const CONTROL: std::ops::Range<u8> = 2..5;
 const STORE: std::ops::Range<u8> = 5..8;
-/// One: agents listen for the front beside them on 127.0.0.1, whatever their machine, and all
-/// machines have the same ports.
-const FRONT: std::ops::Range<u8> = 8..9;
+/// The first is 8.
+const FRONT_MACHINES: [u8; 6] = [8, 11, 12, 13, 14, 15];
 /// The machine of the store node that may be added; it stands in the region that has one.
 const SPARE_STORE: u8 = 10;
 /// The zone of the southern region; the others are in the northern one.
@@ -73,6 +72,8 @@
     pub network: String,
     /// Lines for `[constraints]` besides the usual ones.
     pub constraints: String,
+    /// How many front machines it has, up to six; 0: one.
+    pub front_count: usize,
     /// Whether its folder, with settings, logs and data, outlasts it.
     pub keeps_folder: bool,
 }
@@ -106,7 +107,7 @@
     /// No free ports, or its folder cannot be made.
     pub fn new(program: &Path, options: ClusterOptions) -> Result<Cluster, ClusterError> {
         let is_free = |base: &u16| {
-            let machines = CONTROL.start..=SPARE_STORE;
+            let machines = CONTROL.start..=FRONT_MACHINES[FRONT_MACHINES.len() - 1];
             let own = machines.map(|machine| format!("{}.{machine}", options.network));
             let mut addresses = own.chain(["127.0.0.1".to_owned()]);
             addresses.all(|ip| (*base..*base + PORTS).all(|port| TcpListener::bind((ip.as_str(), port)).is_ok()))
@@ -128,17 +129,39 @@
     /// # Errors
     /// A process does not start, or the cluster is not ready within a minute.
     pub fn start(&mut self, config: &serde_json::Value) -> Result<(), ClusterError> {
-        for name in Cluster::processes() {
+        for name in self.all_processes() {
             self.spawn(&name)?;
         }
         self.configure(config)?;
         self.wait_ready()
     }
 
-    /// The names of all its processes: a role and a machine.
+    /// The names of the processes that each cluster has: a role and a machine.
     pub fn processes() -> Vec<String> {
-        let of = |role: &'static str, machines: std::ops::Range<u8>| machines.map(move |m| format!("{role}-{m}"));
-        of("control", CONTROL).chain(of("store", STORE)).chain(of("front", FRONT)).chain(of("agent", FRONT)).collect()
+        let first = FRONT_MACHINES[0];
+        let fronts = [format!("front-{first}"), format!("agent-{first}")];
+        Cluster::control_nodes().into_iter().chain(Cluster::stores()).chain(fronts).collect()
+    }
+
+    /// The names of the control nodes.
+    pub fn control_nodes() -> Vec<String> {
+        CONTROL.map(|machine| format!("control-{machine}")).collect()
+    }
+
+    /// The names of the first store nodes.
+    pub fn stores() -> Vec<String> {
+        STORE.map(|machine| format!("store-{machine}")).collect()
+    }
+
+    /// The names of all processes of this cluster, but for a store node that is added.
+    pub fn all_processes(&self) -> Vec<String> {
+        let others = self.front_machines()[1..].iter();
+        let others = others.flat_map(|machine| [format!("front-{machine}"), format!("agent-{machine}")]);
+        Cluster::processes().into_iter().chain(others).collect()
+    }
+
+    fn front_machines(&self) -> &'static [u8] {
+        &FRONT_MACHINES[..self.options.front_count.clamp(1, FRONT_MACHINES.len())]
     }
 
     /// The name of the store node that may be added.
@@ -153,7 +176,8 @@
 
     /// The addresses at which clients reach it.
     pub fn fronts(&self) -> Vec<String> {
-        FRONT.map(|machine| format!("{}:{}", self.ip(machine), self.base_port + CLIENT_PORT)).collect()
+        let address = |machine: &u8| format!("{}:{}", self.ip(*machine), self.base_port + CLIENT_PORT);
+        self.front_machines().iter().map(address).collect()
     }
 
     /// Gives it a whole configuration, again until it is acknowledged.
@@ -246,8 +270,8 @@
     /// # Errors
     /// They are not within a minute.
     pub fn wait_ready(&self) -> Result<(), ClusterError> {
-        for front in FRONT {
-            let ready = format!("{}:{}", self.ip(front), self.base_port + READY_PORT);
+        for front in self.front_machines() {
+            let ready = format!("{}:{}", self.ip(*front), self.base_port + READY_PORT);
             let request = "GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
             let is_ready =
                 || crate::exchange(&ready, request, Duration::from_secs(1)).is_some_and(|answer| answer.status == 200);
@@ -264,6 +288,12 @@
         }
     }
 
+    /// Kills a process and empties its disk; it is started again with `spawn`.
+    pub fn lose_disk(&mut self, name: &str) {
+        self.kill(name);
+        let _ = fs::remove_dir_all(self.folder.join(name));
+    }
+
     /// Where its settings, logs and data are.
     pub fn folder(&self) -> &Path {
         &self.folder
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,19 +3,23 @@
 //!
 //! [`Cluster`] runs the processes, [`Processor`] stands in for a service, [`clients`] send
 //! messages, [`Schedule`] draws the troubles of a seed, and [`Verdict`] says which rule was
-//! broken. [`run()`] puts them together for one seed.
+//! broken. [`run()`] puts them together for one seed. [`run_day`] plays a day with an end, after
+//! which all that still waits is asked for.
 
 #![warn(missing_docs)]
 
 pub mod clients;
 mod cluster;
+mod day;
 mod faults;
 mod http;
+mod load;
 mod processor;
 mod run;
 mod verdict;
 
 pub use cluster::{Cluster, ClusterError, ClusterOptions, REGIONS};
+pub use day::{ClosingFault, DayPlan, DayVerdict, DayViolation, Trouble, run_day};
 pub use faults::{Fault, FaultKind, Schedule};
 pub use http::{KeptConnection, Response, exchange};
 pub use processor::{Processor, Run};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -163,6 +163,7 @@
         order_key: if is_ordered { format!("k{}", number % ORDER_KEYS) } else { String::new() },
         tenant_key: if client == 0 { LIMITED_KEY } else { FREE_KEY }.into(),
         operation_key: format!("op-{number}"),
+        ..Message::default()
     }
 }
 
@@ -172,7 +173,12 @@
             "quotaWindowS = {}\nquotaOvershoot = {OVERSHOOT}\nquotaSlack = {SLACK}\nkeyWindowS = {KEY_WINDOW_S}",
             WINDOW.as_secs()
         );
-        let options = ClusterOptions { network: plan.network.clone(), constraints, keeps_folder: plan.keeps_folder };
+        let options = ClusterOptions {
+            network: plan.network.clone(),
+            constraints,
+            keeps_folder: plan.keeps_folder,
+            ..ClusterOptions::default()
+        };
         let processor =
             || Processor::start().map_err(|source| ClusterError::Process { name: "processor".into(), source });
         let services = [processor()?, processor()?];
