Control nodes of a zone share its agents, and memberships are made ready once (CONFIG)

Cause: all agents of a zone asked the same control node, which looked through all processors and wrote a membership's changes out once for each of them, above its share of a core; configurations travelled in the same answers. Change: agents are spread over the control nodes of their zone; what those lack who have the same version is made once; a configuration goes into an answer of its own; memberships are packed from 32 KB on.

--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,6 +1,6 @@
 use crate::identity::NodeIdentity;
 use bytes::Bytes;
-use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Freshness, Role, Settings};
+use config::{Configuration, ConfigurationDocument, ConfigurationIndex, Freshness, Role, Settings, placement_hash};
 use rpc::messages::*;
 use rpc::{Body, CarriedTime, RpcClients, possible};
 use std::sync::{Arc, Mutex};
@@ -301,7 +301,9 @@
                 }
             };
             let mine = self.settings.inner_addr(Role::Control);
-            all.sort_by_key(|a| (near(a), *a != mine));
+            // Those that are as near as each other are preferred by some nodes each.
+            let spread = |addr: &String| placement_hash(&format!("{addr} {}", self.settings.node));
+            all.sort_by_cached_key(|a| (near(a), *a != mine, spread(a)));
         });
         all
     }
@@ -328,8 +330,8 @@
                 ..WatchRequest::default()
             };
             let asked_ms = self.now();
-            // The first answer brings the whole, over what may be a slow link.
-            let times = if w.have.configuration == 0 { 4 } else { 2 };
+            // The first answers bring the whole, over what may be a slow link.
+            let times = if w.have.configuration == 0 || w.have.membership == 0 { 4 } else { 2 };
             let asked_at = Instant::now();
             let asked = self
                 .rpc_clients
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -15,7 +15,7 @@
 use config::{Configuration, ConfigurationIndex, Freshness, Role, Settings};
 use raft::*;
 use rpc::messages::*;
-use rpc::{Responder, RpcClients, new_incarnation};
+use rpc::{MembershipUpdates, Responder, RpcClients, new_incarnation};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
@@ -64,6 +64,8 @@
 pub struct ControlShared {
     pub control_state: ControlState,
     pub membership: Membership,
+    /// What others lack of it.
+    pub(crate) membership_updates: MembershipUpdates,
     pub(crate) sessions: BTreeMap<String, Session>,
     pub(crate) leases: HashMap<String, Leased>,
     /// Incarnations that were seen to end.
@@ -341,6 +343,7 @@
         shared: Mutex::new(ControlShared {
             control_state,
             membership: Membership::default(),
+            membership_updates: MembershipUpdates::default(),
             sessions: BTreeMap::new(),
             leases: HashMap::new(),
             ended: HashMap::new(),
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -291,8 +291,10 @@
             if w.node.as_ref().is_some_and(|n| n.role == "control") {
                 news.unidentified = f.unidentified.reported(&f.sessions);
             }
-            if have.membership > w.have.membership {
-                news.put_membership(f.membership.since(w.have.membership));
+            // A configuration waits behind nothing on its way: whoever lacks both asks again at once.
+            let has_configuration = configuration.is_some() || !news.steps.is_empty();
+            if have.membership > w.have.membership && !has_configuration {
+                f.membership_updates.put(&mut news, &f.membership, w.have.membership);
             }
             if let Some(json) = configuration {
                 news.put_configuration(json);
--- a/crates/rpc/src/delta.rs
+++ b/crates/rpc/src/delta.rs
@@ -5,13 +5,17 @@
 use bytes::Bytes;
 use prost::Message;
 use std::borrow::Cow;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// So many removals are remembered for those that are behind.
 const REMEMBERED: usize = 256;
 
-/// A membership from that size on is packed.
-const PACKED_MEMBERSHIP_BYTES: usize = 128 << 10;
+/// A membership from that size on is packed: links of two megabits a second take longer for it than
+/// a small processor does.
+const PACKED_MEMBERSHIP_BYTES: usize = 32 << 10;
+
+/// For so many versions that others may have, what they lack is kept at hand.
+const PREPARED_VERSIONS: usize = 8;
 
 /// What is packed is never longer than this when it is whole again.
 const UNPACKED: usize = 4 << 20;
@@ -36,6 +40,12 @@
         }
     }
 
+    /// Takes over the membership of another answer, as it is.
+    fn share_membership(&mut self, other: &ViewUpdate) {
+        self.membership.clone_from(&other.membership);
+        self.packed_membership = other.packed_membership.clone();
+    }
+
     /// The membership, if there is one, packed or not.
     pub fn told_membership(&self) -> Option<Cow<'_, Membership>> {
         if self.packed_membership.is_empty() {
@@ -54,6 +64,34 @@
     }
 }
 
+/// What those lack who have some version of a membership, made once for all who have the same: when
+/// it changes, hundreds ask at once.
+#[derive(Default)]
+pub struct MembershipUpdates {
+    version: u64,
+    /// By the version that is had.
+    prepared: VecDeque<(u64, ViewUpdate)>,
+}
+
+impl MembershipUpdates {
+    /// Puts into an answer what one lacks of a membership who has version `have`.
+    pub fn put(&mut self, news: &mut ViewUpdate, membership: &Membership, have: u64) {
+        if self.version != membership.version {
+            self.version = membership.version;
+            self.prepared.clear();
+        }
+        if !self.prepared.iter().any(|(of, _)| *of == have) {
+            let mut update = ViewUpdate::default();
+            update.put_membership(membership.since(have));
+            self.prepared.truncate(PREPARED_VERSIONS - 1);
+            self.prepared.push_front((have, update));
+        }
+        if let Some((_, update)) = self.prepared.iter().find(|(of, _)| *of == have) {
+            news.share_membership(update);
+        }
+    }
+}
+
 /// What was packed, if it is whole and not longer than anything that is.
 fn unpacked(packed: &[u8]) -> Option<Vec<u8>> {
     let size = packed.get(..4).and_then(|s| s.try_into().ok()).map_or(usize::MAX, |s| u32::from_le_bytes(s) as usize);
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -10,6 +10,7 @@
 mod slewed_clock;
 mod slot_owner;
 pub use connection::*;
+pub use delta::MembershipUpdates;
 pub use incarnation::*;
 pub use messages::Body;
 pub use outcome::*;
--- a/crates/rpc/tests/view_updates.rs
+++ b/crates/rpc/tests/view_updates.rs
@@ -153,3 +153,24 @@
     assert!(news.told_membership().is_none(), "what is not whole is not taken");
     assert!(ViewUpdate::default().told_membership().is_none());
 }
+
+#[test]
+fn what_others_lack_is_prepared_once_for_a_version_and_is_the_same_as_made_anew() {
+    let node = |name: &str, changed: u64| Node { name: name.into(), changed, ..Node::default() };
+    let mut membership = Membership {
+        version: T1 + 2,
+        from: T1,
+        nodes: vec![node("a", T1 + 1), node("b", T1 + 2)],
+        ..Membership::default()
+    };
+    let mut updates = rpc::MembershipUpdates::default();
+    for round in 0..2 {
+        for have in (0..30).chain([T1, T1 + 1, T1 + 2, T1]) {
+            let mut news = ViewUpdate::default();
+            updates.put(&mut news, &membership, have);
+            assert_eq!(news.told_membership().as_deref(), Some(&membership.since(have)), "{round}: {have}");
+        }
+        membership.version = T1 + 3;
+        membership.nodes[0] = node("a", T1 + 3);
+    }
+}
