--- a/crates/willowslip/tests/functions.rs
+++ b/crates/willowslip/tests/functions.rs
@@ -161,7 +161,6 @@
         for m in 2..5 {
             sys.start("control", m);
         }
-        // One front only: the agent beside it listens on the loopback that all share here.
         sys.start("agent", 5);
         sys.start("functions", 5);
         sys
@@ -342,3 +341,23 @@
     assert!(instances("stays") >= 1, "the others are left alone");
     assert_eq!(answers("stays", "last"), Some(200));
 }
+
+/// Guards against LOST (sibling of a front's restart): a functions process that was started again
+/// beside its agent owned no slots, and was not ready any more.
+#[test]
+fn a_functions_process_that_is_started_again_alone_serves() {
+    let seen: Shared = Arc::default();
+    let mut sys = System::begin(&seen, "restarted", 32_000);
+    sys.configure(&configuration(1, &["stays"]));
+    let answers = |sys: &System, id: &str| sys.call(5, "GET", "/stays/x", id).map(|answer| answer.0);
+    until("a first answer", || answers(&sys, "first") == Some(200));
+    for (round, (process, signal)) in
+        [("functions", "-TERM"), ("functions", "-TERM"), ("agent", "-TERM"), ("functions", "-KILL"), ("agent", "-KILL")]
+            .into_iter()
+            .enumerate()
+    {
+        sys.programs.end(&format!("{process}-5"), signal);
+        sys.start(process, 5);
+        until("an answer after a restart", || answers(&sys, &format!("r{round}")) == Some(200));
+    }
+}
