--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,12 +1,13 @@
-"""An outside endpoint is down for 6 s while clients hand in messages with long bodies.
+"""One message with a body just under 4 MiB, where the configuration allows 8 MiB.
 
-The platform's part is played as DEPLOY says: a process that goes over `memoryMb` is killed, and is
-started again after a short delay. Judged is the rule Fault of RULES.md.
+Messages of one order key are accepted, delayed by 3 s. Then one more message of that key comes,
+with a long body. Judged is the rule LOST of RULES.md and NEWS-19: accepted messages that stay
+pending though their time has come, in calm, with idle processors.
 """
 import http.client
+import json
 import os
 import sys
-import threading
 import time
 import traceback
 
@@ -15,136 +16,91 @@
 import cluster
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BODY_BYTES = 200_000   # the configuration's bodyBytes: 262,144
-PER_S = 100            # the site's offers: 190 a second
-DOWN_S = 6.0           # the site's longest: 6.0 s
-MEMORY_MB = 270        # the site's store machines
-BEFORE_S, AFTER_S, DRAIN_S = 2.0, 6.0, 40.0
+BODY_LIMIT = 8 << 20
+# Just under 4 MiB, the length of the longest frame; a few lengths, as headers count too.
+SIZES = range(4_194_196, 4_194_260, 8)
+CALM_S = 25.0
 
 record = open(os.path.join(HERE, "record.txt"), "w")
 began = time.time()
 
 
 def note(text):
-    line = f"{time.time() - began:7.2f} {text}"
-    record.write(line + "\n")
+    record.write(f"{time.time() - began:7.2f} {text}\n")
     record.flush()
 
 
-def anonymous_mb(pid):
-    """Memory of a process without files that are mapped, in MB."""
-    with open(f"/proc/{pid}/status") as f:
-        for line in f:
-            if line.startswith("RssAnon:"):
-                return int(line.split()[1]) / 1024
-    return 0.0
-
-
 def main():
-    deployment = cluster.Cluster(memory=MEMORY_MB)
-    own_ends, peak, finished = [], {}, threading.Event()
-
-    def platform():
-        while not finished.is_set():
-            for name in deployment.spec:
-                process = deployment.procs.get(name)
-                if process is None:
-                    continue
-                try:
-                    used = anonymous_mb(process.pid)
-                except OSError:
-                    continue
-                peak[name] = max(peak.get(name, 0), used)
-                ended = process.poll() is not None
-                if used > MEMORY_MB or ended:
-                    own_ends.append(name)
-                    note(f"own end: {name} at {used:.0f} MB, memoryMb {MEMORY_MB}{', had ended' if ended else ''}")
-                    if not ended:
-                        process.kill()
-                    process.wait()
-                    time.sleep(0.3)
-                    deployment.start(name)
-            time.sleep(0.02)
+    deployment = cluster.Cluster(memory=270)
+    front = f"{deployment.net}.20:8069"
+
+    def call(method, path, body=None, headers=None):
+        connection = http.client.HTTPConnection(front, timeout=6)
+        try:
+            connection.request(method, path, body=body, headers={"Host": "h.example", **(headers or {})})
+            response = connection.getresponse()
+            return response.status, response.getheader("X-Message-Name"), response.read()
+        except (OSError, http.client.HTTPException) as error:
+            return 0, None, repr(error).encode()
+        finally:
+            connection.close()
+
+    def send(name, body, delay_ms=0):
+        headers = {"X-Attempt-Id": name, "X-Order-Key": "k", "X-Deadline-Ms": "3000"}
+        if delay_ms:
+            headers["X-Delay-Ms"] = str(delay_ms)
+        status, message, _ = call("POST", "/a/x", body, headers)
+        note(f"sent {name}, {len(body)} bytes: {status} {message or ''}")
+        return status, message
 
     try:
         deployment.start_all()
         deployment.start_helper("endpoint", "endpoint.py", f"{deployment.net}.30", 9000)
-        threading.Thread(target=platform, daemon=True).start()
         configuration = {
             "revision": 1,
             "channels": [{"name": "r", "host": "h.example", "prefix": "/a/", "mode": "deferred", "cutoffMs": 1500,
-                          "setpointMs": 200, "rank": 1, "plant": "p", "tries": 4, "sequenced": False,
+                          "setpointMs": 200, "rank": 1, "plant": "p", "tries": 4, "sequenced": True,
                           "retainS": 90.0, "notify": False, "startSetpointMs": 1000}],
             "plants": [{"name": "p", "probe": "/probe", "connLimit": 64, "protocol": "h1", "tls": False,
                         "flowPerS": 0.0, "dedupes": False, "pull": False, "endpoint": f"{deployment.net}.30:9000"}],
-            "limits": {"headerBytes": 16384, "bodyBytes": 262144, "headerMs": 3000, "idleMs": 15000},
+            "limits": {"headerBytes": 16384, "bodyBytes": BODY_LIMIT, "headerMs": 3000, "idleMs": 15000},
         }
         answer = deployment.operator("POST", "/config/replace", configuration, 0)
         if answer[0] != 200 or not deployment.wait_ready():
             note(f"could not start: {answer}")
             return 2
-        time.sleep(1)
-        started, count, lock = time.time(), [0], threading.Lock()
-        answers, accepted = {}, []
-
-        def client():
-            connection = None
-            while True:
-                with lock:
-                    number = count[0]
-                    count[0] += 1
-                at = started + number / PER_S
-                if at > started + BEFORE_S + DOWN_S + AFTER_S:
-                    return
-                time.sleep(max(0.0, at - time.time()))
-                name, status = f"id{number}", "no answer"
-                try:
-                    connection = connection or http.client.HTTPConnection(f"{deployment.net}.20:8069", timeout=4)
-                    connection.request("POST", "/a/x", body=b"x" * BODY_BYTES, headers={
-                        "Host": "h.example", "X-Attempt-Id": name, "X-Deadline-Ms": "3000"})
-                    response = connection.getresponse()
-                    response.read()
-                    status = response.status
-                except (OSError, http.client.HTTPException):
-                    connection = None
-                with lock:
-                    answers[status] = answers.get(status, 0) + 1
-                    if status == 202:
-                        accepted.append(name)
-
-        clients = [threading.Thread(target=client, daemon=True) for _ in range(24)]
-        for thread in clients:
-            thread.start()
-        time.sleep(BEFORE_S)
-        if TROUBLE:
-            deployment.procs["endpoint"].kill()
-            deployment.procs["endpoint"].wait()
-            note(f"the endpoint is down; answers so far {answers}")
-        time.sleep(DOWN_S)
+        time.sleep(2)
+        accepted = {}
+        for number in range(8):
+            status, message = send(f"m{number}", b"body", delay_ms=3000)
+            if status == 202:
+                accepted[f"m{number}"] = message
+        if len(accepted) < 8:
+            return 2
         if TROUBLE:
-            deployment.start_helper("endpoint", "endpoint.py", f"{deployment.net}.30", 9000)
-            note(f"the endpoint is up; answers so far {answers}")
-        for thread in clients:
-            thread.join()
-        note(f"traffic ended; answers {answers}")
-        end = time.time() + DRAIN_S
-        while time.time() < end:
-            ran = {line.split()[1] for line in deployment.output("endpoint")}
-            missing = [name for name in accepted if name not in ran]
-            if not missing:
-                break
-            time.sleep(0.5)
-        note(f"accepted {len(accepted)}, ran {len(ran)}, accepted and not run {len(missing)}")
-        note("peaks in MB: " + ", ".join(f"{name} {mb:.0f}" for name, mb in sorted(peak.items())))
-        machines = {name.replace("agent", "front") for name in own_ends}
-        note(f"own ends: {len(own_ends)} on {len(machines)} machines")
-        # Fault: three own ends in the day on a tenth of the machines in use, two at least.
-        broken = len(own_ends) >= 3 and len(machines) >= 2
-        note("the rule was broken" if broken else "the rule held")
-        return 1 if broken else 0
+            for size in SIZES:
+                status, message = send(f"long{size}", b"x" * size)
+                if status == 202:
+                    accepted[f"long{size}"] = message
+                else:
+                    break
+        note(f"calm for {CALM_S} s")
+        time.sleep(CALM_S)
+        ran = {line.split()[1] for line in deployment.output("endpoint")}
+        lost = []
+        for name, message in accepted.items():
+            status, _, body = call("GET", f"/message/{message}")
+            state = json.loads(body).get("state") if status == 200 else f"status {status}"
+            note(f"{name}: {'ran' if name in ran else 'has not run'}, state {state}")
+            if name not in ran and state == "pending":
+                lost.append(name)
+        status, _ = send("last", b"body")
+        note(f"a message afterwards: {status}; ends of processes: "
+             f"{[name for name, process in deployment.procs.items() if process.poll() is not None]}")
+        note(f"accepted {len(accepted)}, pending and never run {len(lost)}")
+        note("the rule was broken" if lost else "the rule held")
+        return 1 if lost else 0
     finally:
-        finished.set()
-        time.sleep(0.1)
         deployment.stop_all()
 
 
