--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -34,8 +34,15 @@
             continue
     raise RuntimeError("no free addresses")
 
+def end_in_order(*_):
+    """SIGTERM and SIGINT end the script as an exception does, so that it stops what it started."""
+    sys.exit(2)
+
+
 class Cluster:
     def __init__(self, fronts=1, controls=3, stores=3, extra="", platform="", front_role="front", memory=256, constraints=None, rollout=""):
+        signal.signal(signal.SIGTERM, end_in_order)
+        signal.signal(signal.SIGINT, end_in_order)
         self.net = free_net()
         self.dir = tempfile.mkdtemp(prefix="case-")
         self.procs = {}
@@ -135,7 +142,7 @@
         except OSError:
             return []
 
-    def operator(self, method, path, body=None, base=None, within=40):
+    def operator(self, method, path, body=None, base=None, within=25):
         """Calls a control node as the operators do: follows 307 twice, else moves on to the next node."""
         end = time.time() + within
         last = None
@@ -165,7 +172,7 @@
             time.sleep(0.3)
         return last
 
-    def wait_ready(self, within=40):
+    def wait_ready(self, within=25):
         end = time.time() + within
         for n in self.fronts:
             while True:
