--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -4,7 +4,7 @@
 //! only to the partition that the placements of these keys resolve to, or to the directory
 //! partition itself.
 
-use crate::ingest::{FrontService, fault};
+use crate::ingest::{FrontService, fault, too_long};
 use crate::owner_calls::{OwnerAnswer, OwnerCalls};
 use crate::submission::Submission;
 use agent::{may_be_kept_in, operation_directory, order_directory};
@@ -250,6 +250,11 @@
                         return WriteOutcome::Replied(refusal);
                     }
                 }
+                OwnerAnswer::TooLong { limit_bytes } if !is_unclear => {
+                    telemetry::count("refused_too_long");
+                    return WriteOutcome::Replied(too_long(limit_bytes));
+                }
+                OwnerAnswer::TooLong { .. } => {}
                 OwnerAnswer::Unclear => is_unclear = true,
                 OwnerAnswer::NotSent => {}
                 OwnerAnswer::NoStoreAnswers => {
@@ -337,6 +342,10 @@
             let refusal = fault(429, "the tenant has no more of its limit now");
             Some(refusal.with("Retry-After", retry_s.to_string()))
         }
+        AcceptOutcome::TooLong => {
+            telemetry::count("refused_too_long");
+            Some(too_long(accepted.limit_bytes))
+        }
         AcceptOutcome::NoRoute => Some(fault(404, "no such route")),
         _ => None,
     }
--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -124,13 +124,14 @@
             Body::Status(_) => {
                 let versions = self.front.view.borrow().have();
                 let json = format!(
-                    "{{\"node\":\"{}\",\"ready\":{},\"template\":{},\"assignments\":{},\"membership\":{},\"underWay\":{},\"counters\":\"{}\"}}",
+                    "{{\"node\":\"{}\",\"ready\":{},\"template\":{},\"assignments\":{},\"membership\":{},\"underWay\":{},\"bodyLimit\":{},\"counters\":\"{}\"}}",
                     self.front.settings.node,
                     self.front.is_ready(),
                     versions.configuration,
                     versions.assignments,
                     versions.membership,
                     self.outbox.lock().unwrap().held_count(),
+                    self.front.bounds().body_bytes,
                     telemetry::render()
                 );
                 responder.send(Body::StatusAck(StatusAck { json }));
--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -5,8 +5,8 @@
 use agent::{ClusterView, Follower};
 use config::{Role, Settings};
 use http1::{Bounds, ClientWatch, Closing, Reply, Request};
-use rpc::RpcClients;
 use rpc::messages::ViewUpdate;
+use rpc::{PeerOptions, RpcClients};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -26,6 +26,11 @@
     Reply::json(status, serde_json::json!({ "fault": why }).to_string())
 }
 
+/// The reply to a message that is longer than this system carries. `limit_bytes` is the longest body.
+pub(crate) fn too_long(limit_bytes: u64) -> Reply {
+    Reply::json(413, serde_json::json!({ "fault": "message too long", "limitBytes": limit_bytes }).to_string())
+}
+
 /// The reply while the configuration is not confirmed to be the newest.
 pub(crate) fn stale() -> Reply {
     telemetry::count("refused_stale");
@@ -36,7 +41,7 @@
     pub fn new(settings: Settings) -> Arc<FrontService> {
         let silence_limit = Duration::from_millis((settings.constraints.quiet_ms / 4.0) as u64);
         Arc::new(FrontService {
-            rpc_clients: RpcClients::new(silence_limit),
+            rpc_clients: RpcClients::new(PeerOptions::new(silence_limit, settings.limits.memory_mb)),
             view: watch::channel(ClusterView::default()).0,
             closing: watch::channel(Closing::Open).0,
             settings,
@@ -53,9 +58,35 @@
         OwnerAddress::of(&self.view.borrow(), partition).map(|owner| owner.inner)
     }
 
-    fn bounds(&self) -> Bounds {
+    /// The limits on clients' requests.
+    pub(crate) fn bounds(&self) -> Bounds {
         let limits = &self.view.borrow().configuration.limits;
-        Bounds::from_settings(limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms)
+        let configured =
+            Bounds::from_settings(limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms);
+        Bounds { body_bytes: configured.body_bytes.min(self.max_body_bytes()), ..configured }
+    }
+
+    /// The longest frame that this process accepts, in bytes.
+    pub(crate) fn max_frame_bytes(&self) -> usize {
+        rpc::max_frame_bytes(self.settings.limits.memory_mb)
+    }
+
+    /// The longest body that this process carries, in bytes, whatever the configuration allows.
+    fn max_body_bytes(&self) -> usize {
+        rpc::max_body_bytes(self.max_frame_bytes())
+    }
+
+    /// Logs that a configuration allows longer bodies than this process carries.
+    fn check_body_limit(&self, view: &ClusterView) {
+        let (allowed, carried) = (view.configuration.limits.body_bytes, self.max_body_bytes() as u64);
+        if allowed > carried {
+            telemetry::error!(
+                "configuration {} allows bodies of {allowed} bytes; with {} MB of memory this process carries \
+                 {carried} bytes and answers longer ones with 413",
+                view.configuration.revision,
+                self.settings.limits.memory_mb
+            );
+        }
     }
 
     /// Whether this front can serve clients; the result of the readiness probe.
@@ -95,7 +126,14 @@
         let follower = Follower::new(&self.settings, self.rpc_clients.clone(), rpc::new_incarnation());
         let have = || self.view.borrow().have();
         let apply = |update: &ViewUpdate, asked_at| {
-            self.view.send_if_modified(|view| view.take_answer(update, asked_at));
+            self.view.send_if_modified(|view| {
+                let revision = view.configuration.revision;
+                let is_changed = view.take_answer(update, asked_at);
+                if view.configuration.revision != revision {
+                    self.check_body_limit(view);
+                }
+                is_changed
+            });
         };
         let is_leaving = |closing: &Closing| *closing != Closing::Open;
         follower.run(self.closing.subscribe(), is_leaving, have, || worker.unidentified(), apply).await;
@@ -110,7 +148,8 @@
     let bind = async |addr: String| tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"));
     let inner = bind(settings.inner_addr(Role::Front)).await?;
     let handler = worker.clone();
-    tokio::spawn(rpc::serve(inner, silence_limit, move |body, responder| handler.handle(body, responder)));
+    let peers = PeerOptions::new(silence_limit, settings.limits.memory_mb);
+    tokio::spawn(rpc::serve(inner, peers, move |body, responder| handler.handle(body, responder)));
     tokio::spawn(front.clone().follow(worker.clone()));
     let probed = front.clone();
     let ready = bind(settings.listen.ready.clone()).await?;
--- a/crates/front/src/owner_calls.rs
+++ b/crates/front/src/owner_calls.rs
@@ -38,6 +38,11 @@
     Answered(AcceptOutcome, Accepted),
     /// The call was not executed.
     NotSent,
+    /// The owner has stated that it accepts no frame of this length; nothing was sent.
+    TooLong {
+        /// The longest body that it accepts, in bytes.
+        limit_bytes: u64,
+    },
     /// The call may have been executed.
     Unclear,
     /// No store node answers, so none can take over the partition.
@@ -51,7 +56,7 @@
             OwnerAnswer::Answered(AcceptOutcome::Elsewhere, _) => Some("accepts_again_elsewhere"),
             OwnerAnswer::NotSent => Some("accepts_again_not_sent"),
             OwnerAnswer::Unclear => Some("accepts_again_unclear"),
-            OwnerAnswer::Answered(..) | OwnerAnswer::NoStoreAnswers => None,
+            OwnerAnswer::Answered(..) | OwnerAnswer::TooLong { .. } | OwnerAnswer::NoStoreAnswers => None,
         }
     }
 }
@@ -121,11 +126,18 @@
             let _ = self.closing.wait_for(|closing| *closing == Closing::Ending).await;
             tokio::time::sleep(grace).await;
         };
+        let body_bytes = message_bytes(&body);
         let answer = tokio::select! {
             answer = client.call(body, remaining) => answer,
             _ = owner_changed => Err(ExecutionOutcome::MayHaveRun),
             _ = ending => Err(ExecutionOutcome::MayHaveRun),
         };
+        if answer == Err(ExecutionOutcome::NotRun)
+            && let Some(limit) = client.stated_limit()
+            && body_bytes + rpc::ENVELOPE_MARGIN > rpc::max_record_bytes(limit)
+        {
+            return OwnerAnswer::TooLong { limit_bytes: rpc::max_body_bytes(limit) as u64 };
+        }
         self.answer_of(answer)
     }
 
@@ -147,6 +159,14 @@
     }
 }
 
+/// Length of the message body that a call carries.
+fn message_bytes(body: &Body) -> usize {
+    match body {
+        Body::Accept(accept) => accept.item.body.len(),
+        _ => 0,
+    }
+}
+
 impl FrontService {
     /// No new calls are sent to an owner that has answered nothing for this long.
     fn owner_timeout(&self) -> Duration {
--- a/crates/front/src/submission.rs
+++ b/crates/front/src/submission.rs
@@ -1,11 +1,12 @@
 //! A client's request to accept a message, parsed and validated against one configuration.
 
 use crate::callback::{CallbackError, CallbackUrl};
-use crate::ingest::{FrontService, fault, stale};
+use crate::ingest::{FrontService, fault, stale, too_long};
 use crate::tenancy::{Refusal, operation_id, operation_key, tenant_name};
 use agent::{ClusterView, PlacementKeys, partition_of};
 use config::{Homes, Route};
 use http1::{Reply, Request};
+use prost::Message;
 use rpc::messages::{Item, OperationId};
 use std::time::{Duration, Instant};
 
@@ -123,6 +124,12 @@
             tenant: tenant.to_owned(),
             operation,
         };
+        // The record of the message has to fit a frame of any process that this one sends it to.
+        let longest = rpc::max_record_bytes(self.max_frame_bytes());
+        if item.encoded_len() > longest {
+            telemetry::count("refused_too_long");
+            return Err(too_long(self.bounds().body_bytes.min(longest) as u64).into());
+        }
         let target_ms = match route.target_latency_ms > 0.0 {
             true => route.target_latency_ms,
             false => self.settings.constraints.quiet_ms / 20.0,
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -80,6 +80,10 @@
     join_refused_at: u64,
     /// When it was last heard from or last had no entries left to acknowledge.
     silent_since: u64,
+    /// The longest record that it receives.
+    record_limit: PeerRecordLimit,
+    /// The record that it does not receive because of its length, if there is one.
+    refused_record: Option<RefusedRecord>,
     /// When a replacement for it was last requested.
     replace_requested_at: u64,
 }
@@ -97,6 +101,56 @@
 /// processes much sooner, through their leases; this covers broken links between two nodes.
 const REPLACE_AFTER_RESENDS: u64 = 3;
 
+/// The longest record that another replica receives, in bytes.
+#[derive(Clone, Copy, Default, Debug, PartialEq, Eq)]
+enum PeerRecordLimit {
+    /// Nothing was heard from it in this term.
+    #[default]
+    Unknown,
+    /// It states no limit: what fits a frame of `FRAME_LIMIT` bytes.
+    Unstated,
+    Stated(usize),
+}
+
+impl PeerRecordLimit {
+    fn of(ack: &EntriesAck) -> PeerRecordLimit {
+        match ack.max_record_bytes {
+            0 => PeerRecordLimit::Unstated,
+            bytes => PeerRecordLimit::Stated(bytes as usize),
+        }
+    }
+
+    /// The longest record that may be sent to it.
+    fn bytes(self) -> usize {
+        match self {
+            PeerRecordLimit::Unknown | PeerRecordLimit::Unstated => UNSTATED_RECORD_LIMIT,
+            PeerRecordLimit::Stated(bytes) => bytes,
+        }
+    }
+}
+
+/// The longest record that every replica receives, also one that states no limit.
+const UNSTATED_RECORD_LIMIT: usize = rpc::max_record_bytes(rpc::FRAME_LIMIT);
+
+/// An entry that is too long for a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RefusedRecord {
+    position: u64,
+    bytes: usize,
+}
+
+/// Whether a record may be appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordFit {
+    Fits,
+    /// Longer than this node or an in-sync replica receives.
+    TooLong {
+        limit: usize,
+    },
+    /// An in-sync replica has not stated yet that it receives a record of this length.
+    Unknown,
+}
+
 /// The phases of a planned move, in order.
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
@@ -193,6 +247,8 @@
     assignment_version: u64,
     /// End of the log when this node became owner.
     takeover_end: u64,
+    /// The longest record that this node receives, in bytes.
+    pub max_record_bytes: usize,
     timing: Timing,
     since_snapshot: usize,
     clock: PartitionClock,
@@ -235,6 +291,7 @@
             ownership_confirmed: false,
             assignment_version: 0,
             takeover_end: 0,
+            max_record_bytes: UNSTATED_RECORD_LIMIT,
             timing,
             since_snapshot: 0,
             clock: PartitionClock::default(),
--- a/crates/partition/src/replica/follower.rs
+++ b/crates/partition/src/replica/follower.rs
@@ -74,6 +74,7 @@
             verified_from: self.verified_from,
             mismatch: self.mismatch,
             incarnation: self.incarnation,
+            max_record_bytes: self.max_record_bytes as u64,
         }
     }
 
--- a/crates/partition/src/replica/log.rs
+++ b/crates/partition/src/replica/log.rs
@@ -21,14 +21,42 @@
     }
 
     /// Appends a record, which takes effect once it is committed. `None` if the replica is not
-    /// writable.
+    /// writable or the record is longer than the replicas receive.
     pub fn append(&mut self, record: &Record, now: u64, out: &mut Vec<Effect>) -> Option<u64> {
         if !self.is_writable() {
             return None;
         }
+        let bytes = record.encoded_len();
+        if self.fit(bytes) != RecordFit::Fits {
+            telemetry::count("records_too_long");
+            telemetry::error!("partition {}: a record of {bytes} bytes is too long and is not appended", self.id);
+            return None;
+        }
         Some(self.append_to_log(record, now, out))
     }
 
+    /// Whether a record of this length may be appended: this node and every replica whose
+    /// acknowledgement its commit needs must be able to receive it.
+    pub fn fit(&self, bytes: usize) -> RecordFit {
+        if bytes > self.max_record_bytes {
+            return RecordFit::TooLong { limit: self.max_record_bytes };
+        }
+        if bytes <= UNSTATED_RECORD_LIMIT {
+            return RecordFit::Fits;
+        }
+        let others = self.in_sync.iter().chain(self.joining.keys()).filter(|node| **node != self.node);
+        let limits = others.map(|node| self.peers.get(node).map_or(PeerRecordLimit::Unknown, |peer| peer.record_limit));
+        let mut fit = RecordFit::Fits;
+        for limit in limits {
+            match limit {
+                PeerRecordLimit::Stated(limit) if limit < bytes => return RecordFit::TooLong { limit },
+                PeerRecordLimit::Stated(_) => {}
+                PeerRecordLimit::Unknown | PeerRecordLimit::Unstated => fit = RecordFit::Unknown,
+            }
+        }
+        fit
+    }
+
     pub(super) fn append_to_log(&mut self, record: &Record, now: u64, out: &mut Vec<Effect>) -> u64 {
         let e = LogEntry { term: self.term, record: record.encode_to_vec().into() };
         let pos = self.end() + 1;
--- a/crates/partition/src/replica/replication.rs
+++ b/crates/partition/src/replica/replication.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+/// Entries are sent in batches of at most this many bytes of records; a longer record is sent alone.
+const MAX_BATCH_BYTES: usize = 512 << 10;
+
 impl PartitionReplica {
     /// Sends missing entries to the followers. Called once after a batch of appends.
     pub fn flush(&mut self, now: u64, out: &mut Vec<Effect>) {
@@ -42,12 +45,32 @@
         let (mut entries, mut bytes) = (Vec::new(), 0);
         let prev = peer.sent;
         let mut position = prev + 1;
-        while position <= end && bytes < 512 << 10 {
+        let record_limit = peer.record_limit.bytes();
+        peer.refused_record = None;
+        while position <= end {
             let e = &self.log[(position - self.first_position) as usize];
-            bytes += e.record.len();
+            let record_bytes = e.record.len();
+            if record_bytes > record_limit {
+                peer.refused_record = Some(RefusedRecord { position, bytes: record_bytes });
+                break;
+            }
+            if !entries.is_empty() && bytes + record_bytes > MAX_BATCH_BYTES {
+                break;
+            }
+            bytes += record_bytes;
             entries.push(e.clone());
             position += 1;
         }
+        if entries.is_empty() && peer.refused_record.is_some() {
+            // Chunks of a snapshot are short. Uncommitted records are in no snapshot.
+            if position <= self.state.position && peer.record_limit != PeerRecordLimit::Unknown {
+                self.send_snapshot(node, now, out);
+                return;
+            }
+            if !force {
+                return;
+            }
+        }
         let prev_term = if prev + 1 == self.first_position {
             self.base_term
         } else {
@@ -65,8 +88,9 @@
             commit: self.commit,
             time_ms: self.clock.running_time(now).unwrap_or(0),
         };
+        let is_refused = peer.refused_record.is_some();
         out.push(Effect::Send(node.to_owned(), Body::Entries(message)));
-        if position <= end {
+        if position <= end && !is_refused {
             self.send_to(node, now, false, out);
         }
     }
@@ -155,6 +179,7 @@
         let (commit, first, end, takeover_end) = (self.commit, self.first_position, self.end(), self.takeover_end);
         let Some(peer) = self.peers.get_mut(&ack.node) else { return };
         (peer.last_heard, peer.silent_since) = (now, now);
+        peer.record_limit = PeerRecordLimit::of(&ack);
         if peer.incarnation != ack.incarnation {
             // A new process: the disk contents of the previous one may be lost.
             peer.incarnation = ack.incarnation;
@@ -193,6 +218,10 @@
             peer.acked = ack.durable.min(peer.sent);
         }
         let acked = peer.acked;
+        if peer.refused_record.is_some_and(|record| record.position <= acked) {
+            peer.refused_record = None;
+        }
+        let receives_all = peer.refused_record.is_none();
         let wanted = self.replicas.contains(&ack.node);
         if wanted
             && !self.in_sync.contains(&ack.node)
@@ -200,6 +229,7 @@
             // Includes entries found at takeover, which a former owner may have committed.
             && acked >= commit.max(takeover_end)
             && !refused
+            && receives_all
         {
             self.joining.insert(ack.node.clone(), now);
             self.request_join(&ack.node, out);
--- /dev/null
+++ b/crates/partition/tests/long_records.rs
@@ -0,0 +1,117 @@
+//! Tests of records longer than `FRAME_LIMIT`.
+
+mod common;
+
+use common::*;
+use partition::*;
+use prost::Message;
+use rpc::messages::*;
+
+/// The longest record that a node of this build receives in these tests.
+const RECORD_LIMIT: usize = 5 << 20;
+
+/// Node `a` owns the partition, `b` follows in sync, and `c` is at hand as a replacement.
+fn cluster() -> Cluster {
+    let mut cluster = Cluster::new(&["a", "b"]);
+    for node in cluster.nodes.values_mut() {
+        node.incarnation = 1;
+        node.max_record_bytes = RECORD_LIMIT;
+    }
+    cluster.append_message("first").expect("written");
+    cluster.advance(1000);
+    cluster
+}
+
+fn accept_of(id: &str, body_bytes: usize) -> Entry {
+    let item = Item { id: id.into(), route: "r".into(), body: vec![1; body_bytes].into(), ..Item::default() };
+    Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None })
+}
+
+/// Restarts all nodes and makes `a` the owner again, at a new term.
+fn restart_all(cluster: &mut Cluster) {
+    for node in ["a", "b", "c"] {
+        cluster.crash(node);
+        let replica = cluster.nodes.get_mut(node).expect("a node");
+        (replica.incarnation, replica.max_record_bytes) = (1, RECORD_LIMIT);
+    }
+    cluster.assignment.term += 1;
+    cluster.assignment.joined = ["a", "b"].map(|node| Joined { node: node.into(), incarnation: 1 }).into();
+    cluster.send_assignment();
+    cluster.run_until_idle();
+}
+
+/// Adds an uncommitted record to the log on the disk of `a`, as a build does that does not check the length.
+fn put_long_record_on_disk(cluster: &mut Cluster, id: &str) -> u64 {
+    let record = Record { at_ms: cluster.now, entry: Some(accept_of(id, rpc::FRAME_LIMIT)) };
+    let position = cluster.nodes["a"].end() + 1;
+    let entry = LogEntry { term: cluster.assignment.term, record: record.encode_to_vec().into() };
+    cluster.disks.get_mut("a").expect("a disk").log.insert(position, entry);
+    position
+}
+
+/// Regression test: a record that fits no frame to the follower stopped all commits of its partition.
+#[test]
+fn a_record_of_any_length_up_to_the_limit_is_committed() {
+    let mut cluster = cluster();
+    for bytes in [rpc::FRAME_LIMIT - 64, rpc::FRAME_LIMIT, rpc::FRAME_LIMIT + 64, RECORD_LIMIT - 64] {
+        let id = format!("long{bytes}");
+        let position = cluster.append(accept_of(&id, bytes)).expect("written");
+        cluster.append_message(&format!("behind{bytes}")).expect("written");
+        assert!(cluster.nodes["a"].commit > position, "{bytes}");
+        assert!(cluster.has_message("b", &id), "{bytes}");
+    }
+}
+
+#[test]
+fn a_record_longer_than_a_replica_receives_is_refused_and_later_ones_are_committed() {
+    let mut cluster = cluster();
+    assert_eq!(cluster.append(accept_of("longest", RECORD_LIMIT)), None);
+    let fit = cluster.nodes["a"].fit(RECORD_LIMIT + 1);
+    assert_eq!(fit, RecordFit::TooLong { limit: RECORD_LIMIT });
+    // The follower has less memory.
+    cluster.nodes.get_mut("b").expect("a node").max_record_bytes = RECORD_LIMIT - 4096;
+    cluster.append_message("second").expect("written");
+    assert_eq!(cluster.nodes["a"].fit(RECORD_LIMIT), RecordFit::TooLong { limit: RECORD_LIMIT - 4096 });
+    let position = cluster.append_message("third").expect("written");
+    assert!(cluster.nodes["a"].commit >= position);
+}
+
+#[test]
+fn nothing_long_is_appended_while_an_in_sync_replica_states_no_limit() {
+    let mut cluster = cluster();
+    cluster.old_builds.insert("b".into());
+    cluster.append_message("second").expect("written");
+    assert_eq!(cluster.nodes["a"].fit(rpc::FRAME_LIMIT), RecordFit::Unknown);
+    assert_eq!(cluster.append(accept_of("long", rpc::FRAME_LIMIT)), None);
+    let position = cluster.append_message("third").expect("written");
+    assert!(cluster.nodes["a"].commit >= position);
+    // Its machine gets the new build.
+    cluster.old_builds.clear();
+    cluster.append_message("fourth").expect("written");
+    assert!(cluster.append(accept_of("long", rpc::FRAME_LIMIT)).is_some());
+    cluster.advance(100);
+    assert!(cluster.has_message("b", "long"));
+}
+
+#[test]
+fn an_uncommitted_long_record_of_an_older_build_is_committed_after_the_upgrade() {
+    let mut cluster = cluster();
+    let position = put_long_record_on_disk(&mut cluster, "long");
+    restart_all(&mut cluster);
+    let next = cluster.append_message("next").expect("written");
+    cluster.advance(500);
+    assert!(cluster.nodes["a"].commit >= next && next > position);
+    assert!(cluster.has_message("b", "long") && cluster.has_message("b", "next"));
+}
+
+#[test]
+fn an_older_replica_outside_the_in_sync_set_gets_a_long_record_in_a_snapshot() {
+    let mut cluster = cluster();
+    cluster.append(accept_of("long", rpc::FRAME_LIMIT)).expect("written");
+    cluster.old_builds.insert("c".into());
+    cluster.assignment.replicas.push("c".into());
+    cluster.send_assignment();
+    cluster.advance(3000);
+    assert!(cluster.has_message("c", "long"));
+    assert_eq!(cluster.assignment.in_sync, ["a", "b", "c"]);
+}
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -1,154 +1,60 @@
+//! Connections between processes: calls with replies, and messages without one.
+
 use crate::ExecutionOutcome;
+use crate::frame::{FrameReader, FrameSummary, Incoming, hello, is_long, max_frame_bytes, put_measured_frame};
 use crate::messages::{Body, Envelope};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::BytesMut;
 use prost::Message;
 use std::collections::HashMap;
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
-
-/// The maximum frame length in bytes; a larger frame closes its connection.
-pub const FRAME_LIMIT: usize = 4 << 20;
-
-/// Appends one frame: the length as a big-endian `u32`, then the encoded envelope.
-pub fn put_frame(out: &mut BytesMut, envelope: &Envelope) {
-    let len = envelope.encoded_len();
-    out.reserve(len + 4);
-    out.extend_from_slice(&(len as u32).to_be_bytes());
-    envelope.encode(out).expect("room was reserved");
-    if let Some(body) = &envelope.body {
-        let (frames, bytes) = &SENT_BY_KIND[message_kind(body)];
-        frames.fetch_add(1, Ordering::Relaxed);
-        bytes.fetch_add(len as u64 + 4, Ordering::Relaxed);
-    }
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Frames are written in batches of at least this many bytes, if that many wait.
+const WRITE_BATCH_BYTES: usize = 256 << 10;
+/// A write buffer that has grown beyond this is not kept for the next batch.
+const KEPT_BUFFER_BYTES: usize = 64 << 10;
+/// Number of the call that introduces a client to its server.
+const HELLO_CALL: u64 = u64::MAX;
+/// Minimum time between two log lines about frames that exceed a limit.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
+static REFUSED_FRAME_LOG: telemetry::Throttle = telemetry::Throttle::new();
+
+/// How a process treats the other side of its connections.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerOptions {
+    /// How long the kernel waits for a peer that acknowledges nothing.
+    pub timeout: Duration,
+    /// The longest frame that this process accepts, in bytes.
+    pub max_frame_bytes: usize,
 }
 
-const KIND_COUNT: usize = 40;
-
-/// Frames and bytes sent by this process, by message kind.
-static SENT_BY_KIND: [(AtomicU64, AtomicU64); KIND_COUNT] =
-    [const { (AtomicU64::new(0), AtomicU64::new(0)) }; KIND_COUNT];
-
-fn message_kind(body: &Body) -> usize {
-    match body {
-        Body::WatchRequest(_) => 0,
-        Body::ViewUpdate(_) => 1,
-        Body::Lease(_) => 2,
-        Body::LeaseAck(_) => 3,
-        Body::Order(_) => 4,
-        Body::OrderAck(_) => 5,
-        Body::RaftNode(_) => 6,
-        Body::Accept(_) => 7,
-        Body::Accepted(_) => 8,
-        Body::Lookup(_) => 9,
-        Body::Found(_) => 10,
-        Body::Run(_) => 11,
-        Body::RunAck(_) => 12,
-        Body::Report(_) => 13,
-        Body::ReportAck(_) => 14,
-        Body::Holding(_) => 15,
-        Body::Held(_) => 16,
-        Body::Notify(_) => 17,
-        Body::NotifyAck(_) => 18,
-        Body::Entries(_) => 19,
-        Body::EntriesAck(_) => 20,
-        Body::Chunk(_) => 21,
-        Body::Status(_) => 22,
-        Body::StatusAck(_) => 23,
-        Body::Gossip(_) => 24,
-        Body::Ack(_) => 25,
-        Body::SlotRequest(_) => 26,
-        Body::SlotGrant(_) => 27,
-        Body::SlotRelease(_) => 28,
-        Body::SlotsHeld(_) => 29,
-        Body::Start(_) => 30,
-        Body::StartAck(_) => 31,
-        Body::Stop(_) => 32,
-        Body::ProcessorsRequest(_) => 33,
-        Body::Processors(_) => 34,
-        Body::ColdLease(_) => 35,
-        Body::ColdLeaseAck(_) => 36,
-        Body::QuotaRequest(_) => 37,
-        Body::QuotaResponse(_) => 38,
-        Body::Place(_) => 39,
+impl PeerOptions {
+    /// The options of a process with this much memory.
+    pub fn new(timeout: Duration, memory_mb: u64) -> PeerOptions {
+        PeerOptions { timeout, max_frame_bytes: max_frame_bytes(memory_mb) }
     }
 }
 
-/// Returns what this process has sent so far, formatted as `kind=frames/bytes`, in descending order
-/// of bytes.
-pub fn sent_frame_stats() -> String {
-    let names = [
-        "watch",
-        "news",
-        "lease",
-        "lease_ack",
-        "order",
-        "order_ack",
-        "raft",
-        "accept",
-        "accepted",
-        "lookup",
-        "found",
-        "run",
-        "run_ack",
-        "report",
-        "report_ack",
-        "holding",
-        "held",
-        "notify",
-        "notify_ack",
-        "entries",
-        "entries_ack",
-        "chunk",
-        "status",
-        "status_ack",
-        "gossip",
-        "ack",
-        "slot_ask",
-        "slot_grant",
-        "slot_back",
-        "slots_held",
-        "start",
-        "start_ack",
-        "stop",
-        "units_ask",
-        "units",
-        "cold_lease",
-        "cold_lease_ack",
-        "quota_request",
-        "quota_response",
-        "place",
-    ];
-    let bytes_and_frames =
-        |n: usize| (SENT_BY_KIND[n].1.load(Ordering::Relaxed), SENT_BY_KIND[n].0.load(Ordering::Relaxed));
-    let entry = |(n, name): (usize, &&'static str)| {
-        let (bytes, frames) = bytes_and_frames(n);
-        (bytes, frames, *name)
-    };
-    let mut kinds: Vec<(u64, u64, &str)> = names.iter().enumerate().map(entry).filter(|s| s.1 > 0).collect();
-    kinds.sort_unstable_by(|a, b| b.cmp(a));
-    kinds.iter().map(|(bytes, frames, name)| format!("{name}={frames}/{bytes}")).collect::<Vec<_>>().join(" ")
+impl From<Duration> for PeerOptions {
+    /// The options of a process that sends and receives no message bodies.
+    fn from(timeout: Duration) -> PeerOptions {
+        PeerOptions::new(timeout, 0)
+    }
 }
 
-/// Removes one complete frame from the front of the buffer, if there is one.
-pub fn take_frame(buf: &mut BytesMut) -> Result<Option<Envelope>, &'static str> {
-    if buf.len() < 4 {
-        return Ok(None);
-    }
-    let len = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
-    if len > FRAME_LIMIT {
-        return Err("frame too large");
-    }
-    if buf.len() < 4 + len {
-        return Ok(None);
+/// Counts and logs a frame that exceeds the limit of the process that is to read it.
+fn report_refused_frame(counter: &'static str, summary: &FrameSummary, peer: &str, limit: usize) {
+    telemetry::count(counter);
+    if REFUSED_FRAME_LOG.allows(LOG_PERIOD) {
+        telemetry::error!("{summary}, peer {peer}, exceeds the limit of {limit} bytes and is refused ({counter})");
     }
-    buf.advance(4);
-    let frame: Bytes = buf.split_to(len).freeze();
-    Envelope::decode(frame).map(Some).map_err(|_| "frame cannot be read")
 }
 
 /// Disables Nagle's algorithm, and makes the kernel end the connection when the peer does not
@@ -186,32 +92,35 @@
 }
 
 /// Accepts internal connections and passes each request to `handle`.
-pub async fn serve<F>(listener: TcpListener, peer_timeout: Duration, handle: F)
+pub async fn serve<F>(listener: TcpListener, peers: impl Into<PeerOptions>, handle: F)
 where
     F: Fn(Body, Responder) + Send + Sync + 'static,
 {
-    serve_with_disconnect_hook(listener, peer_timeout, handle, |_| ()).await;
+    serve_with_disconnect_hook(listener, peers, handle, |_| ()).await;
 }
 
 /// As `serve`; calls `ended` with the number of each connection that has ended.
-pub async fn serve_with_disconnect_hook<F, E>(listener: TcpListener, peer_timeout: Duration, handle: F, ended: E)
+pub async fn serve_with_disconnect_hook<F, E>(listener: TcpListener, peers: impl Into<PeerOptions>, handle: F, ended: E)
 where
     F: Fn(Body, Responder) + Send + Sync + 'static,
     E: Fn(u64) + Send + Sync + 'static,
 {
+    let peers = peers.into();
     let (handle, ended) = (Arc::new(handle), Arc::new(ended));
     let mut connection = 0u64;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        configure_socket(&stream, peer_timeout);
+        configure_socket(&stream, peers.timeout);
         connection += 1;
         let (handle, ended) = (handle.clone(), ended.clone());
         tokio::spawn(telemetry::contained(async move {
             let _notifier = DisconnectNotifier { connection, ended: &*ended };
-            read_requests(stream, connection, &*handle).await;
+            let served =
+                ServedConnection { connection, peer: peer.to_string(), max_frame_bytes: peers.max_frame_bytes };
+            served.read_requests(stream, &*handle).await;
         }));
     }
 }
@@ -228,54 +137,123 @@
     }
 }
 
-async fn read_requests(stream: TcpStream, connection: u64, handle: &(impl Fn(Body, Responder) + Send + Sync)) {
-    let (mut read, write) = stream.into_split();
-    let (tx, rx) = mpsc::unbounded_channel();
-    let writer = FrameWriter(tx);
-    tokio::spawn(write_replies(write, rx));
-    let mut buf = BytesMut::with_capacity(8 << 10);
-    loop {
+/// The server's side of a connection.
+struct ServedConnection {
+    connection: u64,
+    /// Address of the client.
+    peer: String,
+    /// The longest frame that this process accepts.
+    max_frame_bytes: usize,
+}
+
+impl ServedConnection {
+    async fn read_requests(&self, stream: TcpStream, handle: &(impl Fn(Body, Responder) + Send + Sync)) {
+        let (mut read, write) = stream.into_split();
+        let (tx, rx) = mpsc::unbounded_channel();
+        let writer = FrameWriter(tx);
+        let client_limit = Arc::new(AtomicUsize::new(crate::FRAME_LIMIT));
+        tokio::spawn(write_replies(write, rx, client_limit.clone(), self.peer.clone()));
+        let mut frames = FrameReader::new(self.max_frame_bytes);
         loop {
-            match take_frame(&mut buf) {
-                Ok(Some(e)) => {
-                    if let Some(body) = e.body.filter(|_| !e.reply) {
-                        handle(body, Responder { writer: writer.clone(), call: e.call, connection });
+            loop {
+                match frames.next() {
+                    Ok(Some(Incoming::Envelope(envelope))) => {
+                        self.handle_request(envelope, &writer, &client_limit, handle)
+                    }
+                    Ok(Some(Incoming::TooLong(summary))) => self.refuse_request(&summary, &writer),
+                    Ok(None) => break,
+                    Err(error) => {
+                        telemetry::count("inner_bad_frames");
+                        telemetry::debug!("connection of {} is closed: {error}", self.peer);
+                        return;
                     }
                 }
-                Ok(None) => break,
-                Err(_) => {
-                    telemetry::count("inner_bad_frames");
-                    return;
-                }
             }
+            match frames.fill(&mut read).await {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+        }
+    }
+
+    fn handle_request(
+        &self,
+        envelope: Envelope,
+        writer: &FrameWriter,
+        client_limit: &AtomicUsize,
+        handle: &(impl Fn(Body, Responder) + Send + Sync),
+    ) {
+        let Some(body) = envelope.body.filter(|_| !envelope.reply) else { return };
+        if let Body::Hello(hello_request) = body {
+            let limit = (hello_request.max_frame_bytes as usize).max(crate::FRAME_LIMIT);
+            client_limit.store(limit, Ordering::Relaxed);
+            let _ = writer.0.send(hello(envelope.call, true, self.max_frame_bytes));
+            return;
+        }
+        handle(body, Responder { writer: writer.clone(), call: envelope.call, connection: self.connection });
+    }
+
+    /// Ends a call whose request exceeds the limit: a reply without a body is a failure.
+    fn refuse_request(&self, summary: &FrameSummary, writer: &FrameWriter) {
+        report_refused_frame("inner_frames_too_long", summary, &self.peer, self.max_frame_bytes);
+        if summary.call != 0 && !summary.reply {
+            let _ = writer.0.send(Envelope { call: summary.call, reply: true, body: None });
         }
-        buf.reserve(4 << 10);
-        match read.read_buf(&mut buf).await {
-            Ok(n) if n > 0 => {}
-            _ => return,
+    }
+}
+
+/// Frames that are written together.
+#[derive(Default)]
+struct WriteBatch {
+    buffer: BytesMut,
+}
+
+impl WriteBatch {
+    fn put(&mut self, envelope: &Envelope, len: usize) {
+        put_measured_frame(&mut self.buffer, envelope, len);
+    }
+
+    fn is_full(&self) -> bool {
+        self.buffer.len() >= WRITE_BATCH_BYTES
+    }
+
+    async fn write(&mut self, stream: &mut OwnedWriteHalf) -> io::Result<()> {
+        if self.buffer.is_empty() {
+            return Ok(());
         }
+        stream.write_all(&self.buffer).await?;
+        if self.buffer.capacity() > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        self.buffer.clear();
+        Ok(())
     }
 }
 
-async fn write_replies(mut write: tokio::net::tcp::OwnedWriteHalf, mut rx: mpsc::UnboundedReceiver<Envelope>) {
-    let mut out = BytesMut::new();
-    while let Some(e) = rx.recv().await {
-        put_frame(&mut out, &e);
-        while out.len() < 256 << 10 {
-            match rx.try_recv() {
-                Ok(e) => put_frame(&mut out, &e),
-                Err(_) => break,
+async fn write_replies(
+    mut stream: OwnedWriteHalf,
+    mut rx: mpsc::UnboundedReceiver<Envelope>,
+    client_limit: Arc<AtomicUsize>,
+    peer: String,
+) {
+    let mut batch = WriteBatch::default();
+    while let Some(first) = rx.recv().await {
+        let mut next = Some(first);
+        while let Some(mut envelope) = next {
+            let (mut len, limit) = (envelope.encoded_len(), client_limit.load(Ordering::Relaxed));
+            if len > limit {
+                report_refused_frame("inner_replies_refused", &FrameSummary::of(&envelope, len), &peer, limit);
+                envelope.body = None;
+                len = envelope.encoded_len();
             }
+            batch.put(&envelope, len);
+            next = if batch.is_full() { None } else { rx.try_recv().ok() };
         }
-        if write.write_all(&out).await.is_err() {
+        if batch.write(&mut stream).await.is_err() {
             return;
         }
-        if out.capacity() > 64 << 10 {
-            out = BytesMut::new();
-        }
-        out.clear();
     }
-    let _ = write.shutdown().await;
+    let _ = stream.shutdown().await;
 }
 
 /// A call that waits for its reply.
@@ -301,21 +279,23 @@
     last_received: Arc<Mutex<Instant>>,
     /// When a written call last timed out without a reply.
     timed_out: Option<Instant>,
+    /// The longest frame that the peer accepts, once it is known; an error once the connection ended.
+    peer_limit: watch::Receiver<Option<usize>>,
 }
 
 /// A client for one address. It connects on first use and reconnects after a failure.
 pub struct RpcClient {
     addr: String,
-    peer_timeout: Duration,
+    peers: PeerOptions,
     connection: Mutex<Option<Connection>>,
     next_call: AtomicU64,
 }
 
 impl RpcClient {
-    pub fn new(addr: &str, peer_timeout: Duration) -> Arc<RpcClient> {
+    pub fn new(addr: &str, peers: impl Into<PeerOptions>) -> Arc<RpcClient> {
         Arc::new(RpcClient {
             addr: addr.into(),
-            peer_timeout,
+            peers: peers.into(),
             connection: Mutex::new(None),
             next_call: AtomicU64::new(1),
         })
@@ -325,6 +305,14 @@
         &self.addr
     }
 
+    /// The longest frame, in bytes, that the peer has stated to accept. `None` if it has stated nothing
+    /// on the current connection.
+    pub fn stated_limit(&self) -> Option<usize> {
+        let connection = self.connection.lock().unwrap();
+        let limit = *connection.as_ref()?.peer_limit.borrow();
+        limit.filter(|limit| *limit > crate::FRAME_LIMIT)
+    }
+
     /// Returns whether a call has been without a reply for longer than `bound` and nothing else was
     /// received in that time: the peer is down, hung or unreachable. A call that timed out keeps
     /// counting for `peer_timeout`, after which the connection itself ends.
@@ -333,7 +321,7 @@
         let Some(conn) = connection.as_ref().filter(|conn| !conn.tx.is_closed()) else { return false };
         let exceeds_bound = |at: Instant| at.elapsed() > bound;
         let last_received = *conn.last_received.lock().unwrap();
-        let timed_out = conn.timed_out.is_some_and(|at| at > last_received && at.elapsed() < self.peer_timeout);
+        let timed_out = conn.timed_out.is_some_and(|at| at > last_received && at.elapsed() < self.peers.timeout);
         exceeds_bound(last_received)
             && (timed_out || conn.pending.lock().unwrap().values().any(|w| w.written.is_some_and(exceeds_bound)))
     }
@@ -344,14 +332,16 @@
             let (tx, rx) = mpsc::unbounded_channel();
             let pending: PendingCalls = Arc::default();
             let last_received = Arc::new(Mutex::new(Instant::now()));
-            tokio::spawn(run_connection(
-                self.addr.clone(),
-                self.peer_timeout,
-                rx,
-                pending.clone(),
-                last_received.clone(),
-            ));
-            *connection = Some(Connection { tx, pending, last_received, timed_out: None });
+            let (limit_tx, peer_limit) = watch::channel(None);
+            let running = ClientConnection {
+                addr: self.addr.clone(),
+                peers: self.peers,
+                pending: pending.clone(),
+                last_received: last_received.clone(),
+                peer_limit: limit_tx,
+            };
+            tokio::spawn(running.run(rx));
+            *connection = Some(Connection { tx, pending, last_received, timed_out: None, peer_limit });
         }
         let conn = connection.as_ref().expect("set above");
         let call = envelope.call;
@@ -402,22 +392,6 @@
     }
 }
 
-/// Appends a frame to the write buffer, unless it is a call whose caller no longer waits.
-fn put_unless_abandoned(out: &mut BytesMut, e: &Envelope, pending: &PendingCalls) {
-    if e.call != 0 {
-        let mut pending = pending.lock().unwrap();
-        match pending.get_mut(&e.call) {
-            Some(w) if !w.tx.is_closed() => w.written = Some(Instant::now()),
-            // The caller dropped the call, or it timed out.
-            _ => {
-                pending.remove(&e.call);
-                return;
-            }
-        }
-    }
-    put_frame(out, e);
-}
-
 /// Returns whether the machine at that address refuses the connection. A time-out does not count as
 /// a refusal.
 pub async fn refuses_connections(addr: &str, within: Duration) -> bool {
@@ -439,79 +413,151 @@
     None
 }
 
-async fn run_connection(
+/// The client's side of a connection.
+struct ClientConnection {
+    /// Address of the server.
     addr: String,
-    peer_timeout: Duration,
-    mut rx: mpsc::UnboundedReceiver<Envelope>,
+    peers: PeerOptions,
     pending: PendingCalls,
     last_received: Arc<Mutex<Instant>>,
-) {
-    let Some(stream) = connect(&addr, peer_timeout).await else {
+    /// The longest frame that the server accepts, once it is known.
+    peer_limit: watch::Sender<Option<usize>>,
+}
+
+impl ClientConnection {
+    async fn run(self, mut rx: mpsc::UnboundedReceiver<Envelope>) {
+        if let Some(stream) = connect(&self.addr, self.peers.timeout).await {
+            configure_socket(&stream, self.peers.timeout);
+            let (read, write) = stream.into_split();
+            tokio::select! {
+                _ = self.read_replies(read) => {},
+                _ = self.write_requests(write, &mut rx) => {},
+            }
+        }
         rx.close();
-        fail_pending(&pending);
-        return;
-    };
-    configure_socket(&stream, peer_timeout);
-    let (mut read, mut write) = stream.into_split();
-    let reader_pending = pending.clone();
-    let reader = async move {
-        let mut buf = BytesMut::with_capacity(8 << 10);
+        fail_pending(&self.pending);
+    }
+
+    async fn read_replies(&self, mut stream: tokio::net::tcp::OwnedReadHalf) -> io::Result<()> {
+        let mut frames = FrameReader::new(self.peers.max_frame_bytes);
         loop {
-            while let Some(e) = take_frame(&mut buf).map_err(io::Error::other)? {
-                if !e.reply {
-                    telemetry::count("inner_answers_unwanted");
-                    continue;
-                }
-                let w = reader_pending.lock().unwrap().remove(&e.call);
-                match (w, e.body) {
-                    (Some(w), Some(b)) => drop(w.tx.send(Ok(b))),
-                    (Some(w), None) => w.fail(),
-                    // The call was dropped or timed out.
-                    (None, _) => telemetry::count("inner_answers_unwanted"),
+            while let Some(incoming) = frames.next()? {
+                match incoming {
+                    Incoming::Envelope(envelope) => self.handle_reply(envelope),
+                    Incoming::TooLong(summary) => self.refuse_reply(&summary),
                 }
             }
-            buf.reserve(4 << 10);
-            if read.read_buf(&mut buf).await? == 0 {
-                return Err::<(), io::Error>(io::ErrorKind::UnexpectedEof.into());
+            if frames.fill(&mut stream).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            *last_received.lock().unwrap() = Instant::now();
+            *self.last_received.lock().unwrap() = Instant::now();
+        }
+    }
+
+    fn handle_reply(&self, envelope: Envelope) {
+        if !envelope.reply {
+            telemetry::count("inner_answers_unwanted");
+            return;
+        }
+        if let (HELLO_CALL, Some(Body::Hello(hello))) = (envelope.call, &envelope.body) {
+            let limit = (hello.max_frame_bytes as usize).max(crate::FRAME_LIMIT);
+            self.peer_limit.send_replace(Some(limit));
+            return;
+        }
+        let call = self.pending.lock().unwrap().remove(&envelope.call);
+        match (call, envelope.body) {
+            (Some(call), Some(body)) => drop(call.tx.send(Ok(body))),
+            (Some(call), None) => call.fail(),
+            // The call was dropped or timed out.
+            (None, _) => telemetry::count("inner_answers_unwanted"),
         }
-    };
-    let writer = async {
-        let mut out = BytesMut::new();
-        while let Some(e) = rx.recv().await {
-            put_unless_abandoned(&mut out, &e, &pending);
-            while out.len() < 256 << 10 {
-                match rx.try_recv() {
-                    Ok(e) => put_unless_abandoned(&mut out, &e, &pending),
-                    Err(_) => break,
+    }
+
+    fn refuse_reply(&self, summary: &FrameSummary) {
+        report_refused_frame("inner_frames_too_long", summary, &self.addr, self.peers.max_frame_bytes);
+        if let Some(call) = self.pending.lock().unwrap().remove(&summary.call) {
+            call.fail();
+        }
+    }
+
+    async fn write_requests(
+        &self,
+        mut stream: OwnedWriteHalf,
+        rx: &mut mpsc::UnboundedReceiver<Envelope>,
+    ) -> io::Result<()> {
+        let mut batch = WriteBatch::default();
+        let mut is_introduced = false;
+        while let Some(first) = rx.recv().await {
+            let mut next = Some(first);
+            while let Some(envelope) = next {
+                let len = envelope.encoded_len();
+                if !is_introduced && (is_long(len) || may_have_long_reply(&envelope)) {
+                    is_introduced = true;
+                    let introduction = hello(HELLO_CALL, false, self.peers.max_frame_bytes);
+                    batch.put(&introduction, introduction.encoded_len());
                 }
+                if is_long(len) && self.peer_limit.borrow().is_none() {
+                    batch.write(&mut stream).await?;
+                    self.await_introduction().await;
+                }
+                self.put(&mut batch, &envelope, len);
+                next = if batch.is_full() { None } else { rx.try_recv().ok() };
             }
-            if out.is_empty() {
-                continue;
+            batch.write(&mut stream).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the server to state its limit. A server that has stated none within half of the time
+    /// of a silent peer does not know the message and accepts `FRAME_LIMIT` bytes.
+    async fn await_introduction(&self) {
+        let mut limit = self.peer_limit.subscribe();
+        let stated = limit.wait_for(Option::is_some);
+        if tokio::time::timeout(self.peers.timeout / 2, stated).await.is_err() {
+            self.peer_limit.send_if_modified(|limit| limit.replace(crate::FRAME_LIMIT).is_none());
+        }
+    }
+
+    /// Adds a frame to a batch, unless it is a call whose caller no longer waits, or the server does
+    /// not accept its length.
+    fn put(&self, batch: &mut WriteBatch, envelope: &Envelope, len: usize) {
+        let limit = self.peer_limit.borrow().unwrap_or(crate::FRAME_LIMIT);
+        if len > limit {
+            report_refused_frame("inner_requests_refused", &FrameSummary::of(envelope, len), &self.addr, limit);
+            if let Some(call) = self.pending.lock().unwrap().remove(&envelope.call) {
+                call.fail();
             }
-            write.write_all(&out).await?;
-            if out.capacity() > 64 << 10 {
-                out = BytesMut::new();
+            return;
+        }
+        if envelope.call != 0 {
+            let mut pending = self.pending.lock().unwrap();
+            match pending.get_mut(&envelope.call) {
+                Some(call) if !call.tx.is_closed() => call.written = Some(Instant::now()),
+                // The caller dropped the call, or it timed out.
+                _ => {
+                    pending.remove(&envelope.call);
+                    return;
+                }
             }
-            out.clear();
         }
-        Ok::<(), io::Error>(())
-    };
-    tokio::select! { _ = reader => {}, _ = writer => {} }
-    rx.close();
-    fail_pending(&pending);
+        batch.put(envelope, len);
+    }
+}
+
+/// Whether the reply to a request may exceed `FRAME_LIMIT`: it holds the body of a message.
+fn may_have_long_reply(envelope: &Envelope) -> bool {
+    matches!(&envelope.body, Some(Body::Lookup(lookup)) if lookup.body)
 }
 
 /// The clients for all addresses in use.
 pub struct RpcClients {
-    peer_timeout: Duration,
+    peers: PeerOptions,
     clients: Mutex<HashMap<String, Arc<RpcClient>>>,
 }
 
 impl RpcClients {
-    pub fn new(peer_timeout: Duration) -> Arc<RpcClients> {
-        Arc::new(RpcClients { peer_timeout, clients: Mutex::default() })
+    pub fn new(peers: impl Into<PeerOptions>) -> Arc<RpcClients> {
+        Arc::new(RpcClients { peers: peers.into(), clients: Mutex::default() })
     }
 
     pub fn to(&self, addr: &str) -> Arc<RpcClient> {
@@ -519,7 +565,7 @@
         if let Some(client) = clients.get(addr) {
             return client.clone();
         }
-        let client = RpcClient::new(addr, self.peer_timeout);
+        let client = RpcClient::new(addr, self.peers);
         clients.insert(addr.to_owned(), client.clone());
         client
     }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod connection;
 mod delta;
+mod frame;
+mod frame_stats;
 mod incarnation;
 pub mod messages;
 mod outcome;
@@ -11,6 +13,8 @@
 mod slot_owner;
 pub use connection::*;
 pub use delta::MembershipUpdates;
+pub use frame::*;
+pub use frame_stats::sent_frame_stats;
 pub use incarnation::*;
 pub use messages::Body;
 pub use outcome::*;
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod control;
 mod delivery;
+mod hello;
 mod membership;
 mod partition;
 mod quota;
@@ -14,6 +15,7 @@
 pub use cold::*;
 pub use control::*;
 pub use delivery::*;
+pub use hello::*;
 pub use membership::*;
 pub use partition::*;
 pub use quota::*;
@@ -30,7 +32,7 @@
     pub reply: bool,
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50"
     )]
     pub body: Option<Body>,
 }
@@ -117,6 +119,8 @@
     QuotaResponse(QuotaResponse),
     #[prost(message, tag = "49")]
     Place(Place),
+    #[prost(message, tag = "50")]
+    Hello(Hello),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/rpc/src/messages/delivery.rs
+++ b/crates/rpc/src/messages/delivery.rs
@@ -104,6 +104,8 @@
     StaysHere = 9,
     /// Its order key was placed in another partition; nothing was written.
     OrderPlacedElsewhere = 10,
+    /// The message is longer than its replicas can receive; nothing was written.
+    TooLong = 11,
 }
 
 /// A tenant's order key.
@@ -168,6 +170,9 @@
     /// With `PlacedElsewhere`: the placement's generation.
     #[prost(uint64, tag = "6")]
     pub generation: u64,
+    /// With `TooLong`: the longest body that is accepted, in bytes.
+    #[prost(uint64, tag = "7")]
+    pub limit_bytes: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/rpc/src/messages/partition.rs
+++ b/crates/rpc/src/messages/partition.rs
@@ -58,6 +58,10 @@
     /// The node's incarnation; in a different one it may have lost its disk.
     #[prost(uint64, tag = "9")]
     pub incarnation: u64,
+    /// The longest record, in bytes, that the node receives; 0 if it states no limit and so receives
+    /// what fits a frame of `FRAME_LIMIT` bytes.
+    #[prost(uint64, tag = "10")]
+    pub max_record_bytes: u64,
 }
 
 /// A chunk of a snapshot of a partition's state.
--- a/crates/rpc/tests/connections.rs
+++ b/crates/rpc/tests/connections.rs
@@ -2,7 +2,7 @@
 //! time-outs, and matching of replies to calls.
 
 use rpc::messages::*;
-use rpc::{Body, ExecutionOutcome, FRAME_LIMIT, RpcClient};
+use rpc::{Body, ExecutionOutcome, RpcClient};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -74,7 +74,8 @@
 async fn bad_frames_close_their_connection_and_are_counted() {
     let (addr, ended) = lookup_server().await;
     let before = telemetry::get("inner_bad_frames");
-    let too_long = (FRAME_LIMIT as u32 + 1).to_be_bytes().to_vec();
+    // Longer than what is skipped; shorter ones: tests/long_frames.rs.
+    let too_long = u32::MAX.to_be_bytes().to_vec();
     let garbage = [&4u32.to_be_bytes()[..], &[0xff; 4]].concat();
     for (n, bytes) in [too_long, garbage].into_iter().enumerate() {
         let mut s = TcpStream::connect(&addr).await.expect("connected");
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -22,7 +22,9 @@
 use partition::*;
 use prost::Message;
 use rpc::messages::*;
-use rpc::{Body, CarriedTime, DeliveryFailure, ExecutionOutcome, Responder, RetryOwner, RetrySafety, RpcClients};
+use rpc::{
+    Body, CarriedTime, DeliveryFailure, ExecutionOutcome, PeerOptions, Responder, RetryOwner, RetrySafety, RpcClients,
+};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -110,6 +112,15 @@
     fn timing(&self) -> Timing {
         timing(&self.settings)
     }
+
+    fn max_record_bytes(&self) -> usize {
+        max_record_bytes(&self.settings)
+    }
+}
+
+/// The longest record, in bytes, that a node with these settings receives.
+fn max_record_bytes(settings: &Settings) -> usize {
+    rpc::max_record_bytes(rpc::max_frame_bytes(settings.limits.memory_mb))
 }
 
 fn accepted(outcome: AcceptOutcome, position: u64, owner: &str) -> Body {
@@ -216,6 +227,7 @@
             entries,
         )?;
         replica.incarnation = incarnation;
+        replica.max_record_bytes = max_record_bytes(&settings);
         replicas.insert(partition, replica);
     }
     let node = Node {
@@ -229,7 +241,8 @@
         born: disk_identity.first_incarnation,
         changed: 0,
     };
-    let rpc_clients = RpcClients::new(silence_timeout);
+    let peers = PeerOptions::new(silence_timeout, settings.limits.memory_mb);
+    let rpc_clients = RpcClients::new(peers);
     let session = Session::new(settings.clone(), node, rpc_clients.clone());
     let previous_nodes = previous.nodes.clone();
     session.begin_with(previous);
@@ -272,7 +285,7 @@
     let addr = settings.inner_addr(Role::Store);
     let listener = tokio::net::TcpListener::bind(&addr).await.map_err(|e| format!("{addr}: {e}"))?;
     let worker = service.clone();
-    tokio::spawn(rpc::serve(listener, silence_timeout, move |b, responder| worker.handle(b, responder)));
+    tokio::spawn(rpc::serve(listener, peers, move |b, responder| worker.handle(b, responder)));
     tokio::spawn(session.clone().keep());
     tokio::spawn(session.clone().heed(settings_updates));
     tokio::spawn(service.clone().keep_lease());
--- a/crates/store/src/service/dispatch.rs
+++ b/crates/store/src/service/dispatch.rs
@@ -217,6 +217,7 @@
     pub(super) async fn send_attempt(self: Arc<Self>, run: Run, target: Target) {
         let key = (run.partition, run.position);
         let (term, attempt) = (run.term, run.attempt);
+        let is_long = run.item.encoded_len() > rpc::max_record_bytes(rpc::FRAME_LIMIT);
         let wait = Duration::from_millis(self.quiet_fraction_ms(8.0));
         let client = self.rpc_clients.to(&target.front_inner);
         let (item, address, processor) = (Item::default(), String::new(), String::new());
@@ -250,7 +251,9 @@
         let state = &mut *state;
         if state.scheduler.in_flight.get(&key).is_some_and(|f| f.attempt == (term, attempt)) {
             state.scheduler.end_attempt(key);
-            state.scheduler.delay_until(key, self.now() + self.quiet_fraction_ms(200.0));
+            // Delivery nodes that do not receive its length refuse it at once.
+            let pause = if is_long { state.scheduler.next_backoff(key) } else { self.quiet_fraction_ms(200.0) };
+            state.scheduler.delay_until(key, self.now() + pause);
             self.wake.notify_one();
         }
     }
--- a/crates/store/src/service/duties.rs
+++ b/crates/store/src/service/duties.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// A record names at most this many messages, so that its length stays far below what every replica
+/// receives.
+const MAX_POSITIONS_PER_RECORD: usize = 65_536;
+
+/// Splits a list of messages into parts that each fit one record.
+fn split_positions(positions: &[u64]) -> impl Iterator<Item = Positions> {
+    positions.chunks(MAX_POSITIONS_PER_RECORD).map(|part| Positions { positions: part.to_vec() })
+}
+
 impl StoreService {
     /// Runs the periodic work of all partitions. `rounds` counts the calls.
     pub(super) fn tick(self: &Arc<Self>, rounds: u64) {
@@ -25,13 +34,11 @@
                 }
                 if let Some(positions) = state.called_back.remove(&partition).filter(|positions| !positions.is_empty())
                 {
-                    records.push(Entry::Notified(Positions { positions }));
+                    records.extend(split_positions(&positions).map(Entry::Notified));
                 }
                 if rounds.is_multiple_of(10) {
                     let ended = self.ended_messages(replica, &known.configuration, time);
-                    if !ended.is_empty() {
-                        records.push(Entry::Expire(Positions { positions: ended }));
-                    }
+                    records.extend(split_positions(&ended).map(Entry::Expire));
                 }
                 let now = self.now();
                 let mut effects = Vec::new();
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -209,6 +209,7 @@
         state.replicas.entry(id).or_insert_with(|| {
             let mut replica = PartitionReplica::new(id, &self.settings.node, timing);
             replica.incarnation = incarnation;
+            replica.max_record_bytes = self.max_record_bytes();
             replica
         });
     }
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// Bytes of the record of an accept beside the message: time, delay and generations.
+const ACCEPT_RECORD_OVERHEAD: usize = 128;
+
+/// The answer to a message whose record is longer than `limit` bytes.
+fn too_long(limit: usize) -> Body {
+    let limit_bytes = limit.saturating_sub(rpc::ENVELOPE_MARGIN) as u64;
+    Body::Accepted(Accepted { outcome: AcceptOutcome::TooLong as i32, limit_bytes, ..Accepted::default() })
+}
+
 impl StoreService {
     pub(super) fn handle(self: &Arc<Self>, body: Body, responder: Responder) {
         let mut guard = self.shared.lock().unwrap();
@@ -74,6 +83,19 @@
             responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
             return;
         }
+        match replica.fit(request.item.encoded_len() + ACCEPT_RECORD_OVERHEAD) {
+            RecordFit::Fits => {}
+            RecordFit::TooLong { limit } => {
+                telemetry::count("refused_too_long");
+                responder.send(too_long(limit));
+                return;
+            }
+            RecordFit::Unknown => {
+                telemetry::count("accepts_of_unknown_fit");
+                responder.send(accepted(AcceptOutcome::Elsewhere, 0, ""));
+                return;
+            }
+        }
         if !replica.state.has_route(&request.item.route) {
             // If the partition's routes are at least as new as the front's, the route does not
             // exist; otherwise they may still be updated.
--- a/crates/willowslip/src/main.rs
+++ b/crates/willowslip/src/main.rs
@@ -180,6 +180,32 @@
     lines
 }
 
+/// The longest message body that a process with these settings carries; empty for roles that carry none.
+fn describe_body_limit(settings: &Settings) -> String {
+    if !matches!(settings.role.as_str(), "front" | "store") {
+        return String::new();
+    }
+    format!("carries message bodies of up to {} bytes\n", carried_body_bytes(settings))
+}
+
+fn carried_body_bytes(settings: &Settings) -> u64 {
+    rpc::max_body_bytes(rpc::max_frame_bytes(settings.limits.memory_mb)) as u64
+}
+
+/// A warning if a configuration allows longer bodies than processes carry that have the memory of these settings, or,
+/// without settings, the least memory.
+fn describe_long_bodies(configuration: &config::Configuration, settings: Option<&Settings>) -> String {
+    let allowed = configuration.limits.body_bytes;
+    let carried = settings.map_or(rpc::max_body_bytes(rpc::max_frame_bytes(0)) as u64, carried_body_bytes);
+    if allowed <= carried {
+        return String::new();
+    }
+    let machines = settings.map_or("with little memory".to_owned(), |s| format!("with {} MB", s.limits.memory_mb));
+    format!(
+        "bodyBytes {allowed}: fronts and stores {machines} carry {carried} bytes and answer longer bodies with 413\n"
+    )
+}
+
 fn check(settings: Option<String>, config: Option<String>) -> ExitCode {
     let mut is_valid = true;
     let mut loaded_settings = None;
@@ -191,6 +217,7 @@
         match Settings::load(&path) {
             Ok(settings) => {
                 println!("settings of {}: valid", settings.node);
+                print!("{}", describe_body_limit(&settings));
                 loaded_settings = Some(settings);
             }
             Err(e) => {
@@ -206,6 +233,7 @@
                 print!("configuration {}: valid, {routes} routes, {services} services", configuration.revision);
                 println!("{}", describe_tenants(&configuration));
                 print!("{}", describe_home_regions(&configuration, loaded_settings.as_ref()));
+                print!("{}", describe_long_bodies(&configuration, loaded_settings.as_ref()));
             }
             Err(e) => {
                 eprintln!("configuration: {e}");
