A follower that acknowledges nothing for quietMs is replaced, whatever the reason

Cause: the owner asked for a replacement of a follower only when nothing at all was received from it, and only if it had heard from it in its term. One that answers each repeat without progress (a disk that takes nothing, a record that it cannot receive, a task that ended), or that was silent from the start of the term, stayed in sync.

Change: the owner keeps when a follower last made progress. After 16 resend intervals (quietMs) without any it asks for a replacement by the order that exists: the leader puts another machine in its place, and the old copy stays in sync until that one is. Three intervals of silence suffice as before. `stalled` in the store's status names node, position, time and reason.

Tests in long_records: followers that answer without progress, that were not heard in the term, and that cannot receive a record are replaced with no copy missing meanwhile; one that is slow and makes progress is not. The first two fail without this change (no replacement is requested).

--- a/crates/partition/src/lib.rs
+++ b/crates/partition/src/lib.rs
@@ -13,5 +13,5 @@
 pub use clock::{PartitionClock, with_slew_margin};
 pub use placements::{Placement, Placements, SnapshotPlacement};
 pub use record::*;
-pub use replica::{Effect, Meta, PartitionReplica, RecordFit, ReplicaRole, Timing};
+pub use replica::{Effect, Meta, PartitionReplica, RecordFit, ReplicaRole, StallReason, StalledReplica, Timing};
 pub use state::*;
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -4,6 +4,7 @@
 mod follower;
 mod log;
 mod ownership;
+mod progress;
 mod replication;
 mod transfer;
 
@@ -11,6 +12,7 @@
 use crate::record::*;
 use crate::state::*;
 use bytes::Bytes;
+pub use progress::{StallReason, StalledReplica};
 use prost::Message;
 use rpc::Body;
 use rpc::messages::{Chunk, Entries, EntriesAck, LogEntry, Order, OrderAck, OrderKind, Partition};
@@ -78,8 +80,8 @@
     incarnation: u64,
     /// When the control nodes last refused to add it to the in-sync set.
     join_refused_at: u64,
-    /// When it was last heard from or last had no entries left to acknowledge.
-    silent_since: u64,
+    /// When its acknowledged position last advanced or it last had no entries left to acknowledge.
+    progressed_at: u64,
     /// The longest record that it receives.
     record_limit: PeerRecordLimit,
     /// The record that it does not receive because of its length, if there is one.
@@ -91,16 +93,10 @@
 impl Peer {
     /// A peer that is assumed to be up to date.
     fn new(now: u64) -> Peer {
-        Peer { last_heard: now, silent_since: now, ..Peer::default() }
+        Peer { last_heard: now, progressed_at: now, ..Peer::default() }
     }
 }
 
-/// Number of resend intervals after which the owner requests a replacement for an in-sync follower
-/// that has unacknowledged entries and from which nothing was received. Applies only to followers
-/// that were heard from before, since others may still be starting. The control leader detects ended
-/// processes much sooner, through their leases; this covers broken links between two nodes.
-const REPLACE_AFTER_RESENDS: u64 = 3;
-
 /// The longest record that another replica receives, in bytes.
 #[derive(Clone, Copy, Default, Debug, PartialEq, Eq)]
 enum PeerRecordLimit {
@@ -502,18 +498,15 @@
             self.replicas.iter().chain(&self.in_sync).filter(|n| **n != self.node).cloned().collect();
         for n in names {
             let commit = self.commit;
-            let resend_ms = self.timing.resend_ms;
+            let timing = self.timing;
+            let resend_ms = timing.resend_ms;
             // A replica that is not in the in-sync set yet is probed for its log position even if
             // there is nothing to send.
             let out_of_sync = !self.in_sync.contains(&n) && !self.joining.contains_key(&n);
             let p = self.peers.entry(n.clone()).or_insert_with(|| Peer::new(now));
             if p.acked >= end {
-                p.silent_since = now;
-            } else if !out_of_sync
-                && self.replicas.contains(&n)
-                && p.incarnation != 0
-                && now > p.silent_since.max(p.replace_requested_at) + REPLACE_AFTER_RESENDS * resend_ms
-            {
+                p.progressed_at = now;
+            } else if !out_of_sync && self.replicas.contains(&n) && p.is_replacement_due(&timing, now) {
                 p.replace_requested_at = now;
                 telemetry::count("followers_unheard");
                 out.push(Effect::SubmitOrder(Order {
--- a/crates/partition/src/replica/ownership.rs
+++ b/crates/partition/src/replica/ownership.rs
@@ -90,7 +90,7 @@
         let end = self.end();
         self.takeover_end = end;
         for n in self.replicas.iter().chain(&self.in_sync).filter(|n| **n != self.node) {
-            self.peers.insert(n.clone(), Peer { sent: end, last_heard: now, ..Peer::default() });
+            self.peers.insert(n.clone(), Peer { sent: end, ..Peer::new(now) });
         }
         out.push(Effect::Persist { del: None, put: Vec::new(), meta: self.meta(), snapshot: None, term, end });
         out.push(Effect::BecameOwner { seized });
--- a/crates/partition/src/replica/replication.rs
+++ b/crates/partition/src/replica/replication.rs
@@ -178,8 +178,12 @@
         }
         let (commit, first, end, takeover_end) = (self.commit, self.first_position, self.end(), self.takeover_end);
         let Some(peer) = self.peers.get_mut(&ack.node) else { return };
-        (peer.last_heard, peer.silent_since) = (now, now);
+        peer.last_heard = now;
         peer.record_limit = PeerRecordLimit::of(&ack);
+        if peer.snapshot_position > 0 || ack.durable > peer.acked || peer.incarnation != ack.incarnation {
+            // Chunks of a snapshot are acknowledged before their entries are durable.
+            peer.progressed_at = now;
+        }
         if peer.incarnation != ack.incarnation {
             // A new process: the disk contents of the previous one may be lost.
             peer.incarnation = ack.incarnation;
--- a/crates/partition/tests/long_records.rs
+++ b/crates/partition/tests/long_records.rs
@@ -1,4 +1,4 @@
-//! Tests of records longer than `FRAME_LIMIT`.
+//! Tests of records longer than `FRAME_LIMIT`, and of followers that acknowledge nothing.
 
 mod common;
 
@@ -104,6 +104,30 @@
     assert!(cluster.has_message("b", "long") && cluster.has_message("b", "next"));
 }
 
+#[test]
+fn a_replica_that_cannot_receive_a_record_is_named_with_the_reason_and_replaced() {
+    let mut cluster = cluster();
+    let position = put_long_record_on_disk(&mut cluster, "long");
+    cluster.old_builds.insert("b".into());
+    cluster.orders_blocked = true;
+    restart_all(&mut cluster);
+    let next = cluster.append_message("next").expect("written");
+    cluster.advance(5000);
+    assert!(cluster.nodes["a"].commit < position);
+    let stalled = cluster.nodes["a"].stalled_replicas(cluster.now);
+    assert_eq!(stalled.iter().map(|s| (s.node.as_str(), s.position)).collect::<Vec<_>>(), [("b", position)]);
+    assert!(matches!(stalled[0].reason, StallReason::RecordTooLong { bytes, limit } if bytes > limit));
+    cluster.orders_blocked = false;
+    for _ in 0..40 {
+        cluster.advance(50);
+        cluster.send_assignment();
+        cluster.run_until_idle();
+    }
+    assert_eq!(cluster.assignment.in_sync, ["a", "c"]);
+    assert!(cluster.nodes["a"].commit >= next && cluster.has_message("c", "long"));
+    assert_eq!(cluster.nodes["a"].stalled_replicas(cluster.now), []);
+}
+
 #[test]
 fn an_older_replica_outside_the_in_sync_set_gets_a_long_record_in_a_snapshot() {
     let mut cluster = cluster();
@@ -115,3 +139,53 @@
     assert!(cluster.has_message("c", "long"));
     assert_eq!(cluster.assignment.in_sync, ["a", "b", "c"]);
 }
+
+/// Regression test: a follower that answered without ever acknowledging an entry stayed in the in-sync set for good.
+#[test]
+fn a_follower_that_answers_without_progress_is_replaced() {
+    let mut cluster = cluster();
+    cluster.sync_blocked.insert("b".into());
+    let position = cluster.append_message("second").expect("written");
+    cluster.advance(3500);
+    assert!(cluster.replace_requests.is_empty(), "it may still write");
+    let mut least = usize::MAX;
+    for _ in 0..60 {
+        cluster.advance(50);
+        cluster.send_assignment();
+        cluster.run_until_idle();
+        least = least.min(cluster.assignment.in_sync.len());
+    }
+    assert_eq!(cluster.replace_requests, ["b"]);
+    assert_eq!((cluster.assignment.in_sync.clone(), least), (vec!["a".to_owned(), "c".to_owned()], 2));
+    assert!(cluster.nodes["a"].commit >= position && cluster.nodes["c"].durable >= position);
+}
+
+#[test]
+fn a_follower_that_was_never_heard_in_a_term_is_replaced() {
+    let mut cluster = cluster();
+    cluster.disconnected.insert("b".into());
+    restart_all(&mut cluster);
+    let position = cluster.append_message("second").expect("written");
+    cluster.advance(3500);
+    assert!(cluster.replace_requests.is_empty(), "it may still start");
+    for _ in 0..60 {
+        cluster.advance(50);
+        cluster.send_assignment();
+        cluster.run_until_idle();
+    }
+    assert_eq!(cluster.assignment.in_sync, ["a", "c"]);
+    assert!(cluster.nodes["a"].commit >= position);
+}
+
+#[test]
+fn a_slow_follower_that_makes_progress_is_not_replaced() {
+    let mut cluster = cluster();
+    for round in 0..20 {
+        cluster.sync_blocked.insert("b".into());
+        cluster.append_message(&format!("m{round}")).expect("written");
+        cluster.advance(1500);
+        cluster.sync_blocked.clear();
+        cluster.advance(50);
+    }
+    assert!(cluster.replace_requests.is_empty());
+}
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -326,10 +326,12 @@
     pub(super) fn status(&self, state: &StoreState) -> String {
         use std::fmt::Write;
         let mut s = String::from("{\"partitions\":[");
+        let now = self.now();
         for (n, replica) in state.replicas.values().enumerate() {
+            let stalled: Vec<serde_json::Value> = replica.stalled_replicas(now).iter().map(stalled_json).collect();
             let _ = write!(
                 s,
-                "{}{{\"id\":{},\"seat\":\"{}\",\"term\":{},\"end\":{},\"commit\":{},\"durable\":{},\"verified\":{},\"mismatch\":{},\"digest\":\"{:016x}\",\"pending\":{},\"kept\":{},\"moving\":{},\"waitsFor\":{:?}}}",
+                "{}{{\"id\":{},\"seat\":\"{}\",\"term\":{},\"end\":{},\"commit\":{},\"durable\":{},\"verified\":{},\"mismatch\":{},\"digest\":\"{:016x}\",\"pending\":{},\"kept\":{},\"moving\":{},\"waitsFor\":{:?},\"stalled\":{}}}",
                 if n > 0 { "," } else { "" },
                 replica.id,
                 if replica.role == ReplicaRole::Owner { "owner" } else { "follower" },
@@ -343,7 +345,8 @@
                 replica.state.pending.len(),
                 replica.state.messages.len(),
                 replica.is_moving(),
-                if replica.role == ReplicaRole::Owner { replica.unacknowledged_replicas() } else { Vec::new() }
+                if replica.role == ReplicaRole::Owner { replica.unacknowledged_replicas() } else { Vec::new() },
+                serde_json::Value::from(stalled)
             );
         }
         let _ = write!(
@@ -358,3 +361,13 @@
         s
     }
 }
+
+/// A follower that holds up commits, for the status.
+fn stalled_json(stalled: &StalledReplica) -> serde_json::Value {
+    serde_json::json!({
+        "node": stalled.node,
+        "position": stalled.position,
+        "stalledMs": stalled.stalled_ms,
+        "reason": stalled.reason.to_string(),
+    })
+}
