--- a/crates/front/src/ingest.rs
+++ b/crates/front/src/ingest.rs
@@ -63,7 +63,8 @@
         let limits = &self.view.borrow().configuration.limits;
         let configured =
             Bounds::from_settings(limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms);
-        Bounds { body_bytes: configured.body_bytes.min(self.max_body_bytes()), ..configured }
+        let carried = Bounds { body_bytes: configured.body_bytes.min(self.max_body_bytes()), ..configured };
+        carried.with_memory(self.settings.limits.memory_mb)
     }
 
     /// The longest frame that this process accepts, in bytes.
--- a/crates/functions/src/gateway.rs
+++ b/crates/functions/src/gateway.rs
@@ -155,6 +155,7 @@
     fn request_bounds(&self) -> Bounds {
         let limits = &self.view.borrow().configuration.limits;
         Bounds::from_settings(limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms)
+            .with_memory(self.settings.limits.memory_mb)
     }
 
     /// Follows the local agent, and applies the cluster views that it sends.
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -70,6 +70,7 @@
     fn bounds(&self) -> Bounds {
         let limits = &self.known.borrow().configuration.limits;
         Bounds::from_settings(limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms)
+            .with_memory(self.settings.limits.memory_mb)
     }
 
     async fn follow_cluster(self: Arc<Self>) {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![warn(missing_docs)]
 
+mod body_budget;
 mod client;
 mod client_connection;
 mod header_time;
--- a/crates/http1/src/parse.rs
+++ b/crates/http1/src/parse.rs
@@ -12,11 +12,23 @@
     pub header_ms: u64,
     /// How long a connection may be idle between requests, in milliseconds.
     pub idle_ms: u64,
+    /// Bytes of bodies that all requests of the process may hold at a time.
+    pub body_budget_bytes: usize,
 }
 
+/// The memory of a process divided by this is the budget for request bodies. A body may stand twice
+/// in memory, as read and as it is sent on.
+const BODY_BUDGET_DIVISOR: usize = 4;
+
 impl Default for Bounds {
     fn default() -> Self {
-        Bounds { header_bytes: 16 << 10, body_bytes: 256 << 10, header_ms: 3000, idle_ms: 15000 }
+        Bounds {
+            header_bytes: 16 << 10,
+            body_bytes: 256 << 10,
+            header_ms: 3000,
+            idle_ms: 15000,
+            body_budget_bytes: usize::MAX,
+        }
     }
 }
 
@@ -38,6 +50,15 @@
         }
         b
     }
+
+    /// Bounds the bodies by the memory of the process; 0 stands for no limit.
+    pub fn with_memory(self, memory_mb: u64) -> Bounds {
+        if memory_mb == 0 {
+            return self;
+        }
+        let body_budget_bytes = (memory_mb << 20) as usize / BODY_BUDGET_DIVISOR;
+        Bounds { body_bytes: self.body_bytes.min(body_budget_bytes), body_budget_bytes, ..self }
+    }
 }
 
 /// A request with its complete body.
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,3 +1,4 @@
+use crate::body_budget::BodyReservation;
 use crate::client_connection::{ClientConnection, ClientConnectionSender};
 use crate::parse::*;
 use bytes::{Bytes, BytesMut};
@@ -168,7 +169,7 @@
     let mut buf = BytesMut::with_capacity(4 << 10);
     let mut out = BytesMut::new();
     loop {
-        let mut request = match read_request(&mut stream, &mut buf, &bounds, &mut closing).await {
+        let (mut request, _reservation) = match read_request(&mut stream, &mut buf, &bounds, &mut closing).await {
             Ok(Some(r)) => r,
             Ok(None) => return,
             Err(error) => {
@@ -177,7 +178,11 @@
                 let limit =
                     if error.status == 413 { format!(",\"limitBytes\":{}", b.body_bytes) } else { String::new() };
                 let body = format!("{{\"fault\":\"{}\"{limit}}}", error.reason);
-                put_reply(&mut out, &Reply::json(error.status, body), false, false);
+                let reply = match error.status {
+                    503 => Reply::json(503, body).with("Retry-After", "1"),
+                    status => Reply::json(status, body),
+                };
+                put_reply(&mut out, &reply, false, false);
                 let _ = stream.write_all(&out).await;
                 close_gracefully(&mut stream, b.header_ms / 10).await;
                 return;
@@ -255,7 +260,7 @@
     buf: &mut BytesMut,
     bounds: &impl Fn() -> Bounds,
     closing: &mut watch::Receiver<Closing>,
-) -> Result<Option<Request>, RequestError> {
+) -> Result<Option<(Request, BodyReservation)>, RequestError> {
     if buf.is_empty() {
         buf.reserve(2 << 10);
         tokio::select! {
@@ -281,6 +286,17 @@
                 _ => return Ok(None),
             }
         };
+        let mut reservation = BodyReservation::default();
+        let mut reserve = |bytes| match reservation.grow_to(bytes, bounds.body_budget_bytes) {
+            true => Ok(()),
+            false => {
+                telemetry::count("refused_no_memory");
+                Err(RequestError { status: 503, reason: "no memory for its body now" })
+            }
+        };
+        if let Framing::Length(n) = framing {
+            reserve(n)?;
+        }
         if expect && framing != Framing::None {
             let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
@@ -297,20 +313,22 @@
             }
             Framing::Chunked => {
                 let mut chunks = Chunks::default();
+                let mut received = buf.len();
                 request.body = loop {
+                    reserve(received)?;
                     if let Some(body) = chunks.take(buf, bounds.body_bytes)? {
                         break body;
                     }
                     buf.reserve(2 << 10);
                     match stream.read_buf(buf).await {
-                        Ok(k) if k > 0 => {}
+                        Ok(k) if k > 0 => received += k,
                         _ => return Ok(None),
                     }
                 };
             }
             _ => {}
         }
-        Ok(Some(request))
+        Ok(Some((request, reservation)))
     };
     match tokio::time::timeout(Duration::from_millis(bounds.header_ms), read).await {
         Ok(r) => r,
--- a/crates/http1/tests/clients.rs
+++ b/crates/http1/tests/clients.rs
@@ -283,3 +283,52 @@
     assert_eq!(left.lock().unwrap()[1..], [("/1".to_owned(), false), ("/2".to_owned(), false)]);
     drop(stays);
 }
+
+/// Sends the head of a request with a body of `length` bytes and returns the connection.
+async fn begin_request(addr: &str, length: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).await.expect("connected");
+    let head = format!("POST /x/0 HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream
+}
+
+/// Reads until the response is complete or the connection ends.
+async fn read_text(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(b"}") && !text.windows(4).any(|end| end == b"\r\n\r\n") {
+        let read = tokio::time::timeout(READ_TIMEOUT, stream.read_buf(&mut text)).await;
+        if read.expect("a response").unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    String::from_utf8(text).expect("text")
+}
+
+/// Bodies of all requests share a budget; what exceeds it is refused before it is read. In a runtime of its own
+/// process-wide count: no other test of this file sends bodies of this length.
+#[tokio::test(flavor = "current_thread")]
+async fn bodies_beyond_the_budget_are_refused_before_they_are_read() {
+    const BODY: usize = 1 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a free port");
+    let addr = listener.local_addr().expect("local address").to_string();
+    let (_open, closing) = watch::channel(Closing::Open);
+    let bounds = || Bounds { body_bytes: BODY, body_budget_bytes: 2 * BODY + (256 << 10), ..Bounds::default() };
+    tokio::spawn(listen(listener, bounds, closing, ClientWatch::Off, |_| async { Reply::new(200) }));
+    let mut first = begin_request(&addr, BODY).await;
+    let mut second = begin_request(&addr, BODY).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let refused = read_text(&mut begin_request(&addr, BODY).await).await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.to_ascii_lowercase().contains("retry-after: 1"), "{refused}");
+    // A client that leaves and one that is answered return what they reserved.
+    drop(second);
+    first.write_all(&vec![b'x'; BODY]).await.expect("sent");
+    assert!(read_text(&mut first).await.starts_with("HTTP/1.1 200"));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    second = begin_request(&addr, BODY).await;
+    let mut third = begin_request(&addr, BODY).await;
+    for stream in [&mut second, &mut third] {
+        stream.write_all(&vec![b'x'; BODY]).await.expect("sent");
+        assert!(read_text(stream).await.starts_with("HTTP/1.1 200"));
+    }
+}
--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -32,7 +32,7 @@
         del: Option<(u64, u64)>,
         put: Vec<(u64, LogEntry)>,
         meta: Meta,
-        snapshot: Option<Bytes>,
+        snapshot: Option<EncodedSnapshot>,
         term: u64,
         end: u64,
     },
@@ -84,6 +84,8 @@
     progressed_at: u64,
     /// The longest record that it receives.
     record_limit: PeerRecordLimit,
+    /// It has no room for more messages.
+    is_full: bool,
     /// The record that it does not receive because of its length, if there is one.
     refused_record: Option<RefusedRecord>,
     /// When a replacement for it was last requested.
@@ -215,6 +217,8 @@
     disk_base_term: u64,
     log: VecDeque<LogEntry>,
     log_bytes: usize,
+    /// Bytes of the records that are not applied to the state yet.
+    unapplied_bytes: usize,
     pub durable: u64,
     pub commit: u64,
     pub state: PartitionState,
@@ -245,6 +249,8 @@
     takeover_end: u64,
     /// The longest record that this node receives, in bytes.
     pub max_record_bytes: usize,
+    /// This node has no room for more messages. Owners learn it with the next acknowledgement.
+    pub is_node_full: bool,
     timing: Timing,
     since_snapshot: usize,
     clock: PartitionClock,
@@ -264,6 +270,7 @@
             disk_base_term: 0,
             log: VecDeque::new(),
             log_bytes: 0,
+            unapplied_bytes: 0,
             durable: 0,
             commit: 0,
             state: PartitionState::new(timing.retention()),
@@ -288,6 +295,7 @@
             assignment_version: 0,
             takeover_end: 0,
             max_record_bytes: UNSTATED_RECORD_LIMIT,
+            is_node_full: false,
             timing,
             since_snapshot: 0,
             clock: PartitionClock::default(),
@@ -331,6 +339,7 @@
                 return Err(format!("partition {id}: entry {} is missing, found entry {position}", replica.end() + 1));
             }
             replica.log_bytes += entry.record.len();
+            replica.unapplied_bytes += entry.record.len();
             replica.log.push_back(entry);
         }
         replica.since_snapshot = replica.log_bytes;
@@ -383,6 +392,29 @@
         self.in_sync.iter().map(String::as_str).filter(|node| *node != self.node && !has_all(node)).collect()
     }
 
+    /// Bytes of the records in the log that are not applied yet: of those that are, the state holds what
+    /// is kept.
+    pub fn unapplied_bytes(&self) -> usize {
+        self.unapplied_bytes
+    }
+
+    /// The in-sync followers that have no room for more messages.
+    pub fn full_replicas(&self) -> impl Iterator<Item = &str> {
+        let is_full = |node: &&String| self.peers.get(*node).is_some_and(|peer| peer.is_full);
+        self.in_sync.iter().filter(is_full).map(String::as_str)
+    }
+
+    /// Approximate bytes that the partition takes on disk: a snapshot and the records since the last
+    /// one.
+    pub fn disk_bytes(&self) -> usize {
+        self.state.snapshot_bytes() + self.since_snapshot
+    }
+
+    /// Bytes of records in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log_bytes
+    }
+
     pub fn in_sync(&self) -> &[String] {
         &self.in_sync
     }
@@ -395,8 +427,10 @@
             let Some(e) = self.entry(pos) else {
                 return Err(format!("partition {}: committed entry {pos} is missing", self.id));
             };
+            let record_bytes = e.record.len();
             let record =
                 Record::decode(e.record.clone()).map_err(|e| format!("partition {}: entry {pos}: {e}", self.id))?;
+            self.unapplied_bytes = self.unapplied_bytes.saturating_sub(record_bytes);
             let found = self.state.apply(pos, &record);
             self.clock.observe_record(record.at_ms, now);
             self.digests.push_back((pos, self.state.digest()));
--- a/crates/partition/src/replica/follower.rs
+++ b/crates/partition/src/replica/follower.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// Joins the chunks of a snapshot, and frees each one once it is copied.
+fn join_chunks(chunks: Vec<Bytes>) -> Bytes {
+    let mut data = Vec::with_capacity(chunks.iter().map(Bytes::len).sum());
+    for chunk in chunks {
+        data.extend_from_slice(&chunk);
+    }
+    data.into()
+}
+
 impl PartitionReplica {
     pub fn handle_entries(&mut self, message: Entries, now: u64, out: &mut Vec<Effect>) {
         if message.term < self.term || (message.term == self.term && self.role == ReplicaRole::Owner) {
@@ -31,17 +40,20 @@
         }
         let mut put = Vec::new();
         let mut position = message.prev;
-        for e in message.entries {
+        for received in message.entries {
             position += 1;
             if position < self.first_position {
                 continue;
             }
             match self.term_at(position) {
-                Some(t) if t == e.term => continue,
+                Some(t) if t == received.term => continue,
                 Some(_) => self.truncate_after(position - 1, out),
                 None => {}
             }
+            // A record that shared the memory of its frame would keep all of it.
+            let e = LogEntry { term: received.term, record: Bytes::copy_from_slice(&received.record) };
             self.log_bytes += e.record.len();
+            self.unapplied_bytes += e.record.len();
             self.since_snapshot += e.record.len();
             self.log.push_back(e.clone());
             put.push((position, e));
@@ -75,6 +87,7 @@
             mismatch: self.mismatch,
             incarnation: self.incarnation,
             max_record_bytes: self.max_record_bytes as u64,
+            is_full: self.is_node_full,
         }
     }
 
@@ -113,8 +126,7 @@
             out.push(Effect::Send(self.owner.clone(), Body::EntriesAck(ack)));
             return;
         }
-        let data: Bytes = self.snapshot_chunks.concat().into();
-        self.snapshot_chunks.clear();
+        let data = join_chunks(std::mem::take(&mut self.snapshot_chunks));
         let restored = Snapshot::decode(data.clone())
             .map_err(|e| e.to_string())
             .and_then(|s| PartitionState::restore(&s, self.timing.retention()));
@@ -130,6 +142,7 @@
         self.clock.observe_record(self.state.reached_ms(), now);
         self.log.clear();
         self.log_bytes = 0;
+        self.unapplied_bytes = 0;
         self.since_snapshot = 0;
         self.first_position = chunk.position + 1;
         self.base_term = chunk.position_term;
@@ -147,7 +160,7 @@
             del: (end >= from).then_some((from, end)),
             put: Vec::new(),
             meta: self.meta(),
-            snapshot: Some(data),
+            snapshot: Some(data.into()),
             term: self.term,
             end: chunk.position,
         });
--- a/crates/partition/src/replica/log.rs
+++ b/crates/partition/src/replica/log.rs
@@ -61,6 +61,7 @@
         let e = LogEntry { term: self.term, record: record.encode_to_vec().into() };
         let pos = self.end() + 1;
         self.log_bytes += e.record.len();
+        self.unapplied_bytes += e.record.len();
         self.since_snapshot += e.record.len();
         self.log.push_back(e.clone());
         out.push(Effect::Persist {
@@ -104,7 +105,7 @@
             return;
         }
         let Some(term) = self.term_at(position) else { return };
-        let data: Bytes = self.state.snapshot().encode_to_vec().into();
+        let data = self.state.encode_snapshot();
         let from = self.disk_base + 1;
         self.disk_base = position;
         self.disk_base_term = term;
@@ -128,6 +129,7 @@
         while self.end() > pos {
             if let Some(e) = self.log.pop_back() {
                 self.log_bytes -= e.record.len();
+                self.unapplied_bytes = self.unapplied_bytes.saturating_sub(e.record.len());
             }
         }
         self.durable = self.durable.min(pos);
--- a/crates/partition/src/replica/replication.rs
+++ b/crates/partition/src/replica/replication.rs
@@ -97,7 +97,7 @@
 
     pub(super) fn send_snapshot(&mut self, node: &str, now: u64, out: &mut Vec<Effect>) {
         let position = self.state.position;
-        let data: Bytes = self.state.snapshot().encode_to_vec().into();
+        let data = self.state.encode_snapshot().concat();
         let position_term = self.term_at(position).unwrap_or(self.base_term);
         let chunk_bytes = 256 << 10;
         let parts = data.len().div_ceil(chunk_bytes).max(1);
@@ -180,6 +180,7 @@
         let Some(peer) = self.peers.get_mut(&ack.node) else { return };
         peer.last_heard = now;
         peer.record_limit = PeerRecordLimit::of(&ack);
+        peer.is_full = ack.is_full;
         if peer.snapshot_position > 0 || ack.durable > peer.acked || peer.incarnation != ack.incarnation {
             // Chunks of a snapshot are acknowledged before their entries are durable.
             peer.progressed_at = now;
--- a/crates/partition/src/state.rs
+++ b/crates/partition/src/state.rs
@@ -3,7 +3,7 @@
 mod placing;
 mod snapshot;
 pub use placing::{PlacementRefusal, SubjectLocation};
-pub use snapshot::{Snapshot, SnapshotMessage};
+pub use snapshot::{EncodedSnapshot, Snapshot, SnapshotMessage};
 
 use crate::digest::{fingerprint, mix};
 use crate::placements::{Placement, Placements};
--- a/crates/partition/src/state/snapshot.rs
+++ b/crates/partition/src/state/snapshot.rs
@@ -3,36 +3,130 @@
 use super::{Message, MessageState, PartitionState, Retention};
 use crate::placements::{Placements, SnapshotPlacement};
 use crate::record::RouteFacts;
+use bytes::{Bytes, BytesMut};
+use prost::Message as _;
+use prost::encoding::{WireType, encode_key, encode_varint, encoded_len_varint, key_len};
 use rpc::messages::Item;
 use std::collections::BTreeSet;
 
+/// Bodies of at least this length are not copied into an encoded snapshot.
+const MIN_SHARED_BODY_BYTES: usize = 16 << 10;
+/// Tags of `Snapshot::messages`, `SnapshotMessage::item` and `Item::body`.
+const MESSAGES_TAG: u32 = 4;
+const ITEM_TAG: u32 = 2;
+const BODY_TAG: u32 = 9;
+
+/// An encoded `Snapshot`: the concatenation of its parts. Long bodies are parts that share their
+/// memory with the state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EncodedSnapshot {
+    /// The parts in order.
+    pub parts: Vec<Bytes>,
+}
+
+impl EncodedSnapshot {
+    /// Its length in bytes.
+    pub fn byte_len(&self) -> usize {
+        self.parts.iter().map(Bytes::len).sum()
+    }
+
+    /// Returns it in one piece.
+    pub fn concat(&self) -> Bytes {
+        match self.parts.as_slice() {
+            [whole] => whole.clone(),
+            parts => parts.concat().into(),
+        }
+    }
+}
+
+impl From<Bytes> for EncodedSnapshot {
+    fn from(whole: Bytes) -> EncodedSnapshot {
+        EncodedSnapshot { parts: vec![whole] }
+    }
+}
+
+/// Encodes a snapshot message by message, so that neither the whole `Snapshot` nor a copy of the
+/// long bodies has to be in memory.
+#[derive(Default)]
+struct SnapshotEncoder {
+    parts: Vec<Bytes>,
+    buffer: BytesMut,
+}
+
+impl SnapshotEncoder {
+    fn put_message(&mut self, mut message: SnapshotMessage) {
+        if message.item.body.len() < MIN_SHARED_BODY_BYTES {
+            self.put_field_head(MESSAGES_TAG, message.encoded_len());
+            message.encode(&mut self.buffer).expect("the buffer grows");
+            return;
+        }
+        // The body follows in a second occurrence of the item, which decoders merge with the first.
+        let body = std::mem::take(&mut message.item.body);
+        let item_len = key_len(BODY_TAG) + encoded_len_varint(body.len() as u64) + body.len();
+        let item_field_len = key_len(ITEM_TAG) + encoded_len_varint(item_len as u64) + item_len;
+        self.put_field_head(MESSAGES_TAG, message.encoded_len() + item_field_len);
+        message.encode(&mut self.buffer).expect("the buffer grows");
+        self.put_field_head(ITEM_TAG, item_len);
+        self.put_field_head(BODY_TAG, body.len());
+        self.parts.push(self.buffer.split().freeze());
+        self.parts.push(body);
+    }
+
+    fn put_field_head(&mut self, tag: u32, len: usize) {
+        encode_key(tag, WireType::LengthDelimited, &mut self.buffer);
+        encode_varint(len as u64, &mut self.buffer);
+    }
+
+    fn finish(mut self) -> EncodedSnapshot {
+        if !self.buffer.is_empty() {
+            self.parts.push(self.buffer.freeze());
+        }
+        EncodedSnapshot { parts: self.parts }
+    }
+}
+
+fn snapshot_message(position: u64, message: &Message) -> SnapshotMessage {
+    SnapshotMessage {
+        position,
+        item: message.item.clone(),
+        at_ms: message.at_ms,
+        due_ms: message.due_ms,
+        state: message.state as u32,
+        failed: message.failed.clone(),
+        result_tag: message.result_tag.clone(),
+        ended_ms: message.ended_ms,
+        notified: message.notified,
+        sent_ms: message.sent_ms,
+        processor: message.processor.clone(),
+        node: message.node.clone(),
+        fingerprint: message.fingerprint,
+    }
+}
+
 impl PartitionState {
     pub fn snapshot(&self) -> Snapshot {
+        let messages = self.messages.iter().map(|(position, message)| snapshot_message(*position, message)).collect();
+        Snapshot { messages, ..self.snapshot_without_messages() }
+    }
+
+    /// Encodes the snapshot; decoders read it like the encoding of `snapshot`.
+    pub fn encode_snapshot(&self) -> EncodedSnapshot {
+        let mut encoder = SnapshotEncoder::default();
+        self.snapshot_without_messages().encode(&mut encoder.buffer).expect("the buffer grows");
+        for (position, message) in &self.messages {
+            encoder.put_message(snapshot_message(*position, message));
+        }
+        encoder.finish()
+    }
+
+    fn snapshot_without_messages(&self) -> Snapshot {
         let mut routes: Vec<RouteFacts> = self.routes.values().cloned().collect();
         routes.sort_by(|a, b| a.route.cmp(&b.route));
         Snapshot {
             position: self.position,
             revision: self.revision,
             routes,
-            messages: self
-                .messages
-                .iter()
-                .map(|(p, message)| SnapshotMessage {
-                    position: *p,
-                    item: message.item.clone(),
-                    at_ms: message.at_ms,
-                    due_ms: message.due_ms,
-                    state: message.state as u32,
-                    failed: message.failed.clone(),
-                    result_tag: message.result_tag.clone(),
-                    ended_ms: message.ended_ms,
-                    notified: message.notified,
-                    sent_ms: message.sent_ms,
-                    processor: message.processor.clone(),
-                    node: message.node.clone(),
-                    fingerprint: message.fingerprint,
-                })
-                .collect(),
+            messages: Vec::new(),
             digest: self.digest(),
             reached_ms: self.reached_ms,
             placements: self.placements.snapshot(),
@@ -52,8 +146,10 @@
                 1 => MessageState::Settled,
                 _ => MessageState::Dead,
             };
+            // A body that shared the memory of the snapshot would keep all of it.
+            let body = Bytes::copy_from_slice(&p.item.body);
             let message = Message {
-                item: p.item.clone(),
+                item: Item { body, ..p.item.clone() },
                 at_ms: p.at_ms,
                 due_ms: p.due_ms,
                 state,
--- a/crates/partition/tests/common/mod.rs
+++ b/crates/partition/tests/common/mod.rs
@@ -100,7 +100,7 @@
                     }
                     d.log.extend(put);
                     d.meta = meta;
-                    d.snapshot = snapshot.or(d.snapshot);
+                    d.snapshot = snapshot.map(|snapshot| snapshot.concat()).or(d.snapshot);
                     q.push_back((d, term, end));
                 }
                 Effect::Send(to, Body::EntriesAck(ack)) if self.old_builds.contains(node) => {
--- a/crates/partition/tests/fold.rs
+++ b/crates/partition/tests/fold.rs
@@ -189,6 +189,31 @@
     assert_eq!(state.digest(), state.recompute_digest());
 }
 
+#[test]
+fn an_encoded_snapshot_is_read_as_the_snapshot_and_shares_only_long_bodies() {
+    let mut state = PartitionState::new(1000);
+    let routes = vec![RouteFacts { route: "r".into(), tries: 3, retain_ms: 60_000 }];
+    state.apply(1, &record(1, Entry::Routes(Routes { revision: 1, routes, ..Routes::default() })));
+    let lengths = [0, 1, 16 << 10, 5, (16 << 10) - 1, 300_000, 40_000];
+    for (n, length) in lengths.into_iter().enumerate() {
+        let body = vec![n as u8; length].into();
+        let item = Item { id: format!("m{n}"), route: "r".into(), body, order_key: "k".into(), ..Item::default() };
+        let accept = Entry::Accept(AcceptRecord { item, delay_ms: 0, generations: None });
+        state.apply(n as u64 + 2, &record(n as u64 + 2, accept));
+    }
+    let encoded = state.encode_snapshot();
+    let decoded = <Snapshot as prost::Message>::decode(encoded.concat()).expect("a snapshot");
+    assert_eq!(decoded, state.snapshot());
+    let shared: usize = encoded.parts.iter().map(|part| part.len()).filter(|len| lengths.contains(len)).sum();
+    assert_eq!(shared, (16 << 10) + 300_000 + 40_000);
+    // A restored body does not keep the memory of the whole snapshot.
+    let restored = PartitionState::restore(&decoded, 1000).expect("a valid snapshot");
+    let whole = encoded.concat().as_ptr_range();
+    let is_inside = |message: &partition::Message| whole.contains(&message.item.body.as_ptr());
+    assert!(!restored.messages.values().any(is_inside));
+    assert_eq!(restored.snapshot(), decoded);
+}
+
 #[test]
 fn the_digest_of_messages_without_keys_and_tenants_is_that_of_earlier_versions() {
     let mut state = PartitionState::new(1000);
--- a/crates/partition/tests/long_records.rs
+++ b/crates/partition/tests/long_records.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::*;
 use partition::*;
 use prost::Message;
@@ -62,6 +63,59 @@
     }
 }
 
+/// Regression test: a record that waited kept the whole frame that it came in, up to 512 kB.
+#[test]
+fn a_follower_keeps_a_record_and_not_its_frame() {
+    let mut cluster = cluster();
+    let record: Bytes = Record { at_ms: 1, entry: Some(accept_of("m", 100)) }.encode_to_vec().into();
+    let frame: Bytes = [vec![0; 300_000], record.to_vec()].concat().into();
+    let received = LogEntry { term: 1, record: frame.slice(300_000..) };
+    let replica = &cluster.nodes["b"];
+    let message = Entries {
+        term: 1,
+        owner: "a".into(),
+        prev: replica.end(),
+        prev_term: 1,
+        entries: vec![received],
+        ..Entries::default()
+    };
+    let mut effects = Vec::new();
+    cluster.nodes.get_mut("b").expect("a node").handle_entries(message, 2000, &mut effects);
+    let kept = effects.into_iter().find_map(|effect| match effect {
+        Effect::Persist { put, .. } => put.into_iter().next(),
+        _ => None,
+    });
+    let (_, kept) = kept.expect("the record is written");
+    assert_eq!(kept.record, record);
+    assert!(!frame.as_ptr_range().contains(&kept.record.as_ptr()));
+}
+
+#[test]
+fn owners_learn_that_a_follower_has_no_room() {
+    let mut cluster = cluster();
+    assert_eq!(cluster.nodes["a"].full_replicas().count(), 0);
+    cluster.nodes.get_mut("b").expect("a node").is_node_full = true;
+    cluster.append_message("second").expect("written");
+    assert_eq!(cluster.nodes["a"].full_replicas().collect::<Vec<_>>(), ["b"]);
+    cluster.nodes.get_mut("b").expect("a node").is_node_full = false;
+    cluster.append_message("third").expect("written");
+    assert_eq!(cluster.nodes["a"].full_replicas().count(), 0);
+}
+
+#[test]
+fn unapplied_bytes_are_those_behind_the_state() {
+    let mut cluster = cluster();
+    assert_eq!(cluster.nodes["a"].unapplied_bytes(), 0);
+    cluster.sync_blocked.insert("b".into());
+    cluster.append(accept_of("long", 10_000)).expect("written");
+    cluster.append(accept_of("longer", 20_000)).expect("written");
+    let waiting = cluster.nodes["a"].unapplied_bytes();
+    assert!((30_000..31_000).contains(&waiting), "{waiting}");
+    cluster.sync_blocked.clear();
+    cluster.advance(100);
+    assert_eq!((cluster.nodes["a"].unapplied_bytes(), cluster.nodes["b"].unapplied_bytes()), (0, 0));
+}
+
 #[test]
 fn a_record_longer_than_a_replica_receives_is_refused_and_later_ones_are_committed() {
     let mut cluster = cluster();
--- a/crates/rpc/src/messages/partition.rs
+++ b/crates/rpc/src/messages/partition.rs
@@ -62,6 +62,9 @@
     /// what fits a frame of `FRAME_LIMIT` bytes.
     #[prost(uint64, tag = "10")]
     pub max_record_bytes: u64,
+    /// The node has no room for more messages, in memory or on disk.
+    #[prost(bool, tag = "11")]
+    pub is_full: bool,
 }
 
 /// A chunk of a snapshot of a partition's state.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -168,6 +168,11 @@
         format!("store-{SPARE_STORE}")
     }
 
+    /// The process id of a process that was started and not killed or terminated since.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.running.get(name).map(Child::id)
+    }
+
     /// Whether a process was started and not killed or terminated since; it may have exited by itself.
     pub fn is_running(&self, name: &str) -> bool {
         self.running.contains_key(name)
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod lease;
 mod membership;
+mod memory;
 mod placements;
 mod quota;
 mod recovery;
@@ -26,6 +27,7 @@
     Body, CarriedTime, DeliveryFailure, ExecutionOutcome, PeerOptions, Responder, RetryOwner, RetrySafety, RpcClients,
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify as Notifier, mpsc, watch};
@@ -60,7 +62,6 @@
     leaving: bool,
     /// Store nodes whose disks are slow or do not answer, as reported by the leader.
     lagging_nodes: Vec<String>,
-    memory_limit: usize,
 }
 
 pub struct StoreService {
@@ -75,6 +76,8 @@
     /// Signalled when a message starts to wait for a token of its tenant's limit.
     quota_wanted: Notifier,
     synced: mpsc::UnboundedSender<(u32, u64, u64)>,
+    /// Snapshots that are being written.
+    snapshots_in_progress: Arc<AtomicUsize>,
     start: Instant,
     /// The cluster time. It has its own lock because it is read while `shared` is locked.
     cluster_time: Mutex<CarriedTime>,
@@ -268,12 +271,11 @@
             called_back: HashMap::new(),
             leaving: false,
             lagging_nodes: Vec::new(),
-            // Half of the memory is for messages.
-            memory_limit: (settings.limits.memory_mb << 20) as usize / 2,
         }),
         wake: Notifier::new(),
         quota_wanted: Notifier::new(),
         synced,
+        snapshots_in_progress: Arc::default(),
         start: Instant::now(),
         cluster_time: Mutex::new(CarriedTime::default()),
         session: session.clone(),
--- a/crates/store/src/service/duties.rs
+++ b/crates/store/src/service/duties.rs
@@ -17,8 +17,8 @@
         let known = self.session.known();
         let mut guard = self.shared.lock().unwrap();
         let state = &mut *guard;
-        let disk_bytes = (self.settings.limits.disk_mb as usize) << 20;
-        let replica_count = state.replicas.len().max(1);
+        let snapshot_interval = self.snapshot_interval_bytes(state);
+        self.update_room(state);
         let lag = self.disk_lag();
         for partition in state.replicas.keys().copied().collect::<Vec<_>>() {
             let owns = state.replicas[&partition].role == ReplicaRole::Owner;
@@ -51,7 +51,10 @@
             }
             self.step(state, partition, |replica, now, effects| {
                 replica.tick(now, time, effects);
-                replica.compact(disk_bytes / 6 / replica_count, effects);
+                // One at a time: each holds a copy of its partition until it is written.
+                if self.snapshots_in_progress.load(Ordering::Relaxed) == 0 {
+                    replica.compact(snapshot_interval, effects);
+                }
             });
             // Return to the preferred owner, by an ordinary planned move.
             let replica = &state.replicas[&partition];
--- a/crates/store/src/service/effects.rs
+++ b/crates/store/src/service/effects.rs
@@ -46,12 +46,16 @@
                     ops.extend(put.into_iter().map(|(position, entry)| {
                         Op::Put(key(b'l', partition, position), entry.encode_to_vec().into())
                     }));
+                    let snapshots = Arc::clone(&self.snapshots_in_progress);
+                    let snapshot_count = usize::from(snapshot.is_some());
+                    snapshots.fetch_add(snapshot_count, Ordering::Relaxed);
                     if let Some(snapshot) = snapshot {
-                        ops.push(Op::Put(key(b's', partition, 0), snapshot));
+                        ops.push(Op::PutParts(key(b's', partition, 0), snapshot.parts));
                     }
                     ops.push(Op::Put(key(b'm', partition, 0), meta.encode_to_vec().into()));
                     let synced = self.synced.clone();
                     self.wal.write(ops, move || {
+                        snapshots.fetch_sub(snapshot_count, Ordering::Relaxed);
                         let _ = synced.send((partition, term, end));
                     });
                 }
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -110,7 +110,11 @@
         let rank = self
             .session
             .with_known(|known| known.configuration.route_named(&request.item.route).map_or(0, |route| route.rank));
-        if !self.has_room(state, rank, request.item.body.len()) {
+        let is_follower_full = replica.full_replicas().next().is_some();
+        if is_follower_full {
+            telemetry::count("refused_full_follower");
+        }
+        if is_follower_full || !self.has_room(state, rank, request.item.body.len()) {
             telemetry::count("refused_full");
             responder.send(accepted(AcceptOutcome::Full, 0, ""));
             return;
@@ -143,14 +147,6 @@
         }
     }
 
-    /// Whether there is room for `bytes` more of messages of the given rank.
-    pub(super) fn has_room(&self, state: &StoreState, rank: u32, bytes: usize) -> bool {
-        let held: usize = state.replicas.values().map(|replica| replica.state.memory_bytes()).sum();
-        let disk = (self.settings.limits.disk_mb << 20) as usize;
-        let room = Capacity { memory: state.memory_limit, disk: disk * 9 / 10 };
-        room.admits(rank, held + bytes, self.wal.used_bytes() as usize)
-    }
-
     /// Whether the configuration known here has the tenant and the route of a message, and so the
     /// rules that apply to it. A process that has just started may own a partition before it has
     /// a configuration, and another route may have got the route's name.
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -47,12 +47,25 @@
 pub enum Op {
     /// Stores a value, replacing that of the same key.
     Put(Key, Bytes),
+    /// Stores the concatenation of these parts as a value, replacing that of the same key.
+    PutParts(Key, Vec<Bytes>),
     /// Removes a key.
     Del(Key),
     /// Removes all keys from the first to the last, both included.
     DelRange(Key, Key),
 }
 
+impl Op {
+    /// The parts of the value that the operation stores; none if it removes keys.
+    fn value_parts(&self) -> &[Bytes] {
+        match self {
+            Op::Put(_, value) => std::slice::from_ref(value),
+            Op::PutParts(_, parts) => parts,
+            Op::Del(_) | Op::DelRange(..) => &[],
+        }
+    }
+}
+
 /// Called once a write is durable.
 type OnDurable = Box<dyn FnOnce() + Send>;
 
@@ -64,6 +77,8 @@
 /// What the disk thread reports to the handles. Times are in milliseconds since `start`.
 struct DiskState {
     used_bytes: AtomicU64,
+    /// Bytes of values that wait to be durable.
+    queued_bytes: AtomicU64,
     start: Instant,
     /// Start of the write in progress, plus 1; 0 if there is none.
     write_started_ms: AtomicU64,
@@ -89,6 +104,7 @@
         let (tx, rx) = mpsc::channel();
         let state = Arc::new(DiskState {
             used_bytes: AtomicU64::new(segments.used_bytes()),
+            queued_bytes: AtomicU64::new(0),
             start: Instant::now(),
             write_started_ms: AtomicU64::new(0),
             write_times_ms: AtomicU64::new(0),
@@ -104,6 +120,7 @@
 
     /// Writes all operations atomically; `done` runs on the disk thread once they are durable.
     pub fn write(&self, ops: Vec<Op>, done: impl FnOnce() + Send + 'static) {
+        self.state.queued_bytes.fetch_add(value_bytes(&ops), Ordering::Relaxed);
         let _ = self.tx.send(WriteRequest { ops, on_durable: Box::new(done) });
     }
 
@@ -112,6 +129,11 @@
         self.state.used_bytes.load(Ordering::Relaxed)
     }
 
+    /// Bytes of values that were passed to `write` and are not durable yet.
+    pub fn queued_bytes(&self) -> u64 {
+        self.state.queued_bytes.load(Ordering::Relaxed)
+    }
+
     /// Whether each of the last four writes took longer than `bound`, unless they are too old to
     /// describe the current state of the disk.
     pub fn is_slow(&self, bound: Duration) -> bool {
@@ -131,14 +153,19 @@
     }
 }
 
+/// Bytes of the values that operations store.
+fn value_bytes(ops: &[Op]) -> u64 {
+    ops.iter().flat_map(Op::value_parts).map(|part| part.len() as u64).sum()
+}
+
 /// The disk thread: writes pending requests in batches until all handles are dropped.
 fn run_writer(mut segments: SegmentLog, rx: mpsc::Receiver<WriteRequest>, state: Arc<DiskState>) {
     while let Ok(first) = rx.recv() {
         state.write_started_ms.store(state.start.elapsed().as_millis() as u64 + 1, Ordering::Relaxed);
-        let (mut ops, mut callbacks, mut size) = (Vec::new(), Vec::new(), 0);
+        let (mut ops, mut callbacks, mut size) = (Vec::new(), Vec::new(), 0u64);
         let mut next = Some(first);
         while let Some(request) = next {
-            size += request.ops.iter().map(|o| if let Op::Put(_, v) = o { v.len() } else { 0 }).sum::<usize>();
+            size += value_bytes(&request.ops);
             ops.extend(request.ops);
             callbacks.push(request.on_durable);
             next = if size < 1 << 20 { rx.try_recv().ok() } else { None };
@@ -164,6 +191,8 @@
         state.write_times_ms.store(state.write_times_ms.load(Ordering::Relaxed) << 16 | time_ms, Ordering::Relaxed);
         state.write_ended_ms.store(state.start.elapsed().as_millis() as u64, Ordering::Relaxed);
         state.write_started_ms.store(0, Ordering::Relaxed);
+        drop(ops);
+        state.queued_bytes.fetch_sub(size, Ordering::Relaxed);
         for on_durable in callbacks {
             on_durable();
         }
--- a/crates/wal/src/segments.rs
+++ b/crates/wal/src/segments.rs
@@ -1,6 +1,7 @@
 //! The segmented log and its index.
 
 use crate::{KEY_LEN, Key, Op};
+use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fs::{File, OpenOptions};
 use std::io::{Error, ErrorKind, Result, Write};
@@ -53,11 +54,12 @@
     dir.join(format!("{id:010}.log"))
 }
 
-fn checksum(number: u64, ops: &[u8]) -> u32 {
+/// The checksum of a batch whose operations are encoded in these parts.
+fn checksum<'a>(number: u64, len: usize, parts: impl Iterator<Item = &'a [u8]>) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&number.to_be_bytes());
-    hasher.update(&(ops.len() as u32).to_be_bytes());
-    hasher.update(ops);
+    hasher.update(&(len as u32).to_be_bytes());
+    parts.for_each(|part| hasher.update(part));
     hasher.finalize()
 }
 
@@ -69,7 +71,7 @@
     let sum = u32::from_be_bytes(head[4..8].try_into().ok()?);
     let number = u64::from_be_bytes(head[8..16].try_into().ok()?);
     let ops = data.get(HEADER_LEN..HEADER_LEN.checked_add(len)?)?;
-    (len > 0 && checksum(number, ops) == sum).then_some((number, HEADER_LEN + len))
+    (len > 0 && checksum(number, len, [ops].into_iter()) == sum).then_some((number, HEADER_LEN + len))
 }
 
 enum ParsedOp {
@@ -101,6 +103,119 @@
     }
 }
 
+/// A part of a value that is at least this long is written as it lies in memory; shorter ones are
+/// gathered.
+const MIN_SEPARATE_BYTES: usize = 64 << 10;
+
+/// A batch as it is written.
+struct EncodedBatch {
+    /// The header and the operations, to be written in order.
+    parts: Vec<Bytes>,
+    len: usize,
+    /// The operations, with the offsets of their values in the batch.
+    ops: Vec<ParsedOp>,
+}
+
+/// Gathers the parts of a batch.
+struct BatchEncoder {
+    parts: Vec<Bytes>,
+    /// What was added since the last separate part.
+    gathered: Vec<u8>,
+    len: usize,
+}
+
+impl BatchEncoder {
+    fn put(&mut self, bytes: &[u8]) {
+        self.gathered.extend_from_slice(bytes);
+        self.len += bytes.len();
+    }
+
+    fn put_part(&mut self, part: &Bytes) {
+        if part.len() < MIN_SEPARATE_BYTES {
+            self.put(part);
+            return;
+        }
+        self.parts.push(std::mem::take(&mut self.gathered).into());
+        self.parts.push(part.clone());
+        self.len += part.len();
+    }
+}
+
+impl EncodedBatch {
+    fn encode(number: u64, ops: &[Op]) -> EncodedBatch {
+        let mut last: HashMap<&Key, usize> = HashMap::new();
+        for (n, o) in ops.iter().enumerate() {
+            match o {
+                Op::Put(k, _) | Op::PutParts(k, _) => {
+                    last.insert(k, n);
+                }
+                // Keeps the order of a removal and the puts before it.
+                Op::Del(_) | Op::DelRange(..) => last.clear(),
+            }
+        }
+        let mut encoder = BatchEncoder { parts: Vec::new(), gathered: vec![0; HEADER_LEN], len: HEADER_LEN };
+        let mut parsed = Vec::new();
+        for (n, o) in ops.iter().enumerate() {
+            match o {
+                Op::Put(k, _) | Op::PutParts(k, _) => {
+                    if last.get(k).is_some_and(|l| *l > n) {
+                        continue;
+                    }
+                    let value = o.value_parts();
+                    let value_len: usize = value.iter().map(Bytes::len).sum();
+                    encoder.put(&[PUT]);
+                    encoder.put(k);
+                    encoder.put(&(value_len as u32).to_be_bytes());
+                    parsed.push(ParsedOp::Put(*k, encoder.len, value_len));
+                    value.iter().for_each(|part| encoder.put_part(part));
+                }
+                Op::Del(k) => {
+                    encoder.put(&[DEL]);
+                    encoder.put(k);
+                    parsed.push(ParsedOp::Del(*k, *k));
+                }
+                Op::DelRange(a, b) => {
+                    encoder.put(&[DEL_RANGE]);
+                    encoder.put(a);
+                    encoder.put(b);
+                    parsed.push(ParsedOp::Del(*a, *b));
+                }
+            }
+        }
+        EncodedBatch::with_header(number, encoder, parsed)
+    }
+
+    /// Fills in the header, whose room is at the start of the first part.
+    fn with_header(number: u64, encoder: BatchEncoder, ops: Vec<ParsedOp>) -> EncodedBatch {
+        let BatchEncoder { mut parts, mut gathered, len } = encoder;
+        let ops_len = len - HEADER_LEN;
+        let later_parts = parts.iter().skip(1).map(Bytes::as_ref);
+        let sum = match parts.first() {
+            None => checksum(number, ops_len, [&gathered[HEADER_LEN..]].into_iter()),
+            Some(first) => {
+                let all = [&first[HEADER_LEN..]].into_iter().chain(later_parts).chain([gathered.as_slice()]);
+                checksum(number, ops_len, all)
+            }
+        };
+        let mut header = Vec::with_capacity(HEADER_LEN);
+        header.extend_from_slice(&(ops_len as u32).to_be_bytes());
+        header.extend_from_slice(&sum.to_be_bytes());
+        header.extend_from_slice(&number.to_be_bytes());
+        if parts.is_empty() {
+            gathered[..HEADER_LEN].copy_from_slice(&header);
+        } else {
+            let after_header = parts[0].slice(HEADER_LEN..);
+            parts[0] = [header, after_header.to_vec()].concat().into();
+        }
+        parts.push(gathered.into());
+        EncodedBatch { parts, len, ops }
+    }
+
+    fn write(&self, file: &mut File) -> Result<()> {
+        self.parts.iter().filter(|part| !part.is_empty()).try_for_each(|part| file.write_all(part))
+    }
+}
+
 impl SegmentLog {
     /// Recovers the log of a directory and passes every live pair to `read`. Up to `buffer_bytes` of
     /// segment data are held in memory meanwhile, so that they are not read from disk twice.
@@ -201,30 +316,35 @@
     fn apply_to_index(&mut self, segment: u64, data: &[u8], mut at: usize) -> Result<()> {
         while at < data.len() {
             let (found, next) = parse_op(data, at)?;
-            match found {
-                ParsedOp::Put(k, from, len) => {
-                    let location = ValueLocation { segment, offset: from as u32, len: len as u32 };
-                    if let Some(old) = self.index.insert(k, location) {
-                        self.release(old);
-                    }
-                    self.live_bytes += len as u64;
-                    if let Some(s) = self.segments.iter_mut().rev().find(|s| s.id == segment) {
-                        s.live_bytes += len as u64;
-                    }
+            self.apply_op(segment, 0, found);
+            at = next;
+        }
+        Ok(())
+    }
+
+    /// Applies an operation of a batch to the index. `base` is added to the offset of its value.
+    fn apply_op(&mut self, segment: u64, base: usize, op: ParsedOp) {
+        match op {
+            ParsedOp::Put(k, from, len) => {
+                let location = ValueLocation { segment, offset: (base + from) as u32, len: len as u32 };
+                if let Some(old) = self.index.insert(k, location) {
+                    self.release(old);
+                }
+                self.live_bytes += len as u64;
+                if let Some(s) = self.segments.iter_mut().rev().find(|s| s.id == segment) {
+                    s.live_bytes += len as u64;
                 }
-                ParsedOp::Del(a, b) => {
-                    let removed: Vec<Key> =
-                        if a <= b { self.index.range(a..=b).map(|(k, _)| *k).collect() } else { Vec::new() };
-                    for k in removed {
-                        if let Some(old) = self.index.remove(&k) {
-                            self.release(old);
-                        }
+            }
+            ParsedOp::Del(a, b) => {
+                let removed: Vec<Key> =
+                    if a <= b { self.index.range(a..=b).map(|(k, _)| *k).collect() } else { Vec::new() };
+                for k in removed {
+                    if let Some(old) = self.index.remove(&k) {
+                        self.release(old);
                     }
                 }
             }
-            at = next;
         }
-        Ok(())
     }
 
     /// Subtracts a value that the index no longer refers to from the live bytes.
@@ -264,76 +384,24 @@
     /// Appends a batch to the newest segment and syncs it. Puts that a later put of the same key
     /// overrides are left out.
     fn append(&mut self, ops: &[Op]) -> Result<()> {
-        let mut last: HashMap<&Key, usize> = HashMap::new();
-        for (n, o) in ops.iter().enumerate() {
-            match o {
-                Op::Put(k, _) => {
-                    last.insert(k, n);
-                }
-                // Keeps the order of a removal and the puts before it.
-                Op::Del(_) | Op::DelRange(..) => last.clear(),
-            }
-        }
-        let mut out = vec![0; HEADER_LEN];
-        for (n, o) in ops.iter().enumerate() {
-            match o {
-                Op::Put(k, v) => {
-                    if last.get(k).is_some_and(|l| *l > n) {
-                        continue;
-                    }
-                    out.push(PUT);
-                    out.extend_from_slice(k);
-                    out.extend_from_slice(&(v.len() as u32).to_be_bytes());
-                    out.extend_from_slice(v);
-                }
-                Op::Del(k) => {
-                    out.push(DEL);
-                    out.extend_from_slice(k);
-                }
-                Op::DelRange(a, b) => {
-                    out.push(DEL_RANGE);
-                    out.extend_from_slice(a);
-                    out.extend_from_slice(b);
-                }
-            }
-        }
-        if out.len() == HEADER_LEN {
+        let batch = EncodedBatch::encode(self.next_number, ops);
+        if batch.ops.is_empty() {
             return Ok(());
         }
-        let (len, sum) = ((out.len() - HEADER_LEN) as u32, checksum(self.next_number, &out[HEADER_LEN..]));
-        out[..4].copy_from_slice(&len.to_be_bytes());
-        out[4..8].copy_from_slice(&sum.to_be_bytes());
-        out[8..16].copy_from_slice(&self.next_number.to_be_bytes());
         if self.has_failed || self.segments.back().is_none_or(|s| s.bytes >= self.segment_limit) {
             self.start_segment()?;
         }
-        let written = self.file.write_all(&out).and_then(|()| self.file.sync_data());
-        if let Err(e) = written {
+        if let Err(e) = batch.write(&mut self.file).and_then(|()| self.file.sync_data()) {
             self.has_failed = true;
             return Err(e);
         }
         let (id, base) = self.segments.back().map_or((0, 0), |s| (s.id, s.bytes));
         self.next_number += 1;
         if let Some(s) = self.segments.back_mut() {
-            s.bytes += out.len() as u64;
+            s.bytes += batch.len as u64;
         }
-        // `base` is the offset of the batch in the segment.
-        let mut at = HEADER_LEN;
-        while at < out.len() {
-            let (found, next) = parse_op(&out, at)?;
-            if let ParsedOp::Put(k, from, len) = found {
-                let location = ValueLocation { segment: id, offset: (base as usize + from) as u32, len: len as u32 };
-                if let Some(old) = self.index.insert(k, location) {
-                    self.release(old);
-                }
-                self.live_bytes += len as u64;
-                if let Some(s) = self.segments.back_mut() {
-                    s.live_bytes += len as u64;
-                }
-            } else {
-                self.apply_to_index(id, &out[..next], at)?;
-            }
-            at = next;
+        for op in batch.ops {
+            self.apply_op(id, base as usize, op);
         }
         Ok(())
     }
--- a/crates/wal/tests/power.rs
+++ b/crates/wal/tests/power.rs
@@ -51,6 +51,10 @@
             Op::Put(key(b'm', 1, 0), n.to_be_bytes().to_vec().into()),
             Op::Put(key(b'm', 1, 0), (n + 100).to_be_bytes().to_vec().into()),
         ];
+        if n % 3 == 1 {
+            let parts = [20, 0, 3].map(|len| vec![n as u8 + 1; len].into());
+            ops.push(Op::PutParts(key(b's', 1, n % 2), parts.into()));
+        }
         if n % 5 == 4 {
             ops.push(Op::DelRange(key(b'l', 1, 0), key(b'l', 1, n - 2)));
         }
@@ -68,6 +72,9 @@
             Op::Put(k, v) => {
                 model.insert(*k, v.to_vec());
             }
+            Op::PutParts(k, parts) => {
+                model.insert(*k, parts.concat());
+            }
             Op::Del(k) => {
                 model.remove(k);
             }
@@ -228,3 +235,36 @@
     assert_eq!(read, model);
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+/// Long parts of a value are written apart from the rest of their batch; a batch that is cut within one is discarded.
+#[test]
+fn values_in_long_parts_are_recovered_whole_or_not_at_all() {
+    let dir = new_dir("long-parts");
+    let parts: Vec<bytes::Bytes> = [20, 65 << 10, 0, 3, 70 << 10].map(|len| vec![len as u8; len].into()).into();
+    let first = vec![Op::Put(key(b'm', 1, 0), vec![1].into())];
+    let second = vec![
+        Op::Put(key(b'l', 1, 1), vec![5; 100 << 10].into()),
+        Op::PutParts(key(b's', 1, 0), parts),
+        Op::Put(key(b'm', 1, 0), vec![2].into()),
+        Op::DelRange(key(b'l', 1, 0), key(b'l', 1, 0)),
+        Op::PutParts(key(b's', 2, 0), Vec::new()),
+    ];
+    let mut model = Pairs::new();
+    {
+        let (mut log, _) = open(&dir).expect("an empty directory");
+        log.commit(&first).expect("written");
+        apply(&mut model, &first);
+        let before = model.clone();
+        log.commit(&second).expect("written");
+        apply(&mut model, &second);
+        drop(log);
+        let written = files(&dir);
+        let (segment, whole) = written.last().expect("a segment");
+        for missing in [1, 70 << 10, (70 << 10) + 1, 140 << 10, 200 << 10] {
+            write_files(&dir, &[(segment.clone(), whole[..whole.len() - missing].to_vec())]);
+            assert_eq!(open(&dir).expect("readable").1, before, "{missing} bytes are missing");
+        }
+        write_files(&dir, &written);
+    }
+    assert_eq!(open(&dir).expect("readable").1, model);
+}
