Roll-outs: a reverted revision stays rejected in the roll-outs after it

Cause: the next roll-out replaced the record of the former one. Processors of v2 were still listed, every revision but the target counted as the old side, so owners sent to v2 again, and its failures raised the rate that v3 was allowed.

Change: Rollout::rejected keeps reverted revisions in the replicated state. The old side is what is neither the target nor rejected, for the choice of processors and for the figures. Commands compare roll-outs without that list, so that control nodes of a former build and of this one agree.

Tests in control/orders and store/schedule.

--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -303,6 +303,7 @@
         spent: 0,
         began_ms: order_id.at_ms,
         began: 0,
+        rejected: Vec::new(),
     };
     order_reply(
         control.propose(CommandPayload::StartRollout(StartRollout { rollout, order_id })).await,
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -69,6 +69,14 @@
         self.began = began;
     }
 
+    /// Counts a sample for a rollout. Runs of a rejected revision, whose processors may be listed for a
+    /// while longer, say nothing about the revision that was in use.
+    pub fn add_sample(&mut self, rollout: &Rollout, sample: &Sample) {
+        if !rollout.is_rejected(&sample.revision) {
+            self.add(&rollout.target, sample);
+        }
+    }
+
     pub fn add(&mut self, target: &str, s: &Sample) {
         let is_new = s.revision == target;
         self.sent_all += s.sent as u64;
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -140,11 +140,10 @@
                 self.membership_stale.notify_one();
             }
             for s in &l.samples {
-                if let Some(r) =
-                    f.control_state.assignments.rollouts.iter().find(|r| r.service == s.service && r.state == "running")
-                {
-                    let target = r.target.clone();
-                    f.rollout_monitors.entry(s.service.clone()).or_default().add(&target, s);
+                let rollouts = &f.control_state.assignments.rollouts;
+                let running = rollouts.iter().find(|r| r.service == s.service && r.state == "running");
+                if let Some(rollout) = running.cloned() {
+                    f.rollout_monitors.entry(s.service.clone()).or_default().add_sample(&rollout, s);
                 }
             }
             let newer_partition = |c: &Holding| {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -312,18 +312,18 @@
                 if running {
                     return ApplyResult::Conflict;
                 }
-                if let Some(i) = slot {
-                    self.assignments.rollouts.remove(i);
-                }
-                self.assignments.rollouts.push(Rollout { began: index, ..rollout });
+                let former = slot.map(|i| self.assignments.rollouts.remove(i));
+                let rejected = former.map_or_else(Vec::new, |former| former.rejected_before(&rollout.target));
+                self.assignments.rollouts.push(Rollout { began: index, rejected, ..rollout });
                 self.record_order(order_id);
             }
             CommandPayload::PutRollout(PutRollout { was, now }) => {
-                let slot = self.assignments.rollouts.iter_mut().find(|x| **x == was);
+                let slot = self.assignments.rollouts.iter_mut().find(|x| x.is_same_step(&was));
                 let Some(slot) = slot.filter(|x| x.state == "running") else {
                     return ApplyResult::Conflict;
                 };
-                *slot = Rollout { service: was.service, began: was.began, ..now };
+                let rejected = std::mem::take(&mut slot.rejected);
+                *slot = Rollout { service: was.service, began: was.began, rejected, ..now };
             }
             CommandPayload::StartRetire(r) => {
                 let running = self.assignments.retires.iter().any(|x| x.node == r.node && !x.done);
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -120,6 +120,64 @@
     assert_ne!(l.running().began, 99, "`began` cannot be changed");
 }
 
+/// Regression test: a revision whose roll-out was reverted counted as the one in use during the next roll-out.
+#[test]
+fn reverted_revisions_stay_rejected_in_later_roll_outs() {
+    let mut l = Log::default();
+    let mut step = |target: &str, at_ms: u64, state: &str| {
+        assert_eq!(l.rollout(target, at_ms), ApplyResult::Done, "{target}");
+        let began = l.running();
+        if !state.is_empty() {
+            assert_eq!(l.judge(&began, state), ApplyResult::Done, "{target}");
+        }
+        (l.running().rejected, ["v1", "v2", "v3", "v4"].map(|revision| l.running().is_previous(revision)))
+    };
+    assert_eq!(step("v2", 10, "reverted"), (vec![], [true, false, true, true]));
+    assert_eq!(step("v3", 5000, "reverted"), (vec!["v2".into()], [true, false, false, true]));
+    assert_eq!(step("v4", 10_000, "settled"), (vec!["v2".into(), "v3".into()], [true, false, false, false]));
+    // Ordered again, it is on trial again; reverted again, it is rejected once.
+    assert_eq!(step("v2", 20_000, "reverted"), (vec!["v3".into()], [true, false, false, true]));
+    assert_eq!(step("v1", 30_000, ""), (vec!["v3".into(), "v2".into()], [false, false, false, true]));
+}
+
+/// A control node of a build that does not know `rejected` leaves it out of what it proposes.
+#[test]
+fn a_judgement_without_the_rejected_revisions_is_applied_and_keeps_them() {
+    let mut l = Log::default();
+    l.rollout("v2", 10);
+    let first = l.running();
+    l.judge(&first, "reverted");
+    l.rollout("v3", 5000);
+    let seen = Rollout { rejected: vec![], ..l.running() };
+    assert_eq!(l.judge(&seen, "settled"), ApplyResult::Done);
+    assert_eq!((l.running().state.as_str(), l.running().rejected), ("settled", vec!["v2".to_owned()]));
+}
+
+/// Regression test: failures of a rejected revision raised the rate that the next one was allowed.
+#[test]
+fn runs_of_a_rejected_revision_excuse_no_failures_of_the_next_one() {
+    let sample = |revision: &str, good, bad| Sample {
+        revision: revision.into(),
+        route: "r".into(),
+        good,
+        bad,
+        sent: good + bad,
+        ..Sample::default()
+    };
+    let rollout = Rollout { within_ms: 10_000, share: 60, target: "v3".into(), ..Rollout::default() };
+    let rejecting = Rollout { rejected: vec!["v2".into()], ..rollout.clone() };
+    let decide = |rollout: &Rollout| {
+        let mut monitor = RolloutMonitor::default();
+        monitor.track_rollout(1);
+        for revision in [sample("v1", 100, 0), sample("v2", 50, 50), sample("v3", 10, 10)] {
+            monitor.add_sample(rollout, &revision);
+        }
+        monitor.decide(rollout, 1000, 500, 25.0)
+    };
+    assert_eq!(decide(&rollout), RolloutDecision::Wait, "half of the failures of v2 count for the old side");
+    assert!(matches!(decide(&rejecting), RolloutDecision::Revert(_)));
+}
+
 #[test]
 fn what_was_seen_of_one_roll_out_stays_until_another_one_begins() {
     let sample = |revision: &str, good, bad| Sample {
--- a/crates/rpc/src/messages/control.rs
+++ b/crates/rpc/src/messages/control.rs
@@ -193,6 +193,40 @@
     /// Log index at which it began; identifies the rollout.
     #[prost(uint64, tag = "9")]
     pub began: u64,
+    /// Revisions of the service whose rollouts were reverted, the newest last, without the target.
+    #[prost(string, repeated, tag = "10")]
+    pub rejected: Vec<String>,
+}
+
+/// A service keeps at most this many rejected revisions.
+const MAX_REJECTED_REVISIONS: usize = 64;
+
+impl Rollout {
+    /// Whether a revision is one that was in use before this rollout and was not rejected itself.
+    /// Processors of a rejected revision may be listed for a while after their rollout was reverted.
+    pub fn is_previous(&self, revision: &str) -> bool {
+        revision != self.target && !self.is_rejected(revision)
+    }
+
+    /// Whether the rollout of a revision was reverted, and it was not ordered again.
+    pub fn is_rejected(&self, revision: &str) -> bool {
+        self.rejected.iter().any(|rejected| rejected == revision)
+    }
+
+    /// The rejected revisions to keep for a rollout that follows this one.
+    pub fn rejected_before(&self, next_target: &str) -> Vec<String> {
+        let own = (self.state == "reverted").then_some(&self.target);
+        let earlier = self.rejected.iter().filter(|revision| **revision != self.target);
+        let kept: Vec<String> = earlier.chain(own).filter(|revision| *revision != next_target).cloned().collect();
+        kept[kept.len().saturating_sub(MAX_REJECTED_REVISIONS)..].to_vec()
+    }
+
+    /// Whether two values describe the same step of the same rollout. `rejected` follows from the
+    /// rollouts before it, and builds that do not know it leave it out.
+    pub fn is_same_step(&self, other: &Rollout) -> bool {
+        let without_rejected = |rollout: &Rollout| Rollout { rejected: Vec::new(), ..rollout.clone() };
+        without_rejected(self) == without_rejected(other)
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/store/src/scheduler/choice.rs
+++ b/crates/store/src/scheduler/choice.rs
@@ -55,13 +55,18 @@
                 processor.revision == target && self.may_run(processor, homes)
             })
         } else {
-            let is_wanted = |processor: &Processor| wants_new.is_none_or(|w| (processor.revision == target) == w);
+            let is_wanted = |processor: &Processor| match (wants_new, rollout) {
+                (Some(true), _) => processor.revision == target,
+                (Some(false), Some(rollout)) => rollout.is_previous(&processor.revision),
+                _ => true,
+            };
             self.least_loaded(service, processors, now, |processor| {
                 is_wanted(processor) && self.may_run(processor, homes)
             })
         };
         if found.is_none() && wants_new == Some(true) && is_on_trial {
-            let is_previous_revision = |processor: &Processor| processor.revision != target;
+            let is_previous_revision =
+                |processor: &Processor| rollout.is_some_and(|rollout| rollout.is_previous(&processor.revision));
             found = self.least_loaded(service, processors, now, |processor| {
                 is_previous_revision(processor) && self.may_run(processor, homes)
             });
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -125,6 +125,36 @@
     }
 }
 
+/// Regression test: processors of a revision that was reverted got messages again once the next roll-out began.
+#[test]
+fn processors_of_a_rejected_revision_get_nothing() {
+    let processors = || vec![processor("good", "x", "v1"), processor("bad", "x", "v2"), processor("new", "x", "v3")];
+    for (state, share, allowed) in [
+        ("running", 100, &["v1", "v3"][..]),
+        ("running", 1000, &["v3"]),
+        ("reverted", 0, &["v1"]),
+        ("settled", 1000, &["v3"]),
+    ] {
+        let rollout = Rollout {
+            service: "p".into(),
+            target: "v3".into(),
+            state: state.into(),
+            share,
+            rejected: vec!["v2".into()],
+            ..Rollout::default()
+        };
+        let mut scheduler = new_scheduler(processors(), vec![rollout]);
+        let mut got = std::collections::BTreeSet::new();
+        for position in 0..100 {
+            got.extend(start_attempt(&mut scheduler, position).map(|target| target.revision));
+            if position % 3 == 0 {
+                scheduler.end_attempt((0, position));
+            }
+        }
+        assert!(!got.is_empty() && got.iter().all(|revision| allowed.contains(&revision.as_str())), "{state}: {got:?}");
+    }
+}
+
 #[test]
 fn a_rate_limit_holds_in_every_window_and_after_a_take_over() {
     let p = Service { flow_per_s: 40.0, endpoint: Some("10.0.0.1:80".into()), ..service() };
