--- a/crates/partition/src/replica/follower.rs
+++ b/crates/partition/src/replica/follower.rs
@@ -127,7 +127,7 @@
             return;
         }
         let data = join_chunks(std::mem::take(&mut self.snapshot_chunks));
-        let restored = Snapshot::decode(data.clone())
+        let restored = Snapshot::decode(data)
             .map_err(|e| e.to_string())
             .and_then(|s| PartitionState::restore(&s, self.timing.retention()));
         let state = match restored {
@@ -160,7 +160,8 @@
             del: (end >= from).then_some((from, end)),
             put: Vec::new(),
             meta: self.meta(),
-            snapshot: Some(data.into()),
+            // Encoded anew: it shares the bodies with the state, and what was received is freed.
+            snapshot: Some(self.state.encode_snapshot()),
             term: self.term,
             end: chunk.position,
         });
--- a/crates/partition/src/replica/replication.rs
+++ b/crates/partition/src/replica/replication.rs
@@ -5,6 +5,8 @@
 
 /// Entries are sent in batches of at most this many bytes of records; a longer record is sent alone.
 const MAX_BATCH_BYTES: usize = 512 << 10;
+/// The longest chunk of a snapshot, in bytes.
+const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
 
 impl PartitionReplica {
     /// Sends missing entries to the followers. Called once after a batch of appends.
@@ -97,11 +99,10 @@
 
     pub(super) fn send_snapshot(&mut self, node: &str, now: u64, out: &mut Vec<Effect>) {
         let position = self.state.position;
-        let data = self.state.encode_snapshot().concat();
+        let chunks = self.state.encode_snapshot().into_chunks(SNAPSHOT_CHUNK_BYTES);
         let position_term = self.term_at(position).unwrap_or(self.base_term);
-        let chunk_bytes = 256 << 10;
-        let parts = data.len().div_ceil(chunk_bytes).max(1);
-        for i in 0..parts {
+        let parts = chunks.len();
+        for (i, data) in chunks.into_iter().enumerate() {
             let chunk = Chunk {
                 partition: self.id,
                 term: self.term,
@@ -110,7 +111,7 @@
                 position_term,
                 part: i as u32,
                 last: i + 1 == parts,
-                data: data.slice(i * chunk_bytes..data.len().min((i + 1) * chunk_bytes)),
+                data,
             };
             out.push(Effect::Send(node.to_owned(), Body::Chunk(chunk)));
         }
--- a/crates/partition/src/state/snapshot.rs
+++ b/crates/partition/src/state/snapshot.rs
@@ -30,6 +30,29 @@
         self.parts.iter().map(Bytes::len).sum()
     }
 
+    /// Splits it into chunks of at most `max_bytes`, at least one. Long bodies are not copied.
+    pub fn into_chunks(self, max_bytes: usize) -> Vec<Bytes> {
+        let mut chunks = Vec::new();
+        let mut gathered = BytesMut::new();
+        for mut part in self.parts {
+            if part.len() < MIN_SHARED_BODY_BYTES && gathered.len() + part.len() <= max_bytes {
+                gathered.extend_from_slice(&part);
+                continue;
+            }
+            if !gathered.is_empty() {
+                chunks.push(gathered.split().freeze());
+            }
+            while part.len() > max_bytes {
+                chunks.push(part.split_to(max_bytes));
+            }
+            chunks.push(part);
+        }
+        if !gathered.is_empty() || chunks.is_empty() {
+            chunks.push(gathered.freeze());
+        }
+        chunks
+    }
+
     /// Returns it in one piece.
     pub fn concat(&self) -> Bytes {
         match self.parts.as_slice() {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -240,7 +240,12 @@
         let log_file: File = File::options().create(true).append(true).open(&log).map_err(file_error(&log))?;
         let (role, _) = split_name(name);
         let mut command = Command::new(&self.program);
-        command.arg(role).env("WILLOWSLIP_SETTINGS", &settings).stderr(Stdio::from(log_file));
+        // As on the machines of a deployment, the allocator uses a single arena.
+        command
+            .arg(role)
+            .env("MALLOC_ARENA_MAX", "1")
+            .env("WILLOWSLIP_SETTINGS", &settings)
+            .stderr(Stdio::from(log_file));
         let child = command.spawn().map_err(|source| ClusterError::Process { name: name.into(), source })?;
         self.running.insert(name.to_owned(), child);
         Ok(())
--- a/crates/willowslip/tests/memory.rs
+++ b/crates/willowslip/tests/memory.rs
@@ -13,7 +13,9 @@
 const DISK_MB: u64 = 200;
 const BODY_BYTES: usize = 200_000;
 const CLIENTS: usize = 12;
+/// The clients send for at least this long, and until the stores have refused messages.
 const FLOOD: Duration = Duration::from_secs(8);
+const MAX_FLOOD: Duration = Duration::from_secs(40);
 /// A store is killed and started again this long after the start of the flood.
 const RESTART_AFTER: Duration = Duration::from_secs(4);
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -35,14 +37,19 @@
 #[derive(Debug, Default)]
 struct Peaks {
     memory_mb: u64,
+    /// The store with that memory.
+    store: String,
     disk_mb: u64,
 }
 
 impl Peaks {
     fn sample(&mut self, cluster: &Cluster) {
         for store in Cluster::stores() {
-            self.memory_mb = self.memory_mb.max(cluster.pid(&store).map_or(0, anonymous_mb));
             self.disk_mb = self.disk_mb.max(folder_mb(&cluster.dir().join(&store)));
+            let memory_mb = cluster.pid(&store).map_or(0, anonymous_mb);
+            if memory_mb > self.memory_mb {
+                (self.memory_mb, self.store) = (memory_mb, store);
+            }
         }
     }
 }
@@ -89,7 +96,8 @@
         }
         let started = Instant::now();
         let mut is_restarted = false;
-        while started.elapsed() < FLOOD {
+        let has_refused = || refused.load(Ordering::Relaxed) > CLIENTS;
+        while started.elapsed() < FLOOD || !has_refused() && started.elapsed() < MAX_FLOOD {
             peaks.sample(&cluster);
             if !is_restarted && started.elapsed() > RESTART_AFTER {
                 is_restarted = true;
@@ -102,6 +110,7 @@
     });
     processor.set_silent(false);
     let accepted = accepted.lock().unwrap();
+    eprintln!("{} accepted, {} refused, {peaks:?}", accepted.len(), refused.load(Ordering::Relaxed));
     assert!(accepted.len() > 100, "{} messages accepted", accepted.len());
     assert!(peaks.memory_mb < MEMORY_MB && peaks.disk_mb < DISK_MB, "{peaks:?}");
     assert!(refused.load(Ordering::Relaxed) > 0, "the flood exceeds what the stores hold");
