--- a/crates/partition/src/replica.rs
+++ b/crates/partition/src/replica.rs
@@ -127,6 +127,9 @@
     }
 }
 
+/// Resend intervals for which a follower's statement that it has no room is valid.
+const FULL_VALID_RESENDS: u64 = 4;
+
 /// The longest record that every replica receives, also one that states no limit.
 const UNSTATED_RECORD_LIMIT: usize = rpc::max_record_bytes(rpc::FRAME_LIMIT);
 
@@ -401,9 +404,12 @@
         self.unapplied_bytes
     }
 
-    /// The in-sync followers that have no room for more messages.
-    pub fn full_replicas(&self) -> impl Iterator<Item = &str> {
-        let is_full = |node: &&String| self.peers.get(*node).is_some_and(|peer| peer.is_full);
+    /// The in-sync followers that have said lately that they have no room for more messages. An idle
+    /// partition hears nothing of them, so an old statement must not refuse its messages for good.
+    pub fn full_replicas(&self, now: u64) -> impl Iterator<Item = &str> {
+        let validity_ms = FULL_VALID_RESENDS * self.timing.resend_ms;
+        let is_full = move |peer: &Peer| peer.is_full && now <= peer.last_heard + validity_ms;
+        let is_full = move |node: &&String| self.peers.get(*node).is_some_and(is_full);
         self.in_sync.iter().filter(is_full).map(String::as_str)
     }
 
--- a/crates/partition/tests/long_records.rs
+++ b/crates/partition/tests/long_records.rs
@@ -124,13 +124,15 @@
 #[test]
 fn owners_learn_that_a_follower_has_no_room() {
     let mut cluster = cluster();
-    assert_eq!(cluster.nodes["a"].full_replicas().count(), 0);
+    assert_eq!(cluster.nodes["a"].full_replicas(cluster.now).count(), 0);
     cluster.nodes.get_mut("b").expect("a node").is_node_full = true;
     cluster.append_message("second").expect("written");
-    assert_eq!(cluster.nodes["a"].full_replicas().collect::<Vec<_>>(), ["b"]);
+    assert_eq!(cluster.nodes["a"].full_replicas(cluster.now).collect::<Vec<_>>(), ["b"]);
+    // An idle partition hears nothing more: the statement ends, or no message would ever be accepted again.
+    assert_eq!(cluster.nodes["a"].full_replicas(cluster.now + 5 * TIMING.resend_ms).count(), 0);
     cluster.nodes.get_mut("b").expect("a node").is_node_full = false;
     cluster.append_message("third").expect("written");
-    assert_eq!(cluster.nodes["a"].full_replicas().count(), 0);
+    assert_eq!(cluster.nodes["a"].full_replicas(cluster.now).count(), 0);
 }
 
 #[test]
--- a/crates/store/src/service/requests.rs
+++ b/crates/store/src/service/requests.rs
@@ -110,7 +110,7 @@
         let rank = self
             .session
             .with_known(|known| known.configuration.route_named(&request.item.route).map_or(0, |route| route.rank));
-        let is_follower_full = replica.full_replicas().next().is_some();
+        let is_follower_full = replica.full_replicas(self.now()).next().is_some();
         if is_follower_full {
             telemetry::count("refused_full_follower");
         }
